--- /dev/null
+++ b/crates/codec/src/lib.rs
@@ -0,0 +1,49 @@
+//! Encodings of jacinthhoist, apart from every decision.
+//!
+//! The catalogue file is TOML, log records are JSON text with a version, frames between members
+//! are CBOR, and what callers and operators read is JSON.
+//!
+//! ```
+//! use jacinthhoist_codec::CatalogueFile;
+//! let file = CatalogueFile::parse(r#"
+//!     [owners.depot]
+//!     weight = 2
+//!     [pools.quotes]
+//!     min_available = 1
+//!     base_vms = 2
+//!     [works.quote-run]
+//!     owner = "depot"
+//!     class = "urgent"
+//!     pool = "quotes"
+//!     repeatable = true
+//! "#).unwrap();
+//! assert_eq!(file.entries.len(), 3);
+//! ```
+
+mod admin;
+mod answer;
+mod digest;
+mod error;
+mod file;
+mod frame;
+mod platform;
+mod record;
+mod snapshot;
+
+pub use admin::{
+    CatalogueView, ChangeAnswer, ChangeRequest, ChangeVerdict, EntryView, InForceView, MemberView,
+    PoolView, StatusView, VmView, WaveView,
+};
+pub use answer::{
+    HEADER_KEY, HEADER_LEAVING, HEADER_OUTCOME, HEADER_REASON, HEADER_REQUEST, RefusalBody,
+};
+pub use digest::digest;
+pub use error::{Category, Error, ErrorKind, Result};
+pub use file::{CatalogueFile, FileEntry};
+pub use frame::{
+    BeatFrame, ClaimReply, HelloFrame, KeptAnswer, PeerFrame, PoolLoad, VmLoan, decode_frame,
+    encode_frame,
+};
+pub use platform::{ListedVm, LogAppended, LogPage, LogRecord, VmListPage, VmRole};
+pub use record::{decode_record, encode_record};
+pub use snapshot::{join_snapshot, split_snapshot};
--- /dev/null
+++ b/crates/codec/src/snapshot.rs
@@ -0,0 +1,68 @@
+//! Snapshots of the folded state as text in parts.
+
+use jacinthhoist_core::{FoldState, Offset, SnapshotPart};
+use snafu::{ResultExt, ensure};
+
+use crate::{
+    digest::digest,
+    error::{DigestSnafu, JsonSnafu, Result},
+};
+
+/// Splits a state into parts of at most `part_bytes`.
+///
+/// ```
+/// use jacinthhoist_codec::{join_snapshot, split_snapshot};
+/// use jacinthhoist_core::{FoldState, SnapshotParts};
+/// let state = FoldState::default();
+/// let mut parts = SnapshotParts::default();
+/// let texts = split_snapshot(&state, 16).unwrap();
+/// let (text, digest) = texts.iter().find_map(|p| Some((parts.add(p)?, p.digest))).unwrap();
+/// assert_eq!(join_snapshot(&text, digest).unwrap(), state);
+/// ```
+///
+/// # Errors
+///
+/// None for states that the core can make.
+pub fn split_snapshot(state: &FoldState, part_bytes: usize) -> Result<Vec<SnapshotPart>> {
+    let text = serde_json::to_string(state).context(JsonSnafu)?;
+    let digest = digest(text.as_bytes());
+    let offset = state.folded().unwrap_or(Offset(0));
+    let texts = split_text(&text, part_bytes);
+    let count = texts.len() as u32;
+    let part = |(index, text): (usize, &str)| SnapshotPart {
+        offset,
+        index: index as u32,
+        count,
+        digest,
+        text: text.to_owned(),
+    };
+    Ok(texts.into_iter().enumerate().map(part).collect())
+}
+
+/// The state that a whole text says.
+///
+/// # Errors
+///
+/// A data error where the digest does not match, a syntax error where the text cannot be read.
+pub fn join_snapshot(text: &str, expected: u64) -> Result<FoldState> {
+    ensure!(digest(text.as_bytes()) == expected, DigestSnafu);
+    serde_json::from_str(text)
+        .context(JsonSnafu)
+        .map_err(Into::into)
+}
+
+fn split_text(text: &str, part_bytes: usize) -> Vec<&str> {
+    let mut rest = text;
+    let mut parts = Vec::new();
+    while rest.len() > part_bytes {
+        let mut at = part_bytes.max(4);
+        while !rest.is_char_boundary(at) {
+            at -= 1;
+        }
+        let (part, tail) = rest.split_at(at);
+        parts.push(part);
+        rest = tail;
+    }
+    parts.push(rest);
+    parts
+}
--- /dev/null
+++ b/crates/core/src/budget.rs
@@ -0,0 +1,43 @@
+//! The retry budget of a pool: retries are a fraction of fresh requests.
+
+use std::sync::atomic::{AtomicI64, Ordering};
+
+/// Thousandths of a retry that one fresh request earns.
+const EARN_MILLIS: i64 = 100;
+/// Thousandths that one retry costs.
+const COST_MILLIS: i64 = 1_000;
+/// The most that can be saved up, in thousandths.
+const SAVED_MILLIS: i64 = 10_000;
+
+/// A token bucket filled by requests instead of time.
+///
+/// ```
+/// use jacinthhoist_core::RetryBudget;
+/// let budget = RetryBudget::default();
+/// assert!(!budget.try_spend());
+/// (0..10).for_each(|_| budget.earn());
+/// assert!(budget.try_spend());
+/// assert!(!budget.try_spend());
+/// ```
+#[derive(Debug, Default)]
+pub struct RetryBudget(AtomicI64);
+
+impl RetryBudget {
+    /// Notes a fresh request.
+    pub fn earn(&self) {
+        let before = self.0.fetch_add(EARN_MILLIS, Ordering::Relaxed);
+        if before + EARN_MILLIS > SAVED_MILLIS {
+            self.0.fetch_sub(EARN_MILLIS, Ordering::Relaxed);
+        }
+    }
+
+    /// Takes the price of one retry, if it is there.
+    pub fn try_spend(&self) -> bool {
+        let before = self.0.fetch_sub(COST_MILLIS, Ordering::Relaxed);
+        let paid = before >= COST_MILLIS;
+        if !paid {
+            self.0.fetch_add(COST_MILLIS, Ordering::Relaxed);
+        }
+        paid
+    }
+}
--- /dev/null
+++ b/crates/core/src/plan.rs
@@ -0,0 +1,88 @@
+//! The planner: reads the agreed state and proposes the next steps.
+//!
+//! Any member may run it at any time: each step names the revision it was based on, and the fold
+//! rejects a step that comes second or would break a budget.
+
+mod maintain;
+mod moves;
+mod observe;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::{
+    clock::ClockTime,
+    demand::DemandMeter,
+    fold::FoldState,
+    name::{MemberName, VmName},
+    record::{Step, VmDetails},
+    vm::{AnyVm, VmSight},
+};
+
+pub use maintain::{WaveProgress, wave_progress};
+
+/// What the planner looks at besides the agreed state.
+#[derive(Clone, Debug, Default)]
+pub struct PlanInput {
+    /// The VM list as last read; none where it cannot be read.
+    pub listing: Option<BTreeMap<VmName, VmListing>>,
+    /// VMs missing from the list for long enough to be forgotten.
+    pub forgettable: BTreeSet<VmName>,
+    /// Members missing from the list for long enough to be evicted.
+    pub gone_members: Vec<(MemberName, u64)>,
+    /// Joining VMs that answered a probe.
+    pub probed: BTreeSet<VmName>,
+    /// Demand over time.
+    pub demand: DemandMeter,
+    /// Now, by this member's clock.
+    pub now: ClockTime,
+}
+
+/// One upstream VM as the VM list shows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VmListing {
+    /// Where it stands.
+    pub details: VmDetails,
+    /// Whether it is live or leaving.
+    pub sight: VmSight,
+}
+
+/// The steps that are due now, those that free capacity first.
+///
+/// ```
+/// use jacinthhoist_core::{plan, FoldState, PlanInput};
+/// assert!(plan(&FoldState::default(), &PlanInput::default()).is_empty());
+/// ```
+pub fn plan(state: &FoldState, input: &PlanInput) -> Vec<Step> {
+    let mut steps = Vec::new();
+    observe::members(input, &mut steps);
+    observe::sights(state, input, &mut steps);
+    for vm in state.fleet().vms() {
+        steps.extend(advance(vm, input));
+    }
+    maintain::undrain_aborted(state, &mut steps);
+    maintain::drain_waves(state, &mut steps);
+    maintain::drain_due(state, &mut steps);
+    moves::fill(state, &mut steps);
+    moves::follow_demand(state, input, &mut steps);
+    steps
+}
+
+/// The next move of a VM that is on its way.
+fn advance(vm: &AnyVm, input: &PlanInput) -> Option<Step> {
+    let identity = vm.identity();
+    let name = identity.vm.clone();
+    let based_on = identity.revision;
+    match vm {
+        AnyVm::Detached(detached) => match detached.phase.purpose {
+            crate::vm::DrainPurpose::Move(_) => Some(Step::Rejoin { vm: name, based_on }),
+            crate::vm::DrainPurpose::Reboot(_) => Some(Step::Reboot { vm: name, based_on }),
+        },
+        AnyVm::Rebooting(rebooting) if identity.details.boot > rebooting.phase.old_boot => {
+            Some(Step::Rejoin { vm: name, based_on })
+        }
+        AnyVm::Joining(_) if input.probed.contains(&name) => {
+            Some(Step::Serve { vm: name, based_on })
+        }
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder while the workspace is laid out.
--- /dev/null
+++ b/crates/jacinthhoistd/src/main.rs
@@ -0,0 +1,2 @@
+//! Entry point.
+fn main() {}
