Test the whole path under faults over sockets; distrust connections after a silence

Cause: after one silent connection, other VMs' connections that were as silent each cost one more once-only request its certainty. Change: a silence marks the moment; work that may run once only goes out only on connections that have answered since, or on new ones. Tests kill members with their runtime, as a process would end.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -63,6 +63,7 @@
     caught_up: AtomicBool,
     log_read_at: AtomicU64,
     log_behind: AtomicBool,
+    silent_since: AtomicU64,
     next_request: AtomicU64,
 }
 
@@ -104,6 +105,7 @@
             caught_up: AtomicBool::new(false),
             log_read_at: AtomicU64::new(0),
             log_behind: AtomicBool::new(false),
+            silent_since: AtomicU64::new(0),
             next_request: AtomicU64::new(0),
         })
     }
@@ -118,6 +120,19 @@
         format!("{:x}-{number}", self.nonce)
     }
 
+    /// Notes that a request sent at this time got no answer: connections that have not answered
+    /// since then may be as silent.
+    pub(crate) fn note_silence(&self, sent_at: ClockTime) {
+        self.silent_since
+            .fetch_max(sent_at.as_millis(), Ordering::Relaxed);
+    }
+
+    /// Since when a connection must have answered to carry work that may run once only.
+    pub(crate) fn fresh_since(&self, now: ClockTime) -> ClockTime {
+        let silent = ClockTime::from_millis(self.silent_since.load(Ordering::Relaxed));
+        silent.max(now - ClockTime::from_millis(self.settings.limits.fresh_ms))
+    }
+
     /// Notes that the log was read to its end.
     pub(crate) fn note_log_read(&self, caught_up: bool) {
         self.log_read_at
--- a/crates/entry/src/pipe/dispatch.rs
+++ b/crates/entry/src/pipe/dispatch.rs
@@ -131,6 +131,7 @@
     note_failure(context, &vm, call, dispatched.phase.vm);
     if reason == RetryReason::AnswerTimeout {
         // The others may be as silent as this one was.
+        context.note_silence(now);
         vm.presence.connections.clear();
     }
     try_or_end(context, dispatched.attempted(reason, not_run), call)
@@ -147,7 +148,7 @@
     let first = placed.tried.len() <= 1;
     let fresh_since = match (once, first) {
         (false, true) => None,
-        (true, true) => Some(now - ClockTime::from_millis(limits.fresh_ms)),
+        (true, true) => Some(context.fresh_since(now)),
         (_, false) => Some(now),
     };
     let limit = Duration::from_millis(limits.connect_ms);
--- /dev/null
+++ b/crates/entry/tests/answers.rs
@@ -0,0 +1,210 @@
+//! Silent, late, crossed and cut answers; failing, refusing and leaving upstreams.
+
+use jacinthhoist_experiments::{CallerAnswer, CallerError, FleetPlan, LocalFleet, WorkCaller};
+use jacinthhoist_fakes::UpstreamFault;
+
+/// A fleet whose upstreams all do something wrong, with connections open beforehand.
+async fn faulty_fleet(fault: UpstreamFault) -> LocalFleet {
+    let fleet = LocalFleet::open(FleetPlan::small()).await;
+    for order in 0..16 {
+        let caller = WorkCaller::new(fleet.caller(0)).order(&format!("warm-{order}"));
+        caller.send("quote-run", "warm").await.unwrap();
+    }
+    for upstream in fleet.upstreams.values() {
+        upstream.set_fault(fault).await;
+    }
+    fleet
+}
+
+async fn send(fleet: &LocalFleet, work: &str, order: &str) -> Result<CallerAnswer, CallerError> {
+    WorkCaller::new(fleet.caller(0))
+        .order(order)
+        .send(work, "body")
+        .await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failing_pool_is_told_truthfully() {
+    let fleet = faulty_fleet(UpstreamFault::FailAll).await;
+    let once = send(&fleet, "pour-order", "once").await.unwrap();
+    assert_eq!(
+        (once.outcome.as_str(), once.reason.as_str()),
+        ("failed", "")
+    );
+    assert_eq!(once.status, 500);
+    send(&fleet, "quote-run", "again").await.unwrap();
+    let runs = fleet.runs().await;
+    assert_eq!(
+        runs["once"], 1,
+        "work that may run once only is not sent again"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusing_pool_means_not_run() {
+    let fleet = faulty_fleet(UpstreamFault::Refuse).await;
+    for work in ["pour-order", "quote-run"] {
+        let answer = send(&fleet, work, work).await.unwrap();
+        assert_eq!(
+            (answer.outcome.as_str(), answer.status),
+            ("not-run", 503),
+            "{work}"
+        );
+        assert!(!fleet.runs().await.contains_key(work));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cut_answer_never_ends_cleanly() {
+    let fleet = faulty_fleet(UpstreamFault::Cut).await;
+    for work in ["pour-order", "quote-run"] {
+        let answer = send(&fleet, work, work).await;
+        assert!(answer.is_err(), "{work}: {answer:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crossed_answer_reaches_nobody() {
+    let fleet = faulty_fleet(UpstreamFault::Crossed).await;
+    for work in ["pour-order", "quote-run"] {
+        let answer = send(&fleet, work, work).await.unwrap();
+        assert_eq!(answer.outcome, "unknown", "{work}");
+        assert!(!answer.text().contains("ran: "), "{work}");
+    }
+    assert_eq!(fleet.runs().await["pour-order"], 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_connection_costs_one_attempt_and_its_successor_is_new() {
+    let fleet = faulty_fleet(UpstreamFault::Silent).await;
+    let answer = send(&fleet, "quote-run", "again").await.unwrap();
+    assert_eq!(answer.outcome, "done");
+    assert!(fleet.runs().await["again"] <= 2);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_connection_leaves_once_only_work_unknown() {
+    let mut plan = FleetPlan::small();
+    plan.catalogue = plan
+        .catalogue
+        .replace("deadline_ms = 10000", "deadline_ms = 700");
+    let fleet = LocalFleet::open(plan).await;
+    for order in 0..16 {
+        send(&fleet, "quote-run", &format!("warm-{order}"))
+            .await
+            .unwrap();
+    }
+    for upstream in fleet.upstreams.values() {
+        upstream.set_fault(UpstreamFault::Silent).await;
+    }
+    let answer = send(&fleet, "pour-order", "once").await.unwrap();
+    assert_eq!(
+        (answer.outcome.as_str(), answer.reason.as_str()),
+        ("unknown", "answer_timeout")
+    );
+    assert_eq!(fleet.runs().await["once"], 1);
+    let next = send(&fleet, "pour-order", "next").await.unwrap();
+    assert_eq!(next.outcome, "done", "the silent connections are gone");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_worker_that_fails_everything_is_ejected_and_comes_back() {
+    let fleet = LocalFleet::open(FleetPlan::small()).await;
+    let bad = fleet.upstreams.values().next().unwrap();
+    bad.set_fault(UpstreamFault::FailAll).await;
+    for order in 0..60 {
+        send(&fleet, "quote-run", &format!("a{order}"))
+            .await
+            .unwrap();
+    }
+    let before = bad.count();
+    let mut failed = 0;
+    for order in 0..40 {
+        let answer = send(&fleet, "quote-run", &format!("b{order}"))
+            .await
+            .unwrap();
+        failed += u32::from(answer.outcome != "done");
+    }
+    assert_eq!(failed, 0);
+    assert!(bad.count() - before <= 2, "only probes reach it");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_upstream_that_says_it_leaves_gets_no_new_work() {
+    let fleet = LocalFleet::open(FleetPlan::small()).await;
+    let leaving = fleet.upstreams.values().next().unwrap();
+    leaving.set_leaving(true);
+    for order in 0..32 {
+        send(&fleet, "quote-run", &format!("a{order}"))
+            .await
+            .unwrap();
+    }
+    let before = leaving.count();
+    for order in 0..64 {
+        let answer = send(&fleet, "quote-run", &format!("b{order}"))
+            .await
+            .unwrap();
+        assert_eq!(answer.outcome, "done");
+    }
+    assert_eq!(leaving.count(), before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_vm_listed_as_leaving_gets_no_new_work() {
+    let fleet = LocalFleet::open(FleetPlan::small()).await;
+    fleet.list.set_state("w0000", "leaving").await;
+    let seen = |views: &Vec<jacinthhoist_codec::VmView>| {
+        views
+            .iter()
+            .any(|view| view.sight == jacinthhoist_core::VmSight::Leaving)
+    };
+    for place in 0..2 {
+        fleet
+            .until_view(place, "/v1/vms", "seen as leaving", seen)
+            .await;
+    }
+    let before = fleet.upstreams["w0000"].count();
+    for order in 0..64 {
+        let answer = send(&fleet, "quote-run", &format!("{order}"))
+            .await
+            .unwrap();
+        assert_eq!(answer.outcome, "done");
+    }
+    assert_eq!(fleet.upstreams["w0000"].count(), before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cancelled_caller_frees_its_place() {
+    let mut plan = FleetPlan::small();
+    plan.service_ms = 30_000;
+    let fleet = LocalFleet::open(plan).await;
+    let caller = WorkCaller::new(fleet.caller(0));
+    let waves: Vec<_> = (0..80)
+        .map(|_| {
+            let caller = caller.clone();
+            tokio::spawn(async move { caller.send("quote-run", "wave").await.is_ok() })
+        })
+        .collect();
+    let busy =
+        |views: &Vec<jacinthhoist_codec::PoolView>| views.iter().any(|view| view.waiting > 30);
+    fleet
+        .until_view(0, "/v1/pools", "the queue waits", busy)
+        .await;
+    for caller in waves {
+        caller.abort();
+    }
+    let idle = |views: &Vec<jacinthhoist_codec::PoolView>| {
+        views
+            .iter()
+            .all(|view| view.waiting == 0 && view.running == 0)
+    };
+    fleet
+        .until_view(0, "/v1/pools", "queue and slots are free", idle)
+        .await;
+    let answer = caller
+        .service_ms(1)
+        .send("quote-run", "next")
+        .await
+        .unwrap();
+    assert_eq!(answer.outcome, "done");
+}
--- /dev/null
+++ b/crates/entry/tests/control.rs
@@ -0,0 +1,208 @@
+//! The log and the members: outages, lost answers, expired and garbage records, replacements.
+
+use jacinthhoist_codec::{CatalogueView, ChangeVerdict, StatusView};
+use jacinthhoist_experiments::{FleetPlan, LocalFleet, WorkCaller};
+
+const CHANGE: &str = "[owners.newcomer]\nweight = 3\n";
+
+fn has_newcomer(view: &CatalogueView) -> bool {
+    view.entries
+        .iter()
+        .any(|entry| entry.entry.name.as_str() == "newcomer")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_go_on_while_log_and_list_are_down() {
+    let fleet = LocalFleet::open(FleetPlan::small()).await;
+    fleet.log.set_down(true);
+    fleet.list.set_down(true);
+    for order in 0..40 {
+        let answer = WorkCaller::new(fleet.caller(order))
+            .send("quote-run", "a")
+            .await
+            .unwrap();
+        assert_eq!(answer.outcome, "done");
+    }
+    let change = fleet.apply(0, CHANGE).await.unwrap();
+    assert_eq!(change.verdict, ChangeVerdict::Unknown);
+    fleet.log.set_down(false);
+    fleet.list.set_down(false);
+    for place in 0..2 {
+        fleet
+            .until_view(
+                place,
+                "/v1/catalogue",
+                "the change comes through",
+                has_newcomer,
+            )
+            .await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_append_answers_are_found_in_the_tail() {
+    let fleet = LocalFleet::open(FleetPlan::small()).await;
+    fleet.log.lose_answers(1);
+    let change = fleet.apply(0, CHANGE).await.unwrap();
+    assert_eq!(change.verdict, ChangeVerdict::Accepted);
+    let texts = fleet.log.texts().await;
+    assert_eq!(
+        texts
+            .iter()
+            .filter(|text| text.contains("newcomer"))
+            .count(),
+        1
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn garbage_and_unknown_versions_in_the_log_are_skipped() {
+    let fleet = LocalFleet::open(FleetPlan::small()).await;
+    for garbage in [
+        "",
+        "{",
+        "null",
+        "{\"v\":99}",
+        "{\"v\":1,\"record\":{}}",
+        "\u{fffd}",
+    ] {
+        fleet.log.append(garbage).await;
+    }
+    let change = fleet.apply(1, CHANGE).await.unwrap();
+    assert_eq!(change.verdict, ChangeVerdict::Accepted);
+    fleet
+        .until_view(0, "/v1/catalogue", "the change comes through", has_newcomer)
+        .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cold_member_starts_from_a_snapshot_after_records_expired() {
+    let mut plan = FleetPlan::small();
+    plan.limits.snapshot_records = 6;
+    let mut fleet = LocalFleet::open(plan).await;
+    fleet.apply(0, CHANGE).await.unwrap();
+    let mut snapshot = false;
+    for _ in 0..600 {
+        snapshot = fleet
+            .log
+            .texts()
+            .await
+            .iter()
+            .any(|text| text.contains("\"step\":\"snapshot\""));
+        if snapshot {
+            break;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+    }
+    assert!(snapshot, "a snapshot is appended");
+    fleet.log.expire_to(8).await;
+    let texts = fleet.log.texts().await;
+    let place = texts
+        .iter()
+        .rposition(|text| text.contains("\"step\":\"snapshot\""))
+        .unwrap();
+    fleet.log.expire_to(texts.len() - place).await;
+    let place = fleet.add_member().await;
+    fleet
+        .until("the cold member is ready", |fleet| {
+            fleet.members[place].waits_for().is_none()
+        })
+        .await;
+    fleet
+        .until_view(place, "/v1/catalogue", "the change is there", has_newcomer)
+        .await;
+    fleet.until_settled().await;
+    let answer = WorkCaller::new(fleet.caller(place))
+        .send("quote-run", "a")
+        .await
+        .unwrap();
+    assert_eq!(answer.outcome, "done");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_member_without_log_is_not_ready_and_says_so() {
+    let mut fleet = LocalFleet::open_empty(FleetPlan::small()).await;
+    fleet.log.set_down(true);
+    fleet.add_member().await;
+    let status: StatusView = fleet.get(0, "/v1/status").await.unwrap();
+    assert!(!status.ready);
+    assert!(status.waits_for.unwrap().contains("the log"));
+    let answer = WorkCaller::new(fleet.caller(0))
+        .send("quote-run", "a")
+        .await
+        .unwrap();
+    assert_eq!((answer.status, answer.reason.as_str()), (503, "not_ready"));
+    fleet.log.set_down(false);
+    fleet
+        .until("it is ready", |fleet| {
+            fleet.members[0].waits_for().is_none()
+        })
+        .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn all_members_replaced_at_once_keep_the_catalogue_and_the_claims() {
+    let mut fleet = LocalFleet::open(FleetPlan::small()).await;
+    fleet.apply(0, CHANGE).await.unwrap();
+    let caller = |fleet: &LocalFleet| WorkCaller::new(fleet.caller(0)).key("k").order("k");
+    caller(&fleet).send("pour-order", "a").await.unwrap();
+    for _ in 0..2 {
+        fleet.kill_member(0).await;
+    }
+    for _ in 0..2 {
+        fleet.add_member().await;
+    }
+    fleet
+        .until("they are ready", |fleet| {
+            fleet.members.iter().all(|m| m.waits_for().is_none())
+        })
+        .await;
+    fleet
+        .until_view(0, "/v1/catalogue", "the change is there", has_newcomer)
+        .await;
+    let two = |status: &StatusView| status.members == 2;
+    fleet
+        .until_view(0, "/v1/status", "the dead are evicted", two)
+        .await;
+    let repeat = caller(&fleet).send("pour-order", "a").await.unwrap();
+    assert_ne!(repeat.outcome, "not-run");
+    assert_eq!(fleet.runs().await["k"], 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_cuts_nothing_and_hands_slots_on() {
+    let mut plan = FleetPlan::small();
+    plan.service_ms = 400;
+    let mut fleet = LocalFleet::open(plan).await;
+    let callers: Vec<_> = (0..40)
+        .map(|_| {
+            let caller = WorkCaller::new(fleet.caller(0));
+            tokio::spawn(async move {
+                caller
+                    .send("quote-run", "a")
+                    .await
+                    .map(|answer| answer.outcome)
+            })
+        })
+        .collect();
+    let busy =
+        |views: &Vec<jacinthhoist_codec::PoolView>| views.iter().any(|view| view.running > 8);
+    fleet.until_view(0, "/v1/pools", "requests run", busy).await;
+    let stopping = fleet.members.remove(0);
+    assert!(stopping.stop().await, "everything in flight had ended");
+    let mut done = 0;
+    for caller in callers {
+        match caller.await.unwrap() {
+            Ok(outcome) => {
+                assert!(outcome == "done" || outcome == "not-run", "{outcome}");
+                done += u32::from(outcome == "done");
+            }
+            Err(error) => panic!("cut: {error}"),
+        }
+    }
+    assert!(done > 8);
+    let one = |status: &StatusView| status.members == 1;
+    fleet
+        .until_view(0, "/v1/status", "the member has left", one)
+        .await;
+}
--- /dev/null
+++ b/crates/entry/tests/whole_path.rs
@@ -0,0 +1,152 @@
+//! The whole path over real sockets: requests, refusals, catalogue changes.
+
+use expect_test::expect;
+use jacinthhoist_codec::{ChangeVerdict, InForceView};
+use jacinthhoist_experiments::{FleetPlan, LocalFleet, WorkCaller};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn each_class_is_answered_whole_at_every_member() {
+    let fleet = LocalFleet::open(FleetPlan::small()).await;
+    let body = "x".repeat(300_000);
+    for place in 0..2 {
+        for work in ["quote-run", "pour-order", "mould-cure"] {
+            let answer = WorkCaller::new(fleet.caller(place))
+                .send(work, &body)
+                .await
+                .unwrap();
+            assert_eq!(
+                (answer.status, answer.outcome.as_str()),
+                (200, "done"),
+                "{work}"
+            );
+            assert_eq!(answer.text(), format!("ran: {body}"), "{work}");
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn refusals_name_reason_and_remedy() {
+    let fleet = LocalFleet::open(FleetPlan::small()).await;
+    let caller = || WorkCaller::new(fleet.caller(0));
+    let large = "x".repeat(1_048_577);
+    let cases = [
+        (caller(), "no-such-work", "a", 404, "unknown_work"),
+        (caller(), "quote-run", large.as_str(), 413, "body_too_large"),
+        (
+            caller().key(&"k".repeat(257)),
+            "pour-order",
+            "a",
+            400,
+            "malformed",
+        ),
+    ];
+    for (caller, work, body, status, reason) in cases {
+        let answer = caller.send(work, body).await.unwrap();
+        assert_eq!((answer.status, answer.reason.as_str()), (status, reason));
+        assert_eq!(answer.outcome, "not-run");
+        assert!(answer.text().contains("\"remedy\":\""), "{}", answer.text());
+    }
+    assert!(fleet.runs().await.is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn garbage_ends_no_process() {
+    let fleet = LocalFleet::open(FleetPlan::small()).await;
+    let addresses = fleet.members[0].addresses();
+    for address in [addresses.caller, addresses.peer, addresses.admin] {
+        for garbage in [
+            "\0\0\0\0\r\n\r\n",
+            "GET / HTTP/9.9\r\n\r\n",
+            "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+        ] {
+            let mut stream = TcpStream::connect(address).await.unwrap();
+            stream.write_all(garbage.as_bytes()).await.unwrap();
+            stream.shutdown().await.unwrap();
+            // Whatever comes back, the connection ends.
+            let _ = stream.read_to_end(&mut Vec::new()).await;
+        }
+    }
+    let answer = WorkCaller::new(addresses.caller)
+        .send("quote-run", "a")
+        .await
+        .unwrap();
+    assert_eq!(answer.outcome, "done");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_is_in_force_everywhere_and_operators_race_by_entry() {
+    let fleet = LocalFleet::open(FleetPlan::small()).await;
+    let change = |queued: u32| {
+        format!(
+            "[works.late-work]\nowner = \"depot\"\nclass = \"slow\"\npool = \"quotes\"\nrepeatable = true\nmax_queued = {queued}\n"
+        )
+    };
+    let first = fleet.apply(0, &change(5)).await.unwrap();
+    assert_eq!(first.verdict, ChangeVerdict::Accepted);
+    let path = format!("/v1/in-force?offset={}", first.offset.unwrap());
+    fleet
+        .until_view(1, &path, "in force", |view: &InForceView| view.everywhere)
+        .await;
+    for place in 0..2 {
+        let answer = WorkCaller::new(fleet.caller(place))
+            .send("late-work", "a")
+            .await
+            .unwrap();
+        assert_eq!(answer.outcome, "done");
+    }
+    let (one, two) = (change(6), change(7));
+    let (one, two) = tokio::join!(fleet.apply(0, &one), fleet.apply(1, &two));
+    let verdicts = [one.unwrap(), two.unwrap()];
+    let accepted = verdicts
+        .iter()
+        .filter(|answer| answer.verdict == ChangeVerdict::Accepted);
+    assert_eq!(accepted.count(), 1, "{verdicts:?}");
+    let told = verdicts
+        .iter()
+        .find(|answer| answer.verdict == ChangeVerdict::Refused)
+        .unwrap();
+    assert!(
+        told.message
+            .as_ref()
+            .unwrap()
+            .contains("read the catalogue again"),
+        "{told:?}"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_invalid_change_displaces_nothing() {
+    let fleet = LocalFleet::open(FleetPlan::small()).await;
+    let cases = [
+        (
+            "[works.a]\nowner = \"nobody\"\nclass = \"slow\"\npool = \"quotes\"\nrepeatable = true\n",
+            expect![
+                "works.a: field `owner` names `nobody`, which is not in the catalogue: add the owner, or name another"
+            ],
+        ),
+        (
+            "[pools.quotes]\nbase_vms = 4\nmin_available = 9\n",
+            expect!["pools.quotes: field `min_available` is 9: write a value from 0 to 4"],
+        ),
+        (
+            "remove = [\"pools.quotes\"]\n",
+            expect![
+                "works.mould-cure: field `pool` names `quotes`, which is not in the catalogue: add the pool, or name another"
+            ],
+        ),
+    ];
+    for (text, expected) in cases {
+        let answer = fleet.apply(0, text).await.unwrap();
+        assert_eq!(answer.verdict, ChangeVerdict::Refused);
+        expected.assert_eq(&answer.message.unwrap());
+    }
+    let answer = WorkCaller::new(fleet.caller(1))
+        .send("quote-run", "a")
+        .await
+        .unwrap();
+    assert_eq!(answer.outcome, "done");
+}
--- a/crates/experiments/examples/demo.rs
+++ b/crates/experiments/examples/demo.rs
@@ -58,6 +58,7 @@
             data_centres: 4,
             rack_size: 4,
             service_ms: 20,
+            threads: 2,
             limits,
         };
         println!("== {}: 3 entry members, 50 upstream VMs", sample.name);
--- a/crates/experiments/src/fleet.rs
+++ b/crates/experiments/src/fleet.rs
@@ -9,7 +9,7 @@
 use jacinthhoist_codec::{
     CatalogueFile, CatalogueView, ChangeAnswer, ChangeRequest, PoolView, VmView,
 };
-use jacinthhoist_entry::{EntryMember, EntrySettings, LimitSettings};
+use jacinthhoist_entry::{EntrySettings, LimitSettings};
 use jacinthhoist_fakes::{LogService, UpstreamVm, VmEntry, VmList};
 use serde::de::DeserializeOwned;
 use tokio::{
@@ -17,7 +17,10 @@
     time::{interval, timeout},
 };
 
-use crate::caller::{CallerError, HANG_LIMIT};
+use crate::{
+    caller::{CallerError, HANG_LIMIT},
+    member::LocalMember,
+};
 
 /// How often a wait looks again.
 const RECHECK: Duration = Duration::from_millis(20);
@@ -37,6 +40,8 @@
     pub rack_size: usize,
     /// How long a run takes unless the caller asks otherwise, in milliseconds.
     pub service_ms: u64,
+    /// Threads of one member.
+    pub threads: usize,
     /// The members' limits.
     pub limits: LimitSettings,
 }
@@ -62,6 +67,7 @@
             data_centres: 2,
             rack_size: 2,
             service_ms: 2,
+            threads: 2,
             limits,
         }
     }
@@ -76,7 +82,7 @@
     /// The upstream stand-ins, by VM name.
     pub upstreams: BTreeMap<String, UpstreamVm>,
     /// The entry members.
-    pub members: Vec<EntryMember>,
+    pub members: Vec<LocalMember>,
     plan: FleetPlan,
     started: usize,
 }
@@ -167,7 +173,7 @@
         settings.platform.log_address = self.log.address();
         settings.platform.vm_list_address = self.list.address();
         settings.limits = self.plan.limits.clone();
-        let member = EntryMember::spawn(settings).await.expect("a member starts");
+        let member = LocalMember::spawn(settings, self.plan.threads).await;
         self.list
             .add(VmEntry::entry(
                 member.name().as_str(),
@@ -178,10 +184,12 @@
         self.members.len() - 1
     }
 
-    /// Drops a member without a planned stop, and takes its VM off the list.
+    /// Kills a member with all it has in flight, and takes its VM off the list.
     pub async fn kill_member(&mut self, place: usize) {
         let member = self.members.remove(place);
-        self.list.remove(member.name().as_str()).await;
+        let name = member.name().clone();
+        drop(member);
+        self.list.remove(name.as_str()).await;
     }
 
     /// Where callers reach a member.
--- a/crates/experiments/src/lib.rs
+++ b/crates/experiments/src/lib.rs
@@ -12,9 +12,11 @@
 mod caller;
 mod fleet;
 mod load;
+mod member;
 mod report;
 
 pub use caller::{CallerAnswer, CallerConnection, CallerError, WorkCaller};
 pub use fleet::{FleetPlan, LocalFleet};
 pub use load::{LoadPlan, LoadSummary, run_load};
+pub use member::LocalMember;
 pub use report::{FigureTable, percent, ratio};
--- a/crates/fakes/src/upstream.rs
+++ b/crates/fakes/src/upstream.rs
@@ -11,7 +11,7 @@
 };
 
 use bytes::Bytes;
-use futures::stream;
+use futures::{StreamExt, stream};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::{
     Request, Response, StatusCode,
@@ -29,6 +29,9 @@
 /// The header that carries the request's id.
 const REQUEST_HEADER: &str = "jacinthhoist-request";
 
+/// Pause before a body is cut, so that its head goes out.
+const CUT_PAUSE: Duration = Duration::from_millis(30);
+
 /// What an upstream does wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum UpstreamFault {
@@ -205,9 +208,14 @@
     text.extend_from_slice(body);
     match fault {
         UpstreamFault::Cut => {
-            let broken = || std::io::Error::other("cut by the stand-in");
-            let frames = [Ok(Frame::data(Bytes::from(text))), Err(broken())];
-            Response::new(BodyExt::boxed(StreamBody::new(stream::iter(frames))))
+            let cut = async {
+                sleep(CUT_PAUSE).await;
+                Err(std::io::Error::other("cut by the stand-in"))
+            };
+            let first = stream::iter([Ok(Frame::data(Bytes::from(text)))]);
+            Response::new(BodyExt::boxed(StreamBody::new(
+                first.chain(stream::once(cut)),
+            )))
         }
         _ => Response::new(http::whole(text)),
     }
