--- /dev/null
+++ b/crates/codec/tests/fold.rs
@@ -0,0 +1,169 @@
+//! The fold through its encodings: snapshots, duplicates, garbage.
+
+use jacinthhoist_codec::{
+    CatalogueFile, CatalogueView, Category, decode_frame, decode_record, encode_record,
+    join_snapshot, split_snapshot,
+};
+use jacinthhoist_core::{
+    CatalogueChange, ClaimKey, ClockTime, FoldState, MemberJoin, MemberName, Offset, Record,
+    RecordId, SnapshotParts, Step, VmDetails, VmName,
+};
+use proptest::prelude::*;
+
+const CATALOGUE: &str = include_str!("../../experiments/src/small.toml");
+
+fn record(seq: u64, steps: Vec<Step>) -> Record {
+    let id = RecordId {
+        member: MemberName::new("m"),
+        nonce: 1,
+        seq,
+    };
+    Record {
+        id,
+        at: ClockTime::from_secs(seq),
+        steps,
+    }
+}
+
+fn catalogue() -> Step {
+    let empty = CatalogueView {
+        revision: None,
+        entries: Vec::new(),
+    };
+    let edits = CatalogueFile::parse(CATALOGUE).unwrap().edits(&empty);
+    Step::Catalogue(CatalogueChange {
+        operator: "o".to_owned(),
+        edits,
+    })
+}
+
+/// A step made from two random numbers.
+fn step(kind: u8, number: u8) -> Step {
+    let vm = VmName::new(&format!("w{}", number % 8));
+    let key = ClaimKey {
+        work: "pour-order".into(),
+        key: format!("k{number}").into(),
+    };
+    let based_on = Offset(u64::from(number));
+    match kind % 7 {
+        0 => {
+            let details = VmDetails {
+                address: "10.0.0.1:80".to_owned(),
+                data_centre: "dc-1".into(),
+                rack: "r".into(),
+                boot: 1,
+            };
+            Step::Adopt {
+                vm,
+                details,
+                pool: "quotes".into(),
+            }
+        }
+        1 => Step::Serve { vm, based_on },
+        2 => Step::Claim { key, digest: 4 },
+        3 => Step::Release {
+            key,
+            claim: based_on,
+        },
+        4 => Step::Settle {
+            key,
+            claim: based_on,
+            status: 200,
+        },
+        5 => Step::Confirm {
+            vm,
+            drain: based_on,
+        },
+        _ => Step::Forget { vm, based_on },
+    }
+}
+
+fn records(kinds: &[(u8, u8)]) -> Vec<Record> {
+    let first = record(
+        1,
+        vec![Step::Join(MemberJoin::example("m", 1)), catalogue()],
+    );
+    let rest = kinds.chunks(2).enumerate().map(|(index, pair)| {
+        let steps = pair
+            .iter()
+            .map(|(kind, number)| step(*kind, *number))
+            .collect();
+        record(index as u64 + 2, steps)
+    });
+    std::iter::once(first).chain(rest).collect()
+}
+
+fn fold(state: &mut FoldState, records: &[Record], from: usize) {
+    for (index, record) in records.iter().enumerate().skip(from) {
+        state.apply(Offset(index as u64), record);
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 128, rng_seed: proptest::test_runner::RngSeed::Fixed(11), failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Any prefix as a snapshot, then the rest, equals the whole; byte for byte.
+    #[test]
+    fn a_snapshot_of_any_prefix_leads_to_the_same_state(kinds in proptest::collection::vec((any::<u8>(), 0u8..40), 1..60), cut in 0usize..30, part_bytes in 10usize..3000) {
+        let records = records(&kinds);
+        let mut whole = FoldState::default();
+        fold(&mut whole, &records, 0);
+        let cut = cut.min(records.len());
+        let mut prefix = FoldState::default();
+        fold(&mut prefix, &records[..cut], 0);
+        let mut parts = SnapshotParts::default();
+        let texts = split_snapshot(&prefix, part_bytes).unwrap();
+        let text = texts.iter().rev().find_map(|part| parts.add(part)).unwrap();
+        let mut loaded = join_snapshot(&text, texts[0].digest).unwrap();
+        fold(&mut loaded, &records, cut);
+        prop_assert_eq!(&loaded, &whole);
+        prop_assert_eq!(split_snapshot(&loaded, 1_000_000).unwrap(), split_snapshot(&whole, 1_000_000).unwrap());
+    }
+
+    /// A record that comes again under its id changes nothing but the offset.
+    #[test]
+    fn repeated_records_change_nothing(kinds in proptest::collection::vec((any::<u8>(), 0u8..40), 1..40)) {
+        let records = records(&kinds);
+        let mut once = FoldState::default();
+        fold(&mut once, &records, 0);
+        let mut again = once.clone();
+        for (index, record) in records.iter().enumerate() {
+            prop_assert!(again.apply(Offset((records.len() + index) as u64), record).is_empty());
+        }
+        once.skip(again.folded().unwrap());
+        prop_assert_eq!(once, again);
+    }
+
+    #[test]
+    fn records_survive_their_encoding(kinds in proptest::collection::vec((any::<u8>(), any::<u8>()), 1..40)) {
+        for record in records(&kinds) {
+            prop_assert_eq!(decode_record(&encode_record(&record).unwrap()).unwrap(), record);
+        }
+    }
+
+    /// Garbage is an error, never a panic.
+    #[test]
+    fn garbage_is_refused(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+        let _ = decode_frame(&bytes);
+        let text = String::from_utf8_lossy(&bytes);
+        prop_assert!(decode_record(&text).is_err());
+        let _ = CatalogueFile::parse(&text);
+    }
+}
+
+#[test]
+fn bad_records_are_told_apart() {
+    let cases = [
+        ("", Category::Syntax),
+        ("{\"v\":2,\"record\":{}}", Category::Version),
+        ("{\"v\":1,\"record\":{}}", Category::Syntax),
+        ("{\"record\":{}}", Category::Syntax),
+    ];
+    for (text, category) in cases {
+        assert_eq!(
+            decode_record(text).unwrap_err().category(),
+            category,
+            "{text}"
+        );
+    }
+}
--- /dev/null
+++ b/crates/core/tests/decide.rs
@@ -0,0 +1,202 @@
+//! Admission, placement, health, budgets and slots, as tables.
+
+use jacinthhoist_core::{
+    AdmitInput, ClassShares, ClockTime, JobHealth, LoadGate, MemberName, OwnerEntry, OwnerName,
+    PlaceCandidate, PolicyEntry, PoolName, RefusalReason, RetryBudget, VmHealth, VmName, WorkClass,
+    WorkEntry, admit, choose_vm, connection_share, rendezvous_rank, slot_owner, slot_share,
+};
+
+fn work(class: WorkClass) -> WorkEntry {
+    WorkEntry {
+        owner: OwnerName::new("o"),
+        class,
+        pool: PoolName::new("p"),
+        repeatable: true,
+        max_queued: 10,
+        max_running: 10,
+        deadline_ms: 1_000,
+        max_body_bytes: 0,
+        max_attempts: 3,
+        checkpoint: false,
+    }
+}
+
+#[test]
+fn admission_refuses_what_cannot_end_in_time() {
+    let owner = OwnerEntry {
+        weight: 1,
+        max_running: 10,
+        max_queued: 20,
+    };
+    let cases = [
+        (WorkClass::Urgent, 0, 0, [0, 0, 0], 100, Ok(())),
+        (
+            WorkClass::Urgent,
+            10,
+            10,
+            [0, 0, 0],
+            100,
+            Err(RefusalReason::QueueFull),
+        ),
+        (
+            WorkClass::Urgent,
+            0,
+            20,
+            [0, 0, 0],
+            100,
+            Err(RefusalReason::OwnerQueueFull),
+        ),
+        (WorkClass::Urgent, 0, 0, [8_000, 0, 0], 100, Ok(())),
+        (
+            WorkClass::Urgent,
+            0,
+            0,
+            [9_900, 0, 0],
+            100,
+            Err(RefusalReason::DeadlineUnreachable),
+        ),
+        (WorkClass::Urgent, 0, 0, [0, 90_000, 90_000], 100, Ok(())),
+        (WorkClass::Slow, 0, 0, [90_000, 0, 500], 100, Ok(())),
+        (
+            WorkClass::Slow,
+            0,
+            0,
+            [90_000, 0, 990],
+            100,
+            Err(RefusalReason::DeadlineUnreachable),
+        ),
+        (WorkClass::Standard, 0, 0, [0, 0, 0], 5_000, Ok(())),
+    ];
+    for (class, work_queued, owner_queued, queued_cost_ms, service, expected) in cases {
+        let work = work(class);
+        let input = AdmitInput {
+            work: &work,
+            owner: &owner,
+            work_queued,
+            owner_queued,
+            queued_cost_ms,
+            slots: 10,
+            shares: ClassShares::of(&PolicyEntry::default(), 10),
+            service: Some(ClockTime::from_millis(service)),
+            remaining: ClockTime::from_millis(1_000),
+        };
+        assert_eq!(admit(&input), expected, "{class:?} {queued_cost_ms:?}");
+        assert!(input.retry_after() >= ClockTime::from_secs(1));
+    }
+}
+
+#[test]
+fn a_bad_job_is_told_from_a_bad_worker() {
+    let (job, worker) = (JobHealth::default(), VmHealth::default());
+    let now = ClockTime::from_secs(1);
+    assert!(
+        !job.failed(1) && !job.failed(1) && !job.failed(2),
+        "two workers prove nothing"
+    );
+    assert!(job.failed(3) && job.is_bad(), "three do");
+    job.succeeded();
+    assert!(!job.is_bad());
+    assert!(!worker.failed(now, false) && !worker.failed(now, false) && !worker.failed(now, false));
+    assert!(!worker.is_ejected(), "the pool's budget has no room");
+    assert!(worker.failed(now, true) && worker.is_ejected());
+}
+
+#[test]
+fn a_probe_that_fails_doubles_the_ejection() {
+    let worker = VmHealth::default();
+    for _ in 0..3 {
+        worker.failed(ClockTime::ZERO, true);
+    }
+    let mut at = ClockTime::from_millis(1_000);
+    for doubling in 1..4 {
+        assert!(worker.may_take(at));
+        worker.failed(at, true);
+        let span = ClockTime::from_millis(1_000 << doubling);
+        assert!(!worker.may_take(at + span - ClockTime::from_millis(1)));
+        at = at + span;
+    }
+    assert!(worker.may_take(at) && worker.succeeded() && !worker.is_ejected());
+}
+
+#[test]
+fn placement_avoids_tried_ejected_and_unusable_vms() {
+    let gates: Vec<LoadGate> = (0..4).map(|_| LoadGate::default()).collect();
+    let healths: Vec<VmHealth> = (0..4).map(|_| VmHealth::default()).collect();
+    for _ in 0..3 {
+        healths[0].failed(ClockTime::ZERO, true);
+    }
+    let candidate = |index: usize| PlaceCandidate {
+        gate: &gates[index],
+        limit: 1,
+        health: &healths[index],
+        usable: index != 1,
+    };
+    let choose = |avoid: &[usize]| choose_vm(4, 0, avoid, ClockTime::ZERO, candidate);
+    assert_eq!(choose(&[2]), Some(3));
+    assert_eq!(choose(&[3]), Some(2));
+    assert_eq!(choose(&[]), None);
+    assert!(
+        gates.iter().map(LoadGate::held).eq([0, 0, 1, 1]),
+        "what was refused is not held"
+    );
+}
+
+#[test]
+fn the_retry_budget_caps_amplification() {
+    let budget = RetryBudget::default();
+    let mut attempts = 0;
+    for _ in 0..10_000 {
+        budget.earn();
+        attempts += 1;
+        while budget.try_spend() {
+            attempts += 1;
+        }
+    }
+    assert!(attempts <= 11_000, "{attempts}");
+}
+
+#[test]
+fn slots_are_dealt_whole_and_nearly_even() {
+    let members: Vec<MemberName> = (0..6)
+        .map(|n| MemberName::new(&format!("entry-{n}")))
+        .collect();
+    let mut owned = vec![0; 6];
+    for vm in 0..1_200 {
+        let vm = VmName::new(&format!("w{vm}"));
+        let shares: Vec<u32> = members
+            .iter()
+            .map(|m| slot_share(&members, m, &vm, 8))
+            .collect();
+        assert_eq!(shares.iter().sum::<u32>(), 8);
+        for (member, share) in members.iter().zip(&shares) {
+            let slots = (0..8).filter(|slot| slot_owner(&members, &vm, *slot) == Some(member));
+            assert_eq!(slots.count() as u32, *share);
+        }
+        owned
+            .iter_mut()
+            .zip(shares)
+            .for_each(|(sum, share)| *sum += share);
+    }
+    assert!(
+        owned.iter().all(|sum| (1_500..1_700).contains(sum)),
+        "{owned:?}"
+    );
+}
+
+#[test]
+fn connections_stay_within_the_limit_whoever_is_live() {
+    for max_members in 1..=64 {
+        assert!(connection_share(64, max_members) * max_members <= 64);
+    }
+    let members = [
+        MemberName::new("a"),
+        MemberName::new("b"),
+        MemberName::new("c"),
+    ];
+    let mut ranks: Vec<usize> = members
+        .iter()
+        .map(|m| rendezvous_rank(&members, m, "s"))
+        .collect();
+    ranks.sort_unstable();
+    assert_eq!(ranks, [0, 1, 2]);
+}
