Check concurrent histories under faults; say unknown where an earlier attempt may have run

Ruled out: the claims (the request had no key) and a late answer (the answer was our own refusal). Change: a request remembers that an attempt may have run, and no refusal after that says not run; health is noted at the answer's end, and a cut body counts against the worker.

--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -76,6 +76,8 @@
     pub work: Option<(WorkName, Arc<WorkEntry>)>,
     /// VMs that earlier attempts used.
     pub tried: SmallVec<[usize; 4]>,
+    /// Whether an earlier attempt may have run.
+    pub may_have_run: bool,
     /// What belongs to the phase.
     pub phase: P,
 }
@@ -88,6 +90,7 @@
             deadline,
             work,
             tried,
+            may_have_run,
             ..
         } = self;
         Request {
@@ -96,6 +99,7 @@
             deadline,
             work,
             tried,
+            may_have_run,
             phase,
         }
     }
@@ -107,7 +111,12 @@
             .is_some_and(|(_, entry)| entry.repeatable)
     }
 
+    /// Ends it. "Not run" is said only where no attempt of this request may have run.
     fn answered(self, outcome: Outcome, reason: Option<RefusalReason>) -> Request<Answered> {
+        let outcome = match outcome {
+            Outcome::NotRun if self.may_have_run => Outcome::Unknown,
+            other => other,
+        };
         self.turn(Answered { outcome, reason })
     }
 }
@@ -141,13 +150,13 @@
 impl Request<Received> {
     /// A request that has just arrived.
     pub fn receive(id: u64, now: ClockTime) -> Self {
-        let tried = SmallVec::new();
         Self {
             id,
             received_at: now,
             deadline: now,
             work: None,
-            tried,
+            tried: SmallVec::new(),
+            may_have_run: false,
             phase: Received(()),
         }
     }
@@ -213,7 +222,8 @@
     }
 
     /// The attempt ended without an answer to relay.
-    pub fn attempted(self, reason: RetryReason, not_run: bool) -> Request<Attempted> {
+    pub fn attempted(mut self, reason: RetryReason, not_run: bool) -> Request<Attempted> {
+        self.may_have_run |= !not_run;
         self.turn(Attempted { reason, not_run })
     }
 }
--- a/crates/entry/src/pipe.rs
+++ b/crates/entry/src/pipe.rs
@@ -9,6 +9,7 @@
 mod classify;
 mod dispatch;
 mod headers;
+mod health;
 mod queue;
 mod relay;
 
--- a/crates/entry/src/pipe/dispatch.rs
+++ b/crates/entry/src/pipe/dispatch.rs
@@ -15,7 +15,7 @@
 };
 
 use super::{
-    Reply, WorkCall, answer, headers, queue,
+    Reply, WorkCall, answer, headers, health, queue,
     relay::{AnswerBody, KeepAnswer, RelayParts},
 };
 use crate::{
@@ -103,7 +103,7 @@
     context.meter.attempts.increment(1);
     let now = context.clock.now();
     let Some(connection) = connect(context, &vm, &placed, now).await else {
-        note_failure(context, &vm, call, placed.phase.vm);
+        health::note_failure(context, &call.work, &vm, placed.phase.vm);
         return try_or_end(context, placed.unsent(RetryReason::ConnectFailed), call);
     };
     let limit = answer_limit(&placed, context.clock.now());
@@ -128,7 +128,7 @@
         Exchange::Lost => (RetryReason::ConnectionLost, false),
         Exchange::Silent => (RetryReason::AnswerTimeout, false),
     };
-    note_failure(context, &vm, call, dispatched.phase.vm);
+    health::note_failure(context, &call.work, &vm, dispatched.phase.vm);
     if reason == RetryReason::AnswerTimeout {
         // The others may be as silent as this one was.
         context.note_silence(now);
@@ -212,7 +212,7 @@
     }
     let echoed = head.get(HEADER_REQUEST);
     if echoed.is_some_and(|id| id.as_bytes() != call.request_id.as_bytes()) {
-        note_failure(context, vm, call, dispatched.phase.vm);
+        health::note_failure(context, &call.work, vm, dispatched.phase.vm);
         vm.presence.connections.clear();
         return try_or_end(
             context,
@@ -232,7 +232,7 @@
         );
     }
     if status.is_server_error() {
-        note_failure(context, vm, call, dispatched.phase.vm);
+        health::note_failure(context, &call.work, vm, dispatched.phase.vm);
         let attempted = dispatched.attempted(RetryReason::UpstreamFailed, false);
         return match try_again(context, attempted, call) {
             Ok(admitted) => AttemptEnd::Retry(admitted),
@@ -248,35 +248,10 @@
         let end = dispatched.relay(Outcome::Unknown, Some(RefusalReason::AnswerCut));
         return AttemptEnd::Replied(Box::new(answer::refusal(context, end)));
     }
-    note_success(context, vm, call);
     let end = dispatched.relay(Outcome::Done, None);
     AttemptEnd::Replied(Box::new(relay(context, end, call, answered, keep)))
 }
 
-fn note_failure(context: &MemberContext, vm: &VmRoute, call: &WorkCall, index: usize) {
-    let job_to_blame = call.work.load.health.failed(index);
-    if job_to_blame {
-        return;
-    }
-    let room = call.pool(context).is_some_and(|pool| pool.may_eject());
-    if vm.presence.health.failed(context.clock.now(), room) {
-        context.meter.ejections.increment(1);
-    }
-}
-
-fn note_success(context: &MemberContext, vm: &VmRoute, call: &WorkCall) {
-    call.work.load.health.succeeded();
-    if vm.presence.health.succeeded() {
-        crate::logs::log_line!(
-            info,
-            Request,
-            "VM {} is back after a probe. Seen by {}.",
-            vm.vm,
-            context.name
-        );
-    }
-}
-
 fn relay(
     context: &Arc<MemberContext>,
     end: Request<Answered>,
@@ -304,9 +279,11 @@
         work: call.work.clone(),
         connection,
         vm,
+        vm_index: grant.index(),
         grant,
         started,
         keep: keep.take(),
+        ran_well: end.phase.outcome == Outcome::Done,
     };
     let mut response = Response::new(AnswerBody::relay(incoming, relay));
     *response.status_mut() = parts.status;
--- a/crates/entry/src/pipe/relay.rs
+++ b/crates/entry/src/pipe/relay.rs
@@ -15,6 +15,7 @@
 use snafu::Snafu;
 use tokio::time::{Instant, Sleep, sleep_until};
 
+use super::health;
 use crate::{
     context::MemberContext,
     routes::{SlotGrant, VmRoute, WorkRoute},
@@ -35,9 +36,12 @@
     pub(super) work: Arc<WorkRoute>,
     pub(super) connection: UpstreamConnection,
     pub(super) vm: Arc<VmRoute>,
+    pub(super) vm_index: usize,
     pub(super) grant: SlotGrant,
     pub(super) started: ClockTime,
     pub(super) keep: Option<KeepAnswer>,
+    /// Whether the answer's head told of a success.
+    pub(super) ran_well: bool,
 }
 
 /// The body of an answer to a caller.
@@ -89,6 +93,9 @@
         };
         let now = parts.context.clock.now();
         parts.work.load.service.learn(now - parts.started);
+        if parts.ran_well {
+            health::note_success(&parts.context, &parts.work, &parts.vm);
+        }
         parts
             .vm
             .presence
@@ -104,6 +111,7 @@
     fn cut(&mut self) -> CutError {
         if let Some(parts) = self.parts.take() {
             parts.context.meter.refused(RefusalReason::AnswerCut);
+            health::note_failure(&parts.context, &parts.work, &parts.vm, parts.vm_index);
         }
         self.incoming = None;
         CutError
--- /dev/null
+++ b/crates/entry/tests/history/faults.rs
@@ -0,0 +1,101 @@
+//! Faults in a seeded order: upstreams, log, VM list, members, operators.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use arc_swap::ArcSwap;
+use jacinthhoist_experiments::LocalFleet;
+use jacinthhoist_fakes::UpstreamFault;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use tokio::{
+    sync::oneshot,
+    time::{Instant, sleep_until},
+};
+
+/// Time between two faults.
+const FAULT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Brings faults about in a fleet.
+pub(crate) struct FaultDriver {
+    fleet: LocalFleet,
+    random: StdRng,
+    addresses: Arc<ArcSwap<Vec<SocketAddr>>>,
+    next_at: Instant,
+}
+
+impl FaultDriver {
+    pub(crate) fn new(fleet: LocalFleet, seed: u64) -> Self {
+        let addresses = Arc::new(ArcSwap::from_pointee(Vec::new()));
+        let random = StdRng::seed_from_u64(seed);
+        let next_at = Instant::now() + FAULT_PAUSE;
+        let driver = Self {
+            fleet,
+            random,
+            addresses,
+            next_at,
+        };
+        driver.publish();
+        driver
+    }
+
+    /// Where callers reach the members that are there.
+    pub(crate) fn addresses(&self) -> Arc<ArcSwap<Vec<SocketAddr>>> {
+        self.addresses.clone()
+    }
+
+    fn publish(&self) {
+        let members = self.fleet.members.iter();
+        self.addresses.store(Arc::new(
+            members.map(|member| member.addresses().caller).collect(),
+        ));
+    }
+
+    /// Brings faults about until told to stop; returns the fleet, healed.
+    pub(crate) async fn run(mut self, mut stop: oneshot::Receiver<()>) -> LocalFleet {
+        loop {
+            tokio::select! {
+                () = sleep_until(self.next_at) => {}
+                _ = &mut stop => break,
+            }
+            let drawn = self.random.random_range(0..18);
+            self.bring_about(drawn).await;
+            self.next_at = Instant::now() + FAULT_PAUSE;
+        }
+        self.heal().await;
+        self.fleet
+    }
+
+    async fn bring_about(&mut self, drawn: u32) {
+        let names: Vec<String> = self.fleet.upstreams.keys().cloned().collect();
+        let name = &names[self.random.random_range(0..names.len())];
+        let upstream = &self.fleet.upstreams[name];
+        match drawn {
+            0 => upstream.set_fault(UpstreamFault::FailAll).await,
+            1 => upstream.set_fault(UpstreamFault::Silent).await,
+            2 => upstream.set_fault(UpstreamFault::Cut).await,
+            3 => upstream.set_fault(UpstreamFault::Crossed).await,
+            4 => upstream.set_fault(UpstreamFault::Refuse).await,
+            5 => self.fleet.log.set_down(true),
+            6 => self.fleet.log.lose_answers(2),
+            7 => self.fleet.list.set_state(name, "leaving").await,
+            8 if self.fleet.members.len() > 2 => {
+                self.fleet.kill_member(0).await;
+                self.publish();
+            }
+            9 if self.fleet.members.len() < 4 => {
+                self.fleet.add_member().await;
+                self.publish();
+            }
+            10 => self.fleet.log.drop_appends(2),
+            _ => self.heal().await,
+        }
+    }
+
+    /// Everything works again.
+    async fn heal(&mut self) {
+        self.fleet.log.set_down(false);
+        for (name, upstream) in &self.fleet.upstreams {
+            upstream.set_fault(UpstreamFault::None).await;
+            self.fleet.list.set_state(name, "live").await;
+        }
+    }
+}
