Give loans back when the queue is empty; add the request side's experiments

Cause: the flood experiment showed loans holding idle slots for their whole span in calm times: the urgent class's calm p99 wait was 174 ms with loans and 24 ms without. Change: a borrower returns a loan as soon as its queue is empty, and the lender uses the slots again at once; the span is only the backstop.

--- a/crates/codec/src/frame.rs
+++ b/crates/codec/src/frame.rs
@@ -121,6 +121,11 @@
         /// For how long, in milliseconds.
         span_ms: u64,
     },
+    /// The borrower gives the slots of a loan back before its span is over.
+    Return {
+        /// The wish that the loan answered.
+        id: u64,
+    },
     /// The sender asks for log records.
     Want {
         /// From this offset on.
--- a/crates/entry/src/peer/frames.rs
+++ b/crates/entry/src/peer/frames.rs
@@ -6,7 +6,7 @@
 use jacinthhoist_core::{ClockTime, Offset};
 use tokio::sync::mpsc;
 
-use super::lend;
+use super::lend::{self, GrantedLoan, LoanBook};
 use crate::{context::MemberContext, control::FoldHandle};
 
 /// Records sent to a peer at once.
@@ -35,6 +35,7 @@
     context: &Arc<MemberContext>,
     fold: &FoldHandle,
     from: &HelloFrame,
+    book: &mut LoanBook,
     frame: PeerFrame,
     reply: &mpsc::UnboundedSender<PeerFrame>,
 ) {
@@ -50,7 +51,7 @@
             }
         }
         PeerFrame::Borrow { id, pool, slots } => {
-            let loans = lend::lend(context, &pool, slots);
+            let loans = lend::lend(context, book, id, &pool, slots);
             let span_ms = context.settings.limits.loan_ms;
             answer(PeerFrame::Lend {
                 id,
@@ -60,13 +61,23 @@
             });
         }
         PeerFrame::Lend {
+            id,
             pool,
             loans,
             span_ms,
-            ..
         } => {
-            lend::take_loans(context, &pool, &loans, span_ms);
+            lend::take_loan(
+                context,
+                &GrantedLoan {
+                    id,
+                    pool,
+                    loans,
+                    span_ms,
+                },
+                reply,
+            );
         }
+        PeerFrame::Return { id } => book.give_back(id),
         PeerFrame::Want { from } => answer(PeerFrame::Records {
             records: tail(context, from),
         }),
--- a/crates/entry/src/peer/link.rs
+++ b/crates/entry/src/peer/link.rs
@@ -19,7 +19,9 @@
 
 use super::{
     book::{LinkMessage, PeerView},
-    frames, serve,
+    frames,
+    lend::LoanBook,
+    serve,
 };
 use crate::{
     context::{MemberContext, StopPhase},
@@ -120,6 +122,7 @@
             messages,
             pending: HashMap::new(),
             next_id: 0,
+            book: LoanBook::default(),
             listed: HashMap::new(),
         };
         let task = tokio::spawn(session.run());
@@ -141,6 +144,7 @@
     messages: mpsc::UnboundedReceiver<LinkMessage>,
     pending: HashMap<u64, oneshot::Sender<ClaimReply>>,
     next_id: u64,
+    book: LoanBook,
     listed: HashMap<PoolName, PoolLoad>,
 }
 
@@ -216,7 +220,14 @@
             }
             return;
         }
-        frames::take(&self.context, &self.fold, &self.peer, frame, reply);
+        frames::take(
+            &self.context,
+            &self.fold,
+            &self.peer,
+            &mut self.book,
+            frame,
+            reply,
+        );
     }
 
     fn outgoing(&mut self, message: LinkMessage) -> PeerFrame {
--- a/crates/entry/src/peer/serve.rs
+++ b/crates/entry/src/peer/serve.rs
@@ -11,7 +11,7 @@
 };
 use tokio_tungstenite::{WebSocketStream, accept_async, tungstenite::Message};
 
-use super::frames;
+use super::{frames, lend::LoanBook};
 use crate::{
     context::{MemberContext, StopPhase},
     control::FoldHandle,
@@ -85,6 +85,7 @@
     silent: Duration,
 ) {
     let (reply, mut replies) = mpsc::unbounded_channel();
+    let mut book = LoanBook::default();
     loop {
         tokio::select! {
             frame = receive(context, socket, silent) => {
@@ -95,7 +96,7 @@
                     // The receiver is in this very function.
                     let _ = reply.send(PeerFrame::Beat(frames::plain_beat(context, beat.seq)));
                 }
-                frames::take(context, fold, hello, frame, &reply);
+                frames::take(context, fold, hello, &mut book, frame, &reply);
             }
             Some(frame) = replies.recv() => {
                 if !send(context, socket, &frame).await {
--- /dev/null
+++ b/crates/experiments/examples/surge.rs
@@ -0,0 +1,133 @@
+//! Each queue of a deployment in turn surges to five times its mean, then falls to a twentieth.
+
+use std::time::Duration;
+
+use jacinthhoist_experiments::{
+    FigureTable, FleetPlan, LoadPlan, LoadSummary, LocalFleet, percent, ratio, run_load,
+};
+use serde::Serialize;
+
+const SERVICE_MS: u64 = 100;
+const CALM: Duration = Duration::from_secs(2);
+const SURGE: Duration = Duration::from_secs(4);
+const FALL: Duration = Duration::from_secs(1);
+/// Slots of a pool of nine VMs.
+const POOL_SLOTS: f64 = 72.0;
+const MEAN_PART: f64 = 0.35;
+const SURGE_TIMES: f64 = 5.0;
+const FALL_TIMES: f64 = 0.05;
+
+/// A deployment and the one kind of work that each pool is loaded with.
+struct Deployment {
+    name: &'static str,
+    catalogue: &'static str,
+    data_centres: usize,
+    works: [&'static str; 5],
+}
+
+const DEPLOYMENTS: [Deployment; 2] = [
+    Deployment {
+        name: "ballycorrig",
+        catalogue: include_str!("../../../examples/ballycorrig/catalogue.toml"),
+        data_centres: 3,
+        works: [
+            "pattern-check",
+            "quote-run",
+            "pour-order",
+            "mould-cure",
+            "bill-parish",
+        ],
+    },
+    Deployment {
+        name: "fotoproef",
+        catalogue: include_str!("../../../examples/fotoproef/catalogue.toml"),
+        data_centres: 4,
+        works: [
+            "open-gallery",
+            "mark-favourite",
+            "upload-shoot",
+            "watermark",
+            "album-layout",
+        ],
+    },
+];
+
+/// What the surging queue got, and the worst that another queue got.
+#[derive(Serialize)]
+struct SurgeFigures {
+    pool_use_percent: f64,
+    surge_done_of_sent_percent: f64,
+    others_done_of_sent_percent: f64,
+    others_p99_ratio: f64,
+    untrue: u64,
+    reasons: String,
+}
+
+#[tokio::main]
+async fn main() {
+    spdlog::default_logger()
+        .set_level_filter(spdlog::LevelFilter::MoreSevereEqual(spdlog::Level::Error));
+    let table = FigureTable::from_args();
+    for deployment in &DEPLOYMENTS {
+        let plan = FleetPlan::deployment(deployment.catalogue, deployment.data_centres);
+        let fleet = LocalFleet::open(plan).await;
+        for surging in deployment.works {
+            run_surge(&table, &fleet, deployment, surging).await;
+        }
+    }
+}
+
+async fn run_surge(
+    table: &FigureTable,
+    fleet: &LocalFleet,
+    deployment: &Deployment,
+    surging: &str,
+) {
+    let calm = phase(fleet, deployment, surging, 1.0, CALM).await;
+    let surge = phase(fleet, deployment, surging, SURGE_TIMES, SURGE).await;
+    let _ = phase(fleet, deployment, surging, FALL_TIMES, FALL).await;
+    let capacity = POOL_SLOTS * 1_000.0 / SERVICE_MS as f64;
+    let own = surge.iter().find(|load| load.work == surging);
+    let others = || {
+        surge
+            .iter()
+            .zip(&calm)
+            .filter(|(load, _)| load.work != surging)
+    };
+    let kept = others().map(|(load, _)| percent(load.done as f64, load.sent as f64));
+    let waits = others().map(|(load, calm)| ratio(load.p99_ms, calm.p99_ms));
+    let figures = SurgeFigures {
+        pool_use_percent: own.map_or(0.0, |load| percent(load.goodput, capacity)),
+        surge_done_of_sent_percent: own
+            .map_or(0.0, |load| percent(load.done as f64, load.sent as f64)),
+        others_done_of_sent_percent: kept.fold(f64::INFINITY, f64::min),
+        others_p99_ratio: waits.fold(0.0, f64::max),
+        untrue: surge.iter().map(|load| load.other + load.broken).sum(),
+        reasons: own.map_or(String::new(), |load| format!("{:?}", load.reasons)),
+    };
+    table.row(&format!("{}: {surging} surges", deployment.name), &figures);
+}
+
+async fn phase(
+    fleet: &LocalFleet,
+    deployment: &Deployment,
+    surging: &str,
+    times: f64,
+    span: Duration,
+) -> Vec<LoadSummary> {
+    let capacity = POOL_SLOTS * 1_000.0 / SERVICE_MS as f64;
+    let loads = deployment.works.iter().enumerate().map(|(index, work)| {
+        let times = if *work == surging { times } else { 1.0 };
+        // Work of a class is offered no more than the class may hold at its mean.
+        run_load(LoadPlan {
+            work: (*work).to_owned(),
+            rate: capacity * MEAN_PART * times,
+            span,
+            service_ms: SERVICE_MS,
+            members: fleet.callers(),
+            seed: 100 + index as u64,
+            keyed: false,
+        })
+    });
+    futures::future::join_all(loads).await
+}
--- a/crates/experiments/src/fleet.rs
+++ b/crates/experiments/src/fleet.rs
@@ -338,3 +338,34 @@
     let bytes = response.into_body().collect().await?.to_bytes();
     Ok(serde_json::from_slice(&bytes)?)
 }
+
+impl FleetPlan {
+    /// A deployment at its size of today: six members and fifty VMs.
+    pub fn deployment(catalogue: &str, data_centres: usize) -> Self {
+        let limits = LimitSettings {
+            plan_ms: 100,
+            unready_ms: 0,
+            ..LimitSettings::default()
+        };
+        Self {
+            catalogue: catalogue.to_owned(),
+            members: 6,
+            workers: 50,
+            data_centres,
+            rack_size: 4,
+            service_ms: 20,
+            threads: 2,
+            limits,
+        }
+    }
+}
+
+impl LocalFleet {
+    /// Where callers reach each member.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.members
+            .iter()
+            .map(|member| member.addresses().caller)
+            .collect()
+    }
+}
--- a/crates/experiments/src/lib.rs
+++ b/crates/experiments/src/lib.rs
@@ -13,10 +13,12 @@
 mod fleet;
 mod load;
 mod member;
+mod process;
 mod report;
 
 pub use caller::{CallerAnswer, CallerConnection, CallerError, WorkCaller};
 pub use fleet::{FleetPlan, LocalFleet};
 pub use load::{LoadPlan, LoadSummary, run_load};
 pub use member::LocalMember;
+pub use process::{processor_time, resident_bytes};
 pub use report::{FigureTable, percent, ratio};
--- /dev/null
+++ b/crates/experiments/src/process.rs
@@ -0,0 +1,30 @@
+//! What the system counts of this process.
+
+use std::time::Duration;
+
+/// Clock ticks a second in the system's own counts.
+const TICKS_PER_SEC: u64 = 100;
+
+/// Processor time of this process, user and system.
+pub fn processor_time() -> Duration {
+    let text = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let after_name = text.rsplit(')').next().unwrap_or_default();
+    let fields: Vec<&str> = after_name.split_whitespace().collect();
+    let ticks = |index: usize| {
+        fields
+            .get(index)
+            .and_then(|field| field.parse::<u64>().ok())
+    };
+    let total = ticks(11).unwrap_or(0) + ticks(12).unwrap_or(0);
+    Duration::from_millis(total * 1_000 / TICKS_PER_SEC)
+}
+
+/// Memory of this process that is resident, in bytes.
+pub fn resident_bytes() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text
+        .split_whitespace()
+        .nth(1)
+        .and_then(|field| field.parse::<u64>().ok());
+    pages.unwrap_or(0) * 4_096
+}
