--- a/crates/entry/src/control/observe.rs
+++ b/crates/entry/src/control/observe.rs
@@ -57,6 +57,7 @@
     pub(crate) async fn run(mut self) {
         let context = self.context.clone();
         let mut client = ListClient::open(context.settings.platform.vm_list_address);
+        let mut page = VmListPage::default();
         let mut tick = interval(Duration::from_millis(context.settings.limits.vm_list_ms));
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let ended = context.stopped(StopPhase::Ended);
@@ -66,8 +67,12 @@
                 _ = tick.tick() => {}
                 () = &mut ended => return,
             }
-            let observation = match client.list().await {
-                Ok(page) => self.observe(&page).await,
+            let read = client.list_changed().await;
+            let observation = match read {
+                Ok(changed) => {
+                    page = changed.unwrap_or(page);
+                    self.observe(&page).await
+                }
                 Err(error) => {
                     log_line!(debug, Control, "The VM list was not read: {error}.");
                     self.missing_vms.clear();
--- a/crates/entry/src/control/snapshot.rs
+++ b/crates/entry/src/control/snapshot.rs
@@ -15,6 +15,8 @@
 const PART_BYTES: usize = 262_144;
 /// How often it looks whether a snapshot is due.
 const RECHECK: Duration = Duration::from_millis(500);
+/// Records for each VM and claim in the state before a snapshot pays.
+const SIZE_TIMES: u64 = 2;
 /// Checks that each further rank lets pass before it steps in.
 const RANK_CHECKS: usize = 10;
 
@@ -66,11 +68,14 @@
 
     fn is_due(&self, newest: Option<Offset>, newest_at: ClockTime) -> bool {
         let limits = &self.context.settings.limits;
-        let folded = self.context.agreed.load().next();
+        let state = self.context.agreed.load();
+        let folded = state.next();
         let behind = folded.0 - newest.map_or(0, |offset| offset.next().0.min(folded.0));
         let age = self.context.clock.now() - newest_at;
         let old = age >= ClockTime::from_secs(limits.snapshot_secs) && behind > 1;
-        behind >= limits.snapshot_records || old
+        // A snapshot should cost less than the records that it saves a cold member.
+        let size = (state.claims().len() + state.fleet().vms().count()) as u64;
+        behind >= limits.snapshot_records.max(SIZE_TIMES * size) || old
     }
 
     fn append(&self) {
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -75,11 +75,9 @@
         }
     }
 
-    /// The list as it stands.
-    pub(crate) async fn list(&mut self) -> Result<VmListPage> {
-        self.http
-            .exchange(Method::GET, "/vms", Bytes::new(), LIST_LIMIT)
-            .await
+    /// The list, or none where it has not changed since it was last read.
+    pub(crate) async fn list_changed(&mut self) -> Result<Option<VmListPage>> {
+        self.http.get_changed("/vms", LIST_LIMIT).await
     }
 
     /// Reboots a VM, unless it has rebooted since the boot named: repeating does no harm.
--- a/crates/experiments/src/fleet.rs
+++ b/crates/experiments/src/fleet.rs
@@ -325,6 +325,16 @@
     path: &str,
     body: String,
 ) -> Result<T, CallerError> {
+    let bytes = exchange_bytes(address, method, path, body).await?;
+    Ok(serde_json::from_slice(&bytes)?)
+}
+
+async fn exchange_bytes(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: String,
+) -> Result<Bytes, CallerError> {
     let stream = TcpStream::connect(address).await?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     tokio::spawn(connection);
@@ -335,8 +345,7 @@
     let response = sender
         .send_request(request.body(Full::new(Bytes::from(body)))?)
         .await?;
-    let bytes = response.into_body().collect().await?.to_bytes();
-    Ok(serde_json::from_slice(&bytes)?)
+    Ok(response.into_body().collect().await?.to_bytes())
 }
 
 impl FleetPlan {
@@ -361,6 +370,17 @@
 }
 
 impl LocalFleet {
+    /// A member's metrics as text.
+    ///
+    /// # Errors
+    ///
+    /// The member cannot be reached.
+    pub async fn metrics(&self, place: usize) -> Result<String, CallerError> {
+        let bytes =
+            exchange_bytes(self.admin(place), Method::GET, "/metrics", String::new()).await?;
+        Ok(String::from_utf8(bytes.to_vec())?)
+    }
+
     /// Where callers reach each member.
     pub fn callers(&self) -> Vec<SocketAddr> {
         self.members
--- a/crates/fakes/src/vms.rs
+++ b/crates/fakes/src/vms.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeMap,
+    hash::{Hash, Hasher},
     net::SocketAddr,
     sync::{
         Arc,
@@ -10,7 +11,7 @@
     time::Duration,
 };
 
-use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming, header};
 use serde::Serialize;
 use tokio::{
     sync::Mutex,
@@ -77,6 +78,7 @@
     lag_ms: AtomicU64,
     reboot_ms: AtomicU64,
     reboots: AtomicU64,
+    sent_bytes: AtomicU64,
 }
 
 #[derive(Serialize)]
@@ -125,6 +127,11 @@
         self.state.reboots.load(Ordering::SeqCst)
     }
 
+    /// Bytes of lists handed out.
+    pub fn sent_bytes(&self) -> u64 {
+        self.state.sent_bytes.load(Ordering::SeqCst)
+    }
+
     /// Adds a VM, or replaces one of the same name.
     pub async fn add(&self, vm: VmEntry) {
         self.state.vms.lock().await.insert(vm.name.clone(), vm);
@@ -161,7 +168,34 @@
         .iter()
         .flat_map(|(_, vms)| vms.iter().cloned())
         .collect();
-    http::json(&ListAnswer { vms })
+    tagged(&state, &request, &ListAnswer { vms })
+}
+
+/// The list with a tag, or only word that it has not changed.
+fn tagged(
+    state: &ListState,
+    request: &Request<Incoming>,
+    answer: &ListAnswer,
+) -> Response<FakeBody> {
+    let body = serde_json::json!(answer).to_string();
+    let mut hasher = std::hash::DefaultHasher::new();
+    body.hash(&mut hasher);
+    let tag = format!("\"{:016x}\"", hasher.finish());
+    let known = request.headers().get(header::IF_NONE_MATCH);
+    let same = known.is_some_and(|known| known.as_bytes() == tag.as_bytes());
+    let mut response = match same {
+        true => http::status(StatusCode::NOT_MODIFIED),
+        false => {
+            state
+                .sent_bytes
+                .fetch_add(body.len() as u64, Ordering::SeqCst);
+            Response::new(http::whole(body))
+        }
+    };
+    if let Ok(tag) = tag.parse() {
+        response.headers_mut().insert(header::ETAG, tag);
+    }
+    response
 }
 
 /// `POST /vms/NAME/reboot?boot=N`: takes effect once for each boot.
