Run long work under leases; plan on change; answer what is on its way to a member that drains

Cause: long work could neither be checkpointed by a drain nor ended when its holder is gone. The stop test, now faster, found a request that was on its way when its member closed the connection (a cut), and a repeat told holder_gone while the link to its live holder was opening. Ruled out: the slots (nothing was held) and the log (the holder was a live member). Change: leases with renew, throttle, checkpoint and stop through the worker's interface; the planner runs when the agreed state changes, and a reboot's sight and rejoin share a record; a draining member lingers for what is on its way; a live holder is asked until the deadline.

--- a/crates/codec/src/answer.rs
+++ b/crates/codec/src/answer.rs
@@ -11,6 +11,10 @@
 pub const HEADER_REQUEST: &str = "jacinthhoist-request";
 /// Sent by an upstream that wants no new work.
 pub const HEADER_LEAVING: &str = "jacinthhoist-leaving";
+/// Milliseconds after which an upstream ends long work whose lease was not renewed.
+pub const HEADER_LEASE: &str = "jacinthhoist-lease-ms";
+/// Sent by an upstream that saved the progress of long work, and to the one that goes on with it.
+pub const HEADER_CHECKPOINT: &str = "jacinthhoist-checkpoint";
 /// The caller's idempotency key.
 pub const HEADER_KEY: &str = "idempotency-key";
 
--- a/crates/codec/src/lib.rs
+++ b/crates/codec/src/lib.rs
@@ -35,7 +35,8 @@
     PoolView, StatusView, VmView, WaveView,
 };
 pub use answer::{
-    HEADER_KEY, HEADER_LEAVING, HEADER_OUTCOME, HEADER_REASON, HEADER_REQUEST, RefusalBody,
+    HEADER_CHECKPOINT, HEADER_KEY, HEADER_LEASE, HEADER_LEAVING, HEADER_OUTCOME, HEADER_REASON,
+    HEADER_REQUEST, RefusalBody,
 };
 pub use digest::digest;
 pub use error::{Category, Error, ErrorKind, Result};
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -43,6 +43,11 @@
         self.0.fetch_or(CLOSED, Ordering::SeqCst);
     }
 
+    /// Whether nothing more is let in.
+    pub fn is_closed(&self) -> bool {
+        self.0.load(Ordering::SeqCst) & CLOSED != 0
+    }
+
     /// How many are inside.
     pub fn held(&self) -> u32 {
         (self.0.load(Ordering::SeqCst) & !CLOSED) as u32
--- a/crates/core/src/plan.rs
+++ b/crates/core/src/plan.rs
@@ -7,7 +7,10 @@
 mod moves;
 mod observe;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use crate::{
     clock::ClockTime,
@@ -24,7 +27,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct PlanInput {
     /// The VM list as last read; none where it cannot be read.
-    pub listing: Option<BTreeMap<VmName, VmListing>>,
+    pub listing: Option<Arc<BTreeMap<VmName, VmListing>>>,
     /// VMs missing from the list for long enough to be forgotten.
     pub forgettable: BTreeSet<VmName>,
     /// Members missing from the list for long enough to be evicted.
@@ -77,7 +80,7 @@
             crate::vm::DrainPurpose::Move(_) => Some(Step::Rejoin { vm: name, based_on }),
             crate::vm::DrainPurpose::Reboot(_) => Some(Step::Reboot { vm: name, based_on }),
         },
-        AnyVm::Rebooting(rebooting) if identity.details.boot > rebooting.phase.old_boot => {
+        AnyVm::Rebooting(rebooting) if newest_boot(vm, input) > rebooting.phase.old_boot => {
             Some(Step::Rejoin { vm: name, based_on })
         }
         AnyVm::Joining(_) if input.probed.contains(&name) => {
@@ -86,3 +89,15 @@
         _ => None,
     }
 }
+
+/// The newest boot count known, from the fold or from a sight that is proposed in the same record.
+fn newest_boot(vm: &AnyVm, input: &PlanInput) -> u64 {
+    let identity = vm.identity();
+    let listed = input
+        .listing
+        .as_ref()
+        .and_then(|listing| listing.get(&identity.vm));
+    listed
+        .map_or(0, |listed| listed.details.boot)
+        .max(identity.details.boot)
+}
--- a/crates/core/src/plan/observe.rs
+++ b/crates/core/src/plan/observe.rs
@@ -43,7 +43,7 @@
 fn adopt(state: &FoldState, input: &PlanInput, steps: &mut Vec<Step>) {
     let mut deficits = deficits(state);
     let spare = super::moves::spare_pool(state);
-    for (vm, listed) in input.listing.iter().flatten() {
+    for (vm, listed) in input.listing.iter().flat_map(|listing| listing.iter()) {
         if state.fleet().vm(vm).is_some() || listed.sight != VmSight::Live {
             continue;
         }
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -221,6 +221,13 @@
         self.answered(outcome, reason)
     }
 
+    /// The upstream saved the work's progress: it goes on elsewhere, as the same attempt.
+    pub fn checkpointed(mut self) -> Request<Admitted> {
+        self.may_have_run = true;
+        self.tried.pop();
+        self.turn(Admitted(()))
+    }
+
     /// The attempt ended without an answer to relay.
     pub fn attempted(mut self, reason: RetryReason, not_run: bool) -> Request<Attempted> {
         self.may_have_run |= !not_run;
--- a/crates/core/tests/explore/world.rs
+++ b/crates/core/tests/explore/world.rs
@@ -406,7 +406,7 @@
             .filter(|vm| vm.phase() == "joining");
         let probed = joining.map(|vm| vm.identity().vm.clone()).collect();
         let input = PlanInput {
-            listing: Some(self.listing.clone()),
+            listing: Some(Arc::new(self.listing.clone())),
             forgettable: BTreeSet::new(),
             gone_members: self
                 .gone
--- a/crates/entry/src/control/observe.rs
+++ b/crates/entry/src/control/observe.rs
@@ -28,7 +28,7 @@
 /// What the VM list said last.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Observation {
-    pub(crate) listing: Option<BTreeMap<VmName, VmListing>>,
+    pub(crate) listing: Option<Arc<BTreeMap<VmName, VmListing>>>,
     pub(crate) forgettable: BTreeSet<VmName>,
     pub(crate) gone_members: Vec<(MemberName, u64)>,
     pub(crate) probed: BTreeSet<VmName>,
@@ -60,11 +60,17 @@
         let mut page = VmListPage::default();
         let mut tick = interval(Duration::from_millis(context.settings.limits.vm_list_ms));
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut probes = interval(Duration::from_millis(context.settings.limits.plan_ms));
+        probes.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let ended = context.stopped(StopPhase::Ended);
         tokio::pin!(ended);
         loop {
             tokio::select! {
                 _ = tick.tick() => {}
+                _ = probes.tick() => {
+                    self.probe_again().await;
+                    continue;
+                }
                 () = &mut ended => return,
             }
             let read = client.list_changed().await;
@@ -95,7 +101,7 @@
         let gone_members = self.gone_members(page);
         let probed = self.probe().await;
         Observation {
-            listing: Some(listing),
+            listing: Some(Arc::new(listing)),
             forgettable,
             gone_members,
             probed,
@@ -154,6 +160,16 @@
             .collect()
     }
 
+    /// Probes joining VMs between two reads of the list, so that none waits for the next.
+    async fn probe_again(&self) {
+        let probed = self.probe().await;
+        if !probed.is_empty() {
+            let mut observation = Observation::clone(&self.observation.load());
+            observation.probed = probed;
+            self.observation.store(Arc::new(observation));
+        }
+    }
+
     /// Joining VMs that accept a connection.
     async fn probe(&self) -> BTreeSet<VmName> {
         let state = self.context.agreed.load_full();
--- a/crates/entry/src/control/plan.rs
+++ b/crates/entry/src/control/plan.rs
@@ -4,10 +4,10 @@
 
 use arc_swap::ArcSwap;
 use jacinthhoist_core::{
-    AnyVm, ClockTime, DemandMeter, FoldState, MemberName, PlanInput, PoolDemand, Step, VmName,
-    plan, rendezvous_rank,
+    AnyVm, ClockTime, DemandMeter, FoldState, MemberName, Offset, PlanInput, PoolDemand, Step,
+    VmName, plan, rendezvous_rank,
 };
-use tokio::time::interval;
+use tokio::{sync::watch, time::interval};
 
 use super::Observation;
 use crate::{
@@ -25,6 +25,7 @@
 pub(crate) struct PlanTask {
     context: Arc<MemberContext>,
     observation: Arc<ArcSwap<Observation>>,
+    changes: watch::Receiver<Offset>,
     demand: DemandMeter,
     due: HashMap<String, DueStep>,
     rebooted: HashMap<VmName, ClockTime>,
@@ -38,11 +39,16 @@
 }
 
 impl PlanTask {
-    pub(crate) fn new(context: Arc<MemberContext>, observation: Arc<ArcSwap<Observation>>) -> Self {
+    pub(crate) fn new(
+        context: Arc<MemberContext>,
+        observation: Arc<ArcSwap<Observation>>,
+        changes: watch::Receiver<Offset>,
+    ) -> Self {
         let (demand, due, rebooted) = Default::default();
         Self {
             context,
             observation,
+            changes,
             demand,
             due,
             rebooted,
@@ -60,6 +66,7 @@
         loop {
             tokio::select! {
                 _ = tick.tick() => {}
+                Ok(()) = self.changes.changed() => {}
                 () = &mut ended => return,
             }
             if !context.is_member() || !context.is_caught_up() {
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -91,6 +91,7 @@
         let fold = FoldTask::spawn(context.clone(), own, routes);
         let observation = Arc::new(ArcSwap::from_pointee(Observation::default()));
         let (drained_sender, drained) = watch::channel(true);
+        let plan = PlanTask::new(context.clone(), observation.clone(), changes.clone());
         let append = AppendTask {
             context: context.clone(),
             proposals: proposed,
@@ -115,8 +116,8 @@
                 }
                 .run(),
             ),
-            tokio::spawn(ObserveTask::new(context.clone(), observation.clone()).run()),
-            tokio::spawn(PlanTask::new(context.clone(), observation).run()),
+            tokio::spawn(ObserveTask::new(context.clone(), observation).run()),
+            tokio::spawn(plan.run()),
             tokio::spawn(
                 SnapshotTask {
                     context: context.clone(),
--- a/crates/entry/src/pipe.rs
+++ b/crates/entry/src/pipe.rs
@@ -10,13 +10,14 @@
 mod dispatch;
 mod headers;
 mod health;
+mod lease;
 mod queue;
 mod relay;
 
 use std::sync::Arc;
 
 use bytes::Bytes;
-use hyper::{Response, body::Incoming, http::request::Parts};
+use hyper::{Response, body::Incoming, header::HeaderValue, http::request::Parts};
 use jacinthhoist_core::{Answered, ClaimKey, Request};
 
 pub(crate) use accept::serve_callers;
@@ -38,6 +39,8 @@
     pub(crate) key: Option<ClaimKey>,
     pub(crate) body: Bytes,
     pub(crate) request_id: String,
+    /// Progress that an upstream saved, for the next one to go on with.
+    pub(crate) progress: Option<HeaderValue>,
 }
 
 impl WorkCall {
--- a/crates/entry/src/pipe/accept.rs
+++ b/crates/entry/src/pipe/accept.rs
@@ -2,12 +2,17 @@
 
 use std::{convert::Infallible, sync::Arc, time::Duration};
 
-use hyper::{server::conn::http1, service::service_fn};
+use hyper::{
+    header::{CONNECTION, HeaderValue},
+    server::conn::http1,
+    service::service_fn,
+};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use jacinthhoist_core::LoadGate;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::mpsc,
+    time::sleep,
 };
 
 use crate::{
@@ -22,7 +27,7 @@
 pub(crate) async fn serve_callers(context: Arc<MemberContext>, listener: TcpListener) {
     let open = Arc::new(LoadGate::default());
     let (alive, mut ended) = mpsc::channel::<Infallible>(1);
-    let draining = context.stopped(StopPhase::Draining);
+    let draining = lingered(&context);
     tokio::pin!(draining);
     loop {
         let accepted = tokio::select! {
@@ -37,7 +42,7 @@
                     Request,
                     "A connection was not accepted ({error}). Raise the limit on open files."
                 );
-                tokio::time::sleep(ACCEPT_PAUSE).await;
+                sleep(ACCEPT_PAUSE).await;
                 continue;
             }
         };
@@ -56,13 +61,28 @@
     let _: Option<Infallible> = ended.recv().await;
 }
 
+/// Ends some time after the member began to drain: a request that was on its way then is still
+/// answered, and its connection closed with the answer.
+async fn lingered(context: &MemberContext) {
+    context.stopped(StopPhase::Draining).await;
+    sleep(Duration::from_millis(context.settings.limits.linger_ms)).await;
+}
+
 async fn serve_connection(context: Arc<MemberContext>, stream: TcpStream) {
     // A connection without it works, only slower.
     let _ = stream.set_nodelay(true);
     let served = context.clone();
     let service = service_fn(move |request| {
         let context = served.clone();
-        async move { Ok::<_, Infallible>(super::serve(context, request).await) }
+        async move {
+            let mut response = super::serve(context.clone(), request).await;
+            if *context.stop.borrow() > StopPhase::Running {
+                response
+                    .headers_mut()
+                    .insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -71,7 +91,7 @@
     tokio::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        () = context.stopped(StopPhase::Draining) => {
+        () = lingered(&context) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/crates/entry/src/pipe/claim.rs
+++ b/crates/entry/src/pipe/claim.rs
@@ -1,17 +1,20 @@
 //! Claim: a keyed request that may run once only is claimed in the log before it is sent.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use jacinthhoist_codec::ClaimReply;
 use jacinthhoist_core::{
     Admitted, Answered, Category, ClaimKey, ClaimRecord, ClaimState, Classified, ClockTime, Offset,
     Outcome, RefusalReason, Request,
 };
-use tokio::time::timeout_at;
+use tokio::time::{sleep, timeout_at};
 
 use super::{Reply, WorkCall, answer, dispatch, relay::KeepAnswer};
 use crate::context::MemberContext;
 
+/// Pause before a holder without a link is asked again.
+const ASK_AGAIN: Duration = Duration::from_millis(50);
+
 /// How a claim ended.
 enum ClaimEnd {
     Held(Offset),
@@ -147,15 +150,19 @@
         if own {
             return Some(context.keeper.ask(key.clone()).await);
         }
-        if !context
+        while context
             .agreed
             .load()
             .members()
             .is_live(&record.holder, record.nonce)
         {
-            return None;
+            if let Some(reply) = context.peers.ask_claim(&record.holder, key.clone()).await {
+                return Some(reply);
+            }
+            // The link to the holder is being opened: a live holder still has the answer.
+            sleep(ASK_AGAIN).await;
         }
-        context.peers.ask_claim(&record.holder, key.clone()).await
+        None
     };
     let reply = match timeout_at(until, asked).await {
         Ok(reply) => reply,
--- a/crates/entry/src/pipe/classify.rs
+++ b/crates/entry/src/pipe/classify.rs
@@ -61,6 +61,7 @@
         key,
         body: Bytes::new(),
         request_id,
+        progress: None,
     };
     Ok((classified, call))
 }
--- a/crates/entry/src/pipe/dispatch.rs
+++ b/crates/entry/src/pipe/dispatch.rs
@@ -6,16 +6,20 @@
 use hyper::{
     Response, StatusCode,
     body::{Body, Incoming},
-    header,
+    header::{self, HeaderValue},
+};
+use jacinthhoist_codec::{
+    HEADER_CHECKPOINT, HEADER_KEY, HEADER_LEASE, HEADER_LEAVING, HEADER_OUTCOME, HEADER_REQUEST,
 };
-use jacinthhoist_codec::{HEADER_KEY, HEADER_LEAVING, HEADER_OUTCOME, HEADER_REQUEST};
 use jacinthhoist_core::{
     Admitted, Answered, Attempted, ClockTime, Dispatched, Outcome, Placed, RefusalReason, Request,
     RetryReason,
 };
 
 use super::{
-    Reply, WorkCall, answer, headers, health, queue,
+    Reply, WorkCall, answer, headers, health,
+    lease::WorkLease,
+    queue,
     relay::{AnswerBody, KeepAnswer, RelayParts},
 };
 use crate::{
@@ -40,11 +44,16 @@
     if let Some(pool) = call.pool(context) {
         pool.load.retries.earn();
     }
+    let mut call = call.clone();
     loop {
-        let (placed, grant) = queue::place(context, admitted, call).await?;
-        admitted = match attempt(context, placed, grant, call, keep).await {
+        let (placed, grant) = queue::place(context, admitted, &call).await?;
+        admitted = match attempt(context, placed, grant, &call, keep).await {
             AttemptEnd::Replied(reply) => return Ok(*reply),
             AttemptEnd::Retry(next) => next,
+            AttemptEnd::Checkpointed(next, progress) => {
+                call.progress = Some(progress);
+                next
+            }
             AttemptEnd::Ended(answered) => return Err(answered),
         };
     }
@@ -53,6 +62,7 @@
 enum AttemptEnd {
     Replied(Box<Reply>),
     Retry(Request<Admitted>),
+    Checkpointed(Request<Admitted>, HeaderValue),
     Ended(Request<Answered>),
 }
 
@@ -107,12 +117,19 @@
         return try_or_end(context, placed.unsent(RetryReason::ConnectFailed), call);
     };
     let limit = answer_limit(&placed, context.clock.now());
-    let upstream_request = match build(call, &vm) {
+    let upstream_request = match build(call, &vm, context.settings.limits.lease_ms) {
         Ok(request) => request,
         Err(_) => return AttemptEnd::Ended(placed.refuse(RefusalReason::Malformed)),
     };
     let dispatched = placed.dispatch();
+    let long_work = call.work.entry.checkpoint;
+    let lease = long_work
+        .then(|| WorkLease::spawn(context, call, &vm))
+        .flatten();
     let exchange = connection.exchange(upstream_request, limit).await;
+    if let (Exchange::Answered(..), Some(lease)) = (&exchange, lease) {
+        lease.end();
+    }
     let (reason, not_run) = match exchange {
         Exchange::Answered(response, connection) => {
             let answered = AnsweredHead {
@@ -159,19 +176,26 @@
 }
 
 /// How long this attempt may wait: half of what is left where another may follow.
+///
+/// Work under a lease may take all that is left: the lease tells a lost upstream from a slow one.
 fn answer_limit(placed: &Request<Placed>, now: ClockTime) -> Duration {
     let left = span(placed.deadline - now);
     let cap = placed
         .work
         .as_ref()
         .map_or(1, |(_, entry)| entry.max_attempts as usize);
-    let last = !placed.is_repeatable() || placed.tried.len() >= cap;
+    let leased = placed
+        .work
+        .as_ref()
+        .is_some_and(|(_, entry)| entry.checkpoint);
+    let last = leased || !placed.is_repeatable() || placed.tried.len() >= cap;
     if last { left } else { left / 2 }
 }
 
 fn build(
     call: &WorkCall,
     vm: &VmRoute,
+    lease_ms: u64,
 ) -> Result<hyper::Request<Full<bytes::Bytes>>, hyper::http::Error> {
     let mut request = hyper::Request::builder()
         .method(call.head.method.clone())
@@ -183,6 +207,12 @@
     headers.remove(HEADER_KEY);
     headers.insert(header::HOST, vm.address.to_string().parse()?);
     headers.insert(HEADER_REQUEST, call.request_id.parse()?);
+    if call.work.entry.checkpoint {
+        headers.insert(HEADER_LEASE, HeaderValue::from(lease_ms));
+    }
+    if let Some(progress) = &call.progress {
+        headers.insert(HEADER_CHECKPOINT, progress.clone());
+    }
     Ok(request)
 }
 
@@ -220,6 +250,9 @@
             call,
         );
     }
+    if let Some(progress) = head.get(HEADER_CHECKPOINT).cloned() {
+        return AttemptEnd::Checkpointed(dispatched.checkpointed(), progress);
+    }
     let status = answered.response.status();
     let refused = head
         .get(HEADER_OUTCOME)
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -78,6 +78,9 @@
     pub stop_ms: u64,
     /// Milliseconds between turning readiness off and closing the listener.
     pub unready_ms: u64,
+    /// Milliseconds for which a member that drains still answers connections and requests that
+    /// were on their way to it.
+    pub linger_ms: u64,
     /// Appends to the log a second.
     pub appends_per_sec: u32,
     /// Milliseconds an append waits for others to share its record.
@@ -94,6 +97,8 @@
     pub silent_ms: u64,
     /// Milliseconds that lent slots stay lent; zero turns lending off.
     pub loan_ms: u64,
+    /// Milliseconds after which an upstream ends long work whose lease was not renewed.
+    pub lease_ms: u64,
     /// Records after which a new snapshot is appended.
     pub snapshot_records: u64,
     /// Seconds after which a new snapshot is appended; well below the log's retention.
@@ -113,6 +118,7 @@
             fresh_ms: 5_000,
             stop_ms: 60_000,
             unready_ms: 1_000,
+            linger_ms: 500,
             appends_per_sec: 40,
             group_ms: 5,
             vm_list_ms: 1_000,
@@ -121,6 +127,7 @@
             beat_ms: 500,
             silent_ms: 3_000,
             loan_ms: 500,
+            lease_ms: 10_000,
             snapshot_records: 2_000,
             snapshot_secs: 600,
             kept_bytes: 33_554_432,
@@ -217,6 +224,7 @@
             ("limits.vm_list_ms", limits.vm_list_ms),
             ("limits.plan_ms", limits.plan_ms),
             ("limits.beat_ms", limits.beat_ms),
+            ("limits.lease_ms", limits.lease_ms),
             ("limits.snapshot_records", limits.snapshot_records),
             ("limits.snapshot_secs", limits.snapshot_secs),
         ];
--- a/crates/entry/tests/control.rs
+++ b/crates/entry/tests/control.rs
@@ -81,6 +81,12 @@
     plan.limits.snapshot_records = 6;
     let mut fleet = LocalFleet::open(plan).await;
     fleet.apply(0, CHANGE).await.unwrap();
+    for weight in 1..20 {
+        fleet
+            .apply(0, &format!("[owners.depot]\nweight = {weight}\n"))
+            .await
+            .unwrap();
+    }
     let mut snapshot = false;
     for _ in 0..600 {
         snapshot = fleet
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -9,5 +9,5 @@
 mod vms;
 
 pub use log::LogService;
-pub use upstream::{UpstreamFault, UpstreamVm};
+pub use upstream::{LeaseEnds, UpstreamFault, UpstreamVm};
 pub use vms::{VmEntry, VmList};
--- a/crates/fakes/src/upstream.rs
+++ b/crates/fakes/src/upstream.rs
@@ -18,7 +18,10 @@
     body::{Frame, Incoming},
     header::HeaderValue,
 };
-use tokio::{sync::Mutex, time::sleep};
+use tokio::{
+    sync::Mutex,
+    time::{Instant, sleep},
+};
 
 use crate::http::{self, FakeBody, FakeServer};
 
@@ -32,6 +35,13 @@
 /// Pause before a body is cut, so that its head goes out.
 const CUT_PAUSE: Duration = Duration::from_millis(30);
 
+/// The header that gives a run a lease in milliseconds.
+const LEASE_HEADER: &str = "jacinthhoist-lease-ms";
+/// The header that carries saved progress: milliseconds of service still to come.
+const CHECKPOINT_HEADER: &str = "jacinthhoist-checkpoint";
+/// How often work under a lease looks at its lease.
+const LEASE_STEP: Duration = Duration::from_millis(5);
+
 /// What an upstream does wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum UpstreamFault {
@@ -49,6 +59,34 @@
     Refuse,
 }
 
+/// How leases of an upstream ended before their work did.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LeaseEnds {
+    /// Nobody renewed them in time.
+    pub lapsed: u64,
+    /// Their progress was saved.
+    pub checkpointed: u64,
+    /// Their holder stopped them.
+    pub stopped: u64,
+}
+
+/// A lease as this upstream knows it.
+#[derive(Debug)]
+struct LeaseState {
+    until: Instant,
+    span: Duration,
+    percent: u64,
+    wanted: Option<LeaseEnd>,
+}
+
+/// Why work under a lease ends early.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LeaseEnd {
+    Lapsed,
+    Checkpointed,
+    Stopped,
+}
+
 /// A running upstream.
 #[derive(Debug)]
 pub struct UpstreamVm {
@@ -64,6 +102,10 @@
     leaving: AtomicBool,
     service_ms: AtomicU64,
     runs: Mutex<HashMap<String, u32>>,
+    leases: Mutex<HashMap<String, LeaseState>>,
+    lapses: AtomicU64,
+    checkpoints: AtomicU64,
+    stops: AtomicU64,
     count: AtomicU64,
     running: AtomicU32,
     most_running: AtomicU32,
@@ -83,6 +125,10 @@
             leaving: AtomicBool::new(false),
             service_ms: AtomicU64::new(service_ms),
             runs: Mutex::new(HashMap::new()),
+            leases: Mutex::new(HashMap::new()),
+            lapses: AtomicU64::new(0),
+            checkpoints: AtomicU64::new(0),
+            stops: AtomicU64::new(0),
             count: AtomicU64::new(0),
             running: AtomicU32::new(0),
             most_running: AtomicU32::new(0),
@@ -120,11 +166,25 @@
         self.state.runs.lock().await.clone()
     }
 
+    /// Leases that lapsed, were checkpointed, and were stopped.
+    pub fn lease_ends(&self) -> LeaseEnds {
+        LeaseEnds {
+            lapsed: self.state.lapses.load(Ordering::SeqCst),
+            checkpointed: self.state.checkpoints.load(Ordering::SeqCst),
+            stopped: self.state.stops.load(Ordering::SeqCst),
+        }
+    }
+
     /// Runs in all.
     pub fn count(&self) -> u64 {
         self.state.count.load(Ordering::SeqCst)
     }
 
+    /// Runs at this moment.
+    pub fn running(&self) -> u32 {
+        self.state.running.load(Ordering::SeqCst)
+    }
+
     /// The most that ran at once since this was last asked.
     pub fn take_most_running(&self) -> u32 {
         let running = self.state.running.load(Ordering::SeqCst);
@@ -158,6 +218,9 @@
     state
         .newest_connection
         .fetch_max(connection, Ordering::SeqCst);
+    if request.uri().path().starts_with("/leases/") {
+        return serve_lease(&state, &request).await;
+    }
     let (head, body) = request.into_parts();
     let Ok(body) = body.collect().await else {
         return http::status(StatusCode::BAD_REQUEST);
@@ -180,8 +243,20 @@
     }
     let asked = text(SERVICE_HEADER).and_then(|value| value.parse().ok());
     let service_ms = asked.unwrap_or_else(|| state.service_ms.load(Ordering::SeqCst));
-    sleep(Duration::from_millis(service_ms)).await;
-    drop(run);
+    let progress = text(CHECKPOINT_HEADER).and_then(|value| value.parse().ok());
+    let left_ms = progress.unwrap_or(service_ms);
+    let lease = text(LEASE_HEADER).and_then(|value| value.parse().ok());
+    if let (Some(span_ms), Some(id)) = (lease, text(REQUEST_HEADER)) {
+        let work = run_leased(state.clone(), id.to_owned(), span_ms, left_ms, run);
+        // The work goes on when its connection ends, as a real worker's would.
+        let ended = tokio::spawn(work).await;
+        if let Err(response) = ended.unwrap_or(Ok(())) {
+            return response;
+        }
+    } else {
+        sleep(Duration::from_millis(left_ms)).await;
+        drop(run);
+    }
     if fault == UpstreamFault::Silent && connection <= state.silent_up_to.load(Ordering::SeqCst) {
         std::future::pending::<()>().await;
     }
@@ -202,6 +277,76 @@
     response
 }
 
+/// Runs work under a lease; an answer that tells why where it ends early.
+async fn run_leased(
+    state: Arc<UpstreamState>,
+    id: String,
+    span_ms: u64,
+    left_ms: u64,
+    run: RunningRun,
+) -> Result<(), Response<FakeBody>> {
+    let span = Duration::from_millis(span_ms);
+    let lease = LeaseState {
+        until: Instant::now() + span,
+        span,
+        percent: 100,
+        wanted: None,
+    };
+    state.leases.lock().await.insert(id.clone(), lease);
+    let mut left = Duration::from_millis(left_ms);
+    let mut ended = None;
+    while !left.is_zero() && ended.is_none() {
+        sleep(LEASE_STEP).await;
+        let leases = state.leases.lock().await;
+        let Some(lease) = leases.get(&id) else {
+            break;
+        };
+        left = left.saturating_sub(LEASE_STEP * lease.percent as u32 / 100);
+        let lapsed = Instant::now() >= lease.until;
+        ended = lease.wanted.or(lapsed.then_some(LeaseEnd::Lapsed));
+    }
+    state.leases.lock().await.remove(&id);
+    drop(run);
+    let Some(end) = ended else {
+        return Ok(());
+    };
+    let (count, status) = match end {
+        LeaseEnd::Lapsed => (&state.lapses, StatusCode::INTERNAL_SERVER_ERROR),
+        LeaseEnd::Checkpointed => (&state.checkpoints, StatusCode::SERVICE_UNAVAILABLE),
+        LeaseEnd::Stopped => (&state.stops, StatusCode::INTERNAL_SERVER_ERROR),
+    };
+    count.fetch_add(1, Ordering::SeqCst);
+    let mut response = http::status(status);
+    if end == LeaseEnd::Checkpointed {
+        let progress = HeaderValue::from(left.as_millis() as u64);
+        response.headers_mut().insert(CHECKPOINT_HEADER, progress);
+    }
+    Err(response)
+}
+
+/// `POST /leases/ID/renew?percent=N`, `/leases/ID/checkpoint` and `/leases/ID/stop`.
+async fn serve_lease(state: &UpstreamState, request: &Request<Incoming>) -> Response<FakeBody> {
+    let mut parts = request.uri().path().split('/').skip(2);
+    let (id, call) = (
+        parts.next().unwrap_or_default(),
+        parts.next().unwrap_or_default(),
+    );
+    let mut leases = state.leases.lock().await;
+    let Some(lease) = leases.get_mut(id) else {
+        return http::status(StatusCode::NOT_FOUND);
+    };
+    match call {
+        "renew" => {
+            lease.until = Instant::now() + lease.span;
+            lease.percent = http::query(request, "percent").unwrap_or(100);
+        }
+        "checkpoint" => lease.wanted = Some(LeaseEnd::Checkpointed),
+        "stop" => lease.wanted = Some(LeaseEnd::Stopped),
+        _ => return http::status(StatusCode::NOT_FOUND),
+    }
+    http::status(StatusCode::OK)
+}
+
 /// Echoes the body after a greeting, whole or cut.
 fn answer(fault: UpstreamFault, body: &Bytes) -> Response<FakeBody> {
     let mut text = b"ran: ".to_vec();
