Spread pools over data centres; count the fleet once a plan; test the binaries as processes

Cause: waves over an even number of pools took 5 rounds and over an odd number 6: new VMs went to pools in list order, so with two data centres each pool had all its VMs in one, and losing that data centre would have lost the pool. A repeat that read a claim before its holder had heard of it was told holder_gone. Change: adoption and moves prefer the data centre of which a pool has fewest VMs; one pass counts all pools; a claim shown as held is asked about again.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -1,5 +1,7 @@
 //! The fleet as folded: each VM in exactly one pool, budgets checked at the step's offset.
 
+use std::collections::BTreeMap;
+
 use imbl::OrdMap;
 use serde::{Deserialize, Serialize};
 use snafu::{OptionExt, ensure};
@@ -68,18 +70,23 @@
 
     /// How a pool's VMs stand.
     pub fn count(&self, pool: &PoolName) -> PoolCount {
-        let mut count = PoolCount::default();
+        self.counts().remove(pool).unwrap_or_default()
+    }
+
+    /// How every pool's VMs stand, in one pass over the fleet.
+    pub fn counts(&self) -> BTreeMap<PoolName, PoolCount> {
+        let mut counts: BTreeMap<PoolName, PoolCount> = BTreeMap::new();
         for vm in self.vms.values() {
-            count.arriving += usize::from(vm.target() == Some(pool));
-            if vm.pool() != pool {
-                continue;
+            if let Some(target) = vm.target() {
+                counts.entry(target.clone()).or_default().arriving += 1;
             }
+            let count = counts.entry(vm.pool().clone()).or_default();
             count.vms += 1;
             count.available += usize::from(vm.is_available());
             count.maintenance += usize::from(vm.in_maintenance());
             count.departing += usize::from(vm.target().is_some());
         }
-        count
+        counts
     }
 
     pub(crate) fn adopt(
--- a/crates/core/src/plan.rs
+++ b/crates/core/src/plan.rs
@@ -6,6 +6,7 @@
 mod maintain;
 mod moves;
 mod observe;
+mod spread;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -15,8 +16,9 @@
 use crate::{
     clock::ClockTime,
     demand::DemandMeter,
+    fleet::PoolCount,
     fold::FoldState,
-    name::{MemberName, VmName},
+    name::{MemberName, PoolName, VmName},
     record::{Step, VmDetails},
     vm::{AnyVm, VmSight},
 };
@@ -40,6 +42,14 @@
     pub now: ClockTime,
 }
 
+/// How every pool's VMs stand.
+type PoolCounts = BTreeMap<PoolName, PoolCount>;
+
+/// How one pool's VMs stand.
+fn count_of(counts: &PoolCounts, pool: &PoolName) -> PoolCount {
+    counts.get(pool).copied().unwrap_or_default()
+}
+
 /// One upstream VM as the VM list shows it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct VmListing {
@@ -57,16 +67,17 @@
 /// ```
 pub fn plan(state: &FoldState, input: &PlanInput) -> Vec<Step> {
     let mut steps = Vec::new();
+    let counts = &state.fleet().counts();
     observe::members(input, &mut steps);
-    observe::sights(state, input, &mut steps);
+    observe::sights(state, counts, input, &mut steps);
     for vm in state.fleet().vms() {
         steps.extend(advance(vm, input));
     }
     maintain::undrain_aborted(state, &mut steps);
-    maintain::drain_waves(state, &mut steps);
-    maintain::drain_due(state, &mut steps);
-    moves::fill(state, &mut steps);
-    moves::follow_demand(state, input, &mut steps);
+    maintain::drain_waves(state, counts, &mut steps);
+    maintain::drain_due(state, counts, &mut steps);
+    moves::fill(state, counts, &mut steps);
+    moves::follow_demand(state, counts, input, &mut steps);
     steps
 }
 
--- a/crates/core/src/plan/maintain.rs
+++ b/crates/core/src/plan/maintain.rs
@@ -1,12 +1,14 @@
 //! Maintenance waves, and maintenance that is due by age.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
+use super::{PoolCounts, count_of};
 use crate::{
     catalogue::{PolicyEntry, PoolEntry, WaveEntry, WaveState},
     clock::ClockTime,
+    fleet::PoolCount,
     fold::FoldState,
     name::{DataCentre, EntryName, PoolName},
     record::Step,
@@ -114,34 +116,37 @@
 }
 
 /// The next VMs of each running wave.
-pub(super) fn drain_waves(state: &FoldState, steps: &mut Vec<Step>) {
+pub(super) fn drain_waves(state: &FoldState, counts: &PoolCounts, steps: &mut Vec<Step>) {
     for (name, wave) in state.catalogue().waves() {
         if wave.state != WaveState::Running {
             continue;
         }
         for pool in &wave.pools {
             let due = |vm: &AnyVm| vm.identity().serviced_by.as_ref() != Some(name);
-            drain_pool(state, pool, Some(name), due, steps);
+            drain_pool(state, counts, pool, Some(name), due, steps);
         }
     }
 }
 
 /// The next VMs that are due by age.
-pub(super) fn drain_due(state: &FoldState, steps: &mut Vec<Step>) {
+pub(super) fn drain_due(state: &FoldState, counts: &PoolCounts, steps: &mut Vec<Step>) {
     let days = u64::from(state.catalogue().policy().maintenance_days);
     if days == 0 {
         return;
     }
     let interval = ClockTime::from_millis(days * DAY_MS * DUE_PERCENT / 100);
     let now = state.members().clock();
-    for (pool, _) in state.catalogue().pools() {
-        let due = |vm: &AnyVm| vm.identity().serviced_at + interval < now;
-        drain_pool(state, &pool, None, due, steps);
+    let due = |vm: &AnyVm| vm.identity().serviced_at + interval < now;
+    let overdue = state.fleet().vms().filter(|vm| due(vm));
+    let pools: BTreeSet<&PoolName> = overdue.map(AnyVm::pool).collect();
+    for pool in pools {
+        drain_pool(state, counts, pool, None, due, steps);
     }
 }
 
 fn drain_pool(
     state: &FoldState,
+    counts: &PoolCounts,
     pool: &PoolName,
     wave: Option<&EntryName>,
     due: impl Fn(&AnyVm) -> bool,
@@ -164,7 +169,7 @@
     };
     serving.retain(|vm| vm.identity().details.data_centre == home);
     serving.sort_by_key(|vm| &vm.identity().details.rack);
-    let room = room(state, pool, entry, &state.catalogue().policy());
+    let room = room(count_of(counts, pool), entry, &state.catalogue().policy());
     for vm in serving.into_iter().take(room) {
         let identity = vm.identity();
         steps.push(Step::Drain {
@@ -192,8 +197,7 @@
 }
 
 /// VMs that may be drained now: the budget, or less of it where roll-out time weighs little.
-fn room(state: &FoldState, pool: &PoolName, entry: &PoolEntry, policy: &PolicyEntry) -> usize {
-    let count = state.fleet().count(pool);
+fn room(count: PoolCount, entry: &PoolEntry, policy: &PolicyEntry) -> usize {
     let maximum = entry.max_unavailable as usize;
     let weighed = match policy.rollout_weight >= policy.flood_weight {
         true => maximum,
--- a/crates/core/src/plan/moves.rs
+++ b/crates/core/src/plan/moves.rs
@@ -1,6 +1,8 @@
 //! Moves of VMs between pools: up to the base size, and with demand that lasts.
 
-use super::PlanInput;
+use std::cmp::Reverse;
+
+use super::{PlanInput, PoolCounts, count_of, spread::PoolSpread};
 use crate::{
     catalogue::{MovePolicy, PolicyEntry, PoolEntry},
     clock::ClockTime,
@@ -23,7 +25,7 @@
 }
 
 /// VMs from the spare pool for pools below their base size, and back for those above `max_vms`.
-pub(super) fn fill(state: &FoldState, steps: &mut Vec<Step>) {
+pub(super) fn fill(state: &FoldState, counts: &PoolCounts, steps: &mut Vec<Step>) {
     let Some(spare) = spare_pool(state) else {
         return;
     };
@@ -31,18 +33,23 @@
         if pool == spare {
             continue;
         }
-        let settled = state.fleet().count(&pool).settled();
+        let settled = count_of(counts, &pool).settled();
         let most = entry.max_vms.unwrap_or(entry.base_vms) as usize;
         if settled < entry.base_vms as usize {
-            push_move(state, &spare, &pool, steps);
+            push_move(state, counts, &spare, &pool, steps);
         } else if settled > most {
-            push_move(state, &pool, &spare, steps);
+            push_move(state, counts, &pool, &spare, steps);
         }
     }
 }
 
 /// Moves by demand under the catalogue's policy.
-pub(super) fn follow_demand(state: &FoldState, input: &PlanInput, steps: &mut Vec<Step>) {
+pub(super) fn follow_demand(
+    state: &FoldState,
+    counts: &PoolCounts,
+    input: &PlanInput,
+    steps: &mut Vec<Step>,
+) {
     let policy = state.catalogue().policy();
     let Some(spare) = spare_pool(state) else {
         return;
@@ -51,12 +58,12 @@
         if pool == spare || policy.moves == MovePolicy::None {
             continue;
         }
-        let settled = state.fleet().count(&pool).settled();
+        let settled = count_of(counts, &pool).settled();
         let wanted = wanted_vms(&policy, entry, input, &pool, settled);
         if wanted > settled {
-            push_move(state, &spare, &pool, steps);
+            push_move(state, counts, &spare, &pool, steps);
         } else if wanted < settled {
-            push_move(state, &pool, &spare, steps);
+            push_move(state, counts, &pool, &spare, steps);
         }
     }
 }
@@ -104,12 +111,19 @@
     ClockTime::from_millis(secs * 1_000 / u64::from(policy.buffer_weight.max(1)))
 }
 
-/// One VM from a pool to another, if its budget has room; the first by name that serves.
-fn push_move(state: &FoldState, from: &PoolName, to: &PoolName, steps: &mut Vec<Step>) {
+/// One VM from a pool to another, if its budget has room: from the data centre of which the target
+/// has the fewest VMs, then the source the most.
+fn push_move(
+    state: &FoldState,
+    counts: &PoolCounts,
+    from: &PoolName,
+    to: &PoolName,
+    steps: &mut Vec<Step>,
+) {
     let Some(entry) = state.catalogue().pool(from) else {
         return;
     };
-    let count = state.fleet().count(from);
+    let count = count_of(counts, from);
     let room = count.available > entry.min_available as usize
         && count.unavailable() < entry.max_unavailable as usize;
     let taken = |vm: &AnyVm| {
@@ -117,11 +131,23 @@
             .iter()
             .any(|step| matches!(step, Step::Drain { vm: other, .. } if *other == vm.identity().vm))
     };
-    let mut serving = state
+    if !room {
+        return;
+    }
+    let (leaves, enters) = (PoolSpread::of(state, from), PoolSpread::of(state, to));
+    let centre = |vm: &AnyVm| vm.identity().details.data_centre.clone();
+    let serving = state
         .fleet()
         .vms()
         .filter(|vm| vm.pool() == from && vm.is_available());
-    let Some(vm) = serving.find(|vm| room && !taken(vm)) else {
+    let free = serving.filter(|vm| !taken(vm));
+    let best = free.min_by_key(|vm| {
+        (
+            enters.count(&centre(vm)),
+            Reverse(leaves.count(&centre(vm))),
+        )
+    });
+    let Some(vm) = best else {
         return;
     };
     let identity = vm.identity();
--- a/crates/core/src/plan/observe.rs
+++ b/crates/core/src/plan/observe.rs
@@ -1,6 +1,8 @@
 //! What the VM list says, as steps.
 
-use super::PlanInput;
+use std::cmp::Reverse;
+
+use super::{PlanInput, PoolCounts, count_of, spread::PoolSpread};
 use crate::{fold::FoldState, name::PoolName, record::Step, vm::VmSight};
 
 /// Members that are gone from the list.
@@ -14,7 +16,12 @@
 }
 
 /// VMs that are new, changed or gone.
-pub(super) fn sights(state: &FoldState, input: &PlanInput, steps: &mut Vec<Step>) {
+pub(super) fn sights(
+    state: &FoldState,
+    counts: &PoolCounts,
+    input: &PlanInput,
+    steps: &mut Vec<Step>,
+) {
     let Some(listing) = &input.listing else {
         return;
     };
@@ -37,21 +44,25 @@
             });
         }
     }
-    adopt(state, input, steps);
+    adopt(state, counts, input, steps);
 }
 
-fn adopt(state: &FoldState, input: &PlanInput, steps: &mut Vec<Step>) {
-    let mut deficits = deficits(state);
+fn adopt(state: &FoldState, counts: &PoolCounts, input: &PlanInput, steps: &mut Vec<Step>) {
+    let mut deficits = deficits(state, counts);
     let spare = super::moves::spare_pool(state);
     for (vm, listed) in input.listing.iter().flat_map(|listing| listing.iter()) {
         if state.fleet().vm(vm).is_some() || listed.sight != VmSight::Live {
             continue;
         }
+        let home = &listed.details.data_centre;
         let wanting = deficits.iter_mut().filter(|wanted| wanted.missing > 0);
-        let neediest = wanting.max_by_key(|wanted| wanted.missing);
+        // Spread over data centres first, so that losing one loses no pool.
+        let neediest =
+            wanting.min_by_key(|wanted| (wanted.spread.count(home), Reverse(wanted.missing)));
         let pool = match neediest {
             Some(wanted) => {
                 wanted.missing -= 1;
+                wanted.spread.add(home);
                 Some(wanted.pool.clone())
             }
             None => spare.clone(),
@@ -70,15 +81,21 @@
 struct PoolDeficit {
     pool: PoolName,
     missing: usize,
+    spread: PoolSpread,
 }
 
-fn deficits(state: &FoldState) -> Vec<PoolDeficit> {
+fn deficits(state: &FoldState, counts: &PoolCounts) -> Vec<PoolDeficit> {
     let pools = state.catalogue().pools();
     pools
         .map(|(pool, entry)| {
-            let settled = state.fleet().count(&pool).settled();
+            let settled = count_of(counts, &pool).settled();
             let missing = (entry.base_vms as usize).saturating_sub(settled);
-            PoolDeficit { pool, missing }
+            let spread = PoolSpread::of(state, &pool);
+            PoolDeficit {
+                pool,
+                missing,
+                spread,
+            }
         })
         .collect()
 }
--- a/crates/entry/src/admin/views.rs
+++ b/crates/entry/src/admin/views.rs
@@ -55,13 +55,14 @@
 pub(super) fn pools(context: &MemberContext) -> Vec<PoolView> {
     let state = context.agreed.load();
     let routes = context.routes.load();
+    let counts = state.fleet().counts();
     let view = |(pool, entry): (jacinthhoist_core::PoolName, &jacinthhoist_core::PoolEntry)| {
         let route = routes.pools.get(&pool);
         PoolView {
             spare: entry.spare,
             min_available: entry.min_available,
             max_unavailable: entry.max_unavailable,
-            count: state.fleet().count(&pool),
+            count: counts.get(&pool).copied().unwrap_or_default(),
             running: route.map_or(0, |route| route.held()),
             waiting: route.map_or(0, |route| route.waiting()),
             pool,
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -10,8 +10,8 @@
 
 use arc_swap::ArcSwap;
 use imbl::Vector;
-use jacinthhoist_codec::LogRecord;
-use jacinthhoist_core::{ClockTime, FoldState, MemberName};
+use jacinthhoist_codec::{ClaimReply, LogRecord};
+use jacinthhoist_core::{ClaimKey, ClaimState, ClockTime, FoldState, MemberName};
 use tokio::sync::{Notify, watch};
 
 use crate::{
@@ -160,7 +160,19 @@
         self.caught_up.load(Ordering::SeqCst)
     }
 
-    /// Notes that a peer's records made the state whole.
+    /// What became of a request that this member has claimed.
+    pub(crate) async fn own_claim(&self, key: &ClaimKey) -> ClaimReply {
+        let is_held = || {
+            let state = self.agreed.load();
+            state
+                .claims()
+                .get(key)
+                .is_some_and(|record| record.state == ClaimState::Held)
+        };
+        self.keeper.ask_held(key, is_held).await
+    }
+
+    /// Whether this very process is a member.
     pub(crate) fn is_member(&self) -> bool {
         self.agreed.load().members().is_live(&self.name, self.nonce)
     }
--- a/crates/entry/src/control/plan.rs
+++ b/crates/entry/src/control/plan.rs
@@ -154,9 +154,10 @@
     /// What all members together want of each pool.
     fn demands(&self, state: &FoldState) -> Vec<PoolDemand> {
         let routes = self.context.routes.load();
+        let counts = state.fleet().counts();
         let mut demands = Vec::new();
         for (pool, entry) in state.catalogue().pools() {
-            let available = state.fleet().count(&pool).available as u32;
+            let available = counts.get(&pool).map_or(0, |count| count.available as u32);
             let own = routes.pools.get(&pool);
             let own_running = own.map_or(0, |route| route.held());
             let own_waiting = own.map_or(0, |route| route.waiting());
--- a/crates/entry/src/keeper.rs
+++ b/crates/entry/src/keeper.rs
@@ -1,10 +1,21 @@
 //! Keeps the answers of claimed requests for repeats, within a bound.
 
-use std::collections::{HashMap, VecDeque};
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
 
 use jacinthhoist_codec::{ClaimReply, KeptAnswer};
 use jacinthhoist_core::ClaimKey;
-use tokio::sync::{mpsc, oneshot};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::sleep,
+};
+
+/// How often a claim is asked about that the log shows as held.
+const HELD_ASKS: u32 = 40;
+/// Pause between two such questions.
+const HELD_PAUSE: Duration = Duration::from_millis(25);
 
 /// What the request pipe tells the keeper.
 enum KeeperMessage {
@@ -36,8 +47,22 @@
         let _ = self.0.send(KeeperMessage::End(key, reply));
     }
 
-    /// What became of a claimed request; waits while it runs.
-    pub(crate) async fn ask(&self, key: ClaimKey) -> ClaimReply {
+    /// What became of a claimed request of this member; waits while it runs.
+    ///
+    /// A peer may read a claim before its holder has heard of it: a claim that the log still shows
+    /// as held is asked about again for a while.
+    pub(crate) async fn ask_held(&self, key: &ClaimKey, is_held: impl Fn() -> bool) -> ClaimReply {
+        for _ in 0..HELD_ASKS {
+            let reply = self.ask(key.clone()).await;
+            if reply != ClaimReply::Gone || !is_held() {
+                return reply;
+            }
+            sleep(HELD_PAUSE).await;
+        }
+        ClaimReply::Gone
+    }
+
+    async fn ask(&self, key: ClaimKey) -> ClaimReply {
         let (sender, receiver) = oneshot::channel();
         let _ = self.0.send(KeeperMessage::Ask(key, sender));
         receiver.await.unwrap_or(ClaimReply::Gone)
--- a/crates/entry/src/peer/frames.rs
+++ b/crates/entry/src/peer/frames.rs
@@ -85,7 +85,7 @@
         PeerFrame::AskClaim { id, key } => {
             let (context, reply) = (context.clone(), reply.clone());
             tokio::spawn(async move {
-                let told = context.keeper.ask(key).await;
+                let told = context.own_claim(&key).await;
                 // The asker may have gone away meanwhile.
                 let _ = reply.send(PeerFrame::TellClaim { id, reply: told });
             });
--- a/crates/entry/src/pipe/claim.rs
+++ b/crates/entry/src/pipe/claim.rs
@@ -148,7 +148,7 @@
     let until = context.clock.instant(deadline);
     let asked = async {
         if own {
-            return Some(context.keeper.ask(key.clone()).await);
+            return Some(context.own_claim(key).await);
         }
         while context
             .agreed
--- a/crates/experiments/examples/control.rs
+++ b/crates/experiments/examples/control.rs
@@ -58,7 +58,7 @@
 
 async fn open(vms: usize, pools: usize) -> LocalFleet {
     let share = vms.div_ceil(pools);
-    let mut catalogue = "[owners.o]\n[policy]\nmaintenance_days = 0\n".to_owned();
+    let mut catalogue = "[owners.o]\n[pools.spare]\nspare = true\nmin_available = 0\nbase_vms = 0\nmax_vms = 10000\n".to_owned();
     for pool in 0..pools {
         let base = share.min(vms - (pool * share).min(vms));
         catalogue += &format!("[pools.p{pool}]\nbase_vms = {base}\nmin_available = 0\n");
--- a/crates/experiments/src/lib.rs
+++ b/crates/experiments/src/lib.rs
@@ -14,6 +14,7 @@
 mod load;
 mod member;
 mod process;
+mod raw;
 mod report;
 
 pub use caller::{CallerAnswer, CallerConnection, CallerError, WorkCaller};
@@ -21,4 +22,5 @@
 pub use load::{LoadPlan, LoadSummary, run_load};
 pub use member::LocalMember;
 pub use process::{processor_time, resident_bytes};
+pub use raw::{RawCaller, spawn_raw_upstream};
 pub use report::{FigureTable, percent, ratio};
--- /dev/null
+++ b/crates/jacinthhoistd/tests/daemon.rs
@@ -0,0 +1,133 @@
+//! The daemon as a process of its own: settings, the whole path, a planned stop.
+
+use std::{
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command, Output, Stdio},
+};
+
+use jacinthhoist_entry::EntrySettings;
+use jacinthhoist_experiments::WorkCaller;
+use jacinthhoist_fakes::{LogService, VmList};
+
+const DAEMON: &str = env!("CARGO_BIN_EXE_jacinthhoistd");
+
+fn write(name: &str, text: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+fn check(name: &str, text: &str) -> Output {
+    let path = write(name, text);
+    Command::new(DAEMON)
+        .arg("--check")
+        .arg("--settings")
+        .arg(path)
+        .output()
+        .unwrap()
+}
+
+#[test]
+fn settings_are_checked_with_file_key_and_remedy() {
+    let good = EntrySettings::example("entry-1").to_toml();
+    assert!(check("good.toml", &good).status.success());
+    let cases = [
+        (
+            "unknown.toml",
+            good.replace("beat_ms", "beet_ms"),
+            "unknown field `beet_ms`",
+        ),
+        (
+            "value.toml",
+            good.replace("beat_ms = 500", "beat_ms = 0"),
+            "`limits.beat_ms` is 0: write a number above 0",
+        ),
+        (
+            "name.toml",
+            good.replace("\"entry-1\"", "\"entry 1\""),
+            "`member.name` is \"entry 1\": write up to 64 letters",
+        ),
+        (
+            "missing.toml",
+            good.replace("log_stream", "stream"),
+            "unknown field `stream`",
+        ),
+        (
+            "address.toml",
+            good.replace("\"127.0.0.1:0\"", "\"here\""),
+            "invalid socket address",
+        ),
+    ];
+    for (name, text, expected) in cases {
+        let output = check(name, &text);
+        let told = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!(output.status.code(), Some(2), "{told}");
+        assert!(told.contains(expected) && told.contains(name), "{told}");
+    }
+}
+
+/// A daemon that is killed if a test ends before it was stopped.
+struct DaemonProcess(Child);
+
+impl Drop for DaemonProcess {
+    fn drop(&mut self) {
+        // It may have ended already, as it should.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// Starts a daemon and reads from its log where it listens for callers.
+fn start(settings: &EntrySettings) -> (DaemonProcess, SocketAddr) {
+    let path = write("run.toml", &settings.to_toml());
+    let mut child = Command::new(DAEMON)
+        .arg("--settings")
+        .arg(path)
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let output = child.stdout.take().unwrap();
+    let daemon = DaemonProcess(child);
+    for line in BufReader::new(output).lines() {
+        let line = line.unwrap();
+        if let Some((_, address)) = line.split_once("listens for callers on ") {
+            return (daemon, address.trim_end_matches('.').parse().unwrap());
+        }
+    }
+    panic!("the daemon does not say where it listens");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_process_answers_and_stops_in_good_order_on_sigterm() {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let log = LogService::bind(any).await.unwrap();
+    let list = VmList::bind(any).await.unwrap();
+    let mut settings = EntrySettings::example("entry-1");
+    settings.platform.log_address = log.address();
+    settings.platform.vm_list_address = list.address();
+    settings.limits.unready_ms = 0;
+    let (mut daemon, caller) = start(&settings);
+    let answer = WorkCaller::new(caller)
+        .send("quote-run", "a")
+        .await
+        .unwrap();
+    assert_eq!(answer.outcome, "not-run", "it has no catalogue yet");
+    let pid = daemon.0.id().to_string();
+    assert!(
+        Command::new("kill")
+            .args(["-TERM", &pid])
+            .status()
+            .unwrap()
+            .success()
+    );
+    let ended = tokio::task::spawn_blocking(move || daemon.0.wait().unwrap())
+        .await
+        .unwrap();
+    assert_eq!(ended.code(), Some(0));
+    let texts = log.texts().await;
+    let joined = texts.iter().any(|text| text.contains("\"step\":\"join\""));
+    let left = texts.iter().any(|text| text.contains("\"step\":\"leave\""));
+    assert_eq!(joined, left, "a member that joined has left: {texts:?}");
+}
