--- a/crates/core/src/plan/observe.rs
+++ b/crates/core/src/plan/observe.rs
@@ -2,8 +2,13 @@
 
 use std::cmp::Reverse;
 
-use super::{PlanInput, PoolCounts, count_of, spread::PoolSpread};
-use crate::{fold::FoldState, name::PoolName, record::Step, vm::VmSight};
+use super::{PlanInput, PoolCounts, VmListing, count_of, spread::PoolSpread};
+use crate::{
+    fold::FoldState,
+    name::{PoolName, VmName},
+    record::Step,
+    vm::VmSight,
+};
 
 /// Members that are gone from the list.
 pub(super) fn members(input: &PlanInput, steps: &mut Vec<Step>) {
@@ -48,12 +53,21 @@
 }
 
 fn adopt(state: &FoldState, counts: &PoolCounts, input: &PlanInput, steps: &mut Vec<Step>) {
+    let is_new = |(vm, listed): &(&VmName, &VmListing)| {
+        listed.sight == VmSight::Live && state.fleet().vm(vm).is_none()
+    };
+    let new: Vec<_> = input
+        .listing
+        .iter()
+        .flat_map(|listing| listing.iter())
+        .filter(is_new)
+        .collect();
+    if new.is_empty() {
+        return;
+    }
     let mut deficits = deficits(state, counts);
     let spare = super::moves::spare_pool(state);
-    for (vm, listed) in input.listing.iter().flat_map(|listing| listing.iter()) {
-        if state.fleet().vm(vm).is_some() || listed.sight != VmSight::Live {
-            continue;
-        }
+    for (vm, listed) in new {
         let home = &listed.details.data_centre;
         let wanting = deficits.iter_mut().filter(|wanted| wanted.missing > 0);
         // Spread over data centres first, so that losing one loses no pool.
--- a/crates/core/tests/plan.rs
+++ b/crates/core/tests/plan.rs
@@ -99,6 +99,19 @@
         verdicts.iter().filter(|verdict| verdict.is_ok()).count()
     }
 
+    /// Starts a wave over pool `a`.
+    fn start_wave(&mut self) {
+        let wave = WaveEntry {
+            pools: vec![PoolName::new("a")],
+            state: WaveState::Running,
+        };
+        let edits = vec![put(EntryKind::Wave, "w", EntryBody::Wave(wave))];
+        self.apply(vec![Step::Catalogue(CatalogueChange {
+            operator: "o".to_owned(),
+            edits,
+        })]);
+    }
+
     /// Plans and applies until nothing is due.
     fn settle(&mut self) {
         for _ in 0..50 {
@@ -144,15 +157,7 @@
 fn a_wave_drains_one_data_centre_of_a_pool_within_its_budget() {
     let mut fleet = PlannedFleet::new(&[("a", 6, false)], 6, 2);
     fleet.settle();
-    let wave = WaveEntry {
-        pools: vec![PoolName::new("a")],
-        state: WaveState::Running,
-    };
-    let edits = vec![put(EntryKind::Wave, "w", EntryBody::Wave(wave))];
-    fleet.apply(vec![Step::Catalogue(CatalogueChange {
-        operator: "o".to_owned(),
-        edits,
-    })]);
+    fleet.start_wave();
     let steps = plan(&fleet.state, &fleet.input);
     let drained: Vec<&VmName> = steps
         .iter()
@@ -186,15 +191,7 @@
 fn a_missing_vm_pauses_a_wave_in_its_pool() {
     let mut fleet = PlannedFleet::new(&[("a", 6, false)], 6, 2);
     fleet.settle();
-    let wave = WaveEntry {
-        pools: vec![PoolName::new("a")],
-        state: WaveState::Running,
-    };
-    let edits = vec![put(EntryKind::Wave, "w", EntryBody::Wave(wave))];
-    fleet.apply(vec![Step::Catalogue(CatalogueChange {
-        operator: "o".to_owned(),
-        edits,
-    })]);
+    fleet.start_wave();
     fleet.apply(vec![Step::Sight {
         vm: "w00".into(),
         sight: VmSight::Missing,
--- a/crates/entry/src/admin/serve.rs
+++ b/crates/entry/src/admin/serve.rs
@@ -15,14 +15,13 @@
 use jacinthhoist_codec::{ChangeAnswer, ChangeRequest, ChangeVerdict};
 use jacinthhoist_core::{CatalogueChange, Offset, Step};
 use serde::Serialize;
-use tokio::{net::TcpListener, time::timeout};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::timeout,
+};
 
 use super::views;
-use crate::{
-    context::{MemberContext, StopPhase},
-    logs::log_line,
-    meter,
-};
+use crate::{accept::accept_until_ended, context::MemberContext, logs::log_line, meter};
 
 /// The largest change in bytes.
 const MAX_CHANGE_BYTES: usize = 4_194_304;
@@ -30,8 +29,6 @@
 const VERDICT_LIMIT: Duration = Duration::from_secs(5);
 /// How long an operator has to send a request's head.
 const HEAD_LIMIT: Duration = Duration::from_secs(10);
-/// Pause after an accept that failed for want of files.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// A message for an operator who asked for something that cannot be had.
 #[derive(Serialize)]
@@ -41,33 +38,23 @@
 
 /// Serves operators until the member has ended.
 pub(crate) async fn serve_operators(context: Arc<MemberContext>, listener: TcpListener) {
-    let ended = context.stopped(StopPhase::Ended);
-    tokio::pin!(ended);
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = &mut ended => return,
-        };
-        let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+    accept_until_ended(&context, listener, |stream| {
+        serve_connection(context.clone(), stream)
+    })
+    .await;
+}
+
+async fn serve_connection(context: Arc<MemberContext>, stream: TcpStream) {
+    let service = service_fn(move |request| {
         let context = context.clone();
-        tokio::spawn(async move {
-            let served = context.clone();
-            let service = service_fn(move |request| {
-                let context = served.clone();
-                async move { Ok::<_, Infallible>(serve(&context, request).await) }
-            });
-            let connection = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(HEAD_LIMIT)
-                .serve_connection(TokioIo::new(stream), service);
-            tokio::select! {
-                ended = connection => drop(ended),
-                () = context.stopped(StopPhase::Ended) => {}
-            }
-        });
+        async move { Ok::<_, Infallible>(serve(&context, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_LIMIT)
+        .serve_connection(TokioIo::new(stream), service);
+    if let Err(error) = connection.await {
+        log_line!(debug, Admin, "An operator's connection ended: {error}.");
     }
 }
 
--- a/crates/entry/src/control/observe.rs
+++ b/crates/entry/src/control/observe.rs
@@ -34,6 +34,29 @@
     pub(crate) probed: BTreeSet<VmName>,
 }
 
+/// The VM list by name, made anew only when it has changed.
+#[derive(Default)]
+struct ListedVms {
+    workers: Arc<BTreeMap<VmName, VmListing>>,
+    entries: BTreeSet<MemberName>,
+}
+
+impl ListedVms {
+    fn of(page: VmListPage) -> Self {
+        let (workers, entries): (Vec<_>, Vec<_>) = page
+            .vms
+            .iter()
+            .partition(|listed| listed.role == VmRole::Worker);
+        Self {
+            workers: Arc::new(workers.into_iter().map(listing_of).collect()),
+            entries: entries
+                .into_iter()
+                .map(|listed| MemberName::new(&listed.name))
+                .collect(),
+        }
+    }
+}
+
 /// Reads the VM list.
 pub(crate) struct ObserveTask {
     pub(crate) context: Arc<MemberContext>,
@@ -57,7 +80,7 @@
     pub(crate) async fn run(mut self) {
         let context = self.context.clone();
         let mut client = ListClient::open(context.settings.platform.vm_list_address);
-        let mut page = VmListPage::default();
+        let mut listed = ListedVms::default();
         let mut tick = interval(Duration::from_millis(context.settings.limits.vm_list_ms));
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut probes = interval(Duration::from_millis(context.settings.limits.plan_ms));
@@ -76,8 +99,8 @@
             let read = client.list_changed().await;
             let observation = match read {
                 Ok(changed) => {
-                    page = changed.unwrap_or(page);
-                    self.observe(&page).await
+                    listed = changed.map(ListedVms::of).unwrap_or(listed);
+                    self.observe(&listed).await
                 }
                 Err(error) => {
                     log_line!(debug, Control, "The VM list was not read: {error}.");
@@ -90,21 +113,13 @@
         }
     }
 
-    async fn observe(&mut self, page: &VmListPage) -> Observation {
-        let workers = page
-            .vms
-            .iter()
-            .filter(|listed| listed.role == VmRole::Worker);
-        let listing: BTreeMap<VmName, VmListing> = workers.map(listing_of).collect();
-        self.stop_leaving(&listing);
-        let forgettable = self.forgettable(&listing);
-        let gone_members = self.gone_members(page);
-        let probed = self.probe().await;
+    async fn observe(&mut self, listed: &ListedVms) -> Observation {
+        self.stop_leaving(&listed.workers);
         Observation {
-            listing: Some(Arc::new(listing)),
-            forgettable,
-            gone_members,
-            probed,
+            listing: Some(listed.workers.clone()),
+            forgettable: self.forgettable(&listed.workers),
+            gone_members: self.gone_members(&listed.entries),
+            probed: self.probe().await,
         }
     }
 
@@ -135,20 +150,14 @@
     }
 
     /// Members that the list no longer shows; none where it shows no entry VM at all.
-    fn gone_members(&mut self, page: &VmListPage) -> Vec<(MemberName, u64)> {
-        let entries = || {
-            page.vms
-                .iter()
-                .filter(|listed| listed.role == VmRole::Entry)
-        };
+    fn gone_members(&mut self, entries: &BTreeSet<MemberName>) -> Vec<(MemberName, u64)> {
         let state = self.context.agreed.load();
-        let listed = |member: &MemberName| entries().any(|vm| vm.name == member.as_str());
         let live = state
             .members()
             .live()
             .map(|record| record.join.member.clone());
         let missing = live
-            .filter(|member| entries().next().is_some() && !listed(member))
+            .filter(|member| !entries.is_empty() && !entries.contains(member))
             .collect();
         let gone = self
             .context
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,6 +14,7 @@
 //! assert_eq!(settings.limits.appends_per_sec, 40);
 //! ```
 
+mod accept;
 mod admin;
 mod clock;
 mod context;
--- a/crates/entry/src/peer/serve.rs
+++ b/crates/entry/src/peer/serve.rs
@@ -13,40 +13,20 @@
 
 use super::{frames, lend::LoanBook};
 use crate::{
-    context::{MemberContext, StopPhase},
-    control::FoldHandle,
-    logs::log_line,
+    accept::accept_until_ended, context::MemberContext, control::FoldHandle, logs::log_line,
 };
 
-/// Pause after an accept that failed for want of files.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// Serves peers until the member has ended.
 pub(crate) async fn serve_peers(
     context: Arc<MemberContext>,
     fold: FoldHandle,
     listener: TcpListener,
 ) {
-    let ended = context.stopped(StopPhase::Ended);
-    tokio::pin!(ended);
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = &mut ended => return,
-        };
-        let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+    accept_until_ended(&context, listener, |stream| {
         let (context, fold) = (context.clone(), fold.clone());
-        tokio::spawn(async move {
-            let stopped = context.stopped(StopPhase::Ended);
-            tokio::select! {
-                () = serve_peer(&context, &fold, stream) => {}
-                () = stopped => {}
-            }
-        });
-    }
+        async move { serve_peer(&context, &fold, stream).await }
+    })
+    .await;
 }
 
 async fn serve_peer(context: &Arc<MemberContext>, fold: &FoldHandle, stream: TcpStream) {
--- a/crates/entry/src/pipe/accept.rs
+++ b/crates/entry/src/pipe/accept.rs
@@ -16,14 +16,12 @@
 
 use super::workers::RequestWorkers;
 use crate::{
+    accept::ACCEPT_PAUSE,
     context::{MemberContext, StopPhase},
     error::Result,
     logs::log_line,
 };
 
-/// Pause after an accept that failed for want of files, so that others can end.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// Serves callers until the member drains; returns once every connection has ended.
 ///
 /// # Errors
--- a/crates/fakes/src/vms.rs
+++ b/crates/fakes/src/vms.rs
@@ -2,7 +2,6 @@
 
 use std::{
     collections::BTreeMap,
-    hash::{Hash, Hasher},
     net::SocketAddr,
     sync::{
         Arc,
@@ -11,6 +10,7 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use hyper::{Method, Request, Response, StatusCode, body::Incoming, header};
 use serde::Serialize;
 use tokio::{
@@ -73,7 +73,8 @@
 #[derive(Debug, Default)]
 struct ListState {
     vms: Mutex<BTreeMap<String, VmEntry>>,
-    shown: Mutex<Option<(Instant, Vec<VmEntry>)>>,
+    version: AtomicU64,
+    shown: Mutex<ShownList>,
     down: AtomicBool,
     lag_ms: AtomicU64,
     reboot_ms: AtomicU64,
@@ -81,6 +82,21 @@
     sent_bytes: AtomicU64,
 }
 
+/// The list as it was last handed out.
+#[derive(Debug, Default)]
+struct ShownList {
+    at: Option<Instant>,
+    version: Option<u64>,
+    body: Bytes,
+}
+
+impl ListState {
+    /// The list has changed.
+    fn touch(&self) {
+        self.version.fetch_add(1, Ordering::SeqCst);
+    }
+}
+
 #[derive(Serialize)]
 struct ListAnswer {
     vms: Vec<VmEntry>,
@@ -135,11 +151,13 @@
     /// Adds a VM, or replaces one of the same name.
     pub async fn add(&self, vm: VmEntry) {
         self.state.vms.lock().await.insert(vm.name.clone(), vm);
+        self.state.touch();
     }
 
     /// Removes a VM.
     pub async fn remove(&self, name: &str) {
         self.state.vms.lock().await.remove(name);
+        self.state.touch();
     }
 
     /// Sets a VM's state to `live` or `leaving`.
@@ -147,6 +165,7 @@
         if let Some(vm) = self.state.vms.lock().await.get_mut(name) {
             vm.state = state.to_owned();
         }
+        self.state.touch();
     }
 }
 
@@ -158,38 +177,31 @@
         return serve_reboot(state, &request).await;
     }
     let lag = Duration::from_millis(state.lag_ms.load(Ordering::SeqCst));
+    let version = state.version.load(Ordering::SeqCst);
     let mut shown = state.shown.lock().await;
-    let fresh = shown.as_ref().is_some_and(|(at, _)| at.elapsed() < lag);
-    if !fresh {
+    if shown.version != Some(version) && shown.at.is_none_or(|at| at.elapsed() >= lag) {
         let vms = state.vms.lock().await.values().cloned().collect();
-        *shown = Some((Instant::now(), vms));
-    }
-    let vms = shown
-        .iter()
-        .flat_map(|(_, vms)| vms.iter().cloned())
-        .collect();
-    tagged(&state, &request, &ListAnswer { vms })
+        let body = Bytes::from(serde_json::json!(ListAnswer { vms }).to_string());
+        *shown = ShownList {
+            at: Some(Instant::now()),
+            version: Some(version),
+            body,
+        };
+    }
+    tagged(&state, &request, &shown)
 }
 
 /// The list with a tag, or only word that it has not changed.
-fn tagged(
-    state: &ListState,
-    request: &Request<Incoming>,
-    answer: &ListAnswer,
-) -> Response<FakeBody> {
-    let body = serde_json::json!(answer).to_string();
-    let mut hasher = std::hash::DefaultHasher::new();
-    body.hash(&mut hasher);
-    let tag = format!("\"{:016x}\"", hasher.finish());
+fn tagged(state: &ListState, request: &Request<Incoming>, shown: &ShownList) -> Response<FakeBody> {
+    let tag = format!("\"{}\"", shown.version.unwrap_or(0));
     let known = request.headers().get(header::IF_NONE_MATCH);
     let same = known.is_some_and(|known| known.as_bytes() == tag.as_bytes());
     let mut response = match same {
         true => http::status(StatusCode::NOT_MODIFIED),
         false => {
-            state
-                .sent_bytes
-                .fetch_add(body.len() as u64, Ordering::SeqCst);
-            Response::new(http::whole(body))
+            let bytes = shown.body.len() as u64;
+            state.sent_bytes.fetch_add(bytes, Ordering::SeqCst);
+            Response::new(http::whole(shown.body.clone()))
         }
     };
     if let Ok(tag) = tag.parse() {
@@ -214,6 +226,7 @@
     };
     if Some(vm.boot) == boot {
         vms.remove(&name);
+        state.touch();
         state.reboots.fetch_add(1, Ordering::SeqCst);
         let state = state.clone();
         tokio::spawn(async move {
@@ -226,6 +239,7 @@
                 ..vm
             };
             state.vms.lock().await.insert(name, back);
+            state.touch();
         });
     }
     http::json(&EmptyAnswer {})
