Hold a grant's quota plainly; drop two comments that said nothing of their code

Cause: rereading the change: a grant's quota was an Option that was never none until its drop, which fields do by themselves in the same order (slot first, then quota and wake). Change: the Option and the hand-made take are gone; two stray comments in experiments too.

--- a/crates/entry/src/routes/grant.rs
+++ b/crates/entry/src/routes/grant.rs
@@ -6,7 +6,7 @@
 
 /// A held slot.
 pub(crate) struct SlotGrant {
-    quota: Option<QuotaGrant>,
+    quota: QuotaGrant,
     index: usize,
 }
 
@@ -49,18 +49,13 @@
 
     /// The VM whose slot is held.
     pub(crate) fn vm(&self) -> Option<&Arc<VmRoute>> {
-        self.quota
-            .as_ref()
-            .and_then(|quota| quota.pool.vms.get(self.index))
+        self.quota.pool.vms.get(self.index)
     }
 }
 
 impl QuotaGrant {
     pub(super) fn on(self, index: usize) -> SlotGrant {
-        SlotGrant {
-            quota: Some(self),
-            index,
-        }
+        SlotGrant { quota: self, index }
     }
 }
 
@@ -70,7 +65,6 @@
             vm.gate.leave();
             vm.presence.health.unused();
         }
-        self.quota.take();
     }
 }
 
--- a/crates/experiments/examples/overhead/main.rs
+++ b/crates/experiments/examples/overhead/main.rs
@@ -79,7 +79,6 @@
     plan.workers = 0;
     plan.threads = threads;
     plan.catalogue = plan.catalogue.replace("base_vms = 10", "base_vms = 16");
-    // The classes' caps leave the urgent class every slot of every VM.
     let fleet = LocalFleet::open(plan).await;
     for (number, address) in upstreams.iter().enumerate() {
         fleet
--- a/crates/experiments/examples/surge.rs
+++ b/crates/experiments/examples/surge.rs
@@ -118,7 +118,6 @@
     let capacity = POOL_SLOTS * 1_000.0 / SERVICE_MS as f64;
     let loads = deployment.works.iter().enumerate().map(|(index, work)| {
         let times = if *work == surging { times } else { 1.0 };
-        // Work of a class is offered no more than the class may hold at its mean.
         run_load(LoadPlan {
             work: (*work).to_owned(),
             rate: capacity * MEAN_PART * times,
