--- a/crates/codec/src/frame.rs
+++ b/crates/codec/src/frame.rs
@@ -88,6 +88,10 @@
     Answer(KeptAnswer),
     /// It ended, and the answer is not kept.
     Gone,
+    /// It is proved that it did not run.
+    Released,
+    /// It may have run: its connection ended without an answer.
+    Unknown,
 }
 
 /// One frame.
--- a/crates/core/src/catalogue.rs
+++ b/crates/core/src/catalogue.rs
@@ -173,6 +173,12 @@
             .filter_map(|(id, slot)| Some((id, slot, slot.body.as_ref()?)))
     }
 
+    /// Entries that were removed, with the offset of their removal.
+    pub fn removed(&self) -> impl Iterator<Item = (&EntryId, Offset)> {
+        let removed = self.entries.iter().filter(|(_, slot)| slot.body.is_none());
+        removed.map(|(id, slot)| (id, slot.revision))
+    }
+
     /// The slot of an entry, removed ones included.
     pub fn slot(&self, id: &EntryId) -> Option<&EntrySlot> {
         self.entries.get(id)
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -123,6 +123,19 @@
     };
 }
 
+macro_rules! repeatable_key {
+    ($($phase:ident),*) => {
+        $(impl Request<$phase> {
+            /// It repeats a key whose outcome is known already.
+            pub fn repeat(self, outcome: Outcome, reason: Option<RefusalReason>) -> Request<Answered> {
+                self.answered(outcome, reason)
+            }
+        })*
+    };
+}
+
+repeatable_key!(Classified, Admitted);
+
 refusable!(Received, Classified, Admitted, Queued, Placed);
 
 impl Request<Received> {
@@ -147,16 +160,19 @@
     }
 }
 
+impl Request<Answered> {
+    /// A request whose task ended without a word: it may have run.
+    pub fn lost(id: u64, received_at: ClockTime) -> Self {
+        let reason = Some(RefusalReason::ConnectionLost);
+        Request::receive(id, received_at).answered(Outcome::Unknown, reason)
+    }
+}
+
 impl Request<Classified> {
     /// It is within its limits.
     pub fn admit(self) -> Request<Admitted> {
         self.turn(Admitted(()))
     }
-
-    /// It repeats a key whose outcome is known already.
-    pub fn repeat(self, outcome: Outcome, reason: Option<RefusalReason>) -> Request<Answered> {
-        self.answered(outcome, reason)
-    }
 }
 
 impl Request<Admitted> {
--- /dev/null
+++ b/crates/entry/src/context.rs
@@ -0,0 +1,182 @@
+//! What the parts of one member share: immutable snapshots, handles and counters.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+};
+
+use arc_swap::ArcSwap;
+use imbl::Vector;
+use jacinthhoist_codec::LogRecord;
+use jacinthhoist_core::{ClockTime, FoldState, MemberName};
+use tokio::sync::{Notify, watch};
+
+use crate::{
+    clock::RunClock, control::ProposalSender, keeper::KeeperHandle, meter::EntryMeter,
+    peer::PeerBook, routes::RouteTable, settings::EntrySettings,
+};
+
+/// Where a member listens once it is bound.
+#[derive(Clone, Copy, Debug)]
+pub struct BoundAddresses {
+    /// For callers.
+    pub caller: SocketAddr,
+    /// For peers.
+    pub peer: SocketAddr,
+    /// For operators.
+    pub admin: SocketAddr,
+}
+
+/// How far a member's stop has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum StopPhase {
+    /// It serves.
+    Running,
+    /// It is not ready, and still serves.
+    Unready,
+    /// It takes no new requests.
+    Draining,
+    /// Its tasks end.
+    Ended,
+}
+
+/// What the parts of one member share.
+pub(crate) struct MemberContext {
+    pub(crate) settings: EntrySettings,
+    pub(crate) name: MemberName,
+    pub(crate) nonce: u64,
+    pub(crate) clock: RunClock,
+    pub(crate) addresses: BoundAddresses,
+    pub(crate) agreed: ArcSwap<FoldState>,
+    pub(crate) routes: ArcSwap<RouteTable>,
+    pub(crate) tail: ArcSwap<Vector<LogRecord>>,
+    pub(crate) meter: EntryMeter,
+    pub(crate) proposals: ProposalSender,
+    pub(crate) keeper: KeeperHandle,
+    pub(crate) peers: PeerBook,
+    pub(crate) lending: Notify,
+    pub(crate) rebuild: Notify,
+    pub(crate) stop: watch::Sender<StopPhase>,
+    caught_up: AtomicBool,
+    log_read_at: AtomicU64,
+    log_behind: AtomicBool,
+    next_request: AtomicU64,
+}
+
+/// The handles that a context is made of.
+pub(crate) struct ContextParts {
+    pub(crate) settings: EntrySettings,
+    pub(crate) nonce: u64,
+    pub(crate) addresses: BoundAddresses,
+    pub(crate) proposals: ProposalSender,
+    pub(crate) keeper: KeeperHandle,
+}
+
+impl MemberContext {
+    pub(crate) fn open(parts: ContextParts) -> Arc<Self> {
+        let ContextParts {
+            settings,
+            nonce,
+            addresses,
+            proposals,
+            keeper,
+        } = parts;
+        let meter = EntryMeter::open(settings.member.name.as_str());
+        Arc::new(Self {
+            name: settings.member.name.clone(),
+            settings,
+            nonce,
+            clock: RunClock::open(),
+            addresses,
+            agreed: ArcSwap::default(),
+            routes: ArcSwap::default(),
+            tail: ArcSwap::default(),
+            meter,
+            proposals,
+            keeper,
+            peers: PeerBook::default(),
+            lending: Notify::new(),
+            rebuild: Notify::new(),
+            stop: watch::channel(StopPhase::Running).0,
+            caught_up: AtomicBool::new(false),
+            log_read_at: AtomicU64::new(0),
+            log_behind: AtomicBool::new(false),
+            next_request: AtomicU64::new(0),
+        })
+    }
+
+    /// A request number, unique within this incarnation.
+    pub(crate) fn next_request(&self) -> u64 {
+        self.next_request.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// A request's id as callers and upstreams see it.
+    pub(crate) fn request_id(&self, number: u64) -> String {
+        format!("{:x}-{number}", self.nonce)
+    }
+
+    /// Notes that the log was read to its end.
+    pub(crate) fn note_log_read(&self, caught_up: bool) {
+        self.log_read_at
+            .store(self.clock.now().as_millis(), Ordering::Relaxed);
+        if caught_up {
+            self.caught_up.store(true, Ordering::SeqCst);
+        }
+    }
+
+    /// Time since the log was last read, if ever.
+    pub(crate) fn log_age(&self) -> Option<ClockTime> {
+        match self.log_read_at.load(Ordering::Relaxed) {
+            0 => None,
+            at => Some(self.clock.now() - ClockTime::from_millis(at)),
+        }
+    }
+
+    /// Notes whether records are missing that the log no longer keeps.
+    pub(crate) fn set_log_behind(&self, behind: bool) {
+        self.log_behind.store(behind, Ordering::Relaxed);
+    }
+
+    /// Whether the state is agreed up to the log's end as it was at the start.
+    pub(crate) fn is_caught_up(&self) -> bool {
+        self.caught_up.load(Ordering::SeqCst)
+    }
+
+    /// Notes that a peer's records made the state whole.
+    pub(crate) fn is_member(&self) -> bool {
+        self.agreed.load().members().is_live(&self.name, self.nonce)
+    }
+
+    /// Why the member is not ready, if it is not.
+    pub(crate) fn waits_for(&self) -> Option<&'static str> {
+        if *self.stop.borrow() > StopPhase::Running {
+            return Some("the stop to end");
+        }
+        if self.log_behind.load(Ordering::Relaxed) {
+            return Some("a snapshot: the log no longer keeps the records that are missing");
+        }
+        if !self.is_caught_up() {
+            return Some("the log, or a peer that holds the state");
+        }
+        if !self.is_member() {
+            return Some("its own join to be accepted");
+        }
+        None
+    }
+
+    /// Ends when the stop reaches a phase.
+    pub(crate) async fn stopped(&self, phase: StopPhase) {
+        let mut stop = self.stop.subscribe();
+        // The sender lives as long as the context, so the wait cannot fail.
+        let _ = stop.wait_for(|reached| *reached >= phase).await;
+    }
+
+    /// Moves the stop forward.
+    pub(crate) fn stop_at(&self, phase: StopPhase) {
+        self.stop
+            .send_modify(|reached| *reached = phase.max(*reached));
+    }
+}
--- /dev/null
+++ b/crates/entry/src/control/observe.rs
@@ -0,0 +1,204 @@
+//! Observe: reads the VM list, and stops new work on VMs that it shows as leaving at once.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use jacinthhoist_codec::{ListedVm, VmListPage, VmRole};
+use jacinthhoist_core::{AnyVm, ClockTime, MemberName, VmDetails, VmListing, VmName, VmSight};
+use tokio::{
+    net::TcpStream,
+    time::{interval, timeout},
+};
+
+use crate::{
+    context::{MemberContext, StopPhase},
+    logs::log_line,
+    platform::ListClient,
+};
+
+/// How long a probe of a joining VM may take.
+const PROBE_LIMIT: Duration = Duration::from_millis(500);
+/// Reads of the list for which a VM that it shows as leaving gets no new work.
+const LEAVING_READS: u64 = 3;
+
+/// What the VM list said last.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Observation {
+    pub(crate) listing: Option<BTreeMap<VmName, VmListing>>,
+    pub(crate) forgettable: BTreeSet<VmName>,
+    pub(crate) gone_members: Vec<(MemberName, u64)>,
+    pub(crate) probed: BTreeSet<VmName>,
+}
+
+/// Reads the VM list.
+pub(crate) struct ObserveTask {
+    pub(crate) context: Arc<MemberContext>,
+    pub(crate) observation: Arc<ArcSwap<Observation>>,
+    missing_vms: BTreeMap<VmName, ClockTime>,
+    missing_members: BTreeMap<MemberName, ClockTime>,
+}
+
+impl ObserveTask {
+    pub(crate) fn new(context: Arc<MemberContext>, observation: Arc<ArcSwap<Observation>>) -> Self {
+        let (missing_vms, missing_members) = Default::default();
+        Self {
+            context,
+            observation,
+            missing_vms,
+            missing_members,
+        }
+    }
+
+    /// Runs until the member has ended.
+    pub(crate) async fn run(mut self) {
+        let context = self.context.clone();
+        let mut client = ListClient::open(context.settings.platform.vm_list_address);
+        let mut tick = interval(Duration::from_millis(context.settings.limits.vm_list_ms));
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let ended = context.stopped(StopPhase::Ended);
+        tokio::pin!(ended);
+        loop {
+            tokio::select! {
+                _ = tick.tick() => {}
+                () = &mut ended => return,
+            }
+            let observation = match client.list().await {
+                Ok(page) => self.observe(&page).await,
+                Err(error) => {
+                    log_line!(debug, Control, "The VM list was not read: {error}.");
+                    self.missing_vms.clear();
+                    self.missing_members.clear();
+                    Observation::default()
+                }
+            };
+            self.observation.store(Arc::new(observation));
+        }
+    }
+
+    async fn observe(&mut self, page: &VmListPage) -> Observation {
+        let workers = page
+            .vms
+            .iter()
+            .filter(|listed| listed.role == VmRole::Worker);
+        let listing: BTreeMap<VmName, VmListing> = workers.map(listing_of).collect();
+        self.stop_leaving(&listing);
+        let forgettable = self.forgettable(&listing);
+        let gone_members = self.gone_members(page);
+        let probed = self.probe().await;
+        Observation {
+            listing: Some(listing),
+            forgettable,
+            gone_members,
+            probed,
+        }
+    }
+
+    /// The request pipe hears of leaving VMs before the log does.
+    fn stop_leaving(&self, listing: &BTreeMap<VmName, VmListing>) {
+        let routes = self.context.routes.load();
+        let span = LEAVING_READS * self.context.settings.limits.vm_list_ms;
+        let until = self.context.clock.now() + ClockTime::from_millis(span);
+        for vm in routes.pools.values().flat_map(|pool| &pool.vms) {
+            let live = listing
+                .get(&vm.vm)
+                .is_some_and(|listed| listed.sight == VmSight::Live);
+            if !live {
+                vm.presence.leave_until(until);
+            }
+        }
+    }
+
+    fn forgettable(&mut self, listing: &BTreeMap<VmName, VmListing>) -> BTreeSet<VmName> {
+        let state = self.context.agreed.load();
+        let known = state
+            .fleet()
+            .vms()
+            .filter(|vm| !matches!(vm, AnyVm::Rebooting(_)));
+        let names = known.map(|vm| vm.identity().vm.clone());
+        let missing = names.filter(|vm| !listing.contains_key(vm)).collect();
+        self.context.note_missing(&mut self.missing_vms, missing)
+    }
+
+    /// Members that the list no longer shows; none where it shows no entry VM at all.
+    fn gone_members(&mut self, page: &VmListPage) -> Vec<(MemberName, u64)> {
+        let entries = || {
+            page.vms
+                .iter()
+                .filter(|listed| listed.role == VmRole::Entry)
+        };
+        let state = self.context.agreed.load();
+        let listed = |member: &MemberName| entries().any(|vm| vm.name == member.as_str());
+        let live = state
+            .members()
+            .live()
+            .map(|record| record.join.member.clone());
+        let missing = live
+            .filter(|member| entries().next().is_some() && !listed(member))
+            .collect();
+        let gone = self
+            .context
+            .note_missing(&mut self.missing_members, missing);
+        let nonce =
+            |member: &MemberName| state.members().get(member).map(|record| record.join.nonce);
+        gone.into_iter()
+            .filter_map(|member| Some((member.clone(), nonce(&member)?)))
+            .collect()
+    }
+
+    /// Joining VMs that accept a connection.
+    async fn probe(&self) -> BTreeSet<VmName> {
+        let state = self.context.agreed.load_full();
+        let joining = state.fleet().vms().filter_map(|vm| match vm {
+            AnyVm::Joining(joining) => Some(joining),
+            _ => None,
+        });
+        let probes = joining.map(|joining| async {
+            let address = joining.identity.details.address.as_str();
+            let connected = timeout(PROBE_LIMIT, TcpStream::connect(address)).await;
+            matches!(connected, Ok(Ok(_))).then(|| joining.identity.vm.clone())
+        });
+        futures::future::join_all(probes)
+            .await
+            .into_iter()
+            .flatten()
+            .collect()
+    }
+}
+
+impl MemberContext {
+    /// Notes since when each name has been missing; returns those missing for long enough.
+    fn note_missing<N: Ord + Clone>(
+        &self,
+        since: &mut BTreeMap<N, ClockTime>,
+        missing: BTreeSet<N>,
+    ) -> BTreeSet<N> {
+        let now = self.clock.now();
+        since.retain(|name, _| missing.contains(name));
+        for name in missing {
+            since.entry(name).or_insert(now);
+        }
+        let long = self.settings.limits.missing();
+        let overdue = since.iter().filter(|(_, at)| now - **at >= long);
+        overdue.map(|(name, _)| name.clone()).collect()
+    }
+}
+
+fn listing_of(listed: &ListedVm) -> (VmName, VmListing) {
+    let details = VmDetails {
+        address: listed.address.clone(),
+        data_centre: listed.data_centre.clone(),
+        rack: listed.rack.clone(),
+        boot: listed.boot,
+    };
+    (
+        VmName::new(&listed.name),
+        VmListing {
+            details,
+            sight: listed.state,
+        },
+    )
+}
--- /dev/null
+++ b/crates/entry/src/pipe.rs
@@ -0,0 +1,97 @@
+//! The request pipe: accept → classify → admit → claim → queue → place → dispatch → relay.
+//!
+//! Each stage takes a request in one phase of its life and returns it in the next, or answered.
+
+mod accept;
+mod admit;
+mod answer;
+mod claim;
+mod classify;
+mod dispatch;
+mod headers;
+mod queue;
+mod relay;
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use hyper::{Response, body::Incoming, http::request::Parts};
+use jacinthhoist_core::{Answered, ClaimKey, Request};
+
+pub(crate) use accept::serve_callers;
+pub(crate) use queue::QueueHandle;
+pub(crate) use relay::AnswerBody;
+
+use crate::{
+    context::MemberContext,
+    routes::{PoolRoute, WorkRoute},
+};
+
+/// What travels through the pipe beside the request's phase.
+#[derive(Clone)]
+pub(crate) struct WorkCall {
+    pub(crate) work: Arc<WorkRoute>,
+    pub(crate) head: Arc<Parts>,
+    /// Path and query for the upstream.
+    pub(crate) target: String,
+    pub(crate) key: Option<ClaimKey>,
+    pub(crate) body: Bytes,
+    pub(crate) request_id: String,
+}
+
+impl WorkCall {
+    /// The pool's route as it is now, if there is one.
+    pub(crate) fn pool(&self, context: &MemberContext) -> Option<Arc<PoolRoute>> {
+        context.routes.load().pools.get(&self.work.pool).cloned()
+    }
+}
+
+/// An ended request and what its caller gets.
+pub(crate) struct Reply {
+    pub(crate) request: Request<Answered>,
+    pub(crate) response: Response<AnswerBody>,
+}
+
+/// Takes one request of a caller through the whole pipe.
+pub(crate) async fn serve(
+    context: Arc<MemberContext>,
+    request: hyper::Request<Incoming>,
+) -> Response<AnswerBody> {
+    context.meter.requests.increment(1);
+    let number = context.next_request();
+    let reply = match run(&context, number, request).await {
+        Ok(reply) => reply,
+        Err(answered) => answer::refusal(&context, answered),
+    };
+    let Answered { outcome, reason } = reply.request.phase;
+    context.meter.ended(outcome);
+    if let Some(reason) = reason {
+        context.meter.refused(reason);
+    }
+    reply.response
+}
+
+async fn run(
+    context: &Arc<MemberContext>,
+    number: u64,
+    request: hyper::Request<Incoming>,
+) -> Result<Reply, Request<Answered>> {
+    let received = Request::receive(number, context.clock.now());
+    let (parts, incoming) = request.into_parts();
+    let (classified, mut call) = classify::classify(context, received, parts)?;
+    let (classified, body) = classify::read_body(context, classified, incoming).await?;
+    call.body = body;
+    let classified = match call.key.clone() {
+        Some(key) => match claim::find_repeat(context, classified, &call, &key).await {
+            Ok(reply) => return Ok(reply),
+            Err(classified) => classified,
+        },
+        None => classified,
+    };
+    let classified = admit::check_ready(context, classified)?;
+    let admitted = admit::admit(context, classified, &call)?;
+    match call.key.clone() {
+        Some(key) => claim::run_claimed(context, admitted, call, key).await,
+        None => dispatch::run(context, admitted, &call, &mut None).await,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/pipe/accept.rs
@@ -0,0 +1,82 @@
+//! Accept: callers' connections, bounded in number, ended in good order at a stop.
+
+use std::{convert::Infallible, sync::Arc, time::Duration};
+
+use hyper::{server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use jacinthhoist_core::LoadGate;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::mpsc,
+};
+
+use crate::{
+    context::{MemberContext, StopPhase},
+    logs::log_line,
+};
+
+/// Pause after an accept that failed for want of files, so that others can end.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Serves callers until the member drains; returns once every connection has ended.
+pub(crate) async fn serve_callers(context: Arc<MemberContext>, listener: TcpListener) {
+    let open = Arc::new(LoadGate::default());
+    let (alive, mut ended) = mpsc::channel::<Infallible>(1);
+    let draining = context.stopped(StopPhase::Draining);
+    tokio::pin!(draining);
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = &mut draining => break,
+        };
+        let stream = match accepted {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log_line!(
+                    warn,
+                    Request,
+                    "A connection was not accepted ({error}). Raise the limit on open files."
+                );
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        if !open.try_enter(context.settings.limits.caller_connections) {
+            continue;
+        }
+        let (context, open, alive) = (context.clone(), open.clone(), alive.clone());
+        tokio::spawn(async move {
+            serve_connection(context, stream).await;
+            open.leave();
+            drop(alive);
+        });
+    }
+    drop(listener);
+    drop(alive);
+    let _: Option<Infallible> = ended.recv().await;
+}
+
+async fn serve_connection(context: Arc<MemberContext>, stream: TcpStream) {
+    // A connection without it works, only slower.
+    let _ = stream.set_nodelay(true);
+    let served = context.clone();
+    let service = service_fn(move |request| {
+        let context = served.clone();
+        async move { Ok::<_, Infallible>(super::serve(context, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(context.settings.limits.head_ms))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = context.stopped(StopPhase::Draining) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        spdlog::debug!("[request] A caller's connection ended: {error}.");
+    }
+}
--- /dev/null
+++ b/crates/entry/src/pipe/admit.rs
@@ -0,0 +1,77 @@
+//! Admit: bounded queues and early refusal, from the route table's counters.
+
+use std::sync::atomic::Ordering;
+
+use jacinthhoist_core::{
+    AdmitInput, Admitted, Answered, Classified, RefusalReason, Request, admit as decide,
+};
+
+use super::WorkCall;
+use crate::context::{MemberContext, StopPhase};
+
+/// Refuses while the member is not ready or takes no new requests.
+pub(super) fn check_ready(
+    context: &MemberContext,
+    classified: Request<Classified>,
+) -> Result<Request<Classified>, Request<Answered>> {
+    if *context.stop.borrow() >= StopPhase::Draining {
+        return Err(classified.refuse(RefusalReason::Stopping));
+    }
+    Ok(classified)
+}
+
+/// Refuses what its queue has no room for, and what its deadline makes hopeless.
+pub(super) fn admit(
+    context: &MemberContext,
+    classified: Request<Classified>,
+    call: &WorkCall,
+) -> Result<Request<Admitted>, Request<Answered>> {
+    let Some(pool) = call.pool(context) else {
+        return Err(classified.refuse(RefusalReason::NoUpstream));
+    };
+    if pool.vms.is_empty() {
+        return Err(classified.refuse(RefusalReason::NoUpstream));
+    }
+    let work = &call.work;
+    let input = AdmitInput {
+        work: &work.entry,
+        owner: &work.owner,
+        work_queued: work.load.queued.load(Ordering::Relaxed),
+        owner_queued: work.owner_load.queued.load(Ordering::Relaxed),
+        queued_cost_ms: pool.load.queued_cost(),
+        slots: pool.slots(),
+        shares: pool.shares(),
+        service: work.load.service.mean(),
+        remaining: classified.deadline - context.clock.now(),
+    };
+    match decide(&input) {
+        Ok(()) => Ok(classified.admit()),
+        Err(reason) => Err(classified.refuse(reason)),
+    }
+}
+
+/// Seconds after which it makes sense to come back.
+pub(super) fn retry_after_secs(context: &MemberContext, request: &Request<Answered>) -> u64 {
+    let Some((name, _)) = &request.work else {
+        return 1;
+    };
+    let routes = context.routes.load();
+    let Some(work) = routes.works.get(name) else {
+        return 1;
+    };
+    let Some(pool) = routes.pools.get(&work.pool) else {
+        return 1;
+    };
+    let input = AdmitInput {
+        work: &work.entry,
+        owner: &work.owner,
+        work_queued: 0,
+        owner_queued: 0,
+        queued_cost_ms: pool.load.queued_cost(),
+        slots: pool.slots(),
+        shares: pool.shares(),
+        service: work.load.service.mean(),
+        remaining: jacinthhoist_core::ClockTime::from_millis(work.entry.deadline_ms),
+    };
+    input.retry_after().as_millis().div_ceil(1_000)
+}
--- /dev/null
+++ b/crates/entry/src/pipe/classify.rs
@@ -0,0 +1,116 @@
+//! Classify: the path names the kind of work; the body is read within the work's bound.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::{
+    body::{Body, Incoming},
+    http::request::Parts,
+};
+use jacinthhoist_codec::{HEADER_KEY, digest};
+use jacinthhoist_core::{
+    Answered, ClaimKey, Classified, Received, RefusalReason, Request, WorkName,
+};
+use tokio::time::timeout_at;
+
+use super::WorkCall;
+use crate::context::MemberContext;
+
+/// Where work is sent: `/work/NAME/…`.
+const WORK_PREFIX: &str = "/work/";
+/// The longest idempotency key in bytes.
+const MAX_KEY_BYTES: usize = 256;
+
+/// Finds the kind of work.
+pub(super) fn classify(
+    context: &MemberContext,
+    received: Request<Received>,
+    parts: Parts,
+) -> Result<(Request<Classified>, WorkCall), Request<Answered>> {
+    let path = parts.uri.path();
+    let Some(rest) = path.strip_prefix(WORK_PREFIX) else {
+        return Err(received.refuse(RefusalReason::UnknownWork));
+    };
+    let (name, tail) = rest.split_once('/').unwrap_or((rest, ""));
+    let routes = context.routes.load();
+    let Some(work) = routes.works.get(name).cloned() else {
+        let reason = match context.waits_for() {
+            Some(_) => RefusalReason::NotReady,
+            None => RefusalReason::UnknownWork,
+        };
+        return Err(received.refuse(reason));
+    };
+    let query = parts
+        .uri
+        .query()
+        .map(|query| format!("?{query}"))
+        .unwrap_or_default();
+    let target = format!("/{tail}{query}");
+    let key = match read_key(&parts, &work.name) {
+        Ok(key) => key.filter(|_| !work.entry.repeatable),
+        Err(reason) => return Err(received.refuse(reason)),
+    };
+    let request_id = context.request_id(received.id);
+    let classified = received.classify(work.name.clone(), work.entry.clone());
+    let head = Arc::new(parts);
+    let call = WorkCall {
+        work,
+        head,
+        target,
+        key,
+        body: Bytes::new(),
+        request_id,
+    };
+    Ok((classified, call))
+}
+
+fn read_key(parts: &Parts, work: &WorkName) -> Result<Option<ClaimKey>, RefusalReason> {
+    let Some(value) = parts.headers.get(HEADER_KEY) else {
+        return Ok(None);
+    };
+    let text = value.to_str().map_err(|_| RefusalReason::Malformed)?;
+    if text.is_empty() || text.len() > MAX_KEY_BYTES {
+        return Err(RefusalReason::Malformed);
+    }
+    Ok(Some(ClaimKey {
+        work: work.clone(),
+        key: Arc::from(text),
+    }))
+}
+
+/// Reads the whole body within the work's bound and deadline.
+pub(super) async fn read_body(
+    context: &MemberContext,
+    classified: Request<Classified>,
+    incoming: Incoming,
+) -> Result<(Request<Classified>, Bytes), Request<Answered>> {
+    let limit = classified
+        .work
+        .as_ref()
+        .map_or(0, |(_, entry)| entry.max_body_bytes);
+    if incoming.size_hint().lower() > limit {
+        return Err(classified.refuse(RefusalReason::BodyTooLarge));
+    }
+    if incoming.is_end_stream() {
+        return Ok((classified, Bytes::new()));
+    }
+    let until = context.clock.instant(classified.deadline);
+    let body = Limited::new(incoming, limit as usize);
+    match timeout_at(until, body.collect()).await {
+        Ok(Ok(collected)) => Ok((classified, collected.to_bytes())),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            Err(classified.refuse(RefusalReason::BodyTooLarge))
+        }
+        Ok(Err(_)) => Err(classified.refuse(RefusalReason::Malformed)),
+        Err(_) => Err(classified.refuse(RefusalReason::DeadlinePassed)),
+    }
+}
+
+impl WorkCall {
+    /// Digest of what makes two requests under one key the same.
+    pub(crate) fn digest(&self) -> u64 {
+        let head = digest(format!("{} {}", self.head.method, self.target).as_bytes());
+        head.rotate_left(1) ^ digest(&self.body)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/pipe/dispatch.rs
@@ -0,0 +1,318 @@
+//! Dispatch: place, send, and decide on the answer's head whether to relay or to try again.
+
+use std::{sync::Arc, time::Duration};
+
+use http_body_util::Full;
+use hyper::{
+    Response, StatusCode,
+    body::{Body, Incoming},
+    header,
+};
+use jacinthhoist_codec::{HEADER_KEY, HEADER_LEAVING, HEADER_OUTCOME, HEADER_REQUEST};
+use jacinthhoist_core::{
+    Admitted, Answered, Attempted, ClockTime, Dispatched, Outcome, Placed, RefusalReason, Request,
+    RetryReason,
+};
+
+use super::{
+    Reply, WorkCall, answer, headers, queue,
+    relay::{AnswerBody, KeepAnswer, RelayParts},
+};
+use crate::{
+    clock::span,
+    context::MemberContext,
+    routes::{SlotGrant, VmRoute},
+    upstream::{Exchange, UpstreamConnection},
+};
+
+/// How long an upstream that says it is leaving gets no new work, unless it is listed as gone.
+const LEAVING_MS: u64 = 10_000;
+
+/// Takes an admitted request to its answer, with retries where they are allowed.
+///
+/// `keep` is taken when an answer is relayed, and left where the request ended without one.
+pub(super) async fn run(
+    context: &Arc<MemberContext>,
+    mut admitted: Request<Admitted>,
+    call: &WorkCall,
+    keep: &mut Option<KeepAnswer>,
+) -> Result<Reply, Request<Answered>> {
+    if let Some(pool) = call.pool(context) {
+        pool.load.retries.earn();
+    }
+    loop {
+        let (placed, grant) = queue::place(context, admitted, call).await?;
+        admitted = match attempt(context, placed, grant, call, keep).await {
+            AttemptEnd::Replied(reply) => return Ok(*reply),
+            AttemptEnd::Retry(next) => next,
+            AttemptEnd::Ended(answered) => return Err(answered),
+        };
+    }
+}
+
+enum AttemptEnd {
+    Replied(Box<Reply>),
+    Retry(Request<Admitted>),
+    Ended(Request<Answered>),
+}
+
+/// Another attempt, if the rules and the pool's retry budget allow one.
+fn try_again(
+    context: &MemberContext,
+    attempted: Request<Attempted>,
+    call: &WorkCall,
+) -> Result<Request<Admitted>, Request<Attempted>> {
+    let now = context.clock.now();
+    let reason = attempted.phase.reason;
+    let paid = attempted.may_retry(now)
+        && !call.work.load.health.is_bad()
+        && call
+            .pool(context)
+            .is_some_and(|pool| pool.load.retries.try_spend());
+    if !paid {
+        return Err(attempted);
+    }
+    let admitted = attempted.retry(now)?;
+    context.meter.retried(reason);
+    Ok(admitted)
+}
+
+/// Another attempt, or the end.
+fn try_or_end(
+    context: &MemberContext,
+    attempted: Request<Attempted>,
+    call: &WorkCall,
+) -> AttemptEnd {
+    match try_again(context, attempted, call) {
+        Ok(admitted) => AttemptEnd::Retry(admitted),
+        Err(attempted) => AttemptEnd::Ended(attempted.give_up()),
+    }
+}
+
+/// One attempt on one VM.
+async fn attempt(
+    context: &Arc<MemberContext>,
+    placed: Request<Placed>,
+    grant: SlotGrant,
+    call: &WorkCall,
+    keep: &mut Option<KeepAnswer>,
+) -> AttemptEnd {
+    let Some(vm) = grant.vm().cloned() else {
+        return try_or_end(context, placed.unsent(RetryReason::ConnectFailed), call);
+    };
+    context.meter.attempts.increment(1);
+    let now = context.clock.now();
+    let Some(connection) = connect(context, &vm, &placed, now).await else {
+        note_failure(context, &vm, call, placed.phase.vm);
+        return try_or_end(context, placed.unsent(RetryReason::ConnectFailed), call);
+    };
+    let limit = answer_limit(&placed, context.clock.now());
+    let upstream_request = match build(call, &vm) {
+        Ok(request) => request,
+        Err(_) => return AttemptEnd::Ended(placed.refuse(RefusalReason::Malformed)),
+    };
+    let dispatched = placed.dispatch();
+    let exchange = connection.exchange(upstream_request, limit).await;
+    let (reason, not_run) = match exchange {
+        Exchange::Answered(response, connection) => {
+            let answered = AnsweredHead {
+                response,
+                connection,
+                vm,
+                grant,
+                started: now,
+            };
+            return judge(context, dispatched, call, answered, keep);
+        }
+        Exchange::NotSent => (RetryReason::ConnectionLost, true),
+        Exchange::Lost => (RetryReason::ConnectionLost, false),
+        Exchange::Silent => (RetryReason::AnswerTimeout, false),
+    };
+    note_failure(context, &vm, call, dispatched.phase.vm);
+    if reason == RetryReason::AnswerTimeout {
+        // The others may be as silent as this one was.
+        vm.presence.connections.clear();
+    }
+    try_or_end(context, dispatched.attempted(reason, not_run), call)
+}
+
+async fn connect(
+    context: &MemberContext,
+    vm: &VmRoute,
+    placed: &Request<Placed>,
+    now: ClockTime,
+) -> Option<UpstreamConnection> {
+    let limits = &context.settings.limits;
+    let once = !placed.is_repeatable();
+    let first = placed.tried.len() <= 1;
+    let fresh_since = match (once, first) {
+        (false, true) => None,
+        (true, true) => Some(now - ClockTime::from_millis(limits.fresh_ms)),
+        (_, false) => Some(now),
+    };
+    let limit = Duration::from_millis(limits.connect_ms);
+    vm.presence
+        .connections
+        .take(vm.address, fresh_since, now, limit)
+        .await
+}
+
+/// How long this attempt may wait: half of what is left where another may follow.
+fn answer_limit(placed: &Request<Placed>, now: ClockTime) -> Duration {
+    let left = span(placed.deadline - now);
+    let cap = placed
+        .work
+        .as_ref()
+        .map_or(1, |(_, entry)| entry.max_attempts as usize);
+    let last = !placed.is_repeatable() || placed.tried.len() >= cap;
+    if last { left } else { left / 2 }
+}
+
+fn build(
+    call: &WorkCall,
+    vm: &VmRoute,
+) -> Result<hyper::Request<Full<bytes::Bytes>>, hyper::http::Error> {
+    let mut request = hyper::Request::builder()
+        .method(call.head.method.clone())
+        .uri(&call.target)
+        .body(Full::new(call.body.clone()))?;
+    let headers = request.headers_mut();
+    *headers = headers::end_to_end(&call.head.headers);
+    headers.remove(header::CONTENT_LENGTH);
+    headers.remove(HEADER_KEY);
+    headers.insert(header::HOST, vm.address.to_string().parse()?);
+    headers.insert(HEADER_REQUEST, call.request_id.parse()?);
+    Ok(request)
+}
+
+/// An answer's head with what it came on.
+struct AnsweredHead {
+    response: Response<Incoming>,
+    connection: UpstreamConnection,
+    vm: Arc<VmRoute>,
+    grant: SlotGrant,
+    started: ClockTime,
+}
+
+/// Decides on an answer's head.
+fn judge(
+    context: &Arc<MemberContext>,
+    dispatched: Request<Dispatched>,
+    call: &WorkCall,
+    answered: AnsweredHead,
+    keep: &mut Option<KeepAnswer>,
+) -> AttemptEnd {
+    let head = answered.response.headers();
+    let vm = &answered.vm;
+    let now = context.clock.now();
+    if head.contains_key(HEADER_LEAVING) {
+        vm.presence
+            .leave_until(now + ClockTime::from_millis(LEAVING_MS));
+    }
+    let echoed = head.get(HEADER_REQUEST);
+    if echoed.is_some_and(|id| id.as_bytes() != call.request_id.as_bytes()) {
+        note_failure(context, vm, call, dispatched.phase.vm);
+        vm.presence.connections.clear();
+        return try_or_end(
+            context,
+            dispatched.attempted(RetryReason::AnswerCrossed, false),
+            call,
+        );
+    }
+    let status = answered.response.status();
+    let refused = head
+        .get(HEADER_OUTCOME)
+        .is_some_and(|value| value == Outcome::NotRun.as_str());
+    if refused && status == StatusCode::SERVICE_UNAVAILABLE {
+        return try_or_end(
+            context,
+            dispatched.attempted(RetryReason::UpstreamRefused, true),
+            call,
+        );
+    }
+    if status.is_server_error() {
+        note_failure(context, vm, call, dispatched.phase.vm);
+        let attempted = dispatched.attempted(RetryReason::UpstreamFailed, false);
+        return match try_again(context, attempted, call) {
+            Ok(admitted) => AttemptEnd::Retry(admitted),
+            Err(attempted) => {
+                let end = attempted.give_up();
+                AttemptEnd::Replied(Box::new(relay(context, end, call, answered, keep)))
+            }
+        };
+    }
+    let known_end = answered.response.body().size_hint().exact().is_some()
+        || head.contains_key(header::TRANSFER_ENCODING);
+    if !known_end {
+        let end = dispatched.relay(Outcome::Unknown, Some(RefusalReason::AnswerCut));
+        return AttemptEnd::Replied(Box::new(answer::refusal(context, end)));
+    }
+    note_success(context, vm, call);
+    let end = dispatched.relay(Outcome::Done, None);
+    AttemptEnd::Replied(Box::new(relay(context, end, call, answered, keep)))
+}
+
+fn note_failure(context: &MemberContext, vm: &VmRoute, call: &WorkCall, index: usize) {
+    let job_to_blame = call.work.load.health.failed(index);
+    if job_to_blame {
+        return;
+    }
+    let room = call.pool(context).is_some_and(|pool| pool.may_eject());
+    if vm.presence.health.failed(context.clock.now(), room) {
+        context.meter.ejections.increment(1);
+    }
+}
+
+fn note_success(context: &MemberContext, vm: &VmRoute, call: &WorkCall) {
+    call.work.load.health.succeeded();
+    if vm.presence.health.succeeded() {
+        crate::logs::log_line!(
+            info,
+            Request,
+            "VM {} is back after a probe. Seen by {}.",
+            vm.vm,
+            context.name
+        );
+    }
+}
+
+fn relay(
+    context: &Arc<MemberContext>,
+    end: Request<Answered>,
+    call: &WorkCall,
+    answered: AnsweredHead,
+    keep: &mut Option<KeepAnswer>,
+) -> Reply {
+    let AnsweredHead {
+        response,
+        connection,
+        vm,
+        grant,
+        started,
+    } = answered;
+    let (parts, incoming) = response.into_parts();
+    let content_type = parts
+        .headers
+        .get(header::CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok());
+    if let Some(keep) = keep.as_mut() {
+        keep.note_head(parts.status.as_u16(), content_type);
+    }
+    let relay = RelayParts {
+        context: context.clone(),
+        work: call.work.clone(),
+        connection,
+        vm,
+        grant,
+        started,
+        keep: keep.take(),
+    };
+    let mut response = Response::new(AnswerBody::relay(incoming, relay));
+    *response.status_mut() = parts.status;
+    *response.headers_mut() = headers::end_to_end(&parts.headers);
+    answer::mark(response.headers_mut(), end.phase.outcome, &call.request_id);
+    Reply {
+        request: end,
+        response,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/routes/grant.rs
@@ -0,0 +1,84 @@
+//! A slot that is held: quotas, class and VM, given back when dropped.
+
+use std::sync::Arc;
+
+use super::{PoolRoute, VmRoute, WorkRoute};
+
+/// A held slot.
+pub(crate) struct SlotGrant {
+    quota: Option<QuotaGrant>,
+    index: usize,
+}
+
+/// What a request holds before it has a VM.
+pub(crate) struct QuotaGrant {
+    pool: Arc<PoolRoute>,
+    work: Arc<WorkRoute>,
+}
+
+impl SlotGrant {
+    /// Enters the quotas of class, owner and work, or none of them.
+    pub(super) fn enter(
+        pool: &Arc<PoolRoute>,
+        work: &Arc<WorkRoute>,
+        class_cap: u32,
+    ) -> Option<QuotaGrant> {
+        let class = &pool.load.running[work.entry.class.index()];
+        if !class.try_enter(class_cap) {
+            return None;
+        }
+        if !work.owner_load.running.try_enter(work.owner_limit) {
+            class.leave();
+            return None;
+        }
+        if !work.load.running.try_enter(work.work_limit) {
+            work.owner_load.running.leave();
+            class.leave();
+            return None;
+        }
+        Some(QuotaGrant {
+            pool: pool.clone(),
+            work: work.clone(),
+        })
+    }
+
+    /// The place of the VM in the pool's route.
+    pub(crate) fn index(&self) -> usize {
+        self.index
+    }
+
+    /// The VM whose slot is held.
+    pub(crate) fn vm(&self) -> Option<&Arc<VmRoute>> {
+        self.quota
+            .as_ref()
+            .and_then(|quota| quota.pool.vms.get(self.index))
+    }
+}
+
+impl QuotaGrant {
+    pub(super) fn on(self, index: usize) -> SlotGrant {
+        SlotGrant {
+            quota: Some(self),
+            index,
+        }
+    }
+}
+
+impl Drop for SlotGrant {
+    fn drop(&mut self) {
+        if let Some(vm) = self.vm() {
+            vm.gate.leave();
+            vm.presence.health.unused();
+        }
+        self.quota.take();
+    }
+}
+
+impl Drop for QuotaGrant {
+    fn drop(&mut self) {
+        self.work.load.running.leave();
+        self.work.owner_load.running.leave();
+        self.pool.load.running[self.work.entry.class.index()].leave();
+        self.pool.queue.wake();
+    }
+}
--- a/crates/experiments/src/lib.rs
+++ b/crates/experiments/src/lib.rs
@@ -1,1 +1,20 @@
-//! Placeholder while the workspace is laid out.
+//! A whole system on loopback, and load on it, for tests and measurements.
+//!
+//! ```no_run
+//! use jacinthhoist_experiments::{FleetPlan, LocalFleet, WorkCaller};
+//! # async fn example() {
+//! let fleet = LocalFleet::open(FleetPlan::small()).await;
+//! let answer = WorkCaller::new(fleet.caller(0)).send("quote-run", "12 covers").await.unwrap();
+//! assert_eq!(answer.outcome, "done");
+//! # }
+//! ```
+
+mod caller;
+mod fleet;
+mod load;
+mod report;
+
+pub use caller::{CallerAnswer, CallerConnection, CallerError, WorkCaller};
+pub use fleet::{FleetPlan, LocalFleet};
+pub use load::{LoadPlan, LoadSummary, run_load};
+pub use report::{FigureTable, percent, ratio};
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -1,1 +1,13 @@
-//! Placeholder while the workspace is laid out.
+//! Stand-ins for the platform and the upstreams, for tests and experiments only.
+//!
+//! Each is a small HTTP server on a loopback address with switches for the faults that the real
+//! one can have.
+
+mod http;
+mod log;
+mod upstream;
+mod vms;
+
+pub use log::LogService;
+pub use upstream::{UpstreamFault, UpstreamVm};
+pub use vms::{VmEntry, VmList};
