--- a/crates/entry/src/pipe/classify.rs
+++ b/crates/entry/src/pipe/classify.rs
@@ -17,8 +17,8 @@
 use super::WorkCall;
 use crate::context::MemberContext;
 
-/// Where work is sent: `/work/NAME/…`.
-const WORK_PREFIX: &str = "/work/";
+/// Where work is sent: `/works/NAME/…`.
+const WORK_PREFIX: &str = "/works/";
 /// The longest idempotency key in bytes.
 const MAX_KEY_BYTES: usize = 256;
 
--- a/crates/experiments/examples/demo.rs
+++ b/crates/experiments/examples/demo.rs
@@ -69,7 +69,7 @@
     if std::env::args().any(|arg| arg == "--stay") {
         for fleet in &running {
             println!(
-                "callers: curl -i -d 'body' http://{}/work/NAME/run",
+                "callers: curl -i -d 'body' http://{}/works/NAME/run",
                 fleet.caller(0)
             );
             println!("operators: jacinthhoist --admin {} status", fleet.admin(0));
--- a/crates/experiments/src/caller.rs
+++ b/crates/experiments/src/caller.rs
@@ -108,7 +108,8 @@
         work: &str,
         body: &str,
     ) -> Result<CallerAnswer, CallerError> {
-        let mut request = Request::post(format!("/work/{work}/run")).header(header::HOST, "caller");
+        let mut request =
+            Request::post(format!("/works/{work}/run")).header(header::HOST, "caller");
         let optional = [
             ("idempotency-key", self.key.clone()),
             ("x-order", self.order.clone()),
--- a/crates/experiments/src/raw.rs
+++ b/crates/experiments/src/raw.rs
@@ -64,7 +64,8 @@
     pub async fn connect(address: SocketAddr, work: &str) -> std::io::Result<Self> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
-        let request = format!("GET /work/{work}/run HTTP/1.1\r\nhost: caller\r\n\r\n").into_bytes();
+        let request =
+            format!("GET /works/{work}/run HTTP/1.1\r\nhost: caller\r\n\r\n").into_bytes();
         Ok(Self {
             stream,
             request,
