--- a/crates/jacinthhoistd/src/schedule.rs
+++ b/crates/jacinthhoistd/src/schedule.rs
@@ -79,7 +79,7 @@
     let platform = Arc::new(FleetPlatform::open(&settings));
     let nonce = SystemTime::now().duration_since(UNIX_EPOCH)?.as_millis() as u64;
     let member = SchedulerMember::spawn(platform, settings.scheduler(nonce), log.clone()).await?;
-    let front = FrontThread::spawn(member.callers(), &settings)?;
+    let front = FrontThread::spawn(member.callers(), &settings).await?;
     stop_signal(&mut term, &mut hangup, &log).await;
     let stopped_at = Instant::now();
     member.hand_over().await;
@@ -114,26 +114,35 @@
 }
 
 impl FrontThread {
-    fn spawn(pipe: CallerPipe, settings: &NodeSettings) -> Result<Self, BoxedError> {
+    /// Binds the callers' addresses on a thread of their own.
+    async fn spawn(pipe: CallerPipe, settings: &NodeSettings) -> Result<Self, BoxedError> {
         let runtime = open_runtime()?;
         let listen = settings.listen.clone();
         let metrics = SocketAddr::new(settings.ip, METRICS_PORT);
-        let bound = CallerServer::bind(pipe, listen.front, listen.ready, metrics);
-        let server = runtime.block_on(bound)?;
         let (wait_idle, asked) = oneshot::channel::<oneshot::Sender<()>>();
+        let (bound, is_bound) = oneshot::channel();
+        let callers = async move {
+            let server = match CallerServer::bind(pipe, listen.front, listen.ready, metrics).await {
+                Ok(server) => server,
+                Err(error) => {
+                    // The daemon waits for this word.
+                    let _ = bound.send(Err(error));
+                    return;
+                }
+            };
+            let _ = bound.send(Ok(()));
+            if let Ok(reply) = asked.await {
+                server.idle().await;
+                // The one who asked may have given up.
+                let _ = reply.send(());
+            }
+            std::future::pending::<()>().await;
+        };
         let thread = std::thread::Builder::new()
             .name("callers".to_owned())
             .stack_size(STACK_BYTES)
-            .spawn(move || {
-                runtime.block_on(async move {
-                    if let Ok(reply) = asked.await {
-                        server.idle().await;
-                        // The one who asked may have given up.
-                        let _ = reply.send(());
-                    }
-                    std::future::pending::<()>().await;
-                });
-            })?;
+            .spawn(move || runtime.block_on(callers))?;
+        is_bound.await??;
         Ok(Self {
             wait_idle,
             _thread: thread,
