Count VMs down by earlier owners, tasks on silent workers as away; say no stale counts

Ruled out: a slow list alone (the orders stood 2 s apart, across owners). Change: the list's own states count, waves wait for a list newer than the takeover, silence and old reports make a task away, counts older than 1.5 s are 503; tasks that serve for good go first.

--- a/crates/core/src/job/order.rs
+++ b/crates/core/src/job/order.rs
@@ -47,6 +47,8 @@
 /// The place of a job in its pool's order; the lesser goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct JobUrgency {
+    /// Whether it ends at all: tasks that serve for good go first, each second without them is lost.
+    pub ends: bool,
     /// Whether its objective is out of reach.
     pub hopeless: bool,
     /// Its class; 0 goes first.
@@ -68,9 +70,20 @@
     /// ```
     pub fn judge(priority: u8, deadline: ClockTime, rest: ClockTime, now: ClockTime) -> Self {
         Self {
+            ends: true,
             hopeless: now + rest > deadline,
             priority,
             latest_start: deadline - rest,
         }
     }
+
+    /// The place of a job that runs until it is cancelled; the oldest goes first.
+    pub fn lasting(priority: u8, received_at: ClockTime) -> Self {
+        Self {
+            ends: false,
+            hopeless: false,
+            priority,
+            latest_start: received_at,
+        }
+    }
 }
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -241,6 +241,19 @@
     Gone,
 }
 
+/// What a VM is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum VmState {
+    /// It is up.
+    Up,
+    /// It is on its way to another pool.
+    Moving,
+    /// It has its maintenance.
+    Maintained,
+    /// It is down for another reason.
+    Down,
+}
+
 /// The machine behind a worker, as the platform lists it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct VmEntry {
@@ -248,8 +261,8 @@
     pub vm: VmName,
     /// Its pool.
     pub pool: PoolName,
-    /// Whether it is up.
-    pub up: bool,
+    /// What it is doing.
+    pub state: VmState,
     /// Its rack, where its labels tell.
     pub rack: Option<RackName>,
     /// What it has.
--- a/crates/core/src/job/scheduler/fleet.rs
+++ b/crates/core/src/job/scheduler/fleet.rs
@@ -16,7 +16,7 @@
     name::{PoolName, VmName, WorkerId},
 };
 
-use super::{BatchRecord, Effect, Job, JobNote, LossReason, Scheduler, VmEntry};
+use super::{BatchRecord, Effect, Job, JobNote, LossReason, Scheduler, VmEntry, VmState};
 
 /// Time between two plans of the fleet.
 const PLAN_PACE: ClockTime = ClockTime::from_millis(100);
@@ -31,8 +31,12 @@
 const REST: ClockTime = ClockTime::from_millis(2_000);
 /// Time after which an order on a VM that was refused or not answered is tried again.
 const ORDER_RETRY: ClockTime = ClockTime::from_millis(600);
+/// How far the list of VMs may lag behind an order: the platform's list lags by less than a second.
+const LIST_LAG: ClockTime = ClockTime::from_millis(1_500);
 /// VMs that are emptied ahead of those that a wave's cap allows now.
 const WAVE_AHEAD: usize = 1;
+/// How old a worker's report may be for its tasks to count as at work: two renewals.
+const FRESH_REPORT: ClockTime = ClockTime::from_millis(2_500);
 /// Progress of a task that is fully at work.
 const FULL_PERCENT: u8 = 100;
 
@@ -100,7 +104,7 @@
 
     fn is_free(&self, vm: &VmEntry, now: ClockTime) -> bool {
         let refused = self.refused.get(&vm.vm);
-        vm.up
+        vm.state == VmState::Up
             && !self.pending.contains_key(&vm.vm)
             && !self.emptying.contains(&vm.vm)
             && refused.is_none_or(|until| now >= *until)
@@ -168,7 +172,7 @@
             };
             // The list lags: it counts once it was asked for after the order must have been seen
             // through.
-            !(vm.up && there && asked_at > done_at + takes)
+            !(vm.state == VmState::Up && there && asked_at > done_at + takes)
         });
         self.fix_standing();
     }
@@ -458,7 +462,8 @@
         let Some(wave) = self.waves.waves.get(&number) else {
             return;
         };
-        if self.fleet.vms.is_empty() {
+        // What an earlier owner ordered a moment before is in the list only now.
+        if self.fleet.listed_at < self.fleet.opened_at + LIST_LAG {
             return;
         }
         let cap = wave.request.cap.max(1);
@@ -470,11 +475,7 @@
             self.complete_wave(number);
             return;
         }
-        let down = self.fleet.pending.values();
-        let down = down
-            .filter(|pending| pending.order == VmOrder::Maintain(number))
-            .count();
-        let mut room = cap.saturating_sub(down);
+        let mut room = cap.saturating_sub(self.maintained(number));
         let mut busy: Vec<(u64, VmName)> = Vec::new();
         for name in left {
             let Some(vm) = self.fleet.vms.get(&name) else {
@@ -486,7 +487,7 @@
             }
             let worker = vm.worker.as_ref().and_then(|id| self.workers.get(id));
             if worker.is_none_or(Worker::is_empty) {
-                if vm.up && room > 0 && self.may_order(&name) {
+                if vm.state == VmState::Up && room > 0 && self.may_order(&name) {
                     room -= 1;
                     self.order_vm(&name, VmOrder::Maintain(number));
                 }
@@ -497,6 +498,21 @@
         self.empty_vms(busy, room + WAVE_AHEAD);
     }
 
+    /// VMs that are down for a wave, by our orders or an earlier owner's.
+    fn maintained(&self, number: u64) -> usize {
+        let ordered = |vm: &VmName| {
+            let pending = self.fleet.pending.get(vm);
+            pending.is_some_and(|pending| pending.order == VmOrder::Maintain(number))
+        };
+        let wave = self.waves.waves.get(&number);
+        let vms = wave.iter().flat_map(|wave| &wave.request.vms);
+        let listed = |vm: &VmName| {
+            let entry = self.fleet.vms.get(vm);
+            entry.is_some_and(|entry| entry.state == VmState::Maintained)
+        };
+        vms.filter(|vm| ordered(vm) || listed(vm)).count()
+    }
+
     fn may_order(&self, vm: &VmName) -> bool {
         let refused = self.fleet.refused.get(vm);
         refused.is_none_or(|until| self.now >= *until)
@@ -539,12 +555,35 @@
             };
             let step = job.step(&key);
             let running = matches!(job.task(&key), Some(AnyTask::Running(_)));
-            if running && step.long_running && may_miss(job, &key) {
+            if running && step.long_running && self.may_miss(job, &key) {
                 self.stop_task(id, key, run);
             }
         }
     }
 
+    /// Whether a step may miss one more task: fewer others are away than it may miss. A task on a
+    /// worker that does not answer is taken to be away.
+    fn may_miss(&self, job: &Job, key: &TaskKey) -> bool {
+        let most = usize::from(job.step(key).may_miss);
+        let occurrence = &job.occurrences[key.occurrence as usize];
+        let tasks = (0u16..).zip(&occurrence.steps[usize::from(key.step)]);
+        let others = tasks.filter(|(index, _)| *index != key.index);
+        let away = others.filter(|(_, task)| !self.is_at_work(task)).count();
+        most == 0 || away < most
+    }
+
+    fn is_at_work(&self, task: &AnyTask) -> bool {
+        let AnyTask::Running(task) = task else {
+            return false;
+        };
+        let worker = self.workers.get(&task.phase.worker);
+        let answers = worker.is_some_and(|worker| {
+            let seen = worker.seen_at.unwrap_or_default();
+            worker.silent_since.is_none() && self.now < seen + FRESH_REPORT
+        });
+        answers && task.phase.percent >= FULL_PERCENT
+    }
+
     fn complete_wave(&mut self, number: u64) {
         let Some(wave) = self.waves.waves.get_mut(&number) else {
             return;
@@ -558,15 +597,3 @@
         });
     }
 }
-
-/// Whether a step may miss one more task: fewer others are away than it may miss.
-fn may_miss(job: &Job, key: &TaskKey) -> bool {
-    let most = usize::from(job.step(key).may_miss);
-    let occurrence = &job.occurrences[key.occurrence as usize];
-    let tasks = (0u16..).zip(&occurrence.steps[usize::from(key.step)]);
-    let at_work = |task: &AnyTask| matches!(task, AnyTask::Running(task) if task.phase.percent >= FULL_PERCENT);
-    let away = tasks
-        .filter(|(index, task)| *index != key.index && !at_work(task))
-        .count();
-    most == 0 || away < most
-}
--- a/crates/core/src/job/scheduler/jobs.rs
+++ b/crates/core/src/job/scheduler/jobs.rs
@@ -147,6 +147,9 @@
 
     /// The place in the pool's order; `mean` is what a task of this kind lasts.
     pub(super) fn urgency(&self, mean: ClockTime, now: ClockTime) -> JobUrgency {
+        if self.spec.is_long_running() {
+            return JobUrgency::lasting(self.terms.priority, self.spec.received_at);
+        }
         let chain = self.spec.chain_len() * mean.as_millis();
         let stretched = ClockTime::from_millis((chain as f64 * self.terms.stretch) as u64);
         let begins = match self.spec.repeat {
@@ -405,11 +408,13 @@
             let mut queue = self.queue(pool);
             queue.sort_unstable();
             let mut misses = 0;
-            for (_, id) in queue {
+            for (urgency, id) in queue {
                 if misses >= MAX_MISSES {
                     break;
                 }
-                misses += self.place_job(id, pool);
+                let missed = self.place_job(id, pool);
+                // A task that serves for good may want what is rare; it holds up nothing else.
+                misses += if urgency.ends { missed } else { 0 };
             }
         }
     }
--- a/crates/scheduler/src/caller.rs
+++ b/crates/scheduler/src/caller.rs
@@ -34,6 +34,8 @@
 const ASK_PAUSE: Duration = Duration::from_millis(100);
 /// When a caller that was refused for want of the store or an owner should come back.
 const UNAVAILABLE_RETRY: ClockTime = ClockTime::from_millis(1_000);
+/// How old the owner's word on loads may be: counts may be two seconds old by the callers' protocol.
+const LOAD_FRESH: ClockTime = ClockTime::from_millis(1_500);
 /// How long the store may be silent before the member sends new callers elsewhere.
 const STORE_SILENCE: ClockTime = ClockTime::from_millis(3_000);
 
@@ -228,7 +230,7 @@
         let job = path.rsplit('/').next().unwrap_or_default();
         let catalogue = self.shared.catalogue.load();
         let version = catalogue.as_ref().map(|catalogue| catalogue.version);
-        let load = work.as_ref().map(|work| self.load(work));
+        let load = work.as_ref().map(|work| self.shared.load(work));
         let fields = json!({
             "job": job,
             "call": verb,
@@ -237,7 +239,8 @@
             "detail": format!("{reply:?}"),
             "took_ms": took.as_millis(),
             "catalogue": version,
-            "drain_ms": load.map(|load| load.drain.as_millis()),
+            "drain_ms": load.map(|(load, _)| load.drain.as_millis()),
+            "load_age_ms": load.map(|(_, age)| age.as_millis()),
             "store_silence_ms": self.shared.store_silence().as_millis(),
         });
         self.shared.log.line(EventKind::Request, fields);
@@ -264,9 +267,7 @@
                 Ok(call) => self.store(call).await,
                 Err(reply) => reply,
             },
-            CallerVerb::Show if call.phase.rest.is_empty() => {
-                CallerReply::Waiting(self.load(&work).waiting)
-            }
+            CallerVerb::Show if call.phase.rest.is_empty() => self.count(&work),
             CallerVerb::Show => self.show(call).await,
             CallerVerb::Cancel => self.cancel(call).await,
         };
@@ -401,9 +402,23 @@
         }
     }
 
+    /// How many jobs wait; unknown where the owner has been silent.
+    fn count(&self, work: &WorkName) -> CallerReply {
+        let (load, age) = self.shared.load(work);
+        if age > LOAD_FRESH {
+            return CallerReply::unavailable();
+        }
+        CallerReply::Waiting(load.waiting)
+    }
+
+    /// The load that admission goes by; none is assumed where the owner has been silent, as a new
+    /// owner may be about to serve.
     fn load(&self, work: &WorkName) -> WorkLoad {
-        let loads = self.shared.loads.load();
-        loads.get(work).copied().unwrap_or_default()
+        let (load, age) = self.shared.load(work);
+        if age > LOAD_FRESH {
+            return WorkLoad::default();
+        }
+        load
     }
 }
 
--- a/crates/scheduler/src/owner/engine.rs
+++ b/crates/scheduler/src/owner/engine.rs
@@ -177,7 +177,7 @@
         let open = self.scheduler.open_jobs();
         self.shared.meter.open_jobs.set(open as f64);
         let loads = Arc::new(self.scheduler.loads().into_iter().collect());
-        self.shared.loads.store(Arc::clone(&loads));
+        self.shared.take_loads(Arc::clone(&loads));
         self.shared.load_feed.send_replace(loads);
     }
 
--- a/crates/scheduler/src/owner/perform.rs
+++ b/crates/scheduler/src/owner/perform.rs
@@ -85,15 +85,18 @@
             Effect::Move { vm, to } => {
                 let (platform, token) = (self.platform.clone(), self.token);
                 let name = vm.clone();
-                self.order_vm(vm, async move { platform.move_vm(&name, &to, token).await });
+                let order = format!("move to {to}");
+                self.order_vm(vm, order, async move {
+                    platform.move_vm(&name, &to, token).await
+                });
             }
             Effect::Maintain { vm, wave } => {
                 let (platform, token) = (self.platform.clone(), self.token);
                 let name = vm.clone();
-                self.order_vm(
-                    vm,
-                    async move { platform.maintain_vm(&name, wave, token).await },
-                );
+                let order = format!("maintenance of wave {wave}");
+                self.order_vm(vm, order, async move {
+                    platform.maintain_vm(&name, wave, token).await
+                });
             }
             Effect::WaveStatus { wave, completed } => self.write_wave(wave, completed),
             Effect::Note(note) => log_note(&self.shared, note),
@@ -180,11 +183,16 @@
         });
     }
 
-    fn order_vm(&mut self, vm: VmName, call: impl Future<Output = OrderReply> + Send + 'static) {
+    fn order_vm(
+        &mut self,
+        vm: VmName,
+        order: String,
+        call: impl Future<Output = OrderReply> + Send + 'static,
+    ) {
         let (events, shared) = (self.events.clone(), self.shared.clone());
         self.calls.spawn(async move {
             let reply = call.await;
-            event!(shared.log, Vm, "vm": vm.as_str(), "outcome": format!("{reply:?}"));
+            event!(shared.log, Vm, "vm": vm.as_str(), "order": order, "outcome": format!("{reply:?}"));
             let event = match reply {
                 OrderReply::Fenced => OwnerEvent::Fenced("a VM has seen a later owner"),
                 reply => OwnerEvent::VmOrdered { vm, reply },
--- a/crates/scheduler/src/peer/ask.rs
+++ b/crates/scheduler/src/peer/ask.rs
@@ -167,7 +167,7 @@
             }
             Ok(JobFrame::Loads(loads)) => {
                 let table: LoadTable = loads.into_iter().collect();
-                self.shared.loads.store(Arc::new(table));
+                self.shared.take_loads(Arc::new(table));
             }
             Ok(JobFrame::Ask { .. }) => {}
             Err(error) => event!(self.shared.log, Unreadable, "key": "peer frame",
--- a/crates/scheduler/src/shared.rs
+++ b/crates/scheduler/src/shared.rs
@@ -30,7 +30,8 @@
     /// The newest catalogue; none before the first was read.
     pub(crate) catalogue: ArcSwapOption<JobCatalogue>,
     /// The owner's newest word on loads.
-    pub(crate) loads: ArcSwap<LoadTable>,
+    loads: ArcSwap<LoadTable>,
+    loads_at: AtomicU64,
     /// Feeds peers that follow this member while it owns the pools.
     pub(crate) load_feed: watch::Sender<Arc<LoadTable>>,
     /// The inbox of this member's owner pipe, while it owns the pools.
@@ -49,6 +50,7 @@
             meter: JobMeter::open(),
             catalogue: ArcSwapOption::empty(),
             loads: ArcSwap::from_pointee(LoadTable::new()),
+            loads_at: AtomicU64::new(0),
             load_feed,
             owner_inbox: ArcSwapOption::empty(),
             store_seen_at: AtomicU64::new(0),
@@ -56,6 +58,20 @@
         })
     }
 
+    /// Replaces the loads by the owner's newest word.
+    pub(crate) fn take_loads(&self, loads: Arc<LoadTable>) {
+        self.loads.store(loads);
+        let now = self.clock.now().as_millis();
+        self.loads_at.store(now, Ordering::Relaxed);
+    }
+
+    /// The load of a kind of work, with the age of the owner's word.
+    pub(crate) fn load(&self, work: &WorkName) -> (WorkLoad, ClockTime) {
+        let told_at = ClockTime::from_millis(self.loads_at.load(Ordering::Relaxed));
+        let load = self.loads.load().get(work).copied();
+        (load.unwrap_or_default(), self.clock.now() - told_at)
+    }
+
     /// The store has just answered.
     pub(crate) fn saw_store(&self) {
         let now = self.clock.now().as_millis();
