Remove ended jobs' bodies one append at a time; take over again after a spurious fence

Change: one removal in flight; a token is the generation times 1024 plus the takeovers of the process; a pause before a closed peer link is opened again.

--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -290,6 +290,8 @@
     /// Cancellations that arrived before their jobs.
     early_cancels: BTreeSet<JobId>,
     forget: Vec<JobId>,
+    /// Whether bodies are being removed; one removal at a time keeps its writes in order.
+    forgetting: bool,
     workers: BTreeMap<WorkerId, Worker>,
     durations: DurationTable,
     fleet: fleet::Fleet,
@@ -310,6 +312,7 @@
             finals: BTreeMap::new(),
             early_cancels: BTreeSet::new(),
             forget: Vec::new(),
+            forgetting: false,
             workers: BTreeMap::new(),
             durations: DurationTable::default(),
             fleet: fleet::Fleet::open(now),
--- a/crates/core/src/job/scheduler/jobs.rs
+++ b/crates/core/src/job/scheduler/jobs.rs
@@ -300,6 +300,7 @@
 
     /// The bodies of these jobs have left the store.
     pub fn forgotten(&mut self, jobs: &[JobId]) {
+        self.forgetting = false;
         for id in jobs {
             if let Some(ended) = self.finals.get_mut(id) {
                 ended.forgotten = true;
@@ -381,7 +382,8 @@
     }
 
     fn expire_finals(&mut self) {
-        if !self.forget.is_empty() {
+        if !self.forget.is_empty() && !self.forgetting {
+            self.forgetting = true;
             let count = self.forget.len().min(FORGET_BATCH);
             let jobs = self.forget.drain(..count).collect();
             self.effects.push(Effect::Forget(jobs));
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -30,6 +30,8 @@
 
 use engine::OwnerEngine;
 
+/// Takeovers of one process that get tokens of their own; a process that needs more is out of order.
+const TAKEOVERS_PER_GENERATION: u64 = 1_024;
 /// Pause before ownership is looked at again.
 const RECHECK: Duration = Duration::from_millis(50);
 
@@ -93,20 +95,21 @@
 
 impl<P: Platform> OwnerTask<P> {
     pub(crate) async fn run(mut self) {
-        // The highest token under which another owner has been met.
-        let mut fenced = 0;
+        let mut takeovers = 0;
         while !self.shared.is_stopping() {
             let place = *self.place.borrow_and_update();
-            let Some(token) = usable_token(&place, fenced) else {
+            if place.owned_since.is_none() {
                 self.wait().await;
                 continue;
-            };
+            }
+            takeovers += 1;
+            let token = fencing_token(place.generation, takeovers);
             event!(self.shared.log, Ownership, "owns": true, "token": token,
                 "owned_since": place.owned_since, "generation": place.generation);
             let reason = self.own(token).await;
             self.shared.owner_inbox.store(None);
             event!(self.shared.log, Ownership, "owns": false, "token": token, "reason": reason);
-            fenced = fenced.max(token);
+            self.wait().await;
         }
     }
 
@@ -134,14 +137,11 @@
     }
 }
 
-/// The token under which the pools may be owned now, if they may.
-fn usable_token(place: &Place, fenced: u64) -> Option<u64> {
-    let since = place.owned_since?;
-    if since > fenced {
-        return Some(since);
-    }
-    // Another owner was met under this token or a later one; only a newer generation is above it.
-    (place.generation > fenced).then_some(place.generation)
+/// The token of a takeover. The group's generation rises whenever the pools change hands, so an
+/// earlier owner's token is lower; takeovers of one process under one generation follow each other
+/// below it.
+fn fencing_token(generation: u64, takeovers: u64) -> u64 {
+    generation * TAKEOVERS_PER_GENERATION + takeovers.min(TAKEOVERS_PER_GENERATION - 1)
 }
 
 /// Ends when the member no longer owns the pools, or stops.
--- a/crates/scheduler/src/peer/ask.rs
+++ b/crates/scheduler/src/peer/ask.rs
@@ -25,6 +25,9 @@
 const OPEN_LIMIT: Duration = Duration::from_millis(500);
 /// Time without a word from the owner after which its link is replaced: several of its reports.
 const OWNER_SILENCE: Duration = Duration::from_millis(1_200);
+/// Pause after a link has ended, so that a member that does not own the pools yet is not called
+/// without end.
+const REOPEN_PAUSE: Duration = Duration::from_millis(60);
 /// Pause before the owner is looked for again.
 const FIND_PAUSE: Duration = Duration::from_millis(200);
 
@@ -68,6 +71,7 @@
                 self.follow(socket).await;
                 event!(self.shared.log, Dependency, "name": "owner", "lost": true,
                     "owner": owner);
+                self.answer_unsure(REOPEN_PAUSE).await;
             } else {
                 self.answer_unsure(FIND_PAUSE).await;
             }
