--- a/crates/codec/src/job.rs
+++ b/crates/codec/src/job.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use jacinthhoist_core::{
-    PoolName, WorkName,
+    PoolName, WorkName, WorkerId,
     job::{BatchRecord, JobId, JobProgress, JobSpec, JobState, WaveProgress, WorkLoad},
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -18,6 +18,8 @@
 const KEY_CANCEL: char = 'c';
 /// Starts the key of a job's progress.
 const KEY_PROGRESS: char = 'p';
+/// Starts the key of the time by which all that a worker holds lapses.
+const KEY_LAPSE: char = 'l';
 /// Starts the key of a wave's progress.
 const KEY_WAVE: char = 'w';
 
@@ -107,6 +109,10 @@
         BatchRecord::Progress(id, progress) => (format!("{KEY_PROGRESS}{id}"), to_cbor(progress)?),
         BatchRecord::Drop(id) => (format!("{KEY_PROGRESS}{id}"), Vec::new()),
         BatchRecord::Wave(number, progress) => (format!("{KEY_WAVE}{number}"), to_cbor(progress)?),
+        BatchRecord::Lapse(worker, at) => {
+            let value = at.map_or_else(|| Ok(Vec::new()), |at| to_cbor(&at))?;
+            (format!("{KEY_LAPSE}{worker}"), value)
+        }
         BatchRecord::Standing(standing) => (KEY_STANDING.to_owned(), to_cbor(standing)?),
     };
     Ok(KeyedRecord { key, value })
@@ -129,6 +135,10 @@
             let progress: JobProgress = from_cbor(&record.value)?;
             Ok(BatchRecord::Progress(parse_id(id)?, progress))
         }
+        KEY_LAPSE => {
+            let at = (!record.value.is_empty()).then(|| from_cbor(&record.value));
+            Ok(BatchRecord::Lapse(WorkerId::new(id), at.transpose()?))
+        }
         KEY_WAVE => {
             let progress: WaveProgress = from_cbor(&record.value)?;
             let number = id.parse().ok();
--- a/crates/core/src/job/lease.rs
+++ b/crates/core/src/job/lease.rs
@@ -11,19 +11,29 @@
 /// Time by which a worker may be late to end what its lease no longer covers.
 const LAPSE_SLACK: ClockTime = ClockTime::from_millis(100);
 
+/// By how much the wall clocks of two members may differ, so that a time that another member has
+/// stored is not taken too early.
+const CLOCK_SKEW: ClockTime = ClockTime::from_millis(2_500);
+
 /// A worker whose clock we have not read: another member may have renewed its lease just now.
 #[derive(Clone, Copy, Debug)]
 pub struct UnknownLease {
     /// When we took the worker over.
     pub since: ClockTime,
-    /// The longest lease that a worker grants.
+    /// The longest lease that the scheduler's members give.
     pub longest: ClockTime,
+    /// The time by which an earlier owner has stored that everything lapses there, by its clock.
+    pub stored: Option<ClockTime>,
 }
 
 impl UnknownLease {
     /// When all that another member gave it has lapsed.
     pub fn lapsed_by(&self) -> ClockTime {
-        self.since + stretched(self.longest) + LAPSE_SLACK
+        let longest = self.since + stretched(self.longest) + LAPSE_SLACK;
+        match self.stored {
+            Some(stored) => longest.min(stored + CLOCK_SKEW),
+            None => longest,
+        }
     }
 
     /// Reads the worker's clock.
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -36,7 +36,7 @@
 /// Bounds that the platform sets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SchedulerLimits {
-    /// The longest lease that a worker grants.
+    /// The longest lease that the members give; not more than workers grant.
     pub hold_max: ClockTime,
     /// How long a VM takes to join another pool.
     pub move_time: ClockTime,
--- a/crates/core/src/job/scheduler/batch.rs
+++ b/crates/core/src/job/scheduler/batch.rs
@@ -119,6 +119,8 @@
     Drop(JobId),
     /// How far a wave is.
     Wave(u64, WaveProgress),
+    /// By when all that a worker holds lapses, by the owner's clock; none where that no longer holds.
+    Lapse(WorkerId, Option<ClockTime>),
     /// How many VMs each pool stands at without a surge.
     Standing(BTreeMap<PoolName, usize>),
 }
@@ -139,6 +141,8 @@
     ends: Vec<(JobId, JobState)>,
     begun: Vec<JobId>,
     cursors: Vec<(WorkerId, Option<u64>, u64)>,
+    /// Workers whose record of lapse goes with the batch.
+    renewable: Vec<WorkerId>,
 }
 
 /// What has to be stored next.
@@ -209,6 +213,11 @@
     fn take_batch(&mut self) -> Batch {
         let mut flying = InFlight::default();
         let mut records = std::mem::take(&mut self.outbox.extra);
+        let renewable = records.iter().filter_map(|record| match record {
+            BatchRecord::Lapse(worker, None) => Some(worker.clone()),
+            _ => None,
+        });
+        flying.renewable = renewable.collect();
         let touched: Vec<JobId> = self
             .outbox
             .touched
@@ -282,6 +291,12 @@
                 worker.end_stored = worker.end_stored.max(cursor);
             }
         }
+        for id in batch.renewable {
+            let worker = self.workers.get_mut(&id);
+            if let Some(worker) = worker.filter(|worker| worker.silent_since.is_none()) {
+                worker.lapse_stored = false;
+            }
+        }
         for id in batch.begun {
             if let Some(job) = self.jobs.get_mut(&id) {
                 job.shown = JobState::Running;
--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -7,7 +7,7 @@
 use crate::{
     clock::ClockTime,
     job::{
-        lease::UnknownLease,
+        lease::{UnknownLease, WorkerLease},
         spec::{Resources, TaskKey},
         task::{AnyTask, StartOrder, TaskEnd},
         worker::{
@@ -18,7 +18,7 @@
     name::{DataCentre, PoolName, WorkerId},
 };
 
-use super::{Effect, JobNote, LossReason, Scheduler, WorkerChange};
+use super::{BatchRecord, Effect, JobNote, LossReason, Scheduler, WorkerChange};
 
 /// A stop order without an answer is sent again after this time, twice what a stop may take.
 const STOP_RETRY: ClockTime = ClockTime::from_millis(800);
@@ -87,12 +87,21 @@
         }
     }
 
+    /// Takes over the time by which all that a worker holds lapses, as it is stored.
+    pub fn restore_lapse(&mut self, id: &WorkerId, at: ClockTime) {
+        let worker = self.worker_or_stub(id);
+        worker.lapse_stored = true;
+        if let WorkerLease::Unknown(lease) = &mut worker.lease {
+            lease.stored = Some(at);
+        }
+    }
+
     /// How a worker's lease is renewed next; counts the deadline as sent.
     pub fn hold_plan(&mut self, id: &WorkerId, now: ClockTime) -> Option<HoldPlan> {
         let hold_max = self.limits.hold_max;
         let worker = self.workers.get_mut(id)?;
         let silent = worker.silent_since.is_some();
-        let lease_until = if silent {
+        let lease_until = if silent || worker.lapse_stored {
             None
         } else {
             worker.lease.extend(hold_max, now)
@@ -113,6 +122,11 @@
         };
         if worker.silent_since.is_none() {
             worker.silent_since = Some(now);
+            if !worker.is_empty() && !worker.lapse_stored {
+                worker.lapse_stored = true;
+                let lapse = Some(worker.lease.lapsed_by());
+                self.outbox.push(BatchRecord::Lapse(id.clone(), lapse));
+            }
             let pool = worker.entry.pool.clone();
             self.note_worker(id.clone(), pool, WorkerChange::Silent);
         }
@@ -146,6 +160,9 @@
         worker.lease.read(report.clock, now);
         worker.seen_at = Some(asked_at);
         worker.silent_since = None;
+        if worker.lapse_stored {
+            self.outbox.push(BatchRecord::Lapse(id.clone(), None));
+        }
         if let Some(change) = change {
             self.note_worker(id.clone(), pool, change);
         }
@@ -429,7 +446,7 @@
         };
         worker.end_seen = 0;
         worker.end_stored = 0;
-        worker.lease = crate::job::lease::WorkerLease::Unknown(lease);
+        worker.lease = WorkerLease::Unknown(lease);
         let runs = worker.tasks.iter().map(|(key, charge)| (*key, charge.run));
         let runs: SmallVec<[(TaskKey, u32); 8]> = runs.collect();
         for (key, run) in runs {
@@ -472,6 +489,9 @@
         }
         for id in gone {
             if let Some(worker) = self.workers.remove(&id) {
+                if worker.lapse_stored {
+                    self.outbox.push(BatchRecord::Lapse(id.clone(), None));
+                }
                 self.note_worker(id, worker.entry.pool, WorkerChange::Gone);
             }
         }
@@ -557,6 +577,7 @@
         UnknownLease {
             since: self.now,
             longest: self.limits.hold_max,
+            stored: None,
         }
     }
 
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -189,6 +189,9 @@
     pub end_seen: u64,
     /// The highest number of an end whose outcome is stored.
     pub end_stored: u64,
+    /// Whether it is stored by when all that it holds lapses. Its lease is not renewed before that
+    /// record is gone, since a later owner would go by it.
+    pub lapse_stored: bool,
     /// Whether it gets nothing new because its VM is about to leave the pool.
     pub cordoned: bool,
     fail_streak: u32,
@@ -214,6 +217,7 @@
             filling: 0,
             end_seen: 0,
             end_stored: 0,
+            lapse_stored: false,
             cordoned: false,
             fail_streak: 0,
             suspended_until: ClockTime::ZERO,
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -95,10 +95,11 @@
 
 impl<P: Platform> OwnerTask<P> {
     pub(crate) async fn run(mut self) {
-        let mut takeovers = 0;
+        let (mut takeovers, mut ended_at) = (0, ClockTime::ZERO);
         while !self.shared.is_stopping() {
             let place = *self.place.borrow_and_update();
-            if place.owned_since.is_none() {
+            // What was heard before the last ownership ended may be what ended it.
+            if place.owned_since.is_none() || place.heard_at <= ended_at {
                 self.wait().await;
                 continue;
             }
@@ -108,8 +109,8 @@
                 "owned_since": place.owned_since, "generation": place.generation);
             let reason = self.own(token).await;
             self.shared.owner_inbox.store(None);
+            ended_at = self.shared.clock.now();
             event!(self.shared.log, Ownership, "owns": false, "token": token, "reason": reason);
-            self.wait().await;
         }
     }
 
--- a/crates/scheduler/src/owner/load.rs
+++ b/crates/scheduler/src/owner/load.rs
@@ -167,6 +167,11 @@
             }
             BatchRecord::Drop(_) => {}
             BatchRecord::Wave(number, progress) => scheduler.restore_wave(number, progress),
+            BatchRecord::Lapse(worker, at) => {
+                if let Some(at) = at {
+                    scheduler.restore_lapse(&worker, at);
+                }
+            }
             BatchRecord::Standing(standing) => scheduler.restore_standing(standing),
         }
     }
