Test the whole path on stand-ins for the platform

Change: stand-ins for the log with its group, workers and machines that speak the published protocol and misbehave on demand; 16 tests of what callers hear and what workers saw. Found: a client's Host header was sent twice where a call named its own; now it replaces.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -5,9 +5,13 @@
 
 mod http;
 mod log;
+mod platform;
 mod upstream;
 mod vms;
 
 pub use log::LogService;
+pub use platform::{
+    KeyedLog, MachineService, PlatformStandIn, PoolWorker, StoreFault, WorkerFault,
+};
 pub use upstream::{LeaseEnds, UpstreamFault, UpstreamVm};
 pub use vms::{VmEntry, VmList};
--- /dev/null
+++ b/crates/fakes/src/platform.rs
@@ -0,0 +1,99 @@
+//! Stand-ins for the users' platform: the log with its groups, workers, and the list of machines.
+//!
+//! They speak the published protocol on loopback and can be told to misbehave. [`PlatformStandIn`]
+//! puts a whole installation together.
+
+mod machines;
+mod pool_worker;
+mod store;
+mod topic;
+
+pub use machines::MachineService;
+pub use pool_worker::{PoolWorker, WorkerFault};
+pub use store::{KeyedLog, StoreFault};
+
+use std::{net::SocketAddr, time::Duration};
+
+use serde_json::{Value, json};
+
+/// Time between two entries of a worker.
+const HEARTBEAT: Duration = Duration::from_millis(100);
+
+/// An installation: store, machines and the workers of some pools.
+pub struct PlatformStandIn {
+    /// The store.
+    pub store: KeyedLog,
+    /// The list of machines.
+    pub machines: MachineService,
+    /// The workers that were started here.
+    pub workers: Vec<PoolWorker>,
+}
+
+impl PlatformStandIn {
+    /// Starts an installation with `each` workers in each pool, all on loopback.
+    ///
+    /// # Errors
+    ///
+    /// An address that cannot be bound.
+    pub async fn spawn(pools: &[&str], each: usize) -> std::io::Result<Self> {
+        let store = KeyedLog::spawn().await?;
+        let machines = MachineService::spawn().await?;
+        let mut workers = Vec::new();
+        for pool in pools {
+            for number in 0..each {
+                let id = format!("i-{pool}-{number}");
+                let worker = PoolWorker::spawn(&id, pool, store.clone(), HEARTBEAT).await?;
+                machines.add(&format!("m-{pool}-{number}"), pool, &id);
+                workers.push(worker);
+            }
+        }
+        Ok(Self {
+            store,
+            machines,
+            workers,
+        })
+    }
+
+    /// Writes the operators' configuration: one route a pool, named as the pool.
+    pub fn configure(&self, version: u64, pools: &[&str]) {
+        let routes: Vec<Value> = pools.iter().map(|pool| route(pool)).collect();
+        let service =
+            |pool: &&str| json!({"name": pool, "max_conns": 64, "rejects_overload": true});
+        let services: Vec<Value> = pools.iter().map(service).collect();
+        let config = json!({"version": version, "routes": routes, "services": services});
+        self.store.put("keyed.op", "config", &config);
+    }
+
+    /// The text of a member's settings file.
+    pub fn settings(&self, name: &str, ports: [u16; 3]) -> String {
+        let [front, ready, peer] = ports;
+        let last = peer.saturating_add(1);
+        let (store, machines) = (self.store.address(), self.machines.address());
+        format!(
+            "node_name = \"{name}\"\nip = \"127.0.0.1\"\nzone = \"dc-1\"\nport_range = [{peer}, {last}]\n\
+             unknown_field = true\n\
+             [listen]\nfront = \"127.0.0.1:{front}\"\nready = \"127.0.0.1:{ready}\"\n\
+             [bounds]\nhold_max_ms = 3000\nmove_s = 0.2\nupkeep_s = 0.2\nstatus_s = 120\ngrace_s = 6\n\
+             [platform]\naddress = \"{store}\"\nttl_min_ms = 1000\n\
+             [cloud_api]\naddress = \"{machines}\"\n"
+        )
+    }
+}
+
+fn route(pool: &str) -> Value {
+    json!({
+        "name": pool,
+        "host": format!("{pool}.example"),
+        "path_prefix": "/jobs/",
+        "service": pool,
+        "timeout_ms": 3_000,
+        "slo_ms": 600,
+        "priority": 0,
+        "max_attempts": 2,
+        "stretch": 2.0,
+    })
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -101,7 +101,9 @@
         let mut builder = Request::builder().method(call.method).uri(call.path);
         if let Some(headers) = builder.headers_mut() {
             headers.insert(header::HOST, self.host.clone());
-            headers.extend(call.headers);
+            for (name, value) in call.headers {
+                headers.insert(name, value);
+            }
         }
         let request = builder.body(Full::new(call.body));
         request.map_err(|error| {
