Test the decisions on jobs, records, settings, and that the wire's names stay in the adapter

Change: 34 tests of the scheduler on a world that plays workers and store, among them one for each fault found so far (removals in flight, lapse over takeovers, cap over takeovers, silent workers and may_miss); records, frames, settings; a search for the wire's names outside platform/. Two tests first failed for the test's own timing (equal time stamps; four reports span 2.4 s, the limit is 2.5 s) and were set right, none eased.

--- /dev/null
+++ b/crates/codec/tests/job.rs
@@ -0,0 +1,120 @@
+//! Records and frames of the scheduler keep what they carry, and say what they cannot read.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use jacinthhoist_codec::{
+    AcceptedRecord, JobAnswer, JobFrame, KeyedRecord, decode_accepted, decode_job_frame,
+    decode_progress, encode_cancel, encode_forget, encode_job, encode_job_frame, encode_progress,
+};
+use jacinthhoist_core::{
+    ClockTime, PoolName, RackName, VmName, WorkName, WorkerId,
+    job::{
+        BatchRecord, JobId, JobProgress, JobSpec, JobState, JobTerms, RepeatPlan, StepSpec,
+        WaveProgress, WorkLoad,
+    },
+};
+
+fn spec() -> JobSpec {
+    let step = StepSpec {
+        count: 3,
+        after: [0].into_iter().collect(),
+        requires: Some("gpu".into()),
+        affinity: Some(RackName::new("r-1")),
+        may_miss: 1,
+        ..StepSpec::default()
+    };
+    JobSpec {
+        work: WorkName::new("melt-plan"),
+        terms: JobTerms::example("melt-shop"),
+        received_at: ClockTime::from_millis(17),
+        payload: Arc::from("text"),
+        steps: vec![StepSpec::default(), step],
+        repeat: Some(RepeatPlan {
+            times: 4,
+            start_at: ClockTime::from_secs(1),
+            interval: ClockTime::from_secs(2),
+        }),
+    }
+}
+
+#[test]
+fn accepted_records_come_back() {
+    let id = JobId(0x5c0e_7a21_d94b_36f8);
+    let record = encode_job(id, &spec()).unwrap();
+    assert_eq!(record.key, "j5c0e7a21d94b36f8");
+    assert_eq!(
+        decode_accepted(&record).unwrap(),
+        AcceptedRecord::Job(id, spec())
+    );
+    assert_eq!(
+        decode_accepted(&encode_cancel(id)).unwrap(),
+        AcceptedRecord::Cancel(id)
+    );
+    for record in encode_forget(id) {
+        assert_eq!(decode_accepted(&record).unwrap(), AcceptedRecord::Dropped);
+    }
+}
+
+#[test]
+fn progress_records_come_back() {
+    let ended = JobProgress {
+        ended: Some(JobState::Failed),
+        ..JobProgress::default()
+    };
+    let wave = WaveProgress {
+        begun: [VmName::new("m-1")].into_iter().collect(),
+        completed: true,
+    };
+    let standing = BTreeMap::from([(PoolName::new("melt-shop"), 12)]);
+    let worker = WorkerId::new("i-7f3a");
+    let table = [
+        BatchRecord::Progress(JobId(1), ended),
+        BatchRecord::Drop(JobId(2)),
+        BatchRecord::Wave(7, wave),
+        BatchRecord::Standing(standing),
+        BatchRecord::Lapse(worker.clone(), Some(ClockTime::from_secs(9))),
+        BatchRecord::Lapse(worker, None),
+    ];
+    for record in table {
+        let stored = encode_progress(&record).unwrap();
+        assert_eq!(decode_progress(&stored).unwrap(), record);
+    }
+}
+
+#[test]
+fn frames_come_back() {
+    let table = [
+        JobFrame::Ask {
+            id: 4,
+            job: JobId(9),
+        },
+        JobFrame::Answer {
+            id: 4,
+            answer: JobAnswer::Known(JobState::Running),
+        },
+        JobFrame::Loads(vec![(WorkName::new("melt-plan"), WorkLoad::default())]),
+    ];
+    for frame in table {
+        let bytes = encode_job_frame(&frame).unwrap();
+        assert_eq!(decode_job_frame(&bytes).unwrap(), frame);
+    }
+}
+
+#[test]
+fn what_cannot_be_read_says_so() {
+    let table = [
+        ("", "key"),
+        ("x1", "key"),
+        ("jzz", "key"),
+        ("j5c0e7a21d94b36f8", "readable"),
+    ];
+    for (key, word) in table {
+        let record = KeyedRecord {
+            key: key.to_owned(),
+            value: vec![0xff, 0x00],
+        };
+        let error = decode_accepted(&record).unwrap_err().to_string();
+        assert!(error.contains(word), "{key}: {error}");
+    }
+    assert!(decode_job_frame(&[0xff]).is_err());
+}
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -380,7 +380,12 @@
         self.workers.values()
     }
 
-    /// Jobs that have not ended.
+    /// A job that has not ended.
+    pub fn job(&self, id: JobId) -> Option<&Job> {
+        self.jobs.get(&id)
+    }
+
+    /// How many jobs have not ended.
     pub fn open_jobs(&self) -> usize {
         self.jobs.len()
     }
--- /dev/null
+++ b/crates/core/tests/jobs/fleet.rs
@@ -0,0 +1,249 @@
+//! VMs: pools by demand, waves within their caps, tasks that may not be missed.
+
+use jacinthhoist_core::{
+    PoolName, VmName,
+    job::{
+        Effect, IdleVm, OrderReply, PoolDemandView, ResizeMove, TaskEnd, VmState, WaveRequest,
+        plan_resize,
+    },
+};
+
+use super::world::{World, lasting, ms, step, vm, worker};
+
+fn idle(name: &str, rested: bool) -> IdleVm {
+    IdleVm {
+        vm: VmName::new(name),
+        cpu: 32_000,
+        rested,
+    }
+}
+
+fn view(pool: &str, demand: u64, vms: usize, idle: Vec<IdleVm>) -> PoolDemandView {
+    PoolDemandView {
+        pool: PoolName::new(pool),
+        spare: pool == "spare",
+        demand,
+        capacity: 32_000 * vms as u64,
+        vms,
+        standing: vms,
+        idle,
+    }
+}
+
+fn moved(vm: &str, from: &str, to: &str) -> ResizeMove {
+    ResizeMove {
+        vm: VmName::new(vm),
+        from: PoolName::new(from),
+        to: PoolName::new(to),
+    }
+}
+
+/// The pattern: queues that surge one after the other. The rising pool takes from the one in its
+/// trough before it takes what is off.
+#[test]
+fn a_rising_pool_takes_idle_vms_of_a_falling_one_first() {
+    let pools = vec![
+        view("rising", 96_000, 1, Vec::new()),
+        view(
+            "falling",
+            5_000,
+            4,
+            vec![idle("f-1", false), idle("f-2", false)],
+        ),
+        view("spare", 0, 2, vec![idle("s-1", true)]),
+    ];
+    let moves = plan_resize(pools);
+    let froms: Vec<&str> = moves.iter().map(|next| next.from.as_str()).collect();
+    assert_eq!(froms, ["falling", "falling"]);
+    assert!(moves.iter().all(|next| next.to.as_str() == "rising"));
+}
+
+/// The pattern: every pool surges at once. What is off is used.
+#[test]
+fn what_is_off_is_used_when_no_pool_can_give() {
+    let pools = vec![
+        view("rising", 64_000, 1, Vec::new()),
+        view("busy", 128_000, 4, vec![idle("b-1", true)]),
+        view("spare", 0, 2, vec![idle("s-1", true)]),
+    ];
+    assert_eq!(
+        plan_resize(pools).to_vec(),
+        [moved("s-1", "spare", "rising")]
+    );
+}
+
+/// The pattern: after a surge. What stands above its size goes off once it has rested.
+#[test]
+fn what_is_left_of_a_surge_goes_off_once_it_has_rested() {
+    for rested in [false, true] {
+        let mut after = view("after", 1_000, 4, vec![idle("a-1", rested)]);
+        after.standing = 3;
+        let moves = plan_resize(vec![after, view("spare", 0, 0, Vec::new())]);
+        let expected = rested.then(|| moved("a-1", "after", "spare"));
+        assert_eq!(moves.first(), expected.as_ref());
+    }
+}
+
+#[test]
+fn a_shortage_of_less_than_half_a_vm_moves_nothing() {
+    let pools = vec![
+        view("rising", 40_000, 1, Vec::new()),
+        view("spare", 0, 1, vec![idle("s-1", true)]),
+    ];
+    assert!(plan_resize(pools).is_empty());
+}
+
+fn wave(vms: &[usize], cap: usize) -> WaveRequest {
+    WaveRequest {
+        number: 1,
+        vms: vms
+            .iter()
+            .map(|number| VmName::new(&format!("m-{number}")))
+            .collect(),
+        within: ms(20_000),
+        cap,
+    }
+}
+
+fn maintained(world: &World) -> Vec<VmName> {
+    let orders = world.orders.iter().filter_map(|order| match order {
+        Effect::Maintain { vm, .. } => Some(vm.clone()),
+        _ => None,
+    });
+    orders.collect()
+}
+
+/// Lists VMs of the pool `mould` in a state after a span.
+fn list(world: &mut World, states: &[VmState], after: u64) {
+    world.wait(after);
+    let vms = states.iter().enumerate();
+    let vms = vms
+        .map(|(number, state)| vm(number, "mould", *state))
+        .collect();
+    let asked_at = world.now;
+    world.scheduler.list_vms(vms, asked_at, world.now);
+    world.step();
+    world.wait(150);
+    world.step();
+}
+
+#[test]
+fn no_more_vms_than_the_cap_are_down_at_once() {
+    let mut world = World::open(4);
+    world
+        .scheduler
+        .request_wave(wave(&[0, 1, 2, 3], 2), world.now);
+    list(&mut world, &[VmState::Up; 4], 2_000);
+    assert_eq!(maintained(&world).len(), 2);
+    for name in maintained(&world) {
+        world
+            .scheduler
+            .vm_replied(&name, OrderReply::Done, world.now);
+    }
+    // Up again by a list that is too old to show it: the cap still counts them.
+    list(&mut world, &[VmState::Up; 4], 500);
+    assert_eq!(maintained(&world).len(), 2);
+    list(&mut world, &[VmState::Up; 4], 3_000);
+    assert_eq!(maintained(&world).len(), 4);
+}
+
+/// A new owner once counted only its own orders.
+#[test]
+fn what_an_earlier_owner_took_down_counts_against_the_cap() {
+    let mut world = World::open(4);
+    world
+        .scheduler
+        .request_wave(wave(&[0, 1, 2, 3], 2), world.now);
+    let states = [
+        VmState::Maintained,
+        VmState::Maintained,
+        VmState::Up,
+        VmState::Up,
+    ];
+    list(&mut world, &states, 500);
+    assert!(
+        maintained(&world).is_empty(),
+        "the list may not show the last orders yet"
+    );
+    list(&mut world, &states, 2_000);
+    assert!(maintained(&world).is_empty());
+}
+
+#[test]
+fn a_wave_is_complete_when_each_vm_that_stays_has_begun() {
+    let mut world = World::open(2);
+    world.scheduler.request_wave(wave(&[0, 1, 7], 3), world.now);
+    list(&mut world, &[VmState::Up; 2], 2_000);
+    let told = |world: &World| {
+        let done = Effect::WaveStatus {
+            wave: 1,
+            completed: true,
+        };
+        world.orders.contains(&done)
+    };
+    for name in maintained(&world) {
+        assert!(!told(&world));
+        world
+            .scheduler
+            .vm_replied(&name, OrderReply::Done, world.now);
+    }
+    list(&mut world, &[VmState::Up; 2], 200);
+    assert!(told(&world), "m-7 does not stay");
+}
+
+/// A task on a worker that had fallen silent once counted as at work.
+#[test]
+fn a_task_is_moved_only_while_fewer_others_are_away_than_may_be() {
+    for other_is_silent in [false, true] {
+        let mut world = World::open(4);
+        world.accept(1, vec![lasting(2, 1)]);
+        world.settle();
+        let starts = world.confirm();
+        world.report_all(&starts, 4, 100);
+        if other_is_silent {
+            world.scheduler.hold_failed(&starts[1].worker, world.now);
+        }
+        let at: usize = starts[0].worker.as_str()[2..].parse().unwrap();
+        world.scheduler.request_wave(wave(&[at], 1), world.now);
+        list(&mut world, &[VmState::Up; 4], 1_600);
+        world.report_all(&starts[..1], 4, 100);
+        if !other_is_silent {
+            world.report_all(&starts, 4, 100);
+        }
+        world.wait(150);
+        world.step();
+        let moved = world.stops.iter().any(|stop| stop.task == starts[0].task);
+        assert_eq!(moved, !other_is_silent);
+        assert!(maintained(&world).is_empty(), "its VM is not empty yet");
+    }
+}
+
+#[test]
+fn a_vm_with_work_is_emptied_first_and_gets_nothing_new() {
+    let mut world = World::open(1);
+    world.accept(1, vec![step(1)]);
+    world.settle();
+    let start = world.confirm().remove(0);
+    world.scheduler.request_wave(wave(&[0], 1), world.now);
+    list(&mut world, &[VmState::Up], 2_000);
+    assert!(maintained(&world).is_empty());
+    world.accept(2, vec![step(1)]);
+    world.settle();
+    assert!(world.starts.is_empty());
+    world.end(&start, TaskEnd::Done);
+    list(&mut world, &[VmState::Up], 100);
+    assert_eq!(maintained(&world), [VmName::new("m-0")]);
+    assert!(world.scheduler.worker(&worker(0)).unwrap().is_empty());
+}
+
+#[test]
+fn without_fresh_word_from_the_group_no_vm_is_ordered_about() {
+    let mut world = World::open(1);
+    world.scheduler.request_wave(wave(&[0], 1), world.now);
+    world.scheduler.set_in_touch(false);
+    list(&mut world, &[VmState::Up], 2_000);
+    assert!(maintained(&world).is_empty());
+    world.scheduler.set_in_touch(true);
+    list(&mut world, &[VmState::Up], 200);
+    assert_eq!(maintained(&world).len(), 1);
+}
--- /dev/null
+++ b/crates/core/tests/jobs/world.rs
@@ -0,0 +1,344 @@
+//! An owner's scheduler with workers and a store that the test plays itself.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use jacinthhoist_core::{
+    ClockTime, DataCentre, PoolName, VmName, WorkName, WorkerId,
+    job::{
+        AnyTask, Batch, BatchRecord, CallerLimits, Effect, EndedRow, HoldReport, JobCatalogue,
+        JobId, JobPool, JobProgress, JobSpec, JobTerms, JobWork, Resources, RunningRow, Scheduler,
+        SchedulerLimits, StartReply, StepSpec, TaskEnd, TaskKey, VmEntry, VmState, WorkerEntry,
+        WorkerState,
+    },
+};
+
+/// A start that went out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Start {
+    pub(crate) worker: WorkerId,
+    pub(crate) task: TaskKey,
+    pub(crate) run: u32,
+}
+
+pub(crate) struct World {
+    pub(crate) scheduler: Scheduler,
+    pub(crate) now: ClockTime,
+    pub(crate) batches: Vec<Batch>,
+    pub(crate) starts: Vec<Start>,
+    pub(crate) stops: Vec<Start>,
+    /// Effects on VMs and waves.
+    pub(crate) orders: Vec<Effect>,
+    pub(crate) forgets: Vec<Vec<JobId>>,
+    /// What the store holds.
+    pub(crate) stored: BTreeMap<JobId, JobProgress>,
+    pub(crate) lapses: BTreeMap<WorkerId, ClockTime>,
+    ends: BTreeMap<WorkerId, u64>,
+}
+
+pub(crate) fn ms(millis: u64) -> ClockTime {
+    ClockTime::from_millis(millis)
+}
+
+pub(crate) fn worker(number: usize) -> WorkerId {
+    WorkerId::new(&format!("i-{number}"))
+}
+
+pub(crate) fn key(job: u64, step: u16, index: u16) -> TaskKey {
+    TaskKey {
+        job: JobId(job),
+        occurrence: 0,
+        step,
+        index,
+    }
+}
+
+pub(crate) fn step(count: u16) -> StepSpec {
+    StepSpec {
+        count,
+        need: Resources {
+            cpu: 1_000,
+            mem_mb: 100,
+            gpu: 0,
+        },
+        ..StepSpec::default()
+    }
+}
+
+pub(crate) fn lasting(count: u16, may_miss: u16) -> StepSpec {
+    StepSpec {
+        long_running: true,
+        may_miss,
+        max_per_worker: 1,
+        ..step(count)
+    }
+}
+
+pub(crate) fn catalogue() -> Arc<JobCatalogue> {
+    let pool = |name: &str, spare: bool| JobPool {
+        name: PoolName::new(name),
+        spare,
+        guarded: true,
+        max_connections: 64,
+    };
+    let work = |name: &str| JobWork {
+        name: WorkName::new(name),
+        host: format!("{name}.example"),
+        path_prefix: "/".to_owned(),
+        pool: PoolName::new(name),
+        priority: 0,
+        max_failures: 2,
+        stretch: 1.6,
+        objective: ms(600),
+        timeout: ms(3_000),
+        advice: None,
+    };
+    Arc::new(JobCatalogue {
+        version: 1,
+        works: vec![work("mould"), work("melt")],
+        pools: vec![
+            pool("mould", false),
+            pool("melt", false),
+            pool("spare", true),
+        ],
+        limits: CallerLimits {
+            head_bytes: 16_384,
+            body_bytes: 262_144,
+            head: ms(3_000),
+            idle: ms(15_000),
+        },
+    })
+}
+
+pub(crate) fn spec(steps: Vec<StepSpec>, now: ClockTime) -> Arc<JobSpec> {
+    Arc::new(JobSpec {
+        work: WorkName::new("mould"),
+        terms: JobTerms::example("mould"),
+        received_at: now,
+        payload: "x".into(),
+        steps,
+        repeat: None,
+    })
+}
+
+pub(crate) fn entry(pool: &str) -> WorkerEntry {
+    WorkerEntry {
+        pool: PoolName::new(pool),
+        address: "127.0.0.1:9".into(),
+        data_centre: DataCentre::new("dc-1"),
+        state: WorkerState::Ready,
+        capacity: Resources {
+            cpu: 32_000,
+            mem_mb: 131_072,
+            gpu: 0,
+        },
+        labels: ["a".into(), "r-1".into()].into_iter().collect(),
+        born: Some(1),
+    }
+}
+
+pub(crate) fn vm(number: usize, pool: &str, state: VmState) -> VmEntry {
+    VmEntry {
+        vm: VmName::new(&format!("m-{number}")),
+        pool: PoolName::new(pool),
+        state,
+        rack: None,
+        capacity: entry(pool).capacity,
+        worker: Some(worker(number)),
+    }
+}
+
+impl World {
+    /// An owner with workers of the pool `mould` that have reported.
+    pub(crate) fn open(workers: usize) -> Self {
+        let mut world = Self::bare(ms(1_000_000));
+        world.list(workers);
+        for number in 0..workers {
+            world.report(number, HoldReport::default());
+        }
+        world.step();
+        world
+    }
+
+    /// An owner that knows nothing yet.
+    pub(crate) fn bare(now: ClockTime) -> Self {
+        Self {
+            scheduler: Scheduler::open(SchedulerLimits::example(), catalogue(), now),
+            now,
+            batches: Vec::new(),
+            starts: Vec::new(),
+            stops: Vec::new(),
+            orders: Vec::new(),
+            forgets: Vec::new(),
+            stored: BTreeMap::new(),
+            lapses: BTreeMap::new(),
+            ends: BTreeMap::new(),
+        }
+    }
+
+    pub(crate) fn list(&mut self, workers: usize) {
+        let listed = (0..workers).map(|number| (worker(number), entry("mould")));
+        self.scheduler.list_workers(listed.collect(), self.now);
+    }
+
+    /// The next owner, which reads what this one has stored.
+    pub(crate) fn take_over(&self, jobs: &[(JobId, Arc<JobSpec>)], workers: usize) -> Self {
+        let mut next = Self::bare(self.now);
+        for (id, spec) in jobs {
+            let progress = self.stored.get(id).cloned().unwrap_or_default();
+            next.scheduler.restore(*id, Some(spec.clone()), &progress);
+        }
+        for (id, at) in &self.lapses {
+            next.scheduler.restore_lapse(id, *at);
+        }
+        next.stored = self.stored.clone();
+        next.lapses = self.lapses.clone();
+        next.list(workers);
+        next.step();
+        next
+    }
+
+    pub(crate) fn wait(&mut self, millis: u64) {
+        self.now = self.now + ms(millis);
+    }
+
+    /// Lets the scheduler decide; batches wait to be stored by the test.
+    pub(crate) fn step(&mut self) {
+        for effect in self.scheduler.step(self.now) {
+            self.take(effect);
+        }
+    }
+
+    fn take(&mut self, effect: Effect) {
+        match effect {
+            Effect::Store(batch) => self.batches.push(batch),
+            Effect::Start {
+                worker, task, run, ..
+            } => self.starts.push(Start { worker, task, run }),
+            Effect::Stop { worker, task, run } => self.stops.push(Start { worker, task, run }),
+            Effect::Forget(jobs) => self.forgets.push(jobs),
+            Effect::Note(_) => {}
+            order => self.orders.push(order),
+        }
+    }
+
+    /// Stores the batches that wait, and lets the scheduler go on.
+    pub(crate) fn store(&mut self) {
+        for batch in std::mem::take(&mut self.batches) {
+            for record in &batch.records {
+                match record {
+                    BatchRecord::Progress(id, progress) => {
+                        self.stored.insert(*id, progress.clone());
+                    }
+                    BatchRecord::Lapse(id, Some(at)) => {
+                        self.lapses.insert(id.clone(), *at);
+                    }
+                    BatchRecord::Lapse(id, None) => {
+                        self.lapses.remove(id);
+                    }
+                    _ => {}
+                }
+            }
+            self.scheduler.stored(batch.number, self.now);
+        }
+        self.step();
+    }
+
+    /// Steps and stores until nothing is left to store.
+    pub(crate) fn settle(&mut self) {
+        for _ in 0..6 {
+            self.wait(20);
+            self.step();
+            self.store();
+        }
+    }
+
+    pub(crate) fn accept(&mut self, id: u64, steps: Vec<StepSpec>) -> Arc<JobSpec> {
+        let spec = spec(steps, self.now);
+        self.scheduler.accept(JobId(id), spec.clone());
+        spec
+    }
+
+    /// The worker acknowledges the starts that went out to it; returns them.
+    pub(crate) fn confirm(&mut self) -> Vec<Start> {
+        let starts = std::mem::take(&mut self.starts);
+        for start in &starts {
+            self.reply(start, StartReply::Started);
+        }
+        starts
+    }
+
+    pub(crate) fn reply(&mut self, start: &Start, reply: StartReply) {
+        let Start { worker, task, run } = start;
+        self.scheduler
+            .start_replied(worker, *task, *run, reply, self.now);
+    }
+
+    pub(crate) fn report(&mut self, number: usize, report: HoldReport) {
+        let id = worker(number);
+        let asked_at = self.now;
+        self.wait(1);
+        let report = HoldReport {
+            clock: self.now.as_millis(),
+            born: report.born.or(Some(1)),
+            ..report
+        };
+        self.scheduler.report(&id, report, asked_at, self.now);
+    }
+
+    /// A report with rows for starts at work.
+    pub(crate) fn running(starts: &[Start], percent: u8) -> HoldReport {
+        let row = |start: &Start| RunningRow {
+            task: start.task,
+            run: start.run,
+            saved: None,
+            percent,
+            load: 0,
+        };
+        HoldReport {
+            running: starts.iter().map(row).collect(),
+            ..HoldReport::default()
+        }
+    }
+
+    /// Each worker reports the starts that are at work on it.
+    pub(crate) fn report_all(&mut self, starts: &[Start], workers: usize, percent: u8) {
+        for number in 0..workers {
+            let mine = starts.iter().filter(|start| start.worker == worker(number));
+            let mine: Vec<Start> = mine.cloned().collect();
+            self.report(number, Self::running(&mine, percent));
+        }
+    }
+
+    /// Ends a start on its worker.
+    pub(crate) fn end(&mut self, start: &Start, end: TaskEnd) {
+        let number = self.ends.entry(start.worker.clone()).or_default();
+        *number += 1;
+        let row = EndedRow {
+            number: *number,
+            task: start.task,
+            run: start.run,
+            end,
+            saved: None,
+        };
+        let asked_at = self.now;
+        self.wait(1);
+        let report = HoldReport {
+            clock: self.now.as_millis(),
+            born: Some(1),
+            running: Vec::new(),
+            ended: vec![row],
+        };
+        let id = start.worker.clone();
+        self.scheduler.report(&id, report, asked_at, self.now);
+    }
+
+    pub(crate) fn task(&self, task: TaskKey) -> AnyTask {
+        let job = self.scheduler.job(task.job).expect("the job is open");
+        job.task(&task).expect("the job has the task").clone()
+    }
+
+    pub(crate) fn ack(&mut self, number: usize) -> u64 {
+        let plan = self.scheduler.hold_plan(&worker(number), self.now);
+        plan.expect("the worker is known").ack
+    }
+}
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -104,7 +104,7 @@
                 continue;
             }
             takeovers += 1;
-            let token = fencing_token(place.generation, takeovers);
+            let token = takeover_token(place.generation, takeovers);
             event!(self.shared.log, Ownership, "owns": true, "token": token,
                 "owned_since": place.owned_since, "generation": place.generation);
             let reason = self.own(token).await;
@@ -141,7 +141,7 @@
 /// The token of a takeover. The group's generation rises whenever the pools change hands, so an
 /// earlier owner's token is lower; takeovers of one process under one generation follow each other
 /// below it.
-fn fencing_token(generation: u64, takeovers: u64) -> u64 {
+fn takeover_token(generation: u64, takeovers: u64) -> u64 {
     generation * TAKEOVERS_PER_GENERATION + takeovers.min(TAKEOVERS_PER_GENERATION - 1)
 }
 
