--- a/crates/scheduler/src/error.rs
+++ b/crates/scheduler/src/error.rs
@@ -24,7 +24,7 @@
             ErrorKind::Refused { .. } => Category::NotDone,
             ErrorKind::NoAnswer { .. } => Category::Unknown,
             ErrorKind::Fenced { .. } => Category::Fenced,
-            ErrorKind::OutOfOrder { .. } => Category::OutOfOrder,
+            ErrorKind::OutOfOrder => Category::OutOfOrder,
             ErrorKind::Trimmed { .. } => Category::Trimmed,
             ErrorKind::Unreadable { .. } => Category::Unreadable,
             ErrorKind::Bind { .. } => Category::Start,
