--- a/crates/core/src/job/scheduler/fleet.rs
+++ b/crates/core/src/job/scheduler/fleet.rs
@@ -23,14 +23,16 @@
 /// Time after a takeover in which workers report before VMs are moved.
 const SETTLE: ClockTime = ClockTime::from_millis(1_000);
 /// The span over which arrivals are averaged: a surge shows within half of it.
-const ARRIVAL_SPAN_MS: f64 = 1_500.0;
+const ARRIVAL_SPAN_MS: f64 = 800.0;
 /// The time within which a backlog should be worked off beside new arrivals.
-const BACKLOG_SPAN_MS: u64 = 2_000;
+const BACKLOG_SPAN_MS: u64 = 1_000;
 /// How long a VM is idle before it may go to the spare pool: a second in a pool costs about what a
 /// move costs.
 const REST: ClockTime = ClockTime::from_millis(2_000);
 /// Time after which an order on a VM that was refused or not answered is tried again.
 const ORDER_RETRY: ClockTime = ClockTime::from_millis(600);
+/// Percent of its first size that a pool keeps without a surge.
+const STANDING_PERCENT: usize = 100;
 /// How far the list of VMs may lag behind an order: the platform's list lags by less than a second.
 const LIST_LAG: ClockTime = ClockTime::from_millis(1_500);
 /// VMs that are emptied ahead of those that a wave's cap allows now.
@@ -71,6 +73,15 @@
     }
 }
 
+/// What the jobs of a pool that end have running and waiting.
+#[derive(Clone, Copy, Debug, Default)]
+struct BatchWork {
+    /// Thousandths of a core in use.
+    running: u64,
+    /// Work that has not begun, in thousandths of core-milliseconds.
+    waiting: u64,
+}
+
 /// What is known of VMs.
 #[derive(Debug)]
 pub(super) struct Fleet {
@@ -342,7 +353,7 @@
                     demand: self.demand(&pool.name),
                     capacity: 0,
                     vms: 0,
-                    standing: self.fleet.standing.get(&pool.name).copied().unwrap_or(0),
+                    standing: self.standing(&pool.name),
                     idle: Vec::new(),
                 };
                 self.count_vms(&mut view);
@@ -351,6 +362,12 @@
             .collect()
     }
 
+    /// VMs that a pool keeps without a surge.
+    fn standing(&self, pool: &PoolName) -> usize {
+        let first = self.fleet.standing.get(pool).copied().unwrap_or(0);
+        (first * STANDING_PERCENT).div_ceil(100)
+    }
+
     fn count_vms(&self, view: &mut PoolDemandView) {
         let now = self.now;
         for vm in self.fleet.vms.values() {
@@ -396,11 +413,13 @@
         })
     }
 
-    /// What a pool's work asks for, in thousandths of a core.
+    /// What a pool's work asks for, in thousandths of a core: what runs or keeps arriving, and what
+    /// waits, spread over the time in which it should be worked off.
     fn demand(&self, pool: &PoolName) -> u64 {
         let arriving = self.fleet.arrivals.get(pool);
         let rate = arriving.map_or(0.0, |rate| rate.faded(self.now) / ARRIVAL_SPAN_MS) as u64;
-        rate + self.steady_cpu(pool) + self.backlog(pool) / BACKLOG_SPAN_MS
+        let BatchWork { running, waiting } = self.batch_work(pool);
+        rate.max(running) + self.steady_cpu(pool) + waiting / BACKLOG_SPAN_MS
     }
 
     /// What long-running tasks of a pool take, in thousandths of a core.
@@ -413,20 +432,23 @@
             .sum()
     }
 
-    /// Work of a pool that is accepted and not done, in thousandths of core-milliseconds.
-    fn backlog(&self, pool: &PoolName) -> u64 {
+    /// What a pool's jobs that end have running and waiting.
+    fn batch_work(&self, pool: &PoolName) -> BatchWork {
+        let mut work = BatchWork::default();
         let mine = self.jobs.values().filter(|job| job.terms.pool == *pool);
         let batch = mine.filter(|job| !job.spec.is_long_running() && job.spec.repeat.is_none());
-        batch
-            .map(|job| {
-                let mean = self.durations.mean(&job.spec.work).as_millis();
-                let open = job.tasks().filter(|(_, task)| !task.is_over());
-                let cpu: u64 = open
-                    .map(|((_, step, _), _)| job.spec.steps[usize::from(step)].charged().cpu)
-                    .sum();
-                cpu * mean
-            })
-            .sum()
+        for job in batch {
+            let mean = self.durations.mean(&job.spec.work).as_millis();
+            for ((_, step, _), task) in job.tasks() {
+                let cpu = job.spec.steps[usize::from(step)].charged().cpu;
+                if task.placed().is_some() {
+                    work.running += cpu;
+                } else if !task.is_over() {
+                    work.waiting += cpu * mean;
+                }
+            }
+        }
+        work
     }
 
     /// Time that a pool's backlog takes on what it holds or is about to hold.
@@ -442,7 +464,7 @@
         };
         self.count_vms(&mut view);
         let free = view.capacity.saturating_sub(self.steady_cpu(pool));
-        match self.backlog(pool).checked_div(free) {
+        match self.batch_work(pool).waiting.checked_div(free) {
             Some(millis) => ClockTime::from_millis(millis),
             None => ClockTime::ZERO,
         }
