--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -220,6 +220,8 @@
     NotThere,
     /// Its VM left the pool.
     VmLeft,
+    /// It may run on, beside a copy.
+    Copied,
 }
 
 /// What a worker has become.
--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -87,6 +87,25 @@
         }
     }
 
+    /// Whether a worker's next report settles a start without an answer or a stop, so that it should
+    /// not wait.
+    pub fn wants_look(&self, id: &WorkerId) -> bool {
+        let Some(worker) = self.workers.get(id) else {
+            return false;
+        };
+        let unsettled = |key: &TaskKey| {
+            let task = self.jobs.get(&key.job).and_then(|job| job.task(key));
+            match task {
+                Some(AnyTask::Assigned(task)) => {
+                    matches!(task.phase.order, StartOrder::Unsure(_))
+                }
+                Some(AnyTask::Stopping(task)) => task.phase.acked_at.is_some(),
+                _ => false,
+            }
+        };
+        worker.silent_since.is_none() && worker.tasks.keys().any(unsettled)
+    }
+
     /// Takes over the time by which all that a worker holds lapses, as it is stored.
     pub fn restore_lapse(&mut self, id: &WorkerId, at: ClockTime) {
         let worker = self.worker_or_stub(id);
@@ -368,12 +387,12 @@
                 AnyTask::Assigned(task) => match task.phase.order {
                     StartOrder::Pending => Absent::Wait,
                     StartOrder::Inherited => Absent::Lost,
-                    StartOrder::Unsure(since) if asked_at > since => Absent::Stop,
+                    StartOrder::Unsure(since) if asked_at >= since => Absent::Stop,
                     StartOrder::Unsure(_) => Absent::Wait,
                 },
                 AnyTask::Running(task) if asked_at > task.phase.since => Absent::Lost,
                 AnyTask::Stopping(task) => match task.phase.acked_at {
-                    Some(acked_at) if asked_at > acked_at => Absent::Lost,
+                    Some(acked_at) if asked_at >= acked_at => Absent::Lost,
                     _ => Absent::Wait,
                 },
                 _ => Absent::Wait,
@@ -487,6 +506,7 @@
         for id in lapsed {
             self.lose_runs(&id, LossReason::LeaseLapsed);
         }
+        self.copy_silent();
         for id in gone {
             if let Some(worker) = self.workers.remove(&id) {
                 if worker.lapse_stored {
@@ -497,6 +517,23 @@
         }
     }
 
+    /// Lets tasks of which two copies may run start again at once when their worker falls silent.
+    fn copy_silent(&mut self) {
+        let mut copies: SmallVec<[(WorkerId, TaskKey, u32); 8]> = smallvec![];
+        let silent = self.workers.values();
+        for worker in silent.filter(|worker| worker.silent_since.is_some()) {
+            for (key, charge) in &worker.tasks {
+                let job = self.jobs.get(&key.job);
+                if job.is_some_and(|job| job.step(key).speculative) {
+                    copies.push((worker.id.clone(), *key, charge.run));
+                }
+            }
+        }
+        for (id, key, run) in copies {
+            self.lose_run(&id, key, run, LossReason::Copied);
+        }
+    }
+
     /// Stops what should not run on: runs of jobs that end, runs that stand still, and runs on
     /// workers that leave and can go on elsewhere.
     pub(super) fn stop_stragglers(&mut self) {
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -49,6 +49,8 @@
         worker: WorkerId,
         report: Option<HoldReport>,
         asked_at: ClockTime,
+        /// Whether it was a look beside the renewals.
+        look: bool,
     },
     /// A worker answered a start order.
     Started {
--- a/crates/scheduler/src/owner/engine.rs
+++ b/crates/scheduler/src/owner/engine.rs
@@ -216,8 +216,9 @@
                 worker,
                 report,
                 asked_at,
+                look,
             } => {
-                self.workers.held(&worker, report.is_some());
+                self.workers.held(&worker, report.is_some(), look);
                 match report {
                     Some(report) => scheduler.report(&worker, report, asked_at, now),
                     None => scheduler.hold_failed(&worker, now),
--- a/crates/scheduler/src/owner/notes.rs
+++ b/crates/scheduler/src/owner/notes.rs
@@ -25,6 +25,7 @@
             LossReason::WorkerRestarted => "worker_restarted",
             LossReason::NotThere => "not_there",
             LossReason::VmLeft => "vm_left",
+            LossReason::Copied => "copied",
         }),
         _ => {}
     }
--- a/crates/scheduler/src/owner/workers.rs
+++ b/crates/scheduler/src/owner/workers.rs
@@ -9,7 +9,6 @@
 use tokio::sync::{Semaphore, mpsc};
 
 use crate::{
-    error::Category,
     eventlog::event,
     meter::JobMeter,
     ports::{HoldOrder, Platform, StartOrder, WorkerLink},
@@ -20,7 +19,7 @@
 
 /// How long a worker that runs something may wait for an end before it answers: well below a
 /// lease, so that two renewals in a row may be lost.
-const HOLD_WAIT: ClockTime = ClockTime::from_millis(1_000);
+const HOLD_WAIT: ClockTime = ClockTime::from_millis(500);
 /// Shortest time between two renewals, so that ends close to each other share one.
 const HOLD_GAP: ClockTime = ClockTime::from_millis(30);
 /// Time between two looks at a worker that runs nothing.
@@ -40,6 +39,8 @@
     holding: bool,
     held_at: ClockTime,
     failed: bool,
+    /// Whether a look beside the renewal is under way.
+    looking: bool,
 }
 
 /// All workers that the engine talks to.
@@ -88,6 +89,7 @@
                         holding: false,
                         held_at: ClockTime::ZERO,
                         failed: false,
+                        looking: false,
                     };
                     self.ports.insert(worker.id.clone(), port);
                 }
@@ -97,57 +99,49 @@
         }
     }
 
-    /// Renews the leases that are due.
+    /// Renews the leases that are due, and looks at once where that settles an order.
     pub(super) fn hold_due(&mut self, scheduler: &mut Scheduler, now: ClockTime) {
         for (id, port) in &mut self.ports {
-            if port.holding {
-                continue;
-            }
-            let Some(pause) = scheduler
-                .worker(id)
-                .map(|worker| hold_pause(worker, port.failed))
-            else {
+            let Some(worker) = scheduler.worker(id) else {
                 continue;
             };
-            if now < port.held_at + pause {
+            let pause = hold_pause(worker, port.failed);
+            let idle = worker.is_empty();
+            let due = !port.holding && now >= port.held_at + pause;
+            let look = !port.looking && scheduler.wants_look(id);
+            if !due && !look {
                 continue;
             }
             let Some(plan) = scheduler.hold_plan(id, now) else {
                 continue;
             };
-            port.holding = true;
-            port.held_at = now;
-            let idle = scheduler.worker(id).is_none_or(|worker| worker.is_empty());
-            let order = hold_order(&plan, idle);
-            let (link, worker) = (port.link.clone(), id.clone());
-            let (events, token) = (self.events.clone(), self.token);
+            let order = hold_order(&plan, idle || look);
+            if look {
+                port.looking = true;
+            } else {
+                port.holding = true;
+                port.held_at = now;
+            }
             self.shared.meter.holds.increment(1);
-            tokio::spawn(async move {
-                let event = match link.hold(order, token).await {
-                    Ok(Some(report)) => OwnerEvent::Held {
-                        worker,
-                        report: Some(report),
-                        asked_at: now,
-                    },
-                    Ok(None) => OwnerEvent::Fenced("a worker has seen a later owner"),
-                    Err(error) if error.category() == Category::Fenced => {
-                        OwnerEvent::Fenced("a worker has seen a later owner")
-                    }
-                    Err(_) => OwnerEvent::Held {
-                        worker,
-                        report: None,
-                        asked_at: now,
-                    },
-                };
-                // The engine may have ended.
-                let _ = events.send(event);
-            });
+            let call = HoldCall {
+                worker: id.clone(),
+                order,
+                token: self.token,
+                asked_at: now,
+                look,
+            };
+            tokio::spawn(call.send(port.link.clone(), self.events.clone()));
         }
     }
 
-    /// A renewal has been answered, or has failed.
-    pub(super) fn held(&mut self, id: &WorkerId, answered: bool) {
-        if let Some(port) = self.ports.get_mut(id) {
+    /// A renewal or look has been answered, or has failed.
+    pub(super) fn held(&mut self, id: &WorkerId, answered: bool, look: bool) {
+        let Some(port) = self.ports.get_mut(id) else {
+            return;
+        };
+        if look {
+            port.looking = false;
+        } else {
             port.holding = false;
             port.failed = !answered;
         }
@@ -222,6 +216,38 @@
     }
 }
 
+/// One renewal or look.
+struct HoldCall {
+    worker: WorkerId,
+    order: HoldOrder,
+    token: u64,
+    asked_at: ClockTime,
+    look: bool,
+}
+
+impl HoldCall {
+    async fn send<W: WorkerLink>(self, link: Arc<W>, events: mpsc::UnboundedSender<OwnerEvent>) {
+        let fenced = OwnerEvent::Fenced("a worker has seen a later owner");
+        let report = match link.hold(self.order, self.token).await {
+            Ok(Some(report)) => Some(report),
+            Ok(None) => {
+                // The engine may have ended.
+                let _ = events.send(fenced);
+                return;
+            }
+            // The scheduler notes the worker's silence.
+            Err(_) => None,
+        };
+        // The engine may have ended.
+        let _ = events.send(OwnerEvent::Held {
+            worker: self.worker,
+            report,
+            asked_at: self.asked_at,
+            look: self.look,
+        });
+    }
+}
+
 /// Counts a start that came to nothing.
 pub(super) fn meter_start(meter: &JobMeter, reply: StartReply) {
     let reason = match reply {
