--- /dev/null
+++ b/crates/experiments/examples/jobs.rs
@@ -0,0 +1,88 @@
+//! Runs the scheduler on embedded stand-ins with jobs of both deployments and prints what became of
+//! each; one member ends in the middle.
+
+use jacinthhoist_experiments::schedule::{ScheduleFleet, wait_for};
+use jacinthhoist_fakes::{lasting_job, sample_job};
+
+/// Members of each installation.
+const MEMBERS: usize = 3;
+/// Workers of each pool.
+const WORKERS: usize = 3;
+
+/// A deployment with its pools and sample jobs.
+struct Sample {
+    name: &'static str,
+    pools: [&'static str; 2],
+    jobs: [(&'static str, &'static str, u16, &'static str); 4],
+}
+
+const SAMPLES: [Sample; 2] = [
+    Sample {
+        name: "Ballycorrig Municipal Castings Authority",
+        pools: ["moulding-desk", "melt-shop"],
+        jobs: [
+            ("pattern check", "moulding-desk", 6, "ms=200"),
+            ("pour order", "melt-shop", 8, "ms=400"),
+            ("mould cure", "moulding-desk", 2, "lasts"),
+            ("spoilt pattern", "moulding-desk", 1, "fail"),
+        ],
+    },
+    Sample {
+        name: "Fotoproef vzw",
+        pools: ["galerij", "drukwerk"],
+        jobs: [
+            ("gallery thumbnails", "galerij", 6, "ms=150"),
+            ("watermarks", "drukwerk", 8, "ms=300"),
+            ("album layout", "drukwerk", 2, "lasts"),
+            ("broken upload", "galerij", 1, "fail"),
+        ],
+    },
+];
+
+#[tokio::main]
+async fn main() {
+    for sample in &SAMPLES {
+        run(sample).await;
+    }
+}
+
+async fn run(sample: &Sample) {
+    println!("{}", sample.name);
+    let mut fleet = ScheduleFleet::spawn(&sample.pools, MEMBERS, WORKERS).await;
+    for (number, (what, pool, count, payload)) in sample.jobs.iter().enumerate() {
+        let body = if *payload == "lasts" {
+            lasting_job(*count)
+        } else {
+            sample_job(*count, payload)
+        };
+        let status = fleet
+            .submit(number % MEMBERS, pool, &id(number), &body)
+            .await;
+        println!("  {what:<20} {pool:<14} {count} tasks, handed in: {status:?}");
+    }
+    fleet.members.remove(0).kill().await;
+    println!("  a member ends");
+    fleet.wait_ready().await;
+    for (number, (what, pool, _, payload)) in sample.jobs.iter().enumerate() {
+        if *payload == "lasts" {
+            let status = fleet.cancel(0, pool, &id(number)).await;
+            println!("  {what:<20} cancelled: {status:?}");
+        }
+        wait_for(what, async || {
+            let state = fleet.show(0, pool, &id(number)).await.1;
+            matches!(state.as_str(), "completed" | "failed" | "cancelled")
+        })
+        .await;
+        let state = fleet.show(0, pool, &id(number)).await.1;
+        let done = fleet.done(&id(number)).await;
+        let twice = done.values().filter(|count| **count > 1).count();
+        println!(
+            "  {what:<20} {state}, {} tasks done, {twice} of them twice",
+            done.len()
+        );
+    }
+}
+
+fn id(number: usize) -> String {
+    format!("{:016x}", number + 1)
+}
--- a/crates/experiments/src/lib.rs
+++ b/crates/experiments/src/lib.rs
@@ -16,6 +16,7 @@
 mod process;
 mod raw;
 mod report;
+pub mod schedule;
 
 pub use caller::{CallerAnswer, CallerConnection, CallerError, WorkCaller};
 pub use fleet::{FleetPlan, LocalFleet};
--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -80,6 +80,17 @@
     }
 }
 
+/// A job of one step; what its tasks do is in the payload, see [`PoolWorker`].
+pub fn sample_job(count: u16, payload: &str) -> Value {
+    json!({"task_spec": payload, "steps": [{"count": count, "cpu": 1_000, "mem_mb": 100}]})
+}
+
+/// A job whose tasks run until it is cancelled.
+pub fn lasting_job(count: u16) -> Value {
+    let step = json!({"count": count, "cpu": 2_000, "long_running": true, "may_miss": 1});
+    json!({"task_spec": "lasts", "steps": [step]})
+}
+
 fn route(pool: &str) -> Value {
     json!({
         "name": pool,
