Refuse early only what growth cannot carry either; tell a lost dependency once

Each failed call wrote a line. Change: the drain time counts VMs that are idle elsewhere after a move; one line when a dependency is lost and one when it is regained.

--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -18,6 +18,8 @@
 pub use jobs::Job;
 pub use reports::HoldPlan;
 
+use smallvec::SmallVec;
+
 use crate::{
     clock::ClockTime,
     name::{PoolName, RackName, VmName, WorkName, WorkerId},
@@ -129,6 +131,8 @@
         work: WorkName,
         /// Its tasks.
         tasks: usize,
+        /// What it asks for beside processor and memory.
+        traits: SmallVec<[&'static str; 4]>,
     },
     /// Tasks of a job were given to workers.
     Placed {
--- a/crates/core/src/job/scheduler/fleet.rs
+++ b/crates/core/src/job/scheduler/fleet.rs
@@ -451,23 +451,28 @@
         work
     }
 
-    /// Time that a pool's backlog takes on what it holds or is about to hold.
+    /// Time that a pool's backlog takes on what it holds or is about to hold, or with all VMs that are
+    /// idle elsewhere, whichever is less.
     pub(super) fn drain_time(&self, pool: &PoolName) -> ClockTime {
-        let mut view = PoolDemandView {
-            pool: pool.clone(),
-            spare: false,
-            demand: 0,
-            capacity: 0,
-            vms: 0,
-            standing: 0,
-            idle: Vec::new(),
+        let views = self.demand_views();
+        let Some(view) = views.iter().find(|view| view.pool == *pool) else {
+            return ClockTime::ZERO;
         };
-        self.count_vms(&mut view);
+        let waiting = self.batch_work(pool).waiting;
         let free = view.capacity.saturating_sub(self.steady_cpu(pool));
-        match self.batch_work(pool).waiting.checked_div(free) {
-            Some(millis) => ClockTime::from_millis(millis),
-            None => ClockTime::ZERO,
-        }
+        let others = views.iter().filter(|view| view.pool != *pool);
+        let growth: u64 = others.flat_map(|view| &view.idle).map(|vm| vm.cpu).sum();
+        let now_held = waiting.checked_div(free).map(ClockTime::from_millis);
+        let grown = waiting
+            .checked_div(free + growth)
+            .map(ClockTime::from_millis);
+        let grown = grown.map(|drain| drain + self.limits.move_time);
+        // Without any worker known, as just after a takeover, nothing can be said.
+        now_held
+            .into_iter()
+            .chain(grown)
+            .min()
+            .unwrap_or(ClockTime::ZERO)
     }
 
     fn go_on_with_waves(&mut self) {
--- a/crates/core/src/job/scheduler/jobs.rs
+++ b/crates/core/src/job/scheduler/jobs.rs
@@ -222,6 +222,7 @@
             job.ending = Some(JobState::Cancelled);
         }
         let (work, tasks) = (job.spec.work.clone(), job.tasks().count());
+        let traits = job.spec.traits();
         self.count_arrival(&job);
         self.jobs.insert(id, job);
         self.outbox.touch(id);
@@ -229,6 +230,7 @@
             job: id,
             work,
             tasks,
+            traits,
         });
     }
 
--- a/crates/core/src/job/spec.rs
+++ b/crates/core/src/job/spec.rs
@@ -303,6 +303,24 @@
         require(small, "count", "ask for at most 10,000 tasks in all")
     }
 
+    /// What its steps ask for beside processor and memory, for logs.
+    pub fn traits(&self) -> SmallVec<[&'static str; 4]> {
+        let asks: [(&'static str, fn(&StepSpec) -> bool); 10] = [
+            ("long_running", |step| step.long_running),
+            ("fills", |step| step.fills),
+            ("latency_target", |step| step.target > ClockTime::ZERO),
+            ("checkpoints", |step| step.checkpoints),
+            ("speculative", |step| step.speculative),
+            ("gang", |step| step.gang),
+            ("rack", |step| step.rack_local || step.affinity.is_some()),
+            ("label", |step| step.requires.is_some()),
+            ("spread", |step| step.max_per_worker > 0),
+            ("may_miss", |step| step.may_miss > 0),
+        ];
+        let asked = asks.iter().filter(|(_, has)| self.steps.iter().any(has));
+        asked.map(|(name, _)| *name).collect()
+    }
+
     /// Whether it only ends by being cancelled.
     pub fn is_long_running(&self) -> bool {
         self.steps.iter().any(|step| step.long_running)
--- a/crates/scheduler/src/accept.rs
+++ b/crates/scheduler/src/accept.rs
@@ -7,8 +7,8 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::{
+    dependency::Dependency,
     error::Category,
-    eventlog::event,
     ports::{Platform, StoreStream, WriterMark},
     shared::MemberShared,
 };
@@ -100,6 +100,7 @@
             let stream = StoreStream::Accepted;
             let appended = self.platform.append(stream, &self.mark, records).await;
             self.shared.meter.appends.increment(1);
+            self.shared.note_call(Dependency::JobAppends, &appended);
             let Err(error) = appended else {
                 self.mark.seq += 1;
                 let took = self.shared.clock.now() - began;
@@ -127,14 +128,8 @@
     }
 
     fn note_store(&mut self, stored: Stored) {
-        let was_lost = self.lost_at.is_some();
         self.lost_at = (stored != Stored::Yes).then(|| self.shared.clock.now());
-        let is_lost = self.lost_at.is_some();
-        if is_lost != was_lost {
-            event!(self.shared.log, Dependency, "name": "store, appends of jobs", "lost": is_lost,
-                "outcome": format!("{stored:?}"));
-        }
-        if !is_lost {
+        if stored == Stored::Yes {
             self.shared.saw_store();
         }
     }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod accept;
 mod caller;
+mod dependency;
 mod error;
 mod eventlog;
 mod member;
--- a/crates/scheduler/src/membership.rs
+++ b/crates/scheduler/src/membership.rs
@@ -6,7 +6,7 @@
 use tokio::{sync::watch, time::sleep};
 
 use crate::{
-    eventlog::event,
+    dependency::Dependency,
     ports::{Membership, Platform},
     shared::MemberShared,
 };
@@ -44,27 +44,16 @@
     place: watch::Sender<Place>,
 ) {
     let member = shared.identity.member_key();
-    let mut lost = false;
     while !shared.is_stopping() {
         let known = *place.borrow();
         // The call's own time counts against its answer: it may be old when it arrives.
         let asked_at = shared.clock.now();
-        match platform.join(&member, known.generation).await {
-            Ok(heard) => {
-                shared.saw_store();
-                note(&shared, &mut lost, None);
-                place.send_replace(known.follow(heard, asked_at));
-            }
-            Err(error) => note(&shared, &mut lost, Some(error.to_string())),
+        let joined = platform.join(&member, known.generation).await;
+        shared.note_call(Dependency::Membership, &joined);
+        if let Ok(heard) = joined {
+            shared.saw_store();
+            place.send_replace(known.follow(heard, asked_at));
         }
         sleep(JOIN_PAUSE).await;
     }
 }
-
-fn note(shared: &MemberShared, lost: &mut bool, error: Option<String>) {
-    if error.is_some() != *lost {
-        *lost = error.is_some();
-        event!(shared.log, Dependency, "name": "store, membership", "lost": *lost,
-            "error": error);
-    }
-}
--- a/crates/scheduler/src/operator.rs
+++ b/crates/scheduler/src/operator.rs
@@ -9,7 +9,8 @@
 use tokio::{sync::watch, time::sleep};
 
 use crate::{
-    error::{Category, Error},
+    dependency::Dependency,
+    error::Category,
     eventlog::event,
     ports::{OperatorItem, Platform},
     shared::MemberShared,
@@ -28,7 +29,6 @@
     platform: Arc<P>,
     shared: Arc<MemberShared>,
     waves: watch::Sender<WaveBook>,
-    lost: bool,
 }
 
 impl<P: Platform> OperatorTask<P> {
@@ -41,21 +41,20 @@
             platform,
             shared,
             waves,
-            lost: false,
         }
     }
 
-    pub(crate) async fn run(mut self) {
+    pub(crate) async fn run(self) {
         let mut next = None;
         loop {
             let read = match next {
                 None => self.platform.operator_newest().await,
                 Some(from) => self.platform.operator_read(from, READ_WAIT).await,
             };
+            self.shared.note_call(Dependency::OperatorEntries, &read);
             match read {
                 Ok(page) => {
                     self.shared.saw_store();
-                    self.note(None);
                     next = Some(page.next);
                     page.items.into_iter().for_each(|item| self.take(item));
                 }
@@ -63,7 +62,6 @@
                     if error.category() == Category::Trimmed {
                         next = None;
                     }
-                    self.note(Some(error));
                     sleep(RETRY_PAUSE).await;
                 }
             }
@@ -98,13 +96,4 @@
             "works": catalogue.works.len(), "pools": catalogue.pools.len());
         self.shared.catalogue.store(Some(catalogue));
     }
-
-    fn note(&mut self, error: Option<Error>) {
-        let lost = error.is_some();
-        if lost != self.lost {
-            self.lost = lost;
-            event!(self.shared.log, Dependency, "name": "store, operators' entries", "lost": lost,
-                "error": error.map(|error| error.to_string()));
-        }
-    }
 }
--- a/crates/scheduler/src/owner/notes.rs
+++ b/crates/scheduler/src/owner/notes.rs
@@ -33,9 +33,15 @@
 
 fn write(log: &EventLog, note: JobNote) {
     let (kind, fields) = match note {
-        JobNote::Taken { job, work, tasks } => (
+        JobNote::Taken {
+            job,
+            work,
+            tasks,
+            traits,
+        } => (
             EventKind::JobTaken,
-            json!({"job": job.to_string(), "work": work.as_str(), "tasks": tasks}),
+            json!({"job": job.to_string(), "work": work.as_str(), "tasks": tasks,
+                "traits": traits.as_slice()}),
         ),
         JobNote::Placed { job, tasks, left } => (
             EventKind::Placed,
--- a/crates/scheduler/src/owner/perform.rs
+++ b/crates/scheduler/src/owner/perform.rs
@@ -10,6 +10,7 @@
 use tokio::{sync::mpsc, task::JoinSet, time::sleep};
 
 use crate::{
+    dependency::Dependency,
     error::Category,
     eventlog::event,
     ports::{Platform, StartOrder, StoreStream, WriterMark},
@@ -20,7 +21,6 @@
     OwnerEvent,
     load::{OWNER_PRODUCER, is_fenced},
     notes::log_note,
-    sources::note_failure,
     workers::WorkerPorts,
 };
 
@@ -108,12 +108,11 @@
         let (platform, shared) = (self.platform.clone(), self.shared.clone());
         let events = self.events.clone();
         self.calls.spawn(async move {
-            match platform.list_vms().await {
-                Ok(vms) => {
-                    // The engine may have ended.
-                    let _ = events.send(OwnerEvent::Vms { vms, asked_at });
-                }
-                Err(error) => note_failure(&shared, "list of VMs", &error),
+            let listed = platform.list_vms().await;
+            shared.note_call(Dependency::VmList, &listed);
+            if let Ok(vms) = listed {
+                // The engine may have ended.
+                let _ = events.send(OwnerEvent::Vms { vms, asked_at });
             }
         });
     }
@@ -163,15 +162,14 @@
             let began = shared.clock.now();
             let event = loop {
                 shared.meter.appends.increment(1);
-                match platform.append(stream, &mark, &records).await {
+                let appended = platform.append(stream, &mark, &records).await;
+                shared.note_call(Dependency::Progress, &appended);
+                match appended {
                     Ok(()) => break done,
                     Err(error) if is_fenced(&error) => {
                         break OwnerEvent::Fenced("the store has seen a later owner");
                     }
-                    Err(error) => {
-                        shared.meter.append_retries.increment(1);
-                        note_failure(&shared, "store, progress", &error);
-                    }
+                    Err(_) => shared.meter.append_retries.increment(1),
                 }
                 sleep(APPEND_PAUSE).await;
             };
@@ -208,7 +206,7 @@
         let (platform, shared) = (self.platform.clone(), self.shared.clone());
         self.calls.spawn(async move {
             while let Err(error) = platform.write_wave(wave, completed).await {
-                note_failure(&shared, "store, wave status", &error);
+                shared.note_failure(Dependency::WaveStatus, &error);
                 if error.category() == Category::Fenced {
                     return;
                 }
--- a/crates/scheduler/src/owner/sources.rs
+++ b/crates/scheduler/src/owner/sources.rs
@@ -6,7 +6,8 @@
 use tokio::{sync::mpsc, time::sleep};
 
 use crate::{
-    error::{Category, Error, Result},
+    dependency::Dependency,
+    error::{Category, Result},
     eventlog::event,
     ports::{Platform, ReadPage, StoreStream, WorkerItem},
     shared::MemberShared,
@@ -41,6 +42,7 @@
                 page.items
             })
         };
+        shared.note_call(Dependency::AcceptedJobs, &read);
         match read {
             Ok(records) => {
                 gap = false;
@@ -52,7 +54,6 @@
             }
             Err(error) => {
                 gap = error.category() == Category::Trimmed;
-                note_failure(&shared, "store, accepted jobs", &error);
                 sleep(RETRY_PAUSE).await;
             }
         }
@@ -85,7 +86,9 @@
 ) {
     loop {
         sleep(WORKERS_PACE).await;
-        match platform.workers_read(next).await {
+        let read = platform.workers_read(next).await;
+        shared.note_call(Dependency::WorkerEntries, &read);
+        match read {
             Ok(page) => {
                 next = page.next;
                 for item in page.items {
@@ -107,7 +110,8 @@
                     return;
                 }
             }
-            Err(error) => note_failure(&shared, "store, workers", &error),
+            // Noted above; the next round tries again.
+            Err(_) => {}
         }
     }
 }
@@ -129,9 +133,7 @@
     shared: &MemberShared,
 ) -> Result<ReadPage<WorkerItem>> {
     let page = platform.workers_newest().await;
-    if let Err(error) = &page {
-        note_failure(shared, "store, workers", error);
-    }
+    shared.note_call(Dependency::WorkerEntries, &page);
     page
 }
 
@@ -148,7 +150,3 @@
     }
     listed
 }
-
-pub(super) fn note_failure(shared: &MemberShared, name: &str, error: &Error) {
-    event!(shared.log, Dependency, "name": name, "lost": true, "error": error.to_string());
-}
--- a/crates/scheduler/src/shared.rs
+++ b/crates/scheduler/src/shared.rs
@@ -16,7 +16,14 @@
 use jacinthhoist_net::BootClock;
 use tokio::sync::{mpsc, watch};
 
-use crate::{eventlog::EventLog, member::MemberIdentity, meter::JobMeter, owner::OwnerEvent};
+use crate::{
+    dependency::{Dependency, DependencyBook},
+    error::{Error, Result},
+    eventlog::EventLog,
+    member::MemberIdentity,
+    meter::JobMeter,
+    owner::OwnerEvent,
+};
 
 /// The load of each kind of work.
 pub(crate) type LoadTable = BTreeMap<WorkName, WorkLoad>;
@@ -27,6 +34,7 @@
     pub(crate) clock: BootClock,
     pub(crate) log: Arc<EventLog>,
     pub(crate) meter: JobMeter,
+    dependencies: DependencyBook,
     /// The newest catalogue; none before the first was read.
     pub(crate) catalogue: ArcSwapOption<JobCatalogue>,
     /// The owner's newest word on loads.
@@ -48,6 +56,7 @@
             clock: BootClock::open(),
             log,
             meter: JobMeter::open(),
+            dependencies: DependencyBook::open(),
             catalogue: ArcSwapOption::empty(),
             loads: ArcSwap::from_pointee(LoadTable::new()),
             loads_at: AtomicU64::new(0),
@@ -72,6 +81,17 @@
         (load.unwrap_or_default(), self.clock.now() - told_at)
     }
 
+    /// Notes how a call to a dependency ended.
+    pub(crate) fn note_call<T>(&self, dependency: Dependency, outcome: &Result<T>) {
+        self.dependencies.note(&self.log, dependency, outcome);
+    }
+
+    /// Notes that a dependency failed.
+    pub(crate) fn note_failure(&self, dependency: Dependency, error: &Error) {
+        self.dependencies
+            .note_error(&self.log, dependency, Some(error));
+    }
+
     /// The store has just answered.
     pub(crate) fn saw_store(&self) {
         let now = self.clock.now().as_millis();
