Place gangs as a whole; ask the policy service before placing where it has the last word

Cause: unseen deployments may bring gangs (a member placed alone ends alone: GANG) and queues with advice (a start without a ticket is refused for ever). Change: a gang is placed as a whole under one run number and one saved progress, stopped as a whole when a member has no run, done by one end, failed once a run; a step with advice is placed on permitted workers only, asked about one question at a time, permits kept for their time. rack_local prefers the first member's rack.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -38,7 +38,7 @@
     SchedulerLimits, TaskMark, VmEntry, VmState, WorkerChange,
 };
 pub use spec::{
-    JobError, JobId, JobSpec, JobState, JobTerms, RepeatPlan, Resources, StepSpec, TaskKey,
+    JobError, JobId, JobSpec, JobState, JobTerms, RepeatPlan, Resources, StepKey, StepSpec, TaskKey,
 };
 pub use task::{AnyTask, Assigned, Running, StartOrder, Stopping, TaskEnd, TaskRun, Waiting};
 pub use wave::{Wave, WaveProgress, WaveRequest, WaveTable};
--- a/crates/core/src/job/place.rs
+++ b/crates/core/src/job/place.rs
@@ -3,7 +3,10 @@
 //! Fills the fullest worker that still has room, so that whole VMs stay empty: those can move to
 //! another pool or have their maintenance at no cost.
 
-use crate::{clock::ClockTime, name::WorkerId};
+use crate::{
+    clock::ClockTime,
+    name::{RackName, WorkerId},
+};
 
 use super::{
     spec::{Resources, StepSpec, TaskKey},
@@ -19,6 +22,8 @@
     pub step: &'a StepSpec,
     /// The worker on which it failed last, which is avoided while another will do.
     pub avoid: Option<&'a WorkerId>,
+    /// The rack on which others of its step run, where that makes it faster.
+    pub beside: Option<&'a RackName>,
 }
 
 /// The worker that suits a task best, if one has room.
@@ -34,7 +39,13 @@
         .map(|worker| worker.id.clone())
 }
 
-fn suits(request: &PlaceRequest<'_>, worker: &Worker, need: &Resources, now: ClockTime) -> bool {
+/// Whether a worker could run a task now.
+pub(super) fn suits(
+    request: &PlaceRequest<'_>,
+    worker: &Worker,
+    need: &Resources,
+    now: ClockTime,
+) -> bool {
     let step = request.step;
     let label = |wanted: &str| worker.entry.labels.iter().any(|label| &**label == wanted);
     worker.takes_work(now)
@@ -64,9 +75,8 @@
 
 /// The lesser is the better: the task's rack, not where it failed, then the fullest.
 fn preference(request: &PlaceRequest<'_>, worker: &Worker, need: &Resources) -> (bool, bool, u64) {
-    let rack = request.step.affinity.as_ref().map(|rack| rack.as_str());
-    let label = |wanted: &str| worker.entry.labels.iter().any(|label| &**label == wanted);
-    let far = rack.is_some_and(|rack| !label(rack));
+    let rack = request.step.affinity.as_ref().or(request.beside);
+    let far = rack.is_some_and(|rack| worker.entry.rack.as_ref() != Some(rack));
     let avoided = request.avoid == Some(&worker.id);
     let left = worker.entry.capacity.cpu - worker.used.cpu - need.cpu;
     (far, avoided, left)
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -6,7 +6,9 @@
 
 mod batch;
 mod fleet;
+mod gang;
 mod jobs;
+mod permits;
 mod reports;
 
 use std::{
@@ -29,7 +31,7 @@
     admit::WorkLoad,
     catalogue::JobCatalogue,
     order::DurationTable,
-    spec::{JobId, JobState, Resources, TaskKey},
+    spec::{JobId, JobState, Resources, StepKey, TaskKey},
     task::TaskEnd,
     wave::WaveTable,
     worker::{StartReply, Worker},
@@ -83,6 +85,15 @@
         saved: Option<Arc<str>>,
         /// Until when it may run unless renewed, on the worker's clock.
         lease_until: Option<u64>,
+        /// The policy service's permit.
+        permit: Option<Arc<str>>,
+    },
+    /// Ask the policy service which workers may run a step, then report [`Scheduler::advised`].
+    Advise {
+        /// The step.
+        step: StepKey,
+        /// The workers.
+        workers: Vec<WorkerId>,
     },
     /// Tell a worker to stop a task.
     Stop {
@@ -302,6 +313,7 @@
     durations: DurationTable,
     fleet: fleet::Fleet,
     waves: WaveTable,
+    permits: permits::PermitBook,
     outbox: batch::Outbox,
     effects: Vec<Effect>,
     in_touch: bool,
@@ -323,6 +335,7 @@
             durations: DurationTable::default(),
             fleet: fleet::Fleet::open(now),
             waves: WaveTable::default(),
+            permits: permits::PermitBook::default(),
             outbox: batch::Outbox::default(),
             effects: Vec::new(),
             in_touch: true,
--- a/crates/core/src/job/scheduler/batch.rs
+++ b/crates/core/src/job/scheduler/batch.rs
@@ -331,6 +331,7 @@
                 .workers
                 .get_mut(&worker)
                 .and_then(|known| known.lease.extend(hold_max, now)),
+            permit: self.permits.find(task.into(), &worker, now),
             worker,
         };
         self.effects.push(start);
--- a/crates/core/src/job/scheduler/jobs.rs
+++ b/crates/core/src/job/scheduler/jobs.rs
@@ -8,12 +8,12 @@
     clock::ClockTime,
     job::{
         order::JobUrgency,
-        place::{PlaceRequest, choose_worker},
-        spec::{JobId, JobSpec, JobState, JobTerms, StepSpec, TaskKey},
+        place::{PlaceRequest, choose_worker, suits},
+        spec::{JobId, JobSpec, JobState, JobTerms, StepKey, StepSpec, TaskKey},
         task::{AnyTask, TaskRun},
         worker::TaskCharge,
     },
-    name::{PoolName, WorkerId},
+    name::{PoolName, RackName, WorkerId},
 };
 
 use super::{Effect, FinalJob, JobNote, JobProgress, Scheduler};
@@ -67,6 +67,8 @@
     /// The terms that hold for it now.
     pub terms: JobTerms,
     failed_on: SmallVec<[(TaskKey, WorkerId); 2]>,
+    /// Runs of gangs whose failure has been counted.
+    pub(super) failed_gangs: SmallVec<[(StepKey, u32); 1]>,
 }
 
 impl Job {
@@ -329,6 +331,7 @@
             ending: None,
             terms,
             failed_on: SmallVec::new(),
+            failed_gangs: SmallVec::new(),
             spec,
         }
     }
@@ -432,22 +435,26 @@
             .collect()
     }
 
-    /// Places what it can of a job; returns the tasks that found no room, up to one a step.
+    /// Places what it can of a job; returns how many of its steps found no room.
     fn place_job(&mut self, id: JobId, pool: &PoolName) -> usize {
-        let now = self.now;
         let Some(job) = self.jobs.get(&id) else {
             return 0;
         };
-        let keys = job.startable(id, now);
-        let (mut placed, mut full_steps) = (0, SmallVec::<[u16; 4]>::new());
+        let keys = job.startable(id, self.now);
+        let (mut placed, mut full_steps) = (0, SmallVec::<[StepKey; 4]>::new());
         for key in &keys {
-            if full_steps.contains(&key.step) {
+            let step = StepKey::from(*key);
+            if full_steps.contains(&step) {
                 continue;
             }
-            if self.place_task(*key, pool) {
-                placed += 1;
+            let done = if self.is_gang(step) {
+                self.place_gang(step, pool)
             } else {
-                full_steps.push(key.step);
+                usize::from(self.place_task(*key, pool))
+            };
+            placed += done;
+            if done == 0 {
+                full_steps.push(step);
             }
         }
         if placed > 0 {
@@ -463,24 +470,11 @@
 
     fn place_task(&mut self, key: TaskKey, pool: &PoolName) -> bool {
         let now = self.now;
-        let Some(job) = self.jobs.get_mut(&key.job) else {
+        let Some(id) = self.find_worker(key, pool, None) else {
             return false;
         };
-        let step = job.step(&key).clone();
-        let failed_on = job.failed_on.iter().find(|(task, _)| *task == key);
-        let request = PlaceRequest {
-            task: key,
-            step: &step,
-            avoid: failed_on.map(|(_, worker)| worker),
-        };
-        let workers = self
-            .workers
-            .values()
-            .filter(|worker| worker.entry.pool == *pool);
-        let Some(id) = choose_worker(&request, workers, now) else {
-            return false;
-        };
-        let Some(slot) = job.task_mut(&key) else {
+        let job = self.jobs.get_mut(&key.job);
+        let Some(slot) = job.and_then(|job| job.task_mut(&key)) else {
             return false;
         };
         let AnyTask::Waiting(task) = slot.clone() else {
@@ -489,10 +483,56 @@
         let assigned = task.assign(id.clone(), now);
         let run = assigned.run;
         *slot = AnyTask::Assigned(assigned);
-        if let Some(worker) = self.workers.get_mut(&id) {
-            worker.charge(key, TaskCharge::of(&step, run));
-        }
+        self.charge(&id, key, run);
         self.outbox.order(key, run);
         true
     }
+
+    /// The worker that suits a task best. Where a policy service has the last word it is one that
+    /// the service permits; where there is none, the service is asked about more.
+    pub(super) fn find_worker(
+        &mut self,
+        key: TaskKey,
+        pool: &PoolName,
+        beside: Option<&RackName>,
+    ) -> Option<WorkerId> {
+        let now = self.now;
+        let job = self.jobs.get(&key.job)?;
+        let failed_on = job.failed_on.iter().find(|(task, _)| *task == key);
+        let request = PlaceRequest {
+            task: key,
+            step: job.step(&key),
+            avoid: failed_on.map(|(_, worker)| worker),
+            beside,
+        };
+        let workers = self.workers.values();
+        let mine = workers.filter(|worker| worker.entry.pool == *pool);
+        if !job.terms.advised {
+            return choose_worker(&request, mine, now);
+        }
+        let step = StepKey::from(key);
+        let permits = &self.permits;
+        let permitted = mine.filter(|worker| permits.allows(step, &worker.id, now));
+        let found = choose_worker(&request, permitted, now);
+        if found.is_none() {
+            let need = request.step.charged();
+            let workers = self.workers.values();
+            let mine = workers.filter(|worker| worker.entry.pool == *pool);
+            let able = mine.filter(|worker| suits(&request, worker, &need, now));
+            let able = able.map(|worker| worker.id.clone()).collect();
+            self.effects.extend(self.permits.ask(step, able, now));
+        }
+        found
+    }
+
+    /// Counts a run against its worker's capacity.
+    pub(super) fn charge(&mut self, id: &WorkerId, key: TaskKey, run: u32) {
+        let Some(job) = self.jobs.get(&key.job) else {
+            return;
+        };
+        let charge = TaskCharge::of(job.step(&key), run);
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.charge(key, charge);
+        }
+    }
 }
--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -216,6 +216,7 @@
         }
         match reply {
             StartReply::Unhealthy => self.worker_failed(id, true),
+            StartReply::NoPermit => self.permits.void(key.into(), id),
             StartReply::NoRoom | StartReply::WrongLife => {
                 if let Some(worker) = self.workers.get_mut(id) {
                     worker.suspend(now);
@@ -302,19 +303,31 @@
         if slot.is_over() || (slot.run() != row.run && row.end != TaskEnd::Done) {
             return;
         }
+        let end = if job.step(&row.task).gang {
+            self.end_gang(row.task, row.run, row.end)
+        } else {
+            row.end
+        };
+        let job = self.jobs.get_mut(&row.task.job);
+        let Some(job) = job else {
+            return;
+        };
+        let Some(slot) = job.task_mut(&row.task) else {
+            return;
+        };
         let first = slot.failures() == 0;
         if let AnyTask::Running(task) = &*slot
-            && row.end == TaskEnd::Done
+            && end == TaskEnd::Done
         {
             self.durations.learn(&work, now - task.phase.since);
         }
         if let Some(saved) = &row.saved {
             slot.save(saved.clone());
         }
-        *slot = slot.clone().ended(row.end, max_failures);
+        *slot = slot.clone().ended(end, max_failures);
         let failures = slot.failures();
         self.outbox.touch(row.task.job);
-        match row.end {
+        match end {
             TaskEnd::Done => {
                 if let Some(worker) = self.workers.get_mut(id) {
                     worker.succeeded();
@@ -331,7 +344,7 @@
             task: row.task,
             run: row.run,
             worker: id.clone(),
-            end: row.end,
+            end,
             failures,
         });
     }
@@ -565,10 +578,11 @@
                         if stuck {
                             hung.push(worker.id.clone());
                         }
-                        stuck || leaves || job.ending.is_some()
+                        stuck || leaves || job.ending.is_some() || job.is_alone(key)
                     }
                     AnyTask::Assigned(task) => {
-                        job.ending.is_some() && task.phase.order != StartOrder::Inherited
+                        (job.ending.is_some() || job.is_alone(key))
+                            && task.phase.order != StartOrder::Inherited
                     }
                     _ => false,
                 };
@@ -602,6 +616,7 @@
                 state: WorkerState::Draining,
                 capacity: Resources::default(),
                 labels: SmallVec::new(),
+                rack: None,
                 born: None,
             };
             let mut stub = Worker::listed(id.clone(), entry, lease);
--- a/crates/core/src/job/spec.rs
+++ b/crates/core/src/job/spec.rs
@@ -92,6 +92,44 @@
     }
 }
 
+/// One step of one repetition of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StepKey {
+    /// The job.
+    pub job: JobId,
+    /// Which repetition of the steps, from 0.
+    pub occurrence: u32,
+    /// Which step, from 0.
+    pub step: u16,
+}
+
+impl From<TaskKey> for StepKey {
+    fn from(task: TaskKey) -> Self {
+        let TaskKey {
+            job,
+            occurrence,
+            step,
+            ..
+        } = task;
+        Self {
+            job,
+            occurrence,
+            step,
+        }
+    }
+}
+
+impl fmt::Display for StepKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            job,
+            occurrence,
+            step,
+        } = self;
+        write!(f, "{job}.{occurrence}.{step}")
+    }
+}
+
 /// Processor, memory and accelerators.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Resources {
@@ -218,6 +256,9 @@
     pub stretch: f64,
     /// What the objective adds to that.
     pub objective: ClockTime,
+    /// Whether a policy service has the last word on workers.
+    #[serde(default, skip_serializing_if = "unset")]
+    pub advised: bool,
 }
 
 impl JobTerms {
@@ -229,6 +270,7 @@
             max_failures: work.max_failures,
             stretch: work.stretch,
             objective: work.objective,
+            advised: work.advice.is_some(),
         }
     }
 
@@ -240,6 +282,7 @@
             max_failures: 2,
             stretch: 1.6,
             objective: ClockTime::from_millis(600),
+            advised: false,
         }
     }
 }
--- a/crates/core/src/job/task.rs
+++ b/crates/core/src/job/task.rs
@@ -113,6 +113,23 @@
         })
     }
 
+    /// Gives it the run that all members of its gang share, with their number and saved progress.
+    pub fn assign_gang(
+        mut self,
+        worker: WorkerId,
+        run: u32,
+        saved: Option<Arc<str>>,
+        now: ClockTime,
+    ) -> TaskRun<Assigned> {
+        self.run = run;
+        self.saved = saved;
+        self.turn(Assigned {
+            worker,
+            since: now,
+            order: StartOrder::Pending,
+        })
+    }
+
     /// Takes over a recorded run of a worker.
     pub fn adopt(self, worker: WorkerId, now: ClockTime) -> TaskRun<Assigned> {
         self.turn(Assigned {
@@ -253,6 +270,17 @@
         }
     }
 
+    /// Takes over how often its gang has failed.
+    pub fn set_failures(&mut self, failures: u8) {
+        match self {
+            Self::Waiting(task) => task.failures = failures,
+            Self::Assigned(task) => task.failures = failures,
+            Self::Running(task) => task.failures = failures,
+            Self::Stopping(task) => task.failures = failures,
+            Self::Done { .. } | Self::Spent { .. } => {}
+        }
+    }
+
     /// Keeps newer saved progress.
     pub fn save(&mut self, saved: Arc<str>) {
         let slot = match self {
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     clock::ClockTime,
-    name::{DataCentre, PoolName, VmName, WorkerId},
+    name::{DataCentre, PoolName, RackName, VmName, WorkerId},
 };
 
 use super::{
@@ -43,8 +43,10 @@
     pub state: WorkerState,
     /// What it has.
     pub capacity: Resources,
-    /// Its kind and its rack.
+    /// Its labels, among them its kind and its rack.
     pub labels: SmallVec<[Arc<str>; 2]>,
+    /// Its rack, where its labels tell.
+    pub rack: Option<RackName>,
     /// When it started, by its own clock; tells two lives under one id apart.
     pub born: Option<u64>,
 }
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -1,6 +1,7 @@
 //! Decisions on jobs: what is stored before what, what a takeover proves, who runs where.
 
 mod fleet;
+mod placing;
 mod world;
 
 use jacinthhoist_core::{
--- a/crates/core/tests/jobs/world.rs
+++ b/crates/core/tests/jobs/world.rs
@@ -132,6 +132,7 @@
             gpu: 0,
         },
         labels: ["a".into(), "r-1".into()].into_iter().collect(),
+        rack: None,
         born: Some(1),
     }
 }
--- a/crates/scheduler/src/dependency.rs
+++ b/crates/scheduler/src/dependency.rs
@@ -35,6 +35,7 @@
     WorkerEntries => ("store: workers' entries", "The owner's read of workers."),
     Progress => ("store: progress", "The owner's appends."),
     WaveStatus => ("store: wave status", "What operators read of waves."),
+    Policy => ("policy service", "Which workers may run a step."),
     VmList => ("list of VMs", "The list of VMs."),
 }
 
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -25,7 +25,11 @@
 };
 
 use crate::{
-    eventlog::event, membership::Place, operator::WaveBook, ports::Platform, shared::MemberShared,
+    eventlog::event,
+    membership::Place,
+    operator::WaveBook,
+    ports::{Platform, StepAdvice},
+    shared::MemberShared,
 };
 
 use engine::OwnerEngine;
@@ -70,6 +74,8 @@
     Stored(u64),
     /// The bodies of these jobs have left the store.
     Forgotten(Vec<JobId>),
+    /// The policy service answered; none where it did not.
+    Advised(Option<StepAdvice>),
     /// The list of VMs.
     Vms {
         vms: Vec<VmEntry>,
--- a/crates/scheduler/src/owner/perform.rs
+++ b/crates/scheduler/src/owner/perform.rs
@@ -4,8 +4,8 @@
 
 use jacinthhoist_codec::{KeyedRecord, encode_forget, encode_progress};
 use jacinthhoist_core::{
-    ClockTime, VmName,
-    job::{Batch, Effect, JobId, OrderReply},
+    ClockTime, VmName, WorkerId,
+    job::{Batch, Effect, JobId, OrderReply, StepKey},
 };
 use tokio::{sync::mpsc, task::JoinSet, time::sleep};
 
@@ -70,6 +70,7 @@
                 payload,
                 saved,
                 lease_until,
+                permit,
             } => {
                 let order = StartOrder {
                     task,
@@ -77,9 +78,11 @@
                     payload,
                     saved,
                     lease_until,
+                    permit,
                 };
                 workers.start(worker, order);
             }
+            Effect::Advise { step, workers } => self.advise(step, workers),
             Effect::Stop { worker, task, run } => workers.stop(worker, task, run),
             Effect::Forget(jobs) => self.forget(jobs),
             Effect::Move { vm, to } => {
@@ -103,6 +106,17 @@
         }
     }
 
+    fn advise(&mut self, step: StepKey, workers: Vec<WorkerId>) {
+        let (platform, shared) = (self.platform.clone(), self.shared.clone());
+        let events = self.events.clone();
+        self.calls.spawn(async move {
+            let advice = platform.advise(step, &workers).await;
+            shared.note_call(Dependency::Policy, &advice);
+            // The engine may have ended.
+            let _ = events.send(OwnerEvent::Advised(advice.ok()));
+        });
+    }
+
     /// Reads the list of VMs.
     pub(super) fn list_vms(&mut self, asked_at: ClockTime) {
         let (platform, shared) = (self.platform.clone(), self.shared.clone());
--- a/crates/scheduler/src/ports.rs
+++ b/crates/scheduler/src/ports.rs
@@ -6,7 +6,7 @@
 use jacinthhoist_core::{
     ClockTime, PoolName, VmName, WorkerId,
     job::{
-        HoldReport, JobCatalogue, OrderReply, StartReply, TaskKey, VmEntry, WaveRequest,
+        HoldReport, JobCatalogue, OrderReply, StartReply, StepKey, TaskKey, VmEntry, WaveRequest,
         WorkerEntry,
     },
 };
@@ -103,6 +103,17 @@
     pub saved: Option<Arc<str>>,
     /// Until when it may run unless renewed, on the worker's clock.
     pub lease_until: Option<u64>,
+    /// The policy service's permit.
+    pub permit: Option<Arc<str>>,
+}
+
+/// Workers that may run a step, with their permits.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StepAdvice {
+    /// The workers with their permits.
+    pub good: Vec<(WorkerId, Arc<str>)>,
+    /// How long the permits hold.
+    pub valid: ClockTime,
 }
 
 /// A renewal of a worker's lease, and a look at what it runs.
@@ -193,6 +204,13 @@
     /// Tells operators how far a wave is.
     fn write_wave(&self, wave: u64, completed: bool) -> impl Future<Output = Result<()>> + Send;
 
+    /// Asks the policy service which of some workers may run a step.
+    fn advise(
+        &self,
+        step: StepKey,
+        workers: &[WorkerId],
+    ) -> impl Future<Output = Result<StepAdvice>> + Send;
+
     /// The VMs of all pools.
     fn list_vms(&self) -> impl Future<Output = Result<Vec<VmEntry>>> + Send;
 
