--- a/crates/core/src/job/resize.rs
+++ b/crates/core/src/job/resize.rs
@@ -35,6 +35,10 @@
     pub spare: bool,
     /// What its work asks for, in thousandths of a core.
     pub demand: u64,
+    /// Work that has not begun, in thousandths of core-milliseconds.
+    pub waiting: u64,
+    /// What tasks that serve for good take, in thousandths of a core.
+    pub steady: u64,
     /// What it holds or is about to hold, in thousandths of a core.
     pub capacity: u64,
     /// VMs that it holds or is about to hold.
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -29,7 +29,7 @@
 
 use super::{
     admit::WorkLoad,
-    catalogue::JobCatalogue,
+    catalogue::{JobCatalogue, JobWork},
     order::DurationTable,
     spec::{JobId, JobState, Resources, StepKey, TaskKey},
     task::TaskEnd,
@@ -317,6 +317,8 @@
     outbox: batch::Outbox,
     effects: Vec<Effect>,
     in_touch: bool,
+    /// When runs that should stop were last searched for.
+    swept_at: ClockTime,
     now: ClockTime,
 }
 
@@ -339,6 +341,7 @@
             outbox: batch::Outbox::default(),
             effects: Vec::new(),
             in_touch: true,
+            swept_at: ClockTime::ZERO,
             now,
         }
     }
@@ -374,19 +377,20 @@
 
     /// The load of each kind of work.
     pub fn loads(&self) -> Vec<(WorkName, WorkLoad)> {
+        let drains = self.drain_times();
+        let mut waiting: BTreeMap<&WorkName, u32> = BTreeMap::new();
+        for job in self.jobs.values() {
+            if !job.has_begun() && job.spec.repeat.is_none() {
+                *waiting.entry(&job.spec.work).or_default() += 1;
+            }
+        }
         let works = self.catalogue.works.iter();
-        works
-            .map(|work| {
-                let mine = self.jobs.values().filter(|job| job.spec.work == work.name);
-                let waiting = mine.filter(|job| !job.has_begun() && job.spec.repeat.is_none());
-                let load = WorkLoad {
-                    drain: self.drain_time(&work.pool),
-                    waiting: waiting.count() as u32,
-                    task: self.durations.mean(&work.name),
-                };
-                (work.name.clone(), load)
-            })
-            .collect()
+        let load = |work: &JobWork| WorkLoad {
+            drain: drains.get(&work.pool).copied().unwrap_or_default(),
+            waiting: waiting.get(&work.name).copied().unwrap_or(0),
+            task: self.durations.mean(&work.name),
+        };
+        works.map(|work| (work.name.clone(), load(work))).collect()
     }
 
     /// A worker by id.
--- a/crates/core/src/job/scheduler/batch.rs
+++ b/crates/core/src/job/scheduler/batch.rs
@@ -322,6 +322,10 @@
             return;
         }
         let worker = assigned.phase.worker.clone();
+        if job.ending.is_some() {
+            self.withdraw_start(&worker, task);
+            return;
+        }
         let start = Effect::Start {
             task,
             run,
@@ -336,4 +340,17 @@
         };
         self.effects.push(start);
     }
+
+    /// A start that was stored and is no longer wanted: it was never sent.
+    fn withdraw_start(&mut self, worker: &WorkerId, task: TaskKey) {
+        if let Some(slot) = self
+            .jobs
+            .get_mut(&task.job)
+            .and_then(|job| job.task_mut(&task))
+        {
+            *slot = slot.clone().released();
+        }
+        self.vacate(worker, task);
+        self.outbox.touch(task.job);
+    }
 }
--- a/crates/core/src/job/scheduler/fleet.rs
+++ b/crates/core/src/job/scheduler/fleet.rs
@@ -73,13 +73,15 @@
     }
 }
 
-/// What the jobs of a pool that end have running and waiting.
+/// The work of a pool.
 #[derive(Clone, Copy, Debug, Default)]
-struct BatchWork {
-    /// Thousandths of a core in use.
+struct PoolWork {
+    /// What tasks that end have in use, in thousandths of a core.
     running: u64,
-    /// Work that has not begun, in thousandths of core-milliseconds.
+    /// Tasks that end and have not begun, in thousandths of core-milliseconds.
     waiting: u64,
+    /// What tasks that serve for good take, in thousandths of a core.
+    steady: u64,
 }
 
 /// What is known of VMs.
@@ -343,23 +345,36 @@
         }
     }
 
+    /// What each pool asks for and holds.
     fn demand_views(&self) -> Vec<PoolDemandView> {
-        let pools = self.catalogue.pools.iter();
-        pools
-            .map(|pool| {
-                let mut view = PoolDemandView {
-                    pool: pool.name.clone(),
-                    spare: pool.spare,
-                    demand: self.demand(&pool.name),
-                    capacity: 0,
-                    vms: 0,
-                    standing: self.standing(&pool.name),
-                    idle: Vec::new(),
-                };
-                self.count_vms(&mut view);
-                view
-            })
-            .collect()
+        let work = self.pool_work();
+        let mut views: BTreeMap<&PoolName, PoolDemandView> = BTreeMap::new();
+        for pool in &self.catalogue.pools {
+            let own = work.get(&pool.name).copied().unwrap_or_default();
+            let view = PoolDemandView {
+                pool: pool.name.clone(),
+                spare: pool.spare,
+                demand: self.demand(&pool.name, &own),
+                waiting: own.waiting,
+                steady: own.steady,
+                capacity: 0,
+                vms: 0,
+                standing: self.standing(&pool.name),
+                idle: Vec::new(),
+            };
+            views.insert(&pool.name, view);
+        }
+        for vm in self.fleet.vms.values() {
+            let pending = self.fleet.pending.get(&vm.vm).map(|pending| &pending.order);
+            let (pool, arrives) = match pending {
+                Some(VmOrder::Move(to)) => (to, true),
+                Some(VmOrder::Maintain(_)) | None => (&vm.pool, false),
+            };
+            if let Some(view) = views.get_mut(pool) {
+                self.count_vm(view, vm, arrives);
+            }
+        }
+        views.into_values().collect()
     }
 
     /// VMs that a pool keeps without a surge.
@@ -368,36 +383,17 @@
         (first * STANDING_PERCENT).div_ceil(100)
     }
 
-    fn count_vms(&self, view: &mut PoolDemandView) {
-        let now = self.now;
-        for vm in self.fleet.vms.values() {
-            let pending = self.fleet.pending.get(&vm.vm).map(|pending| &pending.order);
-            let pool = match pending {
-                Some(VmOrder::Move(to)) => to,
-                _ => &vm.pool,
-            };
-            if *pool != view.pool {
-                continue;
-            }
-            view.vms += 1;
-            let worker = vm.worker.as_ref().and_then(|id| self.workers.get(id));
-            let arriving = matches!(pending, Some(VmOrder::Move(_)));
-            if arriving || worker.is_some_and(Worker::is_in_service) {
-                view.capacity += vm.capacity.cpu;
-            }
-            if let Some(idle) = self.idle_vm(vm, worker, view.spare, now) {
-                view.idle.push(idle);
-            }
+    fn count_vm(&self, view: &mut PoolDemandView, vm: &VmEntry, arrives: bool) {
+        view.vms += 1;
+        let worker = vm.worker.as_ref().and_then(|id| self.workers.get(id));
+        if arrives || worker.is_some_and(Worker::is_in_service) {
+            view.capacity += vm.capacity.cpu;
         }
+        view.idle.extend(self.idle_vm(vm, worker, view.spare));
     }
 
-    fn idle_vm(
-        &self,
-        vm: &VmEntry,
-        worker: Option<&Worker>,
-        spare: bool,
-        now: ClockTime,
-    ) -> Option<IdleVm> {
+    fn idle_vm(&self, vm: &VmEntry, worker: Option<&Worker>, spare: bool) -> Option<IdleVm> {
+        let now = self.now;
         let empty = match worker {
             Some(worker) => worker.is_in_service() && worker.is_empty(),
             None => false,
@@ -415,29 +411,28 @@
 
     /// What a pool's work asks for, in thousandths of a core: what runs or keeps arriving, and what
     /// waits, spread over the time in which it should be worked off.
-    fn demand(&self, pool: &PoolName) -> u64 {
+    fn demand(&self, pool: &PoolName, work: &PoolWork) -> u64 {
         let arriving = self.fleet.arrivals.get(pool);
         let rate = arriving.map_or(0.0, |rate| rate.faded(self.now) / ARRIVAL_SPAN_MS) as u64;
-        let BatchWork { running, waiting } = self.batch_work(pool);
-        rate.max(running) + self.steady_cpu(pool) + waiting / BACKLOG_SPAN_MS
-    }
-
-    /// What long-running tasks of a pool take, in thousandths of a core.
-    fn steady_cpu(&self, pool: &PoolName) -> u64 {
-        let mine = self.jobs.values().filter(|job| job.terms.pool == *pool);
-        let steady = mine.filter(|job| job.spec.is_long_running() && job.ending.is_none());
-        let steps = steady.flat_map(|job| &job.spec.steps);
-        steps
-            .map(|step| u64::from(step.count) * step.charged().cpu)
-            .sum()
-    }
-
-    /// What a pool's jobs that end have running and waiting.
-    fn batch_work(&self, pool: &PoolName) -> BatchWork {
-        let mut work = BatchWork::default();
-        let mine = self.jobs.values().filter(|job| job.terms.pool == *pool);
-        let batch = mine.filter(|job| !job.spec.is_long_running() && job.spec.repeat.is_none());
-        for job in batch {
+        rate.max(work.running) + work.steady + work.waiting / BACKLOG_SPAN_MS
+    }
+
+    /// The work of each pool.
+    fn pool_work(&self) -> BTreeMap<&PoolName, PoolWork> {
+        let mut pools: BTreeMap<&PoolName, PoolWork> = BTreeMap::new();
+        for job in self.jobs.values() {
+            let work = pools.entry(&job.terms.pool).or_default();
+            if job.spec.is_long_running() {
+                if job.ending.is_none() {
+                    let steps = job.spec.steps.iter();
+                    let cpu = steps.map(|step| u64::from(step.count) * step.charged().cpu);
+                    work.steady += cpu.sum::<u64>();
+                }
+                continue;
+            }
+            if job.spec.repeat.is_some() {
+                continue;
+            }
             let mean = self.durations.mean(&job.spec.work).as_millis();
             for ((_, step, _), task) in job.tasks() {
                 let cpu = job.spec.steps[usize::from(step)].charged().cpu;
@@ -448,31 +443,29 @@
                 }
             }
         }
-        work
+        pools
     }
 
-    /// Time that a pool's backlog takes on what it holds or is about to hold, or with all VMs that are
-    /// idle elsewhere, whichever is less.
-    pub(super) fn drain_time(&self, pool: &PoolName) -> ClockTime {
+    /// Time that each pool's backlog takes on what it holds or is about to hold, or with all VMs that
+    /// are idle elsewhere, whichever is less.
+    pub(super) fn drain_times(&self) -> BTreeMap<PoolName, ClockTime> {
         let views = self.demand_views();
-        let Some(view) = views.iter().find(|view| view.pool == *pool) else {
-            return ClockTime::ZERO;
+        let idle = |view: &PoolDemandView| view.idle.iter().map(|vm| vm.cpu).sum::<u64>();
+        let all_idle: u64 = views.iter().map(idle).sum();
+        let drain = |view: &PoolDemandView| {
+            let free = view.capacity.saturating_sub(view.steady);
+            let growth = all_idle - idle(view);
+            let over = |cpu: u64| view.waiting.checked_div(cpu).map(ClockTime::from_millis);
+            let grown = over(free + growth).map(|drain| drain + self.limits.move_time);
+            // Without any worker known, as just after a takeover, nothing can be said.
+            over(free)
+                .into_iter()
+                .chain(grown)
+                .min()
+                .unwrap_or_default()
         };
-        let waiting = self.batch_work(pool).waiting;
-        let free = view.capacity.saturating_sub(self.steady_cpu(pool));
-        let others = views.iter().filter(|view| view.pool != *pool);
-        let growth: u64 = others.flat_map(|view| &view.idle).map(|vm| vm.cpu).sum();
-        let now_held = waiting.checked_div(free).map(ClockTime::from_millis);
-        let grown = waiting
-            .checked_div(free + growth)
-            .map(ClockTime::from_millis);
-        let grown = grown.map(|drain| drain + self.limits.move_time);
-        // Without any worker known, as just after a takeover, nothing can be said.
-        now_held
-            .into_iter()
-            .chain(grown)
-            .min()
-            .unwrap_or(ClockTime::ZERO)
+        let times = views.iter().map(|view| (view.pool.clone(), drain(view)));
+        times.collect()
     }
 
     fn go_on_with_waves(&mut self) {
--- a/crates/core/src/job/scheduler/gang.rs
+++ b/crates/core/src/job/scheduler/gang.rs
@@ -11,7 +11,7 @@
         spec::{StepKey, TaskKey},
         task::{AnyTask, TaskEnd},
     },
-    name::{PoolName, WorkerId},
+    name::WorkerId,
 };
 
 use super::{Job, Scheduler};
@@ -48,7 +48,7 @@
     }
 
     /// Places a whole gang; returns its size, or 0 where not all members find room.
-    pub(super) fn place_gang(&mut self, key: StepKey, pool: &PoolName) -> usize {
+    pub(super) fn place_gang(&mut self, key: StepKey, workers: &[WorkerId]) -> usize {
         let Some(job) = self.jobs.get(&key.job) else {
             return 0;
         };
@@ -59,11 +59,11 @@
         }
         let run = tasks().map(AnyTask::run).max().unwrap_or(0) + 1;
         let saved = tasks().find_map(AnyTask::saved).cloned();
-        let Some(workers) = self.reserve(&members, run, pool) else {
+        let Some(reserved) = self.reserve(&members, run, workers) else {
             return 0;
         };
         let now = self.now;
-        for (member, worker) in members.iter().zip(workers) {
+        for (member, worker) in members.iter().zip(reserved) {
             let job = self.jobs.get_mut(&key.job);
             let Some(slot) = job.and_then(|job| job.task_mut(member)) else {
                 continue;
@@ -82,13 +82,13 @@
         &mut self,
         members: &[TaskKey],
         run: u32,
-        pool: &PoolName,
+        workers: &[WorkerId],
     ) -> Option<SmallVec<[WorkerId; 16]>> {
         let mut found: SmallVec<[WorkerId; 16]> = SmallVec::new();
         for member in members {
             let first = found.first().and_then(|id| self.workers.get(id));
             let beside = first.and_then(|worker| worker.entry.rack.clone());
-            let Some(worker) = self.find_worker(*member, pool, beside.as_ref()) else {
+            let Some(worker) = self.find_worker(*member, workers, beside.as_ref()) else {
                 self.give_back(members, &found);
                 return None;
             };
--- a/crates/core/src/job/scheduler/jobs.rs
+++ b/crates/core/src/job/scheduler/jobs.rs
@@ -1,6 +1,6 @@
 //! Jobs: what is known of them, which tasks may start, when they have ended.
 
-use std::sync::Arc;
+use std::{collections::BTreeMap, sync::Arc};
 
 use smallvec::SmallVec;
 
@@ -405,38 +405,53 @@
 
     /// Gives waiting tasks to workers with room, pool by pool in the order of urgency.
     pub(super) fn place_tasks(&mut self) {
-        let pools: Vec<PoolName> = self
-            .catalogue
-            .pools
-            .iter()
-            .map(|pool| pool.name.clone())
-            .collect();
-        for pool in &pools {
-            let mut queue = self.queue(pool);
+        let queues = self.queues();
+        if queues.is_empty() {
+            return;
+        }
+        let mut members: BTreeMap<PoolName, Vec<WorkerId>> = BTreeMap::new();
+        for worker in self.workers.values() {
+            if queues.contains_key(&worker.entry.pool) && worker.takes_work(self.now) {
+                let pool = members.entry(worker.entry.pool.clone()).or_default();
+                pool.push(worker.id.clone());
+            }
+        }
+        for (pool, mut queue) in queues {
             queue.sort_unstable();
-            let mut misses = 0;
-            for (urgency, id) in queue {
-                if misses >= MAX_MISSES {
-                    break;
-                }
-                let missed = self.place_job(id, pool);
-                // A task that serves for good may want what is rare; it holds up nothing else.
-                misses += if urgency.ends { missed } else { 0 };
+            let workers = members.remove(&pool).unwrap_or_default();
+            self.place_queue(&queue, &workers);
+        }
+    }
+
+    fn place_queue(&mut self, queue: &[(JobUrgency, JobId)], workers: &[WorkerId]) {
+        let mut misses = 0;
+        for (urgency, id) in queue {
+            if misses >= MAX_MISSES {
+                return;
             }
+            let missed = self.place_job(*id, workers);
+            // A task that serves for good may want what is rare; it holds up nothing else.
+            misses += if urgency.ends { missed } else { 0 };
         }
     }
 
-    fn queue(&self, pool: &PoolName) -> Vec<(JobUrgency, JobId)> {
+    /// Jobs with tasks that could start, by pool.
+    fn queues(&self) -> BTreeMap<PoolName, Vec<(JobUrgency, JobId)>> {
         let now = self.now;
-        let mine = self.jobs.iter().filter(|(_, job)| job.terms.pool == *pool);
-        let waiting = mine.filter(|(id, job)| !job.startable(**id, now).is_empty());
-        waiting
-            .map(|(id, job)| (job.urgency(self.durations.mean(&job.spec.work), now), *id))
-            .collect()
+        let mut queues: BTreeMap<PoolName, Vec<(JobUrgency, JobId)>> = BTreeMap::new();
+        for (id, job) in &self.jobs {
+            if job.startable(*id, now).is_empty() {
+                continue;
+            }
+            let urgency = job.urgency(self.durations.mean(&job.spec.work), now);
+            let queue = queues.entry(job.terms.pool.clone()).or_default();
+            queue.push((urgency, *id));
+        }
+        queues
     }
 
     /// Places what it can of a job; returns how many of its steps found no room.
-    fn place_job(&mut self, id: JobId, pool: &PoolName) -> usize {
+    fn place_job(&mut self, id: JobId, workers: &[WorkerId]) -> usize {
         let Some(job) = self.jobs.get(&id) else {
             return 0;
         };
@@ -448,9 +463,9 @@
                 continue;
             }
             let done = if self.is_gang(step) {
-                self.place_gang(step, pool)
+                self.place_gang(step, workers)
             } else {
-                usize::from(self.place_task(*key, pool))
+                usize::from(self.place_task(*key, workers))
             };
             placed += done;
             if done == 0 {
@@ -468,9 +483,9 @@
         full_steps.len()
     }
 
-    fn place_task(&mut self, key: TaskKey, pool: &PoolName) -> bool {
+    fn place_task(&mut self, key: TaskKey, workers: &[WorkerId]) -> bool {
         let now = self.now;
-        let Some(id) = self.find_worker(key, pool, None) else {
+        let Some(id) = self.find_worker(key, workers, None) else {
             return false;
         };
         let job = self.jobs.get_mut(&key.job);
@@ -493,7 +508,7 @@
     pub(super) fn find_worker(
         &mut self,
         key: TaskKey,
-        pool: &PoolName,
+        workers: &[WorkerId],
         beside: Option<&RackName>,
     ) -> Option<WorkerId> {
         let now = self.now;
@@ -505,20 +520,16 @@
             avoid: failed_on.map(|(_, worker)| worker),
             beside,
         };
-        let workers = self.workers.values();
-        let mine = workers.filter(|worker| worker.entry.pool == *pool);
+        let known = || workers.iter().filter_map(|id| self.workers.get(id));
         if !job.terms.advised {
-            return choose_worker(&request, mine, now);
+            return choose_worker(&request, known(), now);
         }
         let step = StepKey::from(key);
-        let permits = &self.permits;
-        let permitted = mine.filter(|worker| permits.allows(step, &worker.id, now));
+        let permitted = known().filter(|worker| self.permits.allows(step, &worker.id, now));
         let found = choose_worker(&request, permitted, now);
         if found.is_none() {
             let need = request.step.charged();
-            let workers = self.workers.values();
-            let mine = workers.filter(|worker| worker.entry.pool == *pool);
-            let able = mine.filter(|worker| suits(&request, worker, &need, now));
+            let able = known().filter(|worker| suits(&request, worker, &need, now));
             let able = able.map(|worker| worker.id.clone()).collect();
             self.effects.extend(self.permits.ask(step, able, now));
         }
--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -24,6 +24,8 @@
 const STOP_RETRY: ClockTime = ClockTime::from_millis(800);
 /// A run whose progress stands still for this time is stopped; tasks last about a second.
 const HANG: ClockTime = ClockTime::from_millis(2_500);
+/// Time between two searches for runs that should stop: short against what a cancellation may take.
+const SWEEP_PACE: ClockTime = ClockTime::from_millis(100);
 /// Progress of a task that is fully at work.
 const FULL_PERCENT: u8 = 100;
 
@@ -90,20 +92,15 @@
     /// Whether a worker's next report settles a start without an answer or a stop, so that it should
     /// not wait.
     pub fn wants_look(&self, id: &WorkerId) -> bool {
-        let Some(worker) = self.workers.get(id) else {
-            return false;
-        };
-        let unsettled = |key: &TaskKey| {
-            let task = self.jobs.get(&key.job).and_then(|job| job.task(key));
-            match task {
-                Some(AnyTask::Assigned(task)) => {
-                    matches!(task.phase.order, StartOrder::Unsure(_))
-                }
-                Some(AnyTask::Stopping(task)) => task.phase.acked_at.is_some(),
-                _ => false,
-            }
-        };
-        worker.silent_since.is_none() && worker.tasks.keys().any(unsettled)
+        let worker = self.workers.get(id);
+        worker.is_some_and(|worker| worker.unsettled && worker.silent_since.is_none())
+    }
+
+    /// An order to a worker waits to be settled by its next report.
+    fn unsettle(&mut self, id: &WorkerId) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.unsettled = true;
+        }
     }
 
     /// Takes over the time by which all that a worker holds lapses, as it is stored.
@@ -215,6 +212,11 @@
             });
         }
         match reply {
+            StartReply::Started => {
+                if let Some(worker) = self.workers.get_mut(id) {
+                    worker.answered();
+                }
+            }
             StartReply::Unhealthy => self.worker_failed(id, true),
             StartReply::NoPermit => self.permits.void(key.into(), id),
             StartReply::NoRoom | StartReply::WrongLife => {
@@ -224,6 +226,9 @@
             }
             _ => {}
         }
+        if matches!(reply, StartReply::Unknown | StartReply::OldRun) {
+            self.unsettle(id);
+        }
         let Some(slot) = self.assigned_slot(id, key, run) else {
             return;
         };
@@ -265,6 +270,7 @@
         }
         if let Some(AnyTask::Stopping(task)) = self.assigned_slot(id, key, run) {
             task.phase.acked_at = Some(now);
+            self.unsettle(id);
         }
     }
 
@@ -391,6 +397,9 @@
         let absent = worker.tasks.iter().filter(|(key, _)| !there.contains(*key));
         let absent: SmallVec<[(TaskKey, u32); 8]> =
             absent.map(|(key, charge)| (*key, charge.run)).collect();
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.unsettled = false;
+        }
         for (key, run) in absent {
             let Some(slot) = self.assigned_slot(id, key, run) else {
                 self.vacate(id, key);
@@ -401,23 +410,39 @@
                     StartOrder::Pending => Absent::Wait,
                     StartOrder::Inherited => Absent::Lost,
                     StartOrder::Unsure(since) if asked_at >= since => Absent::Stop,
-                    StartOrder::Unsure(_) => Absent::Wait,
+                    StartOrder::Unsure(_) => Absent::LookAgain,
                 },
                 AnyTask::Running(task) if asked_at > task.phase.since => Absent::Lost,
                 AnyTask::Stopping(task) => match task.phase.acked_at {
                     Some(acked_at) if asked_at >= acked_at => Absent::Lost,
-                    _ => Absent::Wait,
+                    Some(_) => Absent::LookAgain,
+                    None => Absent::Wait,
                 },
                 _ => Absent::Wait,
             };
             match verdict {
                 Absent::Wait => {}
-                Absent::Stop => self.stop_task(id, key, run),
+                Absent::LookAgain => self.unsettle(id),
+                Absent::Stop => {
+                    self.avoid(id, key);
+                    self.stop_task(id, key, run);
+                }
                 Absent::Lost => self.lose_run(id, key, run, LossReason::NotThere),
             }
         }
     }
 
+    /// A worker left a start unanswered and undone: the task should go elsewhere.
+    fn avoid(&mut self, id: &WorkerId, key: TaskKey) {
+        let now = self.now;
+        if let Some(job) = self.jobs.get_mut(&key.job) {
+            job.failed_on(key, id.clone());
+        }
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.left_unanswered(now);
+        }
+    }
+
     /// Tells a run to stop.
     pub(super) fn stop_task(&mut self, id: &WorkerId, key: TaskKey, run: u32) {
         let now = self.now;
@@ -462,7 +487,7 @@
         }
     }
 
-    fn vacate(&mut self, id: &WorkerId, key: TaskKey) {
+    pub(super) fn vacate(&mut self, id: &WorkerId, key: TaskKey) {
         let now = self.now;
         if let Some(worker) = self.workers.get_mut(id) {
             worker.discharge(&key, now);
@@ -551,6 +576,10 @@
     /// workers that leave and can go on elsewhere.
     pub(super) fn stop_stragglers(&mut self) {
         let now = self.now;
+        if now < self.swept_at + SWEEP_PACE {
+            return;
+        }
+        self.swept_at = now;
         let mut stops: SmallVec<[(WorkerId, TaskKey, u32); 8]> = smallvec![];
         let mut hung: SmallVec<[WorkerId; 2]> = smallvec![];
         for worker in self.workers.values() {
@@ -642,6 +671,8 @@
 enum Absent {
     /// Its order or answer may be under way.
     Wait,
+    /// This report was asked for too early to tell.
+    LookAgain,
     /// It may begin late unless it is stopped first.
     Stop,
     /// It cannot be at work any more.
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -18,6 +18,9 @@
 /// Failures in a row, each of a task that had not failed before, after which a worker gets nothing
 /// for a while: one in five hundred tasks fails by its own fault, so two are no accident.
 const SUSPECT_FAILURES: u32 = 2;
+/// Starts in a row that come to nothing without an answer after which a worker gets nothing for a
+/// while: one may be a lost packet.
+const SUSPECT_UNANSWERED: u32 = 2;
 /// How long a suspect worker gets nothing; then one task tries it.
 const SUSPEND: ClockTime = ClockTime::from_millis(4_000);
 
@@ -191,12 +194,16 @@
     pub end_seen: u64,
     /// The highest number of an end whose outcome is stored.
     pub end_stored: u64,
+    /// Whether its next report settles an order.
+    pub unsettled: bool,
     /// Whether it is stored by when all that it holds lapses. Its lease is not renewed before that
     /// record is gone, since a later owner would go by it.
     pub lapse_stored: bool,
     /// Whether it gets nothing new because its VM is about to leave the pool.
     pub cordoned: bool,
     fail_streak: u32,
+    /// Starts in a row that were not answered and did not begin in time.
+    unanswered: u32,
     suspended_until: ClockTime,
 }
 
@@ -219,9 +226,11 @@
             filling: 0,
             end_seen: 0,
             end_stored: 0,
+            unsettled: false,
             lapse_stored: false,
             cordoned: false,
             fail_streak: 0,
+            unanswered: 0,
             suspended_until: ClockTime::ZERO,
         }
     }
@@ -246,6 +255,19 @@
         self.fail_streak = 0;
     }
 
+    /// It answered a start.
+    pub fn answered(&mut self) {
+        self.unanswered = 0;
+    }
+
+    /// A start was not answered and had not begun when it was looked for.
+    pub fn left_unanswered(&mut self, now: ClockTime) {
+        self.unanswered += 1;
+        if self.unanswered >= SUSPECT_UNANSWERED {
+            self.suspend(now);
+        }
+    }
+
     /// One of its tasks failed; `first` tells that the task had not failed elsewhere before, so
     /// that the fault may be the worker's.
     pub fn failed(&mut self, first: bool, now: ClockTime) {
--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -23,6 +23,8 @@
         pool: PoolName::new(pool),
         spare: pool == "spare",
         demand,
+        waiting: 0,
+        steady: 0,
         capacity: 32_000 * vms as u64,
         vms,
         standing: vms,
@@ -247,3 +249,29 @@
     list(&mut world, &[VmState::Up], 200);
     assert_eq!(maintained(&world).len(), 1);
 }
+
+/// Callers were once refused for a full pool while VMs stood idle in another.
+#[test]
+fn an_early_refusal_counts_vms_that_are_idle_elsewhere() {
+    let drain = |others: usize| {
+        let mut world = World::open(1);
+        let spare = (1..=others).map(|number| vm(number, "spare", VmState::Up));
+        let vms = std::iter::once(vm(0, "mould", VmState::Up)).chain(spare);
+        world
+            .scheduler
+            .list_vms(vms.collect(), world.now, world.now);
+        for id in 1..=40 {
+            world.accept(id, vec![step(8)]);
+        }
+        world.step();
+        let loads = world.scheduler.loads();
+        let load = loads.iter().find(|(work, _)| work.as_str() == "mould");
+        load.expect("the work is in the catalogue")
+            .1
+            .drain
+            .as_millis()
+    };
+    // 320 tasks of a second on 32 cores, of which 32 are placed; then on 160 after a move.
+    assert_eq!(drain(0), 9_000);
+    assert_eq!(drain(4), 1_500 + 1_800);
+}
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -125,6 +125,41 @@
     assert_eq!(world.starts[0].run, 2);
 }
 
+/// Once, a worker that carries everything out late got the same task again and again.
+#[test]
+fn a_worker_that_leaves_starts_unanswered_is_avoided_then_suspended() {
+    let mut world = World::open(2);
+    world.accept(1, vec![step(1)]);
+    world.settle();
+    let first = world.starts.remove(0);
+    let give_up = |world: &mut World, start: &world::Start| {
+        world.reply(start, StartReply::Unknown);
+        world.report_all(&[], 2, 0);
+        let (id, task, run) = (&start.worker, start.task, start.run);
+        world
+            .scheduler
+            .stop_replied(id, task, run, OrderReply::Done, world.now);
+        world.wait(1);
+        world.report_all(&[], 2, 0);
+        world.settle();
+    };
+    give_up(&mut world, &first);
+    let second = world.starts.remove(0);
+    assert_ne!(second.worker, first.worker);
+    let suspended = |world: &World, id| {
+        let worker = world.scheduler.worker(id).unwrap();
+        worker.is_suspended(world.now)
+    };
+    assert!(
+        !suspended(&world, &first.worker),
+        "one may be a lost packet"
+    );
+    give_up(&mut world, &second);
+    let third = world.starts.remove(0);
+    give_up(&mut world, &third);
+    assert!(suspended(&world, &third.worker));
+}
+
 #[test]
 fn a_start_without_an_answer_that_is_seen_at_work_goes_on() {
     let mut world = World::open(1);
--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -4,11 +4,13 @@
 //! puts a whole installation together.
 
 mod machines;
+mod policy;
 mod pool_worker;
 mod store;
 mod topic;
 
 pub use machines::MachineService;
+pub use policy::PolicyService;
 pub use pool_worker::{PoolWorker, WorkerFault};
 pub use store::{KeyedLog, StoreFault};
 
@@ -25,6 +27,8 @@
     pub store: KeyedLog,
     /// The list of machines.
     pub machines: MachineService,
+    /// The policy service.
+    pub policy: PolicyService,
     /// The workers that were started here.
     pub workers: Vec<PoolWorker>,
 }
@@ -38,6 +42,7 @@
     pub async fn spawn(pools: &[&str], each: usize) -> std::io::Result<Self> {
         let store = KeyedLog::spawn().await?;
         let machines = MachineService::spawn().await?;
+        let policy = PolicyService::spawn().await?;
         let mut workers = Vec::new();
         for pool in pools {
             for number in 0..each {
@@ -50,13 +55,35 @@
         Ok(Self {
             store,
             machines,
+            policy,
             workers,
         })
     }
 
     /// Writes the operators' configuration: one route a pool, named as the pool.
     pub fn configure(&self, version: u64, pools: &[&str]) {
-        let routes: Vec<Value> = pools.iter().map(|pool| route(pool)).collect();
+        self.write_config(
+            version,
+            pools,
+            pools.iter().map(|pool| route(pool)).collect(),
+        );
+    }
+
+    /// As [`PlatformStandIn::configure`], with the last word on workers left to the policy service,
+    /// whose tickets the workers ask for from now on.
+    pub fn configure_advised(&self, version: u64, pools: &[&str]) {
+        let advised = |pool: &&str| {
+            let mut route = route(pool);
+            route["advice"] = json!({"decide_ms": 1, "each_ms": 1, "valid_ms": 1_000});
+            route
+        };
+        for worker in &self.workers {
+            worker.ask_for_tickets();
+        }
+        self.write_config(version, pools, pools.iter().map(advised).collect());
+    }
+
+    fn write_config(&self, version: u64, pools: &[&str], routes: Vec<Value>) {
         let service =
             |pool: &&str| json!({"name": pool, "max_conns": 64, "rejects_overload": true});
         let services: Vec<Value> = pools.iter().map(service).collect();
@@ -69,9 +96,10 @@
         let [front, ready, peer] = ports;
         let last = peer.saturating_add(1);
         let (store, machines) = (self.store.address(), self.machines.address());
+        let policy = self.policy.address();
         format!(
             "node_name = \"{name}\"\nip = \"127.0.0.1\"\nzone = \"dc-1\"\nport_range = [{peer}, {last}]\n\
-             unknown_field = true\n\
+             unknown_field = true\nadvice = \"{policy}\"\n\
              [listen]\nfront = \"127.0.0.1:{front}\"\nready = \"127.0.0.1:{ready}\"\n\
              [bounds]\nhold_max_ms = 3000\nmove_s = 0.2\nupkeep_s = 0.2\nstatus_s = 120\ngrace_s = 6\n\
              [platform]\naddress = \"{store}\"\nttl_min_ms = 1000\n\
--- a/crates/fakes/src/platform/pool_worker.rs
+++ b/crates/fakes/src/platform/pool_worker.rs
@@ -19,7 +19,7 @@
     time::sleep,
 };
 
-use super::{KeyedLog, loopback};
+use super::{KeyedLog, loopback, policy};
 use crate::http::{self, FakeBody, FakeServer};
 
 /// What a task takes whose payload does not say.
@@ -64,6 +64,8 @@
     ack_cursor: u64,
     #[serde(default)]
     wait_ms: u64,
+    #[serde(default)]
+    ticket: String,
 }
 
 /// A run at work.
@@ -88,6 +90,8 @@
     over: BTreeMap<String, u64>,
     ended: Vec<Value>,
     ends: u64,
+    /// The ticket that a start must carry, where one is asked for.
+    ticket: Option<String>,
 }
 
 /// What a worker has run, as an outside observer counts it.
@@ -105,6 +109,7 @@
     life: Arc<Mutex<Life>>,
     tally: Arc<Mutex<Tally>>,
     fault: watch::Sender<WorkerFault>,
+    tickets: watch::Sender<bool>,
     state: watch::Sender<&'static str>,
     _server: FakeServer,
     beats: JoinHandle<()>,
@@ -127,6 +132,7 @@
             over: BTreeMap::new(),
             ended: Vec::new(),
             ends: 0,
+            ticket: None,
         }
     }
 
@@ -187,6 +193,13 @@
         {
             return Err("late");
         }
+        if self
+            .ticket
+            .as_ref()
+            .is_some_and(|ticket| *ticket != order.ticket)
+        {
+            return Err("ticket");
+        }
         let takes = match order.task_spec.as_str() {
             "lasts" => None,
             "fail" => Some(Duration::ZERO),
@@ -261,17 +274,19 @@
         let life = Arc::new(Mutex::new(Life::begin(1)));
         let tally = Arc::new(Mutex::new(Tally::default()));
         let (fault, faults) = watch::channel(WorkerFault::None);
+        let (tickets, asks) = watch::channel(false);
         let (state, states) = watch::channel("ready");
         let (served, counted, target) = (life.clone(), tally.clone(), id.to_owned());
         let server = http::spawn(loopback(), move |_, request| {
             let fault = *faults.borrow();
-            serve(
-                served.clone(),
-                counted.clone(),
+            let side = WorkerSide {
+                life: served.clone(),
+                tally: counted.clone(),
                 fault,
-                target.clone(),
-                request,
-            )
+                target: target.clone(),
+                ticketed: *asks.borrow(),
+            };
+            serve(side, request)
         });
         let server = server.await?;
         let (own, address, pool) = (id.to_owned(), server.address, pool.to_owned());
@@ -295,6 +310,7 @@
             life,
             tally,
             fault,
+            tickets,
             state,
             _server: server,
             beats,
@@ -311,6 +327,11 @@
         self.fault.send_replace(fault);
     }
 
+    /// Starts only what carries the policy service's ticket from now on.
+    pub fn ask_for_tickets(&self) {
+        self.tickets.send_replace(true);
+    }
+
     /// Says that it drains.
     pub fn drain(&self) {
         self.state.send_replace("draining");
@@ -342,13 +363,23 @@
     }
 }
 
-async fn serve(
+/// What a request meets.
+struct WorkerSide {
     life: Arc<Mutex<Life>>,
     tally: Arc<Mutex<Tally>>,
     fault: WorkerFault,
     target: String,
-    request: Request<Incoming>,
-) -> Response<FakeBody> {
+    ticketed: bool,
+}
+
+async fn serve(side: WorkerSide, request: Request<Incoming>) -> Response<FakeBody> {
+    let WorkerSide {
+        life,
+        tally,
+        fault,
+        target,
+        ticketed,
+    } = side;
     if fault == WorkerFault::Silent {
         return std::future::pending().await;
     }
@@ -363,6 +394,7 @@
     let Ok(order) = serde_json::from_slice::<Order>(&body.to_bytes()) else {
         return http::status(StatusCode::BAD_REQUEST);
     };
+    life.lock().await.ticket = ticketed.then(|| policy::ticket(&target));
     match path.as_str() {
         "/v1/run-start" => start(life, tally, fault, order).await,
         "/v1/run-stop" => {
--- a/crates/scheduler/src/caller.rs
+++ b/crates/scheduler/src/caller.rs
@@ -151,7 +151,6 @@
 
 /// It is a job that may be stored.
 struct Admitted {
-    id: JobId,
     record: KeyedRecord,
 }
 
@@ -319,7 +318,7 @@
             call: call.call,
             received_at: call.received_at,
             until: call.until,
-            phase: Admitted { id, record },
+            phase: Admitted { record },
         })
     }
 
@@ -337,7 +336,6 @@
     }
 
     async fn store(&self, call: JobCall<Admitted>) -> CallerReply {
-        let _ = call.phase.id;
         match self.append(call.phase.record, call.until).await {
             Stored::Yes => CallerReply::Accepted,
             Stored::No => CallerReply::unavailable(),
