--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -5,11 +5,16 @@
 //! [`Batch`], and [`Scheduler::stored`] releases what depends on it.
 
 mod batch;
+mod demand;
 mod fleet;
 mod gang;
 mod jobs;
+mod leases;
+mod orders;
 mod permits;
+mod placing;
 mod reports;
+mod waves;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -18,7 +23,7 @@
 
 pub use batch::{Batch, BatchRecord, JobProgress, TaskMark};
 pub use jobs::Job;
-pub use reports::HoldPlan;
+pub use leases::HoldPlan;
 
 use smallvec::SmallVec;
 
--- /dev/null
+++ b/crates/core/src/job/scheduler/demand.rs
@@ -0,0 +1,195 @@
+//! What each pool asks for and holds.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    clock::ClockTime,
+    job::{
+        resize::{IdleVm, PoolDemandView},
+        worker::Worker,
+    },
+    name::PoolName,
+};
+
+use super::{Job, Scheduler, VmEntry, fleet::VmOrder};
+
+/// Percent of its first size that a pool keeps without a surge.
+const STANDING_PERCENT: usize = 100;
+/// The span over which arrivals are averaged: a surge shows within half of it.
+const ARRIVAL_SPAN_MS: f64 = 800.0;
+/// The time within which a backlog should be worked off beside new arrivals.
+const BACKLOG_SPAN_MS: u64 = 1_000;
+/// How long a VM is idle before it may go to the spare pool: a second in a pool costs about what a
+/// move costs.
+const REST: ClockTime = ClockTime::from_millis(2_000);
+
+/// Work that has arrived for a pool lately.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct ArrivalRate {
+    /// Thousandths of core-milliseconds, fading.
+    work: f64,
+    at: ClockTime,
+}
+
+impl ArrivalRate {
+    fn faded(&self, now: ClockTime) -> f64 {
+        let elapsed = (now - self.at).as_millis() as f64;
+        self.work * (-elapsed / ARRIVAL_SPAN_MS).exp()
+    }
+}
+
+/// The work of a pool.
+#[derive(Clone, Copy, Debug, Default)]
+struct PoolWork {
+    /// What tasks that end have in use, in thousandths of a core.
+    running: u64,
+    /// Tasks that end and have not begun, in thousandths of core-milliseconds.
+    waiting: u64,
+    /// What tasks that serve for good take, in thousandths of a core.
+    steady: u64,
+}
+
+impl Scheduler {
+    /// Counts a job's work as arrived.
+    pub(super) fn count_arrival(&mut self, job: &Job) {
+        let now = self.now;
+        if job.spec.is_long_running() || job.spec.repeat.is_some() {
+            return;
+        }
+        let mean = self.durations.mean(&job.spec.work).as_millis();
+        let steps = job.spec.steps.iter();
+        let cpu: u64 = steps
+            .map(|step| u64::from(step.count) * step.charged().cpu)
+            .sum();
+        let rate = self
+            .fleet
+            .arrivals
+            .entry(job.terms.pool.clone())
+            .or_default();
+        rate.work = rate.faded(now) + (cpu * mean) as f64;
+        rate.at = now;
+    }
+
+    /// What each pool asks for and holds.
+    pub(super) fn demand_views(&self) -> Vec<PoolDemandView> {
+        let work = self.pool_work();
+        let mut views: BTreeMap<&PoolName, PoolDemandView> = BTreeMap::new();
+        for pool in &self.catalogue.pools {
+            let own = work.get(&pool.name).copied().unwrap_or_default();
+            let view = PoolDemandView {
+                pool: pool.name.clone(),
+                spare: pool.spare,
+                demand: self.demand(&pool.name, &own),
+                waiting: own.waiting,
+                steady: own.steady,
+                capacity: 0,
+                vms: 0,
+                standing: self.standing(&pool.name),
+                idle: Vec::new(),
+            };
+            views.insert(&pool.name, view);
+        }
+        for vm in self.fleet.vms.values() {
+            let pending = self.fleet.pending.get(&vm.vm).map(|pending| &pending.order);
+            let (pool, arrives) = match pending {
+                Some(VmOrder::Move(to)) => (to, true),
+                Some(VmOrder::Maintain(_)) | None => (&vm.pool, false),
+            };
+            if let Some(view) = views.get_mut(pool) {
+                self.count_vm(view, vm, arrives);
+            }
+        }
+        views.into_values().collect()
+    }
+
+    /// VMs that a pool keeps without a surge.
+    fn standing(&self, pool: &PoolName) -> usize {
+        let first = self.fleet.standing.get(pool).copied().unwrap_or(0);
+        (first * STANDING_PERCENT).div_ceil(100)
+    }
+
+    fn count_vm(&self, view: &mut PoolDemandView, vm: &VmEntry, arrives: bool) {
+        view.vms += 1;
+        let worker = vm.worker.as_ref().and_then(|id| self.workers.get(id));
+        if arrives || worker.is_some_and(Worker::is_in_service) {
+            view.capacity += vm.capacity.cpu;
+        }
+        view.idle.extend(self.idle_vm(vm, worker, view.spare));
+    }
+
+    fn idle_vm(&self, vm: &VmEntry, worker: Option<&Worker>, spare: bool) -> Option<IdleVm> {
+        let now = self.now;
+        let empty = match worker {
+            Some(worker) => worker.is_in_service() && worker.is_empty(),
+            None => false,
+        };
+        if !self.fleet.is_free(vm, now) || !(spare || empty) {
+            return None;
+        }
+        let since = worker.map_or(ClockTime::ZERO, |worker| worker.empty_since);
+        Some(IdleVm {
+            vm: vm.vm.clone(),
+            cpu: vm.capacity.cpu,
+            rested: now > since + REST,
+        })
+    }
+
+    /// What a pool's work asks for, in thousandths of a core: what runs or keeps arriving, and what
+    /// waits, spread over the time in which it should be worked off.
+    fn demand(&self, pool: &PoolName, work: &PoolWork) -> u64 {
+        let arriving = self.fleet.arrivals.get(pool);
+        let rate = arriving.map_or(0.0, |rate| rate.faded(self.now) / ARRIVAL_SPAN_MS) as u64;
+        rate.max(work.running) + work.steady + work.waiting / BACKLOG_SPAN_MS
+    }
+
+    /// The work of each pool.
+    fn pool_work(&self) -> BTreeMap<&PoolName, PoolWork> {
+        let mut pools: BTreeMap<&PoolName, PoolWork> = BTreeMap::new();
+        for job in self.jobs.values() {
+            let work = pools.entry(&job.terms.pool).or_default();
+            if job.spec.is_long_running() {
+                if job.ending.is_none() {
+                    let steps = job.spec.steps.iter();
+                    let cpu = steps.map(|step| u64::from(step.count) * step.charged().cpu);
+                    work.steady += cpu.sum::<u64>();
+                }
+                continue;
+            }
+            if job.spec.repeat.is_some() {
+                continue;
+            }
+            let mean = self.durations.mean(&job.spec.work).as_millis();
+            for ((_, step, _), task) in job.tasks() {
+                let cpu = job.spec.steps[usize::from(step)].charged().cpu;
+                if task.placed().is_some() {
+                    work.running += cpu;
+                } else if !task.is_over() {
+                    work.waiting += cpu * mean;
+                }
+            }
+        }
+        pools
+    }
+
+    /// Time that each pool's backlog takes on what it holds or is about to hold, or with all VMs that
+    /// are idle elsewhere, whichever is less.
+    pub(super) fn drain_times(&self) -> BTreeMap<PoolName, ClockTime> {
+        let views = self.demand_views();
+        let idle = |view: &PoolDemandView| view.idle.iter().map(|vm| vm.cpu).sum::<u64>();
+        let all_idle: u64 = views.iter().map(idle).sum();
+        let drain = |view: &PoolDemandView| {
+            let free = view.capacity.saturating_sub(view.steady);
+            let growth = all_idle - idle(view);
+            let over = |cpu: u64| view.waiting.checked_div(cpu).map(ClockTime::from_millis);
+            let grown = over(free + growth).map(|drain| drain + self.limits.move_time);
+            // Without any worker known, as just after a takeover, nothing can be said.
+            over(free)
+                .into_iter()
+                .chain(grown)
+                .min()
+                .unwrap_or_default()
+        };
+        let times = views.iter().map(|view| (view.pool.clone(), drain(view)));
+        times.collect()
+    }
+}
--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -2,47 +2,20 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use smallvec::{SmallVec, smallvec};
+use smallvec::SmallVec;
 
 use crate::{
     clock::ClockTime,
     job::{
-        lease::{UnknownLease, WorkerLease},
-        spec::{Resources, TaskKey},
+        lease::WorkerLease,
+        spec::TaskKey,
         task::{AnyTask, StartOrder, TaskEnd},
-        worker::{
-            EndedRow, HoldReport, OrderReply, RunningRow, StartReply, Worker, WorkerEntry,
-            WorkerState,
-        },
+        worker::{EndedRow, HoldReport, RunningRow, Worker, WorkerEntry, WorkerState},
     },
-    name::{DataCentre, PoolName, WorkerId},
+    name::{PoolName, WorkerId},
 };
 
-use super::{BatchRecord, Effect, JobNote, LossReason, Scheduler, WorkerChange};
-
-/// A stop order without an answer is sent again after this time, twice what a stop may take.
-const STOP_RETRY: ClockTime = ClockTime::from_millis(800);
-/// A run whose progress stands still for this time is stopped; tasks last about a second.
-const HANG: ClockTime = ClockTime::from_millis(2_500);
-/// Time between two searches for runs that should stop: short against what a cancellation may take.
-const SWEEP_PACE: ClockTime = ClockTime::from_millis(100);
-/// Progress of a task that is fully at work.
-const FULL_PERCENT: u8 = 100;
-
-/// How a worker's lease is renewed next.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct HoldPlan {
-    /// The highest number of an end that the worker may forget.
-    pub ack: u64,
-    /// The new deadline on the worker's clock; none while the worker does not answer, so that what
-    /// it holds lapses in known time.
-    pub lease_until: Option<u64>,
-    /// Whether ends are reported that are not stored yet, so that asking again would return them
-    /// at once.
-    pub unstored: bool,
-    /// Whether the worker does not answer.
-    pub silent: bool,
-}
+use super::{BatchRecord, JobNote, LossReason, Scheduler, WorkerChange};
 
 impl Scheduler {
     /// Takes the whole list of workers; those that are not in it are missing.
@@ -89,65 +62,6 @@
         }
     }
 
-    /// Whether a worker's next report settles a start without an answer or a stop, so that it should
-    /// not wait.
-    pub fn wants_look(&self, id: &WorkerId) -> bool {
-        let worker = self.workers.get(id);
-        worker.is_some_and(|worker| worker.unsettled && worker.silent_since.is_none())
-    }
-
-    /// An order to a worker waits to be settled by its next report.
-    fn unsettle(&mut self, id: &WorkerId) {
-        if let Some(worker) = self.workers.get_mut(id) {
-            worker.unsettled = true;
-        }
-    }
-
-    /// Takes over the time by which all that a worker holds lapses, as it is stored.
-    pub fn restore_lapse(&mut self, id: &WorkerId, at: ClockTime) {
-        let worker = self.worker_or_stub(id);
-        worker.lapse_stored = true;
-        if let WorkerLease::Unknown(lease) = &mut worker.lease {
-            lease.stored = Some(at);
-        }
-    }
-
-    /// How a worker's lease is renewed next; counts the deadline as sent.
-    pub fn hold_plan(&mut self, id: &WorkerId, now: ClockTime) -> Option<HoldPlan> {
-        let hold_max = self.limits.hold_max;
-        let worker = self.workers.get_mut(id)?;
-        let silent = worker.silent_since.is_some();
-        let lease_until = if silent || worker.lapse_stored {
-            None
-        } else {
-            worker.lease.extend(hold_max, now)
-        };
-        Some(HoldPlan {
-            ack: worker.end_stored,
-            lease_until,
-            unstored: worker.end_seen > worker.end_stored,
-            silent,
-        })
-    }
-
-    /// A worker did not answer a renewal.
-    pub fn hold_failed(&mut self, id: &WorkerId, now: ClockTime) {
-        self.now = now;
-        let Some(worker) = self.workers.get_mut(id) else {
-            return;
-        };
-        if worker.silent_since.is_none() {
-            worker.silent_since = Some(now);
-            if !worker.is_empty() && !worker.lapse_stored {
-                worker.lapse_stored = true;
-                let lapse = Some(worker.lease.lapsed_by());
-                self.outbox.push(BatchRecord::Lapse(id.clone(), lapse));
-            }
-            let pool = worker.entry.pool.clone();
-            self.note_worker(id.clone(), pool, WorkerChange::Silent);
-        }
-    }
-
     /// Takes a worker's report, which was asked for at `asked_at`.
     pub fn report(
         &mut self,
@@ -193,89 +107,13 @@
         self.take_absent(id, &there, asked_at);
     }
 
-    /// Takes the answer to a start order.
-    pub fn start_replied(
-        &mut self,
-        id: &WorkerId,
-        key: TaskKey,
-        run: u32,
-        reply: StartReply,
-        now: ClockTime,
-    ) {
-        self.now = now;
-        if reply != StartReply::Started {
-            self.note(JobNote::StartRefused {
-                task: key,
-                run,
-                worker: id.clone(),
-                reply,
-            });
-        }
-        match reply {
-            StartReply::Started => {
-                if let Some(worker) = self.workers.get_mut(id) {
-                    worker.answered();
-                }
-            }
-            StartReply::Unhealthy => self.worker_failed(id, true),
-            StartReply::NoPermit => self.permits.void(key.into(), id),
-            StartReply::NoRoom | StartReply::WrongLife => {
-                if let Some(worker) = self.workers.get_mut(id) {
-                    worker.suspend(now);
-                }
-            }
-            _ => {}
-        }
-        if matches!(reply, StartReply::Unknown | StartReply::OldRun) {
-            self.unsettle(id);
-        }
-        let Some(slot) = self.assigned_slot(id, key, run) else {
-            return;
-        };
-        let AnyTask::Assigned(mut task) = slot.clone() else {
-            return;
-        };
-        match reply {
-            StartReply::Started => *slot = AnyTask::Running(task.confirm(now)),
-            // The worker has seen this run or a later one: its lists tell which.
-            StartReply::Unknown | StartReply::OldRun => {
-                task.phase.order = StartOrder::Unsure(now);
-                *slot = AnyTask::Assigned(task);
-            }
-            StartReply::Fenced
-            | StartReply::TooLate
-            | StartReply::NoRoom
-            | StartReply::NoPermit
-            | StartReply::Invalid
-            | StartReply::Unhealthy
-            | StartReply::WrongLife => {
-                *slot = AnyTask::Waiting(task.release());
-                self.vacate(id, key);
-            }
-        }
-    }
-
-    /// Takes the answer to a stop order.
-    pub fn stop_replied(
+    /// The task where this run of it is placed on this worker.
+    pub(super) fn assigned_slot(
         &mut self,
         id: &WorkerId,
         key: TaskKey,
         run: u32,
-        reply: OrderReply,
-        now: ClockTime,
-    ) {
-        self.now = now;
-        if reply != OrderReply::Done {
-            return;
-        }
-        if let Some(AnyTask::Stopping(task)) = self.assigned_slot(id, key, run) {
-            task.phase.acked_at = Some(now);
-            self.unsettle(id);
-        }
-    }
-
-    /// The task where this run of it is placed on this worker.
-    fn assigned_slot(&mut self, id: &WorkerId, key: TaskKey, run: u32) -> Option<&mut AnyTask> {
+    ) -> Option<&mut AnyTask> {
         let slot = self.jobs.get_mut(&key.job)?.task_mut(&key)?;
         let here = slot.placed() == Some((id, run));
         here.then_some(slot)
@@ -355,7 +193,7 @@
         });
     }
 
-    fn worker_failed(&mut self, id: &WorkerId, first: bool) {
+    pub(super) fn worker_failed(&mut self, id: &WorkerId, first: bool) {
         let now = self.now;
         let Some(worker) = self.workers.get_mut(id) else {
             return;
@@ -432,34 +270,6 @@
         }
     }
 
-    /// A worker left a start unanswered and undone: the task should go elsewhere.
-    fn avoid(&mut self, id: &WorkerId, key: TaskKey) {
-        let now = self.now;
-        if let Some(job) = self.jobs.get_mut(&key.job) {
-            job.failed_on(key, id.clone());
-        }
-        if let Some(worker) = self.workers.get_mut(id) {
-            worker.left_unanswered(now);
-        }
-    }
-
-    /// Tells a run to stop.
-    pub(super) fn stop_task(&mut self, id: &WorkerId, key: TaskKey, run: u32) {
-        let now = self.now;
-        if let Some(slot) = self.assigned_slot(id, key, run) {
-            *slot = slot.clone().stopped(now);
-        }
-        self.send_stop(id, key, run);
-    }
-
-    fn send_stop(&mut self, id: &WorkerId, task: TaskKey, run: u32) {
-        self.effects.push(Effect::Stop {
-            worker: id.clone(),
-            task,
-            run,
-        });
-    }
-
     /// A run can no longer be at work: its task waits again.
     pub(super) fn lose_run(&mut self, id: &WorkerId, key: TaskKey, run: u32, reason: LossReason) {
         if let Some(slot) = self.assigned_slot(id, key, run) {
@@ -522,147 +332,7 @@
         }
     }
 
-    /// Frees the runs of workers that have been out of touch for longer than any lease, and drops
-    /// workers that are gone.
-    pub(super) fn lapse_leases(&mut self) {
-        let now = self.now;
-        let missing = self.limits.missing;
-        let mut lapsed: SmallVec<[WorkerId; 4]> = smallvec![];
-        let mut gone: SmallVec<[WorkerId; 4]> = smallvec![];
-        for worker in self.workers.values() {
-            let out = worker.silent_since.is_some() || worker.seen_at.is_none();
-            if out && !worker.is_empty() && now > worker.lease.lapsed_by() {
-                lapsed.push(worker.id.clone());
-            }
-            let unlisted = worker
-                .missing_since
-                .is_some_and(|since| now > since + missing);
-            if unlisted && worker.is_empty() {
-                gone.push(worker.id.clone());
-            }
-        }
-        for id in lapsed {
-            self.lose_runs(&id, LossReason::LeaseLapsed);
-        }
-        self.copy_silent();
-        for id in gone {
-            if let Some(worker) = self.workers.remove(&id) {
-                if worker.lapse_stored {
-                    self.outbox.push(BatchRecord::Lapse(id.clone(), None));
-                }
-                self.note_worker(id, worker.entry.pool, WorkerChange::Gone);
-            }
-        }
-    }
-
-    /// Lets tasks of which two copies may run start again at once when their worker falls silent.
-    fn copy_silent(&mut self) {
-        let mut copies: SmallVec<[(WorkerId, TaskKey, u32); 8]> = smallvec![];
-        let silent = self.workers.values();
-        for worker in silent.filter(|worker| worker.silent_since.is_some()) {
-            for (key, charge) in &worker.tasks {
-                let job = self.jobs.get(&key.job);
-                if job.is_some_and(|job| job.step(key).speculative) {
-                    copies.push((worker.id.clone(), *key, charge.run));
-                }
-            }
-        }
-        for (id, key, run) in copies {
-            self.lose_run(&id, key, run, LossReason::Copied);
-        }
-    }
-
-    /// Stops what should not run on: runs of jobs that end, runs that stand still, and runs on
-    /// workers that leave and can go on elsewhere.
-    pub(super) fn stop_stragglers(&mut self) {
-        let now = self.now;
-        if now < self.swept_at + SWEEP_PACE {
-            return;
-        }
-        self.swept_at = now;
-        let mut stops: SmallVec<[(WorkerId, TaskKey, u32); 8]> = smallvec![];
-        let mut hung: SmallVec<[WorkerId; 2]> = smallvec![];
-        for worker in self.workers.values() {
-            for (key, charge) in &worker.tasks {
-                let Some(job) = self.jobs.get(&key.job) else {
-                    continue;
-                };
-                let Some(task) = job.task(key) else {
-                    continue;
-                };
-                if task.placed() != Some((&worker.id, charge.run)) {
-                    continue;
-                }
-                let step = job.step(key);
-                let moves_on = step.long_running || step.checkpoints;
-                let leaves = worker.entry.state == WorkerState::Draining && moves_on;
-                let wanted = match task {
-                    AnyTask::Stopping(task) => {
-                        task.phase.acked_at.is_none() && now > task.phase.ordered_at + STOP_RETRY
-                    }
-                    AnyTask::Running(task) => {
-                        let stuck = task.phase.percent < FULL_PERCENT
-                            && worker.silent_since.is_none()
-                            && now > task.phase.moved_at + HANG;
-                        if stuck {
-                            hung.push(worker.id.clone());
-                        }
-                        stuck || leaves || job.ending.is_some() || job.is_alone(key)
-                    }
-                    AnyTask::Assigned(task) => {
-                        (job.ending.is_some() || job.is_alone(key))
-                            && task.phase.order != StartOrder::Inherited
-                    }
-                    _ => false,
-                };
-                if wanted {
-                    stops.push((worker.id.clone(), *key, charge.run));
-                }
-            }
-        }
-        for id in hung {
-            if let Some(worker) = self.workers.get_mut(&id) {
-                worker.suspend(now);
-            }
-        }
-        for (id, key, run) in stops {
-            if let Some(AnyTask::Stopping(task)) = self.assigned_slot(&id, key, run) {
-                task.phase.ordered_at = now;
-            }
-            self.stop_task(&id, key, run);
-        }
-    }
-
-    /// A worker, or a stub for one that stored runs name and that is not listed.
-    pub(super) fn worker_or_stub(&mut self, id: &WorkerId) -> &mut Worker {
-        let lease = self.unknown_lease();
-        let now = self.now;
-        self.workers.entry(id.clone()).or_insert_with(|| {
-            let entry = WorkerEntry {
-                pool: PoolName::new(""),
-                address: "".into(),
-                data_centre: DataCentre::new(""),
-                state: WorkerState::Draining,
-                capacity: Resources::default(),
-                labels: SmallVec::new(),
-                rack: None,
-                born: None,
-            };
-            let mut stub = Worker::listed(id.clone(), entry, lease);
-            stub.missing_since = Some(now);
-            stub
-        })
-    }
-
-    fn unknown_lease(&self) -> UnknownLease {
-        UnknownLease {
-            since: self.now,
-            longest: self.limits.hold_max,
-            stored: None,
-        }
-    }
-
-    fn note_worker(&mut self, worker: WorkerId, pool: PoolName, now: WorkerChange) {
+    pub(super) fn note_worker(&mut self, worker: WorkerId, pool: PoolName, now: WorkerChange) {
         self.note(JobNote::WorkerChanged { worker, pool, now });
     }
 }
--- a/crates/experiments/examples/schedule.rs
+++ b/crates/experiments/examples/schedule.rs
@@ -132,7 +132,8 @@
                     worker, task, run, ..
                 } => {
                     let reply = StartReply::Started;
-                    self.scheduler.start_replied(&worker, task, run, reply, self.now);
+                    self.scheduler
+                        .start_replied(&worker, task, run, reply, self.now);
                     self.started += 1;
                     let due = self.running.entry(round + TASK_ROUNDS).or_default();
                     due.push((worker, task, run));
