One small HTTP client for the request side and the scheduler

Cause: crates/entry had a client of its own beside crates/net. Change: the JSON exchanges of the request side stand on crates/net; its errors tell the same remedies. Ruled out: a shorter connect limit for upstreams (the 0.5 s limit holds for small exchanges alone). After: tests of entry, net and both binaries pass.

--- a/crates/entry/src/error.rs
+++ b/crates/entry/src/error.rs
@@ -20,9 +20,7 @@
             | ErrorKind::SettingsSyntax { .. }
             | ErrorKind::SettingsValue { .. } => Category::Settings,
             ErrorKind::Bind { .. } | ErrorKind::Runtime { .. } => Category::Start,
-            ErrorKind::Connect { .. }
-            | ErrorKind::Exchange { .. }
-            | ErrorKind::Timeout { .. }
+            ErrorKind::Call { .. }
             | ErrorKind::Status { .. }
             | ErrorKind::Answer { .. }
             | ErrorKind::Stopped => Category::Platform,
@@ -89,27 +87,11 @@
         /// What the system said.
         source: std::io::Error,
     },
-    /// No connection could be made.
-    #[snafu(display("{address} cannot be reached ({message}): check that it runs"))]
-    Connect {
-        /// The address.
-        address: SocketAddr,
-        /// What went wrong.
-        message: String,
-    },
-    /// The connection ended within an exchange.
-    #[snafu(display("the connection to {address} ended ({source}): it is tried again"))]
-    Exchange {
-        /// The address.
-        address: SocketAddr,
-        /// What the library said.
-        source: hyper::Error,
-    },
-    /// No answer came in time.
-    #[snafu(display("{address} did not answer in time: it is tried again on a new connection"))]
-    Timeout {
-        /// The address.
-        address: SocketAddr,
+    /// An exchange with the platform failed.
+    #[snafu(display("{source}"))]
+    Call {
+        /// What went wrong, with the remedy.
+        source: jacinthhoist_net::Error,
     },
     /// The answer has a status that is no success.
     #[snafu(display("{address} answered with status {status}: check its own log"))]
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -8,7 +8,7 @@
 use jacinthhoist_core::{Offset, VmName};
 use serde::Deserialize;
 
-use crate::{error::Result, http::HttpClient};
+use crate::{error::Result, http::JsonClient};
 
 /// How long an append may take.
 const APPEND_LIMIT: Duration = Duration::from_secs(2);
@@ -24,14 +24,14 @@
 /// A client of the log service for one stream.
 #[derive(Debug)]
 pub(crate) struct LogClient {
-    http: HttpClient,
+    http: JsonClient,
     stream: String,
 }
 
 impl LogClient {
     pub(crate) fn open(address: SocketAddr, stream: &str) -> Self {
         Self {
-            http: HttpClient::open(address),
+            http: JsonClient::open(address),
             stream: stream.to_owned(),
         }
     }
@@ -65,13 +65,13 @@
 /// A client of the VM list.
 #[derive(Debug)]
 pub(crate) struct ListClient {
-    http: HttpClient,
+    http: JsonClient,
 }
 
 impl ListClient {
     pub(crate) fn open(address: SocketAddr) -> Self {
         Self {
-            http: HttpClient::open(address),
+            http: JsonClient::open(address),
         }
     }
 
--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -9,7 +9,7 @@
 use jacinthhoist_core::{ClockTime, LoadGate};
 use tokio::time::timeout;
 
-use crate::{http, pipe::worker_index};
+use crate::pipe::worker_index;
 
 /// The idle connections of one VM, and a bound on all of them.
 pub(crate) struct ConnectionStack {
@@ -84,7 +84,10 @@
             return None;
         }
         let open = OpenConnection(self.open.clone());
-        let sender = timeout(limit, http::connect(address)).await.ok()?.ok()?;
+        let sender = timeout(limit, jacinthhoist_net::connect(address))
+            .await
+            .ok()?
+            .ok()?;
         Some(UpstreamConnection {
             sender,
             answered_at: now,
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -87,7 +87,7 @@
         let request = self.request(call)?;
         let sender = match self.sender.take() {
             Some(sender) if !sender.is_closed() => sender,
-            _ => connect(address).await?,
+            _ => connect_soon(address).await?,
         };
         let Ok(outcome) = timeout(limit, exchange(address, sender, request)).await else {
             return TimeoutSnafu { address }.fail().map_err(Into::into);
@@ -137,13 +137,25 @@
     Ok((sender, answer))
 }
 
-/// Opens a connection and drives it in a task of its own.
-async fn connect(address: SocketAddr) -> Result<http1::SendRequest<Full<Bytes>>> {
-    let failed = |message: String| ConnectSnafu { address, message }.build();
-    let Ok(connected) = timeout(CONNECT_LIMIT, TcpStream::connect(address)).await else {
-        return Err(failed("it took too long".to_owned()).into());
+/// Opens a connection within the limit of a small exchange.
+async fn connect_soon(address: SocketAddr) -> Result<http1::SendRequest<Full<Bytes>>> {
+    let Ok(connected) = timeout(CONNECT_LIMIT, connect(address)).await else {
+        let message = "it took too long".to_owned();
+        return ConnectSnafu { address, message }.fail().map_err(Into::into);
     };
-    let stream = connected.map_err(|error| failed(error.to_string()))?;
+    connected
+}
+
+/// Opens a connection and drives it in a task of its own; waits as long as the system does.
+///
+/// # Errors
+///
+/// No connection could be opened.
+pub async fn connect(address: SocketAddr) -> Result<http1::SendRequest<Full<Bytes>>> {
+    let failed = |message: String| ConnectSnafu { address, message }.build();
+    let stream = TcpStream::connect(address)
+        .await
+        .map_err(|error| failed(error.to_string()))?;
     stream
         .set_nodelay(true)
         .map_err(|error| failed(error.to_string()))?;
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -18,6 +18,6 @@
 mod clock;
 mod error;
 
-pub use client::{ClientPool, HttpAnswer, HttpCall, HttpClient};
+pub use client::{ClientPool, HttpAnswer, HttpCall, HttpClient, connect};
 pub use clock::BootClock;
 pub use error::{Category, Error, ErrorKind, Result};
