--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -35,7 +35,7 @@
 pub use resize::{IdleVm, PoolDemandView, ResizeMove, plan_resize};
 pub use scheduler::{
     Batch, BatchRecord, Effect, HoldPlan, Job, JobNote, JobProgress, LossReason, Scheduler,
-    SchedulerLimits, TaskMark, VmEntry, VmState, WorkerChange,
+    SchedulerLimits, StepAdvice, TaskMark, VmEntry, VmState, WorkerChange,
 };
 pub use spec::{
     JobError, JobId, JobSpec, JobState, JobTerms, RepeatPlan, Resources, StepKey, StepSpec, TaskKey,
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -24,6 +24,7 @@
 pub use batch::{Batch, BatchRecord, JobProgress, TaskMark};
 pub use jobs::Job;
 pub use leases::HoldPlan;
+pub use permits::StepAdvice;
 
 use smallvec::SmallVec;
 
--- a/crates/core/src/job/scheduler/orders.rs
+++ b/crates/core/src/job/scheduler/orders.rs
@@ -56,24 +56,7 @@
                 reply,
             });
         }
-        match reply {
-            StartReply::Started => {
-                if let Some(worker) = self.workers.get_mut(id) {
-                    worker.answered();
-                }
-            }
-            StartReply::Unhealthy => self.worker_failed(id, true),
-            StartReply::NoPermit => self.permits.void(key.into(), id),
-            StartReply::NoRoom | StartReply::WrongLife => {
-                if let Some(worker) = self.workers.get_mut(id) {
-                    worker.suspend(now);
-                }
-            }
-            _ => {}
-        }
-        if matches!(reply, StartReply::Unknown | StartReply::OldRun) {
-            self.unsettle(id);
-        }
+        self.judge_worker(id, key, reply);
         let Some(slot) = self.assigned_slot(id, key, run) else {
             return;
         };
@@ -100,6 +83,28 @@
         }
     }
 
+    /// What a worker's answer to a start says of the worker.
+    fn judge_worker(&mut self, id: &WorkerId, key: TaskKey, reply: StartReply) {
+        let now = self.now;
+        if reply == StartReply::Unhealthy {
+            self.worker_failed(id, true);
+            return;
+        }
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        match reply {
+            StartReply::Started => worker.answered(),
+            StartReply::Unknown | StartReply::OldRun => worker.unsettled = true,
+            StartReply::NoRoom | StartReply::WrongLife => worker.suspend(now),
+            StartReply::NoPermit => self.permits.void(key.into(), id),
+            StartReply::Unhealthy
+            | StartReply::Fenced
+            | StartReply::TooLate
+            | StartReply::Invalid => {}
+        }
+    }
+
     /// Takes the answer to a stop order.
     pub fn stop_replied(
         &mut self,
--- a/crates/core/src/job/scheduler/permits.rs
+++ b/crates/core/src/job/scheduler/permits.rs
@@ -13,6 +13,15 @@
 /// Pause after a question that came to nothing.
 const ASK_RETRY: ClockTime = ClockTime::from_millis(200);
 
+/// The policy service's answer.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StepAdvice {
+    /// Workers that may run the step, with their permits.
+    pub good: Vec<(WorkerId, Arc<str>)>,
+    /// How long the permits hold.
+    pub valid: ClockTime,
+}
+
 /// What the policy service has said of a worker.
 #[derive(Clone, Debug)]
 enum Verdict {
@@ -86,11 +95,11 @@
         Some(Effect::Advise { step, workers })
     }
 
-    fn answer(&mut self, answer: Option<(Vec<(WorkerId, Arc<str>)>, ClockTime)>, now: ClockTime) {
+    fn answer(&mut self, answer: Option<StepAdvice>, now: ClockTime) {
         let Some(question) = self.open.take() else {
             return;
         };
-        let Some((good, valid)) = answer else {
+        let Some(StepAdvice { good, valid }) = answer else {
             self.quiet_until = now + ASK_RETRY;
             return;
         };
@@ -111,13 +120,8 @@
 }
 
 impl Scheduler {
-    /// Takes the policy service's answer: the workers that may run the step with their permits, and
-    /// how long these hold; none where it did not answer.
-    pub fn advised(
-        &mut self,
-        answer: Option<(Vec<(WorkerId, Arc<str>)>, ClockTime)>,
-        now: ClockTime,
-    ) {
+    /// Takes the policy service's answer; none where it did not answer.
+    pub fn advised(&mut self, answer: Option<StepAdvice>, now: ClockTime) {
         self.now = now;
         self.permits.answer(answer, now);
         let jobs = &self.jobs;
--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -2,8 +2,6 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use smallvec::SmallVec;
-
 use crate::{
     clock::ClockTime,
     job::{
@@ -128,11 +126,8 @@
             return;
         }
         worker.end_seen = row.number;
-        if worker
-            .tasks
-            .get(&row.task)
-            .is_some_and(|charge| charge.run == row.run)
-        {
+        let charge = worker.tasks.get(&row.task);
+        if charge.is_some_and(|charge| charge.run == row.run) {
             worker.discharge(&row.task, now);
         }
         let Some(job) = self.jobs.get_mut(&row.task.job) else {
@@ -152,8 +147,7 @@
         } else {
             row.end
         };
-        let job = self.jobs.get_mut(&row.task.job);
-        let Some(job) = job else {
+        let Some(job) = self.jobs.get_mut(&row.task.job) else {
             return;
         };
         let Some(slot) = job.task_mut(&row.task) else {
@@ -229,15 +223,12 @@
 
     /// Judges runs that are on the worker's account and that it neither runs nor has ended.
     fn take_absent(&mut self, id: &WorkerId, there: &BTreeSet<TaskKey>, asked_at: ClockTime) {
-        let Some(worker) = self.workers.get(id) else {
+        let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let absent = worker.tasks.iter().filter(|(key, _)| !there.contains(*key));
-        let absent: SmallVec<[(TaskKey, u32); 8]> =
-            absent.map(|(key, charge)| (*key, charge.run)).collect();
-        if let Some(worker) = self.workers.get_mut(id) {
-            worker.unsettled = false;
-        }
+        worker.unsettled = false;
+        let mut absent = worker.runs();
+        absent.retain(|(key, _)| !there.contains(key));
         for (key, run) in absent {
             let Some(slot) = self.assigned_slot(id, key, run) else {
                 self.vacate(id, key);
@@ -290,9 +281,7 @@
         let Some(worker) = self.workers.get(id) else {
             return;
         };
-        let runs = worker.tasks.iter().map(|(key, charge)| (*key, charge.run));
-        let runs: SmallVec<[(TaskKey, u32); 8]> = runs.collect();
-        for (key, run) in runs {
+        for (key, run) in worker.runs() {
             self.lose_run(id, key, run, reason);
         }
     }
@@ -314,9 +303,7 @@
         worker.end_seen = 0;
         worker.end_stored = 0;
         worker.lease = WorkerLease::Unknown(lease);
-        let runs = worker.tasks.iter().map(|(key, charge)| (*key, charge.run));
-        let runs: SmallVec<[(TaskKey, u32); 8]> = runs.collect();
-        for (key, run) in runs {
+        for (key, run) in worker.runs() {
             let slot = self.assigned_slot(id, key, run);
             let due = matches!(slot, Some(AnyTask::Assigned(task))
                 if task.phase.order == StartOrder::Pending);
--- a/crates/core/src/job/scheduler/waves.rs
+++ b/crates/core/src/job/scheduler/waves.rs
@@ -149,12 +149,7 @@
         let Some(worker) = self.workers.get(id) else {
             return;
         };
-        let keys: SmallVec<[(TaskKey, u32); 4]> = worker
-            .tasks
-            .iter()
-            .map(|(key, charge)| (*key, charge.run))
-            .collect();
-        for (key, run) in keys {
+        for (key, run) in worker.runs() {
             let Some(job) = self.jobs.get(&key.job) else {
                 continue;
             };
--- a/crates/core/src/job/spec.rs
+++ b/crates/core/src/job/spec.rs
@@ -231,6 +231,9 @@
     }
 }
 
+/// Whether a step asks for something.
+type StepTest = fn(&StepSpec) -> bool;
+
 /// Steps that run several times.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RepeatPlan {
@@ -348,7 +351,7 @@
 
     /// What its steps ask for beside processor and memory, for logs.
     pub fn traits(&self) -> SmallVec<[&'static str; 4]> {
-        let asks: [(&'static str, fn(&StepSpec) -> bool); 10] = [
+        let asks: [(&'static str, StepTest); 10] = [
             ("long_running", |step| step.long_running),
             ("fills", |step| step.fills),
             ("latency_target", |step| step.target > ClockTime::ZERO),
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -313,6 +313,12 @@
         }
     }
 
+    /// Runs that may be at work on it.
+    pub fn runs(&self) -> SmallVec<[(TaskKey, u32); 8]> {
+        let tasks = self.tasks.iter();
+        tasks.map(|(key, charge)| (*key, charge.run)).collect()
+    }
+
     /// Whether nothing runs on it or may begin to.
     pub fn is_empty(&self) -> bool {
         self.tasks.is_empty()
--- a/crates/core/tests/jobs/placing.rs
+++ b/crates/core/tests/jobs/placing.rs
@@ -4,7 +4,7 @@
 
 use jacinthhoist_core::{
     WorkerId,
-    job::{Effect, JobId, JobState, Resources, StartReply, StepSpec, TaskEnd},
+    job::{Effect, JobId, JobState, Resources, StartReply, StepAdvice, StepSpec, TaskEnd},
 };
 
 use super::world::{Start, World, ms, spec, step, worker};
@@ -115,11 +115,19 @@
 
 /// The workers that the policy service was asked about last.
 fn asked(world: &mut World) -> Vec<WorkerId> {
-    let asks = world.orders.drain(..).filter_map(|order| match order {
+    let mut asks = world.orders.drain(..).filter_map(|order| match order {
         Effect::Advise { workers, .. } => Some(workers),
         _ => None,
     });
-    asks.last().unwrap_or_default()
+    asks.next_back().unwrap_or_default()
+}
+
+/// The policy service permits one worker.
+fn permit(number: usize) -> StepAdvice {
+    StepAdvice {
+        good: vec![(worker(number), "permit".into())],
+        valid: ms(3_000),
+    }
 }
 
 #[test]
@@ -129,8 +137,7 @@
     world.settle();
     assert!(world.starts.is_empty());
     assert_eq!(asked(&mut world).len(), 3);
-    let good = vec![(worker(1), "permit".into())];
-    world.scheduler.advised(Some((good, ms(3_000))), world.now);
+    world.scheduler.advised(Some(permit(1)), world.now);
     world.settle();
     let on: Vec<&WorkerId> = world.starts.iter().map(|start| &start.worker).collect();
     assert_eq!(on, [&worker(1), &worker(1)]);
@@ -144,8 +151,7 @@
         accept_advised(&mut world, 1, 1);
         world.settle();
         assert_eq!(asked(&mut world), [worker(0)]);
-        let good = vec![(worker(0), "permit".into())];
-        world.scheduler.advised(Some((good, ms(3_000))), world.now);
+        world.scheduler.advised(Some(permit(0)), world.now);
         world.settle();
         let start: Start = world.starts.remove(0);
         if not_taken {
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -16,7 +16,8 @@
 use jacinthhoist_core::{
     ClockTime, VmName, WorkerId,
     job::{
-        HoldReport, JobId, OrderReply, SchedulerLimits, StartReply, TaskKey, VmEntry, WorkerEntry,
+        HoldReport, JobId, OrderReply, SchedulerLimits, StartReply, StepAdvice, TaskKey, VmEntry,
+        WorkerEntry,
     },
 };
 use tokio::{
@@ -25,11 +26,7 @@
 };
 
 use crate::{
-    eventlog::event,
-    membership::Place,
-    operator::WaveBook,
-    ports::{Platform, StepAdvice},
-    shared::MemberShared,
+    eventlog::event, membership::Place, operator::WaveBook, ports::Platform, shared::MemberShared,
 };
 
 use engine::OwnerEngine;
--- a/crates/scheduler/src/owner/engine.rs
+++ b/crates/scheduler/src/owner/engine.rs
@@ -241,10 +241,7 @@
             } => scheduler.stop_replied(&worker, task, run, reply, now),
             OwnerEvent::Stored(number) => scheduler.stored(number, now),
             OwnerEvent::Forgotten(jobs) => scheduler.forgotten(&jobs),
-            OwnerEvent::Advised(advice) => {
-                let answer = advice.map(|advice| (advice.good, advice.valid));
-                scheduler.advised(answer, now);
-            }
+            OwnerEvent::Advised(advice) => scheduler.advised(advice, now),
             OwnerEvent::Vms { vms, asked_at } => scheduler.list_vms(vms, asked_at, now),
             OwnerEvent::VmOrdered { vm, reply } => scheduler.vm_replied(&vm, reply, now),
             OwnerEvent::Fenced(_) => {}
--- a/crates/scheduler/src/owner/workers.rs
+++ b/crates/scheduler/src/owner/workers.rs
@@ -1,6 +1,6 @@
 //! Connections to workers: renewals of leases, orders, one bounded set of connections a worker.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, future::Future, sync::Arc};
 
 use jacinthhoist_core::{
     ClockTime, WorkerId,
@@ -149,67 +149,59 @@
 
     /// Sends a start order.
     pub(super) fn start(&self, worker: WorkerId, order: StartOrder) {
-        let (task, run) = (order.task, order.run);
-        let Some((link, orders)) = self.port(&worker) else {
-            let reply = StartReply::Unhealthy;
-            self.tell(OwnerEvent::Started {
-                worker,
-                task,
-                run,
-                reply,
-            });
+        let (task, run, token) = (order.task, order.run, self.token);
+        let id = worker.clone();
+        let started = move |reply| OwnerEvent::Started {
+            worker,
+            task,
+            run,
+            reply,
+        };
+        let Some(port) = self.ports.get(&id) else {
+            self.tell(started(StartReply::Unhealthy));
             return;
         };
-        let (events, token) = (self.events.clone(), self.token);
         self.shared.meter.starts.increment(1);
-        tokio::spawn(async move {
-            let Ok(_permit) = orders.acquire().await else {
-                return;
-            };
-            let reply = link.start(order, token).await;
-            // The engine may have ended.
-            let _ = events.send(OwnerEvent::Started {
-                worker,
-                task,
-                run,
-                reply,
-            });
-        });
+        let link = port.link.clone();
+        self.send(port, async move { started(link.start(order, token).await) });
     }
 
     /// Sends a stop order.
     pub(super) fn stop(&self, worker: WorkerId, task: TaskKey, run: u32) {
-        let Some((link, orders)) = self.port(&worker) else {
-            let reply = OrderReply::Unknown;
-            self.tell(OwnerEvent::Stopped {
-                worker,
-                task,
-                run,
-                reply,
-            });
+        let (id, token) = (worker.clone(), self.token);
+        let stopped = move |reply| OwnerEvent::Stopped {
+            worker,
+            task,
+            run,
+            reply,
+        };
+        let Some(port) = self.ports.get(&id) else {
+            self.tell(stopped(OrderReply::Unknown));
             return;
         };
-        let (events, token) = (self.events.clone(), self.token);
+        let link = port.link.clone();
+        self.send(
+            port,
+            async move { stopped(link.stop(task, run, token).await) },
+        );
+    }
+
+    /// Makes a call within the bound on orders under way to a worker.
+    fn send(
+        &self,
+        port: &WorkerPort<P::Worker>,
+        call: impl Future<Output = OwnerEvent> + Send + 'static,
+    ) {
+        let (orders, events) = (port.orders.clone(), self.events.clone());
         tokio::spawn(async move {
             let Ok(_permit) = orders.acquire().await else {
                 return;
             };
-            let reply = link.stop(task, run, token).await;
             // The engine may have ended.
-            let _ = events.send(OwnerEvent::Stopped {
-                worker,
-                task,
-                run,
-                reply,
-            });
+            let _ = events.send(call.await);
         });
     }
 
-    fn port(&self, worker: &WorkerId) -> Option<(Arc<P::Worker>, Arc<Semaphore>)> {
-        let port = self.ports.get(worker)?;
-        Some((port.link.clone(), port.orders.clone()))
-    }
-
     fn tell(&self, event: OwnerEvent) {
         // The engine may have ended.
         let _ = self.events.send(event);
--- a/crates/scheduler/src/ports.rs
+++ b/crates/scheduler/src/ports.rs
@@ -6,8 +6,8 @@
 use jacinthhoist_core::{
     ClockTime, PoolName, VmName, WorkerId,
     job::{
-        HoldReport, JobCatalogue, OrderReply, StartReply, StepKey, TaskKey, VmEntry, WaveRequest,
-        WorkerEntry,
+        HoldReport, JobCatalogue, OrderReply, StartReply, StepAdvice, StepKey, TaskKey, VmEntry,
+        WaveRequest, WorkerEntry,
     },
 };
 
@@ -107,15 +107,6 @@
     pub permit: Option<Arc<str>>,
 }
 
-/// Workers that may run a step, with their permits.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct StepAdvice {
-    /// The workers with their permits.
-    pub good: Vec<(WorkerId, Arc<str>)>,
-    /// How long the permits hold.
-    pub valid: ClockTime,
-}
-
 /// A renewal of a worker's lease, and a look at what it runs.
 #[derive(Clone, Copy, Debug)]
 pub struct HoldOrder {
