--- a/crates/experiments/examples/schedule.rs
+++ b/crates/experiments/examples/schedule.rs
@@ -114,7 +114,7 @@
         }
         let effects = self.scheduler.step(self.now);
         self.perform(round, effects);
-        if round % 10 == 0 {
+        if round.is_multiple_of(10) {
             std::hint::black_box(self.scheduler.loads());
         }
         began.elapsed()
