--- a/crates/fakes/src/platform/store.rs
+++ b/crates/fakes/src/platform/store.rs
@@ -27,6 +27,8 @@
 const PARTS: u32 = 16;
 /// Answers of a slow store take this much longer.
 const SLOW: Duration = Duration::from_millis(250);
+/// A page of the newest records over a thin link takes this long.
+const SLOW_PAGE: Duration = Duration::from_millis(1_500);
 /// Writes that are carried out late wait this long.
 const LATE: Duration = Duration::from_millis(1_500);
 
@@ -42,6 +44,8 @@
     Silent,
     /// It answers late.
     Slow,
+    /// Pages of the newest records come slowly, as over a thin link.
+    SlowPages,
     /// It carries writes out and does not answer them.
     LoseAnswers,
     /// It carries writes out late and does not answer them.
@@ -322,7 +326,10 @@
         StoreFault::Busy => return http::status(StatusCode::SERVICE_UNAVAILABLE),
         StoreFault::Silent => return std::future::pending().await,
         StoreFault::Slow => tokio::time::sleep(SLOW).await,
-        StoreFault::None | StoreFault::LoseAnswers | StoreFault::Late => {}
+        StoreFault::SlowPages if request.uri().path() == "/v1/log-newest" => {
+            tokio::time::sleep(SLOW_PAGE).await;
+        }
+        StoreFault::None | StoreFault::SlowPages | StoreFault::LoseAnswers | StoreFault::Late => {}
     }
     let write = request.uri().path() == "/v1/log-append";
     if write && fault == StoreFault::Late {
--- a/crates/scheduler/src/peer/ask.rs
+++ b/crates/scheduler/src/peer/ask.rs
@@ -68,11 +68,7 @@
             if self.shared.owner_inbox.load().is_some() {
                 self.answer_here().await;
             } else if let Some((owner, socket)) = self.find_owner().await {
-                event!(self.shared.log, Dependency, "name": "owner", "lost": false,
-                    "owner": owner);
-                self.follow(socket).await;
-                event!(self.shared.log, Dependency, "name": "owner", "lost": true,
-                    "owner": owner);
+                self.follow(&owner, socket).await;
                 self.answer_unsure(REOPEN_PAUSE).await;
             } else {
                 self.answer_unsure(FIND_PAUSE).await;
@@ -127,8 +123,17 @@
         Some((owner, socket))
     }
 
-    /// Asks one owner until its link ends.
-    async fn follow(&mut self, mut socket: PeerSocket) {
+    /// Asks one owner until its link ends. It counts as found with its first word on loads: a member
+    /// that the group has just made owner closes links until it has taken over.
+    async fn follow(&mut self, owner: &str, socket: PeerSocket) {
+        let mut found = false;
+        self.follow_link(owner, socket, &mut found).await;
+        if found {
+            event!(self.shared.log, Dependency, "name": "owner", "lost": true, "owner": owner);
+        }
+    }
+
+    async fn follow_link(&mut self, owner: &str, mut socket: PeerSocket, found: &mut bool) {
         let mut open = OpenAsks::new();
         let mut silent_at = Instant::now() + OWNER_SILENCE;
         loop {
@@ -142,6 +147,10 @@
                     // does not.
                     if self.take(&message, &mut open) {
                         silent_at = Instant::now() + OWNER_SILENCE;
+                        if !std::mem::replace(found, true) {
+                            event!(self.shared.log, Dependency, "name": "owner", "lost": false,
+                                "owner": owner);
+                        }
                     }
                 }
                 ask = self.asks.recv() => {
