Give repeated pieces of the scheduler one home; drop what nothing uses

Cause: a read of the whole change. The paging loop over the newest records stood three times, the ways to place a run three times, the look-up of a VM's worker four times, seconds for metrics five times; a worker's VM, three public look-ups and a fence check on appends without a mark were used by nothing. Change: read_newest, TaskRun::place, Fleet::worker_of and may_order, ClockTime::as_secs_f64, JobCall::turn serve all of them; what was dead is gone.

--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -39,6 +39,16 @@
     pub const fn as_millis(self) -> u64 {
         self.0
     }
+
+    /// The time in seconds, as metrics count it.
+    ///
+    /// ```
+    /// use jacinthhoist_core::ClockTime;
+    /// assert_eq!(ClockTime::from_millis(1_500).as_secs_f64(), 1.5);
+    /// ```
+    pub fn as_secs_f64(self) -> f64 {
+        self.0 as f64 / 1_000.0
+    }
 }
 
 impl Add for ClockTime {
--- a/crates/core/src/job/catalogue.rs
+++ b/crates/core/src/job/catalogue.rs
@@ -100,14 +100,4 @@
     pub fn work(&self, name: &WorkName) -> Option<&JobWork> {
         self.works.iter().find(|work| work.name == *name)
     }
-
-    /// A pool by name.
-    pub fn pool(&self, name: &PoolName) -> Option<&JobPool> {
-        self.pools.iter().find(|pool| pool.name == *name)
-    }
-
-    /// The pool whose VMs are off.
-    pub fn spare(&self) -> Option<&JobPool> {
-        self.pools.iter().find(|pool| pool.spare)
-    }
 }
--- a/crates/core/src/job/scheduler/batch.rs
+++ b/crates/core/src/job/scheduler/batch.rs
@@ -323,7 +323,7 @@
         }
         let worker = assigned.phase.worker.clone();
         if job.ending.is_some() {
-            self.withdraw_start(&worker, task);
+            self.withdraw_start(&worker, task, run);
             return;
         }
         let start = Effect::Start {
@@ -342,12 +342,8 @@
     }
 
     /// A start that was stored and is no longer wanted: it was never sent.
-    fn withdraw_start(&mut self, worker: &WorkerId, task: TaskKey) {
-        if let Some(slot) = self
-            .jobs
-            .get_mut(&task.job)
-            .and_then(|job| job.task_mut(&task))
-        {
+    fn withdraw_start(&mut self, worker: &WorkerId, task: TaskKey, run: u32) {
+        if let Some(slot) = self.assigned_slot(worker, task, run) {
             *slot = slot.clone().released();
         }
         self.vacate(worker, task);
--- a/crates/core/src/job/scheduler/fleet.rs
+++ b/crates/core/src/job/scheduler/fleet.rs
@@ -7,7 +7,7 @@
 use crate::{
     clock::ClockTime,
     job::{resize::plan_resize, worker::OrderReply},
-    name::{PoolName, VmName},
+    name::{PoolName, VmName, WorkerId},
 };
 
 use super::{
@@ -20,6 +20,7 @@
 const SETTLE: ClockTime = ClockTime::from_millis(1_000);
 /// Time after which an order on a VM that was refused or not answered is tried again.
 const ORDER_RETRY: ClockTime = ClockTime::from_millis(600);
+
 /// What a VM is ordered to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum VmOrder {
@@ -68,11 +69,21 @@
     }
 
     pub(super) fn is_free(&self, vm: &VmEntry, now: ClockTime) -> bool {
-        let refused = self.refused.get(&vm.vm);
         vm.state == VmState::Up
             && !self.pending.contains_key(&vm.vm)
             && !self.emptying.contains(&vm.vm)
-            && refused.is_none_or(|until| now >= *until)
+            && self.may_order(&vm.vm, now)
+    }
+
+    /// Whether the last refusal of an order on a VM is long enough ago.
+    pub(super) fn may_order(&self, vm: &VmName, now: ClockTime) -> bool {
+        let refused = self.refused.get(vm);
+        refused.is_none_or(|until| now >= *until)
+    }
+
+    /// The present life of a VM.
+    pub(super) fn worker_of(&self, vm: &VmName) -> Option<&WorkerId> {
+        self.vms.get(vm)?.worker.as_ref()
     }
 }
 
@@ -98,12 +109,6 @@
         self.fleet.listed_at = asked_at;
         let vms = listed.into_iter().map(|vm| (vm.vm.clone(), vm));
         self.fleet.vms = vms.collect();
-        for vm in self.fleet.vms.values() {
-            let worker = vm.worker.as_ref().and_then(|id| self.workers.get_mut(id));
-            if let Some(worker) = worker {
-                worker.vm = Some(vm.vm.clone());
-            }
-        }
         let vms = &self.fleet.vms;
         let limits = self.limits;
         self.fleet.pending.retain(|name, pending| {
@@ -162,12 +167,7 @@
 
     /// What ran on a VM has ended with its order.
     fn vm_left(&mut self, vm: &VmName) {
-        let worker = self
-            .fleet
-            .vms
-            .get(vm)
-            .and_then(|entry| entry.worker.clone());
-        if let Some(id) = worker {
+        if let Some(id) = self.fleet.worker_of(vm).cloned() {
             self.lose_runs(&id, LossReason::VmLeft);
         }
     }
@@ -220,11 +220,7 @@
     }
 
     pub(super) fn set_cordon(&mut self, vm: &VmName, cordoned: bool) {
-        let worker = self
-            .fleet
-            .vms
-            .get(vm)
-            .and_then(|entry| entry.worker.as_ref());
+        let worker = self.fleet.worker_of(vm);
         if let Some(worker) = worker.and_then(|id| self.workers.get_mut(id)) {
             worker.cordoned = cordoned;
         }
--- a/crates/core/src/job/scheduler/waves.rs
+++ b/crates/core/src/job/scheduler/waves.rs
@@ -92,7 +92,7 @@
             }
             let worker = vm.worker.as_ref().and_then(|id| self.workers.get(id));
             if worker.is_none_or(Worker::is_empty) {
-                if vm.state == VmState::Up && room > 0 && self.may_order(&name) {
+                if vm.state == VmState::Up && room > 0 && self.fleet.may_order(&name, now) {
                     room -= 1;
                     self.order_vm(&name, VmOrder::Maintain(number));
                 }
@@ -118,11 +118,6 @@
         vms.filter(|vm| ordered(vm) || listed(vm)).count()
     }
 
-    pub(super) fn may_order(&self, vm: &VmName) -> bool {
-        let refused = self.fleet.refused.get(vm);
-        refused.is_none_or(|until| self.now >= *until)
-    }
-
     /// Lets the least loaded VMs of a wave run empty.
     fn empty_vms(&mut self, mut busy: Vec<(u64, VmName)>, count: usize) {
         busy.sort_unstable();
@@ -133,12 +128,7 @@
         }
         let emptying: SmallVec<[VmName; 4]> = self.fleet.emptying.iter().cloned().collect();
         for vm in emptying {
-            let worker = self
-                .fleet
-                .vms
-                .get(&vm)
-                .and_then(|entry| entry.worker.clone());
-            if let Some(id) = worker {
+            if let Some(id) = self.fleet.worker_of(&vm).cloned() {
                 self.evict(&id);
             }
         }
--- a/crates/core/src/job/spec.rs
+++ b/crates/core/src/job/spec.rs
@@ -402,13 +402,6 @@
     Cancelled,
 }
 
-impl JobState {
-    /// Whether it stays so.
-    pub fn is_final(self) -> bool {
-        !matches!(self, Self::Queued | Self::Running)
-    }
-}
-
 pub(crate) fn unset<T: Default + PartialEq>(value: &T) -> bool {
     *value == T::default()
 }
--- a/crates/core/src/job/task.rs
+++ b/crates/core/src/job/task.rs
@@ -104,13 +104,9 @@
     }
 
     /// Gives the next run to a worker.
-    pub fn assign(mut self, worker: WorkerId, now: ClockTime) -> TaskRun<Assigned> {
-        self.run += 1;
-        self.turn(Assigned {
-            worker,
-            since: now,
-            order: StartOrder::Pending,
-        })
+    pub fn assign(self, worker: WorkerId, now: ClockTime) -> TaskRun<Assigned> {
+        let (run, saved) = (self.run + 1, self.saved.clone());
+        self.assign_gang(worker, run, saved, now)
     }
 
     /// Gives it the run that all members of its gang share, with their number and saved progress.
@@ -123,19 +119,19 @@
     ) -> TaskRun<Assigned> {
         self.run = run;
         self.saved = saved;
-        self.turn(Assigned {
-            worker,
-            since: now,
-            order: StartOrder::Pending,
-        })
+        self.place(worker, StartOrder::Pending, now)
     }
 
     /// Takes over a recorded run of a worker.
     pub fn adopt(self, worker: WorkerId, now: ClockTime) -> TaskRun<Assigned> {
+        self.place(worker, StartOrder::Inherited, now)
+    }
+
+    fn place(self, worker: WorkerId, order: StartOrder, now: ClockTime) -> TaskRun<Assigned> {
         self.turn(Assigned {
             worker,
             since: now,
-            order: StartOrder::Inherited,
+            order,
         })
     }
 }
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     clock::ClockTime,
-    name::{DataCentre, PoolName, RackName, VmName, WorkerId},
+    name::{DataCentre, PoolName, RackName, WorkerId},
 };
 
 use super::{
@@ -170,8 +170,6 @@
     pub entry: WorkerEntry,
     /// Since when it is missing from the list.
     pub missing_since: Option<ClockTime>,
-    /// The VM whose life it is.
-    pub vm: Option<VmName>,
     /// Its life, as it last reported it.
     pub born: Option<u64>,
     /// Until when it may run what it holds.
@@ -214,7 +212,6 @@
             id,
             entry,
             missing_since: None,
-            vm: None,
             born: None,
             lease: WorkerLease::Unknown(lease),
             seen_at: None,
--- a/crates/scheduler/src/accept.rs
+++ b/crates/scheduler/src/accept.rs
@@ -104,8 +104,7 @@
             let Err(error) = appended else {
                 self.mark.seq += 1;
                 let took = self.shared.clock.now() - began;
-                let seconds = took.as_millis() as f64 / 1_000.0;
-                self.shared.meter.store_time.record(seconds);
+                self.shared.meter.store_time.record(took.as_secs_f64());
                 return Stored::Yes;
             };
             self.shared.meter.append_retries.increment(1);
--- a/crates/scheduler/src/caller.rs
+++ b/crates/scheduler/src/caller.rs
@@ -162,6 +162,17 @@
     phase: P,
 }
 
+impl<P> JobCall<P> {
+    fn turn<N>(self, phase: N) -> JobCall<N> {
+        JobCall {
+            call: self.call,
+            received_at: self.received_at,
+            until: self.until,
+            phase,
+        }
+    }
+}
+
 /// Serves callers.
 #[derive(Clone)]
 pub struct CallerPipe {
@@ -209,7 +220,7 @@
         let (work, reply) = self.serve(received).await;
         let took = self.shared.clock.now() - received_at;
         let meter = &self.shared.meter;
-        meter.answer_time.record(took.as_millis() as f64 / 1_000.0);
+        meter.answer_time.record(took.as_secs_f64());
         meter.answered(verb, reply.as_str());
         // A caller that looks after its job and learns its state needs no line of its own.
         if !matches!(reply, CallerReply::State(_) | CallerReply::Waiting(_)) {
@@ -285,12 +296,7 @@
             rest: rest.to_owned(),
             catalogue,
         };
-        Ok(JobCall {
-            call: call.call,
-            received_at: call.received_at,
-            until: call.until,
-            phase,
-        })
+        Ok(call.turn(phase))
     }
 
     fn admit(&self, call: JobCall<Classified>) -> Result<JobCall<Admitted>, CallerReply> {
@@ -314,12 +320,7 @@
         self.admit_load(work, &spec)?;
         let record = encode_job(id, &spec);
         let record = record.map_err(|error| CallerReply::BadCall(error.to_string()))?;
-        Ok(JobCall {
-            call: call.call,
-            received_at: call.received_at,
-            until: call.until,
-            phase: Admitted { record },
-        })
+        Ok(call.turn(Admitted { record }))
     }
 
     /// Refuses a job that would be served too late to be worth anything.
--- a/crates/scheduler/src/owner/engine.rs
+++ b/crates/scheduler/src/owner/engine.rs
@@ -159,7 +159,7 @@
         let effects = self.scheduler.step(now);
         let took = self.shared.clock.now() - now;
         let meter = &self.shared.meter;
-        meter.step_time.record(took.as_millis() as f64 / 1_000.0);
+        meter.step_time.record(took.as_secs_f64());
         self.workers.sync(&self.scheduler);
         for effect in effects {
             self.performer.perform(effect, &self.workers);
--- a/crates/scheduler/src/owner/load.rs
+++ b/crates/scheduler/src/owner/load.rs
@@ -15,7 +15,7 @@
     shared::MemberShared,
 };
 
-use super::sources::{read_workers, workers_by_id};
+use super::sources::{read_newest, read_workers, workers_by_id};
 
 /// The producer under which owners write, one after the other.
 pub(super) const OWNER_PRODUCER: &str = "owner";
@@ -107,34 +107,25 @@
     shared: &MemberShared,
     records: &mut Records,
 ) -> Result<()> {
-    let mut after = None;
-    loop {
-        let page = platform.newest(StoreStream::Progress, after).await?;
-        for record in &page.records {
+    let take = |page: Vec<KeyedRecord>| {
+        for record in &page {
             match decode_progress(record) {
                 Ok(known) => records.progress.push(known),
                 Err(error) => note_unreadable(shared, record, &error.to_string()),
             }
         }
-        after = page.next;
-        if after.is_none() {
-            return Ok(());
-        }
-    }
+    };
+    read_newest(platform, StoreStream::Progress, take).await?;
+    Ok(())
 }
 
-/// Reads accepted records; those written meanwhile are read again from where the first page ended.
 async fn read_accepted<P: Platform>(
     platform: &P,
     shared: &MemberShared,
     records: &mut Records,
 ) -> Result<()> {
-    let mut after = None;
-    let mut first_end = None;
-    loop {
-        let page = platform.newest(StoreStream::Accepted, after).await?;
-        records.accepted_next = *first_end.get_or_insert(page.end);
-        for record in decode_all(shared, &page.records) {
+    let take = |page: Vec<KeyedRecord>| {
+        for record in decode_all(shared, &page) {
             match record {
                 AcceptedRecord::Job(id, spec) => {
                     records.jobs.insert(id, Arc::new(spec));
@@ -143,11 +134,9 @@
                 AcceptedRecord::Dropped => {}
             }
         }
-        after = page.next;
-        if after.is_none() {
-            return Ok(());
-        }
-    }
+    };
+    records.accepted_next = read_newest(platform, StoreStream::Accepted, take).await?;
+    Ok(())
 }
 
 fn restore(
--- a/crates/scheduler/src/owner/notes.rs
+++ b/crates/scheduler/src/owner/notes.rs
@@ -17,8 +17,7 @@
 fn meter(shared: &MemberShared, note: &JobNote) {
     match note {
         JobNote::Finished { after, .. } => {
-            let seconds = after.as_millis() as f64 / 1_000.0;
-            shared.meter.job_time.record(seconds);
+            shared.meter.job_time.record(after.as_secs_f64());
         }
         JobNote::RunLost { reason, .. } => shared.meter.run_lost(match reason {
             LossReason::LeaseLapsed => "lease_lapsed",
--- a/crates/scheduler/src/owner/perform.rs
+++ b/crates/scheduler/src/owner/perform.rs
@@ -11,7 +11,6 @@
 
 use crate::{
     dependency::Dependency,
-    error::Category,
     eventlog::event,
     ports::{Platform, StartOrder, StoreStream, WriterMark},
     shared::MemberShared,
@@ -188,8 +187,7 @@
                 sleep(APPEND_PAUSE).await;
             };
             let took = shared.clock.now() - began;
-            let seconds = took.as_millis() as f64 / 1_000.0;
-            shared.meter.store_time.record(seconds);
+            shared.meter.store_time.record(took.as_secs_f64());
             // The engine may have ended.
             let _ = events.send(event);
         });
@@ -221,9 +219,6 @@
         self.calls.spawn(async move {
             while let Err(error) = platform.write_wave(wave, completed).await {
                 shared.note_failure(Dependency::WaveStatus, &error);
-                if error.category() == Category::Fenced {
-                    return;
-                }
                 sleep(STATUS_PAUSE).await;
             }
         });
--- a/crates/scheduler/src/owner/sources.rs
+++ b/crates/scheduler/src/owner/sources.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
+use jacinthhoist_codec::KeyedRecord;
 use jacinthhoist_core::{ClockTime, WorkerId, job::WorkerEntry};
 use tokio::{sync::mpsc, time::sleep};
 
@@ -60,19 +61,28 @@
     }
 }
 
-async fn read_all<P: Platform>(
+async fn read_all<P: Platform>(platform: &P, next: &mut u64) -> Result<Vec<KeyedRecord>> {
+    let mut records = Vec::new();
+    let stream = StoreStream::Accepted;
+    *next = read_newest(platform, stream, |page| records.extend(page)).await?;
+    Ok(records)
+}
+
+/// Reads the newest record of each key, page by page. Pages are no snapshot: the offset at the end
+/// of the first is returned, from which what was written meanwhile is read again.
+pub(super) async fn read_newest<P: Platform>(
     platform: &P,
-    next: &mut u64,
-) -> Result<Vec<jacinthhoist_codec::KeyedRecord>> {
-    let (mut records, mut after, mut first_end) = (Vec::new(), None, None);
+    stream: StoreStream,
+    mut take: impl FnMut(Vec<KeyedRecord>),
+) -> Result<u64> {
+    let (mut after, mut first_end) = (None, None);
     loop {
-        let page = platform.newest(StoreStream::Accepted, after).await?;
-        first_end.get_or_insert(page.end);
-        records.extend(page.records);
+        let page = platform.newest(stream, after).await?;
+        let end = *first_end.get_or_insert(page.end);
+        take(page.records);
         after = page.next;
         if after.is_none() {
-            *next = first_end.unwrap_or(*next);
-            return Ok(records);
+            return Ok(end);
         }
     }
 }
