Let members on thin links own the pools only while no other can

Ruled out: the owner's processor (0.03 cores), the store's rates. Change: a member's rank follows from its share of a core and its link; a reserve member offers after 1.5 s without an owner's word, and gives way when a regular member calls. Rank stands in the member's key, the offer is one frame of the peer link.

--- a/crates/codec/src/job.rs
+++ b/crates/codec/src/job.rs
@@ -4,7 +4,7 @@
 
 use jacinthhoist_core::{
     PoolName, WorkName, WorkerId,
-    job::{BatchRecord, JobId, JobProgress, JobSpec, JobState, WaveProgress, WorkLoad},
+    job::{BatchRecord, JobId, JobProgress, JobSpec, JobState, MemberRank, WaveProgress, WorkLoad},
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
@@ -179,6 +179,8 @@
     },
     /// The load of each kind of work; the owner's heartbeat.
     Loads(Vec<(WorkName, WorkLoad)>),
+    /// The rank of the member that opened the link, which offers to own the pools.
+    Offer(MemberRank),
 }
 
 /// Bytes of a frame.
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -14,11 +14,13 @@
 //! | `resize` | which machine changes its pool |
 //! | `wave` | which machine has its maintenance next |
 //! | `admit` | whether a job is refused early, and when to come back |
+//! | `ownership` | which members offer to own the pools |
 
 mod admit;
 mod catalogue;
 mod lease;
 mod order;
+mod ownership;
 mod place;
 mod resize;
 mod scheduler;
@@ -31,6 +33,7 @@
 pub use catalogue::{AdvicePolicy, CallerLimits, JobCatalogue, JobPool, JobWork};
 pub use lease::{HeldLease, UnknownLease, WorkerLease};
 pub use order::{DurationTable, JobUrgency};
+pub use ownership::{MemberRank, MemberStrength, OwnerSight, UnknownRank, offers_to_own};
 pub use place::{PlaceRequest, choose_worker};
 pub use resize::{IdleVm, PoolDemandView, ResizeMove, plan_resize};
 pub use scheduler::{
--- a/crates/experiments/src/schedule.rs
+++ b/crates/experiments/src/schedule.rs
@@ -37,15 +37,16 @@
 }
 
 impl ScheduleMember {
-    /// Starts a member on a platform; `nonce` tells two lives of a name apart.
+    /// Starts a member on a platform; `nonce` tells two lives of a name apart, `strength` is what its
+    /// settings say of it beside the rest.
     ///
     /// # Panics
     ///
     /// When no free ports are found.
-    pub async fn spawn(platform: &PlatformStandIn, name: &str, nonce: u64) -> Self {
+    pub async fn spawn(platform: &PlatformStandIn, name: &str, nonce: u64, strength: &str) -> Self {
         // Another process may take a port between its choice and its use.
         for _ in 0..PORT_TRIES {
-            if let Ok(member) = Self::try_spawn(platform, name, nonce).await {
+            if let Ok(member) = Self::try_spawn(platform, name, nonce, strength).await {
                 return member;
             }
         }
@@ -56,9 +57,10 @@
         platform: &PlatformStandIn,
         name: &str,
         nonce: u64,
+        strength: &str,
     ) -> jacinthhoist_scheduler::Result<Self> {
         let ports = [free_port(), free_port(), free_port()];
-        let text = platform.settings(name, ports);
+        let text = platform.settings(name, ports) + strength;
         let settings = NodeSettings::parse("node.toml", &text).expect("the settings are whole");
         let sink = WriteSink::builder().target(std::io::sink()).build_arc();
         let log = EventLog::with_sink(name, sink.expect("the sink has a target"))?;
@@ -119,9 +121,19 @@
 
     /// Starts one more member.
     pub async fn add_member(&mut self) {
+        self.add_with("").await;
+    }
+
+    /// Starts one more member on a thin link, which owns the pools only while no other can.
+    pub async fn add_reserve(&mut self) {
+        self.add_with("[limits]\ncpu_share = 0.12\nlink_mbps = 10\n")
+            .await;
+    }
+
+    async fn add_with(&mut self, strength: &str) {
         self.nonce += 1;
         let name = format!("entry-{}", self.nonce);
-        let member = ScheduleMember::spawn(&self.platform, &name, self.nonce).await;
+        let member = ScheduleMember::spawn(&self.platform, &name, self.nonce, strength).await;
         self.members.push(member);
     }
 
--- a/crates/scheduler/src/member.rs
+++ b/crates/scheduler/src/member.rs
@@ -1,12 +1,14 @@
 //! A scheduler member: starts its pipes, stops in good order.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc};
 
-use jacinthhoist_core::{MemberName, job::SchedulerLimits};
+use jacinthhoist_core::{
+    MemberName,
+    job::{MemberRank, SchedulerLimits},
+};
 use tokio::{
     sync::{mpsc, watch},
     task::JoinSet,
-    time::{sleep, timeout},
 };
 
 use crate::{
@@ -23,12 +25,7 @@
 };
 
 /// Separates the parts of a member's key, in which the others find its address.
-const KEY_SEPARATOR: char = '|';
-/// Time for the last orders of an owner that stops to be answered.
-const HANDOVER_PAUSE: Duration = Duration::from_millis(60);
-/// Time for the group to take a member's farewell.
-const LEAVE_LIMIT: Duration = Duration::from_millis(800);
-
+const KEY_SEPARATOR: &str = "|";
 /// Who a member is.
 #[derive(Clone, Debug)]
 pub struct MemberIdentity {
@@ -38,28 +35,38 @@
     pub peer_address: SocketAddr,
     /// Tells two lives of one name apart.
     pub nonce: u64,
+    /// Whether it owns the pools in the first place.
+    pub rank: MemberRank,
 }
 
 impl MemberIdentity {
     /// The name under which it joins, in which its peers find its address.
     ///
     /// ```
-    /// use jacinthhoist_core::MemberName;
+    /// use jacinthhoist_core::{MemberName, job::MemberRank};
     /// use jacinthhoist_scheduler::MemberIdentity;
     /// let identity = MemberIdentity {
     ///     name: MemberName::new("entry-1"),
     ///     peer_address: "127.0.0.1:7060".parse().unwrap(),
     ///     nonce: 5,
+    ///     rank: MemberRank::Regular,
     /// };
-    /// assert_eq!(identity.member_key(), "entry-1|127.0.0.1:7060|5");
+    /// assert_eq!(identity.member_key(), "entry-1|127.0.0.1:7060|5|regular");
     /// ```
     pub fn member_key(&self) -> String {
         let Self {
             name,
             peer_address,
             nonce,
+            rank,
         } = self;
-        format!("{name}{KEY_SEPARATOR}{peer_address}{KEY_SEPARATOR}{nonce}")
+        let parts = [
+            name.as_str(),
+            &peer_address.to_string(),
+            &nonce.to_string(),
+            rank.as_str(),
+        ];
+        parts.join(KEY_SEPARATOR)
     }
 }
 
@@ -68,6 +75,11 @@
     key.split(KEY_SEPARATOR).nth(1)?.parse().ok()
 }
 
+/// The rank in a member's key.
+pub(crate) fn rank(key: &str) -> Option<MemberRank> {
+    key.split(KEY_SEPARATOR).nth(3)?.parse().ok()
+}
+
 /// What a member is started with.
 #[derive(Clone, Debug)]
 pub struct SchedulerSettings {
@@ -83,6 +95,7 @@
     platform: Arc<P>,
     shared: Arc<MemberShared>,
     callers: CallerPipe,
+    place: Arc<watch::Sender<Place>>,
     tasks: JoinSet<()>,
 }
 
@@ -117,7 +130,12 @@
         tasks.spawn(AcceptTask::open(platform.clone(), shared.clone(), stored).run());
         tasks.spawn(AskTask::open(platform.clone(), shared.clone(), asked).run());
         tasks.spawn(OperatorTask::open(platform.clone(), shared.clone(), waves).run());
-        tasks.spawn(membership::run(platform.clone(), shared.clone(), place));
+        let place = Arc::new(place);
+        tasks.spawn(membership::run(
+            platform.clone(),
+            shared.clone(),
+            place.clone(),
+        ));
         tasks.spawn(owner.run());
         let peers = peer::serve(shared.clone(), address).await?;
         tasks.spawn(peers);
@@ -125,6 +143,7 @@
             platform,
             shared,
             callers,
+            place,
             tasks,
         })
     }
@@ -138,15 +157,7 @@
     pub async fn hand_over(&self) {
         self.shared.begin_stop();
         event!(self.shared.log, Stop, "owned": self.shared.owner_inbox.load().is_some());
-        sleep(HANDOVER_PAUSE).await;
-        let member = self.shared.identity.member_key();
-        let left = timeout(LEAVE_LIMIT, self.platform.leave(&member)).await;
-        let outcome = match left {
-            Ok(Ok(())) => "left".to_owned(),
-            Ok(Err(error)) => error.to_string(),
-            Err(_) => "no answer in time".to_owned(),
-        };
-        event!(self.shared.log, Ownership, "owns": false, "outcome": outcome);
+        membership::withdraw(&*self.platform, &self.shared, &self.place).await;
     }
 
     /// Ends all tasks.
--- a/crates/scheduler/src/peer/ask.rs
+++ b/crates/scheduler/src/peer/ask.rs
@@ -106,7 +106,9 @@
 
     async fn find_owner(&mut self) -> Option<(String, PeerSocket)> {
         // A failed look-up is tried again in a moment, and callers are told that nobody can tell.
-        let owner = self.platform.owner().await.ok()??;
+        let owner = self.platform.owner().await.ok()?;
+        self.shared.name_owner(owner.as_deref());
+        let owner = owner?;
         if owner == self.shared.identity.member_key() {
             return None;
         }
@@ -134,6 +136,11 @@
     }
 
     async fn follow_link(&mut self, owner: &str, mut socket: PeerSocket, found: &mut bool) {
+        // The owner may have to give way; one of the same rank takes no notice.
+        let offer = JobFrame::Offer(self.shared.identity.rank);
+        if !send(&mut socket, &offer).await {
+            return;
+        }
         let mut open = OpenAsks::new();
         let mut silent_at = Instant::now() + OWNER_SILENCE;
         loop {
@@ -189,7 +196,7 @@
                 self.shared.take_loads(Arc::new(table));
                 return true;
             }
-            Ok(JobFrame::Ask { .. }) => {}
+            Ok(JobFrame::Ask { .. } | JobFrame::Offer(_)) => {}
             Err(error) => event!(self.shared.log, Unreadable, "key": "peer frame",
                 "reason": error.to_string()),
         }
--- a/crates/scheduler/src/peer/serve.rs
+++ b/crates/scheduler/src/peer/serve.rs
@@ -110,6 +110,12 @@
                 let _ = answers.send(JobFrame::Answer { id, answer }).await;
             });
         }
+        Ok(JobFrame::Offer(rank)) => {
+            if shared.hear_offer(rank) {
+                event!(shared.log, Ownership, "outcome": "gives way",
+                    "rank": shared.identity.rank.as_str(), "to": rank.as_str());
+            }
+        }
         Ok(JobFrame::Answer { .. } | JobFrame::Loads(_)) => {}
         Err(error) => event!(shared.log, Unreadable, "key": "peer frame",
             "reason": error.to_string()),
--- a/crates/scheduler/src/shared.rs
+++ b/crates/scheduler/src/shared.rs
@@ -11,7 +11,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use jacinthhoist_core::{
     ClockTime, WorkName,
-    job::{JobCatalogue, WorkLoad},
+    job::{JobCatalogue, MemberRank, OwnerSight, WorkLoad, offers_to_own},
 };
 use jacinthhoist_net::BootClock;
 use tokio::sync::{mpsc, watch};
@@ -20,7 +20,7 @@
     dependency::{Dependency, DependencyBook},
     error::{Error, Result},
     eventlog::EventLog,
-    member::MemberIdentity,
+    member::{self, MemberIdentity},
     meter::JobMeter,
     owner::OwnerEvent,
 };
@@ -32,6 +32,7 @@
 pub(crate) struct MemberShared {
     pub(crate) identity: MemberIdentity,
     pub(crate) clock: BootClock,
+    opened_at: ClockTime,
     pub(crate) log: Arc<EventLog>,
     pub(crate) meter: JobMeter,
     dependencies: DependencyBook,
@@ -44,6 +45,10 @@
     pub(crate) load_feed: watch::Sender<Arc<LoadTable>>,
     /// The inbox of this member's owner pipe, while it owns the pools.
     pub(crate) owner_inbox: ArcSwapOption<mpsc::UnboundedSender<OwnerEvent>>,
+    /// The rank of the owner that the store named last.
+    named_owner: ArcSwapOption<MemberRank>,
+    /// When a regular member last asked this one to give way; zero for never.
+    outranked_at: AtomicU64,
     store_seen_at: AtomicU64,
     stopping: AtomicBool,
 }
@@ -51,9 +56,11 @@
 impl MemberShared {
     pub(crate) fn open(identity: MemberIdentity, log: Arc<EventLog>) -> Arc<Self> {
         let (load_feed, _) = watch::channel(Arc::new(LoadTable::new()));
+        let clock = BootClock::open();
         Arc::new(Self {
             identity,
-            clock: BootClock::open(),
+            opened_at: clock.now(),
+            clock,
             log,
             meter: JobMeter::open(),
             dependencies: DependencyBook::open(),
@@ -62,6 +69,8 @@
             loads_at: AtomicU64::new(0),
             load_feed,
             owner_inbox: ArcSwapOption::empty(),
+            named_owner: ArcSwapOption::empty(),
+            outranked_at: AtomicU64::new(0),
             store_seen_at: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
         })
@@ -81,6 +90,35 @@
         (load.unwrap_or_default(), self.clock.now() - told_at)
     }
 
+    /// The store has named the owner by its key, or said that there is none.
+    pub(crate) fn name_owner(&self, key: Option<&str>) {
+        let rank = key.and_then(member::rank);
+        self.named_owner.store(rank.map(Arc::new));
+    }
+
+    /// A member that offers to own the pools has called; true where this one should give way.
+    pub(crate) fn hear_offer(&self, rank: MemberRank) -> bool {
+        let outranked = rank > self.identity.rank;
+        if outranked {
+            let now = self.clock.now().as_millis();
+            self.outranked_at.store(now, Ordering::Relaxed);
+        }
+        outranked
+    }
+
+    /// Whether this member offers to own the pools now.
+    pub(crate) fn offers_to_own(&self, owns: bool) -> bool {
+        let heard_at = ClockTime::from_millis(self.loads_at.load(Ordering::Relaxed));
+        let outranked_at = self.outranked_at.load(Ordering::Relaxed);
+        let sight = OwnerSight {
+            owns,
+            heard_at: heard_at.max(self.opened_at),
+            owner: self.named_owner.load().as_deref().copied(),
+            outranked_at: (outranked_at > 0).then(|| ClockTime::from_millis(outranked_at)),
+        };
+        offers_to_own(self.identity.rank, &sight, self.clock.now())
+    }
+
     /// Notes how a call to a dependency ended.
     pub(crate) fn note_call<T>(&self, dependency: Dependency, outcome: &Result<T>) {
         self.dependencies.note(&self.log, dependency, outcome);
