Give jobs and orders on VMs their life cycles as typestates

Change: core::job::life (queued, begun, ending, ended, forgotten) and core::job::vm_order (sent, accepted); each move consumes the phase before. No decision changes.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -7,6 +7,8 @@
 //! |---|---|
 //! | `spec` | whether a submitted job is well formed |
 //! | `task` | the life cycle of one task's runs |
+//! | `life` | the life cycle of a job |
+//! | `vm_order` | the life cycle of an order on a VM |
 //! | `lease` | until when a worker may still run what it holds |
 //! | `worker` | what a worker's reports prove, and whether it gets more |
 //! | `order` | which job goes first in a full pool |
@@ -19,6 +21,7 @@
 mod admit;
 mod catalogue;
 mod lease;
+mod life;
 mod order;
 mod ownership;
 mod place;
@@ -26,12 +29,14 @@
 mod scheduler;
 mod spec;
 mod task;
+mod vm_order;
 mod wave;
 mod worker;
 
 pub use admit::{JobRefusal, WorkLoad, admit_job};
 pub use catalogue::{AdvicePolicy, CallerLimits, JobCatalogue, JobPool, JobWork};
 pub use lease::{HeldLease, UnknownLease, WorkerLease};
+pub use life::{Begun, ClosedLife, Ended, Ending, Forgotten, JobLife, OpenLife, Queued};
 pub use order::{DurationTable, JobUrgency};
 pub use ownership::{MemberRank, MemberStrength, OwnerSight, UnknownRank, offers_to_own};
 pub use place::{PlaceRequest, choose_worker};
@@ -44,6 +49,7 @@
     JobError, JobId, JobSpec, JobState, JobTerms, RepeatPlan, Resources, StepKey, StepSpec, TaskKey,
 };
 pub use task::{AnyTask, Assigned, Running, StartOrder, Stopping, TaskEnd, TaskRun, Waiting};
+pub use vm_order::{Accepted, AnyVmOrder, Sent, VmOrder, VmOrderRun};
 pub use wave::{Wave, WaveProgress, WaveRequest, WaveTable};
 pub use worker::{
     EndedRow, HoldReport, OrderReply, RunningRow, StartReply, TaskCharge, Worker, WorkerEntry,
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -36,6 +36,7 @@
 use super::{
     admit::WorkLoad,
     catalogue::{JobCatalogue, JobWork},
+    life::ClosedLife,
     order::DurationTable,
     spec::{JobId, JobState, Resources, StepKey, TaskKey},
     task::TaskEnd,
@@ -294,22 +295,13 @@
     pub worker: Option<WorkerId>,
 }
 
-/// A job that has ended.
-#[derive(Clone, Copy, Debug)]
-struct FinalJob {
-    state: JobState,
-    at: ClockTime,
-    /// Whether its body has left the store.
-    forgotten: bool,
-}
-
 /// The state of the member that owns the pools.
 #[derive(Debug)]
 pub struct Scheduler {
     limits: SchedulerLimits,
     catalogue: Arc<JobCatalogue>,
     jobs: BTreeMap<JobId, Job>,
-    finals: BTreeMap<JobId, FinalJob>,
+    finals: BTreeMap<JobId, ClosedLife>,
     /// Cancellations that arrived before their jobs.
     early_cancels: BTreeSet<JobId>,
     forget: Vec<JobId>,
@@ -377,8 +369,8 @@
 
     /// What a caller is told of a job; none where no such job is known.
     pub fn state(&self, job: JobId) -> Option<JobState> {
-        let open = self.jobs.get(&job).map(|open| open.shown);
-        open.or_else(|| self.finals.get(&job).map(|ended| ended.state))
+        let open = self.jobs.get(&job).map(|open| open.life.shown());
+        open.or_else(|| self.finals.get(&job).map(ClosedLife::state))
     }
 
     /// The load of each kind of work.
--- a/crates/core/src/job/scheduler/batch.rs
+++ b/crates/core/src/job/scheduler/batch.rs
@@ -299,7 +299,7 @@
         }
         for id in batch.begun {
             if let Some(job) = self.jobs.get_mut(&id) {
-                job.shown = JobState::Running;
+                job.life = job.life.begin();
             }
         }
         for (id, state) in batch.ends {
@@ -322,7 +322,7 @@
             return;
         }
         let worker = assigned.phase.worker.clone();
-        if job.ending.is_some() {
+        if job.life.goal().is_some() {
             self.withdraw_start(&worker, task, run);
             return;
         }
--- a/crates/core/src/job/scheduler/demand.rs
+++ b/crates/core/src/job/scheduler/demand.rs
@@ -6,12 +6,13 @@
     clock::ClockTime,
     job::{
         resize::{IdleVm, PoolDemandView},
+        vm_order::AnyVmOrder,
         worker::Worker,
     },
     name::PoolName,
 };
 
-use super::{Job, Scheduler, VmEntry, fleet::VmOrder};
+use super::{Job, Scheduler, VmEntry};
 
 /// Percent of its first size that a pool keeps without a surge.
 const STANDING_PERCENT: usize = 100;
@@ -90,10 +91,10 @@
             views.insert(&pool.name, view);
         }
         for vm in self.fleet.vms.values() {
-            let pending = self.fleet.pending.get(&vm.vm).map(|pending| &pending.order);
-            let (pool, arrives) = match pending {
-                Some(VmOrder::Move(to)) => (to, true),
-                Some(VmOrder::Maintain(_)) | None => (&vm.pool, false),
+            let pending = self.fleet.pending.get(&vm.vm);
+            let (pool, arrives) = match pending.and_then(AnyVmOrder::moves_to) {
+                Some(to) => (to, true),
+                None => (&vm.pool, false),
             };
             if let Some(view) = views.get_mut(pool) {
                 self.count_vm(view, vm, arrives);
@@ -148,7 +149,7 @@
         for job in self.jobs.values() {
             let work = pools.entry(&job.terms.pool).or_default();
             if job.spec.is_long_running() {
-                if job.ending.is_none() {
+                if job.life.goal().is_none() {
                     let steps = job.spec.steps.iter();
                     let cpu = steps.map(|step| u64::from(step.count) * step.charged().cpu);
                     work.steady += cpu.sum::<u64>();
--- a/crates/core/src/job/scheduler/fleet.rs
+++ b/crates/core/src/job/scheduler/fleet.rs
@@ -6,7 +6,11 @@
 
 use crate::{
     clock::ClockTime,
-    job::{resize::plan_resize, worker::OrderReply},
+    job::{
+        resize::plan_resize,
+        vm_order::{AnyVmOrder, VmOrder, VmOrderRun},
+        worker::OrderReply,
+    },
     name::{PoolName, VmName, WorkerId},
 };
 
@@ -21,22 +25,6 @@
 /// Time after which an order on a VM that was refused or not answered is tried again.
 const ORDER_RETRY: ClockTime = ClockTime::from_millis(600);
 
-/// What a VM is ordered to do.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) enum VmOrder {
-    Move(PoolName),
-    Maintain(u64),
-}
-
-/// An order on a VM that is not seen through.
-#[derive(Clone, Debug)]
-pub(super) struct PendingOrder {
-    pub(super) order: VmOrder,
-    sent_at: ClockTime,
-    /// When the platform accepted it.
-    done_at: Option<ClockTime>,
-}
-
 /// What is known of VMs.
 #[derive(Debug)]
 pub(super) struct Fleet {
@@ -44,7 +32,8 @@
     pub(super) planned_at: ClockTime,
     pub(super) vms: BTreeMap<VmName, VmEntry>,
     pub(super) listed_at: ClockTime,
-    pub(super) pending: BTreeMap<VmName, PendingOrder>,
+    /// Orders that are not seen through.
+    pub(super) pending: BTreeMap<VmName, AnyVmOrder>,
     /// VMs that are emptied for a wave.
     pub(super) emptying: BTreeSet<VmName>,
     /// VMs whose last order was refused, until when they are left alone.
@@ -115,16 +104,11 @@
             let Some(vm) = vms.get(name) else {
                 return false;
             };
-            let Some(done_at) = pending.done_at else {
-                return true;
-            };
-            let (there, takes) = match &pending.order {
+            let (there, takes) = match pending.order() {
                 VmOrder::Move(to) => (vm.pool == *to, limits.move_time),
                 VmOrder::Maintain(_) => (true, limits.maintenance_time),
             };
-            // The list lags: it counts once it was asked for after the order must have been seen
-            // through.
-            !(vm.state == VmState::Up && there && asked_at > done_at + takes)
+            !(vm.state == VmState::Up && there && pending.is_shown(asked_at, takes))
         });
         self.fix_standing();
     }
@@ -148,8 +132,8 @@
         };
         match reply {
             OrderReply::Done => {
-                pending.done_at = Some(now);
-                let order = pending.order.clone();
+                *pending = pending.clone().accept(now);
+                let order = pending.order().clone();
                 self.vm_left(vm);
                 if let VmOrder::Maintain(wave) = order {
                     self.maintenance_begun(vm, wave);
@@ -191,9 +175,9 @@
         let now = self.now;
         let mut orders: SmallVec<[(VmName, VmOrder); 4]> = SmallVec::new();
         for (vm, pending) in &mut self.fleet.pending {
-            if pending.done_at.is_none() && now > pending.sent_at + ORDER_RETRY {
-                pending.sent_at = now;
-                orders.push((vm.clone(), pending.order.clone()));
+            if let Some(repeated) = pending.clone().due(ORDER_RETRY, now) {
+                *pending = AnyVmOrder::Sent(repeated);
+                orders.push((vm.clone(), pending.order().clone()));
             }
         }
         for (vm, order) in orders {
@@ -202,12 +186,10 @@
     }
 
     pub(super) fn order_vm(&mut self, vm: &VmName, order: VmOrder) {
-        let pending = PendingOrder {
-            order: order.clone(),
-            sent_at: self.now,
-            done_at: None,
-        };
-        self.fleet.pending.insert(vm.clone(), pending);
+        let sent = VmOrderRun::send(order.clone(), self.now);
+        self.fleet
+            .pending
+            .insert(vm.clone(), AnyVmOrder::Sent(sent));
         self.set_cordon(vm, true);
         self.send_order(vm.clone(), order);
     }
--- a/crates/core/src/job/scheduler/jobs.rs
+++ b/crates/core/src/job/scheduler/jobs.rs
@@ -7,6 +7,7 @@
 use crate::{
     clock::ClockTime,
     job::{
+        life::{ClosedLife, JobLife, OpenLife},
         order::JobUrgency,
         spec::{JobId, JobSpec, JobState, JobTerms, StepKey, StepSpec, TaskKey},
         task::{AnyTask, TaskRun},
@@ -15,7 +16,7 @@
     name::WorkerId,
 };
 
-use super::{Effect, FinalJob, JobNote, JobProgress, Scheduler};
+use super::{Effect, JobNote, JobProgress, Scheduler};
 
 /// Jobs whose bodies are removed in one go.
 const FORGET_BATCH: usize = 64;
@@ -56,10 +57,8 @@
     pub spec: Arc<JobSpec>,
     /// Its repetitions.
     pub occurrences: Vec<Occurrence>,
-    /// What callers are told; follows what is stored.
-    pub shown: JobState,
-    /// How it ends once nothing of it runs.
-    pub ending: Option<JobState>,
+    /// Its life cycle.
+    pub life: OpenLife,
     /// The terms that hold for it now.
     pub terms: JobTerms,
     /// Where tasks failed last, or were left undone.
@@ -116,7 +115,7 @@
     /// Tasks that wait and whose turn has come.
     pub fn startable(&self, id: JobId, now: ClockTime) -> SmallVec<[TaskKey; 16]> {
         let mut keys = SmallVec::new();
-        if self.ending.is_some() {
+        if self.life.goal().is_some() {
             return keys;
         }
         for (number, occurrence) in (0u32..).zip(&self.occurrences) {
@@ -207,8 +206,8 @@
     pub fn accept(&mut self, id: JobId, spec: Arc<JobSpec>) {
         if let Some(ended) = self.finals.get_mut(&id) {
             // The body was stored once more after the job had ended.
-            if ended.forgotten {
-                ended.forgotten = false;
+            if let ClosedLife::Forgotten(life) = *ended {
+                *ended = ClosedLife::Ended(life.reappear());
                 self.forget.push(id);
             }
             return;
@@ -218,7 +217,7 @@
         }
         let mut job = self.open_job(spec);
         if self.early_cancels.remove(&id) {
-            job.ending = Some(JobState::Cancelled);
+            job.life = job.life.end(JobState::Cancelled);
         }
         let (work, tasks) = (job.spec.work.clone(), job.tasks().count());
         let traits = job.spec.traits();
@@ -242,8 +241,8 @@
             self.early_cancels.insert(id);
             return;
         };
-        if job.ending.is_none() {
-            job.ending = Some(JobState::Cancelled);
+        if job.life.goal().is_none() {
+            job.life = job.life.end(JobState::Cancelled);
             self.outbox.touch(id);
         }
     }
@@ -252,15 +251,13 @@
     pub fn restore(&mut self, id: JobId, spec: Option<Arc<JobSpec>>, progress: &JobProgress) {
         let now = self.now;
         if let Some(state) = progress.ended {
-            let ended = FinalJob {
-                state,
-                at: now,
-                forgotten: spec.is_none(),
-            };
-            self.finals.insert(id, ended);
+            let mut ended = ClosedLife::Ended(JobLife::close(state, now));
             if spec.is_some() {
                 self.forget.push(id);
+            } else {
+                ended = ended.forget();
             }
+            self.finals.insert(id, ended);
             return;
         }
         let Some(spec) = spec else {
@@ -268,13 +265,11 @@
         };
         let mut job = self.open_job(spec);
         job.set_progress(progress, now);
-        job.shown = if job.has_begun() {
-            JobState::Running
-        } else {
-            JobState::Queued
-        };
+        if job.has_begun() {
+            job.life = job.life.begin();
+        }
         if self.early_cancels.remove(&id) {
-            job.ending = Some(JobState::Cancelled);
+            job.life = job.life.end(JobState::Cancelled);
             self.outbox.touch(id);
         }
         self.charge_restored(id, &job);
@@ -304,7 +299,7 @@
         self.forgetting = false;
         for id in jobs {
             if let Some(ended) = self.finals.get_mut(id) {
-                ended.forgotten = true;
+                *ended = ended.forget();
             }
         }
     }
@@ -324,8 +319,7 @@
         let occurrences = (0..times).map(|number| Occurrence::new(&spec, due(number)));
         Job {
             occurrences: occurrences.collect(),
-            shown: JobState::Queued,
-            ending: None,
+            life: OpenLife::Queued(JobLife::open()),
             terms,
             failed_on: SmallVec::new(),
             failed_gangs: SmallVec::new(),
@@ -338,11 +332,11 @@
         let now = self.now;
         let mut over: SmallVec<[(JobId, JobState); 8]> = SmallVec::new();
         for (id, job) in &mut self.jobs {
-            if job.ending.is_none() && job.is_spent() {
-                job.ending = Some(JobState::Failed);
+            if job.life.goal().is_none() && job.is_spent() {
+                job.life = job.life.end(JobState::Failed);
                 self.outbox.touch(*id);
             }
-            let ended = match job.ending {
+            let ended = match job.life.goal() {
                 Some(ending) if job.is_idle() => Some(ending),
                 None if job.is_done() => Some(JobState::Completed),
                 _ => None,
@@ -374,11 +368,7 @@
     /// The end of a job is stored: callers may hear of it.
     pub(super) fn finish(&mut self, id: JobId, state: JobState) {
         self.jobs.remove(&id);
-        let ended = FinalJob {
-            state,
-            at: self.now,
-            forgotten: false,
-        };
+        let ended = ClosedLife::Ended(JobLife::close(state, self.now));
         self.finals.insert(id, ended);
         self.forget.push(id);
     }
@@ -391,8 +381,8 @@
             self.effects.push(Effect::Forget(jobs));
         }
         let (now, keep) = (self.now, self.limits.keep_final);
-        let old = |ended: &FinalJob| ended.forgotten && now - ended.at > keep;
-        let expired = self.finals.iter().filter(|(_, ended)| old(ended));
+        let ended = self.finals.iter();
+        let expired = ended.filter(|(_, life)| life.is_over(keep, now));
         let expired: SmallVec<[JobId; 8]> = expired.map(|(id, _)| *id).collect();
         for id in expired {
             self.finals.remove(&id);
--- a/crates/core/src/job/scheduler/orders.rs
+++ b/crates/core/src/job/scheduler/orders.rs
@@ -187,10 +187,10 @@
                         if stuck {
                             hung.push(worker.id.clone());
                         }
-                        stuck || leaves || job.ending.is_some() || job.is_alone(key)
+                        stuck || leaves || job.life.goal().is_some() || job.is_alone(key)
                     }
                     AnyTask::Assigned(task) => {
-                        (job.ending.is_some() || job.is_alone(key))
+                        (job.life.goal().is_some() || job.is_alone(key))
                             && task.phase.order != StartOrder::Inherited
                     }
                     _ => false,
--- a/crates/core/src/job/scheduler/waves.rs
+++ b/crates/core/src/job/scheduler/waves.rs
@@ -7,13 +7,14 @@
     job::{
         spec::TaskKey,
         task::AnyTask,
+        vm_order::VmOrder,
         wave::{WaveProgress, WaveRequest},
         worker::Worker,
     },
     name::{VmName, WorkerId},
 };
 
-use super::{BatchRecord, Effect, Job, Scheduler, VmState, fleet::VmOrder};
+use super::{BatchRecord, Effect, Job, Scheduler, VmState};
 
 /// How far the list of VMs may lag behind an order: the platform's list lags by less than a second.
 const LIST_LAG: ClockTime = ClockTime::from_millis(1_500);
@@ -107,7 +108,7 @@
     fn maintained(&self, number: u64) -> usize {
         let ordered = |vm: &VmName| {
             let pending = self.fleet.pending.get(vm);
-            pending.is_some_and(|pending| pending.order == VmOrder::Maintain(number))
+            pending.is_some_and(|pending| *pending.order() == VmOrder::Maintain(number))
         };
         let wave = self.waves.waves.get(&number);
         let vms = wave.iter().flat_map(|wave| &wave.request.vms);
