Keep only the owner in the store's group; dismiss owners that have ended

Ruled out: fewer candidates in the group (an heir beside the owner still moves the pools when it is replaced); silence of the peer link as evidence (a member that is cut off alone would take the pools from a sound owner). Change: a member joins only when the store names nobody, when an owner that stops has chosen it, or when it owns; an owner whose address refuses connections, and an earlier life of a member itself, are taken out of the group by whoever finds out; the owner's word carries the age of its last read and of its place, so that followers doubt an owner that the store turns away and counts tell their true age. The clock and the peers' network are given to a member now.

--- a/crates/codec/src/job.rs
+++ b/crates/codec/src/job.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use jacinthhoist_core::{
-    PoolName, WorkName, WorkerId,
+    ClockTime, PoolName, WorkName, WorkerId,
     job::{BatchRecord, JobId, JobProgress, JobSpec, JobState, MemberRank, WaveProgress, WorkLoad},
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -160,6 +160,17 @@
     Unsure,
 }
 
+/// What the owner tells of its pools, and how old its own knowledge is.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct OwnerWord {
+    /// The load of each kind of work.
+    pub loads: BTreeMap<WorkName, WorkLoad>,
+    /// Time since the owner last read accepted jobs.
+    pub read_age: ClockTime,
+    /// Time since the store last said that it owns the pools.
+    pub place_age: ClockTime,
+}
+
 /// What members of the scheduler say to each other.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum JobFrame {
@@ -177,10 +188,12 @@
         /// What the owner knows.
         answer: JobAnswer,
     },
-    /// The load of each kind of work; the owner's heartbeat.
-    Loads(Vec<(WorkName, WorkLoad)>),
+    /// The owner's heartbeat.
+    Loads(OwnerWord),
     /// The rank of the member that opened the link, which offers to own the pools.
     Offer(MemberRank),
+    /// The owner stops: the member that hears this follows it.
+    Follow,
 }
 
 /// Bytes of a frame.
--- a/crates/codec/src/lib.rs
+++ b/crates/codec/src/lib.rs
@@ -47,7 +47,7 @@
     encode_frame,
 };
 pub use job::{
-    AcceptedRecord, JobAnswer, JobFrame, KeyedRecord, decode_accepted, decode_job_frame,
+    AcceptedRecord, JobAnswer, JobFrame, KeyedRecord, OwnerWord, decode_accepted, decode_job_frame,
     decode_progress, encode_cancel, encode_forget, encode_job, encode_job_frame, encode_progress,
 };
 pub use platform::{ListedVm, LogAppended, LogPage, LogRecord, VmListPage, VmRole};
--- a/crates/codec/tests/job.rs
+++ b/crates/codec/tests/job.rs
@@ -3,14 +3,14 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use jacinthhoist_codec::{
-    AcceptedRecord, JobAnswer, JobFrame, KeyedRecord, decode_accepted, decode_job_frame,
+    AcceptedRecord, JobAnswer, JobFrame, KeyedRecord, OwnerWord, decode_accepted, decode_job_frame,
     decode_progress, encode_cancel, encode_forget, encode_job, encode_job_frame, encode_progress,
 };
 use jacinthhoist_core::{
     ClockTime, PoolName, RackName, VmName, WorkName, WorkerId,
     job::{
-        BatchRecord, JobId, JobProgress, JobSpec, JobState, JobTerms, RepeatPlan, StepSpec,
-        WaveProgress, WorkLoad,
+        BatchRecord, JobId, JobProgress, JobSpec, JobState, JobTerms, MemberRank, RepeatPlan,
+        StepSpec, WaveProgress, WorkLoad,
     },
 };
 
@@ -92,7 +92,13 @@
             id: 4,
             answer: JobAnswer::Known(JobState::Running),
         },
-        JobFrame::Loads(vec![(WorkName::new("melt-plan"), WorkLoad::default())]),
+        JobFrame::Loads(OwnerWord {
+            loads: BTreeMap::from([(WorkName::new("melt-plan"), WorkLoad::default())]),
+            read_age: ClockTime::from_millis(40),
+            place_age: ClockTime::from_millis(900),
+        }),
+        JobFrame::Offer(MemberRank::Reserve),
+        JobFrame::Follow,
     ];
     for frame in table {
         let bytes = encode_job_frame(&frame).unwrap();
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -38,7 +38,7 @@
 pub use lease::{HeldLease, UnknownLease, WorkerLease};
 pub use life::{Begun, ClosedLife, Ended, Ending, Forgotten, JobLife, OpenLife, Queued};
 pub use order::{DurationTable, JobUrgency};
-pub use ownership::{MemberRank, MemberStrength, OwnerSight, UnknownRank, offers_to_own};
+pub use ownership::{MemberRank, MemberStrength, NamedOwner, OwnerSight, UnknownRank, offer_at};
 pub use place::{PlaceRequest, choose_worker};
 pub use resize::{IdleVm, PoolDemandView, ResizeMove, plan_resize};
 pub use scheduler::{
--- a/crates/core/src/job/ownership.rs
+++ b/crates/core/src/job/ownership.rs
@@ -2,7 +2,8 @@
 //!
 //! Answers members of unequal strength: a takeover reads megabytes and the owner hears every worker,
 //! which a thin link or a small share of a core cannot carry. Weak members are a reserve: they
-//! offer only while no strong one owns the pools, and give way when a strong one is back.
+//! offer only while no strong one owns the pools, and give way when a strong one is back. And
+//! answers members that are replaced in turn: one that joins or leaves moves nothing.
 
 use std::str::FromStr;
 
@@ -16,11 +17,13 @@
 /// Share of a core of a member that owns in the first place: twice what an owner of 350 workers
 /// takes.
 const REGULAR_CORE_PERMILLE: u32 = 200;
-/// Silence of the owner after which the reserve looks for one: longer than the store takes to give a
-/// silent owner's pools away.
-const OWNER_SILENCE: ClockTime = ClockTime::from_millis(1_500);
+/// Time after which the reserve offers where nobody owns the pools: a regular member has taken over
+/// by then.
+const RESERVE_DELAY: ClockTime = ClockTime::from_millis(1_500);
 /// How long a member that gave way does not offer: a takeover takes less.
 const GIVE_WAY: ClockTime = ClockTime::from_millis(3_000);
+/// How long an owner's choice of its successor holds: a takeover takes less.
+const CHOICE: ClockTime = ClockTime::from_millis(2_000);
 
 /// What a member has for its work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -85,35 +88,69 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct UnknownRank;
 
-/// What a member has seen of the pools' owner.
+/// Whom the store names as the pools' owner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NamedOwner {
+    /// It has not been asked, or did not answer.
+    Unknown,
+    /// Nobody, since a time.
+    Nobody(ClockTime),
+    /// This member.
+    Myself,
+    /// Another member.
+    Other,
+}
+
+/// What a member knows of the pools' owner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct OwnerSight {
     /// Whether this member owns the pools.
     pub owns: bool,
-    /// When the owner last spoke, or when this member started.
-    pub heard_at: ClockTime,
-    /// The rank of the owner that the store names; none where it names none.
-    pub owner: Option<MemberRank>,
+    /// Whom the store named last.
+    pub named: NamedOwner,
     /// When a regular member last asked this one to give way.
     pub outranked_at: Option<ClockTime>,
+    /// When an owner that stops last chose this member to follow it.
+    pub chosen_at: Option<ClockTime>,
+    /// Spreads members that see at the same moment that nobody owns the pools.
+    pub jitter: ClockTime,
 }
 
-/// Whether a member offers to own the pools now.
+/// The time from which a member offers to own the pools; none while another member should own them.
+///
+/// Only the owner and those who are about to follow it are in the store's group, since each member
+/// that joins or leaves may make the store deal the pools anew.
 ///
 /// ```
-/// use jacinthhoist_core::{ClockTime, job::{MemberRank, OwnerSight, offers_to_own}};
+/// use jacinthhoist_core::{ClockTime, job::{MemberRank, NamedOwner, OwnerSight, offer_at}};
 /// let ms = ClockTime::from_millis;
-/// let sight = OwnerSight { owns: false, heard_at: ms(1_000), owner: None, outranked_at: None };
-/// assert!(offers_to_own(MemberRank::Regular, &sight, ms(1_000)));
-/// assert!(!offers_to_own(MemberRank::Reserve, &sight, ms(2_000)));
-/// assert!(offers_to_own(MemberRank::Reserve, &sight, ms(2_500)));
+/// let sight = OwnerSight {
+///     owns: false,
+///     named: NamedOwner::Nobody(ms(1_000)),
+///     outranked_at: None,
+///     chosen_at: None,
+///     jitter: ms(40),
+/// };
+/// assert_eq!(offer_at(MemberRank::Regular, &sight, ms(1_010)), Some(ms(1_040)));
+/// assert_eq!(offer_at(MemberRank::Reserve, &sight, ms(1_010)), Some(ms(2_540)));
+/// let owned = OwnerSight { named: NamedOwner::Other, ..sight };
+/// assert_eq!(offer_at(MemberRank::Regular, &owned, ms(1_010)), None);
 /// ```
-pub fn offers_to_own(rank: MemberRank, sight: &OwnerSight, now: ClockTime) -> bool {
-    if rank == MemberRank::Regular {
-        return true;
+pub fn offer_at(rank: MemberRank, sight: &OwnerSight, now: ClockTime) -> Option<ClockTime> {
+    let lately = |at: Option<ClockTime>, span| at.is_some_and(|at| now < at + span);
+    if lately(sight.outranked_at, GIVE_WAY) {
+        return None;
+    }
+    if sight.owns || lately(sight.chosen_at, CHOICE) {
+        return Some(now);
+    }
+    let delay = match rank {
+        MemberRank::Regular => sight.jitter,
+        MemberRank::Reserve => RESERVE_DELAY + sight.jitter,
+    };
+    match sight.named {
+        NamedOwner::Nobody(since) => Some(since + delay),
+        NamedOwner::Myself => Some(now),
+        NamedOwner::Unknown | NamedOwner::Other => None,
     }
-    let gave_way = sight.outranked_at.is_some_and(|at| now < at + GIVE_WAY);
-    let silent = now >= sight.heard_at + OWNER_SILENCE;
-    let regular_owner = sight.owner == Some(MemberRank::Regular);
-    !gave_way && (sight.owns || (silent && !regular_owner))
 }
--- a/crates/experiments/src/schedule.rs
+++ b/crates/experiments/src/schedule.rs
@@ -7,7 +7,7 @@
     Method, StatusCode,
     header::{HOST, HeaderValue},
 };
-use jacinthhoist_fakes::PlatformStandIn;
+use jacinthhoist_fakes::{PlatformStandIn, StoreDoor};
 use jacinthhoist_net::{HttpAnswer, HttpCall, HttpClient};
 use jacinthhoist_platform::{CallerServer, FleetPlatform, NodeSettings};
 use jacinthhoist_scheduler::{EventLog, SchedulerMember};
@@ -26,6 +26,15 @@
 /// The answer to a question about a job that there is not, by which an owner is known to serve.
 const NO_JOB: &str = "00000000000000ff";
 
+/// Where a member stands.
+#[derive(Clone, Copy, Debug)]
+pub struct MemberPlace<'a> {
+    /// Where it reaches the store.
+    pub store: SocketAddr,
+    /// The table of its settings that says what it has for its work; may be empty.
+    pub limits: &'a str,
+}
+
 /// A running member with its callers' addresses.
 pub struct ScheduleMember {
     /// Where callers reach it.
@@ -37,16 +46,20 @@
 }
 
 impl ScheduleMember {
-    /// Starts a member on a platform; `nonce` tells two lives of a name apart, `strength` is what its
-    /// settings say of it beside the rest.
+    /// Starts a member on a platform; `nonce` tells two lives of a name apart.
     ///
     /// # Panics
     ///
     /// When no free ports are found.
-    pub async fn spawn(platform: &PlatformStandIn, name: &str, nonce: u64, strength: &str) -> Self {
+    pub async fn spawn(
+        platform: &PlatformStandIn,
+        name: &str,
+        nonce: u64,
+        place: MemberPlace<'_>,
+    ) -> Self {
         // Another process may take a port between its choice and its use.
         for _ in 0..PORT_TRIES {
-            if let Ok(member) = Self::try_spawn(platform, name, nonce, strength).await {
+            if let Ok(member) = Self::try_spawn(platform, name, nonce, place).await {
                 return member;
             }
         }
@@ -57,10 +70,10 @@
         platform: &PlatformStandIn,
         name: &str,
         nonce: u64,
-        strength: &str,
+        place: MemberPlace<'_>,
     ) -> jacinthhoist_scheduler::Result<Self> {
         let ports = [free_port(), free_port(), free_port()];
-        let text = platform.settings(name, ports) + strength;
+        let text = platform.settings(name, ports, place.store) + place.limits;
         let settings = NodeSettings::parse("node.toml", &text).expect("the settings are whole");
         let sink = WriteSink::builder().target(std::io::sink()).build_arc();
         let log = EventLog::with_sink(name, sink.expect("the sink has a target"))?;
@@ -121,19 +134,25 @@
 
     /// Starts one more member.
     pub async fn add_member(&mut self) {
-        self.add_with("").await;
+        self.add_with(self.platform.store.address(), "").await;
+    }
+
+    /// Starts one more member that reaches the store at an address of its own.
+    pub async fn add_through(&mut self, door: &StoreDoor) {
+        self.add_with(door.address(), "").await;
     }
 
     /// Starts one more member on a thin link, which owns the pools only while no other can.
     pub async fn add_reserve(&mut self) {
-        self.add_with("[limits]\ncpu_share = 0.12\nlink_mbps = 10\n")
-            .await;
+        let limits = "[limits]\ncpu_share = 0.12\nlink_mbps = 10\n";
+        self.add_with(self.platform.store.address(), limits).await;
     }
 
-    async fn add_with(&mut self, strength: &str) {
+    async fn add_with(&mut self, store: SocketAddr, limits: &str) {
         self.nonce += 1;
+        let place = MemberPlace { store, limits };
         let name = format!("entry-{}", self.nonce);
-        let member = ScheduleMember::spawn(&self.platform, &name, self.nonce, strength).await;
+        let member = ScheduleMember::spawn(&self.platform, &name, self.nonce, place).await;
         self.members.push(member);
     }
 
--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -12,7 +12,7 @@
 pub use machines::MachineService;
 pub use policy::PolicyService;
 pub use pool_worker::{PoolWorker, WorkerFault};
-pub use store::{KeyedLog, StoreFault};
+pub use store::{KeyedLog, StoreDoor, StoreFault};
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -91,11 +91,11 @@
         self.store.put("keyed.op", "config", &config);
     }
 
-    /// The text of a member's settings file.
-    pub fn settings(&self, name: &str, ports: [u16; 3]) -> String {
+    /// The text of the settings file of a member that reaches the store at an address.
+    pub fn settings(&self, name: &str, ports: [u16; 3], store: SocketAddr) -> String {
         let [front, ready, peer] = ports;
         let last = peer.saturating_add(1);
-        let (store, machines) = (self.store.address(), self.machines.address());
+        let machines = self.machines.address();
         let policy = self.policy.address();
         format!(
             "node_name = \"{name}\"\nip = \"127.0.0.1\"\nzone = \"dc-1\"\nport_range = [{peer}, {last}]\n\
--- a/crates/fakes/src/platform/store.rs
+++ b/crates/fakes/src/platform/store.rs
@@ -113,11 +113,29 @@
 /// A running store; clones share it.
 #[derive(Clone)]
 pub struct KeyedLog {
-    server: Arc<FakeServer>,
+    door: Arc<StoreDoor>,
     asks: mpsc::UnboundedSender<Ask>,
+    changed: watch::Sender<u64>,
+}
+
+/// An address of the store with faults of its own, so that some members meet them and others do not.
+pub struct StoreDoor {
+    server: FakeServer,
     fault: watch::Sender<StoreFault>,
 }
 
+impl StoreDoor {
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address
+    }
+
+    /// Misbehaves from now on.
+    pub fn misbehave(&self, fault: StoreFault) {
+        self.fault.send_replace(fault);
+    }
+}
+
 impl KeyedLog {
     /// Starts a store on loopback.
     ///
@@ -127,28 +145,31 @@
     pub async fn spawn() -> std::io::Result<Self> {
         let (asks, inbox) = mpsc::unbounded_channel();
         let (changed, _) = watch::channel(0u64);
-        let (fault, faults) = watch::channel(StoreFault::None);
         tokio::spawn(hold(inbox, changed.clone()));
-        let served = asks.clone();
-        let server = http::spawn(loopback(), move |_, request| {
-            let fault = *faults.borrow();
-            serve(served.clone(), changed.subscribe(), fault, request)
-        });
         Ok(Self {
-            server: Arc::new(server.await?),
+            door: Arc::new(open_door(&asks, &changed).await?),
             asks,
-            fault,
+            changed,
         })
     }
 
+    /// One more address of the store.
+    ///
+    /// # Errors
+    ///
+    /// No address is free.
+    pub async fn open_door(&self) -> std::io::Result<StoreDoor> {
+        open_door(&self.asks, &self.changed).await
+    }
+
     /// Where it listens.
     pub fn address(&self) -> SocketAddr {
-        self.server.address
+        self.door.address()
     }
 
     /// Misbehaves from now on.
     pub fn misbehave(&self, fault: StoreFault) {
-        self.fault.send_replace(fault);
+        self.door.misbehave(fault);
     }
 
     /// Writes a record from within, whatever the fault.
@@ -197,6 +218,22 @@
     }
 }
 
+async fn open_door(
+    asks: &mpsc::UnboundedSender<Ask>,
+    changed: &watch::Sender<u64>,
+) -> std::io::Result<StoreDoor> {
+    let (fault, faults) = watch::channel(StoreFault::None);
+    let (asks, changed) = (asks.clone(), changed.clone());
+    let server = http::spawn(loopback(), move |_, request| {
+        let fault = *faults.borrow();
+        serve(asks.clone(), changed.subscribe(), fault, request)
+    });
+    Ok(StoreDoor {
+        server: server.await?,
+        fault,
+    })
+}
+
 async fn hold(mut inbox: mpsc::UnboundedReceiver<Ask>, changed: watch::Sender<u64>) {
     let mut state = State::default();
     while let Some(ask) = inbox.recv().await {
--- a/crates/scheduler/src/member.rs
+++ b/crates/scheduler/src/member.rs
@@ -1,11 +1,16 @@
 //! A scheduler member: starts its pipes, stops in good order.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{
+    hash::{DefaultHasher, Hash, Hasher},
+    net::SocketAddr,
+    sync::Arc,
+};
 
 use jacinthhoist_core::{
-    MemberName,
+    ClockTime, MemberName,
     job::{MemberRank, SchedulerLimits},
 };
+use jacinthhoist_net::BootClock;
 use tokio::{
     sync::{mpsc, watch},
     task::JoinSet,
@@ -19,13 +24,17 @@
     membership::{self, Place},
     operator::{OperatorTask, WaveBook},
     owner::OwnerTask,
-    peer::{self, AskTask},
-    ports::Platform,
+    peer::{self, AskTask, TcpPeers},
+    ports::{PeerNetwork, Platform},
     shared::MemberShared,
 };
 
 /// Separates the parts of a member's key, in which the others find its address.
 const KEY_SEPARATOR: &str = "|";
+/// Greatest time by which members differ that see at once that nobody owns the pools: two looks at
+/// the store fit within it.
+const MAX_JITTER_MS: u64 = 200;
+
 /// Who a member is.
 #[derive(Clone, Debug)]
 pub struct MemberIdentity {
@@ -68,6 +77,18 @@
         ];
         parts.join(KEY_SEPARATOR)
     }
+
+    /// A short time by which this life differs from those of other members.
+    pub(crate) fn jitter(&self) -> ClockTime {
+        let mut hasher = DefaultHasher::new();
+        (self.name.as_str(), self.nonce).hash(&mut hasher);
+        ClockTime::from_millis(hasher.finish() % MAX_JITTER_MS)
+    }
+
+    /// Whether a key is that of an earlier life of this member, which has ended.
+    pub(crate) fn is_earlier_life(&self, key: &str) -> bool {
+        peer_address(key) == Some(self.peer_address) && key != self.member_key()
+    }
 }
 
 /// The peer address in a member's key.
@@ -75,11 +96,6 @@
     key.split(KEY_SEPARATOR).nth(1)?.parse().ok()
 }
 
-/// The rank in a member's key.
-pub(crate) fn rank(key: &str) -> Option<MemberRank> {
-    key.split(KEY_SEPARATOR).nth(3)?.parse().ok()
-}
-
 /// What a member is started with.
 #[derive(Clone, Debug)]
 pub struct SchedulerSettings {
@@ -109,9 +125,25 @@
         platform: Arc<P>,
         settings: SchedulerSettings,
         log: Arc<EventLog>,
+    ) -> Result<Self> {
+        Self::spawn_on(platform, TcpPeers, BootClock::open(), settings, log).await
+    }
+
+    /// Starts a member's pipes with a network to its peers and a clock, as an emulator gives them.
+    ///
+    /// # Errors
+    ///
+    /// An address that cannot be bound.
+    pub async fn spawn_on<N: PeerNetwork>(
+        platform: Arc<P>,
+        peers: N,
+        clock: BootClock,
+        settings: SchedulerSettings,
+        log: Arc<EventLog>,
     ) -> Result<Self> {
         let address = settings.identity.peer_address;
-        let shared = MemberShared::open(settings.identity, log);
+        let shared = MemberShared::open(settings.identity, clock, log);
+        let peers = Arc::new(peers);
         event!(shared.log, Start, "version": env!("CARGO_PKG_VERSION"),
             "key": shared.identity.member_key());
         let (store, stored) = mpsc::unbounded_channel();
@@ -127,18 +159,20 @@
             waves: waves_seen,
         };
         let mut tasks = JoinSet::new();
+        // Before it joins: a member whose peer address is refused is taken to have ended.
+        tasks.spawn(peer::serve(shared.clone(), &*peers, address).await?);
         tasks.spawn(AcceptTask::open(platform.clone(), shared.clone(), stored).run());
-        tasks.spawn(AskTask::open(platform.clone(), shared.clone(), asked).run());
+        tasks.spawn(AskTask::open(platform.clone(), peers.clone(), shared.clone(), asked).run());
         tasks.spawn(OperatorTask::open(platform.clone(), shared.clone(), waves).run());
         let place = Arc::new(place);
+        tasks.spawn(membership::watch_owner(platform.clone(), shared.clone()));
         tasks.spawn(membership::run(
             platform.clone(),
             shared.clone(),
             place.clone(),
         ));
         tasks.spawn(owner.run());
-        let peers = peer::serve(shared.clone(), address).await?;
-        tasks.spawn(peers);
+
         Ok(Self {
             platform,
             shared,
--- a/crates/scheduler/src/owner/engine.rs
+++ b/crates/scheduler/src/owner/engine.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use jacinthhoist_codec::{AcceptedRecord, JobAnswer};
+use jacinthhoist_codec::{AcceptedRecord, JobAnswer, OwnerWord};
 use jacinthhoist_core::{
     ClockTime,
     job::{JobCatalogue, JobId, Scheduler},
@@ -176,9 +176,13 @@
         self.loads_at = now;
         let open = self.scheduler.open_jobs();
         self.shared.meter.open_jobs.set(open as f64);
-        let loads = Arc::new(self.scheduler.loads().into_iter().collect());
-        self.shared.take_loads(Arc::clone(&loads));
-        self.shared.load_feed.send_replace(loads);
+        let word = Arc::new(OwnerWord {
+            loads: self.scheduler.loads().into_iter().collect(),
+            read_age: now - self.tail_seen_at,
+            place_age: now - self.place.borrow().heard_at,
+        });
+        self.shared.take_word(Arc::clone(&word));
+        self.shared.word_feed.send_replace(word);
     }
 
     fn watch_vms(&mut self, now: ClockTime) {
--- a/crates/scheduler/src/peer/ask.rs
+++ b/crates/scheduler/src/peer/ask.rs
@@ -1,12 +1,11 @@
 //! Follows the owner: asks it for jobs and takes its word on loads.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, io::ErrorKind, sync::Arc, time::Duration};
 
 use futures::StreamExt;
 use jacinthhoist_codec::{JobAnswer, JobFrame, decode_job_frame};
 use jacinthhoist_core::job::JobId;
 use tokio::{
-    net::TcpStream,
     sync::{mpsc, oneshot},
     time::{Instant, sleep, sleep_until, timeout},
 };
@@ -15,8 +14,8 @@
 use crate::{
     eventlog::event,
     member::peer_address,
-    ports::Platform,
-    shared::{LoadTable, MemberShared},
+    ports::{PeerNetwork, Platform},
+    shared::MemberShared,
 };
 
 use super::serve::{ask_owner, send};
@@ -28,10 +27,9 @@
 /// Pause after a link has ended, so that a member that does not own the pools yet is not called
 /// without end.
 const REOPEN_PAUSE: Duration = Duration::from_millis(60);
-/// Pause before the owner is looked for again.
-const FIND_PAUSE: Duration = Duration::from_millis(200);
+/// Pause before the owner is looked for again: a fraction of what a takeover takes.
+const FIND_PAUSE: Duration = Duration::from_millis(100);
 
-type PeerSocket = WebSocketStream<TcpStream>;
 /// Questions that wait for their answers, by id.
 type OpenAsks = BTreeMap<u64, oneshot::Sender<JobAnswer>>;
 
@@ -42,21 +40,24 @@
 }
 
 /// Takes questions to the owner, wherever it is.
-pub(crate) struct AskTask<P> {
+pub(crate) struct AskTask<P, N> {
     platform: Arc<P>,
+    peers: Arc<N>,
     shared: Arc<MemberShared>,
     asks: mpsc::UnboundedReceiver<AskRequest>,
     next_id: u64,
 }
 
-impl<P: Platform> AskTask<P> {
+impl<P: Platform, N: PeerNetwork> AskTask<P, N> {
     pub(crate) fn open(
         platform: Arc<P>,
+        peers: Arc<N>,
         shared: Arc<MemberShared>,
         asks: mpsc::UnboundedReceiver<AskRequest>,
     ) -> Self {
         Self {
             platform,
+            peers,
             shared,
             asks,
             next_id: 0,
@@ -104,7 +105,7 @@
         }
     }
 
-    async fn find_owner(&mut self) -> Option<(String, PeerSocket)> {
+    async fn find_owner(&mut self) -> Option<(String, WebSocketStream<N::Stream>)> {
         // A failed look-up is tried again in a moment, and callers are told that nobody can tell.
         let owner = self.platform.owner().await.ok()?;
         self.shared.name_owner(owner.as_deref());
@@ -112,10 +113,26 @@
         if owner == self.shared.identity.member_key() {
             return None;
         }
+        if self.shared.identity.is_earlier_life(&owner) {
+            self.dismiss(&owner, "it is an earlier life of this member")
+                .await;
+            return None;
+        }
         let address = peer_address(&owner)?;
+        let stream = match timeout(OPEN_LIMIT, self.peers.connect(address))
+            .await
+            .ok()?
+        {
+            Ok(stream) => stream,
+            Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
+                self.dismiss(&owner, "its machine has no such process")
+                    .await;
+                return None;
+            }
+            // Not reached: whether it has ended is for the store to tell.
+            Err(_) => return None,
+        };
         let open = async {
-            let stream = TcpStream::connect(address).await.ok()?;
-            stream.set_nodelay(true).ok()?;
             let (socket, _) = client_async(format!("ws://{address}/"), stream)
                 .await
                 .ok()?;
@@ -125,9 +142,17 @@
         Some((owner, socket))
     }
 
+    /// Takes an owner whose process has ended out of the group, so that the pools need not wait for
+    /// its silence to be noticed. Were it alive, it would join again.
+    async fn dismiss(&self, owner: &str, reason: &'static str) {
+        let left = self.platform.leave(owner).await;
+        event!(self.shared.log, Ownership, "outcome": "owner dismissed", "owner": owner,
+            "reason": reason, "error": left.err().map(|error| error.to_string()));
+    }
+
     /// Asks one owner until its link ends. It counts as found with its first word on loads: a member
     /// that the group has just made owner closes links until it has taken over.
-    async fn follow(&mut self, owner: &str, socket: PeerSocket) {
+    async fn follow(&mut self, owner: &str, socket: WebSocketStream<N::Stream>) {
         let mut found = false;
         self.follow_link(owner, socket, &mut found).await;
         if found {
@@ -135,7 +160,12 @@
         }
     }
 
-    async fn follow_link(&mut self, owner: &str, mut socket: PeerSocket, found: &mut bool) {
+    async fn follow_link(
+        &mut self,
+        owner: &str,
+        mut socket: WebSocketStream<N::Stream>,
+        found: &mut bool,
+    ) {
         // The owner may have to give way; one of the same rank takes no notice.
         let offer = JobFrame::Offer(self.shared.identity.rank);
         if !send(&mut socket, &offer).await {
@@ -154,6 +184,10 @@
                     // does not.
                     if self.take(&message, &mut open) {
                         silent_at = Instant::now() + OWNER_SILENCE;
+                        // The store may have given the pools to another member meanwhile.
+                        if self.shared.is_succeeded(owner) {
+                            return;
+                        }
                         if !std::mem::replace(found, true) {
                             event!(self.shared.log, Dependency, "name": "owner", "lost": false,
                                 "owner": owner);
@@ -191,11 +225,11 @@
                     let _ = reply.send(answer);
                 }
             }
-            Ok(JobFrame::Loads(loads)) => {
-                let table: LoadTable = loads.into_iter().collect();
-                self.shared.take_loads(Arc::new(table));
+            Ok(JobFrame::Loads(word)) => {
+                self.shared.take_word(Arc::new(word));
                 return true;
             }
+            Ok(JobFrame::Follow) => self.shared.hear_choice(),
             Ok(JobFrame::Ask { .. } | JobFrame::Offer(_)) => {}
             Err(error) => event!(self.shared.log, Unreadable, "key": "peer frame",
                 "reason": error.to_string()),
--- a/crates/scheduler/src/peer/serve.rs
+++ b/crates/scheduler/src/peer/serve.rs
@@ -3,10 +3,9 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use futures::{SinkExt, StreamExt};
-use jacinthhoist_codec::{JobAnswer, JobFrame, decode_job_frame, encode_job_frame};
-use jacinthhoist_core::job::JobId;
+use jacinthhoist_codec::{JobAnswer, JobFrame, OwnerWord, decode_job_frame, encode_job_frame};
+use jacinthhoist_core::job::{JobId, MemberRank};
 use tokio::{
-    net::{TcpListener, TcpStream},
     sync::{mpsc, oneshot},
     task::JoinSet,
     time::{sleep, timeout},
@@ -14,9 +13,10 @@
 use tokio_tungstenite::{WebSocketStream, accept_async, tungstenite::Message};
 
 use crate::{
-    error::{BindSnafu, Result},
+    error::Result,
     eventlog::event,
     owner::OwnerEvent,
+    ports::{PeerListener, PeerNetwork, PeerStream},
     shared::MemberShared,
 };
 
@@ -30,27 +30,26 @@
 const ANSWERS: usize = 64;
 
 /// Binds the peer address; the task that is returned accepts links of other members.
-pub(crate) async fn serve(
+pub(crate) async fn serve<N: PeerNetwork>(
     shared: Arc<MemberShared>,
+    peers: &N,
     address: SocketAddr,
-) -> Result<impl Future<Output = ()>> {
-    let listener = TcpListener::bind(address).await.map_err(|error| {
-        BindSnafu {
-            address: address.to_string(),
-            message: error.to_string(),
-        }
-        .build()
-    })?;
+) -> Result<impl Future<Output = ()> + use<N>> {
+    let listener = peers.bind(address).await?;
     Ok(accept_links(shared, listener))
 }
 
-async fn accept_links(shared: Arc<MemberShared>, listener: TcpListener) {
+async fn accept_links<L>(shared: Arc<MemberShared>, listener: L)
+where
+    L: PeerListener,
+    L::Stream: PeerStream,
+{
     // Links end with the member.
     let mut links = JoinSet::new();
     loop {
         while links.try_join_next().is_some() {}
         match listener.accept().await {
-            Ok((stream, _)) => {
+            Ok(stream) => {
                 links.spawn(serve_link(shared.clone(), stream));
             }
             Err(error) => {
@@ -63,29 +62,30 @@
 }
 
 /// Serves one member while this one owns the pools.
-async fn serve_link(shared: Arc<MemberShared>, stream: TcpStream) {
-    // Without it frames arrive later, not wrong.
-    let _ = stream.set_nodelay(true);
+async fn serve_link<S: PeerStream>(shared: Arc<MemberShared>, stream: S) {
     let Ok(Ok(mut socket)) = timeout(OPEN_LIMIT, accept_async(stream)).await else {
         return;
     };
-    let mut loads = shared.load_feed.subscribe();
+    let mut loads = shared.word_feed.subscribe();
     loads.mark_changed();
     let (answers, mut answered) = mpsc::channel(ANSWERS);
+    let mut chosen = None;
     while shared.owner_inbox.load().is_some() {
         let frame = tokio::select! {
             message = socket.next() => match message {
                 Some(Ok(message)) => {
-                    take(&shared, &answers, &message);
+                    if let Some(rank) = take(&shared, &answers, &message) {
+                        chosen = Some(shared.followers.add(rank));
+                    }
                     continue;
                 }
                 _ => return,
             },
             answer = answered.recv() => answer,
+            () = is_chosen(&mut chosen) => Some(JobFrame::Follow),
             changed = loads.changed() => changed.ok().map(|()| {
-                let table = loads.borrow_and_update().clone();
-                let loads = table.iter().map(|(work, load)| (work.clone(), *load));
-                JobFrame::Loads(loads.collect())
+                let word = loads.borrow_and_update().clone();
+                JobFrame::Loads(OwnerWord::clone(&word))
             }),
         };
         let Some(frame) = frame else {
@@ -95,11 +95,32 @@
             return;
         }
     }
+    // The choice is made just before the pools are given up.
+    if chosen.is_some_and(|mut choice| choice.try_recv().is_ok()) {
+        send(&mut socket, &JobFrame::Follow).await;
+    }
 }
 
-fn take(shared: &Arc<MemberShared>, answers: &mpsc::Sender<JobFrame>, message: &Message) {
+/// Waits until the member at the other end is chosen to follow this one.
+async fn is_chosen(chosen: &mut Option<oneshot::Receiver<()>>) {
+    let Some(choice) = chosen else {
+        return std::future::pending().await;
+    };
+    let made = choice.await;
+    *chosen = None;
+    if made.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
+/// Takes a frame in; returns the rank of a member that says who it is.
+fn take(
+    shared: &Arc<MemberShared>,
+    answers: &mpsc::Sender<JobFrame>,
+    message: &Message,
+) -> Option<MemberRank> {
     let Message::Binary(bytes) = message else {
-        return;
+        return None;
     };
     match decode_job_frame(bytes) {
         Ok(JobFrame::Ask { id, job }) => {
@@ -115,11 +136,13 @@
                 event!(shared.log, Ownership, "outcome": "gives way",
                     "rank": shared.identity.rank.as_str(), "to": rank.as_str());
             }
+            return Some(rank);
         }
-        Ok(JobFrame::Answer { .. } | JobFrame::Loads(_)) => {}
+        Ok(JobFrame::Answer { .. } | JobFrame::Loads(_) | JobFrame::Follow) => {}
         Err(error) => event!(shared.log, Unreadable, "key": "peer frame",
             "reason": error.to_string()),
     }
+    None
 }
 
 /// Asks this member's owner pipe.
@@ -135,10 +158,7 @@
 }
 
 /// Sends a frame; false where the link is of no use any more.
-pub(super) async fn send<S>(socket: &mut WebSocketStream<S>, frame: &JobFrame) -> bool
-where
-    S: tokio::io::AsyncRead + tokio::io::AsyncWrite + Unpin,
-{
+pub(super) async fn send<S: PeerStream>(socket: &mut WebSocketStream<S>, frame: &JobFrame) -> bool {
     let Ok(bytes) = encode_job_frame(frame) else {
         return false;
     };
--- a/crates/scheduler/src/ports.rs
+++ b/crates/scheduler/src/ports.rs
@@ -1,6 +1,6 @@
 //! What the scheduler needs of a platform.
 
-use std::{future::Future, sync::Arc};
+use std::{future::Future, io, net::SocketAddr, sync::Arc};
 
 use jacinthhoist_codec::KeyedRecord;
 use jacinthhoist_core::{
@@ -11,6 +11,8 @@
     },
 };
 
+use tokio::io::{AsyncRead, AsyncWrite};
+
 use crate::error::Result;
 
 /// Which of the scheduler's own streams.
@@ -228,3 +230,32 @@
     /// An address that cannot be used.
     fn worker(&self, id: &WorkerId, address: &str) -> Result<Self::Worker>;
 }
+
+/// A connection between two members.
+pub trait PeerStream: AsyncRead + AsyncWrite + Unpin + Send + 'static {}
+
+impl<S: AsyncRead + AsyncWrite + Unpin + Send + 'static> PeerStream for S {}
+
+/// How members reach each other.
+pub trait PeerNetwork: Send + Sync + 'static {
+    /// A connection.
+    type Stream: PeerStream;
+    /// What takes connections.
+    type Listener: PeerListener<Stream = Self::Stream>;
+
+    /// Takes connections at an address.
+    fn bind(&self, address: SocketAddr) -> impl Future<Output = Result<Self::Listener>> + Send;
+
+    /// Connects to a member.
+    fn connect(&self, address: SocketAddr)
+    -> impl Future<Output = io::Result<Self::Stream>> + Send;
+}
+
+/// Takes connections of other members.
+pub trait PeerListener: Send + Sync + 'static {
+    /// A connection.
+    type Stream;
+
+    /// The next connection.
+    fn accept(&self) -> impl Future<Output = io::Result<Self::Stream>> + Send;
+}
