--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -33,7 +33,7 @@
 mod wave;
 mod worker;
 
-pub use admit::{JobRefusal, WorkLoad, admit_job};
+pub use admit::{JobRefusal, WorkLoad, admit_job, outage_retry};
 pub use catalogue::{AdvicePolicy, CallerLimits, JobCatalogue, JobPool, JobWork};
 pub use lease::{HeldLease, UnknownLease, WorkerLease};
 pub use life::{Begun, ClosedLife, Ended, Ending, Forgotten, JobLife, OpenLife, Queued};
--- a/crates/core/src/job/admit.rs
+++ b/crates/core/src/job/admit.rs
@@ -11,6 +11,10 @@
 /// The shortest time after which a refused caller is asked to return.
 const MIN_RETRY: ClockTime = ClockTime::from_millis(1_000);
 
+/// The longest time after which a caller is asked to return during an outage: its few attempts then
+/// last some eight seconds, longer than most outages.
+const MAX_OUTAGE_RETRY: ClockTime = ClockTime::from_millis(3_000);
+
 /// What the owner tells the other members of a kind of work.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct WorkLoad {
@@ -51,3 +55,26 @@
     let retry_after = (load.drain - objective).max(MIN_RETRY);
     Err(JobRefusal { retry_after })
 }
+
+/// When a caller should come back that was refused for want of the store or the owner.
+///
+/// Answers callers with few attempts during an outage whose end nobody knows: the longer it has lasted,
+/// the later they return, and not all at the same second. `away` is how long it has lasted, `spread`
+/// any number that differs between callers.
+///
+/// ```
+/// use jacinthhoist_core::{ClockTime, job::outage_retry};
+/// let ms = ClockTime::from_millis;
+/// assert_eq!(outage_retry(ms(200), 7), ms(1_000));
+/// assert_eq!(outage_retry(ms(2_600), 4), ms(2_000));
+/// assert_eq!(outage_retry(ms(2_600), 7), ms(3_000));
+/// ```
+pub fn outage_retry(away: ClockTime, spread: u64) -> ClockTime {
+    if away < MIN_RETRY {
+        return MIN_RETRY;
+    }
+    // Whole seconds: that is what callers are told.
+    let whole = ClockTime::from_secs(away.as_millis() / MIN_RETRY.as_millis());
+    let later = ClockTime::from_secs(spread % 2);
+    whole.min(MAX_OUTAGE_RETRY - ClockTime::from_secs(1)) + later
+}
--- a/crates/emulator/tests/days.rs
+++ b/crates/emulator/tests/days.rs
@@ -1,6 +1,7 @@
 //! Days on the emulated platform: calm ones, drawn ones, and each that once broke a rule.
 
-use jacinthhoist_emulator::{EmulatedDay, FaultKind, Violation, check, play};
+use jacinthhoist_core::ClockTime;
+use jacinthhoist_emulator::{CallOutcome, EmulatedDay, FaultKind, Violation, check, play};
 use rand::{SeedableRng, rngs::StdRng};
 
 const FOUNDRY: &str = include_str!("../examples/days/foundry.toml");
@@ -78,3 +79,39 @@
         assert_eq!(check(&outcome.history), [], "{kind:?}");
     }
 }
+
+/// Callers of a silent store once waited two seconds each behind an append that tried it, and heard that
+/// their job may have been accepted.
+#[test]
+fn a_silent_store_is_tried_without_callers_jobs() {
+    let day = EmulatedDay::parse(
+        r#"
+        secs = 10
+        members = 1
+        [[loads]]
+        per_sec = 10.0
+        steps = 1
+        tasks = 1
+        task_ms = 100
+        [[faults]]
+        at = 2.0
+        kind = "store_silent"
+        for_s = 6.0
+        "#,
+    );
+    let outcome = play(&day.expect("the day can be read"), 4);
+    assert_eq!(check(&outcome.history), []);
+    let (silent_from, _) = outcome.history.troubled[0];
+    // Only what the first append carried, in all its attempts, is left in doubt.
+    let settled = silent_from + ClockTime::from_millis(4_500);
+    let jobs = outcome.history.jobs.values();
+    let attempts: Vec<_> = jobs.flat_map(|job| &job.attempts).collect();
+    let unknown = attempts
+        .iter()
+        .filter(|(_, end)| *end == CallOutcome::Unknown);
+    assert!(unknown.clone().all(|(at, _)| *at < settled));
+    let refused = attempts
+        .iter()
+        .filter(|(_, end)| *end == CallOutcome::Refused);
+    assert!(refused.count() > 2 * unknown.count());
+}
--- a/crates/scheduler/src/accept.rs
+++ b/crates/scheduler/src/accept.rs
@@ -1,10 +1,12 @@
 //! Stores what callers hand in: one append at a time, the next takes all that waited meanwhile.
 
-use std::sync::Arc;
+use std::{pin::pin, sync::Arc, time::Duration};
 
 use jacinthhoist_codec::KeyedRecord;
-use jacinthhoist_core::ClockTime;
-use tokio::sync::{mpsc, oneshot};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::{sleep, timeout},
+};
 
 use crate::{
     dependency::Dependency,
@@ -17,9 +19,12 @@
 const APPEND_RECORDS: usize = 100;
 /// Attempts at one append before its callers are told that the outcome is unknown; with the time
 /// limit of a call, they hear it well before they give up.
-const ATTEMPTS: u32 = 2;
-/// While the store is lost, one append in this time tries it; other callers are refused at once.
-const PROBE_PAUSE: ClockTime = ClockTime::from_millis(500);
+const ATTEMPTS: u32 = 4;
+/// Time after which an append is taken to be lost as far as newcomers are concerned: one attempt that
+/// was not answered, and the next.
+const SLOW_APPEND: Duration = Duration::from_millis(800);
+/// Time between two tries of a store that was lost; callers are refused at once meanwhile.
+const PROBE_PAUSE: Duration = Duration::from_millis(200);
 
 /// What became of a record.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,13 +43,24 @@
     pub(crate) reply: oneshot::Sender<Stored>,
 }
 
+impl StoreRequest {
+    fn answer(self, stored: Stored) {
+        // The caller may have left.
+        let _ = self.reply.send(stored);
+    }
+}
+
 /// Appends records of callers, all members beside each other.
 pub(crate) struct AcceptTask<P> {
+    inbox: mpsc::UnboundedReceiver<StoreRequest>,
+    writer: AcceptWriter<P>,
+}
+
+/// Writes under the member's own mark.
+struct AcceptWriter<P> {
     platform: Arc<P>,
     shared: Arc<MemberShared>,
-    inbox: mpsc::UnboundedReceiver<StoreRequest>,
     mark: WriterMark,
-    lost_at: Option<ClockTime>,
 }
 
 impl<P: Platform> AcceptTask<P> {
@@ -58,41 +74,55 @@
             epoch: 1,
             seq: 0,
         };
-        Self {
+        let writer = AcceptWriter {
             platform,
             shared,
-            inbox,
             mark,
-            lost_at: None,
-        }
+        };
+        Self { inbox, writer }
     }
 
     pub(crate) async fn run(mut self) {
         let mut waiting = Vec::new();
         while self.inbox.recv_many(&mut waiting, APPEND_RECORDS).await > 0 {
-            if self.is_out() {
-                reply(&mut waiting, Stored::No);
-                continue;
-            }
             let records: Vec<KeyedRecord> = waiting
                 .iter()
                 .map(|request| request.record.clone())
                 .collect();
-            let stored = self.append(&records).await;
-            self.note_store(stored);
-            reply(&mut waiting, stored);
+            let append = self.writer.append(&records);
+            let stored = refuse_beside(&mut self.inbox, SLOW_APPEND, append).await;
+            for request in waiting.drain(..) {
+                request.answer(stored);
+            }
             if stored != Stored::Yes {
-                self.refuse_queued();
+                let probe = self.writer.probe();
+                refuse_beside(&mut self.inbox, Duration::ZERO, probe).await;
             }
         }
     }
+}
 
-    /// Whether the store was lost a moment ago, so that trying again would only keep callers waiting.
-    fn is_out(&self) -> bool {
-        let now = self.shared.clock.now();
-        self.lost_at.is_some_and(|at| now < at + PROBE_PAUSE)
+/// Waits for the store. What callers hand in after `patience` is refused at once: it has not been
+/// sent, and waiting would not help them.
+async fn refuse_beside<T>(
+    inbox: &mut mpsc::UnboundedReceiver<StoreRequest>,
+    patience: Duration,
+    store: impl Future<Output = T>,
+) -> T {
+    let mut store = pin!(store);
+    if let Ok(done) = timeout(patience, &mut store).await {
+        return done;
     }
+    loop {
+        tokio::select! {
+            biased;
+            done = &mut store => return done,
+            Some(request) = inbox.recv() => request.answer(Stored::No),
+        }
+    }
+}
 
+impl<P: Platform> AcceptWriter<P> {
     async fn append(&mut self, records: &[KeyedRecord]) -> Stored {
         let began = self.shared.clock.now();
         let mut unknown = false;
@@ -103,6 +133,7 @@
             self.shared.note_call(Dependency::JobAppends, &appended);
             let Err(error) = appended else {
                 self.mark.seq += 1;
+                self.shared.saw_store();
                 let took = self.shared.clock.now() - began;
                 self.shared.meter.store_time.record(took.as_secs_f64());
                 return Stored::Yes;
@@ -126,25 +157,19 @@
         self.mark.seq = 0;
     }
 
-    fn note_store(&mut self, stored: Stored) {
-        self.lost_at = (stored != Stored::Yes).then(|| self.shared.clock.now());
-        if stored == Stored::Yes {
-            self.shared.saw_store();
-        }
-    }
-
-    /// Refuses what queued up behind a failed append: none of it was sent.
-    fn refuse_queued(&mut self) {
-        while let Ok(request) = self.inbox.try_recv() {
-            // The caller may have left.
-            let _ = request.reply.send(Stored::No);
+    /// Tries the store with appends of nothing until one is answered: no caller's job is at stake.
+    async fn probe(&mut self) {
+        loop {
+            sleep(PROBE_PAUSE).await;
+            let stream = StoreStream::Accepted;
+            let probed = self.platform.append(stream, &self.mark, &[]).await;
+            self.shared.meter.appends.increment(1);
+            self.shared.note_call(Dependency::JobAppends, &probed);
+            match probed {
+                Ok(()) => return,
+                Err(error) if error.category() == Category::Fenced => self.new_epoch(),
+                Err(_) => {}
+            }
         }
     }
 }
-
-fn reply(waiting: &mut Vec<StoreRequest>, stored: Stored) {
-    for request in waiting.drain(..) {
-        // The caller may have left.
-        let _ = request.reply.send(stored);
-    }
-}
--- a/crates/scheduler/src/caller.rs
+++ b/crates/scheduler/src/caller.rs
@@ -10,7 +10,7 @@
     ClockTime, WorkName,
     job::{
         CallerLimits, JobCatalogue, JobError, JobId, JobSpec, JobState, JobTerms, JobWork,
-        RepeatPlan, StepSpec, WorkLoad, admit_job,
+        RepeatPlan, StepSpec, WorkLoad, admit_job, outage_retry,
     },
 };
 use serde_json::json;
@@ -32,8 +32,6 @@
 const OWNER_WAIT: ClockTime = ClockTime::from_millis(2_000);
 /// Pause before the owner is asked again.
 const ASK_PAUSE: Duration = Duration::from_millis(100);
-/// When a caller that was refused for want of the store or an owner should come back.
-const UNAVAILABLE_RETRY: ClockTime = ClockTime::from_millis(1_000);
 /// How old the owner's word on loads may be: counts may be two seconds old by the callers' protocol.
 const LOAD_FRESH: ClockTime = ClockTime::from_millis(1_500);
 /// How long the store may be silent before the member sends new callers elsewhere.
@@ -130,12 +128,6 @@
             Self::Unknown => "unknown",
         }
     }
-
-    fn unavailable() -> Self {
-        Self::Unavailable {
-            retry_after: UNAVAILABLE_RETRY,
-        }
-    }
 }
 
 /// It has arrived.
@@ -151,6 +143,7 @@
 
 /// It is a job that may be stored.
 struct Admitted {
+    job: JobId,
     record: KeyedRecord,
 }
 
@@ -286,7 +279,7 @@
 
     fn classify(&self, call: JobCall<Received>) -> Result<JobCall<Classified>, CallerReply> {
         let catalogue = self.shared.catalogue.load_full();
-        let catalogue = catalogue.ok_or_else(CallerReply::unavailable)?;
+        let catalogue = catalogue.ok_or_else(|| self.unavailable(0))?;
         let host = call.call.host.split(':').next().unwrap_or_default();
         let path = call.call.path.split('?').next().unwrap_or_default();
         let found = catalogue.find(host, path);
@@ -320,7 +313,7 @@
         self.admit_load(work, &spec)?;
         let record = encode_job(id, &spec);
         let record = record.map_err(|error| CallerReply::BadCall(error.to_string()))?;
-        Ok(call.turn(Admitted { record }))
+        Ok(call.turn(Admitted { job: id, record }))
     }
 
     /// Refuses a job that would be served too late to be worth anything.
@@ -337,9 +330,10 @@
     }
 
     async fn store(&self, call: JobCall<Admitted>) -> CallerReply {
-        match self.append(call.phase.record, call.until).await {
+        let Admitted { job, record } = call.phase;
+        match self.append(record, call.until).await {
             Stored::Yes => CallerReply::Accepted,
-            Stored::No => CallerReply::unavailable(),
+            Stored::No => self.unavailable(job.0),
             Stored::Unknown => CallerReply::Unknown,
         }
     }
@@ -352,7 +346,7 @@
         match self.ask(id, call.until).await {
             JobAnswer::Known(state) => CallerReply::State(state),
             JobAnswer::Missing => CallerReply::NoSuchJob,
-            JobAnswer::Unsure => CallerReply::unavailable(),
+            JobAnswer::Unsure => self.unavailable(id.0),
         }
     }
 
@@ -367,7 +361,7 @@
         match self.append(encode_cancel(id), call.until).await {
             Stored::Yes if known == JobAnswer::Missing => CallerReply::NoSuchJob,
             Stored::Yes => CallerReply::Cancelled,
-            Stored::No => CallerReply::unavailable(),
+            Stored::No => self.unavailable(id.0),
             Stored::Unknown => CallerReply::Unknown,
         }
     }
@@ -400,11 +394,18 @@
         }
     }
 
+    /// Nothing was done for want of the store or the owner; `spread` differs between callers.
+    fn unavailable(&self, spread: u64) -> CallerReply {
+        CallerReply::Unavailable {
+            retry_after: outage_retry(self.shared.store_silence(), spread),
+        }
+    }
+
     /// How many jobs wait; unknown where the owner has been silent.
     fn count(&self, work: &WorkName) -> CallerReply {
         let (load, age) = self.shared.load(work);
         if age > LOAD_FRESH {
-            return CallerReply::unavailable();
+            return self.unavailable(0);
         }
         CallerReply::Waiting(load.waiting)
     }
