Judge backlogs and move VMs as soon as all workers have reported to a new owner

Change: the wait ends when each listed worker has reported, after a second at the latest. Conclusion: the test of the wait now holds both ways: none told or moved before all have reported, all at once after.

--- a/crates/core/src/job/scheduler/demand.rs
+++ b/crates/core/src/job/scheduler/demand.rs
@@ -12,7 +12,7 @@
     name::PoolName,
 };
 
-use super::{Job, Scheduler, VmEntry, fleet::SETTLE};
+use super::{Job, Scheduler, VmEntry};
 
 /// Percent of its first size that a pool keeps without a surge.
 const STANDING_PERCENT: usize = 100;
@@ -176,7 +176,7 @@
     /// take on all VMs, which follow the demand, whichever is less. None is told just after a takeover,
     /// while most workers have not reported.
     pub(super) fn drain_times(&self) -> BTreeMap<PoolName, ClockTime> {
-        if self.now < self.fleet.opened_at + SETTLE {
+        if !self.is_settled() {
             return BTreeMap::new();
         }
         let views = self.demand_views();
--- a/crates/core/src/job/scheduler/fleet.rs
+++ b/crates/core/src/job/scheduler/fleet.rs
@@ -9,7 +9,7 @@
     job::{
         resize::plan_resize,
         vm_order::{AnyVmOrder, VmOrder, VmOrderRun},
-        worker::OrderReply,
+        worker::{OrderReply, Worker},
     },
     name::{PoolName, VmName, WorkerId},
 };
@@ -20,8 +20,9 @@
 
 /// Time between two plans of the fleet.
 const PLAN_PACE: ClockTime = ClockTime::from_millis(100);
-/// Time after a takeover in which workers report before VMs are moved and backlogs judged.
-pub(super) const SETTLE: ClockTime = ClockTime::from_millis(1_000);
+/// Longest time after a takeover in which VMs are not moved nor backlogs judged because workers have
+/// yet to report.
+const SETTLE: ClockTime = ClockTime::from_millis(1_000);
 /// Time after which an order on a VM that was refused or not answered is tried again.
 const ORDER_RETRY: ClockTime = ClockTime::from_millis(600);
 
@@ -164,13 +165,20 @@
         }
         self.fleet.planned_at = now;
         self.repeat_orders();
-        if now < self.fleet.opened_at + SETTLE {
+        if !self.is_settled() {
             return;
         }
         self.go_on_with_waves();
         self.resize_pools();
     }
 
+    /// Whether what workers hold is known since the takeover, as far as it will be soon.
+    pub(super) fn is_settled(&self) -> bool {
+        let told = |worker: &Worker| worker.seen_at.is_some() || worker.missing_since.is_some();
+        let all_told = !self.workers.is_empty() && self.workers.values().all(told);
+        all_told || self.now >= self.fleet.opened_at + SETTLE
+    }
+
     fn repeat_orders(&mut self) {
         let now = self.now;
         let mut orders: SmallVec<[(VmName, VmOrder); 4]> = SmallVec::new();
--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -3,8 +3,8 @@
 use jacinthhoist_core::{
     PoolName, VmName,
     job::{
-        Effect, IdleVm, OrderReply, PoolDemandView, ResizeMove, TaskEnd, VmState, WaveRequest,
-        plan_resize,
+        Effect, HoldReport, IdleVm, OrderReply, PoolDemandView, ResizeMove, TaskEnd, VmState,
+        WaveRequest, plan_resize,
     },
 };
 
@@ -336,25 +336,44 @@
     assert_eq!(drain(4), 1_500 + 1_800);
 }
 
-/// Refusals once went by the few workers that had reported to a new owner.
+/// Refusals once went by the few workers that had reported to a new owner; then each takeover waited a
+/// second before it judged anything, also where all had reported.
 #[test]
-fn no_backlog_is_told_before_workers_had_the_time_to_report() {
-    let mut world = World::open(1);
-    for id in 1..=400 {
-        world.accept(id, vec![step(8)]);
+fn backlogs_are_told_and_vms_moved_once_workers_have_reported() {
+    for reported in [1, 2] {
+        let mut world = World::bare(ms(1_000_000));
+        world.list(2);
+        for number in 0..reported {
+            world.report(number, HoldReport::default());
+        }
+        for id in 1..=100 {
+            world.accept(id, vec![step(8)]);
+        }
+        let off = (2..5).map(|number| vm(number, "spare", VmState::Up));
+        let vms = (0..2).map(|number| vm(number, "mould", VmState::Up));
+        let now = world.now;
+        world.scheduler.list_vms(vms.chain(off).collect(), now, now);
+        world.wait(150);
+        world.step();
+        let moves = |world: &World| {
+            let orders = world.orders.iter();
+            let moves = orders.filter(|order| matches!(order, Effect::Move { .. }));
+            moves.count()
+        };
+        let drain = |world: &World| {
+            let loads = world.scheduler.loads();
+            let load = loads.iter().find(|(work, _)| work.as_str() == "mould");
+            load.expect("the work is in the catalogue").1.drain
+        };
+        assert_eq!(moves(&world), if reported == 2 { 3 } else { 0 });
+        assert_eq!(drain(&world) > ms(0), reported == 2);
+        // A worker that does not report holds the others up for a second at most.
+        world.wait(1_000);
+        world.step();
+        // Orders without an answer are repeated.
+        assert!(moves(&world) >= 3);
+        assert!(drain(&world) > ms(0));
     }
-    let drain = |world: &World| {
-        let loads = world.scheduler.loads();
-        let load = loads.iter().find(|(work, _)| work.as_str() == "mould");
-        load.expect("the work is in the catalogue").1.drain
-    };
-    world.step();
-    assert_eq!(drain(&world), ms(0));
-    let vms = vec![vm(0, "mould", VmState::Up)];
-    world.scheduler.list_vms(vms, world.now, world.now);
-    world.wait(1_000);
-    world.step();
-    assert!(drain(&world) > ms(60_000));
 }
 
 /// A pool in the middle of a surge was once told to drain for as long as it would alone, though the
