Ask for no more VMs than a pool's ready tasks can use at once; average arrivals over what a job takes

Its demand counted all tasks that had not begun, later steps too, as if they were to be done within a second, and a burst of long jobs as a rate over 0.8 s. Change: the backlog counts tasks whose turn has come, at most what they use when all run at once; arrivals fade over what a job of the pool takes. The drain time that callers are told still counts all that waits.

--- a/crates/core/src/job/scheduler/demand.rs
+++ b/crates/core/src/job/scheduler/demand.rs
@@ -16,8 +16,10 @@
 
 /// Percent of its first size that a pool keeps without a surge.
 const STANDING_PERCENT: usize = 100;
-/// The span over which arrivals are averaged: a surge shows within half of it.
+/// The shortest span over which arrivals are averaged: a surge shows within half of it.
 const ARRIVAL_SPAN_MS: f64 = 800.0;
+/// Weight of the newest job in the span over which a pool's arrivals are averaged.
+const NEWEST_SPAN: f64 = 0.1;
 /// The time within which a backlog should be worked off beside new arrivals.
 const BACKLOG_SPAN_MS: u64 = 1_000;
 /// How long a VM is idle before it may go to the spare pool: a second in a pool costs about what a
@@ -29,13 +31,30 @@
 pub(super) struct ArrivalRate {
     /// Thousandths of core-milliseconds, fading.
     work: f64,
+    /// The span over which it fades, in milliseconds: what a job of the pool takes, since that is the
+    /// time over which its work spreads.
+    span_ms: f64,
     at: ClockTime,
 }
 
 impl ArrivalRate {
     fn faded(&self, now: ClockTime) -> f64 {
         let elapsed = (now - self.at).as_millis() as f64;
-        self.work * (-elapsed / ARRIVAL_SPAN_MS).exp()
+        self.work * (-elapsed / self.span_ms.max(ARRIVAL_SPAN_MS)).exp()
+    }
+
+    /// What the arrivals ask for, in thousandths of a core.
+    fn cpu(&self, now: ClockTime) -> u64 {
+        (self.faded(now) / self.span_ms.max(ARRIVAL_SPAN_MS)) as u64
+    }
+
+    /// A job has arrived whose tasks take `work` and that lasts `span_ms` undisturbed.
+    fn add(&mut self, work: f64, span_ms: f64, now: ClockTime) {
+        let known = self.span_ms > 0.0;
+        let weight = if known { NEWEST_SPAN } else { 1.0 };
+        self.work = self.faded(now) + work;
+        self.span_ms += (span_ms - self.span_ms) * weight;
+        self.at = now;
     }
 }
 
@@ -46,6 +65,10 @@
     running: u64,
     /// Tasks that end and have not begun, in thousandths of core-milliseconds.
     waiting: u64,
+    /// Those of them whose turn has come, in thousandths of core-milliseconds.
+    ready: u64,
+    /// What these would have in use if all ran at once, in thousandths of a core.
+    ready_cpu: u64,
     /// What tasks that serve for good take, in thousandths of a core.
     steady: u64,
 }
@@ -67,8 +90,8 @@
             .arrivals
             .entry(job.terms.pool.clone())
             .or_default();
-        rate.work = rate.faded(now) + (cpu * mean) as f64;
-        rate.at = now;
+        let span = mean * job.spec.chain_len();
+        rate.add((cpu * mean) as f64, span as f64, now);
     }
 
     /// What each pool asks for and holds.
@@ -136,17 +159,19 @@
     }
 
     /// What a pool's work asks for, in thousandths of a core: what runs or keeps arriving, and what
-    /// waits, spread over the time in which it should be worked off.
+    /// waits for room, spread over the time in which it should be worked off. Long tasks cannot be
+    /// worked off faster than by running all at once, and later steps come when theirs are free.
     fn demand(&self, pool: &PoolName, work: &PoolWork) -> u64 {
         let arriving = self.fleet.arrivals.get(pool);
-        let rate = arriving.map_or(0.0, |rate| rate.faded(self.now) / ARRIVAL_SPAN_MS) as u64;
-        rate.max(work.running) + work.steady + work.waiting / BACKLOG_SPAN_MS
+        let rate = arriving.map_or(0, |rate| rate.cpu(self.now));
+        let backlog = work.ready_cpu.min(work.ready / BACKLOG_SPAN_MS);
+        rate.max(work.running) + work.steady + backlog
     }
 
     /// The work of each pool.
     fn pool_work(&self) -> BTreeMap<&PoolName, PoolWork> {
         let mut pools: BTreeMap<&PoolName, PoolWork> = BTreeMap::new();
-        for job in self.jobs.values() {
+        for (id, job) in &self.jobs {
             let work = pools.entry(&job.terms.pool).or_default();
             if job.spec.is_long_running() {
                 if job.life.goal().is_none() {
@@ -160,6 +185,11 @@
                 continue;
             }
             let mean = self.durations.mean(&job.spec.work).as_millis();
+            for key in job.startable(*id, self.now) {
+                let cpu = job.step(&key).charged().cpu;
+                work.ready += cpu * mean;
+                work.ready_cpu += cpu;
+            }
             for ((_, step, _), task) in job.tasks() {
                 let cpu = job.spec.steps[usize::from(step)].charged().cpu;
                 if task.placed().is_some() {
--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -3,8 +3,8 @@
 use jacinthhoist_core::{
     PoolName, VmName,
     job::{
-        Effect, HoldReport, IdleVm, OrderReply, PoolDemandView, ResizeMove, TaskEnd, VmState,
-        WaveRequest, plan_resize,
+        Effect, HoldReport, IdleVm, OrderReply, PoolDemandView, ResizeMove, StepSpec, TaskEnd,
+        VmState, WaveRequest, plan_resize,
     },
 };
 
@@ -396,3 +396,44 @@
     let drain = load.expect("the work is in the catalogue").1.drain;
     assert_eq!(drain, ms(5_000 + 1_500));
 }
+
+/// A pool of long tasks once asked for several times the VMs that its tasks could use at once, and took
+/// them from the next surge (scale-2 of the grown foundry: 210 VMs where 70 stood).
+#[test]
+fn a_pool_asks_for_no_more_than_its_ready_tasks_can_use_at_once() {
+    let mut world = World::open(1);
+    // Tasks of this kind take three seconds.
+    for id in 1..=20 {
+        world.accept(id, vec![step(1)]);
+        world.settle();
+        for start in world.confirm() {
+            world.wait(3_000);
+            world.end(&start, TaskEnd::Done);
+        }
+        world.settle();
+    }
+    let off = (1..9).map(|number| vm(number, "spare", VmState::Up));
+    let vms = std::iter::once(vm(0, "mould", VmState::Up)).chain(off);
+    let now = world.now;
+    world.scheduler.list_vms(vms.collect(), now, now);
+    // 64 tasks of a core, of which 32 find room; 64 more wait for them.
+    let after = |count: u16| StepSpec {
+        after: [0].into_iter().collect(),
+        ..step(count)
+    };
+    world.accept(100, vec![step(64), after(64)]);
+    world.settle();
+    world.wait(2_000);
+    world.step();
+    let moved: std::collections::BTreeSet<&VmName> = world
+        .orders
+        .iter()
+        .filter_map(|order| match order {
+            Effect::Move { vm, .. } => Some(vm),
+            _ => None,
+        })
+        .collect();
+    // Its arrivals ask for 64 cores over its six seconds, its ready tasks for 64 now: four VMs in all,
+    // where one stands, and one more where half of one is short.
+    assert!(moved.len() <= 4, "{moved:?}");
+}
