Keep a member that was succeeded from joining again as the owner that it was

Ruled out: the successor's own place (its renewals were answered all the while). Change: what the store said before a member met a later owner counts no more: it leaves the group and looks who owns the pools. Conclusion: test an_owner_that_was_succeeded_does_not_come_back.

--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -166,6 +166,7 @@
             worker.settle(now, &mut state.history);
         }
         state.history.over_at = now;
+        state.history.owners = self.world.store.owners();
         state.history.vms_at_end = state.machines.keys().cloned().collect();
     }
 
--- a/crates/emulator/src/history.rs
+++ b/crates/emulator/src/history.rs
@@ -135,6 +135,8 @@
     pub draining: BTreeMap<WorkerId, ClockTime>,
     /// Spans in which something was out of order, faults and some time after them.
     pub troubled: Vec<(ClockTime, ClockTime)>,
+    /// Members that owned the pools, one after the other.
+    pub owners: Vec<String>,
     /// VMs that there were at the end.
     pub vms_at_end: BTreeSet<VmName>,
     /// When the day was over.
--- a/crates/emulator/src/store.rs
+++ b/crates/emulator/src/store.rs
@@ -112,6 +112,8 @@
     members: BTreeMap<String, ClockTime>,
     owner: Option<String>,
     generation: u64,
+    /// Owners one after the other.
+    owners: Vec<String>,
 }
 
 #[derive(Debug)]
@@ -324,6 +326,11 @@
         state.group.owner.clone()
     }
 
+    /// Members that have owned the pools, one after the other.
+    pub(crate) fn owners(&self) -> Vec<String> {
+        self.state().group.owners.clone()
+    }
+
     /// Deals the pools anew without being asked.
     pub(crate) fn deal_anew(&self) {
         self.state().deal();
@@ -349,6 +356,11 @@
             let name = group.members.keys().nth(at);
             name.cloned().unwrap_or_default()
         });
+        if let Some(owner) = &group.owner
+            && group.owners.last() != Some(owner)
+        {
+            group.owners.push(owner.clone());
+        }
     }
 }
 
--- a/crates/emulator/tests/days.rs
+++ b/crates/emulator/tests/days.rs
@@ -160,3 +160,28 @@
     assert!(waits.len() > 10, "{waits:?}");
     assert!(waits.iter().all(|wait| *wait < 500), "{waits:?}");
 }
+
+/// An owner that the store turned away once joined again as soon as it was let in, though it had been
+/// succeeded long before, and made the store deal the pools anew (incident b11d of the grown foundry).
+#[test]
+fn an_owner_that_was_succeeded_does_not_come_back() {
+    let day = EmulatedDay::parse(
+        r#"
+        secs = 9
+        members = 4
+        [[loads]]
+        per_sec = 4.0
+        task_ms = 200
+        [[faults]]
+        at = 2.0
+        kind = "owner_store_cut"
+        for_s = 4.0
+        "#,
+    );
+    let day = day.expect("the day can be read");
+    for seed in 1..=6 {
+        let outcome = play(&day, seed);
+        assert_eq!(check(&outcome.history), [], "seed {seed}");
+        assert_eq!(outcome.history.owners.len(), 2, "seed {seed}");
+    }
+}
--- a/crates/scheduler/src/membership.rs
+++ b/crates/scheduler/src/membership.rs
@@ -83,7 +83,8 @@
     while !shared.is_stopping() {
         let known = *place.borrow();
         let now = shared.clock.now();
-        let offer_at = shared.offer_at(known.owned_since.is_some());
+        let owns = known.owned_since.is_some() && !shared.is_outdated(known.heard_at);
+        let offer_at = shared.offer_at(owns);
         if offer_at.is_none() && in_group {
             withdraw(&*platform, &shared, &place).await;
             in_group = false;
--- a/crates/scheduler/src/shared.rs
+++ b/crates/scheduler/src/shared.rs
@@ -53,6 +53,8 @@
     outranked_at: AtomicU64,
     /// When an owner that stopped last chose this member to follow it; zero for never.
     chosen_at: AtomicU64,
+    /// When this member last met a later owner; zero for never.
+    succeeded_at: AtomicU64,
     /// Wakes the one who offers to own the pools.
     pub(crate) owner_news: Notify,
     /// Members that follow this one while it owns the pools.
@@ -83,6 +85,7 @@
             named_key: ArcSwapOption::empty(),
             outranked_at: AtomicU64::new(0),
             chosen_at: AtomicU64::new(0),
+            succeeded_at: AtomicU64::new(0),
             owner_news: Notify::new(),
             followers: FollowerBook::open(),
             store_seen_at: AtomicU64::new(0),
@@ -150,6 +153,19 @@
         self.owner_news.notify_one();
     }
 
+    /// This member has met a later owner. Whom the store names now is for its next look to tell.
+    pub(crate) fn was_succeeded(&self) {
+        let now = self.clock.now().as_millis();
+        self.succeeded_at.store(now, Ordering::Relaxed);
+        self.named_owner.store(Arc::new(NamedOwner::Unknown));
+        self.owner_news.notify_one();
+    }
+
+    /// Whether what the store said at a time was before this member met a later owner.
+    pub(crate) fn is_outdated(&self, heard_at: ClockTime) -> bool {
+        heard_at.as_millis() <= self.succeeded_at.load(Ordering::Relaxed)
+    }
+
     /// The time from which this member offers to own the pools.
     pub(crate) fn offer_at(&self, owns: bool) -> Option<ClockTime> {
         let at = |time: &AtomicU64| {
