--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -30,17 +30,21 @@
 //! | `machine` | VMs, moves, maintenance |
 //! | `platform` | the scheduler's ports on these |
 //! | `caller` | callers who hand jobs in, ask again and give up |
-//! | `fleet` | the members' lives and the day's faults |
+//! | `fleet` | the members' lives |
+//! | `fault` | what goes wrong, and for how long |
+//! | `outcome` | what callers got |
 //! | `history` | what was seen |
 //! | `check` | rules over a history |
 
 mod caller;
 mod check;
 mod day;
+mod fault;
 mod fleet;
 mod history;
 mod machine;
 mod network;
+mod outcome;
 mod platform;
 mod store;
 mod worker;
@@ -48,7 +52,8 @@
 
 pub use check::{Rule, Violation, check};
 pub use day::{DayError, DayFault, DayLoad, EmulatedDay, FaultKind};
-pub use fleet::{DayOutcome, play, play_logged};
+pub use fleet::{play, play_logged};
 pub use history::{
     CallOutcome, EndKind, History, JobHistory, JobShape, RunHistory, VmHistory, WaveHistory,
 };
+pub use outcome::DayOutcome;
--- a/crates/emulator/src/platform.rs
+++ b/crates/emulator/src/platform.rs
@@ -25,6 +25,9 @@
 /// Time more than it may wait for a renewal or a read.
 const WAIT_SLACK: Duration = Duration::from_millis(600);
 
+/// Time between two looks for what operators write.
+const OPERATOR_LOOK: Duration = Duration::from_millis(50);
+
 /// The platform as one member reaches it.
 pub(crate) struct EmulatedPlatform {
     pub(crate) world: Arc<World>,
@@ -208,9 +211,6 @@
     }
 }
 
-/// Time between two looks for what operators write.
-const OPERATOR_LOOK: Duration = Duration::from_millis(50);
-
 impl EmulatedPlatform {
     async fn order_vm(&self, vm: &VmName, order: MachineOrder, token: u64) -> OrderReply {
         let serve = async { Some(Ok(self.world.order_vm(vm, order, token))) };
