--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -23,6 +23,7 @@
 mod peer;
 pub mod ports;
 mod shared;
+mod sight;
 
 pub use caller::{CallerCall, CallerPipe, CallerReply, CallerVerb, JobBody};
 pub use error::{Category, Error, ErrorKind, Result};
--- a/crates/scheduler/src/membership.rs
+++ b/crates/scheduler/src/membership.rs
@@ -83,8 +83,8 @@
     while !shared.is_stopping() {
         let known = *place.borrow();
         let now = shared.clock.now();
-        let owns = known.owned_since.is_some() && !shared.is_outdated(known.heard_at);
-        let offer_at = shared.offer_at(owns);
+        let owns = known.owned_since.is_some() && !shared.owner.is_outdated(known.heard_at);
+        let offer_at = shared.owner.offer_at(owns);
         if offer_at.is_none() && in_group {
             withdraw(&*platform, &shared, &place).await;
             in_group = false;
@@ -98,7 +98,7 @@
         // Another member may have been quicker; one more in the group would move the pools again.
         if !in_group {
             look_up_owner(&*platform, &shared).await;
-            if shared.offer_at(false).is_none() {
+            if shared.owner.offer_at(false).is_none() {
                 continue;
             }
         }
@@ -133,12 +133,12 @@
     let owner = platform.owner().await;
     shared.note_call(Dependency::Membership, &owner);
     if let Ok(owner) = owner {
-        shared.name_owner(owner.as_deref());
+        shared.owner.name(owner.as_deref());
     }
 }
 
 /// Waits for news of the owner, at most for `pause`.
 async fn wait_news(shared: &MemberShared, pause: Duration) {
     // Either way the next round looks at all that is known.
-    let _ = timeout(pause, shared.owner_news.notified()).await;
+    let _ = timeout(pause, shared.owner.news()).await;
 }
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -118,7 +118,7 @@
                 "owned_since": place.owned_since, "generation": place.generation);
             let reason = self.own(token).await;
             self.shared.owner_inbox.store(None);
-            self.shared.was_succeeded();
+            self.shared.owner.was_succeeded();
             ended_at = self.shared.clock.now();
             event!(self.shared.log, Ownership, "owns": false, "token": token, "reason": reason);
         }
--- a/crates/scheduler/src/peer/ask.rs
+++ b/crates/scheduler/src/peer/ask.rs
@@ -115,7 +115,7 @@
     async fn find_owner(&mut self) -> Option<(String, WebSocketStream<N::Stream>)> {
         // A failed look-up is tried again in a moment, and callers are told that nobody can tell.
         let owner = self.platform.owner().await.ok()?;
-        self.shared.name_owner(owner.as_deref());
+        self.shared.owner.name(owner.as_deref());
         let owner = owner?;
         if owner == self.shared.identity.member_key() {
             return None;
@@ -192,7 +192,7 @@
                     if self.take(&message, &mut open) {
                         silent_at = Instant::now() + OWNER_SILENCE;
                         // The store may have given the pools to another member meanwhile.
-                        if self.shared.is_succeeded(owner) {
+                        if self.shared.owner.is_succeeded(owner) {
                             return;
                         }
                         if !std::mem::replace(found, true) {
@@ -241,7 +241,7 @@
                 self.shared.take_word(Arc::new(word));
                 return true;
             }
-            Ok(JobFrame::Follow) => self.shared.hear_choice(),
+            Ok(JobFrame::Follow) => self.shared.owner.hear_choice(),
             Ok(JobFrame::Ask { .. } | JobFrame::Offer(_) | JobFrame::Stored(_)) => {}
             Err(error) => event!(self.shared.log, Unreadable, "key": "peer frame",
                 "reason": error.to_string()),
--- a/crates/scheduler/src/peer/serve.rs
+++ b/crates/scheduler/src/peer/serve.rs
@@ -134,7 +134,7 @@
             });
         }
         Ok(JobFrame::Offer(rank)) => {
-            if shared.hear_offer(rank) {
+            if shared.owner.hear_offer(rank) {
                 event!(shared.log, Ownership, "outcome": "gives way",
                     "rank": shared.identity.rank.as_str(), "to": rank.as_str());
             }
--- a/crates/scheduler/src/shared.rs
+++ b/crates/scheduler/src/shared.rs
@@ -9,10 +9,10 @@
 use jacinthhoist_codec::OwnerWord;
 use jacinthhoist_core::{
     ClockTime, WorkName,
-    job::{JobCatalogue, MemberRank, NamedOwner, OwnerSight, WorkLoad, offer_at},
+    job::{JobCatalogue, WorkLoad},
 };
 use jacinthhoist_net::BootClock;
-use tokio::sync::{Notify, mpsc, watch};
+use tokio::sync::{mpsc, watch};
 
 use crate::{
     dependency::{Dependency, DependencyBook},
@@ -22,6 +22,7 @@
     meter::JobMeter,
     owner::OwnerEvent,
     peer::FollowerBook,
+    sight::OwnerBook,
 };
 
 /// Time since the store last said that the owner owns the pools after which the owner may lose them:
@@ -45,18 +46,8 @@
     pub(crate) word_feed: watch::Sender<Arc<OwnerWord>>,
     /// The inbox of this member's owner pipe, while it owns the pools.
     pub(crate) owner_inbox: ArcSwapOption<mpsc::UnboundedSender<OwnerEvent>>,
-    /// Whom the store named last as the owner.
-    named_owner: ArcSwap<NamedOwner>,
-    /// The key of the owner that the store named last.
-    named_key: ArcSwapOption<String>,
-    /// When a regular member last asked this one to give way; zero for never.
-    outranked_at: AtomicU64,
-    /// When an owner that stopped last chose this member to follow it; zero for never.
-    chosen_at: AtomicU64,
-    /// When this member last met a later owner; zero for never.
-    succeeded_at: AtomicU64,
-    /// Wakes the one who offers to own the pools.
-    pub(crate) owner_news: Notify,
+    /// What is known of the pools' owner.
+    pub(crate) owner: OwnerBook,
     /// Members that follow this one while it owns the pools.
     pub(crate) followers: FollowerBook,
     store_seen_at: AtomicU64,
@@ -71,6 +62,7 @@
     ) -> Arc<Self> {
         let (word_feed, _) = watch::channel(Arc::default());
         Arc::new(Self {
+            owner: OwnerBook::open(identity.clone(), clock),
             identity,
             clock,
             log,
@@ -81,12 +73,6 @@
             word_at: AtomicU64::new(0),
             word_feed,
             owner_inbox: ArcSwapOption::empty(),
-            named_owner: ArcSwap::from_pointee(NamedOwner::Unknown),
-            named_key: ArcSwapOption::empty(),
-            outranked_at: AtomicU64::new(0),
-            chosen_at: AtomicU64::new(0),
-            succeeded_at: AtomicU64::new(0),
-            owner_news: Notify::new(),
             followers: FollowerBook::open(),
             store_seen_at: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
@@ -112,76 +98,6 @@
         self.word.load().place_age > PLACE_DOUBT
     }
 
-    /// Whether the store has named another owner than `key`.
-    pub(crate) fn is_succeeded(&self, key: &str) -> bool {
-        let named = self.named_key.load();
-        named.as_ref().is_some_and(|named| **named != key)
-    }
-
-    /// The store has named the owner by its key, or said that there is none.
-    pub(crate) fn name_owner(&self, key: Option<&str>) {
-        let known = **self.named_owner.load();
-        let named = match key {
-            Some(key) if key == self.identity.member_key() => NamedOwner::Myself,
-            Some(_) => NamedOwner::Other,
-            None if matches!(known, NamedOwner::Nobody(_)) => known,
-            None => NamedOwner::Nobody(self.clock.now()),
-        };
-        self.named_key
-            .store(key.map(|key| Arc::new(key.to_owned())));
-        if named != known {
-            self.named_owner.store(Arc::new(named));
-            self.owner_news.notify_one();
-        }
-    }
-
-    /// A member that offers to own the pools has called; true where this one should give way.
-    pub(crate) fn hear_offer(&self, rank: MemberRank) -> bool {
-        let outranked = rank > self.identity.rank;
-        if outranked {
-            let now = self.clock.now().as_millis();
-            self.outranked_at.store(now, Ordering::Relaxed);
-            self.owner_news.notify_one();
-        }
-        outranked
-    }
-
-    /// An owner that stops has chosen this member to follow it.
-    pub(crate) fn hear_choice(&self) {
-        let now = self.clock.now().as_millis();
-        self.chosen_at.store(now, Ordering::Relaxed);
-        self.owner_news.notify_one();
-    }
-
-    /// This member has met a later owner. Whom the store names now is for its next look to tell.
-    pub(crate) fn was_succeeded(&self) {
-        let now = self.clock.now().as_millis();
-        self.succeeded_at.store(now, Ordering::Relaxed);
-        self.named_owner.store(Arc::new(NamedOwner::Unknown));
-        self.owner_news.notify_one();
-    }
-
-    /// Whether what the store said at a time was before this member met a later owner.
-    pub(crate) fn is_outdated(&self, heard_at: ClockTime) -> bool {
-        heard_at.as_millis() <= self.succeeded_at.load(Ordering::Relaxed)
-    }
-
-    /// The time from which this member offers to own the pools.
-    pub(crate) fn offer_at(&self, owns: bool) -> Option<ClockTime> {
-        let at = |time: &AtomicU64| {
-            let time = time.load(Ordering::Relaxed);
-            (time > 0).then(|| ClockTime::from_millis(time))
-        };
-        let sight = OwnerSight {
-            owns,
-            named: **self.named_owner.load(),
-            outranked_at: at(&self.outranked_at),
-            chosen_at: at(&self.chosen_at),
-            jitter: self.identity.jitter(),
-        };
-        offer_at(self.identity.rank, &sight, self.clock.now())
-    }
-
     /// Notes how a call to a dependency ended.
     pub(crate) fn note_call<T>(&self, dependency: Dependency, outcome: &Result<T>) {
         self.dependencies.note(&self.log, dependency, outcome);
