Read the rest of a kept answer once, also where the runtime ends

Reading the code: an answer that a repeat may ask for is read to its end by a new task when its body is dropped; a runtime that ends drops that task at once, whose body begins the next, without end. Ruled out: a stack that is too small (the recursion has no bottom). Change: a body that is read for a repeat alone is not handed on again. Conclusion: a_member_may_be_killed_while_it_relays_an_answer_that_is_kept in crates/entry/tests/claims.rs.

--- a/crates/entry/src/pipe/relay.rs
+++ b/crates/entry/src/pipe/relay.rs
@@ -58,6 +58,8 @@
     parts: Option<RelayParts>,
     idle: Pin<Box<Sleep>>,
     idle_limit: Duration,
+    /// Whether its caller went away and it is read for a repeat alone.
+    for_repeat: bool,
 }
 
 impl AnswerBody {
@@ -73,6 +75,7 @@
             parts: Some(parts),
             idle,
             idle_limit,
+            for_repeat: false,
         };
         if body.at_end() {
             body.finish();
@@ -160,13 +163,15 @@
         let (Some(incoming), Some(parts)) = (self.incoming.take(), self.parts.take()) else {
             return;
         };
-        if !kept {
+        // A runtime that ends drops the reading of the rest as soon as it is begun.
+        if !kept || self.for_repeat {
             return;
         }
         // The caller went away, and a repeat may ask for the answer: read it to its end.
         let AnswerBody::Relayed(mut rest) = AnswerBody::relay(incoming, parts) else {
             return;
         };
+        rest.for_repeat = true;
         if let Ok(runtime) = tokio::runtime::Handle::try_current() {
             runtime.spawn(async move {
                 let next = |cx: &mut Context<'_>| rest.poll_next(cx);
--- a/crates/entry/tests/claims.rs
+++ b/crates/entry/tests/claims.rs
@@ -1,6 +1,7 @@
 //! Keyed requests that may run once only, under lost answers, outages and killed members.
 
 use jacinthhoist_experiments::{CallerAnswer, FleetPlan, LocalFleet, WorkCaller};
+use jacinthhoist_fakes::UpstreamFault;
 
 async fn send(fleet: &LocalFleet, place: usize, key: &str, body: &str) -> CallerAnswer {
     let caller = WorkCaller::new(fleet.caller(place)).key(key).order(key);
@@ -142,3 +143,30 @@
     );
     assert_eq!(fleet.runs().await["k"], 1);
 }
+
+/// A member that ends while it relays an answer once overflowed a stack: reading the rest of an answer
+/// that a repeat may ask for was begun anew by each attempt that the ending runtime dropped. Shown once
+/// by the history test, beside a hunt.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_member_may_be_killed_while_it_relays_an_answer_that_is_kept() {
+    let mut fleet = LocalFleet::open(FleetPlan::small()).await;
+    for upstream in fleet.upstreams.values() {
+        upstream.set_fault(UpstreamFault::Stall).await;
+    }
+    let caller = WorkCaller::new(fleet.caller(0)).key("k").order("k");
+    let first = tokio::spawn(async move { caller.send("pour-order", "a").await.is_ok() });
+    wait_run(&fleet, "k").await;
+    // The caller goes away: the rest of the answer is read for a repeat until the member ends.
+    first.abort();
+    tokio::time::sleep(std::time::Duration::from_millis(200)).await;
+    fleet.kill_member(0).await;
+    tokio::time::sleep(std::time::Duration::from_millis(500)).await;
+}
+
+/// Waits until an order has run; its answer is on its way then.
+async fn wait_run(fleet: &LocalFleet, order: &str) {
+    while !fleet.runs().await.contains_key(order) {
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+    tokio::time::sleep(std::time::Duration::from_millis(200)).await;
+}
--- a/crates/fakes/src/upstream.rs
+++ b/crates/fakes/src/upstream.rs
@@ -53,6 +53,8 @@
     Silent,
     /// It ends the body early.
     Cut,
+    /// It sends the start of the body and no more.
+    Stall,
     /// It answers with another request's id.
     Crossed,
     /// It refuses, and says that nothing ran.
@@ -352,6 +354,12 @@
     let mut text = b"ran: ".to_vec();
     text.extend_from_slice(body);
     match fault {
+        UpstreamFault::Stall => {
+            let first = stream::iter([Ok(Frame::data(Bytes::from(text)))]);
+            Response::new(BodyExt::boxed(StreamBody::new(
+                first.chain(stream::pending()),
+            )))
+        }
         UpstreamFault::Cut => {
             let cut = async {
                 sleep(CUT_PAUSE).await;
