Store the records of all members in the owner's appends, and repeat appends at the store's pace

On a store that answers 20 to 50 times slower, 97 members' appends, their repetitions after a fixed 500 ms and their probes every 200 ms kept its queue beyond 2 s, where it refuses; the outage outlived its cause. Members that the store turned away refused their callers although the owner could have stored the jobs. Change: members hand their callers' records to the owner over their link; it stores what has arrived in one append, one in flight. Without a link, or on its refusal, a member appends by itself; a record that was with an owner whose link ended is in doubt, so that a later refusal is told as unknown. An append without an answer is sent again under its sequence number while the first may still be answered, after a delay that follows the measured latency (core::job::append_pace); probes of members become rare. A member that the store turns away keeps to the owner it knows. Emulator: appends queue as in the platform's log, 503 beyond 2 s; fault followers_store_cut.

--- a/crates/codec/src/job.rs
+++ b/crates/codec/src/job.rs
@@ -165,6 +165,17 @@
     Unsure,
 }
 
+/// Outcome of storing a record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StoreOutcome {
+    /// The record is stored.
+    Stored,
+    /// The record is not stored and never will be.
+    NotStored,
+    /// The record may be stored.
+    Unknown,
+}
+
 /// Owner's heartbeat: the load of its pools and the age of its information.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct OwnerHeartbeat {
@@ -201,6 +212,20 @@
     Follow,
     /// Records that a member has just stored, sent so that the owner need not wait to read them.
     Stored(Vec<KeyedRecord>),
+    /// Asks the owner to store a record of a caller together with those of other members.
+    Store {
+        /// Id that the reply repeats.
+        id: u64,
+        /// Record to store.
+        record: KeyedRecord,
+    },
+    /// Reply of the owner to a record to be stored.
+    StoreReply {
+        /// Id of the request.
+        id: u64,
+        /// Whether the record is stored.
+        outcome: StoreOutcome,
+    },
 }
 
 /// Encodes a frame.
--- a/crates/codec/src/lib.rs
+++ b/crates/codec/src/lib.rs
@@ -47,7 +47,7 @@
     decode_frame, encode_frame,
 };
 pub use job::{
-    AcceptedRecord, JobFrame, JobReply, KeyedRecord, OwnerHeartbeat, decode_accepted,
+    AcceptedRecord, JobFrame, JobReply, KeyedRecord, OwnerHeartbeat, StoreOutcome, decode_accepted,
     decode_job_frame, decode_progress, encode_cancel, encode_job, encode_job_frame,
     encode_progress, encode_removal,
 };
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -17,9 +17,11 @@
 //! | `resize` | reassignment of VMs between pools |
 //! | `wave` | progress of rolling VM maintenance |
 //! | `admit` | admission control and the retry delay of refused jobs |
+//! | `append_pace` | repetition of appends to a store that may be slow |
 //! | `ownership` | candidacy of members for ownership of the pools |
 
 mod admit;
+mod append_pace;
 mod catalogue;
 mod lease;
 mod life;
@@ -35,6 +37,7 @@
 mod worker;
 
 pub use admit::{JobRefusal, WorkLoad, admit_job, outage_retry};
+pub use append_pace::{AppendPace, refusal_delay};
 pub use catalogue::{AdvicePolicy, CallerLimits, JobCatalogue, JobPool, JobWork};
 pub use lease::{HeldLease, UnknownLease, WorkerLease};
 pub use life::{Begun, ClosedLife, Ended, Ending, Forgotten, JobLife, OpenLife, Queued};
--- a/crates/emulator/src/fault.rs
+++ b/crates/emulator/src/fault.rs
@@ -69,7 +69,7 @@
             FaultKind::MemberKill | FaultKind::MemberStop | FaultKind::MemberKillAll => {
                 self.stop_members(&fault).await;
             }
-            FaultKind::MemberCut | FaultKind::OwnerStoreCut => {
+            FaultKind::MemberCut | FaultKind::OwnerStoreCut | FaultKind::FollowersStoreCut => {
                 self.isolate_members(&fault, span).await;
             }
             FaultKind::StoreDown => self.store_fault(StoreMode::Down, span).await,
@@ -139,23 +139,25 @@
     async fn isolate_members(&self, fault: &ScenarioFault, span: Duration) {
         let order = self.owner_first();
         let network = &self.model.network;
-        if fault.kind == FaultKind::OwnerStoreCut {
-            let Some(&owner) = order.first() else {
-                return;
-            };
-            network.set_partitioned(Endpoint::Member(owner), Endpoint::Store, true);
-            sleep(span).await;
-            network.set_partitioned(Endpoint::Member(owner), Endpoint::Store, false);
-            return;
-        }
-        let isolated: Vec<usize> = order.into_iter().take(fault.count).collect();
-        for index in &isolated {
-            network.set_isolated(Endpoint::Member(*index), true);
-        }
+        let members = order.into_iter();
+        let affected: Vec<usize> = match fault.kind {
+            FaultKind::OwnerStoreCut => members.take(1).collect(),
+            FaultKind::FollowersStoreCut => members.skip(1).take(fault.count).collect(),
+            _ => members.take(fault.count).collect(),
+        };
+        let set = |cut: bool| {
+            for index in &affected {
+                let member = Endpoint::Member(*index);
+                if fault.kind == FaultKind::MemberCut {
+                    network.set_isolated(member, cut);
+                } else {
+                    network.set_partitioned(member, Endpoint::Store, cut);
+                }
+            }
+        };
+        set(true);
         sleep(span).await;
-        for index in isolated {
-            network.set_isolated(Endpoint::Member(index), false);
-        }
+        set(false);
     }
 
     async fn store_fault(&self, mode: StoreMode, span: Duration) {
--- a/crates/emulator/src/platform.rs
+++ b/crates/emulator/src/platform.rs
@@ -69,24 +69,31 @@
         stream: StoreStream,
         sequence: &AppendSequence,
         records: &[KeyedRecord],
+        limit: ClockTime,
     ) -> Result<()> {
-        let serve = async {
-            match self.model.store.write(stream, sequence, records) {
-                WriteOutcome::Answered(answer) => Some(answer),
-                WriteOutcome::Unanswered => None,
-                WriteOutcome::Later(delay) => {
-                    let (model, sequence) = (self.model.clone(), sequence.clone());
-                    let records = records.to_vec();
-                    tokio::spawn(async move {
+        let (model, sequence) = (self.model.clone(), sequence.clone());
+        let records = records.to_vec();
+        // The store processes an append that it has received even if the member stops waiting.
+        let serve = async move {
+            let append = tokio::spawn(async move {
+                if let Err(error) = model.store.queue_append(stream).await {
+                    return Some(Err(error));
+                }
+                match model.store.write(stream, &sequence, &records) {
+                    WriteOutcome::Answered(answer) => Some(answer),
+                    WriteOutcome::Unanswered => None,
+                    WriteOutcome::Later(delay) => {
                         sleep(delay).await;
                         // The caller gets no answer.
                         let _ = model.store.append(stream, &sequence, &records);
-                    });
-                    None
+                        None
+                    }
                 }
-            }
+            });
+            append.await.ok().flatten()
         };
-        self.store_call("append", CALL_TIMEOUT, serve).await
+        let limit = Duration::from_millis(limit.as_millis());
+        self.store_call("append", limit, serve).await
     }
 
     async fn newest(&self, stream: StoreStream, after: Option<String>) -> Result<NewestPage> {
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -186,6 +186,7 @@
     WorkerDrain => "Workers drain and leave.",
     Wave => "An operator requests maintenance of some VMs.",
     StoreDeaf => "Waiting reads of the store return no new records.",
+    FollowersStoreCut => "Members that do not own the pools are partitioned from the store.",
 }
 
 impl EmulationScenario {
--- a/crates/emulator/src/store.rs
+++ b/crates/emulator/src/store.rs
@@ -26,6 +26,10 @@
 const ANSWER_LATENCY: Duration = Duration::from_millis(4);
 /// Factor by which a slow store multiplies its latency.
 const SLOW_FACTOR: u32 = 50;
+/// Time for which an append occupies its stream; the appends to a stream run one at a time.
+const APPEND_DURATION: Duration = Duration::from_millis(3);
+/// Longest time for which an append waits for earlier ones before the store rejects it.
+const MAX_APPEND_WAIT: Duration = Duration::from_secs(2);
 /// Share of the writes that are affected while the store drops answers or delays writes.
 const AFFECTED_WRITE_SHARE: f64 = 0.3;
 
@@ -126,6 +130,8 @@
     streams: [KeyedTopic<KeyedRecord>; 2],
     producers: BTreeMap<(usize, String), ProducerState>,
     group: MemberGroup,
+    /// Time until which the appends received so far occupy each stream.
+    busy_until: [Option<Instant>; 2],
     rng: StdRng,
 }
 
@@ -155,6 +161,7 @@
                 streams: [KeyedTopic::default(), KeyedTopic::default()],
                 producers: BTreeMap::new(),
                 group: MemberGroup::default(),
+                busy_until: [None, None],
                 rng: StdRng::seed_from_u64(seed),
             }),
             changed,
@@ -192,6 +199,33 @@
         Some(Ok(()))
     }
 
+    /// Waits until the stream has processed this append and those before it.
+    ///
+    /// # Errors
+    ///
+    /// Too many appends are waiting.
+    pub(crate) async fn queue_append(&self, stream: StoreStream) -> Result<()> {
+        let done_at = {
+            let mut state = self.state();
+            let factor = if state.mode == StoreMode::Slow {
+                SLOW_FACTOR
+            } else {
+                1
+            };
+            let now = Instant::now();
+            let busy_until = &mut state.busy_until[stream_index(stream)];
+            let starts_at = busy_until.unwrap_or(now).max(now);
+            if starts_at - now > MAX_APPEND_WAIT {
+                let message = "too many appends are waiting".to_owned();
+                let call = "append";
+                return Err(ErrorKind::Refused { call, message }.into());
+            }
+            *busy_until.insert(starts_at + APPEND_DURATION * factor)
+        };
+        sleep_until(done_at).await;
+        Ok(())
+    }
+
     /// Writes records according to the failure mode; a delayed write is left to the caller.
     pub(crate) fn write(
         &self,
--- a/crates/scheduler/src/accept.rs
+++ b/crates/scheduler/src/accept.rs
@@ -3,13 +3,15 @@
 
 use std::{pin::pin, sync::Arc, time::Duration};
 
-use jacinthhoist_codec::KeyedRecord;
+use jacinthhoist_codec::{KeyedRecord, StoreOutcome};
+use jacinthhoist_core::{ClockTime, job::refusal_delay};
 use tokio::{
     sync::{mpsc, oneshot},
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout},
 };
 
 use crate::{
+    append::{StoreAppend, duration},
     dependency::Dependency,
     error::Category,
     ports::{AppendSequence, Platform, StoreStream},
@@ -19,35 +21,46 @@
 /// Maximum records of one append: about 500 KB at the largest payload, well within the limit of a
 /// store call.
 const MAX_BATCH_RECORDS: usize = 100;
-/// Attempts at one append before its callers are told that the outcome is unknown; at the timeout
-/// of a store call this is well before the callers give up.
-const MAX_APPEND_ATTEMPTS: u32 = 4;
-/// Duration of an append after which new requests are refused: one attempt without an answer and
-/// the next one.
-const SLOW_APPEND: Duration = Duration::from_millis(800);
-/// Interval between probes of an unreachable store; requests are refused at once meanwhile.
-const PROBE_INTERVAL: Duration = Duration::from_millis(200);
-
-/// Outcome of storing a record.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum StoreOutcome {
-    /// The record is stored.
-    Stored,
-    /// The record is not stored and never will be.
-    NotStored,
-    /// The record may be stored.
-    Unknown,
-}
+/// Time after which the outcome of an append counts as unknown, well before its callers give up.
+const APPEND_DEADLINE: Duration = Duration::from_millis(2_200);
+/// Duration of an append after which new requests are refused: longer than the answer of a store
+/// that is sixty times slower than usual.
+const SLOW_APPEND: Duration = Duration::from_millis(900);
+/// Longest interval between the probes of a member that owns the pools, and stores the records of
+/// the other members too.
+const MAX_OWNER_PROBE_INTERVAL: ClockTime = ClockTime::from_millis(200);
 
 /// Request to store a record.
+#[derive(Debug)]
 pub(crate) struct StoreRequest {
     pub(crate) record: KeyedRecord,
+    /// True if an earlier attempt, by another member, may have stored the record.
+    pub(crate) in_doubt: bool,
     pub(crate) reply: oneshot::Sender<StoreOutcome>,
 }
 
-fn send_outcome(reply: oneshot::Sender<StoreOutcome>, outcome: StoreOutcome) {
-    // The caller may no longer be waiting.
-    let _ = reply.send(outcome);
+impl StoreRequest {
+    /// Creates a request and returns the receiver of its outcome.
+    pub(crate) fn new(record: KeyedRecord) -> (Self, oneshot::Receiver<StoreOutcome>) {
+        let (reply, outcome) = oneshot::channel();
+        let in_doubt = false;
+        let request = Self {
+            record,
+            in_doubt,
+            reply,
+        };
+        (request, outcome)
+    }
+
+    /// Sends the outcome of this attempt, combined with that of an earlier one.
+    pub(crate) fn settle(self, outcome: StoreOutcome) {
+        let outcome = match outcome {
+            StoreOutcome::NotStored if self.in_doubt => StoreOutcome::Unknown,
+            outcome => outcome,
+        };
+        // The caller may no longer be waiting.
+        let _ = self.reply.send(outcome);
+    }
 }
 
 /// Task that appends the records of callers; all members append concurrently.
@@ -92,18 +105,15 @@
     pub(crate) async fn run(mut self) {
         let mut batch = Vec::new();
         while self.inbox.recv_many(&mut batch, MAX_BATCH_RECORDS).await > 0 {
-            let requests = batch.drain(..);
-            let (records, replies): (Vec<_>, Vec<_>) = requests
-                .map(|StoreRequest { record, reply }| (record, reply))
-                .unzip();
+            let records: Vec<_> = batch.iter().map(|request| request.record.clone()).collect();
             let append = self.writer.append(&records);
             let outcome = refuse_during(&mut self.inbox, SLOW_APPEND, append).await;
             if outcome == StoreOutcome::Stored {
                 // If this fails, the owner still reads the records from the store.
                 let _ = self.stored_sender.send(records);
             }
-            for reply in replies {
-                send_outcome(reply, outcome);
+            for request in batch.drain(..) {
+                request.settle(outcome);
             }
             if outcome != StoreOutcome::Stored {
                 let probe = self.writer.probe();
@@ -128,34 +138,38 @@
         tokio::select! {
             biased;
             done = &mut store_call => return done,
-            Some(request) = inbox.recv() => send_outcome(request.reply, StoreOutcome::NotStored),
+            Some(request) = inbox.recv() => request.settle(StoreOutcome::NotStored),
         }
     }
 }
 
 impl<P: Platform> AcceptWriter<P> {
+    fn call<'a>(&'a self, records: &'a [KeyedRecord]) -> StoreAppend<'a, P> {
+        StoreAppend {
+            platform: &*self.platform,
+            shared: &self.shared,
+            dependency: Dependency::JobAppends,
+            stream: StoreStream::Accepted,
+            sequence: &self.sequence,
+            records,
+        }
+    }
+
     async fn append(&mut self, records: &[KeyedRecord]) -> StoreOutcome {
-        let started_at = self.shared.clock.now();
+        let deadline = Instant::now() + APPEND_DEADLINE;
         let mut in_doubt = false;
-        for _ in 0..MAX_APPEND_ATTEMPTS {
-            let stream = StoreStream::Accepted;
-            let appended = self.platform.append(stream, &self.sequence, records).await;
-            self.shared.meter.appends.increment(1);
-            self.shared.record_call(Dependency::JobAppends, &appended);
-            let Err(error) = appended else {
+        loop {
+            let Err(failure) = self.call(records).send(Some(deadline)).await else {
                 self.sequence.seq += 1;
-                self.shared.record_store_answer();
-                let elapsed = self.shared.clock.now() - started_at;
-                self.shared.meter.store_time.record(elapsed.as_secs_f64());
                 return StoreOutcome::Stored;
             };
-            self.shared.meter.append_retries.increment(1);
-            match error.category() {
-                // A refusal does not undo an earlier attempt that was not answered.
-                Category::NotDone if !in_doubt => return StoreOutcome::NotStored,
-                Category::NotDone | Category::Unknown => in_doubt = true,
-                // The store has not received all sequence numbers of this epoch.
-                _ => self.begin_epoch(),
+            in_doubt |= failure.in_doubt;
+            match failure.error.category() {
+                Category::Fenced | Category::OutOfOrder if Instant::now() < deadline => {
+                    // The store has not received all sequence numbers of this epoch.
+                    self.begin_epoch();
+                }
+                _ => break,
             }
         }
         // A new epoch fences off an attempt that may still be in flight.
@@ -174,17 +188,26 @@
 
     /// Probes the store with empty appends until one succeeds, so that no job depends on the probe.
     async fn probe(&mut self) {
+        let mut failures = 0;
         loop {
-            sleep(PROBE_INTERVAL).await;
-            let stream = StoreStream::Accepted;
-            let probed = self.platform.append(stream, &self.sequence, &[]).await;
-            self.shared.meter.appends.increment(1);
-            self.shared.record_call(Dependency::JobAppends, &probed);
-            match probed {
+            failures += 1;
+            sleep(self.probe_interval(failures)).await;
+            match self.call(&[]).probe().await {
                 Ok(()) => return,
                 Err(error) if error.category() == Category::Fenced => self.begin_epoch(),
                 Err(_) => {}
             }
         }
     }
+
+    /// Returns the time before the next probe. The probes of all members together must not occupy
+    /// the store, so those of members that do not own the pools become rare.
+    fn probe_interval(&self, failures: u32) -> Duration {
+        let delay = refusal_delay(failures);
+        if self.shared.owner_inbox.load().is_some() {
+            duration(delay.min(MAX_OWNER_PROBE_INTERVAL))
+        } else {
+            duration(delay + self.shared.identity.jitter())
+        }
+    }
 }
--- a/crates/scheduler/src/caller.rs
+++ b/crates/scheduler/src/caller.rs
@@ -6,7 +6,7 @@
 
 use std::{future::Future, sync::Arc, time::Duration};
 
-use jacinthhoist_codec::{JobReply, KeyedRecord, encode_cancel, encode_job};
+use jacinthhoist_codec::{JobReply, KeyedRecord, StoreOutcome, encode_cancel, encode_job};
 use jacinthhoist_core::{
     ClockTime, WorkName,
     job::{
@@ -21,14 +21,14 @@
 };
 
 use crate::{
-    accept::{StoreOutcome, StoreRequest},
-    eventlog::EventKind,
-    peer::JobQuery,
+    accept::StoreRequest, append::duration, eventlog::EventKind, peer::JobQuery,
     shared::MemberShared,
 };
 
-/// Part of a caller's timeout that is reserved for the transmission of the answer.
+/// Longest part of a caller's timeout that is reserved for the transmission of the answer.
 const ANSWER_MARGIN: ClockTime = ClockTime::from_millis(300);
+/// Share of a short timeout that is reserved instead, as one over this number.
+const MARGIN_DIVISOR: u64 = 4;
 /// Maximum wait for an owner of the pools while there is none; a takeover takes less.
 const OWNER_TIMEOUT: ClockTime = ClockTime::from_millis(2_000);
 /// Delay before a query is sent to the owner again.
@@ -253,11 +253,11 @@
     }
 
     fn receive(&self, request: CallerRequest, received_at: ClockTime) -> JobCall<Received> {
-        let timeout = request.timeout.unwrap_or(OWNER_TIMEOUT + ANSWER_MARGIN) - ANSWER_MARGIN;
+        let timeout = request.timeout.unwrap_or(OWNER_TIMEOUT + ANSWER_MARGIN);
         JobCall {
             request,
             received_at,
-            deadline: Instant::now() + Duration::from_millis(timeout.as_millis()),
+            deadline: Instant::now() + duration(timeout - answer_margin(timeout)),
             phase: Received(()),
         }
     }
@@ -370,8 +370,8 @@
     }
 
     async fn append(&self, record: KeyedRecord, deadline: Instant) -> StoreOutcome {
-        let (reply, outcome) = oneshot::channel();
-        if self.store.send(StoreRequest { record, reply }).is_err() {
+        let (request, outcome) = StoreRequest::new(record);
+        if self.store.send(request).is_err() {
             return StoreOutcome::NotStored;
         }
         let outcome = recv_before(deadline, outcome).await;
@@ -379,7 +379,7 @@
     }
 
     async fn query(&self, job: JobId, deadline: Instant) -> JobReply {
-        let owner_deadline = Instant::now() + Duration::from_millis(OWNER_TIMEOUT.as_millis());
+        let owner_deadline = Instant::now() + duration(OWNER_TIMEOUT);
         let deadline = deadline.min(owner_deadline);
         loop {
             let (reply, answer) = oneshot::channel();
@@ -425,6 +425,11 @@
     }
 }
 
+/// Returns the part of a caller's timeout that is reserved for the transmission of the answer.
+fn answer_margin(timeout: ClockTime) -> ClockTime {
+    ANSWER_MARGIN.min(ClockTime::from_millis(timeout.as_millis() / MARGIN_DIVISOR))
+}
+
 fn job_id(text: &str) -> Result<JobId, CallerReply> {
     text.parse().map_err(bad_job)
 }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -11,6 +11,7 @@
 //! in [`jacinthhoist_core::job`].
 
 mod accept;
+mod append;
 mod caller;
 mod dependency;
 mod error;
--- a/crates/scheduler/src/member.rs
+++ b/crates/scheduler/src/member.rs
@@ -146,6 +146,7 @@
         event!(shared.log, Start, "version": env!("CARGO_PKG_VERSION"),
             "key": shared.identity.member_key());
         let (store, store_requests) = mpsc::unbounded_channel();
+        let (own_appends, append_requests) = mpsc::unbounded_channel();
         let (queries, query_requests) = mpsc::unbounded_channel();
         let (stored_sender, stored_records) = mpsc::unbounded_channel();
         let (ownership, ownership_updates) = watch::channel(PoolOwnership::default());
@@ -161,12 +162,13 @@
         let mut tasks = JoinSet::new();
         // The listener starts before the member joins: peers conclude from a refused connection
         // that the member has ended.
-        tasks.spawn(peer::serve(shared.clone(), &*peers, address).await?);
+        let links = peer::serve(shared.clone(), &*peers, address, own_appends.clone());
+        tasks.spawn(links.await?);
         tasks.spawn(
             AcceptTask::open(
                 platform.clone(),
                 shared.clone(),
-                store_requests,
+                append_requests,
                 stored_sender,
             )
             .run(),
@@ -177,6 +179,8 @@
                 peers.clone(),
                 shared.clone(),
                 query_requests,
+                store_requests,
+                own_appends,
                 stored_records,
             )
             .run(),
--- a/crates/scheduler/src/meter.rs
+++ b/crates/scheduler/src/meter.rs
@@ -38,6 +38,10 @@
     pub(crate) open_jobs: Gauge,
     pub(crate) appends: Counter,
     pub(crate) append_retries: Counter,
+    /// Records of callers that the owner stored.
+    pub(crate) owner_stores: Counter,
+    /// Records of callers that this member stored itself.
+    pub(crate) own_stores: Counter,
     pub(crate) starts: Counter,
     pub(crate) renewals: Counter,
 }
@@ -53,6 +57,8 @@
             open_jobs: gauge!("jacinthhoist_open_jobs"),
             appends: counter!("jacinthhoist_store_appends_total"),
             append_retries: counter!("jacinthhoist_store_append_retries_total"),
+            owner_stores: counter!("jacinthhoist_records_stored_total", "by" => "owner"),
+            own_stores: counter!("jacinthhoist_records_stored_total", "by" => "member"),
             starts: counter!("jacinthhoist_task_starts_total"),
             renewals: counter!("jacinthhoist_worker_holds_total"),
         }
--- a/crates/scheduler/src/owner/effects.rs
+++ b/crates/scheduler/src/owner/effects.rs
@@ -5,11 +5,12 @@
 use jacinthhoist_codec::{KeyedRecord, encode_progress, encode_removal};
 use jacinthhoist_core::{
     ClockTime, VmName, WorkerId,
-    job::{Batch, Effect, JobId, OrderReply, StepKey},
+    job::{Batch, Effect, JobId, OrderReply, StepKey, refusal_delay},
 };
 use tokio::{sync::mpsc, task::JoinSet, time::sleep};
 
 use crate::{
+    append::{StoreAppend, duration},
     dependency::Dependency,
     eventlog::event,
     ports::{AppendSequence, Platform, StartOrder, StoreStream},
@@ -23,8 +24,8 @@
     workers::WorkerConnections,
 };
 
-/// Delay before a failed append is repeated.
-const APPEND_RETRY_DELAY: Duration = Duration::from_millis(60);
+/// Longest delay before a refused append is repeated; it delays the return after an outage.
+const MAX_REFUSAL_DELAY: ClockTime = ClockTime::from_millis(200);
 /// Delay before a failed write of a wave's status is repeated.
 const STATUS_RETRY_DELAY: Duration = Duration::from_millis(300);
 
@@ -173,22 +174,26 @@
         let (platform, shared) = (self.platform.clone(), self.shared.clone());
         let events = self.events.clone();
         self.calls.spawn(async move {
-            let started_at = shared.clock.now();
+            let append = StoreAppend {
+                platform: &*platform,
+                shared: &shared,
+                dependency: Dependency::Progress,
+                stream,
+                sequence: &sequence,
+                records: &records,
+            };
+            let mut refusals = 0;
             let event = loop {
-                shared.meter.appends.increment(1);
-                let appended = platform.append(stream, &sequence, &records).await;
-                shared.record_call(Dependency::Progress, &appended);
-                match appended {
+                match append.send(None).await {
                     Ok(()) => break stored_event,
-                    Err(error) if is_fenced(&error) => {
+                    Err(failure) if is_fenced(&failure.error) => {
                         break OwnerEvent::Fenced("the store has seen a newer owner");
                     }
-                    Err(_) => shared.meter.append_retries.increment(1),
+                    // Recorded by the append; it is repeated after a pause.
+                    Err(_) => refusals += 1,
                 }
-                sleep(APPEND_RETRY_DELAY).await;
+                sleep(duration(refusal_delay(refusals).min(MAX_REFUSAL_DELAY))).await;
             };
-            let elapsed = shared.clock.now() - started_at;
-            shared.meter.store_time.record(elapsed.as_secs_f64());
             // The engine may have stopped.
             let _ = events.send(event);
         });
--- a/crates/scheduler/src/owner/takeover.rs
+++ b/crates/scheduler/src/owner/takeover.rs
@@ -9,6 +9,8 @@
 use tokio::time::sleep;
 
 use crate::{
+    append::StoreAppend,
+    dependency::Dependency,
     error::{Category, Error, Result},
     eventlog::event,
     ports::{AppendSequence, Platform, StoreStream},
@@ -82,9 +84,15 @@
         epoch: token,
         seq: 0,
     };
-    platform
-        .append(StoreStream::Progress, &sequence, &[])
-        .await?;
+    let fence = StoreAppend {
+        platform,
+        shared,
+        dependency: Dependency::Progress,
+        stream: StoreStream::Progress,
+        sequence: &sequence,
+        records: &[],
+    };
+    fence.send(None).await.map_err(|failure| failure.error)?;
     let mut records = StoredRecords::default();
     read_progress(platform, shared, &mut records).await?;
     read_accepted(platform, shared, &mut records).await?;
--- a/crates/scheduler/src/owner_view.rs
+++ b/crates/scheduler/src/owner_view.rs
@@ -65,6 +65,11 @@
         recorded.as_ref().is_some_and(|recorded| **recorded != key)
     }
 
+    /// Returns the key of the owner that the store last reported.
+    pub(crate) fn recorded_key(&self) -> Option<Arc<String>> {
+        self.recorded_key.load_full()
+    }
+
     /// Records the owner that the store reports; `None` if there is none.
     pub(crate) fn record_owner(&self, key: Option<&str>) {
         let known = **self.recorded_owner.load();
--- a/crates/scheduler/src/peer.rs
+++ b/crates/scheduler/src/peer.rs
@@ -1,6 +1,7 @@
 //! Links between members: the owner answers job queries and sends heartbeats; the other
 //! members follow it.
 
+mod finder;
 mod followers;
 mod network;
 mod query;
--- a/crates/scheduler/src/peer/query.rs
+++ b/crates/scheduler/src/peer/query.rs
@@ -1,29 +1,32 @@
-//! Follower side of the links between members: sends job queries to the owner and receives its
-//! heartbeats.
+//! Follower side of the links between members: sends job queries and the records of callers to the
+//! owner and receives its heartbeats.
+//!
+//! The owner stores the records of all members in common appends. While no owner is reachable, a
+//! member stores the records of its callers itself.
 
-use std::{collections::BTreeMap, io::ErrorKind, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, pin::pin, sync::Arc, time::Duration};
 
 use futures::StreamExt;
-use jacinthhoist_codec::{JobFrame, JobReply, KeyedRecord, decode_job_frame};
+use jacinthhoist_codec::{JobFrame, JobReply, KeyedRecord, StoreOutcome, decode_job_frame};
 use jacinthhoist_core::job::JobId;
 use tokio::{
     sync::{mpsc, oneshot},
-    time::{Instant, sleep, sleep_until, timeout},
+    time::{Instant, sleep, sleep_until},
 };
-use tokio_tungstenite::{WebSocketStream, client_async, tungstenite::Message};
+use tokio_tungstenite::{WebSocketStream, tungstenite::Message};
 
 use crate::{
+    accept::StoreRequest,
     eventlog::event,
-    member::peer_address,
-    membership::look_up_owner,
     ports::{PeerNetwork, Platform},
     shared::MemberShared,
 };
 
-use super::serve::{forward_records, query_owner, send};
+use super::{
+    finder::OwnerFinder,
+    serve::{forward_records, query_owner, send},
+};
 
-/// Timeout for each of the two steps of opening a link: connection and handshake.
-const OPEN_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time without a heartbeat after which the link is reopened; several heartbeat intervals.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Delay after a link has ended; limits the connection rate to a member that does not own the pools
@@ -32,8 +35,12 @@
 /// Delay before the next look-up of the owner; a fraction of the duration of a takeover.
 const LOOKUP_DELAY: Duration = Duration::from_millis(100);
 
-/// Queries without an answer, by id.
-type OpenQueries = BTreeMap<u64, oneshot::Sender<JobReply>>;
+/// Calls on a link that the owner has not answered yet, by id.
+#[derive(Default)]
+struct OpenCalls {
+    queries: BTreeMap<u64, oneshot::Sender<JobReply>>,
+    stores: BTreeMap<u64, StoreRequest>,
+}
 
 /// Query for the state of a job.
 pub(crate) struct JobQuery {
@@ -43,10 +50,13 @@
 
 /// Task that sends job queries and stored records to the owner, on this or another member.
 pub(crate) struct QueryTask<P, N> {
-    platform: Arc<P>,
-    peers: Arc<N>,
+    finder: Arc<OwnerFinder<P, N>>,
     shared: Arc<MemberShared>,
     queries: mpsc::UnboundedReceiver<JobQuery>,
+    /// Records of this member's callers.
+    store_requests: mpsc::UnboundedReceiver<StoreRequest>,
+    /// Inbox of this member's own appends.
+    own_appends: mpsc::UnboundedSender<StoreRequest>,
     /// Records stored by this member.
     stored_records: mpsc::UnboundedReceiver<Vec<KeyedRecord>>,
     next_id: u64,
@@ -58,13 +68,21 @@
         peers: Arc<N>,
         shared: Arc<MemberShared>,
         queries: mpsc::UnboundedReceiver<JobQuery>,
+        store_requests: mpsc::UnboundedReceiver<StoreRequest>,
+        own_appends: mpsc::UnboundedSender<StoreRequest>,
         stored_records: mpsc::UnboundedReceiver<Vec<KeyedRecord>>,
     ) -> Self {
-        Self {
+        let finder = OwnerFinder {
             platform,
             peers,
+            shared: shared.clone(),
+        };
+        Self {
+            finder: Arc::new(finder),
             shared,
             queries,
+            store_requests,
+            own_appends,
             stored_records,
             next_id: 0,
         }
@@ -74,7 +92,7 @@
         loop {
             if self.shared.owner_inbox.load().is_some() {
                 self.serve_locally().await;
-            } else if let Some((owner, socket)) = self.find_owner().await {
+            } else if let Some((owner, socket)) = self.look_for_owner().await {
                 self.follow(&owner, socket).await;
                 self.answer_unsure(REOPEN_DELAY).await;
             } else {
@@ -93,17 +111,28 @@
                     let _ = query.reply.send(query_owner(&shared, query.job).await);
                 });
             },
+            Some(request) = self.store_requests.recv() => self.store_locally(request),
             Some(records) = self.stored_records.recv() => forward_records(&self.shared, &records),
             () = sleep(LOOKUP_DELAY) => {}
         }
     }
 
+    /// Passes a record on to this member's own appends.
+    fn store_locally(&self, request: StoreRequest) {
+        self.shared.meter.own_stores.increment(1);
+        if let Err(unsent) = self.own_appends.send(request) {
+            // The member is ending, and this attempt has not sent the record.
+            unsent.0.settle(StoreOutcome::NotStored);
+        }
+    }
+
     /// Answers all queries with [`JobReply::Unsure`] for a time.
     async fn answer_unsure(&mut self, pause: Duration) {
         let until = Instant::now() + pause;
         loop {
             tokio::select! {
                 () = sleep_until(until) => return,
+                Some(request) = self.store_requests.recv() => self.store_locally(request),
                 // The next owner reads these records from the store.
                 Some(_) = self.stored_records.recv() => {}
                 Some(query) = self.queries.recv() => {
@@ -114,56 +143,35 @@
         }
     }
 
-    async fn find_owner(&mut self) -> Option<(String, WebSocketStream<N::Stream>)> {
-        // After a failed look-up, queries are answered with `Unsure` until the next one.
-        let owner = look_up_owner(&*self.platform, &self.shared).await?;
-        if owner == self.shared.identity.member_key() {
-            return None;
-        }
-        if self.shared.identity.is_earlier_incarnation(&owner) {
-            self.remove_owner(&owner, "it is an earlier incarnation of this member")
-                .await;
-            return None;
-        }
-        let address = peer_address(&owner)?;
-        let stream = match timeout(OPEN_TIMEOUT, self.peers.connect(address))
-            .await
-            .ok()?
-        {
-            Ok(stream) => stream,
-            Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
-                self.remove_owner(&owner, "its address refuses connections")
-                    .await;
-                return None;
+    /// Finds the owner and opens a link to it; records of callers are stored locally meanwhile.
+    async fn look_for_owner(&mut self) -> Option<(String, WebSocketStream<N::Stream>)> {
+        let finder = self.finder.clone();
+        let mut search = pin!(finder.find_owner());
+        loop {
+            tokio::select! {
+                found = &mut search => return found,
+                Some(request) = self.store_requests.recv() => self.store_locally(request),
+                Some(query) = self.queries.recv() => {
+                    // The caller may no longer be waiting.
+                    let _ = query.reply.send(JobReply::Unsure);
+                }
             }
-            // The owner may be alive but unreachable; the store decides its membership.
-            Err(_) => return None,
-        };
-        let open = async {
-            let (socket, _) = client_async(format!("ws://{address}/"), stream)
-                .await
-                .ok()?;
-            Some(socket)
-        };
-        let socket = timeout(OPEN_TIMEOUT, open).await.ok()??;
-        Some((owner, socket))
-    }
-
-    /// Removes an owner whose process has ended from the group, so that the pools are reassigned
-    /// before its membership expires. An owner that is alive joins again.
-    async fn remove_owner(&self, owner: &str, reason: &'static str) {
-        let left = self.platform.leave(owner).await;
-        event!(self.shared.log, Ownership, "outcome": "owner dismissed", "owner": owner,
-            "reason": reason, "error": left.err().map(|error| error.to_string()));
+        }
     }
 
     /// Follows an owner until the link ends. The owner counts as found with its first heartbeat: a
     /// member to which the group has just assigned the pools closes links until it has taken over.
     async fn follow(&mut self, owner: &str, socket: WebSocketStream<N::Stream>) {
-        let mut found = false;
-        self.follow_link(owner, socket, &mut found).await;
+        let (mut found, mut open) = (false, OpenCalls::default());
+        self.follow_link(owner, socket, &mut found, &mut open).await;
         if found {
-            event!(self.shared.log, Dependency, "name": "owner", "lost": true, "owner": owner);
+            event!(self.shared.log, Dependency, "name": "owner", "lost": true, "owner": owner,
+                "records_in_doubt": open.stores.len());
+        }
+        // The owner may have stored these records; to store them again has no further effect.
+        for mut request in open.stores.into_values() {
+            request.in_doubt = true;
+            self.store_locally(request);
         }
     }
 
@@ -172,13 +180,13 @@
         owner: &str,
         mut socket: WebSocketStream<N::Stream>,
         found: &mut bool,
+        open: &mut OpenCalls,
     ) {
         // An owner of lower rank gives up the pools; one of the same rank ignores this frame.
         let announcement = JobFrame::Offer(self.shared.identity.rank);
         if !send(&mut socket, &announcement).await {
             return;
         }
-        let mut open = OpenQueries::new();
         let mut heartbeat_deadline = Instant::now() + HEARTBEAT_TIMEOUT;
         loop {
             tokio::select! {
@@ -189,7 +197,7 @@
                     };
                     // Only heartbeats extend the timeout: a member whose owner pipe has ended may
                     // still send answers.
-                    if self.handle_frame(&message, &mut open) {
+                    if self.handle_frame(&message, open) {
                         heartbeat_deadline = Instant::now() + HEARTBEAT_TIMEOUT;
                         // The store may have assigned the pools to another member in the meantime.
                         if self.shared.owner_view.is_superseded(owner) {
@@ -206,14 +214,26 @@
                         return;
                     }
                 }
+                Some(request) = self.store_requests.recv() => {
+                    if !*found {
+                        self.store_locally(request);
+                        continue;
+                    }
+                    self.next_id += 1;
+                    let (id, record) = (self.next_id, request.record.clone());
+                    open.stores.insert(id, request);
+                    if !send(&mut socket, &JobFrame::Store { id, record }).await {
+                        return;
+                    }
+                }
                 query = self.queries.recv() => {
                     let Some(query) = query else {
                         return;
                     };
                     self.next_id += 1;
                     let (id, job) = (self.next_id, query.job);
-                    open.retain(|_, reply| !reply.is_closed());
-                    open.insert(id, query.reply);
+                    open.queries.retain(|_, reply| !reply.is_closed());
+                    open.queries.insert(id, query.reply);
                     if !send(&mut socket, &JobFrame::Ask { id, job }).await {
                         return;
                     }
@@ -226,26 +246,47 @@
     }
 
     /// Handles a frame; returns `true` for a heartbeat.
-    fn handle_frame(&self, message: &Message, open: &mut OpenQueries) -> bool {
+    fn handle_frame(&self, message: &Message, open: &mut OpenCalls) -> bool {
         let Message::Binary(bytes) = message else {
             return false;
         };
         match decode_job_frame(bytes) {
             Ok(JobFrame::Answer { id, answer }) => {
-                if let Some(reply) = open.remove(&id) {
+                if let Some(reply) = open.queries.remove(&id) {
                     // The caller may no longer be waiting.
                     let _ = reply.send(answer);
                 }
             }
+            Ok(JobFrame::StoreReply { id, outcome }) => {
+                if let Some(request) = open.stores.remove(&id) {
+                    self.settle_store(request, outcome);
+                }
+            }
             Ok(JobFrame::Loads(heartbeat)) => {
                 self.shared.set_heartbeat(Arc::new(heartbeat));
                 return true;
             }
             Ok(JobFrame::Follow) => self.shared.owner_view.record_designation(),
-            Ok(JobFrame::Ask { .. } | JobFrame::Offer(_) | JobFrame::Stored(_)) => {}
+            Ok(
+                JobFrame::Ask { .. }
+                | JobFrame::Offer(_)
+                | JobFrame::Stored(_)
+                | JobFrame::Store { .. },
+            ) => {}
             Err(error) => event!(self.shared.log, Unreadable, "key": "peer frame",
                 "reason": error.to_string()),
         }
         false
     }
+
+    /// Settles a record on the owner's reply. A record that the owner could not store goes to this
+    /// member's own appends, as the store may turn only the owner away.
+    fn settle_store(&self, request: StoreRequest, outcome: StoreOutcome) {
+        if outcome == StoreOutcome::NotStored {
+            self.store_locally(request);
+        } else {
+            self.shared.meter.owner_stores.increment(1);
+            request.settle(outcome);
+        }
+    }
 }
--- a/crates/scheduler/src/peer/serve.rs
+++ b/crates/scheduler/src/peer/serve.rs
@@ -15,6 +15,7 @@
 use tokio_tungstenite::{WebSocketStream, accept_async, tungstenite::Message};
 
 use crate::{
+    accept::StoreRequest,
     error::Result,
     eventlog::event,
     owner::{OwnerEvent, decode_accepted_records},
@@ -36,13 +37,17 @@
     shared: Arc<MemberShared>,
     peers: &N,
     address: SocketAddr,
+    appends: mpsc::UnboundedSender<StoreRequest>,
 ) -> Result<impl Future<Output = ()> + use<N>> {
     let listener = peers.bind(address).await?;
-    Ok(accept_links(shared, listener))
+    Ok(accept_links(shared, listener, appends))
 }
 
-async fn accept_links<L>(shared: Arc<MemberShared>, listener: L)
-where
+async fn accept_links<L>(
+    shared: Arc<MemberShared>,
+    listener: L,
+    appends: mpsc::UnboundedSender<StoreRequest>,
+) where
     L: PeerListener,
     L::Stream: PeerStream,
 {
@@ -52,7 +57,7 @@
         while links.try_join_next().is_some() {}
         match listener.accept().await {
             Ok(stream) => {
-                links.spawn(serve_link(shared.clone(), stream));
+                links.spawn(serve_link(shared.clone(), stream, appends.clone()));
             }
             Err(error) => {
                 event!(shared.log, Dependency, "name": "peer listener", "lost": true,
@@ -64,7 +69,11 @@
 }
 
 /// Serves one follower while this member owns the pools.
-async fn serve_link<S: PeerStream>(shared: Arc<MemberShared>, stream: S) {
+async fn serve_link<S: PeerStream>(
+    shared: Arc<MemberShared>,
+    stream: S,
+    appends: mpsc::UnboundedSender<StoreRequest>,
+) {
     let Ok(Ok(mut socket)) = timeout(HANDSHAKE_TIMEOUT, accept_async(stream)).await else {
         return;
     };
@@ -76,7 +85,7 @@
         let frame = tokio::select! {
             message = socket.next() => match message {
                 Some(Ok(message)) => {
-                    if let Some(rank) = handle_frame(&shared, &answers, &message) {
+                    if let Some(rank) = handle_frame(&shared, &answers, &appends, &message) {
                         designation = Some(shared.followers.add(rank));
                     }
                     continue;
@@ -119,6 +128,7 @@
 fn handle_frame(
     shared: &Arc<MemberShared>,
     answers: &mpsc::Sender<JobFrame>,
+    appends: &mpsc::UnboundedSender<StoreRequest>,
     message: &Message,
 ) -> Option<MemberRank> {
     let Message::Binary(bytes) = message else {
@@ -141,7 +151,25 @@
             return Some(rank);
         }
         Ok(JobFrame::Stored(records)) => forward_records(shared, &records),
-        Ok(JobFrame::Answer { .. } | JobFrame::Loads(_) | JobFrame::Follow) => {}
+        Ok(JobFrame::Store { id, record }) => {
+            let (request, outcome) = StoreRequest::new(record);
+            let answers = answers.clone();
+            // Without an outcome the member is ending; the follower then stores the record itself.
+            if appends.send(request).is_ok() {
+                tokio::spawn(async move {
+                    if let Ok(outcome) = outcome.await {
+                        // The link may have been closed.
+                        let _ = answers.send(JobFrame::StoreReply { id, outcome }).await;
+                    }
+                });
+            }
+        }
+        Ok(
+            JobFrame::Answer { .. }
+            | JobFrame::Loads(_)
+            | JobFrame::Follow
+            | JobFrame::StoreReply { .. },
+        ) => {}
         Err(error) => event!(shared.log, Unreadable, "key": "peer frame",
             "reason": error.to_string()),
     }
--- a/crates/scheduler/src/ports.rs
+++ b/crates/scheduler/src/ports.rs
@@ -144,12 +144,14 @@
     /// Connection to a worker.
     type Worker: WorkerLink;
 
-    /// Appends records atomically; an empty append only sets the epoch.
+    /// Appends records atomically, and waits up to `limit` for the answer; an empty append only sets
+    /// the epoch.
     fn append(
         &self,
         stream: StoreStream,
         sequence: &AppendSequence,
         records: &[KeyedRecord],
+        limit: ClockTime,
     ) -> impl Future<Output = Result<()>> + Send;
 
     /// Reads a page of the newest record of each key.
--- a/crates/scheduler/src/shared.rs
+++ b/crates/scheduler/src/shared.rs
@@ -9,7 +9,7 @@
 use jacinthhoist_codec::OwnerHeartbeat;
 use jacinthhoist_core::{
     ClockTime, WorkName,
-    job::{JobCatalogue, WorkLoad},
+    job::{AppendPace, JobCatalogue, WorkLoad},
 };
 use jacinthhoist_net::BootClock;
 use tokio::sync::{mpsc, watch};
@@ -51,6 +51,8 @@
     pub(crate) owner_view: OwnerView,
     /// Followers of this member while it owns the pools.
     pub(crate) followers: FollowerRegistry,
+    /// Latency that the store's appends have shown.
+    pub(crate) append_pace: ArcSwap<AppendPace>,
     store_answered_at: AtomicU64,
     stopping: AtomicBool,
 }
@@ -75,6 +77,7 @@
             heartbeats,
             owner_inbox: ArcSwapOption::empty(),
             followers: FollowerRegistry::open(),
+            append_pace: ArcSwap::default(),
             store_answered_at: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
         })
@@ -82,7 +85,10 @@
 
     /// Replaces the heartbeat by a newer one of the owner.
     pub(crate) fn set_heartbeat(&self, heartbeat: Arc<OwnerHeartbeat>) {
-        let at = self.clock.now() - heartbeat.read_age;
+        let now = self.clock.now();
+        let at = now - heartbeat.read_age;
+        // The owner stores the records of this member, so the answers that it gets count here too.
+        self.record_store_answer_at(now - heartbeat.place_age);
         self.heartbeat.store(heartbeat);
         self.load_read_at.store(at.as_millis(), Ordering::Relaxed);
     }
@@ -113,8 +119,12 @@
 
     /// Records that the store has just answered.
     pub(crate) fn record_store_answer(&self) {
-        let now = self.clock.now().as_millis();
-        self.store_answered_at.store(now, Ordering::Relaxed);
+        self.record_store_answer_at(self.clock.now());
+    }
+
+    fn record_store_answer_at(&self, at: ClockTime) {
+        self.store_answered_at
+            .fetch_max(at.as_millis(), Ordering::Relaxed);
     }
 
     /// Returns the time since the store last answered.
