Let the stand-in's gangs work and end together

Cause of each_task_of_a_gang_is_done (KNOWN-RED): the stand-in ran the tasks of a gang as independent tasks. The platform's gangs start to work when all tasks are present and end together, and one end stands for all, so the owner stops what is left when the first end arrives. Trace (12 copies of the test at once, 72 runs, 8 failed): run 1 of task 1 was stopped 100.2 ms after its start, at the end of its 100 ms, by the stop that followed the end of another task. Ruled out: a report that got lost (all four ends are listed), the owner's notion of a gang's end (it is the platform's). Change: gang=N,ms=M in the stand-in's payload; a stop first notes the runs that have ended by themselves.

--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -4,12 +4,14 @@
 //! They speak the published protocol on loopback and can simulate faults. [`FakePlatform`] combines
 //! them into one installation.
 
+mod gang;
 mod machines;
 mod policy;
 mod pool_worker;
 mod store;
 mod topic;
 
+pub use gang::GangTable;
 pub use machines::MachineService;
 pub use policy::PolicyService;
 pub use pool_worker::{PoolWorker, WorkerFault};
@@ -44,12 +46,13 @@
         let store = KeyedLog::spawn().await?;
         let machines = MachineService::spawn().await?;
         let policy = PolicyService::spawn().await?;
-        let mut workers = Vec::new();
+        let (mut workers, gangs) = (Vec::new(), GangTable::default());
         for pool in pools {
             for number in 0..workers_per_pool {
                 let id = format!("i-{pool}-{number}");
                 let worker =
-                    PoolWorker::spawn(&id, pool, store.clone(), HEARTBEAT_INTERVAL).await?;
+                    PoolWorker::spawn(&id, pool, store.clone(), gangs.clone(), HEARTBEAT_INTERVAL);
+                let worker = worker.await?;
                 machines.add(&format!("m-{pool}-{number}"), pool, &id);
                 workers.push(worker);
             }
--- a/crates/fakes/src/platform/pool_worker.rs
+++ b/crates/fakes/src/platform/pool_worker.rs
@@ -2,7 +2,8 @@
 //! in the store.
 //!
 //! The payload of a task sets its behaviour: `ms=N` runs for N milliseconds, `fail` fails at once
-//! and `lasts` runs until it is stopped. Any other payload runs for 30 ms.
+//! and `lasts` runs until it is stopped. `gang=N,ms=M` runs for M milliseconds together with the
+//! other tasks of its step, once N of them are present. Any other payload runs for 30 ms.
 
 use std::{
     collections::BTreeMap,
@@ -20,7 +21,11 @@
     time::sleep,
 };
 
-use super::{KeyedLog, loopback, policy};
+use super::{
+    KeyedLog,
+    gang::{GangMember, GangTable},
+    loopback, policy,
+};
 use crate::http::{self, FakeServer, ResponseBody};
 
 /// Duration of a task whose payload sets none.
@@ -76,9 +81,35 @@
     started_at: Instant,
     /// `None` for a task that runs until it is stopped.
     duration: Option<Duration>,
+    gang: Option<GangMember>,
     fails: bool,
 }
 
+impl ActiveRun {
+    /// Returns the end that the run has reached by itself.
+    fn outcome(&self) -> Option<&'static str> {
+        let duration = self.duration?;
+        match &self.gang {
+            Some(gang) => gang.outcome(duration),
+            None if self.started_at.elapsed() < duration => None,
+            None if self.fails => Some("failed"),
+            None => Some("done"),
+        }
+    }
+}
+
+/// Parses the payload of a gang task: the number of its tasks, and what each of them does.
+fn split_gang(payload: &str) -> (Option<usize>, &str) {
+    let parts = payload
+        .strip_prefix("gang=")
+        .and_then(|rest| rest.split_once(','));
+    let size = parts.and_then(|(size, _)| size.parse().ok());
+    match parts {
+        Some((_, rest)) if size.is_some() => (size, rest),
+        _ => (None, payload),
+    }
+}
+
 /// State of a worker between two restarts.
 #[derive(Debug)]
 struct WorkerIncarnation {
@@ -93,6 +124,7 @@
     end_count: u64,
     /// Ticket that starts must carry, if tickets are required.
     ticket: Option<String>,
+    gangs: GangTable,
 }
 
 /// Counts of task runs, which outlive a restart of the worker.
@@ -123,7 +155,7 @@
 }
 
 impl WorkerIncarnation {
-    fn new(number: u64) -> Self {
+    fn new(number: u64, gangs: GangTable) -> Self {
         Self {
             started_at: Instant::now(),
             number,
@@ -134,6 +166,7 @@
             ended_rows: Vec::new(),
             end_count: 0,
             ticket: None,
+            gangs,
         }
     }
 
@@ -151,18 +184,12 @@
     fn finish_due(&mut self, counts: &mut TaskCounts) {
         let now = self.clock_ms();
         let lapsed = self.deadline.is_some_and(|deadline| now > deadline);
-        let is_finished = |run: &ActiveRun| {
-            run.duration
-                .is_some_and(|duration| run.started_at.elapsed() >= duration)
-        };
         let names: Vec<String> = self.runs.keys().cloned().collect();
         for name in names {
-            let run = &self.runs[&name];
-            let outcome = match (is_finished(run), run.fails, lapsed) {
-                (true, true, _) => "failed",
-                (true, false, _) => "done",
-                (false, _, true) => "lapsed",
-                _ => continue,
+            let outcome = match self.runs[&name].outcome() {
+                Some(outcome) => outcome,
+                None if lapsed => "lapsed",
+                None => continue,
             };
             if outcome == "done" {
                 *counts.done.entry(name.clone()).or_default() += 1;
@@ -175,6 +202,9 @@
         let Some(run) = self.runs.remove(name) else {
             return;
         };
+        if let Some(gang) = &run.gang {
+            gang.leave();
+        }
         self.end_count += 1;
         self.finished_runs.insert(name.to_owned(), run.number);
         self.ended_rows
@@ -210,7 +240,8 @@
         {
             return Err("ticket");
         }
-        let duration = match order.task_spec.as_str() {
+        let (gang_size, payload) = split_gang(&order.task_spec);
+        let duration = match payload {
             "lasts" => None,
             "fail" => Some(Duration::ZERO),
             text => {
@@ -224,6 +255,7 @@
             number: order.run,
             started_at: Instant::now(),
             duration,
+            gang: gang_size.map(|size| self.gangs.join(&order.task, order.run, size)),
             fails: fails || order.task_spec == "fail",
         };
         *counts.starts.entry(order.task.clone()).or_default() += 1;
@@ -279,9 +311,10 @@
         id: &str,
         pool: &str,
         store: KeyedLog,
+        gangs: GangTable,
         heartbeat: Duration,
     ) -> std::io::Result<Self> {
-        let incarnation = Arc::new(Mutex::new(WorkerIncarnation::new(1)));
+        let incarnation = Arc::new(Mutex::new(WorkerIncarnation::new(1, gangs)));
         let counts = Arc::new(Mutex::new(TaskCounts::default()));
         let (fault, fault_receiver) = watch::channel(WorkerFault::None);
         let (tickets_required, ticket_switch) = watch::channel(false);
@@ -350,7 +383,8 @@
     /// Restarts under the same id, without its runs and their history.
     pub async fn restart(&self) {
         let mut incarnation = self.incarnation.lock().await;
-        *incarnation = WorkerIncarnation::new(incarnation.number + 1);
+        let gangs = incarnation.gangs.clone();
+        *incarnation = WorkerIncarnation::new(incarnation.number + 1, gangs);
     }
 
     /// Number of starts of each task on this worker.
@@ -410,7 +444,9 @@
     match path.as_str() {
         "/v1/run-start" => start(incarnation, counts, fault, order).await,
         "/v1/run-stop" => {
-            let mut incarnation = incarnation.lock().await;
+            let (mut incarnation, mut counts) = (incarnation.lock().await, counts.lock().await);
+            // A run that has ended by itself is no longer there to be stopped.
+            incarnation.finish_due(&mut counts);
             let stopped = incarnation.stop(&order);
             order_response(&incarnation, stopped)
         }
