Serve in time what the capacity carries in an overload

Change: core::job::order: jobs that have begun first; a job counts as infeasible with a margin of a quarter of its remaining work and 150 ms; while the queue does not fit into half of the pool's capacity, the newest new job first. Demand for VMs leaves out work that is late in any case.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -41,14 +41,14 @@
 pub use catalogue::{AdvicePolicy, CallerLimits, JobCatalogue, JobPool, JobWork};
 pub use lease::{HeldLease, UnknownLease, WorkerLease};
 pub use life::{Begun, ClosedLife, Ended, Ending, Forgotten, JobLife, OpenLife, Queued};
-pub use order::{DurationTable, JobUrgency};
+pub use order::{DurationTable, JobUrgency, QueuedJob, order_queue};
 pub use ownership::{
     MemberCapacity, MemberRank, OwnerSnapshot, RecordedOwner, UnknownRank, candidacy_at,
 };
 pub use place::{PlaceRequest, choose_worker};
 pub use resize::{IdleVm, PoolDemandView, ResizeMove, plan_resize};
 pub use scheduler::{
-    Batch, BatchRecord, Effect, Job, JobProgress, LossReason, RenewalPlan, Scheduler,
+    Batch, BatchRecord, Effect, Job, JobProgress, LossReason, PoolSummary, RenewalPlan, Scheduler,
     SchedulerDecision, SchedulerLimits, StepAdvice, TaskRecord, VmEntry, VmState, WorkerChange,
 };
 pub use spec::{
--- a/crates/core/src/job/order.rs
+++ b/crates/core/src/job/order.rs
@@ -1,12 +1,17 @@
 //! Priority order of jobs in a full pool.
 //!
-//! When demand exceeds the capacity of a pool, jobs that can still meet their objective are ordered
-//! by least laxity; jobs that can no longer meet it come after them.
+//! Pattern: a queue that surges beyond what its pool holds. Jobs that can still meet their objective
+//! come first, those that have begun before new ones. While all new jobs can be served in time, the
+//! one with least laxity comes first. In an overload that order would serve each job at the last
+//! moment, and most of them a little too late; the newest comes first then, so that as many jobs as
+//! the pool can carry are served in time.
 
-use std::collections::BTreeMap;
+use std::{cmp::Reverse, collections::BTreeMap};
 
 use crate::{clock::ClockTime, name::WorkName};
 
+use super::spec::JobId;
+
 /// Weight of the newest observation in the moving mean, which converges within about ten tasks.
 const NEWEST_WEIGHT_PERCENT: u64 = 10;
 /// Assumed duration of a task before the first observation.
@@ -44,16 +49,29 @@
     }
 }
 
+/// Part of the remaining work that is added to it as a margin, in percent: the last task of a step
+/// takes longer than the mean.
+const CHAIN_MARGIN_PERCENT: u64 = 25;
+/// Margin for the start of a step: storing it, and the order to the worker.
+const START_MARGIN: ClockTime = ClockTime::from_millis(150);
+
+/// Part of a pool's capacity that becomes free for waiting work, in percent; running tasks hold the
+/// rest.
+const FREE_CPU_PERCENT: u64 = 50;
+
 /// Sort key of a job in its pool's queue; the smallest key is scheduled first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct JobUrgency {
     /// False for long-running jobs, which are scheduled first, as they lose service time while they
     /// wait.
     pub ends: bool,
-    /// True if the job can no longer meet its deadline.
+    /// True if the job can no longer be expected to meet its deadline.
     pub infeasible: bool,
     /// Priority class; 0 is the most urgent.
     pub priority: u8,
+    /// True if no task of the job has started. What has begun comes first: otherwise an overload
+    /// spreads over all jobs, and each of them misses its deadline by a little.
+    pub is_new: bool,
     /// Latest time at which the remaining work can start and still meet the deadline; for a
     /// long-running job, the time of its receipt.
     pub latest_start: ClockTime,
@@ -65,21 +83,27 @@
     /// ```
     /// use jacinthhoist_core::{ClockTime, job::JobUrgency};
     /// let ms = ClockTime::from_millis;
-    /// let tight = JobUrgency::for_deadline(0, ms(2_000), ms(900), ms(1_000));
-    /// let loose = JobUrgency::for_deadline(0, ms(3_000), ms(900), ms(1_000));
-    /// let late = JobUrgency::for_deadline(0, ms(1_500), ms(900), ms(1_000));
-    /// assert!(tight < loose && loose < late);
+    /// let key = |deadline, is_new| {
+    ///     JobUrgency::for_deadline(0, ms(deadline), ms(900), is_new, ms(1_000))
+    /// };
+    /// let (begun, tight, loose, late) =
+    ///     (key(5_000, false), key(2_500, true), key(3_000, true), key(2_000, true));
+    /// assert!(begun < tight && tight < loose && loose < late);
     /// ```
     pub fn for_deadline(
         priority: u8,
         deadline: ClockTime,
         remaining: ClockTime,
+        is_new: bool,
         now: ClockTime,
     ) -> Self {
+        let margin = remaining.as_millis() * CHAIN_MARGIN_PERCENT / 100;
+        let expected = remaining + ClockTime::from_millis(margin) + START_MARGIN;
         Self {
             ends: true,
-            infeasible: now + remaining > deadline,
+            infeasible: now + expected > deadline,
             priority,
+            is_new,
             latest_start: deadline - remaining,
         }
     }
@@ -90,7 +114,70 @@
             ends: false,
             infeasible: false,
             priority,
+            is_new: false,
             latest_start: received_at,
         }
     }
+
+    /// Returns true for a job that the order within an overload concerns.
+    fn is_new_and_feasible(&self) -> bool {
+        self.ends && self.is_new && !self.infeasible
+    }
+}
+
+/// Job in the queue of its pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QueuedJob {
+    /// Place in the queue.
+    pub urgency: JobUrgency,
+    /// Queued job.
+    pub job: JobId,
+    /// Work of its tasks that have not started, in thousandths of core-milliseconds.
+    pub work: u64,
+}
+
+/// Sorts the queue of a pool with a capacity of `cpu` thousandths of a core.
+///
+/// ```
+/// use jacinthhoist_core::{ClockTime, job::{JobId, JobUrgency, QueuedJob, order_queue}};
+/// let ms = ClockTime::from_millis;
+/// let job = |id, deadline| QueuedJob {
+///     urgency: JobUrgency::for_deadline(0, ms(deadline), ms(500), true, ms(0)),
+///     job: JobId(id),
+///     work: 1_000_000,
+/// };
+/// let mut queue = vec![job(1, 3_000), job(2, 2_000), job(3, 2_500)];
+/// let first = |queue: &mut Vec<QueuedJob>, cpu| {
+///     order_queue(queue, cpu, ms(0));
+///     queue[0].job
+/// };
+/// assert_eq!(first(&mut queue, 2_000), JobId(2));
+/// assert_eq!(first(&mut queue, 900), JobId(1));
+/// ```
+pub fn order_queue(queue: &mut [QueuedJob], cpu: u64, now: ClockTime) {
+    queue.sort_unstable_by_key(|queued| (queued.urgency, queued.job));
+    if !is_overloaded(queue, cpu, now) {
+        return;
+    }
+    let is_new = |queued: &QueuedJob| queued.urgency.is_new_and_feasible();
+    for new_jobs in queue.chunk_by_mut(|one, other| {
+        is_new(one) && is_new(other) && one.urgency.priority == other.urgency.priority
+    }) {
+        new_jobs.sort_unstable_by_key(|queued| (Reverse(queued.urgency.latest_start), queued.job));
+    }
+}
+
+/// Returns true if some feasible job of a sorted queue cannot start in time behind those before it.
+fn is_overloaded(queue: &[QueuedJob], cpu: u64, now: ClockTime) -> bool {
+    let feasible = queue.iter().filter(|queued| !queued.urgency.infeasible);
+    let mut work_before = 0;
+    for queued in feasible.filter(|queued| queued.urgency.ends) {
+        let laxity = queued.urgency.latest_start - now;
+        let carried = cpu * laxity.as_millis() * FREE_CPU_PERCENT / 100;
+        if work_before > carried {
+            return true;
+        }
+        work_before += queued.work;
+    }
+    false
 }
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -20,6 +20,7 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 pub use batch::{Batch, BatchRecord, JobProgress, TaskRecord};
+pub use demand::PoolSummary;
 pub use jobs::Job;
 pub use leases::RenewalPlan;
 pub use permits::StepAdvice;
--- a/crates/core/src/job/scheduler/demand.rs
+++ b/crates/core/src/job/scheduler/demand.rs
@@ -6,6 +6,7 @@
     clock::ClockTime,
     job::{
         resize::{IdleVm, PoolDemandView},
+        spec::Resources,
         vm_order::AnyVmOrder,
         worker::Worker,
     },
@@ -63,13 +64,58 @@
     running: u64,
     /// Work of finite tasks that have not started, in thousandths of core-milliseconds.
     waiting: u64,
-    /// CPU needed to run all waiting finite tasks at once, in thousandths of a core.
-    waiting_cpu: u64,
+    /// Part of that work that can still be done within its objective.
+    timely_waiting: u64,
+    /// CPU needed to run all tasks of that part at once, in thousandths of a core.
+    timely_waiting_cpu: u64,
     /// CPU of long-running tasks, in thousandths of a core.
     long_running: u64,
 }
 
+/// Load of a pool, for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PoolSummary {
+    /// Pool name.
+    pub pool: PoolName,
+    /// Capacity of the workers that take tasks.
+    pub capacity: Resources,
+    /// Part of the capacity that is in use.
+    pub used: Resources,
+    /// CPU demand behind moves of VMs, in thousandths of a core.
+    pub demand: u64,
+    /// Jobs with tasks that could start now.
+    pub queued: usize,
+    /// Queued jobs that are not expected to meet their objective.
+    pub infeasible: usize,
+}
+
 impl Scheduler {
+    /// Returns the load of each pool.
+    pub fn pool_summaries(&self) -> Vec<PoolSummary> {
+        let queues = self.pool_queues();
+        let views = self.demand_views().into_iter();
+        let summary = |view: PoolDemandView| {
+            let queue = queues.get(&view.pool).map_or(&[][..], Vec::as_slice);
+            let workers = self.workers.values();
+            let workers = workers.filter(|worker| worker.entry.pool == view.pool);
+            let (mut capacity, mut used) = (Resources::default(), Resources::default());
+            for worker in workers.filter(|worker| worker.takes_work(self.now)) {
+                capacity = capacity.plus(&worker.entry.capacity);
+                used = used.plus(&worker.used);
+            }
+            let infeasible = queue.iter().filter(|queued| queued.urgency.infeasible);
+            PoolSummary {
+                capacity,
+                used,
+                demand: view.demand,
+                queued: queue.len(),
+                infeasible: infeasible.count(),
+                pool: view.pool,
+            }
+        };
+        views.map(summary).collect()
+    }
+
     /// Adds the work of a job to the arrival rate of its pool.
     pub(super) fn record_arrival(&mut self, job: &Job) {
         let now = self.now;
@@ -150,11 +196,14 @@
     /// Computes the CPU demand of a pool in thousandths of a core: the larger of running and
     /// arriving work, plus long-running tasks, plus the backlog spread over its target time. The
     /// backlog counts at most the CPU needed to run all of it at once, as long tasks cannot be
-    /// worked off faster.
+    /// worked off faster. Work that is late in any case waits for what the pool has left: VMs that
+    /// were moved for it would be missing where work can still be done in time.
     fn demand(&self, pool: &PoolName, load: &PoolLoad) -> u64 {
         let arriving = self.fleet.arrivals.get(pool);
         let rate = arriving.map_or(0, |rate| rate.cpu(self.now));
-        let backlog = load.waiting_cpu.min(load.waiting / BACKLOG_TARGET_MS);
+        let backlog = load
+            .timely_waiting_cpu
+            .min(load.timely_waiting / BACKLOG_TARGET_MS);
         rate.max(load.running) + load.long_running + backlog
     }
 
@@ -174,14 +223,18 @@
             if job.spec.repeat.is_some() {
                 continue;
             }
-            let mean = self.durations.mean(&job.spec.work).as_millis();
+            let mean = self.durations.mean(&job.spec.work);
+            let infeasible = job.urgency(mean, self.now).infeasible;
             for ((_, step, _), task) in job.tasks() {
                 let cpu = job.spec.steps[usize::from(step)].charged().cpu;
                 if task.placed().is_some() {
                     load.running += cpu;
                 } else if !task.is_terminal() {
-                    load.waiting += cpu * mean;
-                    load.waiting_cpu += cpu;
+                    load.waiting += cpu * mean.as_millis();
+                    if !infeasible {
+                        load.timely_waiting += cpu * mean.as_millis();
+                        load.timely_waiting_cpu += cpu;
+                    }
                 }
             }
         }
--- a/crates/core/src/job/scheduler/jobs.rs
+++ b/crates/core/src/job/scheduler/jobs.rs
@@ -161,7 +161,18 @@
         };
         let deadline = start_at + stretched + self.terms.objective;
         let remaining = ClockTime::from_millis(self.remaining_chain_len() * mean.as_millis());
-        JobUrgency::for_deadline(self.terms.priority, deadline, remaining, now)
+        let is_new = self.tasks().all(|(_, task)| task.run() == 0);
+        JobUrgency::for_deadline(self.terms.priority, deadline, remaining, is_new, now)
+    }
+
+    /// CPU of the tasks that have no run and have not ended, in thousandths of a core.
+    pub(super) fn waiting_cpu(&self) -> u64 {
+        let waiting = self
+            .tasks()
+            .filter(|(_, task)| matches!(task, AnyTask::Waiting(_)));
+        waiting
+            .map(|((_, step, _), _)| self.spec.steps[usize::from(step)].charged().cpu)
+            .sum()
     }
 
     /// Number of steps on the longest dependency chain that are not done.
--- a/crates/core/src/job/scheduler/placing.rs
+++ b/crates/core/src/job/scheduler/placing.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     job::{
-        order::JobUrgency,
+        order::{QueuedJob, order_queue},
         place::{PlaceRequest, choose_worker, is_eligible},
         spec::{JobId, StepKey, TaskKey},
         task::AnyTask,
@@ -38,35 +38,45 @@
             }
         }
         for (pool, mut queue) in queues {
-            queue.sort_unstable();
             let workers = workers_by_pool.remove(&pool).unwrap_or_default();
+            order_queue(&mut queue, self.task_cpu(&workers), self.now);
             self.place_queue(&queue, &workers);
         }
     }
 
-    fn place_queue(&mut self, queue: &[(JobUrgency, JobId)], workers: &[WorkerId]) {
+    /// Sums up the CPU that workers have for tasks that end, in thousandths of a core.
+    fn task_cpu(&self, workers: &[WorkerId]) -> u64 {
+        let workers = workers.iter().filter_map(|id| self.workers.get(id));
+        workers.map(|worker| worker.entry.capacity.cpu).sum()
+    }
+
+    fn place_queue(&mut self, queue: &[QueuedJob], workers: &[WorkerId]) {
         let mut unplaced_steps = 0;
-        for (urgency, id) in queue {
+        for QueuedJob { urgency, job, .. } in queue {
             if unplaced_steps >= MAX_UNPLACED_STEPS {
                 return;
             }
-            let unplaced = self.place_job(*id, workers);
+            let unplaced = self.place_job(*job, workers);
             // A long-running task may need a scarce resource; it does not block the queue.
             unplaced_steps += if urgency.ends { unplaced } else { 0 };
         }
     }
 
     /// Collects the jobs with startable tasks by pool.
-    pub(super) fn pool_queues(&self) -> BTreeMap<PoolName, Vec<(JobUrgency, JobId)>> {
+    pub(super) fn pool_queues(&self) -> BTreeMap<PoolName, Vec<QueuedJob>> {
         let now = self.now;
-        let mut queues: BTreeMap<PoolName, Vec<(JobUrgency, JobId)>> = BTreeMap::new();
+        let mut queues: BTreeMap<PoolName, Vec<QueuedJob>> = BTreeMap::new();
         for (id, job) in &self.jobs {
             if job.startable(*id, now).next().is_none() {
                 continue;
             }
-            let urgency = job.urgency(self.durations.mean(&job.spec.work), now);
+            let mean = self.durations.mean(&job.spec.work);
             let queue = queues.entry(job.terms.pool.clone()).or_default();
-            queue.push((urgency, *id));
+            queue.push(QueuedJob {
+                urgency: job.urgency(mean, now),
+                job: *id,
+                work: job.waiting_cpu() * mean.as_millis(),
+            });
         }
         queues
     }
--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -452,3 +452,32 @@
     // existing one.
     assert!(moved.len() <= 2, "{moved:?}");
 }
+
+/// Regression test: the backlog of an overloaded pool that could only be served late counted as
+/// demand for VMs. The pool took nearly all of them and held them while the next pool surged
+/// (trouble-2 of the large foundry: 12,400 of 17,300 cores for an empty queue, 1,200 for 240 jobs).
+#[test]
+fn work_that_is_late_in_any_case_takes_no_vms_from_other_pools() {
+    let mut harness = SchedulerHarness::open(1);
+    let vms = (0..2).map(|number| vm(number, "mould", VmState::Up));
+    let now = harness.now;
+    harness.scheduler.vms_listed(vms.collect(), now, now);
+    harness.accept(1, vec![step(200)]);
+    harness.settle();
+    let summary = |harness: &SchedulerHarness| {
+        let summaries = harness.scheduler.pool_summaries();
+        let found = summaries
+            .into_iter()
+            .find(|summary| summary.pool.as_str() == "mould");
+        found.expect("the catalogue has the pool")
+    };
+    // One core each: 32 tasks run, 168 can still be done in time.
+    let timely = summary(&harness);
+    assert_eq!((timely.queued, timely.infeasible), (1, 0));
+    assert!(timely.demand >= 200_000, "{timely:?}");
+    harness.wait(2_500);
+    harness.step();
+    let late = summary(&harness);
+    assert_eq!((late.queued, late.infeasible), (1, 1));
+    assert!(late.demand <= 32_000, "{late:?}");
+}
--- a/crates/scheduler/src/eventlog.rs
+++ b/crates/scheduler/src/eventlog.rs
@@ -64,6 +64,7 @@
     StartRefused => ("start_refused", "A start order did not start a run."),
     RunLost => ("run_lost", "A run was lost and can no longer be active."),
     Finished => ("finished", "A job has ended."),
+    Pool => ("pool", "The load of a pool, once a second."),
     Worker => ("worker", "The state of a worker has changed."),
     Vm => ("vm", "A VM was ordered to move or to begin maintenance."),
     Wave => ("wave", "A maintenance wave has progressed."),
--- a/crates/scheduler/src/owner/decisions.rs
+++ b/crates/scheduler/src/owner/decisions.rs
@@ -1,6 +1,6 @@
 //! Log lines and metrics of the scheduler's decisions.
 
-use jacinthhoist_core::job::{LossReason, SchedulerDecision};
+use jacinthhoist_core::job::{LossReason, PoolSummary, SchedulerDecision};
 use serde_json::json;
 
 use crate::{
@@ -14,6 +14,22 @@
     write(&shared.log, decision);
 }
 
+/// Logs the load of a pool.
+pub(super) fn log_pool(log: &EventLog, summary: &PoolSummary) {
+    let PoolSummary {
+        pool,
+        capacity,
+        used,
+        demand,
+        queued,
+        infeasible,
+    } = summary;
+    let fields = json!({"pool": pool.as_str(), "cpu": capacity.cpu, "cpu_used": used.cpu,
+        "mem_mb": capacity.mem_mb, "mem_mb_used": used.mem_mb, "demand_cpu": demand,
+        "queued": queued, "infeasible": infeasible});
+    log.write(EventKind::Pool, fields);
+}
+
 fn count(shared: &MemberShared, decision: &SchedulerDecision) {
     match decision {
         SchedulerDecision::Finished { after, .. } => {
--- a/crates/scheduler/src/owner/engine.rs
+++ b/crates/scheduler/src/owner/engine.rs
@@ -19,6 +19,7 @@
 
 use super::{
     OwnerEvent, OwnerTask,
+    decisions::log_pool,
     effects::EffectRunner,
     sources::{follow_workers, tail_accepted},
     takeover::load_state,
@@ -35,6 +36,8 @@
 const VM_LIST_INTERVAL: ClockTime = ClockTime::from_millis(500);
 /// Interval between reads of the VM list otherwise.
 const VM_LIST_IDLE_INTERVAL: ClockTime = ClockTime::from_millis(3_000);
+/// Interval between log lines on the load of the pools.
+const POOL_LOG_INTERVAL: ClockTime = ClockTime::from_millis(1_000);
 /// Maximum age of the last read of accepted jobs at which the owner may report a job as missing.
 const MAX_TAIL_AGE: ClockTime = ClockTime::from_millis(1_500);
 /// Maximum age of the group's confirmation of the ownership at which VM orders are sent: the
@@ -54,6 +57,7 @@
     tail_read_at: ClockTime,
     heartbeat_at: ClockTime,
     vms_listed_at: ClockTime,
+    pools_logged_at: ClockTime,
     /// Aborted when the engine is dropped.
     _sources: JoinSet<()>,
 }
@@ -100,6 +104,7 @@
             tail_read_at: shared.clock.now(),
             heartbeat_at: ClockTime::ZERO,
             vms_listed_at: ClockTime::ZERO,
+            pools_logged_at: ClockTime::ZERO,
             _sources: sources,
             shared,
         })
@@ -176,6 +181,17 @@
         self.workers.renew_due(&mut self.scheduler, now);
         self.publish_heartbeat(now);
         self.poll_vms(now);
+        self.log_pools(now);
+    }
+
+    fn log_pools(&mut self, now: ClockTime) {
+        if now < self.pools_logged_at + POOL_LOG_INTERVAL {
+            return;
+        }
+        self.pools_logged_at = now;
+        for summary in self.scheduler.pool_summaries() {
+            log_pool(&self.shared.log, &summary);
+        }
     }
 
     fn publish_heartbeat(&mut self, now: ClockTime) {
