--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -135,6 +135,10 @@
             return;
         };
         let work = job.spec.work.clone();
+        // A report may name a task that the job does not have.
+        if job.task(&row.task).is_none() {
+            return;
+        }
         let max_failures = job.max_failures(&row.task);
         let Some(slot) = job.task_mut(&row.task) else {
             return;
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -10,7 +10,9 @@
 mod takeover;
 mod workers;
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, panic::AssertUnwindSafe, sync::Arc, time::Duration};
+
+use futures::FutureExt;
 
 use jacinthhoist_codec::{AcceptedRecord, JobReply};
 use jacinthhoist_core::{
@@ -120,7 +122,9 @@
             let token = takeover_token(ownership.generation, takeovers);
             event!(self.shared.log, Ownership, "owns": true, "token": token,
                 "owned_since": ownership.owned_since, "generation": ownership.generation);
-            let reason = self.own(token).await;
+            let owning = AssertUnwindSafe(self.own(token)).catch_unwind();
+            // The state is dropped; the next owner loads it anew from the store.
+            let reason = owning.await.unwrap_or("the owner pipe has panicked");
             self.shared.owner_inbox.store(None);
             self.shared.owner_view.record_ownership_end();
             ended_at = self.shared.clock.now();
