Count each acknowledged failure once, migrate within availability limits, count unstarted jobs as waiting

Failed runs are now kept by number in the task and in its record: each counts once, whichever owner hears of it and however often; a start that waits for its record is withdrawn when a late failure uses up the limit. This replaces the table of failed gang runs, which a takeover lost. Tasks on draining workers were stopped at once, whatever else of their step was being stopped for a wave. They now move within the step's limit, one decision at a time. Ruled out: runs counted twice after a takeover (the record has the numbers), a lease that had lapsed. Tests: the_failure_of_a_superseded_copy_counts_once, a_start_is_withdrawn_once_the_task_has_failed_too_often, tasks_on_draining_workers_are_stopped_within_the_availability_limit, a_job_waits_until_the_start_of_one_of_its_tasks_is_confirmed failed before; a_record_without_the_numbers_of_failed_runs_is_read is new with the record.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -54,7 +54,9 @@
 pub use spec::{
     JobError, JobId, JobSpec, JobState, JobTerms, RepeatPlan, Resources, StepKey, StepSpec, TaskKey,
 };
-pub use task::{AnyTask, Assigned, Running, StartOrderState, Stopping, TaskEnd, TaskRun, Waiting};
+pub use task::{
+    AnyTask, Assigned, FailedRuns, Running, StartOrderState, Stopping, TaskEnd, TaskRun, Waiting,
+};
 pub use vm_order::{Accepted, AnyVmOrder, Sent, VmOrder, VmOrderRun};
 pub use wave::{Wave, WaveProgress, WaveRequest, WaveTable};
 pub use worker::{
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -385,7 +385,7 @@
         let drains = self.drain_times();
         let mut waiting: BTreeMap<&WorkName, u32> = BTreeMap::new();
         for job in self.jobs.values() {
-            if !job.has_begun() && job.spec.repeat.is_none() {
+            if !job.has_started() && job.spec.repeat.is_none() {
                 *waiting.entry(&job.spec.work).or_default() += 1;
             }
         }
--- a/crates/core/src/job/scheduler/batch.rs
+++ b/crates/core/src/job/scheduler/batch.rs
@@ -12,7 +12,7 @@
     clock::ClockTime,
     job::{
         spec::{JobId, JobState, TaskKey},
-        task::{AnyTask, TaskRun},
+        task::{AnyTask, FailedRuns, TaskRun},
         wave::WaveProgress,
     },
     name::{PoolName, WorkerId},
@@ -35,9 +35,17 @@
 /// The task reached its maximum number of failures.
 const PHASE_EXHAUSTED: u8 = 3;
 
-/// Stored form of a task: phase, run number, failures, index of the worker, checkpoint.
+/// Stored form of a task: phase, run number, failures, index of the worker, checkpoint, numbers of
+/// the failed runs.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TaskRecord(u8, u32, u8, u16, Option<Arc<str>>);
+pub struct TaskRecord(
+    u8,
+    u32,
+    u8,
+    u16,
+    Option<Arc<str>>,
+    #[serde(default, skip_serializing_if = "SmallVec::is_empty")] SmallVec<[u32; 2]>,
+);
 
 /// Stored progress of a job.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -80,7 +88,15 @@
             },
         };
         let checkpoint = task.checkpoint().cloned();
-        TaskRecord(phase, task.run(), task.failures(), worker, checkpoint)
+        let failed_runs = task.failed_runs().map(FailedRuns::runs);
+        TaskRecord(
+            phase,
+            task.run(),
+            task.failures(),
+            worker,
+            checkpoint,
+            failed_runs.cloned().unwrap_or_default(),
+        )
     }
 
     fn worker_index(&mut self, id: &WorkerId) -> u16 {
@@ -94,18 +110,19 @@
 
     /// Restores a task from its record. A placed task counts as assigned until its worker reports.
     pub(super) fn task(&self, record: &TaskRecord, now: ClockTime) -> AnyTask {
-        let TaskRecord(phase, run, failures, worker, checkpoint) = record.clone();
+        let TaskRecord(phase, run, failures, worker, checkpoint, failed_runs) = record.clone();
+        let failed_runs = FailedRuns::restore(failures, failed_runs, run);
         match phase {
             PHASE_DONE => AnyTask::Done { run },
-            PHASE_EXHAUSTED => AnyTask::Exhausted { run, failures },
+            PHASE_EXHAUSTED => AnyTask::Exhausted { run, failed_runs },
             PHASE_PLACED => {
-                let task = TaskRun::restore(run, failures, checkpoint);
+                let task = TaskRun::restore(run, failed_runs, checkpoint);
                 match self.workers.get(usize::from(worker)) {
                     Some(worker) => AnyTask::Assigned(task.adopt(worker.clone(), now)),
                     None => AnyTask::Waiting(task),
                 }
             }
-            _ => AnyTask::Waiting(TaskRun::restore(run, failures, checkpoint)),
+            _ => AnyTask::Waiting(TaskRun::restore(run, failed_runs, checkpoint)),
         }
     }
 }
@@ -325,7 +342,8 @@
             return;
         }
         let worker = assigned.phase.worker.clone();
-        if job.life.goal().is_some() {
+        // A late report may have shown since the assignment that an earlier run failed.
+        if job.life.goal().is_some() || job.is_exhausted(&task) {
             self.withdraw_start(&worker, task, run);
             return;
         }
--- a/crates/core/src/job/scheduler/gang.rs
+++ b/crates/core/src/job/scheduler/gang.rs
@@ -118,6 +118,7 @@
             .members(step)
             .into_iter()
             .filter(|member| *member != key);
+        let has_failed_before = job.task(&key).is_some_and(|task| task.has_failed_run(run));
         match end {
             TaskEnd::Done => {
                 for member in others {
@@ -127,13 +128,11 @@
                 }
                 end
             }
-            TaskEnd::Failed if job.failed_gangs.contains(&(step, run)) => TaskEnd::Broken,
+            TaskEnd::Failed if has_failed_before => TaskEnd::Broken,
             TaskEnd::Failed => {
-                job.failed_gangs.push((step, run));
-                let before = job.task(&key).map_or(0, AnyTask::failures);
                 for member in others {
                     if let Some(slot) = job.task_mut(&member) {
-                        slot.set_failures(before.saturating_add(1));
+                        slot.record_failed_run(run);
                     }
                 }
                 end
--- a/crates/core/src/job/scheduler/jobs.rs
+++ b/crates/core/src/job/scheduler/jobs.rs
@@ -9,7 +9,7 @@
     job::{
         life::{ClosedLife, JobLife, OpenLife},
         order::JobUrgency,
-        spec::{JobId, JobSpec, JobState, JobTerms, StepKey, StepSpec, TaskKey},
+        spec::{JobId, JobSpec, JobState, JobTerms, StepSpec, TaskKey},
         task::{AnyTask, TaskRun},
         worker::TaskCharge,
     },
@@ -74,8 +74,6 @@
     pub terms: JobTerms,
     /// Worker to avoid for a task: it failed there, or a start order was left unanswered.
     pub(super) avoided_workers: SmallVec<[(TaskKey, WorkerId); 2]>,
-    /// Gang runs whose failure has been counted.
-    pub(super) failed_gangs: SmallVec<[(StepKey, u32); 1]>,
 }
 
 impl Job {
@@ -84,6 +82,19 @@
         self.tasks().any(|(_, task)| task.run() > 0)
     }
 
+    /// Returns whether a run of any task is known to have started. A recorded run starts only once
+    /// its record is stored and its order has arrived.
+    pub(super) fn has_started(&self) -> bool {
+        self.tasks().any(|(_, task)| match task {
+            AnyTask::Waiting(task) => task.run > 0,
+            AnyTask::Assigned(task) => task.run > 1,
+            AnyTask::Running(_)
+            | AnyTask::Stopping(_)
+            | AnyTask::Done { .. }
+            | AnyTask::Exhausted { .. } => true,
+        })
+    }
+
     /// Iterates over all tasks with their occurrence, step and index.
     pub fn tasks(&self) -> impl Iterator<Item = ((u32, u16, u16), &AnyTask)> {
         let occurrences = (0u32..).zip(&self.occurrences);
@@ -197,9 +208,22 @@
             .all(|(_, task)| matches!(task, AnyTask::Done { .. }))
     }
 
+    /// Returns whether a task must not run again as it has failed too often.
+    pub(super) fn is_exhausted(&self, key: &TaskKey) -> bool {
+        let failures = self.task(key).map_or(0, AnyTask::failures);
+        self.max_failures(key).is_some_and(|max| failures >= max)
+    }
+
+    /// Returns whether a task has failed too often and is not running any more.
     fn has_failed(&self) -> bool {
-        self.tasks()
-            .any(|(_, task)| matches!(task, AnyTask::Exhausted { .. }))
+        self.tasks().any(|((_, step, _), task)| match task {
+            AnyTask::Exhausted { .. } => true,
+            AnyTask::Waiting(task) => {
+                let limited = !self.spec.steps[usize::from(step)].long_running;
+                limited && task.failed_runs.count() >= self.terms.max_failures
+            }
+            _ => false,
+        })
     }
 
     fn has_no_runs(&self) -> bool {
@@ -339,7 +363,6 @@
             life: OpenLife::Queued(JobLife::open()),
             terms,
             avoided_workers: SmallVec::new(),
-            failed_gangs: SmallVec::new(),
             spec,
         }
     }
--- a/crates/core/src/job/scheduler/orders.rs
+++ b/crates/core/src/job/scheduler/orders.rs
@@ -154,7 +154,7 @@
     }
 
     /// Stops runs of ending jobs, incomplete gangs, hung runs, and runs on draining workers that
-    /// can resume elsewhere.
+    /// can resume elsewhere, the latter within the availability limits of their steps.
     pub(super) fn stop_unwanted_runs(&mut self) {
         let now = self.now;
         if now < self.last_sweep_at + SWEEP_INTERVAL {
@@ -162,6 +162,7 @@
         }
         self.last_sweep_at = now;
         let mut stops: SmallVec<[(WorkerId, TaskKey, u32); 8]> = smallvec![];
+        let mut migrations: SmallVec<[(WorkerId, TaskKey, u32); 8]> = smallvec![];
         let mut hung: SmallVec<[WorkerId; 2]> = smallvec![];
         for worker in self.workers.values() {
             for (key, charge) in &worker.tasks {
@@ -189,10 +190,12 @@
                         if is_hung {
                             hung.push(worker.id.clone());
                         }
-                        is_hung
-                            || should_migrate
-                            || job.life.goal().is_some()
-                            || job.has_lost_members(key)
+                        let is_unwanted =
+                            is_hung || job.life.goal().is_some() || job.has_lost_members(key);
+                        if should_migrate && !is_unwanted {
+                            migrations.push((worker.id.clone(), *key, charge.run));
+                        }
+                        is_unwanted
                     }
                     AnyTask::Assigned(task) => {
                         (job.life.goal().is_some() || job.has_lost_members(key))
@@ -216,5 +219,11 @@
             }
             self.stop_task(&id, key, run);
         }
+        for (id, key, run) in migrations {
+            let job = self.jobs.get(&key.job);
+            if job.is_some_and(|job| self.can_stop_one(job, &key)) {
+                self.stop_task(&id, key, run);
+            }
+        }
     }
 }
--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -143,10 +143,15 @@
         let Some(slot) = job.task_mut(&row.task) else {
             return;
         };
-        // Once a run counts as lost, or its end was stored by this or an earlier owner, only the
-        // end `Done` still has an effect.
+        // Once a run counts as lost, or its end was stored by this or an earlier owner, it has an
+        // effect only if it completed the task, or failed and has not been counted.
         let is_current_run = slot.placed().is_some_and(|(_, run)| run == row.run);
-        if slot.is_terminal() || !(is_current_run || row.end == TaskEnd::Done) {
+        let has_effect = match row.end {
+            TaskEnd::Done => true,
+            TaskEnd::Failed => is_current_run || !slot.has_failed_run(row.run),
+            _ => is_current_run,
+        };
+        if slot.is_terminal() || !has_effect {
             return;
         }
         let end = if job.step(&row.task).gang {
@@ -169,7 +174,11 @@
         if let Some(checkpoint) = &row.checkpoint {
             slot.set_checkpoint(checkpoint.clone());
         }
-        *slot = slot.clone().ended(end, max_failures);
+        if is_current_run || end == TaskEnd::Done {
+            *slot = slot.clone().ended(end, max_failures);
+        } else {
+            slot.record_failed_run(row.run);
+        }
         let failures = slot.failures();
         self.outbox.mark_changed(row.task.job);
         match end {
--- a/crates/core/src/job/scheduler/waves.rs
+++ b/crates/core/src/job/scheduler/waves.rs
@@ -158,7 +158,7 @@
 
     /// Returns whether one more task of a step may be stopped: fewer other tasks are unavailable
     /// than the step tolerates.
-    fn can_stop_one(&self, job: &Job, key: &TaskKey) -> bool {
+    pub(super) fn can_stop_one(&self, job: &Job, key: &TaskKey) -> bool {
         let max_unavailable = usize::from(job.step(key).may_miss);
         let occurrence = &job.occurrences[key.occurrence as usize];
         let tasks = (0u16..).zip(&occurrence.steps[usize::from(key.step)]);
--- a/crates/core/src/job/task.rs
+++ b/crates/core/src/job/task.rs
@@ -7,8 +7,67 @@
 
 use std::sync::Arc;
 
+use smallvec::SmallVec;
+
 use crate::{clock::ClockTime, name::WorkerId};
 
+/// Failed runs of a task that are remembered by number; only long-running tasks may fail more often.
+const MAX_REMEMBERED_FAILURES: usize = 16;
+
+/// Failed runs of a task. Each run counts once, whichever owner it is reported to and however often.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct FailedRuns {
+    count: u8,
+    /// Numbers of the last failed runs.
+    runs: SmallVec<[u32; 2]>,
+}
+
+impl FailedRuns {
+    /// Restores the failed runs from a record. A record without numbers counts the last run.
+    pub(super) fn restore(count: u8, mut runs: SmallVec<[u32; 2]>, last_run: u32) -> Self {
+        if runs.is_empty() && count > 0 {
+            runs.push(last_run);
+        }
+        Self { count, runs }
+    }
+
+    /// Counts a failed run; returns false if it has been counted before.
+    ///
+    /// ```
+    /// use jacinthhoist_core::job::FailedRuns;
+    /// let mut failed_runs = FailedRuns::default();
+    /// assert!(failed_runs.record(2) && failed_runs.record(1));
+    /// assert!(!failed_runs.record(2));
+    /// assert_eq!(failed_runs.count(), 2);
+    /// ```
+    pub fn record(&mut self, run: u32) -> bool {
+        if self.contains(run) {
+            return false;
+        }
+        self.count = self.count.saturating_add(1);
+        if self.runs.len() == MAX_REMEMBERED_FAILURES {
+            self.runs.remove(0);
+        }
+        self.runs.push(run);
+        true
+    }
+
+    /// Returns whether a run has been counted.
+    pub fn contains(&self, run: u32) -> bool {
+        self.runs.contains(&run)
+    }
+
+    /// Number of failed runs.
+    pub fn count(&self) -> u8 {
+        self.count
+    }
+
+    /// Numbers of the last failed runs.
+    pub(super) fn runs(&self) -> &SmallVec<[u32; 2]> {
+        &self.runs
+    }
+}
+
 /// The task has no run.
 #[derive(Clone, Debug)]
 pub struct Waiting(());
@@ -65,8 +124,8 @@
 pub struct TaskRun<P> {
     /// Number of the last run; 0 before the first.
     pub run: u32,
-    /// Number of failed runs.
-    pub failures: u8,
+    /// Failed runs.
+    pub failed_runs: FailedRuns,
     /// Latest checkpoint.
     pub checkpoint: Option<Arc<str>>,
     /// Data of the phase.
@@ -77,7 +136,7 @@
     fn with_phase<N>(self, phase: N) -> TaskRun<N> {
         TaskRun {
             run: self.run,
-            failures: self.failures,
+            failed_runs: self.failed_runs,
             checkpoint: self.checkpoint,
             phase,
         }
@@ -92,14 +151,14 @@
 impl TaskRun<Waiting> {
     /// Creates a task that has never run.
     pub fn new() -> Self {
-        Self::restore(0, 0, None)
+        Self::restore(0, FailedRuns::default(), None)
     }
 
     /// Restores a waiting task from its record.
-    pub fn restore(run: u32, failures: u8, checkpoint: Option<Arc<str>>) -> Self {
+    pub fn restore(run: u32, failed_runs: FailedRuns, checkpoint: Option<Arc<str>>) -> Self {
         Self {
             run,
-            failures,
+            failed_runs,
             checkpoint,
             phase: Waiting(()),
         }
@@ -218,8 +277,8 @@
     Exhausted {
         /// Number of the last run.
         run: u32,
-        /// Number of failed runs.
-        failures: u8,
+        /// Failed runs.
+        failed_runs: FailedRuns,
     },
 }
 
@@ -247,16 +306,26 @@
 
     /// Number of failed runs.
     pub fn failures(&self) -> u8 {
+        self.failed_runs().map_or(0, FailedRuns::count)
+    }
+
+    /// Failed runs; `None` once the task is done.
+    pub fn failed_runs(&self) -> Option<&FailedRuns> {
         match self {
-            Self::Waiting(task) => task.failures,
-            Self::Assigned(task) => task.failures,
-            Self::Running(task) => task.failures,
-            Self::Stopping(task) => task.failures,
-            Self::Done { .. } => 0,
-            Self::Exhausted { failures, .. } => *failures,
+            Self::Waiting(task) => Some(&task.failed_runs),
+            Self::Assigned(task) => Some(&task.failed_runs),
+            Self::Running(task) => Some(&task.failed_runs),
+            Self::Stopping(task) => Some(&task.failed_runs),
+            Self::Done { .. } => None,
+            Self::Exhausted { failed_runs, .. } => Some(failed_runs),
         }
     }
 
+    /// Returns whether the failure of a run has been counted.
+    pub fn has_failed_run(&self, run: u32) -> bool {
+        self.failed_runs().is_some_and(|runs| runs.contains(run))
+    }
+
     /// Latest checkpoint.
     pub fn checkpoint(&self) -> Option<&Arc<str>> {
         match self {
@@ -268,15 +337,16 @@
         }
     }
 
-    /// Sets the number of failed runs to that of the gang.
-    pub fn set_failures(&mut self, failures: u8) {
-        match self {
-            Self::Waiting(task) => task.failures = failures,
-            Self::Assigned(task) => task.failures = failures,
-            Self::Running(task) => task.failures = failures,
-            Self::Stopping(task) => task.failures = failures,
-            Self::Done { .. } | Self::Exhausted { .. } => {}
-        }
+    /// Counts a failed run, which need not be the current one; the phase stays as it is.
+    pub fn record_failed_run(&mut self, run: u32) {
+        let failed_runs = match self {
+            Self::Waiting(task) => &mut task.failed_runs,
+            Self::Assigned(task) => &mut task.failed_runs,
+            Self::Running(task) => &mut task.failed_runs,
+            Self::Stopping(task) => &mut task.failed_runs,
+            Self::Done { .. } | Self::Exhausted { .. } => return,
+        };
+        failed_runs.record(run);
     }
 
     /// Replaces the latest checkpoint.
@@ -312,16 +382,17 @@
 
     /// Applies the end of a run. `max_failures` is none if the number of failures is not limited.
     pub fn ended(self, end: TaskEnd, max_failures: Option<u8>) -> Self {
-        let (run, failures) = (self.run(), self.failures());
+        let run = self.run();
         match end {
             TaskEnd::Done => Self::Done { run },
             TaskEnd::Failed => {
-                let failures = failures.saturating_add(1);
-                if max_failures.is_some_and(|limit| failures >= limit) {
-                    return Self::Exhausted { run, failures };
+                let mut failed_runs = self.failed_runs().cloned().unwrap_or_default();
+                failed_runs.record(run);
+                if max_failures.is_some_and(|limit| failed_runs.count() >= limit) {
+                    return Self::Exhausted { run, failed_runs };
                 }
                 let checkpoint = self.checkpoint().cloned();
-                Self::Waiting(TaskRun::restore(run, failures, checkpoint))
+                Self::Waiting(TaskRun::restore(run, failed_runs, checkpoint))
             }
             TaskEnd::Stopped | TaskEnd::Lapsed | TaskEnd::Broken | TaskEnd::Alone => {
                 self.released()
--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -4,11 +4,11 @@
     PoolName, VmName,
     job::{
         Effect, IdleVm, OrderReply, PoolDemandView, RenewalReport, ResizeMove, TaskEnd, VmState,
-        WaveRequest, plan_resize,
+        WaveRequest, WorkerEntry, WorkerState, plan_resize,
     },
 };
 
-use super::harness::{SchedulerHarness, long_running_step, ms, step, vm, worker};
+use super::harness::{SchedulerHarness, entry, long_running_step, ms, step, vm, worker};
 
 const MAX_MOVES: usize = 12;
 
@@ -292,6 +292,32 @@
     }
 }
 
+/// Regression test (AVAIL, scale-2 of bmca-foundry-large): tasks on draining workers were stopped
+/// whatever else of their step was being stopped, for a wave or on other draining workers.
+#[test]
+fn tasks_on_draining_workers_are_stopped_within_the_availability_limit() {
+    let mut harness = SchedulerHarness::open(6);
+    harness.accept(1, vec![long_running_step(4, 1)]);
+    harness.settle();
+    let starts = harness.confirm();
+    harness.report_all(&starts, 6, 100);
+    for start in &starts[..3] {
+        let draining = WorkerEntry {
+            state: WorkerState::Draining,
+            ..entry("mould")
+        };
+        harness
+            .scheduler
+            .worker_listed(start.worker.clone(), draining, harness.now);
+    }
+    harness.wait(150);
+    harness.step();
+    assert_eq!(harness.stops.len(), 1);
+    harness.wait(150);
+    harness.step();
+    assert_eq!(harness.stops.len(), 1, "the first one is not back yet");
+}
+
 #[test]
 fn a_busy_vm_is_evacuated_before_maintenance_and_gets_no_new_tasks() {
     let mut harness = SchedulerHarness::open(1);
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -4,13 +4,13 @@
 mod harness;
 mod placing;
 
-use harness::{SchedulerHarness, entry, key, long_running_step, ms, step, worker};
+use harness::{SchedulerHarness, entry, key, long_running_step, ms, spec, step, worker};
 use jacinthhoist_core::{
     ClockTime,
     job::{
-        AnyTask, BatchRecord, JobId, JobState, JobUrgency, OrderReply, QueuedJob, RenewalReport,
-        StartReply, StepSpec, TaskEnd, TaskKey, WorkLoad, WorkerEntry, WorkerState, admit_job,
-        order_queue,
+        AnyTask, BatchRecord, JobId, JobProgress, JobState, JobUrgency, OrderReply, QueuedJob,
+        RenewalReport, StartReply, StepSpec, TaskEnd, TaskKey, WorkLoad, WorkerEntry, WorkerState,
+        admit_job, order_queue,
     },
 };
 
@@ -251,6 +251,98 @@
     assert_ne!(next.scheduler.state(JobId(1)), Some(JobState::Failed));
 }
 
+/// Regression test (BUDGET, hunt of ldaaa-hoist): the failure of a copy that a silent worker had
+/// kept running was ignored although its end was acknowledged, so the task ran once too often.
+#[test]
+fn the_failure_of_a_superseded_copy_counts_once() {
+    let speculative = StepSpec {
+        speculative: true,
+        ..step(1)
+    };
+    let mut owner = SchedulerHarness::open(3);
+    let spec = owner.accept(1, vec![speculative]);
+    owner.settle();
+    let first = owner.confirm().remove(0);
+    owner.scheduler.renewal_failed(&first.worker, owner.now);
+    owner.settle();
+    let copy = owner.confirm().remove(0);
+    assert_eq!(copy.run, 2);
+    owner.end(&first, TaskEnd::Failed);
+    owner.settle();
+    assert_eq!(owner.task(first.task).failures(), 1);
+    // The worker reports the same end to the next owner.
+    let mut next = owner.take_over(&[(JobId(1), spec)], 3);
+    next.end(&first, TaskEnd::Failed);
+    assert_eq!(next.task(first.task).failures(), 1);
+    next.end(&copy, TaskEnd::Failed);
+    next.settle();
+    assert_eq!(next.starts, []);
+    assert_eq!(next.scheduler.state(JobId(1)), Some(JobState::Failed));
+}
+
+/// Records of earlier versions hold the number of failures alone.
+#[test]
+fn a_record_without_the_numbers_of_failed_runs_is_read() {
+    let record = r#"{"ended":null,"workers":[],"occurrences":[[[[0,3,1,0,null]]]]}"#;
+    let progress: JobProgress = serde_json::from_str(record).unwrap();
+    let mut harness = SchedulerHarness::open(1);
+    let spec = spec(vec![step(1)], harness.now);
+    harness.scheduler.restore(JobId(1), Some(spec), &progress);
+    let task = harness.task(key(1, 0, 0));
+    assert_eq!((task.run(), task.failures()), (3, 1));
+    assert!(
+        task.has_failed_run(3),
+        "the last run counts as the failed one"
+    );
+}
+
+/// Regression test: the second failure arrived after the next run had been assigned, whose start was
+/// sent all the same.
+#[test]
+fn a_start_is_withdrawn_once_the_task_has_failed_too_often() {
+    let speculative = StepSpec {
+        speculative: true,
+        ..step(1)
+    };
+    let mut harness = SchedulerHarness::open(3);
+    harness.accept(1, vec![speculative]);
+    harness.settle();
+    let first = harness.confirm().remove(0);
+    harness.scheduler.renewal_failed(&first.worker, harness.now);
+    harness.settle();
+    let copy = harness.confirm().remove(0);
+    harness.end(&copy, TaskEnd::Failed);
+    harness.wait(20);
+    harness.step();
+    harness.end(&first, TaskEnd::Failed);
+    harness.settle();
+    assert_eq!(harness.starts, []);
+    let state = harness.scheduler.state(JobId(1));
+    assert_eq!(state, Some(JobState::Failed));
+}
+
+/// Regression test (MIXED, trouble-1 of bmca-foundry-large): a new owner assigned most of its backlog
+/// at once and counted these jobs as begun before their starts were stored.
+#[test]
+fn a_job_waits_until_the_start_of_one_of_its_tasks_is_confirmed() {
+    let mut harness = SchedulerHarness::open(1);
+    let waiting = |harness: &SchedulerHarness| {
+        let loads = harness.scheduler.loads();
+        loads.iter().map(|(_, load)| load.waiting).sum::<u32>()
+    };
+    for id in 1..=3 {
+        harness.accept(id, vec![step(1)]);
+    }
+    harness.wait(20);
+    harness.step();
+    assert_eq!(waiting(&harness), 3, "no run is stored yet");
+    harness.store();
+    assert_eq!(harness.starts.len(), 3);
+    assert_eq!(waiting(&harness), 3, "no start is confirmed yet");
+    harness.confirm();
+    assert_eq!(waiting(&harness), 0);
+}
+
 #[test]
 fn tasks_of_a_silent_worker_wait_until_its_lease_has_expired() {
     let mut harness = SchedulerHarness::open(2);
