Pace the owner's steps by their cost, and look at jobs and workers only when they change

Cause: at 540 workers the owner's processor binds, not the policy. Ruled out as first cause: sizes of pools.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -19,6 +19,7 @@
 //! | `admit` | admission control and the retry delay of refused jobs |
 //! | `append_pace` | repetition of appends to a store that may be slow |
 //! | `ownership` | candidacy of members for ownership of the pools |
+//! | `step_pace` | time between the owner's scheduling steps |
 
 mod admit;
 mod append_pace;
@@ -31,6 +32,7 @@
 mod resize;
 mod scheduler;
 mod spec;
+mod step_pace;
 mod task;
 mod vm_order;
 mod wave;
@@ -54,6 +56,7 @@
 pub use spec::{
     JobError, JobId, JobSpec, JobState, JobTerms, RepeatPlan, Resources, StepKey, StepSpec, TaskKey,
 };
+pub use step_pace::StepPace;
 pub use task::{
     AnyTask, Assigned, FailedRuns, Running, StartOrderState, Stopping, TaskEnd, TaskRun, Waiting,
 };
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -313,6 +313,8 @@
     /// stay in order.
     removal_in_flight: bool,
     workers: BTreeMap<WorkerId, Worker>,
+    /// Incremented when a worker is added or removed or its address changes.
+    worker_list_version: u64,
     durations: DurationTable,
     fleet: fleet::Fleet,
     waves: WaveTable,
@@ -338,6 +340,7 @@
             pending_removals: Vec::new(),
             removal_in_flight: false,
             workers: BTreeMap::new(),
+            worker_list_version: 0,
             durations: DurationTable::default(),
             fleet: fleet::Fleet::open(now),
             waves: WaveTable::default(),
@@ -403,6 +406,11 @@
         self.workers.get(id)
     }
 
+    /// Returns a number that differs after a worker was added or removed, or its address changed.
+    pub fn worker_list_version(&self) -> u64 {
+        self.worker_list_version
+    }
+
     /// Iterates over the known workers.
     pub fn workers(&self) -> impl Iterator<Item = &Worker> {
         self.workers.values()
--- a/crates/core/src/job/scheduler/fleet.rs
+++ b/crates/core/src/job/scheduler/fleet.rs
@@ -24,6 +24,9 @@
 /// Time after a takeover for which VMs are not moved and backlogs not estimated while worker
 /// reports are missing.
 const REPORT_TIMEOUT: ClockTime = ClockTime::from_millis(1_000);
+/// Part of the workers whose reports suffice, in percent: a rack that is cut off must not delay the
+/// moves of all other VMs.
+const REPORTED_PERCENT: usize = 95;
 /// Delay before an order on a VM is repeated after a refusal or without a reply.
 const ORDER_RETRY_DELAY: ClockTime = ClockTime::from_millis(600);
 
@@ -176,13 +179,15 @@
         self.resize_pools();
     }
 
-    /// Returns whether all workers have reported since the takeover or the time for that has
+    /// Returns whether nearly all workers have reported since the takeover or the time for that has
     /// passed.
     pub(super) fn have_workers_reported(&self) -> bool {
         let has_reported =
-            |worker: &Worker| worker.seen_at.is_some() || worker.missing_since.is_some();
-        let all_reported = !self.workers.is_empty() && self.workers.values().all(has_reported);
-        all_reported || self.now >= self.fleet.opened_at + REPORT_TIMEOUT
+            |worker: &&Worker| worker.seen_at.is_some() || worker.missing_since.is_some();
+        let known = self.workers.len();
+        let reported = self.workers.values().filter(has_reported).count();
+        let is_quorum = known > 0 && reported * 100 >= known * REPORTED_PERCENT;
+        is_quorum || self.now >= self.fleet.opened_at + REPORT_TIMEOUT
     }
 
     fn repeat_orders(&mut self) {
--- a/crates/core/src/job/scheduler/jobs.rs
+++ b/crates/core/src/job/scheduler/jobs.rs
@@ -72,6 +72,10 @@
     pub life: OpenLife,
     /// Terms currently in force.
     pub terms: JobTerms,
+    /// True if a task or the life cycle has changed since the job was last reviewed.
+    changed: bool,
+    /// True if some task could start when the job was last reviewed.
+    has_startable: bool,
     /// Worker to avoid for a task: it failed there, or a start order was left unanswered.
     pub(super) avoided_workers: SmallVec<[(TaskKey, WorkerId); 2]>,
 }
@@ -116,6 +120,7 @@
     }
 
     pub(super) fn task_mut(&mut self, key: &TaskKey) -> Option<&mut AnyTask> {
+        self.changed = true;
         let occurrence = self.occurrences.get_mut(key.occurrence as usize)?;
         let tasks = occurrence.steps.get_mut(usize::from(key.step))?;
         tasks.get_mut(usize::from(key.index))
@@ -203,6 +208,16 @@
         depths.into_iter().max().unwrap_or(0)
     }
 
+    /// Tasks of a repeated job become startable as time passes.
+    fn needs_review(&self) -> bool {
+        self.changed || self.spec.repeat.is_some()
+    }
+
+    /// Returns whether some task could start when the job was last reviewed.
+    pub(super) fn has_startable(&self) -> bool {
+        self.has_startable
+    }
+
     fn is_done(&self) -> bool {
         self.tasks()
             .all(|(_, task)| matches!(task, AnyTask::Done { .. }))
@@ -283,6 +298,7 @@
         };
         if job.life.goal().is_none() {
             job.life = job.life.end(JobState::Cancelled);
+            job.changed = true;
             self.outbox.mark_changed(id);
         }
     }
@@ -362,16 +378,23 @@
             occurrences: occurrences.collect(),
             life: OpenLife::Queued(JobLife::open()),
             terms,
+            changed: true,
+            has_startable: false,
             avoided_workers: SmallVec::new(),
             spec,
         }
     }
 
-    /// Ends jobs whose tasks are all done, and failed or cancelled jobs that have no runs left.
+    /// Reviews the jobs that have changed: ends those whose tasks are all done, and failed or
+    /// cancelled ones that have no runs left, and finds those with tasks that could start.
     pub(super) fn conclude_jobs(&mut self) {
         let now = self.now;
         let mut concluded: SmallVec<[(JobId, JobState); 8]> = SmallVec::new();
         for (id, job) in &mut self.jobs {
+            if !job.needs_review() {
+                continue;
+            }
+            job.changed = false;
             if job.life.goal().is_none() && job.has_failed() {
                 job.life = job.life.end(JobState::Failed);
                 self.outbox.mark_changed(*id);
@@ -384,6 +407,8 @@
             if let Some(state) = ended {
                 concluded.push((*id, state));
             }
+            let has_startable = job.startable(*id, now).next().is_some();
+            job.has_startable = has_startable;
         }
         for (id, state) in concluded {
             let Some(job) = self.jobs.get_mut(&id) else {
--- a/crates/core/src/job/scheduler/leases.rs
+++ b/crates/core/src/job/scheduler/leases.rs
@@ -99,6 +99,7 @@
         self.release_speculative();
         for id in gone {
             if let Some(worker) = self.workers.remove(&id) {
+                self.worker_list_version += 1;
                 if worker.expiry_stored {
                     self.outbox.push(BatchRecord::LeaseExpiry(id.clone(), None));
                 }
--- a/crates/core/src/job/scheduler/placing.rs
+++ b/crates/core/src/job/scheduler/placing.rs
@@ -67,7 +67,7 @@
         let now = self.now;
         let mut queues: BTreeMap<PoolName, Vec<QueuedJob>> = BTreeMap::new();
         for (id, job) in &self.jobs {
-            if job.startable(*id, now).next().is_none() {
+            if !job.has_startable() {
                 continue;
             }
             let mean = self.durations.mean(&job.spec.work);
--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -38,6 +38,7 @@
         let Some(worker) = self.workers.get_mut(&id) else {
             let pool = entry.pool.clone();
             let lease = self.unknown_lease();
+            self.worker_list_version += 1;
             self.workers
                 .insert(id.clone(), Worker::listed(id.clone(), entry, lease));
             self.log_worker_change(id, pool, WorkerChange::Listed);
@@ -46,6 +47,9 @@
         worker.missing_since = None;
         let starts_draining =
             entry.state == WorkerState::Draining && worker.entry.state == WorkerState::Ready;
+        if worker.entry.address != entry.address {
+            self.worker_list_version += 1;
+        }
         worker.entry = entry;
         let pool = worker.entry.pool.clone();
         if starts_draining {
--- a/crates/scheduler/src/owner/engine.rs
+++ b/crates/scheduler/src/owner/engine.rs
@@ -5,16 +5,17 @@
 use jacinthhoist_codec::{AcceptedRecord, JobReply, OwnerHeartbeat};
 use jacinthhoist_core::{
     ClockTime,
-    job::{JobCatalogue, JobId, Scheduler},
+    job::{JobCatalogue, JobId, Scheduler, StepPace},
 };
 use tokio::{
     sync::{mpsc, watch},
     task::JoinSet,
-    time::{MissedTickBehavior, interval},
+    time::{MissedTickBehavior, interval, sleep},
 };
 
 use crate::{
-    membership::PoolOwnership, operator::WaveRequests, ports::Platform, shared::MemberShared,
+    append::duration, membership::PoolOwnership, operator::WaveRequests, ports::Platform,
+    shared::MemberShared,
 };
 
 use super::{
@@ -26,10 +27,10 @@
     workers::{WorkerConnections, count_start_reply},
 };
 
-/// Maximum interval between scheduling steps; short compared with the shortest tasks.
+/// Interval of scheduling steps while no events arrive; short compared with the shortest tasks.
 const STEP_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum events applied before the next scheduling step.
-const MAX_STEP_EVENTS: usize = 256;
+const MAX_STEP_EVENTS: usize = 1_024;
 /// Interval between heartbeats to the other members.
 const HEARTBEAT_INTERVAL: ClockTime = ClockTime::from_millis(200);
 /// Interval between reads of the VM list while VM orders or a maintenance wave are in progress.
@@ -54,6 +55,7 @@
     ownership: watch::Receiver<PoolOwnership>,
     waves: watch::Receiver<WaveRequests>,
     catalogue: Arc<JobCatalogue>,
+    pace: StepPace,
     tail_read_at: ClockTime,
     heartbeat_at: ClockTime,
     vms_listed_at: ClockTime,
@@ -101,6 +103,7 @@
             ownership: owner.ownership.clone(),
             waves,
             catalogue: catalogue.ok_or("the catalogue is not known")?,
+            pace: StepPace::default(),
             tail_read_at: shared.clock.now(),
             heartbeat_at: ClockTime::ZERO,
             vms_listed_at: ClockTime::ZERO,
@@ -120,6 +123,14 @@
                 _ = ticks.tick() => {}
                 _ = self.events.recv_many(&mut events, MAX_STEP_EVENTS) => {}
             }
+            // Everything that arrives until then is part of the next step.
+            sleep(duration(self.pace.next_at() - self.shared.clock.now())).await;
+            while events.len() < MAX_STEP_EVENTS
+                && let Ok(event) = self.events.try_recv()
+            {
+                events.push(event);
+            }
+            let began_at = self.shared.clock.now();
             if let Some(reason) = self.end_reason() {
                 break reason;
             }
@@ -136,6 +147,7 @@
             }
             self.apply_operator_records();
             self.step();
+            self.pace.record(began_at, self.shared.clock.now());
         }
     }
 
--- a/crates/scheduler/src/owner/workers.rs
+++ b/crates/scheduler/src/owner/workers.rs
@@ -22,6 +22,8 @@
 const RENEWAL_WAIT: ClockTime = ClockTime::from_millis(500);
 /// Minimum interval between renewals, so that runs that end close together are reported by one.
 const MIN_RENEWAL_INTERVAL: ClockTime = ClockTime::from_millis(30);
+/// Interval between searches for due renewals.
+const RENEWAL_SEARCH_INTERVAL: ClockTime = ClockTime::from_millis(20);
 /// Interval between renewals of an idle worker.
 const IDLE_RENEWAL_INTERVAL: ClockTime = ClockTime::from_millis(3_000);
 /// Interval between renewals of a worker that does not answer.
@@ -53,6 +55,10 @@
     events: mpsc::UnboundedSender<OwnerEvent>,
     token: u64,
     connections: BTreeMap<WorkerId, WorkerConnection<P::Worker>>,
+    /// Version of the worker list that the connections reflect.
+    synced_version: Option<u64>,
+    /// Time of the last search for due renewals.
+    searched_at: ClockTime,
 }
 
 impl<P: Platform> WorkerConnections<P> {
@@ -68,12 +74,18 @@
             events,
             token,
             connections: BTreeMap::new(),
+            synced_version: None,
+            searched_at: ClockTime::ZERO,
         }
     }
 
     /// Opens connections to workers that are new or have a new address, and drops those of removed
     /// workers.
     pub(super) fn sync(&mut self, scheduler: &Scheduler) {
+        let version = Some(scheduler.worker_list_version());
+        if std::mem::replace(&mut self.synced_version, version) == version {
+            return;
+        }
         self.connections.retain(|id, connection| {
             let worker = scheduler.worker(id);
             worker.is_some_and(|worker| worker.entry.address == connection.address)
@@ -104,6 +116,10 @@
 
     /// Renews the leases that are due, and probes workers whose status settles an open order.
     pub(super) fn renew_due(&mut self, scheduler: &mut Scheduler, now: ClockTime) {
+        if now < self.searched_at + RENEWAL_SEARCH_INTERVAL {
+            return;
+        }
+        self.searched_at = now;
         for (id, connection) in &mut self.connections {
             let Some(worker) = scheduler.worker(id) else {
                 continue;
