--- a/crates/jacinthhoistd/src/schedule.rs
+++ b/crates/jacinthhoistd/src/schedule.rs
@@ -5,7 +5,7 @@
 
 use std::{
     net::SocketAddr,
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::ExitCode,
     sync::Arc,
     thread::JoinHandle,
@@ -39,8 +39,9 @@
 
 /// Runs the scheduler until a termination signal arrives.
 pub(crate) fn run(file: Option<PathBuf>, check: bool) -> ExitCode {
-    let settings = match open_settings(file) {
-        Ok(settings) => settings,
+    let opened = settings_path(file).and_then(|path| Ok((NodeSettings::open(&path)?, path)));
+    let (settings, path) = match opened {
+        Ok(opened) => opened,
         Err(error) => {
             eprintln!("jacinthhoistd: {error}");
             return ExitCode::from(EXIT_SETTINGS);
@@ -50,7 +51,7 @@
         println!("{}: the settings are valid", settings.node_name);
         return ExitCode::SUCCESS;
     }
-    match open_runtime().map(|runtime| runtime.block_on(serve(settings))) {
+    match open_runtime().map(|runtime| runtime.block_on(serve(settings, path))) {
         Ok(Ok(true)) => ExitCode::SUCCESS,
         Ok(Ok(false)) => ExitCode::from(EXIT_INTERRUPTED),
         Ok(Err(error)) | Err(error) => {
@@ -60,12 +61,11 @@
     }
 }
 
-fn open_settings(file: Option<PathBuf>) -> Result<NodeSettings, BoxedError> {
+fn settings_path(file: Option<PathBuf>) -> Result<PathBuf, BoxedError> {
     let path = file.or_else(|| std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from));
-    let path = path.ok_or(format!(
+    Ok(path.ok_or(format!(
         "no settings file: use --settings or set {SETTINGS_VARIABLE}"
-    ))?;
-    Ok(NodeSettings::open(&path)?)
+    ))?)
 }
 
 fn open_runtime() -> Result<Runtime, BoxedError> {
@@ -73,7 +73,7 @@
 }
 
 /// Serves until a termination signal arrives; returns true if no request was interrupted.
-async fn serve(settings: NodeSettings) -> Result<bool, BoxedError> {
+async fn serve(settings: NodeSettings, path: PathBuf) -> Result<bool, BoxedError> {
     let mut term = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
     let log = EventLog::open(&settings.node_name)?;
@@ -82,7 +82,7 @@
     let member =
         SchedulerMember::spawn(platform, settings.scheduler_settings(nonce), log.clone()).await?;
     let thread = CallerThread::spawn(member.callers(), &settings).await?;
-    wait_for_stop_signal(&mut term, &mut hangup, &log).await;
+    wait_for_stop_signal(&mut term, &mut hangup, &path, &log).await;
     let stopped_at = Instant::now();
     member.hand_over().await;
     sleep_until(stopped_at + SHUTDOWN_ACCEPT_PERIOD).await;
@@ -100,12 +100,12 @@
 ///
 /// On SIGHUP it only validates the settings file: the settings describe the location of the
 /// process, which does not change while it runs, so a changed file takes effect at the next start.
-async fn wait_for_stop_signal(term: &mut Signal, hangup: &mut Signal, log: &EventLog) {
+async fn wait_for_stop_signal(term: &mut Signal, hangup: &mut Signal, path: &Path, log: &EventLog) {
     loop {
         tokio::select! {
             _ = term.recv() => return,
             _ = hangup.recv() => {
-                let outcome = match open_settings(None) {
+                let outcome = match NodeSettings::open(path) {
                     Ok(_) => "read; holds from the next start".to_owned(),
                     Err(error) => error.to_string(),
                 };
--- a/crates/jacinthhoistd/tests/daemon.rs
+++ b/crates/jacinthhoistd/tests/daemon.rs
@@ -102,6 +102,68 @@
     panic!("the daemon did not log the callers' address");
 }
 
+/// Settings of a scheduler member whose store does not exist.
+const NODE_SETTINGS: &str = r#"
+node_name = "front-1"
+ip = "127.0.31.7"
+zone = "munster-a"
+port_range = [0, 0]
+[limits]
+[listen]
+front = "127.0.31.7:0"
+ready = "127.0.31.7:0"
+[bounds]
+hold_max_ms = 6000
+move_s = 1.5
+upkeep_s = 2
+status_s = 120
+grace_s = 6
+[platform]
+address = "127.0.31.7:9"
+ttl_min_ms = 1000
+[cloud_api]
+address = "127.0.31.7:9"
+"#;
+
+/// Regression test: on SIGHUP a scheduler that was started with `--settings` looked for its settings
+/// elsewhere. A malformed file is reported with its path, and the process goes on.
+#[test]
+fn a_malformed_settings_file_does_not_stop_a_running_scheduler() {
+    let path = write("node.toml", NODE_SETTINGS);
+    let mut child = Command::new(DAEMON)
+        .args(["schedule", "--settings"])
+        .arg(&path)
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let output = BufReader::new(child.stdout.take().unwrap());
+    let mut daemon = DaemonProcess(child);
+    let pid = daemon.0.id().to_string();
+    let send = |signal: &str| {
+        let sent = Command::new("kill").args([signal, &pid]).status();
+        assert!(sent.unwrap().success());
+    };
+    let mut lines = output.lines().map(Result::unwrap);
+    let mut next_line = |event: &str| {
+        let event = format!("\"event\":\"{event}\"");
+        let line = lines.find(|line| line.contains(&event));
+        line.expect("the daemon logs the event")
+    };
+    next_line("start");
+    for (text, expected) in [
+        ("node_name = 7", "node.toml"),
+        (NODE_SETTINGS, "holds from the next start"),
+    ] {
+        write("node.toml", text);
+        send("-HUP");
+        let line = next_line("reload");
+        assert!(line.contains(expected), "{line}");
+    }
+    assert!(daemon.0.try_wait().unwrap().is_none(), "it still runs");
+    send("-TERM");
+    assert_eq!(daemon.0.wait().unwrap().code(), Some(0));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn daemon_responds_and_shuts_down_cleanly_on_sigterm() {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
