Spread a wave over its period while the fleet is loaded, long-running tasks first

Change: Wave::paced_count, the VMs out of service at once that the period requires, over 60% of it; as before on an idle fleet, and for VMs that are off. A third of them is left to evacuations from the start, VMs with long-running tasks first. Tests: a_wave_over_a_loaded_fleet_is_spread_over_its_period, vms_with_long_running_tasks_are_evacuated_first.

--- a/crates/core/src/job/catalogue.rs
+++ b/crates/core/src/job/catalogue.rs
@@ -82,6 +82,12 @@
 }
 
 impl JobCatalogue {
+    /// Returns whether a pool is a spare pool.
+    pub fn is_spare(&self, pool: &PoolName) -> bool {
+        let pool = self.pools.iter().find(|known| known.name == *pool);
+        pool.is_some_and(|pool| pool.spare)
+    }
+
     /// Finds the kind of work for a host and path; also returns the path after the prefix.
     ///
     /// The longest matching prefix wins.
--- a/crates/core/src/job/scheduler/waves.rs
+++ b/crates/core/src/job/scheduler/waves.rs
@@ -19,8 +19,11 @@
 /// Longest time by which the VM list may lag behind an order. The platform's list lags by less than
 /// a second.
 const MAX_LIST_LAG: ClockTime = ClockTime::from_millis(1_500);
-/// Number of VMs evacuated beyond those that the cap allows now.
-const EVACUATE_AHEAD: usize = 1;
+/// Part of the VMs out of service that is left to evacuations, as one over this number. VMs with
+/// long-running tasks are slow to evacuate, so they cannot wait until all idle VMs are done.
+const EVACUATION_SHARE: usize = 3;
+/// Load of the fleet up to which it counts as idle, in percent: long-running tasks alone.
+const IDLE_LOAD_PERCENT: u64 = 15;
 /// Greatest age of a worker's report at which its tasks count as available: two renewals.
 const MAX_REPORT_AGE: ClockTime = ClockTime::from_millis(2_500);
 /// Progress of a task in full operation.
@@ -82,8 +85,17 @@
             self.complete_wave(number);
             return;
         }
-        let mut free_slots = cap.saturating_sub(self.count_in_maintenance(number));
-        let mut busy: Vec<(u64, VmName)> = Vec::new();
+        let paced = if self.is_fleet_idle() {
+            cap
+        } else {
+            wave.paced_count(remaining.len(), self.limits.maintenance_time, now)
+        };
+        let down = self.vms_in_maintenance(number);
+        let serving_down = down.iter().filter(|vm| !self.is_off(vm)).count();
+        let mut free_slots = cap.saturating_sub(down.len());
+        let mut out_of_service = serving_down + self.fleet.evacuating.len();
+        let max_for_idle = paced.saturating_sub(paced / EVACUATION_SHARE).max(1);
+        let mut busy: Vec<(bool, u64, VmName)> = Vec::new();
         for name in remaining {
             let Some(vm) = self.fleet.vms.get(&name) else {
                 continue;
@@ -96,19 +108,45 @@
             }
             let worker = vm.worker.as_ref().and_then(|id| self.workers.get(id));
             if worker.is_none_or(Worker::is_empty) {
-                if vm.state == VmState::Up && free_slots > 0 && self.fleet.may_order(&name, now) {
+                let is_off = self.is_off(&name);
+                // VMs that are off or evacuated carry no load that could suffer.
+                let paced = evacuating || is_off || out_of_service < max_for_idle;
+                let may_order = vm.state == VmState::Up && self.fleet.may_order(&name, now);
+                if may_order && paced && free_slots > 0 {
                     free_slots -= 1;
+                    out_of_service += usize::from(!evacuating && !is_off);
                     self.order_vm(&name, VmOrder::Maintain(number));
                 }
-            } else if let Some(worker) = worker {
-                busy.push((worker.used.cpu, name));
+            } else if let Some(worker) = worker
+                && !evacuating
+            {
+                busy.push((!self.has_long_running(worker), worker.used.cpu, name));
             }
         }
-        self.evacuate_vms(busy, free_slots + EVACUATE_AHEAD);
+        self.evacuate_vms(busy, paced.saturating_sub(out_of_service));
+    }
+
+    /// Returns whether the workers have so little work that a wave need not be spread over its
+    /// period.
+    fn is_fleet_idle(&self) -> bool {
+        let workers = self.workers.values();
+        // Workers under evacuation count as well: their tasks are load for the others.
+        let present = workers.filter(|worker| worker.missing_since.is_none());
+        let (used, capacity) = present.fold((0, 0), |(used, capacity), worker| {
+            let (own_used, own_capacity) = (worker.used.cpu, worker.entry.capacity.cpu);
+            (used + own_used, capacity + own_capacity)
+        });
+        used * 100 <= capacity * IDLE_LOAD_PERCENT
+    }
+
+    /// Returns whether a VM is powered off until another pool needs it.
+    fn is_off(&self, vm: &VmName) -> bool {
+        let vm = self.fleet.vms.get(vm);
+        vm.is_some_and(|vm| self.catalogue.is_spare(&vm.pool))
     }
 
-    /// Counts the VMs that are down for a wave, by order of this owner or an earlier one.
-    fn count_in_maintenance(&self, number: u64) -> usize {
+    /// Returns the VMs that are down for a wave, by order of this owner or an earlier one.
+    fn vms_in_maintenance(&self, number: u64) -> Vec<VmName> {
         let ordered = |vm: &VmName| {
             let pending = self.fleet.pending.get(vm);
             pending.is_some_and(|pending| *pending.order() == VmOrder::Maintain(number))
@@ -119,16 +157,19 @@
             let entry = self.fleet.vms.get(vm);
             entry.is_some_and(|entry| entry.state == VmState::InMaintenance)
         };
-        vms.filter(|vm| ordered(vm) || listed(vm)).count()
+        vms.filter(|vm| ordered(vm) || listed(vm))
+            .cloned()
+            .collect()
     }
 
-    /// Evacuates the least loaded VMs of a wave.
-    fn evacuate_vms(&mut self, mut busy: Vec<(u64, VmName)>, count: usize) {
+    /// Begins to evacuate `count` VMs of a wave, and continues with those that are being evacuated.
+    /// VMs with long-running tasks, which may leave only a few at a time, come first, then the least
+    /// loaded ones.
+    fn evacuate_vms(&mut self, mut busy: Vec<(bool, u64, VmName)>, count: usize) {
         busy.sort_unstable();
-        for (_, vm) in busy.into_iter().take(count) {
-            if self.fleet.evacuating.insert(vm.clone()) {
-                self.set_cordon(&vm, true);
-            }
+        for (_, _, vm) in busy.into_iter().take(count) {
+            self.set_cordon(&vm, true);
+            self.fleet.evacuating.insert(vm);
         }
         let evacuating: SmallVec<[VmName; 4]> = self.fleet.evacuating.iter().cloned().collect();
         for vm in evacuating {
@@ -138,6 +179,13 @@
         }
     }
 
+    fn has_long_running(&self, worker: &Worker) -> bool {
+        worker.tasks.keys().any(|key| {
+            let job = self.jobs.get(&key.job);
+            job.is_some_and(|job| job.step(key).long_running)
+        })
+    }
+
     /// Stops long-running tasks on a worker, as far as the availability limits of their steps
     /// allow, so that they restart elsewhere.
     fn stop_long_running(&mut self, id: &WorkerId) {
--- a/crates/core/src/job/wave.rs
+++ b/crates/core/src/job/wave.rs
@@ -1,4 +1,8 @@
 //! Progress of maintenance waves, which take the VMs of a fleet down a few at a time.
+//!
+//! Pattern: a wave over a large part of the fleet meets surges. As many VMs at once as the cap allows
+//! would take a fifth of the capacity out of service, and once more as many while they are
+//! evacuated; instead, the wave is spread over its period.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -6,6 +10,12 @@
 
 use crate::{clock::ClockTime, name::VmName};
 
+/// Part of the period of a wave over which its maintenance is spread, in percent; the rest is for VMs
+/// that are slow to evacuate.
+const PLANNED_PERIOD_PERCENT: u64 = 60;
+/// Expected time for which a busy VM is evacuated.
+const EVACUATION_TIME: ClockTime = ClockTime::from_millis(2_000);
+
 /// A maintenance wave as requested by operators.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WaveRequest {
@@ -48,6 +58,35 @@
         let vms = self.request.vms.iter();
         vms.filter(move |vm| !self.progress.begun.contains(*vm) && exists(vm))
     }
+
+    /// Number of VMs that are out of service at once, in evacuation or maintenance, so that the
+    /// `remaining` ones are done in time; at most the cap.
+    ///
+    /// ```
+    /// use jacinthhoist_core::{ClockTime, VmName, job::{WaveRequest, WaveTable}};
+    /// let ms = ClockTime::from_millis;
+    /// let mut table = WaveTable::default();
+    /// let vms = (0..180).map(|number| VmName::new(&format!("vm-{number}"))).collect();
+    /// let request = WaveRequest { number: 1, vms, within: ms(24_000), cap: 70 };
+    /// table.request(request, ms(0));
+    /// let wave = &table.waves[&1];
+    /// let maintenance_time = ms(2_000);
+    /// assert_eq!(wave.paced_count(180, maintenance_time, ms(0)), 50);
+    /// assert_eq!(wave.paced_count(100, maintenance_time, ms(18_000)), 70);
+    /// assert_eq!(wave.paced_count(1, maintenance_time, ms(30_000)), 1);
+    /// ```
+    pub fn paced_count(
+        &self,
+        remaining: usize,
+        maintenance_time: ClockTime,
+        now: ClockTime,
+    ) -> usize {
+        let reserve = self.request.within.as_millis() * (100 - PLANNED_PERIOD_PERCENT) / 100;
+        let time_left = (self.due - now).as_millis().saturating_sub(reserve);
+        let vm_time = (maintenance_time + EVACUATION_TIME).as_millis();
+        let needed = (remaining as u64 * vm_time).div_ceil(time_left.max(1));
+        (needed as usize).clamp(1, self.request.cap.max(1))
+    }
 }
 
 /// All known waves.
--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -1,10 +1,10 @@
 //! Fleet: pool sizes by demand, wave caps, availability limits of steps.
 
 use jacinthhoist_core::{
-    PoolName, VmName,
+    ClockTime, PoolName, VmName,
     job::{
-        Effect, IdleVm, OrderReply, PoolDemandView, RenewalReport, ResizeMove, TaskEnd, VmState,
-        WaveRequest, WorkerEntry, WorkerState, plan_resize,
+        Effect, IdleVm, OrderReply, PoolDemandView, RenewalReport, ResizeMove, StepSpec, TaskEnd,
+        VmState, WaveRequest, WorkerEntry, WorkerState, plan_resize,
     },
 };
 
@@ -318,6 +318,62 @@
     assert_eq!(harness.stops.len(), 1, "the first one is not back yet");
 }
 
+/// A wave over a large part of a fleet under load: the VMs out of service at once are as many as the
+/// period of the wave requires, not as many as its cap allows.
+#[test]
+fn a_wave_over_a_loaded_fleet_is_spread_over_its_period() {
+    // Seconds for the wave, and the VMs that may be out of service at its begin.
+    for (within, expected) in [(20, 7), (60, 2), (4, 8)] {
+        let mut harness = SchedulerHarness::open(16);
+        // Half of the capacity is in use.
+        harness.accept(1, vec![step(256)]);
+        harness.settle();
+        harness.confirm();
+        let request = WaveRequest {
+            within: ClockTime::from_secs(within),
+            ..wave(&(0..16).collect::<Vec<_>>(), 8)
+        };
+        harness.scheduler.request_wave(request, harness.now);
+        list_vms_after(&mut harness, &[VmState::Up; 16], 2_000);
+        let cordoned = harness.scheduler.workers().filter(|worker| worker.cordoned);
+        assert_eq!(cordoned.count(), expected, "{within} s");
+    }
+}
+
+/// VMs with long-running tasks, of which only a few may leave at a time, are slow to evacuate: they come
+/// first, or the wave would end late.
+#[test]
+fn vms_with_long_running_tasks_are_evacuated_first() {
+    let mut harness = SchedulerHarness::open(2);
+    harness.accept(1, vec![long_running_step(1, 1)]);
+    harness.settle();
+    let serving = harness.confirm().remove(0).worker;
+    // The other worker is less loaded, by one short task.
+    harness.accept(
+        2,
+        vec![StepSpec {
+            max_per_worker: 1,
+            ..step(2)
+        }],
+    );
+    harness.settle();
+    harness.confirm();
+    let request = WaveRequest {
+        within: ClockTime::from_secs(600),
+        ..wave(&[0, 1], 2)
+    };
+    harness.scheduler.request_wave(request, harness.now);
+    // Long-running tasks alone would leave the fleet idle; the load keeps the wave spread out.
+    harness.accept(3, vec![step(12)]);
+    harness.settle();
+    harness.confirm();
+    list_vms_after(&mut harness, &[VmState::Up; 2], 2_000);
+    let workers = harness.scheduler.workers();
+    let cordoned: Vec<_> = workers.filter(|worker| worker.cordoned).collect();
+    assert_eq!(cordoned.len(), 1);
+    assert_eq!(cordoned[0].id, serving);
+}
+
 #[test]
 fn a_busy_vm_is_evacuated_before_maintenance_and_gets_no_new_tasks() {
     let mut harness = SchedulerHarness::open(1);
