--- a/crates/core/src/job/scheduler/waves.rs
+++ b/crates/core/src/job/scheduler/waves.rs
@@ -29,6 +29,14 @@
 /// Progress of a task in full operation.
 const FULL_PERCENT: u8 = 100;
 
+/// VM of a wave with runs in progress; the smallest is evacuated first.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct BusyVm {
+    has_only_short_tasks: bool,
+    used_cpu: u64,
+    name: VmName,
+}
+
 impl Scheduler {
     /// Restores the stored progress of a wave.
     pub fn restore_wave(&mut self, number: u64, progress: WaveProgress) {
@@ -85,7 +93,7 @@
             self.complete_wave(number);
             return;
         }
-        let paced = if self.is_fleet_idle() {
+        let target = if self.is_fleet_idle() {
             cap
         } else {
             wave.paced_count(remaining.len(), self.limits.maintenance_time, now)
@@ -94,8 +102,8 @@
         let serving_down = down.iter().filter(|vm| !self.is_off(vm)).count();
         let mut free_slots = cap.saturating_sub(down.len());
         let mut out_of_service = serving_down + self.fleet.evacuating.len();
-        let max_for_idle = paced.saturating_sub(paced / EVACUATION_SHARE).max(1);
-        let mut busy: Vec<(bool, u64, VmName)> = Vec::new();
+        let max_for_idle = target.saturating_sub(target / EVACUATION_SHARE).max(1);
+        let mut busy: Vec<BusyVm> = Vec::new();
         for name in remaining {
             let Some(vm) = self.fleet.vms.get(&name) else {
                 continue;
@@ -110,9 +118,9 @@
             if worker.is_none_or(Worker::is_empty) {
                 let is_off = self.is_off(&name);
                 // VMs that are off or evacuated carry no load that could suffer.
-                let paced = evacuating || is_off || out_of_service < max_for_idle;
+                let is_due = evacuating || is_off || out_of_service < max_for_idle;
                 let may_order = vm.state == VmState::Up && self.fleet.may_order(&name, now);
-                if may_order && paced && free_slots > 0 {
+                if may_order && is_due && free_slots > 0 {
                     free_slots -= 1;
                     out_of_service += usize::from(!evacuating && !is_off);
                     self.order_vm(&name, VmOrder::Maintain(number));
@@ -120,10 +128,14 @@
             } else if let Some(worker) = worker
                 && !evacuating
             {
-                busy.push((!self.has_long_running(worker), worker.used.cpu, name));
+                busy.push(BusyVm {
+                    has_only_short_tasks: !self.has_long_running(worker),
+                    used_cpu: worker.used.cpu,
+                    name,
+                });
             }
         }
-        self.evacuate_vms(busy, paced.saturating_sub(out_of_service));
+        self.evacuate_vms(busy, target.saturating_sub(out_of_service));
     }
 
     /// Returns whether the workers have so little work that a wave need not be spread over its
@@ -165,11 +177,11 @@
     /// Begins to evacuate `count` VMs of a wave, and continues with those that are being evacuated.
     /// VMs with long-running tasks, which may leave only a few at a time, come first, then the least
     /// loaded ones.
-    fn evacuate_vms(&mut self, mut busy: Vec<(bool, u64, VmName)>, count: usize) {
+    fn evacuate_vms(&mut self, mut busy: Vec<BusyVm>, count: usize) {
         busy.sort_unstable();
-        for (_, _, vm) in busy.into_iter().take(count) {
-            self.set_cordon(&vm, true);
-            self.fleet.evacuating.insert(vm);
+        for vm in busy.into_iter().take(count) {
+            self.set_cordon(&vm.name, true);
+            self.fleet.evacuating.insert(vm.name);
         }
         let evacuating: SmallVec<[VmName; 4]> = self.fleet.evacuating.iter().cloned().collect();
         for vm in evacuating {
