--- a/crates/jacinthhoistd/tests/daemon.rs
+++ b/crates/jacinthhoistd/tests/daemon.rs
@@ -9,7 +9,7 @@
 
 use jacinthhoist_entry::EntrySettings;
 use jacinthhoist_experiments::WorkCaller;
-use jacinthhoist_fakes::{LogService, VmList};
+use jacinthhoist_fakes::{FakePlatform, LogService, VmList};
 
 const DAEMON: &str = env!("CARGO_BIN_EXE_jacinthhoistd");
 
@@ -102,34 +102,16 @@
     panic!("the daemon did not log the callers' address");
 }
 
-/// Settings of a scheduler member whose store does not exist.
-const NODE_SETTINGS: &str = r#"
-node_name = "front-1"
-ip = "127.0.31.7"
-zone = "munster-a"
-port_range = [0, 0]
-[limits]
-[listen]
-front = "127.0.31.7:0"
-ready = "127.0.31.7:0"
-[bounds]
-hold_max_ms = 6000
-move_s = 1.5
-upkeep_s = 2
-status_s = 120
-grace_s = 6
-[platform]
-address = "127.0.31.7:9"
-ttl_min_ms = 1000
-[cloud_api]
-address = "127.0.31.7:9"
-"#;
-
 /// Regression test: on SIGHUP a scheduler that was started with `--settings` looked for its settings
 /// elsewhere. A malformed file is reported with its path, and the process goes on.
-#[test]
-fn a_malformed_settings_file_does_not_stop_a_running_scheduler() {
-    let path = write("node.toml", NODE_SETTINGS);
+#[tokio::test(flavor = "multi_thread")]
+async fn a_malformed_settings_file_does_not_stop_a_running_scheduler() {
+    let platform = FakePlatform::spawn(&[], 0).await.unwrap();
+    let store = platform.store.address();
+    let settings = platform.settings("front-1", [0, 0, 0], store);
+    // The port of the metrics is fixed; another address keeps it free for other processes.
+    let settings = settings.replace("ip = \"127.0.0.1\"", "ip = \"127.0.31.7\"");
+    let path = write("node.toml", &settings);
     let mut child = Command::new(DAEMON)
         .args(["schedule", "--settings"])
         .arg(&path)
@@ -152,7 +134,7 @@
     next_line("start");
     for (text, expected) in [
         ("node_name = 7", "node.toml"),
-        (NODE_SETTINGS, "holds from the next start"),
+        (settings.as_str(), "holds from the next start"),
     ] {
         write("node.toml", text);
         send("-HUP");
