Send no order on a VM once the permission to send it has run out

A VM that the next owner has not ordered about knows only the old token, so it accepts it: it is moved from under the new owner's tasks. An owner that stopped left the group 60 ms after its last order, whether or not its pipe had ended. Ruled out: workers. They are asked by each new owner under its token before it decides anything about them, and starts are stored. Change: VmAuthority (token and SendExpiry on the clock that counts suspensions) goes with each order; the HTTP client compares it when the connection is ready, right before it sends. OrderReply::Expired is tried again like a refusal, if the member still owns the pools. A stopping owner waits for its pipe to end before it leaves the group, 500 ms at most, with a log line. Emulator: fault kind member_freeze (calls that a suspended member has decided on go out when it resumes); rule One also covers orders of an owner that was replaced over a second before, with a planted violation.

--- a/crates/core/src/job/scheduler/fleet.rs
+++ b/crates/core/src/job/scheduler/fleet.rs
@@ -147,7 +147,7 @@
             }
             // The order may have been carried out; it is repeated.
             OrderReply::Unknown => {}
-            OrderReply::Refused | OrderReply::Fenced => {
+            OrderReply::Refused | OrderReply::Expired | OrderReply::Fenced => {
                 self.fleet.pending.remove(vm);
                 self.fleet
                     .refused
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -132,6 +132,8 @@
     Fenced,
     /// The recipient refused the order.
     Refused,
+    /// The order was not sent, as the permission to send it had run out.
+    Expired,
     /// No reply; the order may have been carried out or may still be.
     Unknown,
 }
--- a/crates/emulator/src/check.rs
+++ b/crates/emulator/src/check.rs
@@ -17,6 +17,9 @@
 const DRAIN_GRACE: ClockTime = ClockTime::from_millis(2_000);
 /// Time after which a long-running task counts as available.
 const AVAILABLE_AFTER: ClockTime = ClockTime::from_millis(400);
+/// Time for which orders of a replaced owner are still executed: an owner's confirmation is valid
+/// for 900 ms, and an order is in transit for some more.
+const MAX_REPLACED_AGE: ClockTime = ClockTime::from_millis(1_000);
 /// Time before the end of the run; a job accepted within it need not be done.
 const COMPLETION_ALLOWANCE: ClockTime = ClockTime::from_millis(10_000);
 /// Time before the end of the run; a long-running task lost within it need not run again.
@@ -50,7 +53,7 @@
     Limit => "Workers stay within their capacity, and waves within their cap on VMs.",
     Mixed => "Reported states of jobs and waves match what happened.",
     Lost => "An accepted job stays known and is eventually done, unless it fails or is cancelled.",
-    One => "A VM accepts no order with an older fencing token than it has seen.",
+    One => "A VM executes no order with an older fencing token than it has seen, nor one of an owner that was replaced long ago.",
     Drain => "A draining worker gets no new tasks.",
     Avail => "Planned VM orders leave no more tasks of a step missing than it allows.",
 }
@@ -365,6 +368,10 @@
             findings.add(HistoryRule::One, order.at, detail);
         }
         *highest = order.token.max(*highest);
+        if order.replaced_for.is_some_and(|age| age > MAX_REPLACED_AGE) {
+            let detail = format!("{}: executed an order of a replaced owner", order.vm);
+            findings.add(HistoryRule::One, order.at, detail);
+        }
         check_availability(history, order_index, findings);
         let Some(wave) = order.wave else {
             continue;
--- a/crates/emulator/src/fault.rs
+++ b/crates/emulator/src/fault.rs
@@ -69,9 +69,10 @@
             FaultKind::MemberKill | FaultKind::MemberStop | FaultKind::MemberKillAll => {
                 self.stop_members(&fault).await;
             }
-            FaultKind::MemberCut | FaultKind::OwnerStoreCut | FaultKind::FollowersStoreCut => {
-                self.isolate_members(&fault, span).await;
-            }
+            FaultKind::MemberCut
+            | FaultKind::OwnerStoreCut
+            | FaultKind::FollowersStoreCut
+            | FaultKind::MemberFreeze => self.isolate_members(&fault, span).await,
             FaultKind::StoreDown => self.store_fault(StoreMode::Down, span).await,
             FaultKind::StoreSilent => self.store_fault(StoreMode::Silent, span).await,
             FaultKind::StoreSlow => self.store_fault(StoreMode::Slow, span).await,
@@ -84,7 +85,7 @@
                 state.worker_entries.compact();
                 state.operator_records.compact();
             }
-            FaultKind::StoreDeal => self.model.store.reassign_owner(),
+            FaultKind::StoreDeal => self.model.store.reassign_owner(self.model.clock.now()),
             FaultKind::WorkerCrash | FaultKind::WorkerGone | FaultKind::WorkerDrain => {
                 self.stop_workers(&fault, span).await;
             }
@@ -148,10 +149,10 @@
         let set = |cut: bool| {
             for index in &affected {
                 let member = Endpoint::Member(*index);
-                if fault.kind == FaultKind::MemberCut {
-                    network.set_isolated(member, cut);
-                } else {
-                    network.set_partitioned(member, Endpoint::Store, cut);
+                match fault.kind {
+                    FaultKind::MemberCut => network.set_isolated(member, cut),
+                    FaultKind::MemberFreeze => network.set_suspended(member, cut),
+                    _ => network.set_partitioned(member, Endpoint::Store, cut),
                 }
             }
         };
--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -182,8 +182,15 @@
             (pipe.clone(), slot.exit_signal.as_ref()?.subscribe())
         };
         let limit = Duration::from_millis(max_wait.as_millis());
+        let member = Endpoint::Member(index);
+        let answer = async {
+            self.model.network.until_resumed(&member).await;
+            let answer = pipe.answer(request).await;
+            self.model.network.until_resumed(&member).await;
+            answer
+        };
         tokio::select! {
-            answer = timeout(limit, pipe.answer(request)) => answer.ok(),
+            answer = timeout(limit, answer) => answer.ok(),
             _ = exit_signal.changed() => None,
         }
     }
--- a/crates/emulator/src/history.rs
+++ b/crates/emulator/src/history.rs
@@ -107,6 +107,8 @@
     pub available_at: ClockTime,
     /// Worker that the order ended.
     pub worker: Option<WorkerId>,
+    /// Time for which another member had owned the pools when the order was executed.
+    pub replaced_for: Option<ClockTime>,
 }
 
 /// Maintenance wave.
--- a/crates/emulator/src/network.rs
+++ b/crates/emulator/src/network.rs
@@ -24,8 +24,8 @@
 const LATENCY: Duration = Duration::from_millis(2);
 /// Buffer size of each direction of a link between members.
 const LINK_BUFFER_BYTES: usize = 64 * 1024;
-/// Interval at which a blocked link checks whether its partition has ended.
-const PARTITION_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Interval at which a blocked link or call checks whether its fault has ended.
+const FAULT_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time after which a connection attempt to an unreachable host fails.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -44,6 +44,8 @@
     isolated: BTreeSet<Endpoint>,
     /// Pairs of endpoints that cannot reach each other.
     partitioned: BTreeSet<(Endpoint, Endpoint)>,
+    /// Endpoints whose process is suspended.
+    suspended: BTreeSet<Endpoint>,
     /// Endpoints whose process has stopped.
     stopped: BTreeSet<Endpoint>,
     listeners: BTreeMap<SocketAddr, (usize, mpsc::UnboundedSender<DuplexStream>)>,
@@ -69,6 +71,22 @@
         }
     }
 
+    pub(crate) fn set_suspended(&self, endpoint: Endpoint, suspended: bool) {
+        let mut state = self.state();
+        if suspended {
+            state.suspended.insert(endpoint);
+        } else {
+            state.suspended.remove(&endpoint);
+        }
+    }
+
+    /// Waits until the process at an endpoint is not suspended.
+    pub(crate) async fn until_resumed(&self, endpoint: &Endpoint) {
+        while self.state().suspended.contains(endpoint) {
+            sleep(FAULT_POLL_INTERVAL).await;
+        }
+    }
+
     pub(crate) fn set_partitioned(&self, one: Endpoint, other: Endpoint, partitioned: bool) {
         let mut state = self.state();
         if partitioned {
@@ -84,6 +102,7 @@
         if stopped {
             if let Endpoint::Member(at) = endpoint {
                 state.listeners.retain(|_, (member, _)| *member != at);
+                state.suspended.remove(&endpoint);
             }
             state.stopped.insert(endpoint);
         } else {
@@ -105,7 +124,8 @@
     }
 
     /// Calls an endpoint. `serve` gives `None` if the endpoint does not answer; its effects remain
-    /// if the answer is lost.
+    /// if the answer is lost. A suspended caller sends the call, and receives its answer, once it
+    /// resumes.
     pub(crate) async fn call<T>(
         &self,
         name: &'static str,
@@ -117,6 +137,7 @@
         if self.state().stopped.contains(from) {
             return pending().await;
         }
+        self.until_resumed(from).await;
         let deadline = Instant::now() + timeout;
         let no_answer = || ErrorKind::NoAnswer {
             call: name,
@@ -143,6 +164,7 @@
             Err(_) => return Err(no_answer().into()),
         };
         sleep(LATENCY).await;
+        self.until_resumed(from).await;
         answer
     }
 }
@@ -222,7 +244,10 @@
     while let Ok(count @ 1..) = reader.read(&mut bytes).await {
         sleep(LATENCY).await;
         while !network.reaches(&endpoints[0], &endpoints[1]) {
-            sleep(PARTITION_POLL_INTERVAL).await;
+            sleep(FAULT_POLL_INTERVAL).await;
+        }
+        for endpoint in endpoints {
+            network.until_resumed(endpoint).await;
         }
         if writer.write_all(&bytes[..count]).await.is_err() {
             return;
--- a/crates/emulator/src/platform.rs
+++ b/crates/emulator/src/platform.rs
@@ -11,7 +11,7 @@
     Category, Result,
     ports::{
         AppendSequence, Membership, NewestPage, OperatorRecord, Platform, ReadPage, RenewalOrder,
-        StartOrder, StoreStream, WorkerLink, WorkerRecord,
+        StartOrder, StoreStream, VmAuthority, WorkerLink, WorkerRecord,
     },
 };
 use tokio::time::sleep;
@@ -201,12 +201,14 @@
             .await
     }
 
-    async fn move_vm(&self, vm: &VmName, to: &PoolName, token: u64) -> OrderReply {
-        self.order_vm(vm, VmCommand::Move(to.clone()), token).await
+    async fn move_vm(&self, vm: &VmName, to: &PoolName, authority: VmAuthority) -> OrderReply {
+        self.order_vm(vm, VmCommand::Move(to.clone()), authority)
+            .await
     }
 
-    async fn maintain_vm(&self, vm: &VmName, wave: u64, token: u64) -> OrderReply {
-        self.order_vm(vm, VmCommand::Maintain(wave), token).await
+    async fn maintain_vm(&self, vm: &VmName, wave: u64, authority: VmAuthority) -> OrderReply {
+        self.order_vm(vm, VmCommand::Maintain(wave), authority)
+            .await
     }
 
     fn worker(&self, id: &WorkerId, _address: &str) -> Result<EmulatedLink> {
@@ -219,9 +221,14 @@
 }
 
 impl EmulatedPlatform {
-    async fn order_vm(&self, vm: &VmName, order: VmCommand, token: u64) -> OrderReply {
-        let serve = async { Some(Ok(self.model.order_vm(vm, order, token))) };
+    async fn order_vm(&self, vm: &VmName, order: VmCommand, authority: VmAuthority) -> OrderReply {
+        let token = authority.token;
+        let serve = async { Some(Ok(self.model.order_vm(vm, order, token, &self.member))) };
         let network = &self.model.network;
+        network.until_resumed(&self.member).await;
+        if authority.expiry.has_passed() {
+            return OrderReply::Expired;
+        }
         let (name, to) = ("order on a VM", Endpoint::VmService);
         let answer = network.call(name, &self.member, &to, CALL_TIMEOUT, serve);
         answer.await.unwrap_or(OrderReply::Unknown)
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -187,6 +187,7 @@
     Wave => "An operator requests maintenance of some VMs.",
     StoreDeaf => "Waiting reads of the store return no new records.",
     FollowersStoreCut => "Members that do not own the pools are partitioned from the store.",
+    MemberFreeze => "Members are suspended, the owner first: calls that they have decided on go out when they resume.",
 }
 
 impl EmulationScenario {
--- a/crates/emulator/src/store.rs
+++ b/crates/emulator/src/store.rs
@@ -18,6 +18,8 @@
     time::{Instant, sleep, sleep_until, timeout_at},
 };
 
+use crate::network::Endpoint;
+
 /// Time after which a member that does not renew its membership is removed from the group.
 const MEMBER_TTL: ClockTime = ClockTime::from_millis(1_000);
 /// Maximum number of records on a page of newest records.
@@ -120,6 +122,8 @@
     members: BTreeMap<String, ClockTime>,
     owner: Option<String>,
     generation: u64,
+    /// Time at which the pools were assigned to the last owner.
+    owned_since: ClockTime,
     /// Member keys of the successive owners of the pools.
     owners: Vec<String>,
 }
@@ -345,7 +349,7 @@
         let deadline = now + MEMBER_TTL;
         let group = &mut state.group;
         if group.members.insert(member.to_owned(), deadline).is_none() {
-            state.assign_owner();
+            state.assign_owner(now);
         }
         let group = &state.group;
         Membership {
@@ -358,7 +362,7 @@
         let mut state = self.state();
         state.expire(now);
         if state.group.members.remove(member).is_some() {
-            state.assign_owner();
+            state.assign_owner(now);
         }
     }
 
@@ -374,8 +378,17 @@
     }
 
     /// Assigns the pools to a random member without a change of membership.
-    pub(crate) fn reassign_owner(&self) {
-        self.state().assign_owner();
+    pub(crate) fn reassign_owner(&self, now: ClockTime) {
+        self.state().assign_owner(now);
+    }
+
+    /// Returns how long the pools have belonged to a member other than the given one.
+    pub(crate) fn replaced_for(&self, member: &Endpoint, now: ClockTime) -> Option<ClockTime> {
+        let state = self.state();
+        let owner = state.group.owner.as_ref()?;
+        let is_other = !matches!(member, Endpoint::Member(index)
+            if owner.starts_with(&format!("entry-{index}|")));
+        is_other.then(|| now - state.group.owned_since)
     }
 }
 
@@ -385,13 +398,13 @@
         let before = self.group.members.len();
         self.group.members.retain(|_, deadline| *deadline > now);
         if self.group.members.len() < before {
-            self.assign_owner();
+            self.assign_owner(now);
         }
     }
 
     /// Assigns the pools to a random member in a new generation; any change of the group may move
     /// them.
-    fn assign_owner(&mut self) {
+    fn assign_owner(&mut self, now: ClockTime) {
         let group = &mut self.group;
         group.generation += 1;
         let count = group.members.len();
@@ -404,6 +417,7 @@
             && group.owners.last() != Some(owner)
         {
             group.owners.push(owner.clone());
+            group.owned_since = now;
         }
     }
 }
--- a/crates/emulator/src/vm.rs
+++ b/crates/emulator/src/vm.rs
@@ -11,6 +11,7 @@
 use crate::{
     history::VmOrderHistory,
     model::{PlatformModel, SPARE_POOL},
+    network::Endpoint,
 };
 
 /// Time that a VM takes to join another pool.
@@ -73,6 +74,7 @@
         name: &VmName,
         order: VmCommand,
         token: u64,
+        member: &Endpoint,
     ) -> OrderReply {
         let now = self.clock.now();
         let mut state = self.state();
@@ -111,6 +113,7 @@
             wave,
             available_at: now + duration,
             worker: worker.clone(),
+            replaced_for: self.store.replaced_for(member, now),
         });
         if let Some(id) = worker {
             self.end_worker(&mut state, &id, now);
--- a/crates/emulator/tests/days.rs
+++ b/crates/emulator/tests/days.rs
@@ -8,6 +8,22 @@
 
 const FOUNDRY_SCENARIO: &str = include_str!("../examples/days/foundry.toml");
 
+/// Two pools of four workers that surge in turn, so that VMs move between them.
+const TURNS_SCENARIO: &str = r#"
+    secs = 8
+    workers = 4
+    [[loads]]
+    pool = "mould"
+    per_sec = 3.0
+    turn_secs = 2
+    task_ms = 400
+    [[loads]]
+    pool = "quotes"
+    per_sec = 3.0
+    turn_secs = 2
+    task_ms = 400
+"#;
+
 /// Number of fault kinds that existed when the regression seeds were recorded; later kinds come
 /// after them, so that the seeds still draw the same faults.
 const FIRST_KIND_COUNT: usize = 21;
@@ -194,3 +210,36 @@
         assert_eq!(outcome.history.owners.len(), 2, "seed {seed}");
     }
 }
+
+/// A suspended owner may have decided on an order for a VM that it sends only once it resumes, when
+/// another member owns the pools. The VM accepts it unless the new owner has already ordered it
+/// about.
+#[test]
+fn a_resumed_owner_sends_no_orders_on_vms() {
+    let freeze = |at: f64, for_s: f64| {
+        format!("[[faults]]\nat = {at}\nkind = \"member_freeze\"\nfor_s = {for_s}\n")
+    };
+    let stop = "[[faults]]\nat = 2.2\nkind = \"member_stop\"\n";
+    let table = [
+        // Orders went out late with each of these seeds.
+        (freeze(2.05, 2.5), 38..=38),
+        (freeze(2.2, 2.5), 32..=32),
+        (freeze(2.3, 2.5), 32..=32),
+        // Suspended for less and for more than the store waits, and twice.
+        (freeze(2.0, 0.7), 1..=4),
+        (freeze(2.0, 1.1), 1..=4),
+        (freeze(2.1, 2.5) + &freeze(6.2, 4.0), 1..=8),
+        // Suspended between its last order and its leave.
+        (stop.to_owned() + &freeze(2.23, 1.5), 1..=4),
+        (stop.to_owned() + &freeze(2.27, 4.0), 1..=4),
+    ];
+    for (faults, seeds) in table {
+        let text = format!("{TURNS_SCENARIO}{faults}");
+        let scenario = EmulationScenario::parse(&text).expect("the scenario is valid");
+        for seed in seeds {
+            let outcome = run_scenario(&scenario, seed);
+            assert_eq!(check(&outcome.history), [], "seed {seed} of {faults}");
+            assert!(outcome.history.vm_orders.len() > 3, "seed {seed}");
+        }
+    }
+}
--- a/crates/emulator/tests/rules.rs
+++ b/crates/emulator/tests/rules.rs
@@ -147,3 +147,14 @@
         );
     }
 }
+
+#[test]
+fn an_order_of_a_replaced_owner_is_found() {
+    let mut history = valid_history();
+    let order = &mut history.vm_orders[0];
+    order.replaced_for = Some(ms(1_000));
+    assert_eq!(check(&history), []);
+    history.vm_orders[0].replaced_for = Some(ms(1_001));
+    let rules: Vec<_> = check(&history).iter().map(|found| found.rule).collect();
+    assert_eq!(rules, [HistoryRule::One]);
+}
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -14,7 +14,10 @@
 use snafu::ResultExt;
 use tokio::{net::TcpStream, time::timeout};
 
-use crate::error::{ConnectSnafu, ExchangeSnafu, RequestSnafu, Result, TimeoutSnafu};
+use crate::{
+    clock::SendExpiry,
+    error::{ConnectSnafu, ExchangeSnafu, ExpiredSnafu, RequestSnafu, Result, TimeoutSnafu},
+};
 
 /// Timeout for opening a connection: several times the round-trip time within a region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -26,6 +29,7 @@
     path: String,
     headers: Vec<(HeaderName, HeaderValue)>,
     body: Bytes,
+    expiry: Option<SendExpiry>,
 }
 
 impl HttpRequest {
@@ -36,9 +40,17 @@
             path: path.into(),
             headers: Vec::new(),
             body,
+            expiry: None,
         }
     }
 
+    /// Sets a time after which the request is not sent any more, as when a connection could not be
+    /// opened or the process was suspended until then.
+    pub fn expires(mut self, expiry: SendExpiry) -> Self {
+        self.expiry = Some(expiry);
+        self
+    }
+
     /// Adds a header.
     pub fn header(mut self, name: HeaderName, value: HeaderValue) -> Self {
         self.headers.push((name, value));
@@ -85,13 +97,13 @@
     ///
     /// The category of the error tells whether the request may have had an effect.
     pub async fn send(&mut self, request: HttpRequest, limit: Duration) -> Result<HttpResponse> {
-        let address = self.address;
+        let (address, expiry) = (self.address, request.expiry);
         let request = self.build_request(request)?;
         let sender = match self.sender.take() {
             Some(sender) if !sender.is_closed() => sender,
             _ => connect_with_timeout(address).await?,
         };
-        let Ok(result) = timeout(limit, exchange(address, sender, request)).await else {
+        let Ok(result) = timeout(limit, exchange(address, sender, request, expiry)).await else {
             return TimeoutSnafu { address }.fail().map_err(Into::into);
         };
         let (sender, response) = result?;
@@ -123,8 +135,12 @@
     address: SocketAddr,
     mut sender: http1::SendRequest<Full<Bytes>>,
     request: Request<Full<Bytes>>,
+    expiry: Option<SendExpiry>,
 ) -> Result<(http1::SendRequest<Full<Bytes>>, HttpResponse)> {
     sender.ready().await.context(ExchangeSnafu { address })?;
+    if expiry.is_some_and(|expiry| expiry.has_passed()) {
+        return ExpiredSnafu { address }.fail().map_err(Into::into);
+    }
     let response = sender
         .send_request(request)
         .await
--- a/crates/net/src/clock.rs
+++ b/crates/net/src/clock.rs
@@ -118,6 +118,33 @@
     }
 }
 
+/// Time after which a request must not be sent any more.
+///
+/// ```
+/// use jacinthhoist_core::ClockTime;
+/// use jacinthhoist_net::{BootClock, SendExpiry};
+/// let clock = BootClock::start();
+/// assert!(SendExpiry::new(clock, clock.now()).has_passed());
+/// assert!(!SendExpiry::new(clock, clock.now() + ClockTime::from_secs(60)).has_passed());
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct SendExpiry {
+    clock: BootClock,
+    at: ClockTime,
+}
+
+impl SendExpiry {
+    /// Creates the expiry at a time of the given clock.
+    pub fn new(clock: BootClock, at: ClockTime) -> Self {
+        Self { clock, at }
+    }
+
+    /// Returns whether the time has been reached; a suspension of the machine counts.
+    pub fn has_passed(&self) -> bool {
+        self.clock.now() >= self.at
+    }
+}
+
 fn wall_clock_time() -> ClockTime {
     let wall = SystemTime::now().duration_since(UNIX_EPOCH);
     ClockTime::from_millis(wall.unwrap_or_default().as_millis() as u64)
--- a/crates/net/src/error.rs
+++ b/crates/net/src/error.rs
@@ -16,6 +16,7 @@
     /// Category of the error: tells whether the request may have had an effect.
     pub fn category(&self) -> Category {
         match *self.0 {
+            ErrorKind::Expired { .. } => Category::Expired,
             ErrorKind::Connect { .. } | ErrorKind::Request { .. } => Category::NotSent,
             ErrorKind::Exchange { .. } | ErrorKind::Timeout { .. } => Category::Unknown,
         }
@@ -27,6 +28,8 @@
 pub enum Category {
     /// The request was not sent.
     NotSent,
+    /// The request was not sent, as its expiry had passed.
+    Expired,
     /// The request may have been executed, or may still be.
     Unknown,
 }
@@ -53,6 +56,12 @@
         /// Error message of the library.
         message: String,
     },
+    /// The expiry of the request passed before it could be sent.
+    #[snafu(display("{address}: request expired before it was sent: decide on it anew"))]
+    Expired {
+        /// Address of the server.
+        address: SocketAddr,
+    },
     /// The connection failed after the request was passed to it.
     #[snafu(display(
         "{address}: connection lost ({source}): retry the request if it is idempotent"
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -19,5 +19,5 @@
 mod error;
 
 pub use client::{ClientPool, HttpClient, HttpRequest, HttpResponse, connect};
-pub use clock::{BootClock, RunClock};
+pub use clock::{BootClock, RunClock, SendExpiry};
 pub use error::{Category, Error, ErrorKind, Result};
--- a/crates/scheduler/src/membership.rs
+++ b/crates/scheduler/src/membership.rs
@@ -25,6 +25,10 @@
 const JOIN_INTERVAL: Duration = Duration::from_millis(80);
 /// Time that a stopping owner allows for responses to its last orders.
 const HANDOVER_DELAY: Duration = Duration::from_millis(60);
+/// Longest wait of a stopping owner for its pipe to end; calls in progress are dropped with it.
+const PIPE_END_TIMEOUT: Duration = Duration::from_millis(500);
+/// Interval between checks of the pipe.
+const PIPE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Timeout for leaving the group.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -62,6 +66,15 @@
         shared.followers.designate_successor();
         ownership.send_modify(|ownership| ownership.owned_since = None);
         sleep(HANDOVER_DELAY).await;
+        let pipe_ended = async {
+            while shared.owner_inbox.load().is_some() {
+                wait_change(shared, PIPE_CHECK_INTERVAL).await;
+            }
+        };
+        if timeout(PIPE_END_TIMEOUT, pipe_ended).await.is_err() {
+            event!(shared.log, Ownership, "owns": false,
+                "outcome": "leaves the group before its owner pipe has ended");
+        }
     }
     let member = shared.identity.member_key();
     let outcome = match timeout(LEAVE_TIMEOUT, platform.leave(&member)).await {
--- a/crates/scheduler/src/owner/effects.rs
+++ b/crates/scheduler/src/owner/effects.rs
@@ -7,13 +7,14 @@
     ClockTime, VmName, WorkerId,
     job::{Batch, Effect, JobId, OrderReply, StepKey, refusal_delay},
 };
+use jacinthhoist_net::SendExpiry;
 use tokio::{sync::mpsc, task::JoinSet, time::sleep};
 
 use crate::{
     append::{StoreAppend, duration},
     dependency::Dependency,
     eventlog::event,
-    ports::{AppendSequence, Platform, StartOrder, StoreStream},
+    ports::{AppendSequence, Platform, StartOrder, StoreStream, VmAuthority},
     shared::MemberShared,
 };
 
@@ -35,6 +36,8 @@
     shared: Arc<MemberShared>,
     events: mpsc::UnboundedSender<OwnerEvent>,
     token: u64,
+    /// Time after which no order on a VM may be sent without another confirmation of the ownership.
+    owned_until: ClockTime,
     seq: u64,
     removal_seq: u64,
     /// Aborted when the engine is dropped.
@@ -53,12 +56,25 @@
             shared,
             events,
             token,
+            owned_until: ClockTime::ZERO,
             seq: 0,
             removal_seq: 0,
             calls: JoinSet::new(),
         }
     }
 
+    /// Sets the time until which the last confirmation of the ownership is valid.
+    pub(super) fn set_owned_until(&mut self, owned_until: ClockTime) {
+        self.owned_until = owned_until;
+    }
+
+    fn vm_authority(&self) -> VmAuthority {
+        VmAuthority {
+            token: self.token,
+            expiry: SendExpiry::new(self.shared.clock, self.owned_until),
+        }
+    }
+
     pub(super) fn run(&mut self, effect: Effect, workers: &WorkerConnections<P>) {
         while self.calls.try_join_next().is_some() {}
         match effect {
@@ -86,19 +102,19 @@
             Effect::Stop { worker, task, run } => workers.stop(worker, task, run),
             Effect::RemoveBodies(jobs) => self.remove_bodies(jobs),
             Effect::Move { vm, to } => {
-                let (platform, token) = (self.platform.clone(), self.token);
+                let (platform, authority) = (self.platform.clone(), self.vm_authority());
                 let name = vm.clone();
                 let order = format!("move to {to}");
                 self.order_vm(vm, order, async move {
-                    platform.move_vm(&name, &to, token).await
+                    platform.move_vm(&name, &to, authority).await
                 });
             }
             Effect::Maintain { vm, wave } => {
-                let (platform, token) = (self.platform.clone(), self.token);
+                let (platform, authority) = (self.platform.clone(), self.vm_authority());
                 let name = vm.clone();
                 let order = format!("maintenance of wave {wave}");
                 self.order_vm(vm, order, async move {
-                    platform.maintain_vm(&name, wave, token).await
+                    platform.maintain_vm(&name, wave, authority).await
                 });
             }
             Effect::WaveStatus { wave, completed } => self.write_wave(wave, completed),
--- a/crates/scheduler/src/owner/engine.rs
+++ b/crates/scheduler/src/owner/engine.rs
@@ -180,8 +180,9 @@
     fn step(&mut self) {
         let now = self.shared.clock.now();
         let confirmed_at = self.ownership.borrow().confirmed_at;
-        self.scheduler
-            .set_ownership_confirmed(now < confirmed_at + MAX_OWNERSHIP_AGE);
+        let owned_until = confirmed_at + MAX_OWNERSHIP_AGE;
+        self.scheduler.set_ownership_confirmed(now < owned_until);
+        self.effect_runner.set_owned_until(owned_until);
         let effects = self.scheduler.step(now);
         let elapsed = self.shared.clock.now() - now;
         let meter = &self.shared.meter;
--- a/crates/scheduler/src/ports.rs
+++ b/crates/scheduler/src/ports.rs
@@ -11,6 +11,7 @@
     },
 };
 
+use jacinthhoist_net::SendExpiry;
 use tokio::io::{AsyncRead, AsyncWrite};
 
 use crate::error::Result;
@@ -219,7 +220,7 @@
         &self,
         vm: &VmName,
         to: &PoolName,
-        token: u64,
+        authority: VmAuthority,
     ) -> impl Future<Output = OrderReply> + Send;
 
     /// Begins the maintenance of a VM.
@@ -227,7 +228,7 @@
         &self,
         vm: &VmName,
         wave: u64,
-        token: u64,
+        authority: VmAuthority,
     ) -> impl Future<Output = OrderReply> + Send;
 
     /// Returns a connection to a worker.
@@ -238,6 +239,16 @@
     fn worker(&self, id: &WorkerId, address: &str) -> Result<Self::Worker>;
 }
 
+/// Permission of an owner to order VMs about.
+#[derive(Clone, Copy, Debug)]
+pub struct VmAuthority {
+    /// Fencing token. A VM that the next owner has not ordered about accepts it still.
+    pub token: u64,
+    /// Time after which the group may have assigned the pools to another member, so that the order
+    /// must not be sent any more.
+    pub expiry: SendExpiry,
+}
+
 /// Byte stream between two members.
 pub trait PeerStream: AsyncRead + AsyncWrite + Unpin + Send + 'static {}
 
