Release VMs that fail or leave during their evacuation, and let a present queue come before expected demand

Traced by the times of the last maintenance orders, all at once when the load ended: VMs that were replaced or failed during their evacuation stayed in the set of VMs under evacuation and counted as out of service for good; near the end of a wave the pace allows no more than its remaining VMs, so none was left to begin. Likewise, a worker that replaced another one on a VM under evacuation was not cordoned, so that its VM never became empty. Ruled out: availability limits of long-running tasks (no such run ended late), refused orders. Change: evacuations are reviewed at each plan: VMs that are not up leave the set, current workers are cordoned. A log line (wave, outcome evacuating) names VM, worker and its runs. Also: moves of VMs serve pools with startable tasks before pools that only expect work (later steps, arrivals). Log: parts of the demand. Tests: vms_that_leave_during_their_evacuation_do_not_hold_up_a_wave, a_new_worker_on_a_vm_under_evacuation_gets_no_further_tasks failed before; a_queue_comes_before_demand_that_is_only_expected is new with the choice.

--- a/crates/core/src/job/resize.rs
+++ b/crates/core/src/job/resize.rs
@@ -1,7 +1,9 @@
 //! Reassignment of VMs between pools.
 //!
-//! The queues of different pools surge at different times. A pool whose arrivals and backlog exceed
-//! its capacity first takes idle VMs from pools with low demand, then VMs from the spare pool,
+//! The queues of different pools surge at different times. While a surge of one pool ends, its
+//! expected demand still covers more VMs than its tasks use, and another pool has a queue already:
+//! tasks that could start now come before those that are expected. A pool whose arrivals and backlog
+//! exceed its capacity first takes idle VMs from pools with low demand, then VMs from the spare pool,
 //! which are powered off. After the surge, VMs above the pool's base size go at once to pools below
 //! theirs, which may surge next, and to the spare pool once they have been idle for some time.
 
@@ -33,8 +35,10 @@
     pub pool: PoolName,
     /// True for the spare pool, whose VMs are powered off.
     pub spare: bool,
-    /// Demand of its work, in thousandths of a core.
+    /// Expected demand of its work, in thousandths of a core.
     pub demand: u64,
+    /// Part of the demand that is present: tasks that run, and those that could start now.
+    pub present_demand: u64,
     /// Work that has not started, in thousandths of a core-millisecond.
     pub waiting: u64,
     /// Demand of long-running tasks, in thousandths of a core.
@@ -49,24 +53,41 @@
     pub idle: Vec<IdleVm>,
 }
 
+/// Reason for a move.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum MoveReason {
+    /// Tasks wait in another pool. The pool retains what its own present demand needs.
+    PresentDemand,
+    /// Another pool expects more work, or is below its base size.
+    ExpectedDemand,
+    /// The VM is not needed anywhere.
+    LongIdle,
+}
+
 impl PoolDemandView {
-    fn shortage(&self) -> u64 {
-        self.demand.saturating_sub(self.capacity)
+    fn demand_for(&self, reason: MoveReason) -> u64 {
+        match reason {
+            MoveReason::PresentDemand => self.present_demand,
+            MoveReason::ExpectedDemand | MoveReason::LongIdle => self.demand,
+        }
+    }
+
+    fn shortage(&self, reason: MoveReason) -> u64 {
+        self.demand_for(reason).saturating_sub(self.capacity)
     }
 
-    /// Index of a VM that the pool can release. With `for_surge`, another pool needs the VM now and
-    /// it need not be long idle.
-    fn releasable(&self, for_surge: bool) -> Option<usize> {
+    /// Index of a VM that the pool can release.
+    fn releasable(&self, reason: MoveReason) -> Option<usize> {
         self.idle.iter().rposition(|vm| {
-            let retained = self.demand * RETAINED_PERCENT / 100 + HEADROOM_VMS * vm.cpu;
+            let retained = self.demand_for(reason) * RETAINED_PERCENT / 100 + HEADROOM_VMS * vm.cpu;
             let enough = self.capacity >= vm.cpu + retained;
-            self.spare || (enough && (for_surge || vm.long_idle))
+            self.spare || (enough && (reason != MoveReason::LongIdle || vm.long_idle))
         })
     }
 
     /// Removes a VM that the pool can release.
-    fn release(&mut self, for_surge: bool) -> Option<IdleVm> {
-        let index = self.releasable(for_surge)?;
+    fn release(&mut self, reason: MoveReason) -> Option<IdleVm> {
+        let index = self.releasable(reason)?;
         let vm = self.idle.remove(index);
         self.capacity = self.capacity.saturating_sub(vm.cpu);
         self.vms = self.vms.saturating_sub(1);
@@ -94,7 +115,9 @@
 pub fn plan_resize(mut pools: Vec<PoolDemandView>, max_moves: usize) -> SmallVec<[ResizeMove; 4]> {
     let mut moves = SmallVec::new();
     while moves.len() < max_moves {
-        let next = grow(&mut pools).or_else(|| restore(&mut pools));
+        let next = grow(&mut pools, MoveReason::PresentDemand)
+            .or_else(|| grow(&mut pools, MoveReason::ExpectedDemand))
+            .or_else(|| restore(&mut pools));
         let Some(next) = next.or_else(|| shrink(&mut pools)) else {
             break;
         };
@@ -104,52 +127,53 @@
 }
 
 /// Moves one VM to the pool with the largest shortage of capacity.
-fn grow(pools: &mut [PoolDemandView]) -> Option<ResizeMove> {
+fn grow(pools: &mut [PoolDemandView], reason: MoveReason) -> Option<ResizeMove> {
     let active = pools.iter().enumerate().filter(|(_, pool)| !pool.spare);
-    let (to, neediest) = active.max_by_key(|(_, pool)| pool.shortage())?;
+    let (to, neediest) = active.max_by_key(|(_, pool)| pool.shortage(reason))?;
     let smallest = pools
         .iter()
         .flat_map(|pool| &pool.idle)
         .map(|vm| vm.cpu)
         .min()?;
     // A shortage of less than half a VM is over before another VM arrives.
-    if neediest.shortage() < smallest / 2 {
+    if neediest.shortage(reason) < smallest / 2 {
         return None;
     }
-    let donor = largest_donor(pools, to).or_else(|| pools.iter().position(|pool| pool.spare))?;
-    transfer(pools, donor, to, true)
+    let donor = largest_donor(pools, to, reason);
+    let donor = donor.or_else(|| pools.iter().position(|pool| pool.spare))?;
+    transfer(pools, donor, to, reason)
 }
 
 /// The pool other than `to` with the most surplus capacity among those that can release a VM.
-fn largest_donor(pools: &[PoolDemandView], to: usize) -> Option<usize> {
-    let can_release = |pool: &PoolDemandView| !pool.spare && pool.releasable(true).is_some();
+fn largest_donor(pools: &[PoolDemandView], to: usize, reason: MoveReason) -> Option<usize> {
+    let can_release = |pool: &PoolDemandView| !pool.spare && pool.releasable(reason).is_some();
     let donors = pools.iter().enumerate();
     donors
         .filter(|(index, pool)| *index != to && can_release(pool))
-        .max_by_key(|(_, pool)| pool.capacity.saturating_sub(pool.demand))
+        .max_by_key(|(_, pool)| pool.capacity.saturating_sub(pool.demand_for(reason)))
         .map(|(index, _)| index)
 }
 
 /// Moves one VM from a pool above its base size to the pool furthest below its own.
 fn restore(pools: &mut [PoolDemandView]) -> Option<ResizeMove> {
-    let from = above_base_size(pools, true)?;
+    let from = above_base_size(pools, MoveReason::ExpectedDemand)?;
     let below = pools.iter().enumerate();
     let below = below.filter(|(_, pool)| !pool.spare && pool.vms < pool.base_size);
     let (to, _) = below.min_by_key(|(_, pool)| pool.vms * FULL_PERCENT / pool.base_size)?;
-    transfer(pools, from, to, true)
+    transfer(pools, from, to, MoveReason::ExpectedDemand)
 }
 
 /// Moves one long-idle VM from a pool above its base size to the spare pool.
 fn shrink(pools: &mut [PoolDemandView]) -> Option<ResizeMove> {
-    let from = above_base_size(pools, false)?;
+    let from = above_base_size(pools, MoveReason::LongIdle)?;
     let to = pools.iter().position(|pool| pool.spare)?;
-    transfer(pools, from, to, false)
+    transfer(pools, from, to, MoveReason::LongIdle)
 }
 
 /// A pool above its base size that can release a VM.
-fn above_base_size(pools: &[PoolDemandView], for_surge: bool) -> Option<usize> {
+fn above_base_size(pools: &[PoolDemandView], reason: MoveReason) -> Option<usize> {
     let can_release = |pool: &PoolDemandView| {
-        !pool.spare && pool.vms > pool.base_size && pool.releasable(for_surge).is_some()
+        !pool.spare && pool.vms > pool.base_size && pool.releasable(reason).is_some()
     };
     pools.iter().position(can_release)
 }
@@ -158,9 +182,9 @@
     pools: &mut [PoolDemandView],
     from: usize,
     to: usize,
-    for_surge: bool,
+    reason: MoveReason,
 ) -> Option<ResizeMove> {
-    let vm = pools[from].release(for_surge)?;
+    let vm = pools[from].release(reason)?;
     pools[to].add(&vm);
     Some(ResizeMove {
         vm: vm.vm,
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -219,6 +219,19 @@
         /// New state.
         change: WorkerChange,
     },
+    /// The evacuation of a VM for a maintenance wave has begun.
+    EvacuationBegun {
+        /// VM to maintain.
+        vm: VmName,
+        /// Number of the wave.
+        wave: u64,
+        /// Worker that gets no further tasks.
+        worker: Option<WorkerId>,
+        /// Runs that are in progress on it.
+        runs: usize,
+        /// Runs among them that last until they are stopped.
+        long_running: usize,
+    },
     /// A VM was ordered to move to another pool.
     VmReassigned {
         /// VM to move.
--- a/crates/core/src/job/scheduler/demand.rs
+++ b/crates/core/src/job/scheduler/demand.rs
@@ -68,10 +68,22 @@
     timely_waiting: u64,
     /// CPU needed to run all tasks of that part at once, in thousandths of a core.
     timely_waiting_cpu: u64,
+    /// Work of the tasks among them that could start now, in thousandths of core-milliseconds.
+    startable: u64,
+    /// CPU needed to run all of those at once, in thousandths of a core.
+    startable_cpu: u64,
     /// CPU of long-running tasks, in thousandths of a core.
     long_running: u64,
 }
 
+impl PoolLoad {
+    /// CPU of the tasks that run, and of those that could start now, in thousandths of a core.
+    fn present_demand(&self) -> u64 {
+        let backlog = self.startable_cpu.min(self.startable / BACKLOG_TARGET_MS);
+        self.running + self.long_running + backlog
+    }
+}
+
 /// Load of a pool, for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PoolSummary {
@@ -83,6 +95,10 @@
     pub used: Resources,
     /// CPU demand behind moves of VMs, in thousandths of a core.
     pub demand: u64,
+    /// Part of the demand that follows from arriving work, in thousandths of a core.
+    pub arriving: u64,
+    /// CPU of the finite tasks that run, in thousandths of a core.
+    pub running: u64,
     /// Jobs with tasks that could start now.
     pub queued: usize,
     /// Queued jobs that are not expected to meet their objective.
@@ -94,6 +110,7 @@
     pub fn pool_summaries(&self) -> Vec<PoolSummary> {
         let queues = self.pool_queues();
         let views = self.demand_views().into_iter();
+        let loads = self.pool_loads();
         let summary = |view: PoolDemandView| {
             let queue = queues.get(&view.pool).map_or(&[][..], Vec::as_slice);
             let workers = self.workers.values();
@@ -108,6 +125,8 @@
                 capacity,
                 used,
                 demand: view.demand,
+                arriving: self.arriving_cpu(&view.pool),
+                running: loads.get(&view.pool).map_or(0, |load| load.running),
                 queued: queue.len(),
                 infeasible: infeasible.count(),
                 pool: view.pool,
@@ -145,6 +164,7 @@
                 pool: pool.name.clone(),
                 spare: pool.spare,
                 demand: self.demand(&pool.name, &load),
+                present_demand: load.present_demand(),
                 waiting: load.waiting,
                 long_running: load.long_running,
                 capacity: 0,
@@ -199,18 +219,22 @@
     /// worked off faster. Work that is late in any case waits for what the pool has left: VMs that
     /// were moved for it would be missing where work can still be done in time.
     fn demand(&self, pool: &PoolName, load: &PoolLoad) -> u64 {
-        let arriving = self.fleet.arrivals.get(pool);
-        let rate = arriving.map_or(0, |rate| rate.cpu(self.now));
         let backlog = load
             .timely_waiting_cpu
             .min(load.timely_waiting / BACKLOG_TARGET_MS);
-        rate.max(load.running) + load.long_running + backlog
+        self.arriving_cpu(pool).max(load.running) + load.long_running + backlog
+    }
+
+    /// Returns the CPU demand of the work that arrives for a pool, in thousandths of a core.
+    fn arriving_cpu(&self, pool: &PoolName) -> u64 {
+        let arriving = self.fleet.arrivals.get(pool);
+        arriving.map_or(0, |rate| rate.cpu(self.now))
     }
 
     /// Sums up the work of each pool.
     fn pool_loads(&self) -> BTreeMap<&PoolName, PoolLoad> {
         let mut pools: BTreeMap<&PoolName, PoolLoad> = BTreeMap::new();
-        for job in self.jobs.values() {
+        for (id, job) in &self.jobs {
             let load = pools.entry(&job.terms.pool).or_default();
             if job.spec.is_long_running() {
                 if job.life.goal().is_none() {
@@ -237,6 +261,13 @@
                     }
                 }
             }
+            if !infeasible && job.has_startable() {
+                for key in job.startable(*id, self.now) {
+                    let cpu = job.step(&key).charged().cpu;
+                    load.startable += cpu * mean.as_millis();
+                    load.startable_cpu += cpu;
+                }
+            }
         }
         pools
     }
--- a/crates/core/src/job/scheduler/waves.rs
+++ b/crates/core/src/job/scheduler/waves.rs
@@ -14,7 +14,7 @@
     name::{VmName, WorkerId},
 };
 
-use super::{BatchRecord, Effect, Job, Scheduler, VmState};
+use super::{BatchRecord, Effect, Job, Scheduler, SchedulerDecision, VmState};
 
 /// Longest time by which the VM list may lag behind an order. The platform's list lags by less than
 /// a second.
@@ -67,6 +67,7 @@
     }
 
     pub(super) fn advance_waves(&mut self) {
+        self.review_evacuations();
         let open = self.waves.waves.iter();
         let open = open.filter(|(_, wave)| !wave.progress.completed);
         let numbers: SmallVec<[u64; 2]> = open.map(|(number, _)| *number).collect();
@@ -129,13 +130,13 @@
                 && !evacuating
             {
                 busy.push(BusyVm {
-                    has_only_short_tasks: !self.has_long_running(worker),
+                    has_only_short_tasks: self.count_long_running(worker) == 0,
                     used_cpu: worker.used.cpu,
                     name,
                 });
             }
         }
-        self.evacuate_vms(busy, target.saturating_sub(out_of_service));
+        self.evacuate_vms(number, busy, target.saturating_sub(out_of_service));
     }
 
     /// Returns whether the workers have so little work that a wave need not be spread over its
@@ -177,10 +178,11 @@
     /// Begins to evacuate `count` VMs of a wave, and continues with those that are being evacuated.
     /// VMs with long-running tasks, which may leave only a few at a time, come first, then the least
     /// loaded ones.
-    fn evacuate_vms(&mut self, mut busy: Vec<BusyVm>, count: usize) {
+    fn evacuate_vms(&mut self, wave: u64, mut busy: Vec<BusyVm>, count: usize) {
         busy.sort_unstable();
         for vm in busy.into_iter().take(count) {
             self.set_cordon(&vm.name, true);
+            self.log_evacuation(&vm.name, wave);
             self.fleet.evacuating.insert(vm.name);
         }
         let evacuating: SmallVec<[VmName; 4]> = self.fleet.evacuating.iter().cloned().collect();
@@ -191,11 +193,39 @@
         }
     }
 
-    fn has_long_running(&self, worker: &Worker) -> bool {
-        worker.tasks.keys().any(|key| {
+    /// Ends the evacuation of VMs that have failed or left, and keeps tasks off workers that have
+    /// been replaced since it began.
+    fn review_evacuations(&mut self) {
+        for vm in std::mem::take(&mut self.fleet.evacuating) {
+            let entry = self.fleet.vms.get(&vm);
+            let is_up = entry.is_some_and(|entry| entry.state == VmState::Up);
+            self.set_cordon(&vm, is_up);
+            if is_up {
+                self.fleet.evacuating.insert(vm);
+            }
+        }
+    }
+
+    fn log_evacuation(&mut self, vm: &VmName, wave: u64) {
+        let worker = self.fleet.current_worker(vm);
+        let worker = worker.and_then(|id| self.workers.get(id));
+        let decision = SchedulerDecision::EvacuationBegun {
+            vm: vm.clone(),
+            wave,
+            worker: worker.map(|worker| worker.id.clone()),
+            runs: worker.map_or(0, |worker| worker.tasks.len()),
+            long_running: worker.map_or(0, |worker| self.count_long_running(worker)),
+        };
+        self.log_decision(decision);
+    }
+
+    /// Counts the runs of a worker that last until they are stopped.
+    fn count_long_running(&self, worker: &Worker) -> usize {
+        let is_long_running = |key: &&TaskKey| {
             let job = self.jobs.get(&key.job);
             job.is_some_and(|job| job.step(key).long_running)
-        })
+        };
+        worker.tasks.keys().filter(is_long_running).count()
     }
 
     /// Stops long-running tasks on a worker, as far as the availability limits of their steps
--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -1,7 +1,7 @@
 //! Fleet: pool sizes by demand, wave caps, availability limits of steps.
 
 use jacinthhoist_core::{
-    ClockTime, PoolName, VmName,
+    ClockTime, PoolName, VmName, WorkerId,
     job::{
         Effect, IdleVm, OrderReply, PoolDemandView, RenewalReport, ResizeMove, StepSpec, TaskEnd,
         VmState, WaveRequest, WorkerEntry, WorkerState, plan_resize,
@@ -25,6 +25,7 @@
         pool: PoolName::new(pool),
         spare: pool == "spare",
         demand,
+        present_demand: demand,
         waiting: 0,
         long_running: 0,
         capacity: 32_000 * vms as u64,
@@ -62,6 +63,29 @@
     assert!(moves.iter().all(|next| next.to.as_str() == "rising"));
 }
 
+/// Surges in turn: while one ends, its pool expects more work than is present, such as the later
+/// steps of its jobs. A pool with a queue takes what it does not use now; a pool that only expects
+/// more work does not.
+#[test]
+fn a_queue_comes_before_demand_that_is_only_expected() {
+    let ending = || {
+        let idle_vms = (0..4).map(|number| idle(&format!("e-{number}"), false));
+        PoolDemandView {
+            present_demand: 96_000,
+            ..view("ending", 256_000, 8, idle_vms.collect())
+        }
+    };
+    let rising = |present_demand| PoolDemandView {
+        present_demand,
+        ..view("rising", 160_000, 1, Vec::new())
+    };
+    for (present_demand, expected) in [(160_000, 3), (32_000, 0)] {
+        let moves = plan_resize(vec![ending(), rising(present_demand)], MAX_MOVES);
+        assert_eq!(moves.len(), expected, "{present_demand}");
+        assert!(moves.iter().all(|next| next.to.as_str() == "rising"));
+    }
+}
+
 /// Surges in all pools at once: VMs of the spare pool are used.
 #[test]
 fn spare_vms_are_used_when_no_other_pool_has_idle_ones() {
@@ -154,6 +178,13 @@
     orders.collect()
 }
 
+/// Workers that get no tasks.
+fn cordoned(harness: &SchedulerHarness) -> Vec<WorkerId> {
+    let workers = harness.scheduler.workers();
+    let cordoned = workers.filter(|worker| worker.cordoned);
+    cordoned.map(|worker| worker.id.clone()).collect()
+}
+
 /// Lists the VMs of pool `mould` in the given states after a delay.
 fn list_vms_after(harness: &mut SchedulerHarness, states: &[VmState], delay_ms: u64) {
     harness.wait(delay_ms);
@@ -340,6 +371,78 @@
     }
 }
 
+/// Regression test (scale-2 of bmca-foundry-large): VMs that were replaced or failed during their
+/// evacuation counted as out of service for good, so that the last VMs of a wave waited until the
+/// fleet was idle, past its end.
+#[test]
+fn vms_that_leave_during_their_evacuation_do_not_hold_up_a_wave() {
+    for left in [None, Some(VmState::Down)] {
+        let mut harness = SchedulerHarness::open(16);
+        // All workers are in use.
+        harness.accept(1, vec![step(512)]);
+        harness.settle();
+        harness.confirm();
+        let request = WaveRequest {
+            within: ClockTime::from_secs(90),
+            ..wave(&(0..16).collect::<Vec<_>>(), 8)
+        };
+        harness.scheduler.request_wave(request, harness.now);
+        list_vms_after(&mut harness, &[VmState::Up; 16], 2_000);
+        let evacuating = cordoned(&harness);
+        assert_eq!(evacuating.len(), 2);
+        let listed = (0..16).filter_map(|number| {
+            let state = match evacuating.contains(&worker(number)) {
+                true => left?,
+                false => VmState::Up,
+            };
+            Some(vm(number, "mould", state))
+        });
+        harness.wait(600);
+        let (listed, now) = (listed.collect(), harness.now);
+        harness.scheduler.vms_listed(listed, now, now);
+        harness.step();
+        let others = cordoned(&harness);
+        let others = others.iter().filter(|id| !evacuating.contains(id));
+        assert_eq!(others.count(), 2, "{left:?}");
+    }
+}
+
+/// A worker that replaces another one on a VM under evacuation gets tasks until the VM list names it,
+/// and none after that.
+#[test]
+fn a_new_worker_on_a_vm_under_evacuation_gets_no_further_tasks() {
+    let mut harness = SchedulerHarness::open(2);
+    harness.accept(1, vec![step(200)]);
+    harness.settle();
+    harness.confirm();
+    let request = WaveRequest {
+        within: ClockTime::from_secs(600),
+        ..wave(&[0, 1], 1)
+    };
+    harness.scheduler.request_wave(request, harness.now);
+    list_vms_after(&mut harness, &[VmState::Up; 2], 2_000);
+    let evacuating = cordoned(&harness).remove(0);
+    let restarted = worker(7);
+    harness
+        .scheduler
+        .worker_listed(restarted.clone(), entry("mould"), harness.now);
+    harness.report(7, RenewalReport::default());
+    harness.settle();
+    harness.confirm();
+    let listed = (0..2).map(|number| {
+        let mut listed = vm(number, "mould", VmState::Up);
+        if listed.worker.as_ref() == Some(&evacuating) {
+            listed.worker = Some(restarted.clone());
+        }
+        listed
+    });
+    let (listed, now) = (listed.collect(), harness.now);
+    harness.scheduler.vms_listed(listed, now, now);
+    harness.wait(150);
+    harness.step();
+    assert!(cordoned(&harness).contains(&restarted));
+}
+
 /// VMs with long-running tasks, of which only a few may leave at a time, are slow to evacuate: they come
 /// first, or the wave would end late.
 #[test]
--- a/crates/scheduler/src/owner/decisions.rs
+++ b/crates/scheduler/src/owner/decisions.rs
@@ -21,11 +21,14 @@
         capacity,
         used,
         demand,
+        arriving,
+        running,
         queued,
         infeasible,
     } = summary;
     let fields = json!({"pool": pool.as_str(), "cpu": capacity.cpu, "cpu_used": used.cpu,
         "mem_mb": capacity.mem_mb, "mem_mb_used": used.mem_mb, "demand_cpu": demand,
+        "arriving_cpu": arriving, "running_cpu": running,
         "queued": queued, "infeasible": infeasible});
     log.write(EventKind::Pool, fields);
 }
@@ -115,6 +118,18 @@
             EventKind::Worker,
             json!({"worker": worker.as_str(), "pool": pool.as_str(), "now": format!("{change:?}")}),
         ),
+        SchedulerDecision::EvacuationBegun {
+            vm,
+            wave,
+            worker,
+            runs,
+            long_running,
+        } => (
+            EventKind::Wave,
+            json!({"vm": vm.as_str(), "wave": wave, "outcome": "evacuating",
+                "worker": worker.as_ref().map(|id| id.as_str()), "runs": runs,
+                "long_running": long_running}),
+        ),
         SchedulerDecision::VmReassigned {
             vm,
             from,
