Move long runs with checkpoints off VMs that are evacuated for a wave

Traced with the runs that keep a VM under evacuation: single finite tasks that run for 15 to 30 s, at 40 to 90 percent, most with checkpoints. An evacuation waited for them, though they can resume elsewhere; only long-running tasks and tasks on draining workers were moved. Ruled out: cordons (all held), runs without an owner, silent workers. Change: an evacuation stops a run with checkpoints, not of a gang, if its expected rest by its progress is over two seconds. Tasks without checkpoints still hold up their VMs: stopping them would cut off their callers. Test: an_evacuation_moves_long_runs_with_checkpoints (its first row cannot hold before: nothing stopped such a run; not run there).

--- a/crates/core/src/job/scheduler/waves.rs
+++ b/crates/core/src/job/scheduler/waves.rs
@@ -24,6 +24,9 @@
 const EVACUATION_SHARE: usize = 3;
 /// Load of the fleet up to which it counts as idle, in percent: long-running tasks alone.
 const IDLE_LOAD_PERCENT: u64 = 15;
+/// Expected rest of a run up to which an evacuation waits for its end: several times what the start
+/// from a checkpoint costs.
+const MAX_RUN_WAIT: ClockTime = ClockTime::from_millis(2_000);
 /// Greatest age of a worker's report at which its tasks count as available: two renewals.
 const MAX_REPORT_AGE: ClockTime = ClockTime::from_millis(2_500);
 /// Progress of a task in full operation.
@@ -188,7 +191,7 @@
         let evacuating: SmallVec<[VmName; 4]> = self.fleet.evacuating.iter().cloned().collect();
         for vm in evacuating {
             if let Some(id) = self.fleet.current_worker(&vm).cloned() {
-                self.stop_long_running(&id);
+                self.move_runs(&id);
             }
         }
     }
@@ -228,9 +231,10 @@
         worker.tasks.keys().filter(is_long_running).count()
     }
 
-    /// Stops long-running tasks on a worker, as far as the availability limits of their steps
-    /// allow, so that they restart elsewhere.
-    fn stop_long_running(&mut self, id: &WorkerId) {
+    /// Stops runs on a worker that would hold up its evacuation, so that they resume elsewhere:
+    /// long-running tasks, as far as the availability limits of their steps allow, and tasks with
+    /// checkpoints that are not about to end.
+    fn move_runs(&mut self, id: &WorkerId) {
         let Some(worker) = self.workers.get(id) else {
             return;
         };
@@ -238,9 +242,18 @@
             let Some(job) = self.jobs.get(&key.job) else {
                 continue;
             };
+            let Some(AnyTask::Running(task)) = job.task(&key) else {
+                continue;
+            };
             let step = job.step(&key);
-            let running = matches!(job.task(&key), Some(AnyTask::Running(_)));
-            if running && step.long_running && self.can_stop_one(job, &key) {
+            let should_move = if step.long_running {
+                self.can_stop_one(job, &key)
+            } else {
+                let remaining = task.expected_remaining();
+                let is_long = remaining.is_some_and(|remaining| remaining > MAX_RUN_WAIT);
+                step.checkpoints && !step.gang && is_long
+            };
+            if should_move {
                 self.stop_task(id, key, run);
             }
         }
--- a/crates/core/src/job/task.rs
+++ b/crates/core/src/job/task.rs
@@ -11,6 +11,8 @@
 
 use crate::{clock::ClockTime, name::WorkerId};
 
+/// Progress of a run that is complete, or in full operation.
+const FULL_PERCENT: u8 = 100;
 /// Failed runs of a task that are remembered by number; only long-running tasks may fail more often.
 const MAX_REMEMBERED_FAILURES: usize = 16;
 
@@ -223,6 +225,25 @@
 }
 
 impl TaskRun<Running> {
+    /// Expected time until the run ends, from its progress so far; `None` before the first progress.
+    ///
+    /// ```
+    /// use jacinthhoist_core::{ClockTime, WorkerId, job::TaskRun};
+    /// let ms = ClockTime::from_millis;
+    /// let assigned = TaskRun::new().assign(WorkerId::new("i-1"), ms(0));
+    /// let mut running = assigned.confirm(ms(100));
+    /// assert_eq!(running.expected_remaining(), None);
+    /// (running.phase.percent, running.phase.progressed_at) = (25, ms(2_100));
+    /// assert_eq!(running.expected_remaining(), Some(ms(6_000)));
+    /// ```
+    pub fn expected_remaining(&self) -> Option<ClockTime> {
+        let phase = &self.phase;
+        let elapsed = (phase.progressed_at - phase.since).as_millis();
+        let left = u64::from(FULL_PERCENT.saturating_sub(phase.percent));
+        let remaining = (elapsed * left).checked_div(u64::from(phase.percent))?;
+        Some(ClockTime::from_millis(remaining))
+    }
+
     /// Records that the run has been ordered to stop.
     pub fn stop(self, now: ClockTime) -> TaskRun<Stopping> {
         let worker = self.phase.worker.clone();
--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -477,6 +477,38 @@
     assert_eq!(cordoned[0].id, serving);
 }
 
+/// Regression test (trouble-2 of ldaaa-hoist-grown): VMs with tasks that ran for up to 30 s were
+/// evacuated for as long, past the end of their wave, though the tasks had checkpoints.
+#[test]
+fn an_evacuation_moves_long_runs_with_checkpoints() {
+    // Checkpoints, member of a gang, progress in percent after four seconds, and whether it moves.
+    let table = [
+        (true, false, 20, true),
+        (true, false, 90, false),
+        (true, true, 20, false),
+        (false, false, 20, false),
+    ];
+    for (checkpoints, gang, percent, expected) in table {
+        let mut harness = SchedulerHarness::open(1);
+        let step = StepSpec {
+            checkpoints,
+            gang,
+            ..step(1)
+        };
+        harness.accept(1, vec![step]);
+        harness.settle();
+        let starts = harness.confirm();
+        harness.wait(2_000);
+        harness.report_all(&starts, 1, percent / 2);
+        harness.wait(2_000);
+        harness.report_all(&starts, 1, percent);
+        harness.scheduler.request_wave(wave(&[0], 1), harness.now);
+        list_vms_after(&mut harness, &[VmState::Up], 100);
+        let stopped = harness.stops.iter().any(|stop| stop.task == starts[0].task);
+        assert_eq!(stopped, expected, "{checkpoints} {gang} {percent}");
+    }
+}
+
 #[test]
 fn a_busy_vm_is_evacuated_before_maintenance_and_gets_no_new_tasks() {
     let mut harness = SchedulerHarness::open(1);
