Begin the last VMs of a wave while others are in maintenance

Cause: the VMs out of service at once were limited to the number that remained, and those whose maintenance had begun counted against it: the last VMs of a wave waited for them, one after the other, and were moved about meanwhile. Change: Wave::paced_count is limited by the cap alone; past the planned period all that remain are evacuated at once. The runnable example expects 7 and 70 for one VM late in its period instead of 1: it had the limit that was wrong.

--- a/crates/core/src/job/wave.rs
+++ b/crates/core/src/job/wave.rs
@@ -60,7 +60,8 @@
     }
 
     /// Number of VMs that are out of service at once, in evacuation or maintenance, so that the
-    /// `remaining` ones are done in time; at most the cap.
+    /// `remaining` ones are done in time; at most the cap. It may exceed `remaining`, as VMs whose
+    /// maintenance has begun are out of service, too.
     ///
     /// ```
     /// use jacinthhoist_core::{ClockTime, VmName, job::{WaveRequest, WaveTable}};
@@ -73,7 +74,8 @@
     /// let maintenance_time = ms(2_000);
     /// assert_eq!(wave.paced_count(120, maintenance_time, ms(0)), 50);
     /// assert_eq!(wave.paced_count(100, maintenance_time, ms(12_000)), 70);
-    /// assert_eq!(wave.paced_count(1, maintenance_time, ms(30_000)), 1);
+    /// assert_eq!(wave.paced_count(1, maintenance_time, ms(9_000)), 7);
+    /// assert_eq!(wave.paced_count(1, maintenance_time, ms(30_000)), 70);
     /// ```
     pub fn paced_count(
         &self,
@@ -85,9 +87,7 @@
         let time_left = (self.due - now).as_millis().saturating_sub(reserve);
         let vm_time = (maintenance_time + EVACUATION_TIME).as_millis();
         let needed = (remaining as u64 * vm_time).div_ceil(time_left.max(1));
-        (needed as usize)
-            .min(remaining)
-            .clamp(1, self.request.cap.max(1))
+        (needed as usize).clamp(1, self.request.cap.max(1))
     }
 }
 
--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -407,6 +407,37 @@
     }
 }
 
+/// Regression test (quiet-1 of ldaaa-hoist-grown): the last VMs of a wave waited for those whose
+/// maintenance had begun, one after the other, past its end.
+#[test]
+fn the_last_vms_of_a_wave_do_not_wait_for_those_in_maintenance() {
+    let mut harness = SchedulerHarness::open(4);
+    harness.accept(1, vec![step(32)]);
+    harness.settle();
+    let busy = harness.confirm().remove(0).worker;
+    harness
+        .scheduler
+        .request_wave(wave(&[0, 1, 2, 3], 4), harness.now);
+    let states = |busy_state, other_state| {
+        [0, 1, 2, 3].map(|number| match worker(number) == busy {
+            true => busy_state,
+            false => other_state,
+        })
+    };
+    // The period over which the wave is planned has passed.
+    list_vms_after(&mut harness, &states(VmState::Moving, VmState::Up), 9_000);
+    let begun = maintained(&harness);
+    assert_eq!(begun.len(), 3);
+    for name in &begun {
+        harness
+            .scheduler
+            .vm_order_replied(name, OrderReply::Done, harness.now);
+    }
+    let states = states(VmState::Up, VmState::InMaintenance);
+    list_vms_after(&mut harness, &states, 500);
+    assert!(cordoned(&harness).contains(&busy));
+}
+
 /// A worker that replaces another one on a VM under evacuation gets tasks until the VM list names it,
 /// and none after that.
 #[test]
