Do not take the runs of a VM's next worker for ended when a repeated order is answered

By then the VM was up again under a new worker with tasks, and the answer marked the runs of whatever worker the list named as ended: they were started again elsewhere while they were active (TWICE). A second way, also without lost answers of this owner's own: the order of an earlier owner was carried out, and the next owner's was answered as already done. Ruled out: remembering the worker at the time of the order (first try): with the second way it is the next worker, too. Change: an answer marks no runs. VMs are ordered about only while they have none; what could remain is settled by reports and leases. A repeated order cordons the worker of the moment, as it would end it, until the list shows the order as complete. The loss reason VmLeft goes with it. Core and emulator tests pass.

--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -256,8 +256,6 @@
     WorkerRestarted,
     /// The worker does not report the run.
     NotThere,
-    /// The VM was moved or taken down for maintenance.
-    VmLeft,
     /// The worker is silent and the task is speculative: a second copy may start while this one
     /// still runs.
     Copied,
--- a/crates/core/src/job/scheduler/fleet.rs
+++ b/crates/core/src/job/scheduler/fleet.rs
@@ -15,8 +15,7 @@
 };
 
 use super::{
-    BatchRecord, Effect, LossReason, Scheduler, SchedulerDecision, VmEntry, VmState,
-    demand::ArrivalRate,
+    BatchRecord, Effect, Scheduler, SchedulerDecision, VmEntry, VmState, demand::ArrivalRate,
 };
 
 /// Interval between two plans of the fleet.
@@ -106,6 +105,7 @@
         self.fleet.vms = vms.collect();
         let vms = &self.fleet.vms;
         let limits = self.limits;
+        let mut settled: SmallVec<[VmName; 4]> = SmallVec::new();
         self.fleet.pending.retain(|name, pending| {
             let Some(vm) = vms.get(name) else {
                 return false;
@@ -114,8 +114,14 @@
                 VmOrder::Move(to) => (vm.pool == *to, limits.move_time),
                 VmOrder::Maintain(_) => (true, limits.maintenance_time),
             };
-            !(vm.state == VmState::Up && arrived && pending.is_reflected(asked_at, duration))
+            let is_settled =
+                vm.state == VmState::Up && arrived && pending.is_reflected(asked_at, duration);
+            settled.extend(is_settled.then(|| name.clone()));
+            !is_settled
         });
+        for vm in settled {
+            self.set_cordon(&vm, false);
+        }
         self.record_base_sizes();
     }
 
@@ -139,9 +145,9 @@
         match reply {
             OrderReply::Done => {
                 *pending = pending.clone().accept(now);
-                let order = pending.order().clone();
-                self.mark_vm_runs_lost(vm);
-                if let VmOrder::Maintain(wave) = order {
+                // VMs are ordered about only while they have no runs. Runs on the VM's worker by now
+                // are those of a new worker: the order had been carried out before.
+                if let VmOrder::Maintain(wave) = *pending.order() {
                     self.maintenance_begun(vm, wave);
                 }
             }
@@ -157,13 +163,6 @@
         }
     }
 
-    /// Marks the runs on a VM as lost; they ended when its order was carried out.
-    fn mark_vm_runs_lost(&mut self, vm: &VmName) {
-        if let Some(id) = self.fleet.current_worker(vm).cloned() {
-            self.mark_all_runs_lost(&id, LossReason::VmLeft);
-        }
-    }
-
     /// Repeats pending orders, advances maintenance waves and resizes pools.
     pub(super) fn plan_fleet(&mut self) {
         let now = self.now;
@@ -200,6 +199,8 @@
             }
         }
         for (vm, order) in orders {
+            // If the first attempt did not arrive, this one ends the worker that runs there now.
+            self.set_cordon(&vm, true);
             self.send_order(vm, order);
         }
     }
--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -4,7 +4,7 @@
     ClockTime, PoolName, VmName, WorkerId,
     job::{
         Effect, IdleVm, OrderReply, PoolDemandView, RenewalReport, ResizeMove, StepSpec, TaskEnd,
-        VmState, WaveRequest, WorkerEntry, WorkerState, plan_resize,
+        VmEntry, VmState, WaveRequest, WorkerEntry, WorkerState, plan_resize,
     },
 };
 
@@ -558,6 +558,46 @@
     assert!(harness.scheduler.worker(&worker(0)).unwrap().is_empty());
 }
 
+/// Regression test (TWICE, emulator): the answer of an order was lost, and the VM was back under a new
+/// worker when the repeated order was answered. The runs of the new worker counted as ended, and were
+/// started again while they were active.
+#[test]
+fn a_late_answer_of_an_order_does_not_end_the_runs_of_the_next_worker() {
+    let mut harness = SchedulerHarness::open(2);
+    harness.scheduler.request_wave(wave(&[0], 1), harness.now);
+    list_vms_after(&mut harness, &[VmState::Up; 2], 2_000);
+    let name = VmName::new("m-0");
+    assert_eq!(maintained(&harness), [name.clone()]);
+    // Carried out, and not answered.
+    harness.scheduler.worker_unlisted(&worker(0), harness.now);
+    harness.wait(2_500);
+    let next = worker(7);
+    harness
+        .scheduler
+        .worker_listed(next.clone(), entry("mould"), harness.now);
+    harness.report(7, RenewalReport::default());
+    let back = VmEntry {
+        worker: Some(next.clone()),
+        ..vm(0, "mould", VmState::Up)
+    };
+    let listed = vec![back, vm(1, "mould", VmState::Up)];
+    let now = harness.now;
+    harness.scheduler.vms_listed(listed, now, now);
+    harness.accept(1, vec![step(64)]);
+    harness.settle();
+    let starts = harness.confirm();
+    let on_next: Vec<_> = starts.iter().filter(|run| run.worker == next).collect();
+    assert!(!on_next.is_empty());
+    harness
+        .scheduler
+        .vm_order_replied(&name, OrderReply::Done, harness.now);
+    harness.settle();
+    for run in on_next {
+        let placed = harness.task(run.task);
+        assert_eq!(placed.placed(), Some((&next, run.run)));
+    }
+}
+
 #[test]
 fn no_vm_is_ordered_without_confirmed_ownership() {
     let mut harness = SchedulerHarness::open(1);
--- a/crates/emulator/src/fault.rs
+++ b/crates/emulator/src/fault.rs
@@ -105,6 +105,11 @@
             FaultKind::WorkerHang => self.worker_fault(&fault, WorkerMode::Hang, span).await,
             FaultKind::WorkerSlow => self.worker_fault(&fault, WorkerMode::Slow, span).await,
             FaultKind::WorkerLate => self.worker_fault(&fault, WorkerMode::Late, span).await,
+            FaultKind::VmAnswersLost => {
+                self.model.state().drops_vm_answers = true;
+                sleep(span).await;
+                self.model.state().drops_vm_answers = false;
+            }
             FaultKind::Wave => self.request_wave(),
         }
         let until = self.model.clock.now() + RECOVERY_TIME;
--- a/crates/emulator/src/model.rs
+++ b/crates/emulator/src/model.rs
@@ -55,6 +55,8 @@
     pub(crate) operator_records: KeyedTopic<OperatorRecord>,
     pub(crate) history: EmulationHistory,
     pub(crate) rng: StdRng,
+    /// True while orders on VMs are executed but not answered.
+    pub(crate) drops_vm_answers: bool,
     last_worker_number: u64,
 }
 
@@ -85,6 +87,7 @@
                 operator_records: KeyedTopic::default(),
                 history: EmulationHistory::default(),
                 rng: StdRng::seed_from_u64(seed),
+                drops_vm_answers: false,
                 last_worker_number: 0,
             }),
             changed,
--- a/crates/emulator/src/platform.rs
+++ b/crates/emulator/src/platform.rs
@@ -223,7 +223,11 @@
 impl EmulatedPlatform {
     async fn order_vm(&self, vm: &VmName, order: VmCommand, authority: VmAuthority) -> OrderReply {
         let token = authority.token;
-        let serve = async { Some(Ok(self.model.order_vm(vm, order, token, &self.member))) };
+        let serve = async {
+            let reply = self.model.order_vm(vm, order, token, &self.member);
+            let is_answered = !self.model.state().drops_vm_answers;
+            is_answered.then_some(Ok(reply))
+        };
         let network = &self.model.network;
         network.until_resumed(&self.member).await;
         if authority.expiry.has_passed() {
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -188,6 +188,7 @@
     StoreDeaf => "Waiting reads of the store return no new records.",
     FollowersStoreCut => "Members that do not own the pools are partitioned from the store.",
     MemberFreeze => "Members are suspended, the owner first: calls that they have decided on go out when they resume.",
+    VmAnswersLost => "Orders on VMs are executed, but their answers are lost.",
 }
 
 impl EmulationScenario {
--- a/crates/emulator/tests/days.rs
+++ b/crates/emulator/tests/days.rs
@@ -243,3 +243,36 @@
         }
     }
 }
+
+/// Moves and maintenance whose answers are lost, while the owner stops, is killed or is suspended: the
+/// next owner must neither exceed the cap of the wave nor stop tasks beyond their availability limits.
+#[test]
+fn lost_answers_of_vm_orders_around_a_change_of_owner_cause_no_violations() {
+    let faults = |kind: &str| {
+        format!(
+            r#"
+            [[faults]]
+            at = 1.5
+            kind = "wave"
+            [[faults]]
+            at = 1.5
+            kind = "vm_answers_lost"
+            for_s = 3.0
+            [[faults]]
+            at = 2.6
+            kind = "{kind}"
+            for_s = 1.5
+            "#
+        )
+    };
+    for kind in ["member_stop", "member_kill", "member_freeze", "store_deal"] {
+        let text = format!("{TURNS_SCENARIO}{}", faults(kind));
+        let scenario = EmulationScenario::parse(&text).expect("the scenario is valid");
+        for seed in 1..=6 {
+            let outcome = run_scenario(&scenario, seed);
+            assert_eq!(check(&outcome.history), [], "seed {seed} of {kind}");
+            let waves: Vec<_> = outcome.history.waves.values().collect();
+            assert!(waves[0].completed_at.is_some(), "seed {seed} of {kind}");
+        }
+    }
+}
--- a/crates/scheduler/src/owner/decisions.rs
+++ b/crates/scheduler/src/owner/decisions.rs
@@ -42,7 +42,6 @@
             LossReason::LeaseLapsed => "lease_lapsed",
             LossReason::WorkerRestarted => "worker_restarted",
             LossReason::NotThere => "not_there",
-            LossReason::VmLeft => "vm_left",
             LossReason::Copied => "copied",
         }),
         _ => {}
