Give work that is late in any case the VMs that no other pool needs

Late work was left out of the demand, since VMs that were moved for it had been missing in the next surge. Change: the pools' plan has a further step, after expected demand and before base sizes: late work gets VMs that have been idle for two seconds, of which their pool retains its demand and half of its base size.

--- a/crates/core/src/job/resize.rs
+++ b/crates/core/src/job/resize.rs
@@ -39,6 +39,8 @@
     pub demand: u64,
     /// Part of the demand that is present: tasks that run, and those that could start now.
     pub present_demand: u64,
+    /// Present demand with the tasks that are late in any case.
+    pub late_demand: u64,
     /// Work that has not started, in thousandths of a core-millisecond.
     pub waiting: u64,
     /// Demand of long-running tasks, in thousandths of a core.
@@ -60,6 +62,9 @@
     PresentDemand,
     /// Another pool expects more work, or is below its base size.
     ExpectedDemand,
+    /// Tasks that are late in any case wait in another pool. They get VMs that have been idle for
+    /// some time, of which the pool retains half of its base size for its next surge.
+    LateWork,
     /// The VM is not needed anywhere.
     LongIdle,
 }
@@ -68,12 +73,24 @@
     fn demand_for(&self, reason: MoveReason) -> u64 {
         match reason {
             MoveReason::PresentDemand => self.present_demand,
-            MoveReason::ExpectedDemand | MoveReason::LongIdle => self.demand,
+            MoveReason::ExpectedDemand | MoveReason::LateWork | MoveReason::LongIdle => self.demand,
         }
     }
 
     fn shortage(&self, reason: MoveReason) -> u64 {
-        self.demand_for(reason).saturating_sub(self.capacity)
+        let demand = match reason {
+            MoveReason::LateWork => self.late_demand,
+            _ => self.demand_for(reason),
+        };
+        demand.saturating_sub(self.capacity)
+    }
+
+    fn is_idle_enough(&self, vm: &IdleVm, reason: MoveReason) -> bool {
+        match reason {
+            MoveReason::PresentDemand | MoveReason::ExpectedDemand => true,
+            MoveReason::LateWork => vm.long_idle && self.vms > self.base_size / 2,
+            MoveReason::LongIdle => vm.long_idle,
+        }
     }
 
     /// Index of a VM that the pool can release.
@@ -81,7 +98,7 @@
         self.idle.iter().rposition(|vm| {
             let retained = self.demand_for(reason) * RETAINED_PERCENT / 100 + HEADROOM_VMS * vm.cpu;
             let enough = self.capacity >= vm.cpu + retained;
-            self.spare || (enough && (reason != MoveReason::LongIdle || vm.long_idle))
+            self.spare || (enough && self.is_idle_enough(vm, reason))
         })
     }
 
@@ -117,6 +134,7 @@
     while moves.len() < max_moves {
         let next = grow(&mut pools, MoveReason::PresentDemand)
             .or_else(|| grow(&mut pools, MoveReason::ExpectedDemand))
+            .or_else(|| grow(&mut pools, MoveReason::LateWork))
             .or_else(|| restore(&mut pools));
         let Some(next) = next.or_else(|| shrink(&mut pools)) else {
             break;
--- a/crates/core/src/job/scheduler/demand.rs
+++ b/crates/core/src/job/scheduler/demand.rs
@@ -72,6 +72,8 @@
     startable: u64,
     /// CPU needed to run all of those at once, in thousandths of a core.
     startable_cpu: u64,
+    /// CPU of the tasks that could start now and are late in any case, in thousandths of a core.
+    late_startable_cpu: u64,
     /// CPU of long-running tasks, in thousandths of a core.
     long_running: u64,
 }
@@ -165,6 +167,7 @@
                 spare: pool.spare,
                 demand: self.demand(&pool.name, &load),
                 present_demand: load.present_demand(),
+                late_demand: load.present_demand() + load.late_startable_cpu,
                 waiting: load.waiting,
                 long_running: load.long_running,
                 capacity: 0,
@@ -261,9 +264,14 @@
                     }
                 }
             }
-            if !infeasible && job.has_startable() {
-                for key in job.startable(*id, self.now) {
-                    let cpu = job.step(&key).charged().cpu;
+            if !job.has_startable() {
+                continue;
+            }
+            for key in job.startable(*id, self.now) {
+                let cpu = job.step(&key).charged().cpu;
+                if infeasible {
+                    load.late_startable_cpu += cpu;
+                } else {
                     load.startable += cpu * mean.as_millis();
                     load.startable_cpu += cpu;
                 }
--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -26,6 +26,7 @@
         spare: pool == "spare",
         demand,
         present_demand: demand,
+        late_demand: demand,
         waiting: 0,
         long_running: 0,
         capacity: 32_000 * vms as u64,
@@ -72,11 +73,13 @@
         let idle_vms = (0..4).map(|number| idle(&format!("e-{number}"), false));
         PoolDemandView {
             present_demand: 96_000,
+            late_demand: 96_000,
             ..view("ending", 256_000, 8, idle_vms.collect())
         }
     };
     let rising = |present_demand| PoolDemandView {
         present_demand,
+        late_demand: present_demand,
         ..view("rising", 160_000, 1, Vec::new())
     };
     for (present_demand, expected) in [(160_000, 3), (32_000, 0)] {
@@ -86,6 +89,23 @@
     }
 }
 
+/// After an outage, a pool has a backlog that is late in any case beside pools without work (hunt of
+/// the emulator, seed 800146): it gets VMs that have been idle for some time, but for half of the base
+/// size of their pool.
+#[test]
+fn late_work_gets_vms_that_no_other_pool_needs() {
+    for (long_idle, expected) in [(true, 4), (false, 0)] {
+        let idle_vms = (0..8).map(|number| idle(&format!("c-{number}"), long_idle));
+        let calm = view("calm", 1_000, 8, idle_vms.collect());
+        let late = PoolDemandView {
+            late_demand: 320_000,
+            ..view("late", 32_000, 1, Vec::new())
+        };
+        let moves = plan_resize(vec![calm, late], MAX_MOVES);
+        assert_eq!(moves.len(), expected, "{long_idle}");
+    }
+}
+
 /// Surges in all pools at once: VMs of the spare pool are used.
 #[test]
 fn spare_vms_are_used_when_no_other_pool_has_idle_ones() {
@@ -567,7 +587,7 @@
     harness.scheduler.request_wave(wave(&[0], 1), harness.now);
     list_vms_after(&mut harness, &[VmState::Up; 2], 2_000);
     let name = VmName::new("m-0");
-    assert_eq!(maintained(&harness), [name.clone()]);
+    assert_eq!(maintained(&harness), std::slice::from_ref(&name));
     // Carried out, and not answered.
     harness.scheduler.worker_unlisted(&worker(0), harness.now);
     harness.wait(2_500);
