--- a/crates/core/src/job/scheduler/orders.rs
+++ b/crates/core/src/job/scheduler/orders.rs
@@ -6,7 +6,7 @@
     clock::ClockTime,
     job::{
         spec::TaskKey,
-        task::{AnyTask, StartOrderState},
+        task::{AnyTask, FULL_PERCENT, StartOrderState},
         worker::{OrderReply, StartReply, WorkerState},
     },
     name::WorkerId,
@@ -21,8 +21,6 @@
 /// Interval between searches for runs to stop: short compared with the time allowed for a
 /// cancellation.
 const SWEEP_INTERVAL: ClockTime = ClockTime::from_millis(100);
-/// Progress of a task in full operation.
-const FULL_PERCENT: u8 = 100;
 
 impl Scheduler {
     /// Returns whether the worker's next report resolves a pending stop or a start with unknown
--- a/crates/core/src/job/scheduler/waves.rs
+++ b/crates/core/src/job/scheduler/waves.rs
@@ -6,7 +6,7 @@
     clock::ClockTime,
     job::{
         spec::TaskKey,
-        task::AnyTask,
+        task::{AnyTask, FULL_PERCENT},
         vm_order::VmOrder,
         wave::{WaveProgress, WaveRequest},
         worker::Worker,
@@ -29,8 +29,6 @@
 const MAX_RUN_WAIT: ClockTime = ClockTime::from_millis(2_000);
 /// Greatest age of a worker's report at which its tasks count as available: two renewals.
 const MAX_REPORT_AGE: ClockTime = ClockTime::from_millis(2_500);
-/// Progress of a task in full operation.
-const FULL_PERCENT: u8 = 100;
 
 /// VM of a wave with runs in progress; the smallest is evacuated first.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/core/src/job/task.rs
+++ b/crates/core/src/job/task.rs
@@ -12,7 +12,7 @@
 use crate::{clock::ClockTime, name::WorkerId};
 
 /// Progress of a run that is complete, or in full operation.
-const FULL_PERCENT: u8 = 100;
+pub(super) const FULL_PERCENT: u8 = 100;
 /// Failed runs of a task that are remembered by number; only long-running tasks may fail more often.
 const MAX_REMEMBERED_FAILURES: usize = 16;
 
