Reset connections when a request is given up

Change: sockets of the HTTP client do not linger: a connection that is dropped with a request in progress is reset, which discards what has not been delivered.

--- a/crates/emulator/tests/days.rs
+++ b/crates/emulator/tests/days.rs
@@ -276,3 +276,29 @@
         }
     }
 }
+
+/// An owner that is cut off from the whole network, and finds out only when the cut ends that another
+/// member owns the pools, must not take them from it (scale-2 of bmca-foundry-large with the owner among
+/// the members that are cut off).
+#[test]
+fn an_owner_that_was_cut_off_does_not_take_the_pools_back() {
+    let scenario = EmulationScenario::parse(
+        r#"
+        secs = 12
+        members = 4
+        [[loads]]
+        per_sec = 4.0
+        task_ms = 200
+        [[faults]]
+        at = 2.0
+        kind = "member_cut"
+        for_s = 6.0
+        "#,
+    );
+    let scenario = scenario.expect("the scenario is valid");
+    for seed in 1..=8 {
+        let outcome = run_scenario(&scenario, seed);
+        assert_eq!(check(&outcome.history), [], "seed {seed}");
+        assert_eq!(outcome.history.owners.len(), 2, "seed {seed}");
+    }
+}
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -177,6 +177,11 @@
     stream
         .set_nodelay(true)
         .map_err(|error| connect_error(error.to_string()))?;
+    // A connection is closed while a request is in progress only to give the request up. An orderly
+    // close would still deliver it once a partition ends, long after the decision behind it.
+    stream
+        .set_zero_linger()
+        .map_err(|error| connect_error(error.to_string()))?;
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(|error| connect_error(error.to_string()))?;
     tokio::spawn(async move {
--- a/crates/net/tests/expiry.rs
+++ b/crates/net/tests/expiry.rs
@@ -1,4 +1,4 @@
-//! Requests that must not be sent after a time.
+//! Requests that must not be sent, or delivered, after a time.
 
 use std::time::Duration;
 
@@ -7,8 +7,9 @@
 use jacinthhoist_core::ClockTime;
 use jacinthhoist_net::{BootClock, Category, HttpClient, HttpRequest, SendExpiry};
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::{AsyncReadExt, AsyncWriteExt, Interest},
     net::TcpListener,
+    time::timeout,
 };
 
 const LIMIT: Duration = Duration::from_secs(5);
@@ -46,3 +47,20 @@
     assert_eq!(received[0], 0);
     assert!(received[1] > 0);
 }
+
+/// Regression test (scale-2 of bmca-foundry-large): a request to join the group that a member had given
+/// up was delivered after a partition of 12 s, as its connection had been closed in an orderly way, and
+/// took the pools from a sound owner. A reset discards what has not been delivered.
+#[tokio::test]
+async fn a_request_that_is_given_up_resets_its_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut client = HttpClient::new(address);
+    let request = HttpRequest::new(Method::POST, "/", Bytes::new());
+    let error = client.send(request, Duration::from_millis(50)).await;
+    assert_eq!(error.unwrap_err().category(), Category::Unknown);
+    let (stream, _) = listener.accept().await.unwrap();
+    // An orderly close gives no error. The wait only ends a hang.
+    let is_reset = timeout(LIMIT, stream.ready(Interest::ERROR)).await;
+    assert!(is_reset.is_ok_and(|ready| ready.unwrap().is_error()));
+}
