Name address and incarnation in the log lines on workers

After a crash the worker is back under a new id, so that its lines could not be matched with those of the life before. No decision changes.

--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -216,6 +216,10 @@
         worker: WorkerId,
         /// Pool of the worker.
         pool: PoolName,
+        /// Network address of the worker.
+        address: Arc<str>,
+        /// Start time by the worker's clock, if it is known.
+        incarnation: Option<u64>,
         /// New state.
         change: WorkerChange,
     },
--- a/crates/core/src/job/scheduler/leases.rs
+++ b/crates/core/src/job/scheduler/leases.rs
@@ -12,7 +12,7 @@
     name::{DataCentre, PoolName, WorkerId},
 };
 
-use super::{BatchRecord, LossReason, Scheduler, WorkerChange};
+use super::{BatchRecord, LossReason, Scheduler, WorkerChange, reports::worker_changed};
 
 /// Parameters of the next lease renewal of a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -70,8 +70,7 @@
                 self.outbox
                     .push(BatchRecord::LeaseExpiry(id.clone(), expiry));
             }
-            let pool = worker.entry.pool.clone();
-            self.log_worker_change(id.clone(), pool, WorkerChange::Silent);
+            self.log_worker_change(id, WorkerChange::Silent);
         }
     }
 
@@ -103,7 +102,7 @@
                 if worker.expiry_stored {
                     self.outbox.push(BatchRecord::LeaseExpiry(id.clone(), None));
                 }
-                self.log_worker_change(id, worker.entry.pool, WorkerChange::Gone);
+                self.log_decision(worker_changed(&worker, WorkerChange::Gone));
             }
         }
     }
--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -10,7 +10,7 @@
         task::{AnyTask, StartOrderState, TaskEnd},
         worker::{ActiveRun, EndedRun, RenewalReport, Worker, WorkerEntry, WorkerState},
     },
-    name::{PoolName, WorkerId},
+    name::WorkerId,
 };
 
 use super::{BatchRecord, LossReason, Scheduler, SchedulerDecision, WorkerChange};
@@ -36,12 +36,11 @@
     pub fn worker_listed(&mut self, id: WorkerId, entry: WorkerEntry, now: ClockTime) {
         self.now = now;
         let Some(worker) = self.workers.get_mut(&id) else {
-            let pool = entry.pool.clone();
             let lease = self.unknown_lease();
             self.worker_list_version += 1;
             self.workers
                 .insert(id.clone(), Worker::listed(id.clone(), entry, lease));
-            self.log_worker_change(id, pool, WorkerChange::Listed);
+            self.log_worker_change(&id, WorkerChange::Listed);
             return;
         };
         worker.missing_since = None;
@@ -51,9 +50,8 @@
             self.worker_list_version += 1;
         }
         worker.entry = entry;
-        let pool = worker.entry.pool.clone();
         if starts_draining {
-            self.log_worker_change(id.clone(), pool, WorkerChange::Draining);
+            self.log_worker_change(&id, WorkerChange::Draining);
         }
     }
 
@@ -77,7 +75,6 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let pool = worker.entry.pool.clone();
         let change = match (worker.seen_at, worker.silent_since) {
             (None, _) => Some(WorkerChange::Adopted),
             (Some(_), Some(_)) => Some(WorkerChange::Answering),
@@ -97,7 +94,7 @@
             self.outbox.push(BatchRecord::LeaseExpiry(id.clone(), None));
         }
         if let Some(change) = change {
-            self.log_worker_change(id.clone(), pool, change);
+            self.log_worker_change(id, change);
         }
         for row in &report.ended {
             self.apply_end(id, row);
@@ -215,8 +212,7 @@
         let was_suspended = worker.is_suspended(now);
         worker.record_failure(first, now);
         if !was_suspended && worker.is_suspended(now) {
-            let pool = worker.entry.pool.clone();
-            self.log_worker_change(id.clone(), pool, WorkerChange::Suspended);
+            self.log_worker_change(id, WorkerChange::Suspended);
         }
     }
 
@@ -350,17 +346,21 @@
         }
     }
 
-    pub(super) fn log_worker_change(
-        &mut self,
-        worker: WorkerId,
-        pool: PoolName,
-        change: WorkerChange,
-    ) {
-        self.log_decision(SchedulerDecision::WorkerChanged {
-            worker,
-            pool,
-            change,
-        });
+    pub(super) fn log_worker_change(&mut self, id: &WorkerId, change: WorkerChange) {
+        if let Some(worker) = self.workers.get(id) {
+            self.log_decision(worker_changed(worker, change));
+        }
+    }
+}
+
+/// Builds the log entry for a change in the state of a worker.
+pub(super) fn worker_changed(worker: &Worker, change: WorkerChange) -> SchedulerDecision {
+    SchedulerDecision::WorkerChanged {
+        worker: worker.id.clone(),
+        pool: worker.entry.pool.clone(),
+        address: worker.entry.address.clone(),
+        incarnation: worker.incarnation.or(worker.entry.incarnation),
+        change,
     }
 }
 
--- a/crates/scheduler/src/owner/decisions.rs
+++ b/crates/scheduler/src/owner/decisions.rs
@@ -112,10 +112,13 @@
         SchedulerDecision::WorkerChanged {
             worker,
             pool,
+            address,
+            incarnation,
             change,
         } => (
             EventKind::Worker,
-            json!({"worker": worker.as_str(), "pool": pool.as_str(), "now": format!("{change:?}")}),
+            json!({"worker": worker.as_str(), "pool": pool.as_str(), "address": &*address,
+                "incarnation": incarnation, "now": format!("{change:?}")}),
         ),
         SchedulerDecision::EvacuationBegun {
             vm,
