Release the runs of a worker once a later one answers at its address

Callers saw: jobs beside a task that crashes its workers were late, as their runs waited for the lease of a worker that had ended: 6.5 s, while the VM was back after 3.4 s under a new id. Cause: only a restart under the same id, or the end of the lease, told that a worker's runs were gone. Change: when a worker that has fallen silent has its address answered for by another one, asked later, its runs are released. An address belongs to one process at a time, so this needs no clock; a worker that was only silent keeps its address and its runs. The tests' workers now have addresses of their own, as on the platform; they all had the same one.

--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -258,6 +258,8 @@
     LeaseLapsed,
     /// The worker has restarted.
     WorkerRestarted,
+    /// A later worker answers at the worker's address.
+    WorkerReplaced,
     /// The worker does not report the run.
     NotThere,
     /// The worker is silent and the task is speculative: a second copy may start while this one
@@ -280,6 +282,8 @@
     Draining,
     /// The worker receives no tasks for a while.
     Suspended,
+    /// The worker has ended: a later one answers at its address.
+    Replaced,
     /// The worker was dropped.
     Gone,
 }
--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -2,6 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use smallvec::SmallVec;
+
 use crate::{
     clock::ClockTime,
     job::{
@@ -95,6 +97,7 @@
         }
         if let Some(change) = change {
             self.log_worker_change(id, change);
+            self.release_predecessors(id, asked_at);
         }
         for row in &report.ended {
             self.apply_end(id, row);
@@ -107,6 +110,26 @@
         self.resolve_unreported(id, &reported, asked_at);
     }
 
+    /// Releases the runs of silent workers at whose address another worker has answered: an address
+    /// belongs to one process at a time, so their processes have ended.
+    fn release_predecessors(&mut self, id: &WorkerId, asked_at: ClockTime) {
+        let Some(successor) = self.workers.get(id) else {
+            return;
+        };
+        let address = &successor.entry.address;
+        let is_replaced = |worker: &&Worker| {
+            worker.id != *id
+                && worker.entry.address == *address
+                && worker.silent_since.is_some_and(|since| since <= asked_at)
+        };
+        let replaced = self.workers.values().filter(is_replaced);
+        let replaced: SmallVec<[WorkerId; 1]> = replaced.map(|worker| worker.id.clone()).collect();
+        for id in replaced {
+            self.log_worker_change(&id, WorkerChange::Replaced);
+            self.mark_all_runs_lost(&id, LossReason::WorkerReplaced);
+        }
+    }
+
     /// Returns the task if the given run is placed on the given worker.
     pub(super) fn assigned_slot(
         &mut self,
--- a/crates/core/tests/jobs/harness.rs
+++ b/crates/core/tests/jobs/harness.rs
@@ -137,6 +137,14 @@
     }
 }
 
+/// Entry of a worker at an address of its own.
+pub(crate) fn listed_entry(number: usize) -> WorkerEntry {
+    WorkerEntry {
+        address: format!("127.0.0.1:{}", 7_000 + number).into(),
+        ..entry("mould")
+    }
+}
+
 pub(crate) fn vm(number: usize, pool: &str, state: VmState) -> VmEntry {
     VmEntry {
         vm: VmName::new(&format!("m-{number}")),
@@ -177,7 +185,7 @@
     }
 
     pub(crate) fn list_workers(&mut self, workers: usize) {
-        let listed = (0..workers).map(|number| (worker(number), entry("mould")));
+        let listed = (0..workers).map(|number| (worker(number), listed_entry(number)));
         self.scheduler.workers_listed(listed.collect(), self.now);
     }
 
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -1,11 +1,14 @@
 //! Tests of job scheduling: order of stored records and effects, takeovers, placement and priority.
 
+mod crashes;
 mod fleet;
 mod harness;
 mod placing;
 mod waves;
 
-use harness::{SchedulerHarness, entry, key, long_running_step, ms, spec, step, worker};
+use harness::{
+    SchedulerHarness, entry, key, listed_entry, long_running_step, ms, spec, step, worker,
+};
 use jacinthhoist_core::{
     ClockTime,
     job::{
@@ -762,7 +765,7 @@
     harness.settle();
     let draining = WorkerEntry {
         state: WorkerState::Draining,
-        ..entry("mould")
+        ..listed_entry(0)
     };
     harness
         .scheduler
--- a/crates/scheduler/src/owner/decisions.rs
+++ b/crates/scheduler/src/owner/decisions.rs
@@ -41,6 +41,7 @@
         SchedulerDecision::RunLost { reason, .. } => shared.meter.count_lost_run(match reason {
             LossReason::LeaseLapsed => "lease_lapsed",
             LossReason::WorkerRestarted => "worker_restarted",
+            LossReason::WorkerReplaced => "worker_replaced",
             LossReason::NotThere => "not_there",
             LossReason::Copied => "copied",
         }),
