Give tasks up that crash their workers, and start suspects in trials

Cause: a run that ends together with its worker is reported by nobody. It returned to waiting as if it had never begun, so no limit on attempts applied; a speculative task was on the next worker within 40 ms. Change: such losses are recorded with the task and stored with the job's progress, so that they survive a change of the owner. They count once the process of the worker is known to have ended: it answers with another start time, or a later worker answers at its address. If it answers as before, they are dropped. A run that had lasted 0.3 s is not implicated; an implicated task is started in a trial, beside which no run of another job starts. The task is given up after two crashes at which only its job was starting, or after four of any kind; with two unsettled losses it waits. A start order now tells whether it has been sent, as a run that was not sent is no suspect. Older members skip the new field of a progress record.

--- a/crates/codec/tests/job.rs
+++ b/crates/codec/tests/job.rs
@@ -10,8 +10,8 @@
 use jacinthhoist_core::{
     ClockTime, PoolName, RackName, VmName, WorkName, WorkerId,
     job::{
-        BatchRecord, JobId, JobProgress, JobSpec, JobState, JobTerms, MemberRank, RepeatPlan,
-        StepSpec, WaveProgress, WorkLoad,
+        BatchRecord, CrashHistory, Implication, JobId, JobProgress, JobSpec, JobState, JobTerms,
+        LostWorker, MemberRank, RepeatPlan, RunLoss, StepSpec, TaskKey, WaveProgress, WorkLoad,
     },
 };
 
@@ -71,6 +71,26 @@
         ended: Some(JobState::Failed),
         ..JobProgress::default()
     };
+    let mut history = CrashHistory::default();
+    let lost_worker = LostWorker {
+        id: WorkerId::new("i-1"),
+        incarnation: Some(1_785_551_668_754),
+    };
+    let until = ClockTime::from_secs(6);
+    let loss = RunLoss::open(3, lost_worker, Implication::Shared, until);
+    history.record(loss.clone());
+    history.confirm(&WorkerId::new("i-1"));
+    history.record(loss);
+    let key = TaskKey {
+        job: JobId(1),
+        occurrence: 0,
+        step: 1,
+        index: 2,
+    };
+    let crashed = JobProgress {
+        crashes: BTreeMap::from([(key, history)]),
+        ..JobProgress::default()
+    };
     let wave = WaveProgress {
         begun: [VmName::new("m-1")].into_iter().collect(),
         completed: true,
@@ -79,6 +99,7 @@
     let worker = WorkerId::new("i-7f3a");
     let cases = [
         BatchRecord::Progress(JobId(1), ended),
+        BatchRecord::Progress(JobId(1), crashed),
         BatchRecord::Remove(JobId(2)),
         BatchRecord::Wave(7, wave),
         BatchRecord::BaseSizes(base_sizes),
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -18,12 +18,14 @@
 //! | `wave` | progress of rolling VM maintenance |
 //! | `admit` | admission control and the retry delay of refused jobs |
 //! | `append_pace` | repetition of appends to a store that may be slow |
+//! | `crash` | attribution of worker crashes to the tasks that cause them |
 //! | `ownership` | candidacy of members for ownership of the pools |
 //! | `step_pace` | time between the owner's scheduling steps |
 
 mod admit;
 mod append_pace;
 mod catalogue;
+mod crash;
 mod lease;
 mod life;
 mod order;
@@ -41,6 +43,7 @@
 pub use admit::{JobRefusal, WorkLoad, admit_job, outage_retry};
 pub use append_pace::{AppendPace, refusal_delay};
 pub use catalogue::{AdvicePolicy, CallerLimits, JobCatalogue, JobPool, JobWork};
+pub use crash::{Confirmed, CrashHistory, Implication, LostWorker, RunLoss, Suspected};
 pub use lease::{HeldLease, UnknownLease, WorkerLease};
 pub use life::{Begun, ClosedLife, Ended, Ending, Forgotten, JobLife, OpenLife, Queued};
 pub use order::{DurationTable, JobUrgency, QueuedJob, order_queue};
--- /dev/null
+++ b/crates/core/src/job/crash.rs
@@ -0,0 +1,247 @@
+//! Attribution of worker crashes to tasks.
+//!
+//! A task may crash each worker that starts it. A crash takes all runs of the worker with it, and at
+//! most one of their tasks is the cause. The start separates it from the others: a run that outlives
+//! its start for a while is not implicated in a later crash. An implicated task is started again in
+//! a trial, on a worker where no run of another job is starting, so that a further crash is
+//! attributable to its job. Rack failures, restarts and partitions look alike at first; a loss counts
+//! only once the process of the worker is known to have ended.
+
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+
+use crate::{clock::ClockTime, name::WorkerId};
+
+/// Time that a run must last before it is no longer implicated in a crash of its worker.
+pub(super) const START_SPAN: ClockTime = ClockTime::from_millis(300);
+/// Time that a run must last before earlier crashes of its task's workers are forgotten.
+pub(super) const CLEARED_SPAN: ClockTime = ClockTime::from_millis(10_000);
+/// Crashes attributable to a task's job alone after which the task is given up.
+const MAX_ATTRIBUTED_CRASHES: usize = 2;
+/// Crashes under a task after which it is given up, attributable or not: the platform allows two
+/// more starts after the third.
+const MAX_CRASHES: usize = 4;
+/// Losses after which a task waits until it is known whether the workers have ended.
+const MAX_UNRESOLVED_LOSSES: usize = 2;
+
+/// Whether a run is implicated in the loss of its worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Implication {
+    /// The run had outlived its start.
+    None,
+    /// The run was starting, as were runs of other jobs.
+    Shared,
+    /// Only runs of this job were starting.
+    Alone,
+}
+
+/// The worker is silent; its process may have ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspected {
+    /// Time by which the lease of the worker has expired.
+    until: ClockTime,
+}
+
+/// The process of the worker has ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Confirmed(());
+
+/// Loss of a run together with its worker.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunLoss<P> {
+    run: u32,
+    worker: LostWorker,
+    implication: Implication,
+    phase: P,
+}
+
+/// Worker with which a run was lost.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LostWorker {
+    /// Worker id.
+    pub id: WorkerId,
+    /// Start time by the worker's clock, if it is known.
+    pub incarnation: Option<u64>,
+}
+
+impl RunLoss<Suspected> {
+    /// Records that the worker of a run has fallen silent; its lease has expired by `until`.
+    pub fn open(run: u32, worker: LostWorker, implication: Implication, until: ClockTime) -> Self {
+        Self {
+            run,
+            worker,
+            implication,
+            phase: Suspected { until },
+        }
+    }
+
+    /// Records that the process of the worker has ended.
+    pub fn confirm(self) -> RunLoss<Confirmed> {
+        RunLoss {
+            run: self.run,
+            worker: self.worker,
+            implication: self.implication,
+            phase: Confirmed(()),
+        }
+    }
+}
+
+/// Loss of a run in any phase.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+enum AnyRunLoss {
+    Suspected(RunLoss<Suspected>),
+    Confirmed(RunLoss<Confirmed>),
+}
+
+impl AnyRunLoss {
+    fn run(&self) -> u32 {
+        match self {
+            Self::Suspected(loss) => loss.run,
+            Self::Confirmed(loss) => loss.run,
+        }
+    }
+
+    fn implication(&self) -> Implication {
+        match self {
+            Self::Suspected(loss) => loss.implication,
+            Self::Confirmed(loss) => loss.implication,
+        }
+    }
+
+    fn clear_implication(&mut self) {
+        let implication = match self {
+            Self::Suspected(loss) => &mut loss.implication,
+            Self::Confirmed(loss) => &mut loss.implication,
+        };
+        *implication = Implication::None;
+    }
+
+    /// Worker that has fallen silent, unless its process is known to have ended.
+    fn suspected_worker(&self) -> Option<&LostWorker> {
+        match self {
+            Self::Suspected(loss) => Some(&loss.worker),
+            Self::Confirmed(_) => None,
+        }
+    }
+
+    fn is_unresolved(&self, now: ClockTime) -> bool {
+        matches!(self, Self::Suspected(loss) if now <= loss.phase.until)
+    }
+}
+
+/// Runs of a task that were lost together with their workers.
+///
+/// ```
+/// use jacinthhoist_core::{
+///     ClockTime, WorkerId,
+///     job::{CrashHistory, Implication, LostWorker, RunLoss},
+/// };
+/// let until = ClockTime::from_secs(6);
+/// let mut history = CrashHistory::default();
+/// for (run, name) in [(1, "i-1"), (2, "i-2")] {
+///     let id = WorkerId::new(name);
+///     let worker = LostWorker { id: id.clone(), incarnation: Some(1) };
+///     history.record(RunLoss::open(run, worker, Implication::Alone, until));
+///     assert!(history.needs_trial() && !history.is_fatal());
+///     history.confirm(&id);
+/// }
+/// assert!(history.is_fatal());
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct CrashHistory {
+    losses: SmallVec<[AnyRunLoss; 2]>,
+}
+
+impl CrashHistory {
+    /// Records the loss of a run; each run is recorded once.
+    pub fn record(&mut self, loss: RunLoss<Suspected>) {
+        if self.losses.iter().all(|known| known.run() != loss.run) {
+            self.losses.push(AnyRunLoss::Suspected(loss));
+        }
+    }
+
+    /// Records that the process of a worker has ended; returns true if a run was lost with it.
+    pub fn confirm(&mut self, id: &WorkerId) -> bool {
+        let mut confirmed = false;
+        for loss in &mut self.losses {
+            if let AnyRunLoss::Suspected(suspected) = loss
+                && suspected.worker.id == *id
+            {
+                *loss = AnyRunLoss::Confirmed(suspected.clone().confirm());
+                confirmed = true;
+            }
+        }
+        confirmed
+    }
+
+    /// Settles the losses of a worker that answers again: without a restart it was only silent, and
+    /// they are dropped. Returns true if there were any.
+    pub fn settle(&mut self, answering: &LostWorker) -> bool {
+        let count = self.losses.len();
+        self.losses
+            .retain(|loss| loss.suspected_worker() != Some(answering));
+        let confirmed = self.confirm(&answering.id);
+        confirmed || self.losses.len() < count
+    }
+
+    /// Workers that have fallen silent with a run of the task.
+    pub(super) fn suspected_workers(&self) -> impl Iterator<Item = &WorkerId> {
+        let workers = self.losses.iter().filter_map(AnyRunLoss::suspected_worker);
+        workers.map(|worker| &worker.id)
+    }
+
+    /// Records that a run has lasted for `age`; returns true if the history has changed.
+    pub fn outlived(&mut self, age: ClockTime) -> bool {
+        if age >= CLEARED_SPAN {
+            let had_losses = !self.losses.is_empty();
+            self.losses.clear();
+            return had_losses;
+        }
+        if age < START_SPAN || !self.is_implicated() {
+            return false;
+        }
+        self.losses
+            .iter_mut()
+            .for_each(AnyRunLoss::clear_implication);
+        true
+    }
+
+    /// True if no loss is recorded.
+    pub fn is_empty(&self) -> bool {
+        self.losses.is_empty()
+    }
+
+    /// Number of crashes that are known to have ended a worker.
+    pub fn crashes(&self) -> usize {
+        self.confirmed().count()
+    }
+
+    /// True if the next run must not start beside runs of other jobs that are starting.
+    pub fn needs_trial(&self) -> bool {
+        self.is_implicated() || self.losses.len() >= MAX_UNRESOLVED_LOSSES
+    }
+
+    /// True if the task waits until it is known whether the workers of its runs have ended.
+    pub fn is_held(&self, now: ClockTime) -> bool {
+        self.losses.len() >= MAX_UNRESOLVED_LOSSES
+            && self.losses.iter().any(|loss| loss.is_unresolved(now))
+    }
+
+    /// True if the task is given up, as it crashes its workers.
+    pub fn is_fatal(&self) -> bool {
+        let alone = |loss: &&AnyRunLoss| loss.implication() == Implication::Alone;
+        self.confirmed().filter(alone).count() >= MAX_ATTRIBUTED_CRASHES
+            || self.crashes() >= MAX_CRASHES
+    }
+
+    fn is_implicated(&self) -> bool {
+        let mut losses = self.losses.iter();
+        losses.any(|loss| loss.implication() != Implication::None)
+    }
+
+    fn confirmed(&self) -> impl Iterator<Item = &AnyRunLoss> {
+        let losses = self.losses.iter();
+        losses.filter(|loss| matches!(loss, AnyRunLoss::Confirmed(_)))
+    }
+}
--- a/crates/core/src/job/place.rs
+++ b/crates/core/src/job/place.rs
@@ -121,6 +121,9 @@
     let step = request.step;
     let label = |wanted: &str| worker.entry.labels.iter().any(|label| &**label == wanted);
     worker.takes_work(now)
+        && worker
+            .reserved_for
+            .is_none_or(|job| job == request.task.job)
         && worker.entry.capacity.fits(&worker.used, need)
         && step.requires.as_deref().is_none_or(label)
         && is_below_step_limit(request, worker)
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -6,6 +6,7 @@
 //! depend on it.
 
 mod batch;
+mod crashes;
 mod demand;
 mod fleet;
 mod gang;
@@ -15,9 +16,13 @@
 mod permits;
 mod placing;
 mod reports;
+mod trials;
 mod waves;
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 pub use batch::{Batch, BatchRecord, JobProgress, TaskRecord};
 pub use demand::PoolSummary;
@@ -35,6 +40,7 @@
 use super::{
     admit::WorkLoad,
     catalogue::{JobCatalogue, JobWork},
+    crash::Implication,
     life::ClosedLife,
     order::DurationTable,
     spec::{JobId, JobState, Resources, StepKey, TaskKey},
@@ -199,6 +205,26 @@
         /// Reason for the loss.
         reason: LossReason,
     },
+    /// A run is in doubt together with its worker, which has fallen silent or restarted.
+    RunInDoubt {
+        /// Task of the run.
+        task: TaskKey,
+        /// Run number.
+        run: u32,
+        /// Worker of the run.
+        worker: WorkerId,
+        /// Whether the run may have crashed the worker.
+        implication: Implication,
+        /// Crashes of workers under the task that are known so far.
+        crashes: usize,
+    },
+    /// A task is given up, as it crashes its workers.
+    TaskFatal {
+        /// Task that is given up.
+        task: TaskKey,
+        /// Crashes of workers under the task.
+        crashes: usize,
+    },
     /// A job has ended.
     Finished {
         /// Ended job.
@@ -338,6 +364,10 @@
     fleet: fleet::Fleet,
     waves: WaveTable,
     permits: permits::PermitCache,
+    /// Workers that have fallen silent or restarted with runs, and may have ended.
+    doubted_workers: BTreeSet<WorkerId>,
+    /// Workers that are reserved for trials.
+    trial_workers: SmallVec<[WorkerId; 4]>,
     outbox: batch::Outbox,
     effects: Vec<Effect>,
     ownership_confirmed: bool,
@@ -364,6 +394,8 @@
             fleet: fleet::Fleet::open(now),
             waves: WaveTable::default(),
             permits: permits::PermitCache::default(),
+            doubted_workers: BTreeSet::new(),
+            trial_workers: SmallVec::new(),
             outbox: batch::Outbox::default(),
             effects: Vec::new(),
             ownership_confirmed: true,
@@ -390,6 +422,7 @@
         self.expire_leases();
         self.stop_unwanted_runs();
         self.conclude_jobs();
+        self.review_trials();
         self.place_tasks();
         self.plan_fleet();
         self.flush();
--- a/crates/core/src/job/scheduler/batch.rs
+++ b/crates/core/src/job/scheduler/batch.rs
@@ -11,8 +11,9 @@
 use crate::{
     clock::ClockTime,
     job::{
+        crash::CrashHistory,
         spec::{JobId, JobState, TaskKey},
-        task::{AnyTask, FailedRuns, TaskRun},
+        task::{AnyTask, FailedRuns, StartOrderState, TaskRun},
         wave::WaveProgress,
     },
     name::{PoolName, WorkerId},
@@ -56,11 +57,17 @@
     pub workers: SmallVec<[WorkerId; 4]>,
     /// Task records by occurrence and step.
     pub occurrences: Vec<Vec<Vec<TaskRecord>>>,
+    /// Tasks whose runs were lost together with their workers.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub crashes: BTreeMap<TaskKey, CrashHistory>,
 }
 
 impl JobProgress {
     fn of(job: &Job) -> Self {
-        let mut progress = Self::default();
+        let mut progress = Self {
+            crashes: job.crashes.clone(),
+            ..Self::default()
+        };
         for occurrence in &job.occurrences {
             let mut steps = Vec::with_capacity(occurrence.steps.len());
             for tasks in &occurrence.steps {
@@ -332,16 +339,18 @@
 
     fn send_start(&mut self, task: TaskKey, run: u32) {
         let (max_lease, now) = (self.limits.max_lease, self.now);
-        let Some(job) = self.jobs.get(&task.job) else {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
-        let Some(AnyTask::Assigned(assigned)) = job.task(&task) else {
+        let Some(AnyTask::Assigned(assigned)) = job.task_mut(&task) else {
             return;
         };
         if assigned.run != run {
             return;
         }
+        assigned.phase.order = StartOrderState::Pending;
         let worker = assigned.phase.worker.clone();
+        let checkpoint = assigned.checkpoint.clone();
         // A late report may have shown since the assignment that an earlier run failed.
         if job.life.goal().is_some() || job.is_exhausted(&task) {
             self.withdraw_start(&worker, task, run);
@@ -351,7 +360,7 @@
             task,
             run,
             payload: job.spec.payload.clone(),
-            checkpoint: assigned.checkpoint.clone(),
+            checkpoint,
             lease_until: self
                 .workers
                 .get_mut(&worker)
--- /dev/null
+++ b/crates/core/src/job/scheduler/crashes.rs
@@ -0,0 +1,162 @@
+//! Losses of runs together with their workers, and what they tell about the tasks.
+
+use smallvec::SmallVec;
+
+use crate::{
+    clock::ClockTime,
+    job::{
+        crash::{CLEARED_SPAN, CrashHistory, Implication, LostWorker, RunLoss, START_SPAN},
+        spec::{JobId, TaskKey},
+        task::{AnyTask, StartOrderState},
+    },
+    name::WorkerId,
+};
+
+use super::{Job, Scheduler, SchedulerDecision};
+
+impl Job {
+    /// Returns whether a task waits until it is known whether it has crashed its workers.
+    pub(super) fn is_held(&self, key: &TaskKey, now: ClockTime) -> bool {
+        self.crashes
+            .get(key)
+            .is_some_and(|history| history.is_held(now))
+    }
+
+    /// Returns whether a task may have crashed a worker, so that no run of another job may start
+    /// beside it.
+    pub(super) fn needs_trial(&self, key: &TaskKey) -> bool {
+        self.crashes.get(key).is_some_and(CrashHistory::needs_trial)
+    }
+
+    /// Iterates over the unfinished tasks that crash their workers, with the number of crashes.
+    pub(super) fn fatal_tasks(&self) -> impl Iterator<Item = (TaskKey, usize)> {
+        let fatal = self.crashes.iter().filter(|(key, history)| {
+            history.is_fatal() && self.task(key).is_some_and(|task| !task.is_terminal())
+        });
+        fatal.map(|(key, history)| (*key, history.crashes()))
+    }
+}
+
+impl Scheduler {
+    /// Returns how long a run is known to have lasted on its worker; `None` if its start order has
+    /// not been sent.
+    pub(super) fn known_age(&self, id: &WorkerId, key: &TaskKey) -> Option<ClockTime> {
+        let task = self.jobs.get(&key.job)?.task(key)?;
+        let reported_at = self.workers.get(id)?.seen_at.unwrap_or_default();
+        match task {
+            AnyTask::Assigned(task) if task.phase.order == StartOrderState::Queued => None,
+            AnyTask::Running(task) => Some(reported_at - task.phase.since),
+            // The run was in progress, or its start was not answered in time.
+            AnyTask::Stopping(_) => Some(START_SPAN),
+            _ => Some(ClockTime::ZERO),
+        }
+    }
+
+    /// Records runs whose worker has fallen silent or restarted.
+    pub(super) fn record_losses(&mut self, id: &WorkerId, runs: &[(TaskKey, u32)]) {
+        let mut lost: SmallVec<[(TaskKey, u32, bool); 8]> = SmallVec::new();
+        for (key, run) in runs {
+            if let Some(age) = self.known_age(id, key).filter(|age| *age < CLEARED_SPAN) {
+                lost.push((*key, *run, age < START_SPAN));
+            }
+        }
+        let Some(worker) = self.workers.get(id).filter(|_| !lost.is_empty()) else {
+            return;
+        };
+        let until = worker.lease.latest_expiry();
+        let lost_worker = LostWorker {
+            id: id.clone(),
+            incarnation: worker.incarnation,
+        };
+        self.doubted_workers.insert(id.clone());
+        let starting = || lost.iter().filter(|(_, _, starting)| *starting);
+        let first_job = starting().next().map(|(key, ..)| key.job);
+        let alone = starting().all(|(key, ..)| Some(key.job) == first_job);
+        for (key, run, starting) in &lost {
+            let implication = match (starting, alone) {
+                (false, _) => Implication::None,
+                (true, false) => Implication::Shared,
+                (true, true) => Implication::Alone,
+            };
+            let Some(job) = self.jobs.get_mut(&key.job) else {
+                continue;
+            };
+            let history = job.crashes.entry(*key).or_default();
+            history.record(RunLoss::open(*run, lost_worker.clone(), implication, until));
+            let crashes = history.crashes();
+            self.outbox.mark_changed(key.job);
+            self.log_decision(SchedulerDecision::RunInDoubt {
+                task: *key,
+                run: *run,
+                worker: id.clone(),
+                implication,
+                crashes,
+            });
+        }
+    }
+
+    /// Settles the losses of a worker that answers: it was only silent, or has restarted.
+    pub(super) fn settle_losses(&mut self, id: &WorkerId, incarnation: Option<u64>) {
+        let answering = LostWorker {
+            id: id.clone(),
+            incarnation,
+        };
+        self.update_crashes(id, |history| history.settle(&answering));
+    }
+
+    /// Records that the process of a worker has ended.
+    pub(super) fn confirm_losses(&mut self, id: &WorkerId) {
+        self.update_crashes(id, |history| history.confirm(id));
+    }
+
+    /// Updates the histories of tasks with a run that a worker may have taken with it.
+    fn update_crashes(&mut self, id: &WorkerId, update: impl Fn(&mut CrashHistory) -> bool) {
+        if !self.doubted_workers.remove(id) {
+            return;
+        }
+        for (job_id, job) in &mut self.jobs {
+            let mut changed = false;
+            job.crashes.retain(|_, history| {
+                changed |= update(history);
+                !history.is_empty()
+            });
+            if changed {
+                job.mark_changed();
+                self.outbox.mark_changed(*job_id);
+            }
+        }
+    }
+
+    /// Records that a worker has reported a run as in progress.
+    pub(super) fn record_survival(&mut self, key: TaskKey, asked_at: ClockTime) {
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        if job.crashes.is_empty() {
+            return;
+        }
+        let Some(AnyTask::Running(task)) = job.task(&key) else {
+            return;
+        };
+        let age = asked_at - task.phase.since;
+        let Some(history) = job.crashes.get_mut(&key) else {
+            return;
+        };
+        if history.outlived(age) {
+            if history.is_empty() {
+                job.crashes.remove(&key);
+            }
+            self.outbox.mark_changed(key.job);
+        }
+    }
+
+    /// Registers the workers that a restored job has lost runs with.
+    pub(super) fn restore_doubts(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let workers = job.crashes.values();
+        let workers = workers.flat_map(CrashHistory::suspected_workers).cloned();
+        self.doubted_workers.extend(workers);
+    }
+}
--- a/crates/core/src/job/scheduler/jobs.rs
+++ b/crates/core/src/job/scheduler/jobs.rs
@@ -1,12 +1,13 @@
 //! Jobs: their tasks, which of them may start, and when a job has ended.
 
-use std::sync::Arc;
+use std::{collections::BTreeMap, sync::Arc};
 
 use smallvec::SmallVec;
 
 use crate::{
     clock::ClockTime,
     job::{
+        crash::CrashHistory,
         life::{ClosedLife, JobLife, OpenLife},
         order::JobUrgency,
         spec::{JobId, JobSpec, JobState, JobTerms, StepSpec, TaskKey},
@@ -78,6 +79,8 @@
     has_startable: bool,
     /// Worker to avoid for a task: it failed there, or a start order was left unanswered.
     pub(super) avoided_workers: SmallVec<[(TaskKey, WorkerId); 2]>,
+    /// Tasks whose runs were lost together with their workers.
+    pub(super) crashes: BTreeMap<TaskKey, CrashHistory>,
 }
 
 impl Job {
@@ -137,6 +140,11 @@
         (!self.step(key).long_running).then_some(self.terms.max_failures)
     }
 
+    /// Has the job reviewed in the next step.
+    pub(super) fn mark_changed(&mut self) {
+        self.changed = true;
+    }
+
     pub(super) fn set_avoided_worker(&mut self, key: TaskKey, worker: WorkerId) {
         self.avoided_workers.retain(|(task, _)| *task != key);
         self.avoided_workers.push((key, worker));
@@ -153,12 +161,13 @@
             ready.flat_map(move |(step, _)| {
                 let tasks = (0u16..).zip(&occurrence.steps[usize::from(step)]);
                 let waiting = tasks.filter(|(_, task)| matches!(task, AnyTask::Waiting(_)));
-                waiting.map(move |(index, _)| TaskKey {
+                let keys = waiting.map(move |(index, _)| TaskKey {
                     job: id,
                     occurrence: number,
                     step,
                     index,
-                })
+                });
+                keys.filter(move |key| !self.is_held(key, now))
             })
         })
     }
@@ -208,9 +217,10 @@
         depths.into_iter().max().unwrap_or(0)
     }
 
-    /// Tasks of a repeated job become startable as time passes.
+    /// Tasks of a repeated job, and those that wait until it is known whether they crash their
+    /// workers, become startable as time passes.
     fn needs_review(&self) -> bool {
-        self.changed || self.spec.repeat.is_some()
+        self.changed || self.spec.repeat.is_some() || !self.crashes.is_empty()
     }
 
     /// Returns whether some task could start when the job was last reviewed.
@@ -229,16 +239,18 @@
         self.max_failures(key).is_some_and(|max| failures >= max)
     }
 
-    /// Returns whether a task has failed too often and is not running any more.
+    /// Returns whether a task has failed too often and is not running any more, or crashes its
+    /// workers.
     fn has_failed(&self) -> bool {
-        self.tasks().any(|((_, step, _), task)| match task {
-            AnyTask::Exhausted { .. } => true,
-            AnyTask::Waiting(task) => {
-                let limited = !self.spec.steps[usize::from(step)].long_running;
-                limited && task.failed_runs.count() >= self.terms.max_failures
-            }
-            _ => false,
-        })
+        self.fatal_tasks().next().is_some()
+            || self.tasks().any(|((_, step, _), task)| match task {
+                AnyTask::Exhausted { .. } => true,
+                AnyTask::Waiting(task) => {
+                    let limited = !self.spec.steps[usize::from(step)].long_running;
+                    limited && task.failed_runs.count() >= self.terms.max_failures
+                }
+                _ => false,
+            })
     }
 
     fn has_no_runs(&self) -> bool {
@@ -253,6 +265,7 @@
                 }
             }
         }
+        self.crashes = progress.crashes.clone();
     }
 }
 
@@ -330,6 +343,7 @@
         }
         self.charge_restored(id, &job);
         self.jobs.insert(id, job);
+        self.restore_doubts(id);
     }
 
     /// Charges recorded runs to their workers. An unlisted worker is kept until its lease must have
@@ -381,6 +395,7 @@
             changed: true,
             has_startable: false,
             avoided_workers: SmallVec::new(),
+            crashes: BTreeMap::new(),
             spec,
         }
     }
@@ -396,6 +411,10 @@
             }
             job.changed = false;
             if job.life.goal().is_none() && job.has_failed() {
+                let fatal = job.fatal_tasks();
+                let fatal =
+                    fatal.map(|(task, crashes)| SchedulerDecision::TaskFatal { task, crashes });
+                self.effects.extend(fatal.map(Effect::Log));
                 job.life = job.life.end(JobState::Failed);
                 self.outbox.mark_changed(*id);
             }
--- a/crates/core/src/job/scheduler/leases.rs
+++ b/crates/core/src/job/scheduler/leases.rs
@@ -71,6 +71,25 @@
                     .push(BatchRecord::LeaseExpiry(id.clone(), expiry));
             }
             self.log_worker_change(id, WorkerChange::Silent);
+            let runs = self.workers.get(id).map(Worker::runs).unwrap_or_default();
+            self.record_losses(id, &runs);
+        }
+        self.ask_successor(id);
+    }
+
+    /// Requests a report of the worker that has taken the address of a silent one, as its answer
+    /// shows that the silent one has ended.
+    fn ask_successor(&mut self, id: &WorkerId) {
+        let Some(silent) = self.workers.get(id).filter(|worker| !worker.is_empty()) else {
+            return;
+        };
+        let address = &silent.entry.address;
+        let mut others = self.workers.values();
+        let successor = others.find(|worker| {
+            worker.entry.address == *address && worker.id != *id && worker.silent_since.is_none()
+        });
+        if let Some(successor) = successor.map(|worker| worker.id.clone()) {
+            self.request_report(&successor);
         }
     }
 
--- a/crates/core/src/job/scheduler/placing.rs
+++ b/crates/core/src/job/scheduler/placing.rs
@@ -93,7 +93,8 @@
                 usize::from(self.place_task(*key, workers))
             };
             placed += count;
-            if count == 0 {
+            // A task that waits for its trial holds up no other.
+            if count == 0 && !self.needs_trial(key) {
                 full_steps.push(step);
             }
         }
@@ -148,14 +149,24 @@
             avoid: avoided.map(|(_, worker)| worker),
             preferred_rack,
         };
-        if !job.terms.advised {
+        let (is_trial, advised) = (job.needs_trial(&key), job.terms.advised);
+        if !advised && !is_trial {
             return choose_candidate(&request, workers, &self.workers, now);
         }
         let known = || workers.with_room(0).filter_map(|id| self.workers.get(id));
         let step = StepKey::from(key);
-        let permitted = known().filter(|worker| self.permits.allows(step, &worker.id, now));
-        let found = choose_worker(&request, permitted, now);
-        if found.is_none() {
+        let is_permitted =
+            |worker: &&Worker| !advised || self.permits.allows(step, &worker.id, now);
+        let found = if is_trial {
+            let trial = self.choose_trial_worker(&request, workers, is_permitted);
+            if let Some(trial) = trial {
+                return self.begin_trial(trial, key.job);
+            }
+            None
+        } else {
+            choose_worker(&request, known().filter(is_permitted), now)
+        };
+        if found.is_none() && advised {
             let need = request.step.charged();
             let candidates = known().filter(|worker| is_eligible(&request, worker, &need, now));
             let candidates = candidates.map(|worker| worker.id.clone()).collect();
--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -82,7 +82,9 @@
             (Some(_), Some(_)) => Some(WorkerChange::Answering),
             (Some(_), None) => None,
         };
-        if worker.incarnation.is_some() && worker.incarnation != report.incarnation {
+        let settles_orders = worker.awaits_report;
+        let restarted = worker.incarnation.is_some() && worker.incarnation != report.incarnation;
+        if restarted {
             self.reset_restarted(id, &report);
         }
         let Some(worker) = self.workers.get_mut(id) else {
@@ -97,8 +99,13 @@
         }
         if let Some(change) = change {
             self.log_worker_change(id, change);
+        }
+        if change.is_some() || settles_orders {
             self.release_predecessors(id, asked_at);
         }
+        if change.is_some() || restarted {
+            self.settle_losses(id, report.incarnation);
+        }
         for row in &report.ended {
             self.apply_end(id, row);
         }
@@ -106,6 +113,7 @@
         for row in &report.running {
             reported.insert(row.task);
             self.apply_running(id, row);
+            self.record_survival(row.task, asked_at);
         }
         self.resolve_unreported(id, &reported, asked_at);
     }
@@ -126,6 +134,7 @@
         let replaced: SmallVec<[WorkerId; 1]> = replaced.map(|worker| worker.id.clone()).collect();
         for id in replaced {
             self.log_worker_change(&id, WorkerChange::Replaced);
+            self.confirm_losses(&id);
             self.mark_all_runs_lost(&id, LossReason::WorkerReplaced);
         }
     }
@@ -207,6 +216,7 @@
         self.outbox.mark_changed(row.task.job);
         match end {
             TaskEnd::Done => {
+                job.crashes.remove(&row.task);
                 if let Some(worker) = self.workers.get_mut(id) {
                     worker.record_success();
                 }
@@ -280,7 +290,7 @@
             };
             let verdict = match &*slot {
                 AnyTask::Assigned(task) => match task.phase.order {
-                    StartOrderState::Pending => UnreportedRun::Wait,
+                    StartOrderState::Queued | StartOrderState::Pending => UnreportedRun::Wait,
                     StartOrderState::Inherited => UnreportedRun::Lost,
                     StartOrderState::Unsure(since) if asked_at >= since => UnreportedRun::Stop,
                     StartOrderState::Unsure(_) => UnreportedRun::AskAgain,
@@ -353,19 +363,23 @@
         worker.end_seen = 0;
         worker.end_stored = 0;
         worker.lease = WorkerLease::Unknown(lease);
-        for (key, run) in worker.runs() {
+        let mut lost = worker.runs();
+        lost.retain(|(key, run)| {
+            let (key, run) = (*key, *run);
             let slot = self.assigned_slot(id, key, run);
             let reply_pending = matches!(slot, Some(AnyTask::Assigned(task))
-                if task.phase.order == StartOrderState::Pending);
+                if matches!(task.phase.order, StartOrderState::Queued | StartOrderState::Pending));
             let rows = &report.running;
             let reported = rows.iter().any(|row| (row.task, row.run) == (key, run));
             let ended = report
                 .ended
                 .iter()
                 .any(|row| (row.task, row.run) == (key, run));
-            if !reply_pending && !reported && !ended {
-                self.mark_run_lost(id, key, run, LossReason::WorkerRestarted);
-            }
+            !reply_pending && !reported && !ended
+        });
+        self.record_losses(id, &lost);
+        for (key, run) in lost {
+            self.mark_run_lost(id, key, run, LossReason::WorkerRestarted);
         }
     }
 
--- a/crates/core/src/job/task.rs
+++ b/crates/core/src/job/task.rs
@@ -88,7 +88,9 @@
 /// State of a start order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StartOrderState {
-    /// The order has not been sent, or awaits its reply.
+    /// The run is not stored yet, so the order has not been sent.
+    Queued,
+    /// The order has been sent, and its reply is awaited.
     Pending,
     /// The outcome has been unknown since this time; the order may still be carried out.
     Unsure(ClockTime),
@@ -182,7 +184,7 @@
     ) -> TaskRun<Assigned> {
         self.run = run;
         self.checkpoint = checkpoint;
-        self.place(worker, StartOrderState::Pending, now)
+        self.place(worker, StartOrderState::Queued, now)
     }
 
     /// Adopts a run that an earlier owner recorded for a worker.
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -11,7 +11,7 @@
 
 use super::{
     lease::{UnknownLease, WorkerLease},
-    spec::{Resources, StepSpec, TaskKey},
+    spec::{JobId, Resources, StepSpec, TaskKey},
     task::TaskEnd,
 };
 
@@ -201,6 +201,8 @@
     pub expiry_stored: bool,
     /// True if no tasks are placed on the worker because its VM is about to leave the pool.
     pub cordoned: bool,
+    /// Job whose tasks alone are placed on the worker, while they may crash it.
+    pub reserved_for: Option<JobId>,
     consecutive_failures: u32,
     /// Consecutive start orders that were neither answered nor carried out in time.
     consecutive_unanswered: u32,
@@ -228,6 +230,7 @@
             awaits_report: false,
             expiry_stored: false,
             cordoned: false,
+            reserved_for: None,
             consecutive_failures: 0,
             consecutive_unanswered: 0,
             suspended_until: ClockTime::ZERO,
--- a/crates/core/tests/jobs/crashes.rs
+++ b/crates/core/tests/jobs/crashes.rs
@@ -1,8 +1,8 @@
 //! Workers that end with their runs, and tasks at whose start workers end.
 
-use jacinthhoist_core::job::RenewalReport;
+use jacinthhoist_core::job::{JobId, JobState, RenewalReport, StepSpec, TaskEnd};
 
-use crate::harness::{SchedulerHarness, listed_entry, step, worker};
+use crate::harness::{RunOrder, SchedulerHarness, listed_entry, long_running_step, step, worker};
 
 /// Guards against runs that wait for the lease of a worker whose process has ended: the next worker
 /// on its VM answers at the same address seconds before the lease expires.
@@ -69,3 +69,216 @@
         assert!(harness.starts.is_empty(), "{silent} {same_address} {later}");
     }
 }
+
+/// Ends a worker and, some seconds later, lets the next one answer at its address.
+fn replace(harness: &mut SchedulerHarness, number: usize, next: usize) {
+    crash(harness, number);
+    harness.wait(3_000);
+    answer_at(harness, number, next);
+}
+
+fn crash(harness: &mut SchedulerHarness, number: usize) {
+    harness
+        .scheduler
+        .renewal_failed(&worker(number), harness.now);
+    harness.settle();
+}
+
+/// Registers worker `next` at the address of worker `number` and lets it report.
+fn answer_at(harness: &mut SchedulerHarness, number: usize, next: usize) {
+    let previous = harness.scheduler.worker(&worker(number));
+    let entry = previous.expect("the worker is known").entry.clone();
+    harness
+        .scheduler
+        .worker_listed(worker(next), entry, harness.now);
+    harness.wait(1);
+    harness.report(next, RenewalReport::default());
+    harness.settle();
+}
+
+/// Lets all runs of a worker outlive their start.
+fn outlive_starts(harness: &mut SchedulerHarness, number: usize, starts: &[RunOrder]) {
+    harness.wait(400);
+    let starts: Vec<RunOrder> = starts
+        .iter()
+        .filter(|start| start.worker == worker(number))
+        .cloned()
+        .collect();
+    harness.report(number, SchedulerHarness::running(&starts, 30));
+    harness.settle();
+}
+
+fn speculative_step(count: u16) -> StepSpec {
+    StepSpec {
+        speculative: true,
+        ..step(count)
+    }
+}
+
+/// Guards against a task that crashes worker after worker: at most two more starts may follow the
+/// third crash, and the crash may come at the start or later.
+#[test]
+fn a_task_that_crashes_its_workers_is_given_up() {
+    for (fatal_step, lasts) in [
+        (step(1), false),
+        (speculative_step(1), false),
+        (long_running_step(1, 0), false),
+        (step(1), true),
+    ] {
+        let mut harness = SchedulerHarness::open(8);
+        harness.accept(1, vec![fatal_step]);
+        let mut crashes = 0;
+        while harness.scheduler.state(JobId(1)) != Some(JobState::Failed) {
+            harness.settle();
+            let starts = harness.confirm();
+            assert_eq!(starts.len(), 1, "after {crashes} crashes");
+            let number = (0..20).find(|number| starts[0].worker == worker(*number));
+            let number = number.expect("the worker is known");
+            if lasts {
+                outlive_starts(&mut harness, number, &starts);
+            }
+            replace(&mut harness, number, 8 + crashes);
+            crashes += 1;
+            assert!(crashes <= 5, "the task is started again and again");
+        }
+        assert!(crashes >= 2, "given up after {crashes} crashes");
+    }
+}
+
+/// Guards against copies of a speculative task that crash worker after worker while nothing is known of
+/// the first ones.
+#[test]
+fn a_task_waits_while_two_of_its_workers_may_have_crashed() {
+    let mut harness = SchedulerHarness::open(8);
+    harness.accept(1, vec![speculative_step(1)]);
+    let mut numbers = Vec::new();
+    for _ in 0..2 {
+        harness.settle();
+        let start = harness.confirm().remove(0);
+        let number = (0..8).find(|number| start.worker == worker(*number));
+        numbers.push(number.expect("the worker is known"));
+        crash(&mut harness, *numbers.last().unwrap());
+    }
+    harness.settle();
+    assert!(harness.starts.is_empty());
+    // The workers were only silent: the task starts at once, and nothing is held against it.
+    for number in numbers {
+        harness.report(number, RenewalReport::default());
+    }
+    harness.settle();
+    assert_eq!(harness.starts.len(), 1);
+}
+
+/// Guards against an innocent job that is given up with the one that crashed the worker of both.
+#[test]
+fn jobs_beside_a_fatal_task_are_done() {
+    let mut harness = SchedulerHarness::open(4);
+    harness.accept(1, vec![step(1)]);
+    harness.accept(2, vec![step(3)]);
+    let mut next = 4;
+    let mut running: Vec<RunOrder> = Vec::new();
+    for _ in 0..40 {
+        harness.settle();
+        running.extend(harness.confirm());
+        let fatal = running.iter().position(|start| start.task.job == JobId(1));
+        if let Some(at) = fatal {
+            let host = running[at].worker.clone();
+            let number = (0..next).find(|number| host == worker(*number)).unwrap();
+            running.retain(|start| start.worker != host);
+            replace(&mut harness, number, next);
+            next += 1;
+        } else if let Some(start) = running.pop() {
+            let number = (0..next).find(|number| start.worker == worker(*number));
+            outlive_starts(&mut harness, number.unwrap(), std::slice::from_ref(&start));
+            harness.end(&start, TaskEnd::Done);
+        }
+    }
+    assert_eq!(harness.scheduler.state(JobId(1)), Some(JobState::Failed));
+    assert_eq!(harness.scheduler.state(JobId(2)), Some(JobState::Completed));
+}
+
+/// Guards against crashes that each new owner counts from zero.
+#[test]
+fn crashes_are_counted_across_owners() {
+    let mut harness = SchedulerHarness::open(8);
+    let spec = harness.accept(1, vec![step(1)]);
+    let mut crashes = 0;
+    loop {
+        harness.settle();
+        let start = harness.confirm().remove(0);
+        let number = (0..20).find(|number| start.worker == worker(*number));
+        crash(&mut harness, number.unwrap());
+        crashes += 1;
+        let mut next = harness.take_over(&[(JobId(1), spec.clone())], 8);
+        for other in (0..8).filter(|other| Some(*other) != number) {
+            next.report(other, RenewalReport::default());
+        }
+        next.scheduler
+            .renewal_failed(&worker(number.unwrap()), next.now);
+        next.wait(3_000);
+        answer_at(&mut next, number.unwrap(), 8 + crashes);
+        next.settle();
+        if next.scheduler.state(JobId(1)) == Some(JobState::Failed) {
+            break;
+        }
+        assert!(crashes < 5, "the task is started again and again");
+        harness = next;
+    }
+    assert!(crashes >= 2, "given up after {crashes} crashes");
+}
+
+/// Guards against a job that is given up since its workers were cut off: they answer again, and their
+/// processes have not ended.
+#[test]
+fn silent_workers_are_not_held_against_a_task() {
+    let mut harness = SchedulerHarness::open(3);
+    harness.accept(1, vec![speculative_step(1)]);
+    for _ in 0..8 {
+        harness.settle();
+        let start = harness.confirm().remove(0);
+        let number = (0..3).find(|number| start.worker == worker(*number));
+        crash(&mut harness, number.unwrap());
+        harness.wait(1_000);
+        harness.report(number.unwrap(), RenewalReport::default());
+    }
+    harness.settle();
+    assert_eq!(harness.starts.len(), 1);
+}
+
+/// Guards against a long-running job that is given up since its workers fail now and then.
+#[test]
+fn crashes_long_after_the_start_are_not_held_against_a_task() {
+    let mut harness = SchedulerHarness::open(2);
+    harness.accept(1, vec![long_running_step(1, 0)]);
+    for next in 2..10 {
+        harness.settle();
+        let starts = harness.confirm();
+        assert_eq!(starts.len(), 1);
+        let number = (0..next).find(|number| starts[0].worker == worker(*number));
+        harness.wait(11_000);
+        harness.report(number.unwrap(), SchedulerHarness::running(&starts, 100));
+        replace(&mut harness, number.unwrap(), next);
+    }
+}
+
+/// Guards against starvation: where all workers are busy, a trial waits until the runs on one of them
+/// have outlived their starts, and tasks of other jobs go to the rest.
+#[test]
+fn a_trial_begins_on_a_busy_worker_once_its_runs_have_outlived_their_starts() {
+    let mut harness = SchedulerHarness::open(1);
+    harness.accept(1, vec![step(2)]);
+    harness.accept(2, vec![step(2)]);
+    harness.settle();
+    let starts = harness.confirm();
+    assert_eq!(starts.len(), 4);
+    replace(&mut harness, 0, 1);
+    // Both jobs are implicated: the tasks of one start, those of the other wait for them.
+    let first = harness.confirm();
+    let job = first[0].task.job;
+    assert!(first.iter().all(|start| start.task.job == job), "{first:?}");
+    assert_eq!(first.len(), 2);
+    outlive_starts(&mut harness, 1, &first);
+    let second = harness.confirm();
+    assert!(second.iter().all(|start| start.task.job != job));
+    assert_eq!(second.len(), 2);
+}
--- a/crates/scheduler/src/eventlog.rs
+++ b/crates/scheduler/src/eventlog.rs
@@ -63,6 +63,8 @@
     RunEnded => ("run_ended", "A run ended without completing its task."),
     StartRefused => ("start_refused", "A start order did not start a run."),
     RunLost => ("run_lost", "A run was lost and can no longer be active."),
+    RunInDoubt => ("run_in_doubt", "A run may have ended together with its worker."),
+    TaskFatal => ("task_fatal", "A task was given up, as it crashes its workers."),
     Finished => ("finished", "A job has ended."),
     Pool => ("pool", "The load of a pool, once a second."),
     Worker => ("worker", "The state of a worker has changed."),
--- a/crates/scheduler/src/owner/decisions.rs
+++ b/crates/scheduler/src/owner/decisions.rs
@@ -100,6 +100,22 @@
             json!({"job": task.job.to_string(), "task": task.to_string(), "run": run,
                 "worker": worker.as_str(), "reason": format!("{reason:?}")}),
         ),
+        SchedulerDecision::RunInDoubt {
+            task,
+            run,
+            worker,
+            implication,
+            crashes,
+        } => (
+            EventKind::RunInDoubt,
+            json!({"job": task.job.to_string(), "task": task.to_string(), "run": run,
+                "worker": worker.as_str(), "implication": format!("{implication:?}"),
+                "crashes": crashes}),
+        ),
+        SchedulerDecision::TaskFatal { task, crashes } => (
+            EventKind::TaskFatal,
+            json!({"job": task.job.to_string(), "task": task.to_string(), "crashes": crashes}),
+        ),
         SchedulerDecision::Finished {
             job,
             state,
