Attribute a crash to a task only if its run is known to have begun

Cause: its second start went to an idle worker that had crashed 0.6 s before and was not known to be gone, as idle workers are asked every 3 s. The run never began, and its loss counted as a crash at a lone start. Change: a crash is attributed only to a run whose start the worker has confirmed, before or after its silence was noticed. Losses without that still count towards the four crashes after which a task is given up in any case. Two new tests; starts_without_an_answer_are_not_attributed_to_the_task failed before the change.

--- a/crates/core/src/job/crash.rs
+++ b/crates/core/src/job/crash.rs
@@ -52,6 +52,8 @@
     run: u32,
     worker: LostWorker,
     implication: Implication,
+    /// True if the worker is known to have started the run.
+    began: bool,
     phase: P,
 }
 
@@ -71,16 +73,26 @@
             run,
             worker,
             implication,
+            began: false,
             phase: Suspected { until },
         }
     }
 
+    /// Records that the worker is known to have started the run.
+    pub fn begun(self) -> Self {
+        Self {
+            began: true,
+            ..self
+        }
+    }
+
     /// Records that the process of the worker has ended.
     pub fn confirm(self) -> RunLoss<Confirmed> {
         RunLoss {
             run: self.run,
             worker: self.worker,
             implication: self.implication,
+            began: self.began,
             phase: Confirmed(()),
         }
     }
@@ -108,6 +120,24 @@
         }
     }
 
+    /// True if the crash is attributable to the job of the task. A run that may never have begun
+    /// proves nothing: its worker may have ended before the order arrived.
+    fn is_attributable(&self) -> bool {
+        match self {
+            Self::Suspected(_) => false,
+            Self::Confirmed(loss) => loss.began && loss.implication == Implication::Alone,
+        }
+    }
+
+    /// Records that the worker is known to have started the run; returns true if it was not.
+    fn record_begin(&mut self) -> bool {
+        let began = match self {
+            Self::Suspected(loss) => &mut loss.began,
+            Self::Confirmed(loss) => &mut loss.began,
+        };
+        !std::mem::replace(began, true)
+    }
+
     fn clear_implication(&mut self) {
         let implication = match self {
             Self::Suspected(loss) => &mut loss.implication,
@@ -141,7 +171,7 @@
 /// for (run, name) in [(1, "i-1"), (2, "i-2")] {
 ///     let id = WorkerId::new(name);
 ///     let worker = LostWorker { id: id.clone(), incarnation: Some(1) };
-///     history.record(RunLoss::open(run, worker, Implication::Alone, until));
+///     history.record(RunLoss::open(run, worker, Implication::Alone, until).begun());
 ///     assert!(history.needs_trial() && !history.is_fatal());
 ///     history.confirm(&id);
 /// }
@@ -214,7 +244,16 @@
 
     /// Number of crashes that are known to have ended a worker.
     pub fn crashes(&self) -> usize {
-        self.confirmed().count()
+        let losses = self.losses.iter();
+        let confirmed = losses.filter(|loss| matches!(loss, AnyRunLoss::Confirmed(_)));
+        confirmed.count()
+    }
+
+    /// Records that a run is known to have begun; returns true if this changes the history.
+    pub fn record_begin(&mut self, run: u32) -> bool {
+        let mut losses = self.losses.iter_mut();
+        let loss = losses.find(|loss| loss.run() == run);
+        loss.is_some_and(AnyRunLoss::record_begin)
     }
 
     /// True if the next run must not start beside runs of other jobs that are starting.
@@ -230,18 +269,13 @@
 
     /// True if the task is given up, as it crashes its workers.
     pub fn is_fatal(&self) -> bool {
-        let alone = |loss: &&AnyRunLoss| loss.implication() == Implication::Alone;
-        self.confirmed().filter(alone).count() >= MAX_ATTRIBUTED_CRASHES
-            || self.crashes() >= MAX_CRASHES
+        let losses = self.losses.iter();
+        let attributable = losses.filter(|loss| loss.is_attributable());
+        attributable.count() >= MAX_ATTRIBUTED_CRASHES || self.crashes() >= MAX_CRASHES
     }
 
     fn is_implicated(&self) -> bool {
         let mut losses = self.losses.iter();
         losses.any(|loss| loss.implication() != Implication::None)
     }
-
-    fn confirmed(&self) -> impl Iterator<Item = &AnyRunLoss> {
-        let losses = self.losses.iter();
-        losses.filter(|loss| matches!(loss, AnyRunLoss::Confirmed(_)))
-    }
 }
--- a/crates/core/src/job/scheduler/crashes.rs
+++ b/crates/core/src/job/scheduler/crashes.rs
@@ -81,8 +81,13 @@
             let Some(job) = self.jobs.get_mut(&key.job) else {
                 continue;
             };
+            let began = matches!(
+                job.task(key),
+                Some(AnyTask::Running(_) | AnyTask::Stopping(_))
+            );
+            let loss = RunLoss::open(*run, lost_worker.clone(), implication, until);
             let history = job.crashes.entry(*key).or_default();
-            history.record(RunLoss::open(*run, lost_worker.clone(), implication, until));
+            history.record(if began { loss.begun() } else { loss });
             let crashes = history.crashes();
             self.outbox.mark_changed(key.job);
             self.log_decision(SchedulerDecision::RunInDoubt {
@@ -95,6 +100,18 @@
         }
     }
 
+    /// Records that a run is known to have begun, also after it was lost.
+    pub(super) fn record_begin(&mut self, key: TaskKey, run: u32) {
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        let history = job.crashes.get_mut(&key);
+        if history.is_some_and(|history| history.record_begin(run)) {
+            job.mark_changed();
+            self.outbox.mark_changed(key.job);
+        }
+    }
+
     /// Settles the losses of a worker that answers: it was only silent, or has restarted.
     pub(super) fn settle_losses(&mut self, id: &WorkerId, incarnation: Option<u64>) {
         let answering = LostWorker {
--- a/crates/core/src/job/scheduler/orders.rs
+++ b/crates/core/src/job/scheduler/orders.rs
@@ -47,7 +47,9 @@
         now: ClockTime,
     ) {
         self.now = now;
-        if reply != StartReply::Started {
+        if reply == StartReply::Started {
+            self.record_begin(key, run);
+        } else {
             self.log_decision(SchedulerDecision::StartRefused {
                 task: key,
                 run,
