Reject jobs whose numbers overflow the sums of their pool

With overflow checks, the owner pipe panicked as soon as it read the job, in every takeover anew, so that no job of any caller was served. Without them (the release build) the sum of the resources in use and of the need wraps around, so that the task fits onto any worker in use.

Cause: neither the need of a task nor the times of a repeated job were limited, and `Resources` added them without regard to overflow. Class: a number that was decoded is taken for one that can be calculated with.

Evidence: before the change `a_need_beyond_all_capacity_fits_nowhere` and `a_job_with_numbers_out_of_range_is_rejected` failed ("attempt to add with overflow"; no error), and `extreme_jobs_are_rejected_and_others_are_served` got 200 for its first body, after which the owner panicked in scheduler/demand.rs ("attempt to multiply with overflow").

Change: a job asks for at most 1,000,000,000 of each resource and starts before 2^53 ms; others are answered with 400, and stored ones are logged as unreadable. The sums of `Resources` stop at the largest number. With these limits, the sums over the 10,000 tasks of a job cannot overflow.

The path test also covers jobs nested 100,000 levels deep, in known and unknown fields, numbers beyond the types, duplicate fields and invalid UTF-8. These were rejected, or ignored in unknown fields, before as well.

--- a/crates/core/src/job/spec.rs
+++ b/crates/core/src/job/spec.rs
@@ -31,6 +31,9 @@
 /// Maximum number of tasks of a job over all steps and occurrences; limited by the size of a
 /// progress record.
 const MAX_TASKS: usize = 10_000;
+/// Latest time in a job: the largest whole number of milliseconds that every JSON writer represents
+/// exactly.
+const MAX_TIME: ClockTime = ClockTime::from_millis(1 << 53);
 /// Number of hexadecimal digits in a job id.
 const ID_DIGITS: usize = 16;
 
@@ -146,11 +149,20 @@
 }
 
 impl Resources {
+    /// Largest amount of each resource that a worker may have or a task may need. Sums over a fleet
+    /// and over the tasks of a job stay far below the largest number.
+    pub const MAX_AMOUNT: u64 = 1_000_000_000;
+
     /// True if `need` fits into these resources when `used` of them are taken.
     pub fn fits(&self, used: &Self, need: &Self) -> bool {
-        used.cpu + need.cpu <= self.cpu
-            && used.mem_mb + need.mem_mb <= self.mem_mb
-            && used.gpu + need.gpu <= self.gpu
+        let taken = used.plus(need);
+        taken.cpu <= self.cpu && taken.mem_mb <= self.mem_mb && taken.gpu <= self.gpu
+    }
+
+    /// True if no amount exceeds [`Resources::MAX_AMOUNT`].
+    pub fn is_in_range(&self) -> bool {
+        let amounts = [self.cpu, self.mem_mb, self.gpu];
+        amounts.into_iter().all(|amount| amount <= Self::MAX_AMOUNT)
     }
 
     /// Subtracts `other` and stops at zero.
@@ -162,12 +174,12 @@
         }
     }
 
-    /// Adds `other`.
+    /// Adds `other` and stops at the largest number.
     pub fn plus(&self, other: &Self) -> Self {
         Self {
-            cpu: self.cpu + other.cpu,
-            mem_mb: self.mem_mb + other.mem_mb,
-            gpu: self.gpu + other.gpu,
+            cpu: self.cpu.saturating_add(other.cpu),
+            mem_mb: self.mem_mb.saturating_add(other.mem_mb),
+            gpu: self.gpu.saturating_add(other.gpu),
         }
     }
 }
@@ -248,6 +260,15 @@
     pub interval: ClockTime,
 }
 
+impl RepeatPlan {
+    /// Start time of the last repetition, or the largest time if that overflows.
+    fn last_start(&self) -> ClockTime {
+        let intervals = u64::from(self.times.saturating_sub(1));
+        let span = self.interval.as_millis().saturating_mul(intervals);
+        self.start_at + ClockTime::from_millis(span)
+    }
+}
+
 /// Settings of a job's kind of work at the time of acceptance, which apply to the job even after
 /// the catalogue entry has been removed.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -341,12 +362,18 @@
         require(!self.steps.is_empty(), "steps", "send at least one step")?;
         for (number, step) in self.steps.iter().enumerate() {
             require(step.count > 0, "count", "ask for at least one task")?;
+            let in_range = step.need.is_in_range();
+            require(in_range, "need", "ask for at most 1,000,000,000 of each")?;
             let backward = step
                 .after
                 .iter()
                 .all(|&earlier| usize::from(earlier) < number);
             require(backward, "dependencies", "name only earlier steps, from 0")?;
         }
+        let last_start = self.repeat.map_or(self.received_at, |repeat| {
+            repeat.last_start().max(self.received_at)
+        });
+        require(last_start <= MAX_TIME, "start", "ask for an earlier time")?;
         let times = self.repeat.map_or(1, |repeat| repeat.times.max(1)) as usize;
         let tasks: usize = self.steps.iter().map(|step| usize::from(step.count)).sum();
         let within_limit = tasks.saturating_mul(times) <= MAX_TASKS;
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -1,5 +1,6 @@
 //! Tests of job scheduling: order of stored records and effects, takeovers, placement and priority.
 
+mod extremes;
 mod fleet;
 mod harness;
 mod placing;
