Let the sums over VMs, waves and queues stop at the largest number

In the release build the sums wrap around, and pools appear to be without capacity.

Cause: the capacities of the VM list, the period of a wave and the products of work and time are added and multiplied without regard to overflow.

Evidence: `the_largest_numbers_leave_other_jobs_in_service` failed before in scheduler/demand.rs:218, and with that file alone changed in resize.rs:100, each with "attempt to add with overflow".

Change: these sums and products saturate; the values of ordinary fleets are the same as before. `scheduler/placing.rs` and `scheduler/jobs.rs` keep plain sums: workers and needs are limited, so that they cannot overflow.

--- a/crates/core/src/job/order.rs
+++ b/crates/core/src/job/order.rs
@@ -30,9 +30,10 @@
             self.means.insert(work.clone(), duration);
             return;
         };
-        let old = mean.as_millis() * (100 - NEWEST_WEIGHT_PERCENT);
-        let new = duration.as_millis() * NEWEST_WEIGHT_PERCENT;
-        *mean = ClockTime::from_millis((old + new) / 100);
+        let weighted = |time: ClockTime, percent| time.as_millis().saturating_mul(percent);
+        let old = weighted(*mean, 100 - NEWEST_WEIGHT_PERCENT);
+        let new = weighted(duration, NEWEST_WEIGHT_PERCENT);
+        *mean = ClockTime::from_millis(old.saturating_add(new) / 100);
     }
 
     /// Mean duration of a task, or a default where none has been observed.
@@ -97,7 +98,7 @@
         is_new: bool,
         now: ClockTime,
     ) -> Self {
-        let margin = remaining.as_millis() * CHAIN_MARGIN_PERCENT / 100;
+        let margin = remaining.as_millis().saturating_mul(CHAIN_MARGIN_PERCENT) / 100;
         let expected = remaining + ClockTime::from_millis(margin) + START_MARGIN;
         Self {
             ends: true,
@@ -173,11 +174,12 @@
     let mut work_before = 0;
     for queued in feasible.filter(|queued| queued.urgency.ends) {
         let laxity = queued.urgency.latest_start - now;
-        let carried = cpu * laxity.as_millis() * FREE_CPU_PERCENT / 100;
+        let carried = cpu.saturating_mul(laxity.as_millis());
+        let carried = carried.saturating_mul(FREE_CPU_PERCENT) / 100;
         if work_before > carried {
             return true;
         }
-        work_before += queued.work;
+        work_before = queued.work.saturating_add(work_before);
     }
     false
 }
--- a/crates/core/src/job/resize.rs
+++ b/crates/core/src/job/resize.rs
@@ -96,8 +96,9 @@
     /// Index of a VM that the pool can release.
     fn releasable(&self, reason: MoveReason) -> Option<usize> {
         self.idle.iter().rposition(|vm| {
-            let retained = self.demand_for(reason) * RETAINED_PERCENT / 100 + HEADROOM_VMS * vm.cpu;
-            let enough = self.capacity >= vm.cpu + retained;
+            let demand = self.demand_for(reason).saturating_mul(RETAINED_PERCENT) / 100;
+            let headroom = vm.cpu.saturating_mul(1 + HEADROOM_VMS);
+            let enough = self.capacity >= headroom.saturating_add(demand);
             self.spare || (enough && self.is_idle_enough(vm, reason))
         })
     }
@@ -112,7 +113,7 @@
     }
 
     fn add(&mut self, vm: &IdleVm) {
-        self.capacity += vm.cpu;
+        self.capacity = self.capacity.saturating_add(vm.cpu);
         self.vms += 1;
     }
 }
--- a/crates/core/src/job/scheduler/demand.rs
+++ b/crates/core/src/job/scheduler/demand.rs
@@ -6,7 +6,7 @@
     clock::ClockTime,
     job::{
         resize::{IdleVm, PoolDemandView},
-        spec::Resources,
+        spec::{Resources, StepSpec},
         vm_order::AnyVmOrder,
         worker::Worker,
     },
@@ -69,8 +69,9 @@
 impl TaskBacklog {
     /// Adds a task that needs `cpu` and is expected to last for `duration`.
     fn add(&mut self, cpu: u64, duration: ClockTime) {
-        self.work += cpu * duration.as_millis();
-        self.cpu += cpu;
+        let work = cpu.saturating_mul(duration.as_millis());
+        self.work = self.work.saturating_add(work);
+        self.cpu = self.cpu.saturating_add(cpu);
     }
 
     /// CPU that works the tasks off within the target time, in thousandths of a core; at most what
@@ -100,7 +101,7 @@
 impl PoolLoad {
     /// CPU of the tasks that run, and of those that could start now, in thousandths of a core.
     fn present_demand(&self) -> u64 {
-        self.running + self.long_running + self.startable.demand()
+        saturating_sum([self.running, self.long_running, self.startable.demand()])
     }
 }
 
@@ -125,6 +126,16 @@
     pub infeasible: usize,
 }
 
+/// Adds up numbers, and stops at the largest one.
+fn saturating_sum(numbers: impl IntoIterator<Item = u64>) -> u64 {
+    numbers.into_iter().fold(0, u64::saturating_add)
+}
+
+/// CPU of all tasks of a step, in thousandths of a core.
+fn step_cpu(step: &StepSpec) -> u64 {
+    step.charged().cpu.saturating_mul(u64::from(step.count))
+}
+
 impl Scheduler {
     /// Returns the load of each pool.
     pub fn pool_summaries(&self) -> Vec<PoolSummary> {
@@ -162,16 +173,13 @@
             return;
         }
         let mean = self.durations.mean(&job.spec.work).as_millis();
-        let steps = job.spec.steps.iter();
-        let cpu: u64 = steps
-            .map(|step| u64::from(step.count) * step.charged().cpu)
-            .sum();
+        let cpu = saturating_sum(job.spec.steps.iter().map(step_cpu));
         let rate = self
             .fleet
             .arrivals
             .entry(job.terms.pool.clone())
             .or_default();
-        rate.add((cpu * mean) as f64, mean as f64, now);
+        rate.add(cpu as f64 * mean as f64, mean as f64, now);
     }
 
     /// Computes the demand and capacity of each pool.
@@ -188,7 +196,7 @@
                 spare: pool.spare,
                 demand: self.demand(&pool.name, &load),
                 present_demand: load.present_demand(),
-                late_demand: load.present_demand() + load.late_startable.cpu,
+                late_demand: saturating_sum([load.present_demand(), load.late_startable.cpu]),
                 waiting: load.waiting,
                 long_running: load.long_running,
                 capacity: 0,
@@ -215,7 +223,7 @@
         view.vms += 1;
         let worker = vm.worker.as_ref().and_then(|id| self.workers.get(id));
         if is_arriving || worker.is_some_and(Worker::is_in_service) {
-            view.capacity += vm.capacity.cpu;
+            view.capacity = view.capacity.saturating_add(vm.capacity.cpu);
         }
         view.idle.extend(self.idle_vm(vm, worker, view.spare));
     }
@@ -242,7 +250,8 @@
     /// that is late in any case waits for what the pool has left, and for VMs that no other pool
     /// needs: others that were moved for it would be missing where work can still be done in time.
     fn demand(&self, pool: &PoolName, load: &PoolLoad) -> u64 {
-        self.arriving_cpu(pool).max(load.running) + load.long_running + load.timely.demand()
+        let active = self.arriving_cpu(pool).max(load.running);
+        saturating_sum([active, load.long_running, load.timely.demand()])
     }
 
     /// Returns the CPU demand of the work that arrives for a pool, in thousandths of a core.
@@ -258,9 +267,8 @@
             let load = pools.entry(&job.terms.pool).or_default();
             if job.spec.is_long_running() {
                 if job.life.goal().is_none() {
-                    let steps = job.spec.steps.iter();
-                    let cpu = steps.map(|step| u64::from(step.count) * step.charged().cpu);
-                    load.long_running += cpu.sum::<u64>();
+                    let cpu = job.spec.steps.iter().map(step_cpu);
+                    load.long_running = saturating_sum(cpu.chain([load.long_running]));
                 }
                 continue;
             }
@@ -272,9 +280,10 @@
             for ((_, step, _), task) in job.tasks() {
                 let cpu = job.spec.steps[usize::from(step)].charged().cpu;
                 if task.placed().is_some() {
-                    load.running += cpu;
+                    load.running = load.running.saturating_add(cpu);
                 } else if !task.is_terminal() {
-                    load.waiting += cpu * mean.as_millis();
+                    let work = cpu.saturating_mul(mean.as_millis());
+                    load.waiting = load.waiting.saturating_add(work);
                     if !infeasible {
                         load.timely.add(cpu, mean);
                     }
@@ -305,14 +314,12 @@
         let views = self.demand_views();
         let task_cpu = |view: &PoolDemandView| view.capacity.saturating_sub(view.long_running);
         let spare_cpu = |view: &PoolDemandView| {
-            let idle = view.idle.iter().map(|vm| vm.cpu).sum::<u64>();
-            if view.spare { idle } else { 0 }
+            let idle = view.idle.iter().filter(|_| view.spare);
+            saturating_sum(idle.map(|vm| vm.cpu))
         };
-        let all_task_cpu: u64 = views
-            .iter()
-            .map(|view| task_cpu(view) + spare_cpu(view))
-            .sum();
-        let all_waiting: u64 = views.iter().map(|view| view.waiting).sum();
+        let cpu_of = |view| task_cpu(view).saturating_add(spare_cpu(view));
+        let all_task_cpu = saturating_sum(views.iter().map(cpu_of));
+        let all_waiting = saturating_sum(views.iter().map(|view| view.waiting));
         let time_for = |work: u64, cpu: u64| work.checked_div(cpu).map(ClockTime::from_millis);
         let drain = |view: &PoolDemandView| {
             let alone_time = time_for(view.waiting, task_cpu(view));
--- a/crates/core/src/job/scheduler/waves.rs
+++ b/crates/core/src/job/scheduler/waves.rs
@@ -146,11 +146,14 @@
         let workers = self.workers.values();
         // Workers under evacuation count as well: their tasks are load for the others.
         let present = workers.filter(|worker| worker.missing_since.is_none());
-        let (used, capacity) = present.fold((0, 0), |(used, capacity), worker| {
+        let (used, capacity) = present.fold((0_u64, 0_u64), |(used, capacity), worker| {
             let (own_used, own_capacity) = (worker.used.cpu, worker.entry.capacity.cpu);
-            (used + own_used, capacity + own_capacity)
+            (
+                own_used.saturating_add(used),
+                own_capacity.saturating_add(capacity),
+            )
         });
-        used * 100 <= capacity * IDLE_LOAD_PERCENT
+        used.saturating_mul(100) <= capacity.saturating_mul(IDLE_LOAD_PERCENT)
     }
 
     /// Returns whether a VM is powered off until another pool needs it.
--- a/crates/core/src/job/wave.rs
+++ b/crates/core/src/job/wave.rs
@@ -83,10 +83,13 @@
         maintenance_time: ClockTime,
         now: ClockTime,
     ) -> usize {
-        let reserve = self.request.within.as_millis() * (100 - PLANNED_PERIOD_PERCENT) / 100;
+        let reserve_percent = 100 - PLANNED_PERIOD_PERCENT;
+        let reserve = self.request.within.as_millis();
+        let reserve = reserve.saturating_mul(reserve_percent) / 100;
         let time_left = (self.due - now).as_millis().saturating_sub(reserve);
         let vm_time = (maintenance_time + EVACUATION_TIME).as_millis();
-        let needed = (remaining as u64 * vm_time).div_ceil(time_left.max(1));
+        let work = vm_time.saturating_mul(remaining as u64);
+        let needed = work.div_ceil(time_left.max(1));
         (needed as usize).clamp(1, self.request.cap.max(1))
     }
 }
--- a/crates/core/tests/jobs/extremes.rs
+++ b/crates/core/tests/jobs/extremes.rs
@@ -2,10 +2,13 @@
 
 use jacinthhoist_core::{
     ClockTime,
-    job::{JobSpec, RepeatPlan, Resources, StepSpec},
+    job::{
+        JobId, JobSpec, JobState, RenewalReport, RepeatPlan, Resources, StepSpec, TaskEnd, VmState,
+        WaveRequest, WorkerEntry,
+    },
 };
 
-use super::harness::{ms, spec, step};
+use super::harness::{SchedulerHarness, entry, ms, spec, step, vm, worker};
 
 const MAX: ClockTime = ClockTime::from_millis(u64::MAX);
 
@@ -73,3 +76,59 @@
             .is_ok()
     );
 }
+
+/// Guards against one extreme number that ends the owner pipe at every step, in place of which the
+/// others are served: the sums over workers, VMs, jobs and waves overflowed.
+#[test]
+fn the_largest_numbers_leave_other_jobs_in_service() {
+    let mut harness = SchedulerHarness::open(2);
+    let largest = all(Resources::MAX_AMOUNT);
+    for number in 2..302 {
+        let odd = WorkerEntry {
+            capacity: largest,
+            ..entry("melt")
+        };
+        harness
+            .scheduler
+            .worker_listed(worker(number), odd, harness.now);
+        harness.report(number, RenewalReport::default());
+    }
+    let mut vms: Vec<_> = (0..2)
+        .map(|number| vm(number, "mould", VmState::Up))
+        .collect();
+    vms.extend((2..302).map(|number| {
+        let mut odd = vm(number, "melt", VmState::Up);
+        odd.capacity = all(u64::MAX);
+        odd
+    }));
+    let waved = vms.iter().map(|vm| vm.vm.clone()).collect();
+    harness.scheduler.vms_listed(vms, harness.now, harness.now);
+    let request = WaveRequest {
+        number: u64::MAX,
+        vms: waved,
+        within: MAX,
+        cap: usize::MAX,
+    };
+    harness.scheduler.request_wave(request, harness.now);
+    for id in 2..8 {
+        let mut wide = step_with(largest);
+        wide.count = 1_000;
+        harness.accept(id, vec![wide]);
+    }
+    harness.accept(1, vec![step(3)]);
+    let mut ended = 0;
+    for _ in 0..10 {
+        harness.wait(100);
+        harness.settle();
+        for start in harness.confirm() {
+            if start.task.job == JobId(1) {
+                harness.end(&start, TaskEnd::Done);
+                ended += 1;
+            }
+        }
+        assert!(!harness.scheduler.pool_summaries().is_empty());
+        assert!(!harness.scheduler.loads().is_empty());
+    }
+    assert_eq!(ended, 3);
+    assert_eq!(harness.scheduler.state(JobId(1)), Some(JobState::Completed));
+}
