Do not let the lease of a worker wrap around with its clock

What callers saw: nothing yet. A worker (or whatever listens at the address of an odd entry) whose reports give a clock near the largest number ended the owner pipe when its lease was extended; in the release build the deadline wrapped around to a time in the past.

Cause: `HeldLease::extend` and the allowance for drift calculated without regard to overflow.

Evidence: `a_lease_at_the_end_of_a_clock_does_not_wrap` failed before with "attempt to add with overflow".

Change: both stop at the largest number.

--- a/crates/core/src/job/lease.rs
+++ b/crates/core/src/job/lease.rs
@@ -72,7 +72,8 @@
 
     /// Extends the lease by `span` from now and returns the deadline on the worker's clock.
     pub fn extend(&mut self, span: ClockTime, now: ClockTime) -> u64 {
-        let deadline = self.worker_clock + (now - self.read_at + span).as_millis();
+        let since_reading = (now - self.read_at + span).as_millis();
+        let deadline = self.worker_clock.saturating_add(since_reading);
         self.deadline = self.deadline.max(deadline);
         deadline
     }
@@ -121,5 +122,6 @@
 }
 
 fn with_clock_drift(span: ClockTime) -> ClockTime {
-    ClockTime::from_millis(span.as_millis() * CLOCK_DRIFT_PERMILLE / 1_000)
+    let permille = span.as_millis().saturating_mul(CLOCK_DRIFT_PERMILLE);
+    ClockTime::from_millis(permille / 1_000).max(span)
 }
--- a/crates/core/tests/jobs/extremes.rs
+++ b/crates/core/tests/jobs/extremes.rs
@@ -3,8 +3,8 @@
 use jacinthhoist_core::{
     ClockTime,
     job::{
-        JobId, JobSpec, JobState, RenewalReport, RepeatPlan, Resources, StepSpec, TaskEnd, VmState,
-        WaveRequest, WorkerEntry,
+        JobId, JobSpec, JobState, RenewalReport, RepeatPlan, Resources, StepSpec, TaskEnd,
+        UnknownLease, VmState, WaveRequest, WorkerEntry, WorkerLease,
     },
 };
 
@@ -132,3 +132,22 @@
     assert_eq!(ended, 3);
     assert_eq!(harness.scheduler.state(JobId(1)), Some(JobState::Completed));
 }
+
+/// Guards against a worker's clock at the end of its range: the next deadline wrapped around.
+#[test]
+fn a_lease_at_the_end_of_a_clock_does_not_wrap() {
+    let mut lease = WorkerLease::Unknown(UnknownLease {
+        since: ms(10),
+        max_span: ms(6_000),
+        stored_expiry: Some(MAX),
+    });
+    lease.read(u64::MAX - 5, ms(20));
+    assert_eq!(lease.extend(ms(6_000), ms(30)), Some(u64::MAX));
+    assert!(lease.latest_expiry() > ms(20));
+    let unbounded = UnknownLease {
+        since: ms(10),
+        max_span: MAX,
+        stored_expiry: None,
+    };
+    assert_eq!(unbounded.latest_expiry(), MAX);
+}
