Admit jobs under any objective and any load

What callers saw: nothing yet. A configuration with an `slo_ms` beyond a third of the largest number, or a heartbeat of a member with such a load, ended the task that answers each caller's job: its connection closed without an answer.

Cause: the objective and the chain of a job were multiplied without regard to overflow.

Evidence: `a_job_of_an_unbounded_objective_is_admitted` failed before with "attempt to multiply with overflow".

Change: both stop at the largest number.

--- a/crates/core/src/job/admit.rs
+++ b/crates/core/src/job/admit.rs
@@ -49,7 +49,7 @@
 ///
 /// The refusal, with the delay after which the backlog allows the job to meet its objective.
 pub fn admit_job(load: &WorkLoad, objective: ClockTime) -> Result<(), JobRefusal> {
-    let max_wait = ClockTime::from_millis(objective.as_millis() * MAX_WAIT_FACTOR);
+    let max_wait = ClockTime::from_millis(objective.as_millis().saturating_mul(MAX_WAIT_FACTOR));
     if load.drain <= max_wait {
         return Ok(());
     }
--- a/crates/core/tests/jobs/extremes.rs
+++ b/crates/core/tests/jobs/extremes.rs
@@ -4,7 +4,7 @@
     ClockTime,
     job::{
         JobId, JobSpec, JobState, RenewalReport, RepeatPlan, Resources, StepSpec, TaskEnd,
-        UnknownLease, VmState, WaveRequest, WorkerEntry, WorkerLease,
+        UnknownLease, VmState, WaveRequest, WorkLoad, WorkerEntry, WorkerLease, admit_job,
     },
 };
 
@@ -151,3 +151,14 @@
     };
     assert_eq!(unbounded.latest_expiry(), MAX);
 }
+
+/// Guards against an objective at the end of its range, which ended the call of a caller.
+#[test]
+fn a_job_of_an_unbounded_objective_is_admitted() {
+    let load = WorkLoad {
+        drain: ms(9_000),
+        waiting: u32::MAX,
+        task: MAX,
+    };
+    assert!(admit_job(&load, MAX).is_ok());
+}
--- a/crates/scheduler/src/caller.rs
+++ b/crates/scheduler/src/caller.rs
@@ -325,9 +325,9 @@
             return Ok(());
         }
         let load = self.admission_load(&work.name);
-        let chain = load.task.as_millis() * spec.chain_len();
-        let objective = (chain as f64 * work.stretch) as u64 + work.objective.as_millis();
-        admit_job(&load, ClockTime::from_millis(objective)).map_err(|refusal| CallerReply::Busy {
+        let chain = load.task.as_millis().saturating_mul(spec.chain_len());
+        let stretched = ClockTime::from_millis((chain as f64 * work.stretch) as u64);
+        admit_job(&load, stretched + work.objective).map_err(|refusal| CallerReply::Busy {
             retry_after: refusal.retry_after,
         })
     }
