Let the stand-ins hold odd entries, rows and reports

The path tests can replace a worker's entry by any bytes, add any row to the list of VMs, and let a worker report its runs under names that are not those of tasks. `ScheduleFleet::starts` counts the starts of a job's tasks.

--- a/crates/experiments/src/schedule.rs
+++ b/crates/experiments/src/schedule.rs
@@ -227,6 +227,18 @@
         totals
     }
 
+    /// Number of starts on all workers of each task whose name begins with `prefix`.
+    pub async fn starts(&self, prefix: &str) -> BTreeMap<String, u32> {
+        let mut totals = BTreeMap::new();
+        for worker in &self.platform.workers {
+            let starts = worker.starts().await.into_iter();
+            for (task, count) in starts.filter(|(task, _)| task.starts_with(prefix)) {
+                *totals.entry(task).or_default() += count;
+            }
+        }
+        totals
+    }
+
     /// Number of tasks running on all workers whose name begins with `prefix`.
     pub async fn running(&self, prefix: &str) -> usize {
         let mut count = 0;
--- a/crates/fakes/src/platform/machines.rs
+++ b/crates/fakes/src/platform/machines.rs
@@ -34,6 +34,8 @@
 /// workers; tests stop and restart those themselves.
 pub struct MachineService {
     machines: Arc<ArcSwap<Vec<ListedMachine>>>,
+    /// Further rows of the list, as JSON text.
+    raw_rows: Arc<ArcSwap<Vec<String>>>,
     server: FakeServer,
 }
 
@@ -45,10 +47,14 @@
     /// No loopback address can be bound.
     pub async fn spawn() -> std::io::Result<Self> {
         let machines = Arc::new(ArcSwap::from_pointee(Vec::new()));
-        let shared = machines.clone();
-        let server = http::spawn(loopback(), move |_, request| serve(shared.clone(), request));
+        let raw_rows = Arc::new(ArcSwap::from_pointee(Vec::new()));
+        let (shared, shared_rows) = (machines.clone(), raw_rows.clone());
+        let server = http::spawn(loopback(), move |_, request| {
+            serve(shared.clone(), shared_rows.clone(), request)
+        });
         Ok(Self {
             machines,
+            raw_rows,
             server: server.await?,
         })
     }
@@ -74,6 +80,15 @@
         });
     }
 
+    /// Adds a row of any JSON text to the list.
+    pub fn add_raw_row(&self, row: &str) {
+        self.raw_rows.rcu(|rows| {
+            let mut rows = rows.to_vec();
+            rows.push(row.to_owned());
+            rows
+        });
+    }
+
     /// Names of the machines whose maintenance in a wave has started.
     pub fn under_maintenance(&self, wave: u64) -> Vec<String> {
         let machines = self.machines.load();
@@ -86,12 +101,17 @@
 
 async fn serve(
     machines: Arc<ArcSwap<Vec<ListedMachine>>>,
+    raw_rows: Arc<ArcSwap<Vec<String>>>,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     if request.method() == Method::GET {
-        let rows = machines.load();
-        let rows: Vec<Value> = rows.iter().map(machine_row).collect();
-        return http::json(&json!({"machines": rows, "next_token": null}));
+        let machines = machines.load();
+        let rows = machines
+            .iter()
+            .map(|machine| machine_row(machine).to_string());
+        let rows: Vec<String> = rows.chain(raw_rows.load().iter().cloned()).collect();
+        let text = format!(r#"{{"machines":[{}],"next_token":null}}"#, rows.join(","));
+        return Response::new(http::full_body(text));
     }
     let token = request.headers().get("fencing-token");
     let token = token
--- a/crates/fakes/src/platform/pool_worker.rs
+++ b/crates/fakes/src/platform/pool_worker.rs
@@ -53,6 +53,8 @@
     Late,
     /// Rejects starts with status 503.
     Refuse,
+    /// Reports its runs under names that are not those of tasks.
+    GarbledReports,
 }
 
 #[derive(Debug, Deserialize)]
@@ -144,6 +146,8 @@
     fault: watch::Sender<WorkerFault>,
     tickets_required: watch::Sender<bool>,
     state: watch::Sender<&'static str>,
+    /// Bytes that replace the entry.
+    raw_entry: watch::Sender<Option<Vec<u8>>>,
     _server: FakeServer,
     heartbeat_task: JoinHandle<()>,
 }
@@ -285,7 +289,7 @@
         Ok(())
     }
 
-    fn report(&self) -> Value {
+    fn report(&self, garbled: bool) -> Value {
         let running = self.runs.iter().map(|(name, run)| {
             let percent = match run.duration {
                 None => 100,
@@ -293,6 +297,7 @@
                     / duration.as_millis().max(1))
                 .min(99),
             };
+            let name = if garbled { "7.x" } else { name };
             json!([name, run.number, "", percent as u64, 0])
         });
         let running: Vec<Value> = running.collect();
@@ -319,6 +324,7 @@
         let (fault, fault_receiver) = watch::channel(WorkerFault::None);
         let (tickets_required, ticket_switch) = watch::channel(false);
         let (state, state_receiver) = watch::channel("ready");
+        let (raw_entry, raw_receiver) = watch::channel(None::<Vec<u8>>);
         let (shared, shared_counts, target) = (incarnation.clone(), counts.clone(), id.to_owned());
         let server = http::spawn(loopback(), move |_, request| {
             let fault = *fault_receiver.borrow();
@@ -344,7 +350,9 @@
                     "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0, "born": number,
                     "capacity": {"cpu": 32_000, "mem_mb": 131_072, "gpu": 0},
                     "labels": ["a", "r-1"], "seq": seq});
-                store.put("keyed.servers", &key, &entry);
+                let bytes = raw_receiver.borrow().clone();
+                let bytes = bytes.unwrap_or_else(|| entry.to_string().into_bytes());
+                store.put_bytes("keyed.servers", &key, &bytes);
                 sleep(heartbeat).await;
             }
         });
@@ -355,6 +363,7 @@
             fault,
             tickets_required,
             state,
+            raw_entry,
             _server: server,
             heartbeat_task,
         })
@@ -380,6 +389,11 @@
         self.state.send_replace("draining");
     }
 
+    /// Registers with these bytes in place of its entry from now on; `None` for the entry again.
+    pub fn replace_entry(&self, bytes: Option<&[u8]>) {
+        self.raw_entry.send_replace(bytes.map(<[u8]>::to_vec));
+    }
+
     /// Restarts under the same id, without its runs and their history.
     pub async fn restart(&self) {
         let mut incarnation = self.incarnation.lock().await;
@@ -450,7 +464,7 @@
             let stopped = incarnation.stop(&order);
             order_response(&incarnation, stopped)
         }
-        "/v1/hold" => hold(incarnation, counts, order).await,
+        "/v1/hold" => hold(incarnation, counts, fault, order).await,
         _ => http::status(StatusCode::NOT_FOUND),
     }
 }
@@ -505,6 +519,7 @@
 async fn hold(
     incarnation: Arc<Mutex<WorkerIncarnation>>,
     counts: Arc<Mutex<TaskCounts>>,
+    fault: WorkerFault,
     order: WorkerOrder,
 ) -> Response<ResponseBody> {
     let wait_until = Instant::now() + Duration::from_millis(order.wait_ms.min(2_000));
@@ -521,7 +536,8 @@
                 .ended_rows
                 .retain(|row| row[0].as_u64().is_some_and(|end| end > ack_cursor));
             if !incarnation.ended_rows.is_empty() || Instant::now() >= wait_until {
-                return http::json(&incarnation.report());
+                let garbled = fault == WorkerFault::GarbledReports;
+                return http::json(&incarnation.report(garbled));
             }
         }
         sleep(Duration::from_millis(5)).await;
