--- a/crates/scheduler/src/owner/workers.rs
+++ b/crates/scheduler/src/owner/workers.rs
@@ -9,6 +9,7 @@
 use tokio::sync::{Semaphore, mpsc};
 
 use crate::{
+    error::Category,
     eventlog::event,
     meter::JobMeter,
     ports::{Platform, RenewalOrder, StartOrder, WorkerLink},
@@ -143,6 +144,7 @@
             }
             self.shared.meter.renewals.increment(1);
             let call = RenewalCall {
+                shared: self.shared.clone(),
                 worker: id.clone(),
                 order,
                 token: self.token,
@@ -230,6 +232,7 @@
 
 /// Call of one renewal or status probe.
 struct RenewalCall {
+    shared: Arc<MemberShared>,
     worker: WorkerId,
     order: RenewalOrder,
     token: u64,
@@ -248,7 +251,13 @@
                 return;
             }
             // The scheduler records the worker's silence.
-            Err(_) => None,
+            Err(error) => {
+                if error.category() == Category::Unreadable {
+                    event!(self.shared.log, Unreadable, "key": self.worker.as_str(),
+                        "reason": error.to_string());
+                }
+                None
+            }
         };
         // The engine may have stopped.
         let _ = events.send(OwnerEvent::Renewed {
