Give no tasks to a worker whose entry has turned unreadable

What callers saw: nothing yet. By the protocol, an entry that cannot be read names no worker to use. An owner that followed the list kept to the worker's earlier entry instead, while the next owner, which reads the newest entries only, did not know the worker: what one odd entry meant depended on when the owner had taken over.

Cause: an unreadable record of the list was logged and passed over, also where it replaced a known entry.

Evidence: `a_worker_whose_entry_turns_unreadable_gets_no_new_tasks` failed before: the worker had 16 starts in place of 1. With the change the run that was in progress there goes on, under its only start, and the worker is used again after its next readable entry.

Change: such a record counts as the removal of the worker's entry, with the same grace. `odd_entries_leave_the_other_workers_in_use` plays 28 entries of another writer (nested 100,000 levels deep, numbers and ports out of range, strings of a megabyte, cut off, duplicate fields, odd keys) while the list is followed and in two takeovers; it passed before as well.

--- a/crates/scheduler/src/owner/sources.rs
+++ b/crates/scheduler/src/owner/sources.rs
@@ -103,10 +103,7 @@
             Ok(page) => {
                 next = page.next;
                 for record in page.items {
-                    let Some(event) = worker_event(&shared, record) else {
-                        continue;
-                    };
-                    if events.send(event).is_err() {
+                    if events.send(worker_event(&shared, record)).is_err() {
                         return;
                     }
                 }
@@ -127,13 +124,14 @@
     }
 }
 
-fn worker_event(shared: &MemberShared, record: WorkerRecord) -> Option<OwnerEvent> {
+fn worker_event(shared: &MemberShared, record: WorkerRecord) -> OwnerEvent {
     match record {
-        WorkerRecord::Registered(id, entry) => Some(OwnerEvent::WorkerChanged(id, Some(entry))),
-        WorkerRecord::Removed(id) => Some(OwnerEvent::WorkerChanged(id, None)),
+        WorkerRecord::Registered(id, entry) => OwnerEvent::WorkerChanged(id, Some(entry)),
+        WorkerRecord::Removed(id) => OwnerEvent::WorkerChanged(id, None),
         WorkerRecord::Unreadable { key, reason } => {
             event!(shared.log, Unreadable, "key": key, "reason": reason);
-            None
+            // The next owner will not read the worker's earlier entry either.
+            OwnerEvent::WorkerChanged(WorkerId::new(&key), None)
         }
     }
 }
@@ -155,7 +153,7 @@
 ) -> BTreeMap<WorkerId, WorkerEntry> {
     let mut entries = BTreeMap::new();
     for record in records {
-        if let Some(OwnerEvent::WorkerChanged(id, Some(entry))) = worker_event(shared, record) {
+        if let OwnerEvent::WorkerChanged(id, Some(entry)) = worker_event(shared, record) {
             entries.insert(id, entry);
         }
     }
