Read the list of VMs row by row

What callers saw: nothing yet. One row with a field of another type or a number too large failed the whole list of VMs: no maintenance wave advanced and no VM moved to another pool, for as long as the row was there.

Cause: the page was decoded as one value.

Change: each row is decoded by itself. A row that tells at least the name and the state of its VM stands for a VM that is there and cannot be used, so that a wave is not completed without it; the reason is logged. Without these two the list still fails: a VM that is left out would count as gone, and one that is down for a wave as back. Numbers out of range are treated alike.

--- a/crates/emulator/src/platform.rs
+++ b/crates/emulator/src/platform.rs
@@ -5,13 +5,13 @@
 use jacinthhoist_codec::KeyedRecord;
 use jacinthhoist_core::{
     ClockTime, PoolName, VmName, WorkerId,
-    job::{OrderReply, RenewalReport, StartReply, StepAdvice, StepKey, TaskKey, VmEntry},
+    job::{OrderReply, RenewalReport, StartReply, StepAdvice, StepKey, TaskKey},
 };
 use jacinthhoist_scheduler::{
     Category, Result,
     ports::{
         AppendSequence, Membership, NewestPage, OperatorRecord, Platform, ReadPage, RenewalOrder,
-        StartOrder, StoreStream, VmAuthority, WorkerLink, WorkerRecord,
+        StartOrder, StoreStream, VmAuthority, VmListing, WorkerLink, WorkerRecord,
     },
 };
 use tokio::time::sleep;
@@ -192,8 +192,8 @@
         })
     }
 
-    async fn list_vms(&self) -> Result<Vec<VmEntry>> {
-        let serve = async { Some(Ok(self.model.list_vms())) };
+    async fn list_vms(&self) -> Result<VmListing> {
+        let serve = async { Some(Ok(self.model.list_vms().into())) };
         let network = &self.model.network;
         let (name, to) = ("list of VMs", Endpoint::VmService);
         network
--- a/crates/scheduler/src/owner/effects.rs
+++ b/crates/scheduler/src/owner/effects.rs
@@ -14,7 +14,9 @@
     append::{StoreAppend, duration},
     dependency::Dependency,
     eventlog::event,
-    ports::{AppendSequence, Platform, StartOrder, StoreStream, VmAuthority},
+    ports::{
+        AppendSequence, Platform, StartOrder, StoreStream, UnreadableRow, VmAuthority, VmListing,
+    },
     shared::MemberShared,
 };
 
@@ -140,7 +142,10 @@
         self.calls.spawn(async move {
             let listed = platform.list_vms().await;
             shared.record_call(Dependency::VmList, &listed);
-            if let Ok(vms) = listed {
+            if let Ok(VmListing { vms, unreadable }) = listed {
+                for UnreadableRow { key, reason } in unreadable {
+                    event!(shared.log, Unreadable, "key": key, "reason": reason);
+                }
                 // The engine may have stopped.
                 let _ = events.send(OwnerEvent::Vms { vms, asked_at });
             }
--- a/crates/scheduler/src/ports.rs
+++ b/crates/scheduler/src/ports.rs
@@ -95,6 +95,33 @@
     },
 }
 
+/// List of the VMs of all pools.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct VmListing {
+    /// All VMs. Those whose rows cannot be decoded are not [`VmState::Up`].
+    ///
+    /// [`VmState::Up`]: jacinthhoist_core::job::VmState::Up
+    pub vms: Vec<VmEntry>,
+    /// Rows that cannot be decoded, for the log.
+    pub unreadable: Vec<UnreadableRow>,
+}
+
+impl From<Vec<VmEntry>> for VmListing {
+    fn from(vms: Vec<VmEntry>) -> Self {
+        let unreadable = Vec::new();
+        Self { vms, unreadable }
+    }
+}
+
+/// Row of a list that cannot be decoded.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnreadableRow {
+    /// Key of the row.
+    pub key: String,
+    /// Error of the decoder.
+    pub reason: String,
+}
+
 /// Order to start a run of a task.
 #[derive(Clone, Debug)]
 pub struct StartOrder {
@@ -213,7 +240,7 @@
     ) -> impl Future<Output = Result<StepAdvice>> + Send;
 
     /// Lists the VMs of all pools.
-    fn list_vms(&self) -> impl Future<Output = Result<Vec<VmEntry>>> + Send;
+    fn list_vms(&self) -> impl Future<Output = Result<VmListing>> + Send;
 
     /// Moves a VM to a pool.
     fn move_vm(
