Log the operators' records that cannot be decoded

What callers saw: nothing yet. A configuration or a wave that cannot be decoded was passed over without a line in the log, like a record that this release does not use: nothing told why a version was not in force.

Cause: the decoder mapped errors to the variant for unused records.

Change: such a record is logged with its key and the reason. The earlier configuration stays in force, as before; a removed record is still unused.

--- a/crates/scheduler/src/operator.rs
+++ b/crates/scheduler/src/operator.rs
@@ -80,6 +80,9 @@
                 });
             }
             OperatorRecord::Other => {}
+            OperatorRecord::Unreadable { key, reason } => {
+                event!(self.shared.log, Unreadable, "key": key, "reason": reason);
+            }
         }
     }
 
--- a/crates/scheduler/src/ports.rs
+++ b/crates/scheduler/src/ports.rs
@@ -77,6 +77,13 @@
     Wave(WaveRequest),
     /// Record that this release does not use.
     Other,
+    /// Record that cannot be decoded.
+    Unreadable {
+        /// Key of the record.
+        key: String,
+        /// Error of the decoder.
+        reason: String,
+    },
 }
 
 /// Change of a worker's registration.
