Bound the texts in log lines

What callers saw: nothing yet. The reason for which a record cannot be decoded quotes it: a state of a megabyte in one worker's entry was a line of a megabyte, up to 100 times a second, from each owner that read it.

Cause: the number of lines is limited, their length was not.

Change: a text in a line is cut off after 512 bytes.

--- a/crates/scheduler/src/eventlog.rs
+++ b/crates/scheduler/src/eventlog.rs
@@ -27,6 +27,9 @@
 const QUEUE_LINES: NonZeroUsize = NonZeroUsize::new(512).unwrap();
 /// Maximum lines of one kind per second; covers every request at twice the usual load.
 const LINES_PER_SEC: u64 = 100;
+/// Maximum length of a text in a line. Errors may quote what they could not decode, which has no
+/// limit; its beginning tells enough.
+const MAX_TEXT_BYTES: usize = 512;
 /// Window over which lines are counted.
 const WINDOW_MS: u64 = 1_000;
 
@@ -164,6 +167,7 @@
         if let Value::Object(fields) = fields {
             line.extend(fields);
         }
+        line.values_mut().for_each(shorten);
         if suppressed > 0 {
             line.insert("left_out".to_owned(), suppressed.into());
         }
@@ -171,6 +175,17 @@
     }
 }
 
+/// Cuts a text off at the maximum length.
+fn shorten(value: &mut Value) {
+    let Value::String(text) = value else {
+        return;
+    };
+    if text.len() > MAX_TEXT_BYTES {
+        text.truncate(text.floor_char_boundary(MAX_TEXT_BYTES));
+        text.push_str("...");
+    }
+}
+
 fn output_error(error: spdlog::Error) -> Error {
     BindSnafu {
         address: "standard output",
