Check the structure of CBOR before it is decoded

What callers saw: nothing yet. A record or a frame of a few bytes could make a member reserve memory for as many elements as it declares to have, and one that is nested deeply be followed for 256 levels on the stack.

Cause: lists that are short as a rule are decoded into `SmallVec`, whose decoder reserves the declared length; the CBOR decoder descends recursively.

Members decode on their main thread, so no process is known to end by this.

Change: the item is walked first, without recursion or allocation: its nesting is at most 32 levels, and bytes back each declared length. Both kinds of members use it, for records and frames.

--- a/crates/codec/src/frame.rs
+++ b/crates/codec/src/frame.rs
@@ -5,7 +5,8 @@
 use snafu::ensure;
 
 use crate::{
-    error::{FrameSnafu, Result, VersionSnafu},
+    cbor,
+    error::{Error, FrameSnafu, Result, VersionSnafu},
     platform::LogRecord,
 };
 
@@ -166,15 +167,7 @@
 ///
 /// The frame cannot be represented in CBOR; frames created by this program always can.
 pub fn encode_frame(frame: &PeerFrame) -> Result<Vec<u8>> {
-    let mut bytes = Vec::new();
-    let result = ciborium::into_writer(frame, &mut bytes);
-    result.map_err(|error| {
-        FrameSnafu {
-            message: error.to_string(),
-        }
-        .build()
-    })?;
-    Ok(bytes)
+    cbor::to_bytes(frame).map_err(invalid)
 }
 
 /// Decodes a frame.
@@ -184,13 +177,7 @@
 /// A syntax error if the bytes are not a frame, a version error if a hello frame has another
 /// version.
 pub fn decode_frame(bytes: &[u8]) -> Result<PeerFrame> {
-    let result = ciborium::from_reader(bytes);
-    let frame = result.map_err(|error| {
-        FrameSnafu {
-            message: error.to_string(),
-        }
-        .build()
-    })?;
+    let frame = cbor::from_bytes(bytes).map_err(invalid)?;
     if let PeerFrame::Hello(hello) = &frame {
         let known = FRAME_VERSION;
         ensure!(
@@ -203,3 +190,7 @@
     }
     Ok(frame)
 }
+
+fn invalid(message: String) -> Error {
+    FrameSnafu { message }.build().into()
+}
--- a/crates/codec/src/job.rs
+++ b/crates/codec/src/job.rs
@@ -8,7 +8,10 @@
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
-use crate::error::{CborSnafu, Error, Result};
+use crate::{
+    cbor,
+    error::{CborSnafu, Error, Result},
+};
 
 /// Key of the base sizes of the pools.
 const KEY_BASE_SIZES: &str = "standing";
@@ -269,13 +272,9 @@
 }
 
 fn to_cbor<T: Serialize>(value: &T) -> Result<Vec<u8>> {
-    let mut bytes = Vec::new();
-    let result = ciborium::into_writer(value, &mut bytes);
-    result.map_err(|error| invalid(error.to_string()))?;
-    Ok(bytes)
+    cbor::to_bytes(value).map_err(invalid)
 }
 
 fn from_cbor<T: DeserializeOwned>(bytes: &[u8]) -> Result<T> {
-    let result = ciborium::from_reader(bytes);
-    result.map_err(|error| invalid(error.to_string()))
+    cbor::from_bytes(bytes).map_err(invalid)
 }
--- a/crates/codec/src/lib.rs
+++ b/crates/codec/src/lib.rs
@@ -22,6 +22,7 @@
 
 mod admin;
 mod answer;
+mod cbor;
 mod digest;
 mod error;
 mod file;
