--- a/crates/core/src/snapshot.rs
+++ b/crates/core/src/snapshot.rs
@@ -1,5 +1,7 @@
 //! Snapshots of the replicated state, split into parts that fit into a record.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 
 use crate::record::Offset;
@@ -34,7 +36,9 @@
 pub struct SnapshotAssembler {
     offset: Offset,
     digest: u64,
-    texts: Vec<Option<String>>,
+    count: u32,
+    /// Texts by index. A map, as nothing but the record itself tells the number of parts.
+    texts: BTreeMap<u32, String>,
 }
 
 impl SnapshotAssembler {
@@ -43,16 +47,20 @@
     /// Parts of a newer snapshot replace those of an older one.
     pub fn add(&mut self, part: &SnapshotPart) -> Option<String> {
         let is_same_snapshot = part.offset == self.offset && part.digest == self.digest;
-        if !is_same_snapshot || self.texts.len() != part.count as usize {
+        if !is_same_snapshot || self.count != part.count {
             if part.offset < self.offset {
                 return None;
             }
             self.offset = part.offset;
             self.digest = part.digest;
-            self.texts = vec![None; part.count as usize];
+            self.count = part.count;
+            self.texts.clear();
+        }
+        if part.index >= part.count {
+            return None;
         }
-        let text = self.texts.get_mut(part.index as usize)?;
-        *text = Some(part.text.clone());
-        self.texts.iter().cloned().collect()
+        self.texts.insert(part.index, part.text.clone());
+        let is_complete = self.texts.len() == part.count as usize;
+        is_complete.then(|| self.texts.values().map(String::as_str).collect())
     }
 }
