Let sums over the loads of peers stop at the largest number

What callers saw: nothing yet. A heartbeat of a member of the request side with loads near ended the task that plans its peers' pools, or wrapped around to an idle pool in the release build.

Cause: numbers of a peer were added without regard to overflow.

Evidence: `a_demand_of_any_size_is_high` failed before with "attempt to add with overflow". The sums in peer/table.rs, peer/loans.rs and control/plan.rs are changed alike, without a test of their own.

Change: the sums saturate, and no more slots of a VM are borrowed than the VM has.

--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -22,7 +22,8 @@
 impl PoolDemand {
     /// Returns the demand as a percentage of the pool's slots.
     pub fn percent(&self) -> u32 {
-        let scaled = u64::from(self.running + self.waiting) * 100;
+        let requests = u64::from(self.running) + u64::from(self.waiting);
+        let scaled = requests * 100;
         (scaled / u64::from(self.slots.max(1))).min(10_000) as u32
     }
 }
--- a/crates/core/tests/extremes.rs
+++ b/crates/core/tests/extremes.rs
@@ -1,6 +1,6 @@
 //! Numbers at the limits of their types, in records and frames of the request side.
 
-use jacinthhoist_core::{Offset, SnapshotAssembler, SnapshotPart};
+use jacinthhoist_core::{Offset, PoolDemand, PoolName, SnapshotAssembler, SnapshotPart};
 
 fn part(index: u32, count: u32, text: &str) -> SnapshotPart {
     SnapshotPart {
@@ -25,3 +25,15 @@
     assert_eq!(parts.add(&part(2, 2, "f")), None);
     assert_eq!(parts.add(&part(0, 2, "d")).as_deref(), Some("de"));
 }
+
+/// Guards against loads whose sum wraps around to an idle pool.
+#[test]
+fn a_demand_of_any_size_is_high() {
+    let demand = PoolDemand {
+        pool: PoolName::new("melt-shop"),
+        running: u32::MAX,
+        waiting: u32::MAX,
+        slots: 1,
+    };
+    assert_eq!(demand.percent(), 10_000);
+}
--- a/crates/entry/src/control/plan.rs
+++ b/crates/entry/src/control/plan.rs
@@ -169,8 +169,8 @@
             let own_waiting = own.map_or(0, |route| route.waiting());
             let others = self.context.peers.pool_load(&pool);
             pool_demands.push(PoolDemand {
-                running: own_running + others.running,
-                waiting: own_waiting + others.waiting,
+                running: others.running.saturating_add(own_running),
+                waiting: others.waiting.saturating_add(own_waiting),
                 slots: available * entry.slots,
                 pool,
             });
--- a/crates/entry/src/peer/loans.rs
+++ b/crates/entry/src/peer/loans.rs
@@ -81,7 +81,10 @@
     }
 
     fn idlest_peer(&self, pool: &PoolName) -> Option<(MemberName, u32)> {
-        let idle = |load: &PoolLoad| load.slots.saturating_sub(load.running + load.waiting);
+        let idle = |load: &PoolLoad| {
+            let held = load.running.saturating_add(load.waiting);
+            load.slots.saturating_sub(held)
+        };
         let views = self.context.peers.views();
         let loads = views
             .iter()
@@ -179,8 +182,10 @@
         let Some(vm) = route.vms.iter().find(|vm| vm.vm == vm_loan.vm) else {
             continue;
         };
-        context.meter.loans.increment(vm_loan.slots.into());
-        borrowed_slots.push(SlotAdjustment::new(vm, vm_loan.slots as i32));
+        // No peer has more slots of a VM to lend than the VM has.
+        let slots = vm_loan.slots.min(route.entry.slots);
+        context.meter.loans.increment(slots.into());
+        borrowed_slots.push(SlotAdjustment::new(vm, slots as i32));
     }
     route.queue.wake();
     let loan_end = Instant::now() + Duration::from_millis(loan.span_ms);
--- a/crates/entry/src/peer/table.rs
+++ b/crates/entry/src/peer/table.rs
@@ -103,9 +103,9 @@
             slots: 0,
         };
         for load in views.values().filter_map(|view| view.pools.get(pool)) {
-            total.running += load.running;
-            total.waiting += load.waiting;
-            total.slots += load.slots;
+            total.running = total.running.saturating_add(load.running);
+            total.waiting = total.waiting.saturating_add(load.waiting);
+            total.slots = total.slots.saturating_add(load.slots);
         }
         total
     }
