Log the time left of a job under any objective

What callers saw: nothing yet. Under a configuration with an `slo_ms` near 2^63, the owner pipe panicked when a job ended, in the release build it logged a wrong number.

Cause: times were converted to signed numbers that do not hold them.

Evidence: `a_job_of_an_extreme_objective_ends` failed before in scheduler/jobs.rs with "attempt to subtract with overflow".

Change: a time beyond the signed numbers counts as the largest one.

--- a/crates/core/src/job/scheduler/jobs.rs
+++ b/crates/core/src/job/scheduler/jobs.rs
@@ -418,7 +418,8 @@
                 let after = now - job.spec.received_at;
                 let mean = self.durations.mean(&job.spec.work);
                 let urgency = job.urgency(mean, now);
-                let spare_ms = urgency.latest_start.as_millis() as i64 - now.as_millis() as i64;
+                let millis = |at: ClockTime| i64::try_from(at.as_millis()).unwrap_or(i64::MAX);
+                let spare_ms = millis(urgency.latest_start) - millis(now);
                 self.log_decision(SchedulerDecision::Finished {
                     job: id,
                     state,
--- a/crates/core/tests/jobs/extremes.rs
+++ b/crates/core/tests/jobs/extremes.rs
@@ -1,14 +1,16 @@
 //! Numbers at the limits of their types, from callers, workers, operators and the platform.
 
+use std::sync::Arc;
+
 use jacinthhoist_core::{
     ClockTime,
     job::{
-        JobId, JobSpec, JobState, RenewalReport, RepeatPlan, Resources, StepSpec, TaskEnd,
-        UnknownLease, VmState, WaveRequest, WorkLoad, WorkerEntry, WorkerLease, admit_job,
+        JobCatalogue, JobId, JobSpec, JobState, RenewalReport, RepeatPlan, Resources, StepSpec,
+        TaskEnd, UnknownLease, VmState, WaveRequest, WorkLoad, WorkerEntry, WorkerLease, admit_job,
     },
 };
 
-use super::harness::{SchedulerHarness, entry, ms, spec, step, vm, worker};
+use super::harness::{SchedulerHarness, catalogue, entry, ms, spec, step, vm, worker};
 
 const MAX: ClockTime = ClockTime::from_millis(u64::MAX);
 
@@ -162,3 +164,25 @@
     };
     assert!(admit_job(&load, MAX).is_ok());
 }
+
+/// Guards against an objective whose end lies beyond all times: when a job of such a work ended, the
+/// time left until it overflowed.
+#[test]
+fn a_job_of_an_extreme_objective_ends() {
+    let mut harness = SchedulerHarness::open(1);
+    // With the last one, the end of the objective is the first time beyond the signed numbers.
+    let last = ms((1 << 63) - harness.now.as_millis());
+    for (id, objective) in [(1, MAX), (2, ms(1 << 63)), (3, last)] {
+        let mut catalogue = JobCatalogue::clone(&catalogue());
+        catalogue.works[0].objective = objective;
+        harness.scheduler.set_catalogue(Arc::new(catalogue));
+        harness.accept(id, vec![step(1)]);
+        harness.settle();
+        for start in harness.confirm() {
+            harness.end(&start, TaskEnd::Done);
+        }
+        harness.settle();
+        let state = harness.scheduler.state(JobId(id));
+        assert_eq!(state, Some(JobState::Completed), "{objective}");
+    }
+}
