Do not end the owner pipe at the last run number

What callers saw: nothing yet. A stored task with run number ended the owner pipe as soon as the task was placed again, in every takeover anew.

Cause: the next run number was calculated without regard to overflow.

Evidence: `the_last_run_number_does_not_stop_the_other_jobs` failed before in job/task.rs with "attempt to add with overflow".

Change: the number stays at the last one. Workers reject a run that is not higher than one they know, so such a task may wait; the others are served.

--- a/crates/core/src/job/scheduler/gang.rs
+++ b/crates/core/src/job/scheduler/gang.rs
@@ -58,7 +58,8 @@
         if !tasks().all(|task| matches!(task, AnyTask::Waiting(_))) {
             return 0;
         }
-        let run = tasks().map(AnyTask::run).max().unwrap_or(0) + 1;
+        let last_run = tasks().map(AnyTask::run).max().unwrap_or(0);
+        let run = last_run.saturating_add(1);
         let checkpoint = tasks().find_map(AnyTask::checkpoint).cloned();
         let Some(reserved) = self.reserve_gang(&members, run, workers) else {
             return 0;
--- a/crates/core/src/job/task.rs
+++ b/crates/core/src/job/task.rs
@@ -168,7 +168,7 @@
 
     /// Assigns the next run to a worker.
     pub fn assign(self, worker: WorkerId, now: ClockTime) -> TaskRun<Assigned> {
-        let (run, checkpoint) = (self.run + 1, self.checkpoint.clone());
+        let (run, checkpoint) = (self.run.saturating_add(1), self.checkpoint.clone());
         self.assign_gang(worker, run, checkpoint, now)
     }
 
--- a/crates/core/tests/jobs/extremes.rs
+++ b/crates/core/tests/jobs/extremes.rs
@@ -5,10 +5,12 @@
 use jacinthhoist_core::{
     ClockTime,
     job::{
-        JobCatalogue, JobId, JobSpec, JobState, RenewalReport, RepeatPlan, Resources, StepSpec,
-        TaskEnd, UnknownLease, VmState, WaveRequest, WorkLoad, WorkerEntry, WorkerLease, admit_job,
+        JobCatalogue, JobId, JobProgress, JobSpec, JobState, RenewalReport, RepeatPlan, Resources,
+        StepSpec, TaskEnd, UnknownLease, VmState, WaveRequest, WorkLoad, WorkerEntry, WorkerLease,
+        admit_job,
     },
 };
+use serde_json::json;
 
 use super::harness::{SchedulerHarness, catalogue, entry, ms, spec, step, vm, worker};
 
@@ -186,3 +188,29 @@
         assert_eq!(state, Some(JobState::Completed), "{objective}");
     }
 }
+
+/// Guards against a stored run number after which there is none: the owner pipe ended in each
+/// takeover that restored it.
+#[test]
+fn the_last_run_number_does_not_stop_the_other_jobs() {
+    let task = json!([0, u32::MAX, u8::MAX, u16::MAX, null]);
+    let progress = json!({"ended": null, "workers": [], "occurrences": [[[task]]]});
+    let progress: JobProgress = serde_json::from_value(progress).unwrap();
+    let mut harness = SchedulerHarness::open(1);
+    for (id, gang) in [(1, false), (2, true)] {
+        let step = StepSpec {
+            gang,
+            long_running: true,
+            ..step(1)
+        };
+        let spec = spec(vec![step], harness.now);
+        harness.scheduler.restore(JobId(id), Some(spec), &progress);
+    }
+    harness.accept(3, vec![step(1)]);
+    harness.settle();
+    let starts = harness.confirm();
+    let own = starts.iter().find(|start| start.task.job == JobId(3));
+    harness.end(own.expect("the job is started"), TaskEnd::Done);
+    harness.settle();
+    assert_eq!(harness.scheduler.state(JobId(3)), Some(JobState::Completed));
+}
