Replace all idle connections of a pool once one has gone silent

Cause: a pool kept its other idle connections after a request on one of them was not answered, so each of them cost a timeout of its own: 0.6 s for a renewal of the membership, which expires after 1 s, and 5 s for each of the three pages of a takeover.

Change: a request without an answer on a reused connection closes the idle ones; pages are requested on new connections.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -20,7 +20,9 @@
 
 use crate::{
     clock::SendExpiry,
-    error::{ConnectSnafu, ExchangeSnafu, ExpiredSnafu, RequestSnafu, Result, TimeoutSnafu},
+    error::{
+        Category, ConnectSnafu, ExchangeSnafu, ExpiredSnafu, RequestSnafu, Result, TimeoutSnafu,
+    },
 };
 
 /// Timeout for opening a connection: several times the round-trip time within a region.
@@ -261,12 +263,35 @@
 
     /// Sends a request on an idle client, or on a new one.
     ///
+    /// A connection that was open for a while and does not answer may have gone silent, and the idle
+    /// ones with it, so they are closed.
+    ///
     /// # Errors
     ///
     /// Those of [`HttpClient::send`].
     pub async fn send(&self, request: HttpRequest, limit: Duration) -> Result<HttpResponse> {
-        let idle = self.idle.pop();
-        let mut client = idle.unwrap_or_else(|| HttpClient::new(self.address));
+        let Some(mut client) = self.idle.pop() else {
+            return self.send_fresh(request, limit).await;
+        };
+        let response = client.send(request, limit).await;
+        match &response {
+            Ok(_) => self.idle.push(client),
+            Err(error) if error.category() == Category::Unknown => {
+                while self.idle.pop().is_some() {}
+            }
+            Err(_) => {}
+        }
+        response
+    }
+
+    /// Sends a request on a new connection, for a request whose time limit is too long to find out
+    /// that an idle one has gone silent.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`HttpClient::send`].
+    pub async fn send_fresh(&self, request: HttpRequest, limit: Duration) -> Result<HttpResponse> {
+        let mut client = HttpClient::new(self.address);
         let response = client.send(request, limit).await?;
         self.idle.push(client);
         Ok(response)
