--- a/crates/fakes/src/platform/store.rs
+++ b/crates/fakes/src/platform/store.rs
@@ -56,6 +56,8 @@
     SlowPages,
     /// Sends the bodies of its responses slowly, as a link of low bandwidth does.
     SlowBodies,
+    /// Adds items to pages of the newest records that are no records.
+    OddItems,
     /// Carries out appends but does not answer them.
     LoseReplies,
     /// Carries out appends late and does not answer them.
@@ -386,6 +388,7 @@
         StoreFault::None
         | StoreFault::SlowPages
         | StoreFault::SlowBodies
+        | StoreFault::OddItems
         | StoreFault::LoseReplies
         | StoreFault::Late => {}
     }
@@ -393,11 +396,11 @@
     if is_write && fault == StoreFault::Late {
         tokio::spawn(async move {
             tokio::time::sleep(LATE_WRITE_DELAY).await;
-            route(commands, changed, request).await;
+            route(commands, changed, fault, request).await;
         });
         return std::future::pending().await;
     }
-    let response = route(commands, changed, request).await;
+    let response = route(commands, changed, fault, request).await;
     if is_write && fault == StoreFault::LoseReplies {
         return std::future::pending().await;
     }
@@ -410,6 +413,7 @@
 async fn route(
     commands: mpsc::UnboundedSender<StoreCommand>,
     changed: watch::Receiver<u64>,
+    fault: StoreFault,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let (head, body) = request.into_parts();
@@ -429,7 +433,7 @@
                 reply,
             })
             .await
-            .map(|page| http::json(&page))
+            .map(|page| http::json(&with_odd_items(page, fault)))
         }
         (Method::POST, "/v1/log-join") => match serde_json::from_slice(&body) {
             Ok(join) => execute(&commands, |reply| StoreCommand::Join { join, reply })
@@ -453,6 +457,19 @@
     response.unwrap_or_else(|| http::status(StatusCode::INTERNAL_SERVER_ERROR))
 }
 
+/// Adds odd items to a page under [`StoreFault::OddItems`].
+fn with_odd_items(mut page: Value, fault: StoreFault) -> Value {
+    if fault == StoreFault::OddItems
+        && let Some(items) = page["items"].as_array_mut()
+    {
+        items.insert(0, json!({"key": "i-odd", "value": "no base64"}));
+        items.insert(0, json!({"key": 7, "value": {"state": "ready"}}));
+        items.insert(0, json!({"value": "e30="}));
+        items.insert(0, json!({"key": "i-null", "value": null}));
+    }
+    page
+}
+
 async fn execute<T>(
     commands: &mpsc::UnboundedSender<StoreCommand>,
     command: impl FnOnce(oneshot::Sender<T>) -> StoreCommand,
