--- a/crates/fakes/src/platform/store/query.rs
+++ b/crates/fakes/src/platform/store/query.rs
@@ -10,7 +10,7 @@
         let pairs = text.split('&').filter_map(|pair| pair.split_once('='));
         Self(
             pairs
-                .map(|(key, value)| (key.to_owned(), value.to_owned()))
+                .map(|(key, value)| (key.to_owned(), decode(value)))
                 .collect(),
         )
     }
@@ -23,3 +23,19 @@
         self.text(key).parse().unwrap_or_default()
     }
 }
+
+/// Decodes percent-encoded bytes.
+fn decode(text: &str) -> String {
+    let (mut bytes, mut rest) = (Vec::new(), text.as_bytes());
+    while let [first, tail @ ..] = rest {
+        let digits = tail.get(..2).and_then(|digits| str::from_utf8(digits).ok());
+        let byte = digits.and_then(|digits| u8::from_str_radix(digits, 16).ok());
+        let (byte, length) = match byte {
+            Some(byte) if *first == b'%' => (byte, 3),
+            _ => (*first, 1),
+        };
+        bytes.push(byte);
+        rest = &rest[length..];
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
