Date a new owner's knowledge of accepted jobs from its read of them

What callers saw: 410 for accepted jobs, for up to 1.5 s after a takeover. LOST, if the job was accepted more than 3 s before.

Cause: an owner may say that a job does not exist while its last read of the accepted jobs is younger than 1.5 s. After a takeover that moment was set to its end, although the pages had been read before, and jobs that other members had stored meanwhile were not known until the first read of the tail had arrived. On a slow link both take seconds.

Change: the moment is the one before the first page of accepted jobs is requested.

--- a/crates/scheduler/src/owner/engine.rs
+++ b/crates/scheduler/src/owner/engine.rs
@@ -104,7 +104,7 @@
             waves,
             catalogue: catalogue.ok_or("the catalogue is not known")?,
             pace: StepPace::default(),
-            tail_read_at: shared.clock.now(),
+            tail_read_at: loaded.accepted_read_at,
             heartbeat_at: ClockTime::ZERO,
             vms_listed_at: ClockTime::ZERO,
             pools_logged_at: ClockTime::ZERO,
--- a/crates/scheduler/src/owner/takeover.rs
+++ b/crates/scheduler/src/owner/takeover.rs
@@ -3,8 +3,9 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use jacinthhoist_codec::{AcceptedRecord, KeyedRecord, decode_accepted, decode_progress};
-use jacinthhoist_core::job::{
-    BatchRecord, JobCatalogue, JobId, JobProgress, JobSpec, Scheduler, SchedulerLimits,
+use jacinthhoist_core::{
+    ClockTime,
+    job::{BatchRecord, JobCatalogue, JobId, JobProgress, JobSpec, Scheduler, SchedulerLimits},
 };
 use tokio::time::sleep;
 
@@ -29,6 +30,8 @@
     pub(super) scheduler: Scheduler,
     /// Offset at which the next read of accepted records begins.
     pub(super) accepted_next: u64,
+    /// Time before which all accepted jobs are known.
+    pub(super) accepted_read_at: ClockTime,
     /// Offset at which the next read of worker entries begins.
     pub(super) workers_next: u64,
 }
@@ -95,6 +98,7 @@
     fence.send(None).await.map_err(|failure| failure.error)?;
     let mut records = StoredRecords::default();
     read_progress(platform, shared, &mut records).await?;
+    let accepted_read_at = shared.clock.now();
     read_accepted(platform, shared, &mut records).await?;
     let page = read_workers(platform, shared).await?;
     let workers_next = page.next;
@@ -108,6 +112,7 @@
     Ok(Some(LoadedState {
         scheduler,
         accepted_next,
+        accepted_read_at,
         workers_next,
     }))
 }
