Count a read of the tail as recent only if it reaches the end

What callers saw: 410 for accepted jobs while the owner worked through a backlog of accepted jobs. LOST, if it lasted for more than 3 s.

Cause: every read made the owner's knowledge of accepted jobs count as recent, also one that returned the first 512 KB of a longer backlog, and one of all pages after the history had been trimmed.

Change: a read carries the end of the stream, and only one that reaches it counts, from the moment it was answered; reading all pages counts from the moment it was begun. The fake store returns reads in parts of 8 KB.

--- a/crates/emulator/src/store.rs
+++ b/crates/emulator/src/store.rs
@@ -100,6 +100,7 @@
         Ok(ReadPage {
             items: items.map(|(_, value)| value.clone()).collect(),
             next: self.end(),
+            end: self.end(),
         })
     }
 
@@ -107,6 +108,7 @@
         ReadPage {
             items: self.newest.values().cloned().collect(),
             next: self.end(),
+            end: self.end(),
         }
     }
 
@@ -333,6 +335,7 @@
                 return Ok(ReadPage {
                     items: Vec::new(),
                     next: from,
+                    end: from,
                 });
             }
             if page.next > from || Instant::now() >= deadline {
--- a/crates/fakes/src/platform/topic.rs
+++ b/crates/fakes/src/platform/topic.rs
@@ -7,6 +7,9 @@
 /// Number of a producer's latest appends that are deduplicated when they are repeated.
 const DEDUPLICATED_APPENDS: usize = 5;
 
+/// Size of the records in the response to a read; small, so that tests read in several parts.
+const READ_BYTES: usize = 8_192;
+
 /// Outcome of an append.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum AppendOutcome {
@@ -101,8 +104,8 @@
         AppendOutcome::At { offset, end }
     }
 
-    /// Body of the response to a read from an offset; `None` if that offset has been compacted
-    /// away.
+    /// Body of the response to a read from an offset, with one record or more; `None` if that offset
+    /// has been compacted away.
     pub(super) fn read(&self, from: u64) -> Option<Bytes> {
         if from < self.first_offset {
             return None;
@@ -112,6 +115,9 @@
         bytes.put_u64(self.first_offset);
         let skip = (from - self.first_offset) as usize;
         for record in self.records.iter().skip(skip) {
+            if bytes.len() >= READ_BYTES {
+                break;
+            }
             bytes.put_u32(record.len() as u32);
             bytes.put_slice(record);
         }
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -46,7 +46,12 @@
 #[derive(Debug)]
 pub(crate) enum OwnerEvent {
     /// Accepted records in stream order.
-    Accepted(Vec<AcceptedRecord>),
+    Accepted {
+        records: Vec<AcceptedRecord>,
+        /// Time before which all accepted records are known with these; `None` if more are known to
+        /// follow.
+        read_at: Option<ClockTime>,
+    },
     /// Accepted records forwarded by the member that stored them, ahead of the stream read.
     Forwarded(Vec<AcceptedRecord>),
     /// Entries of all registered workers.
--- a/crates/scheduler/src/owner/engine.rs
+++ b/crates/scheduler/src/owner/engine.rs
@@ -239,8 +239,8 @@
         let now = self.shared.clock.now();
         let scheduler = &mut self.scheduler;
         match event {
-            OwnerEvent::Accepted(records) => {
-                self.tail_read_at = now;
+            OwnerEvent::Accepted { records, read_at } => {
+                self.tail_read_at = read_at.unwrap_or(self.tail_read_at);
                 apply_accepted(scheduler, records);
             }
             OwnerEvent::Forwarded(records) => apply_accepted(scheduler, records),
--- a/crates/scheduler/src/owner/sources.rs
+++ b/crates/scheduler/src/owner/sources.rs
@@ -35,22 +35,26 @@
 ) {
     let mut trimmed = false;
     loop {
+        let asked_at = shared.clock.now();
         let read = if trimmed {
-            read_all_accepted(&*platform, &mut next).await
+            let records = read_all_accepted(&*platform, &mut next).await;
+            records.map(|records| (records, Some(asked_at)))
         } else {
             let page = platform.read(StoreStream::Accepted, next, TAIL_WAIT).await;
             page.map(|page| {
                 next = page.next;
-                page.items
+                let is_complete = page.next >= page.end;
+                (page.items, is_complete.then(|| shared.clock.now()))
             })
         };
         shared.record_call(Dependency::AcceptedJobs, &read);
         match read {
-            Ok(records) => {
+            Ok((records, read_at)) => {
                 trimmed = false;
                 shared.record_store_answer();
                 let records = decode_accepted_records(&shared, &records);
-                if events.send(OwnerEvent::Accepted(records)).is_err() {
+                let accepted = OwnerEvent::Accepted { records, read_at };
+                if events.send(accepted).is_err() {
                     return;
                 }
             }
--- a/crates/scheduler/src/ports.rs
+++ b/crates/scheduler/src/ports.rs
@@ -57,6 +57,8 @@
     pub items: Vec<T>,
     /// Offset at which the next read begins.
     pub next: u64,
+    /// End of the stream at the time of the read; greater than `next` if the page holds only a part.
+    pub end: u64,
 }
 
 /// Membership of a member in the store's group.
