Request a page again while the first request may still be answered

What callers saw: no answer about accepted jobs for up to five seconds after a silent store was back.

Cause: a member that starts or takes over while the store does not answer waits the whole timeout of a page, 5 s, before it asks again. That timeout cannot be shorter, as the head of a page may wait behind other transfers on a slow link.

Change: without the head of a page, the request is repeated on another new connection after each second; the first head wins, and the other connections are reset. Pages have no effect on the store.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -4,6 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use crossbeam_queue::SegQueue;
+use futures::{StreamExt, stream::FuturesUnordered};
 use http_body_util::{BodyExt, Full};
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode,
@@ -15,7 +16,7 @@
 use snafu::ResultExt;
 use tokio::{
     net::TcpStream,
-    time::{Instant, timeout, timeout_at},
+    time::{Instant, sleep_until, timeout, timeout_at},
 };
 
 use crate::{
@@ -112,6 +113,13 @@
     ///
     /// The category of the error tells whether the request may have had an effect.
     pub async fn send(&mut self, request: HttpRequest, limit: Duration) -> Result<HttpResponse> {
+        let (sender, response) = self.open(request, limit).await?.read().await?;
+        self.sender = Some(sender);
+        Ok(response)
+    }
+
+    /// Sends a request and waits for the head of its response.
+    async fn open(&mut self, request: HttpRequest, limit: Duration) -> Result<OpenResponse> {
         let (address, expiry, part_limit) = (self.address, request.expiry, request.part_limit);
         let request = self.build_request(request)?;
         let sender = match self.sender.take() {
@@ -121,22 +129,12 @@
         let deadline = Instant::now() + limit;
         let head = exchange(address, sender, request, expiry);
         let (sender, response) = within(address, deadline, head).await?;
-        let (parts, body) = response.into_parts();
-        let bytes = match part_limit {
-            Some(part_limit) => read_parts(address, body, part_limit).await?,
-            None => {
-                let body = async {
-                    let body = body.collect().await.context(ExchangeSnafu { address })?;
-                    Ok(body.to_bytes())
-                };
-                within(address, deadline, body).await?
-            }
-        };
-        self.sender = Some(sender);
-        Ok(HttpResponse {
-            status: parts.status,
-            headers: parts.headers,
-            bytes,
+        Ok(OpenResponse {
+            address,
+            sender,
+            response,
+            deadline,
+            part_limit,
         })
     }
 
@@ -160,6 +158,39 @@
     }
 }
 
+/// Response whose body has not been read.
+struct OpenResponse {
+    address: SocketAddr,
+    sender: http1::SendRequest<Full<Bytes>>,
+    response: Response<Incoming>,
+    deadline: Instant,
+    part_limit: Option<Duration>,
+}
+
+impl OpenResponse {
+    /// Reads the body to its end.
+    async fn read(self) -> Result<(http1::SendRequest<Full<Bytes>>, HttpResponse)> {
+        let (address, deadline) = (self.address, self.deadline);
+        let (parts, body) = self.response.into_parts();
+        let bytes = match self.part_limit {
+            Some(part_limit) => read_parts(address, body, part_limit).await?,
+            None => {
+                let body = async {
+                    let body = body.collect().await.context(ExchangeSnafu { address })?;
+                    Ok(body.to_bytes())
+                };
+                within(address, deadline, body).await?
+            }
+        };
+        let response = HttpResponse {
+            status: parts.status,
+            headers: parts.headers,
+            bytes,
+        };
+        Ok((self.sender, response))
+    }
+}
+
 /// Sends a request and waits for the head of its response.
 async fn exchange(
     address: SocketAddr,
@@ -271,7 +302,10 @@
     /// Those of [`HttpClient::send`].
     pub async fn send(&self, request: HttpRequest, limit: Duration) -> Result<HttpResponse> {
         let Some(mut client) = self.idle.pop() else {
-            return self.send_fresh(request, limit).await;
+            let mut client = HttpClient::new(self.address);
+            let response = client.send(request, limit).await?;
+            self.idle.push(client);
+            return Ok(response);
         };
         let response = client.send(request, limit).await;
         match &response {
@@ -284,15 +318,40 @@
         response
     }
 
-    /// Sends a request on a new connection, for a request whose time limit is too long to find out
-    /// that an idle one has gone silent.
+    /// Sends a request on new connections until the head of a response arrives: again after each
+    /// `repeat`, while the earlier ones may still be answered. It finds a server that answers again, or
+    /// leaves a connection that has gone silent, sooner than a time limit that suits a slow link. The
+    /// request must not have an effect.
     ///
     /// # Errors
     ///
-    /// Those of [`HttpClient::send`].
-    pub async fn send_fresh(&self, request: HttpRequest, limit: Duration) -> Result<HttpResponse> {
+    /// Those of [`HttpClient::send`], for the first attempt that fails.
+    pub async fn send_repeated(
+        &self,
+        request: HttpRequest,
+        repeat: Duration,
+        limit: Duration,
+    ) -> Result<HttpResponse> {
+        let mut attempts = FuturesUnordered::new();
+        let mut next_at = Instant::now();
+        let open = loop {
+            tokio::select! {
+                biased;
+                Some(opened) = attempts.next(), if !attempts.is_empty() => break opened?,
+                () = sleep_until(next_at) => {
+                    next_at += repeat;
+                    let request = request.clone();
+                    attempts.push(async move {
+                        HttpClient::new(self.address).open(request, limit).await
+                    });
+                }
+            }
+        };
+        // The responses of the other attempts would compete for the link.
+        drop(attempts);
+        let (sender, response) = open.read().await?;
         let mut client = HttpClient::new(self.address);
-        let response = client.send(request, limit).await?;
+        client.sender = Some(sender);
         self.idle.push(client);
         Ok(response)
     }
