Emulator: ask for every accepted job at the end of a run

The emulator's rule LOST did not see a question that goes unanswered: callers polled until the run ended, and an answer of 503 or none at all was left out of the history.

Now each accepted job that was not cancelled is asked for at the end, all at once, with as many attempts as a caller makes, at members that run. A question without a state, or answered with 410, breaks LOST; an_unanswered_question_at_the_end_is_found plants both.

--- a/crates/emulator/src/caller.rs
+++ b/crates/emulator/src/caller.rs
@@ -12,17 +12,17 @@
 
 use crate::{
     fleet::EmulatedFleet,
-    history::{CallOutcome, JobHistory, JobShape},
+    history::{CallOutcome, FinalAnswer, JobHistory, JobShape},
     model::{MAX_FAILURES, objective, task_need, task_payload},
     scenario::ScenarioLoad,
 };
 
 /// Maximum number of attempts to submit a job.
-const MAX_ATTEMPTS: usize = 5;
+pub(crate) const MAX_ATTEMPTS: usize = 5;
 /// Time for which a caller waits for an answer.
-const ANSWER_TIMEOUT: ClockTime = ClockTime::from_millis(3_000);
+pub(crate) const ANSWER_TIMEOUT: ClockTime = ClockTime::from_millis(3_000);
 /// Delay before a caller retries a request that got no answer.
-const RETRY_DELAY: Duration = Duration::from_millis(300);
+pub(crate) const RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Interval between two polls of a job's state.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
 /// Time from acceptance to cancellation, for jobs that are to be cancelled.
@@ -108,6 +108,7 @@
             first_at: self.fleet.model.clock.now(),
             cancelled: None,
             reported_states: Vec::new(),
+            final_answer: FinalAnswer::NotAsked,
         };
         self.fleet
             .model
--- a/crates/emulator/src/check.rs
+++ b/crates/emulator/src/check.rs
@@ -7,7 +7,7 @@
     job::{JobId, JobState, TaskEnd, TaskKey},
 };
 
-use crate::history::{CallOutcome, EmulationHistory, EndKind, JobHistory, RunHistory};
+use crate::history::{CallOutcome, EmulationHistory, EndKind, FinalAnswer, JobHistory, RunHistory};
 
 /// Time after the acknowledgement of a cancellation in which tasks may still start.
 const CANCEL_GRACE: ClockTime = ClockTime::from_millis(3_000);
@@ -52,7 +52,7 @@
     Refused => "Rejected jobs never run.",
     Limit => "Workers stay within their capacity, and waves within their cap on VMs.",
     Mixed => "Reported states of jobs and waves match what happened.",
-    Lost => "An accepted job stays known and is eventually done, unless it fails or is cancelled.",
+    Lost => "An accepted job stays known, questions about it are answered, and it is eventually done, unless it fails or is cancelled.",
     One => "A VM executes no order with an older fencing token than it has seen, nor one of an owner that was replaced long ago.",
     Drain => "A draining worker gets no new tasks.",
     Avail => "Planned VM orders leave no more tasks of a step missing than it allows.",
@@ -315,6 +315,7 @@
             _ => {}
         }
     }
+    check_final_answer(history, id, job, findings);
     let must_be_done = accepted_at.is_some_and(|at| at + COMPLETION_ALLOWANCE < history.ended_at);
     if !must_be_done || job.cancelled.is_some() {
         return;
@@ -335,6 +336,21 @@
     }
 }
 
+/// Checks that the question for a job at the end was answered with its state.
+fn check_final_answer(
+    history: &EmulationHistory,
+    id: JobId,
+    job: &JobHistory,
+    findings: &mut RuleFindings,
+) {
+    let detail = match job.final_answer {
+        FinalAnswer::Unanswered => format!("{id}: no answer about the job at the end"),
+        FinalAnswer::NoSuchJob => format!("{id}: reported as unknown at the end"),
+        FinalAnswer::NotAsked | FinalAnswer::State(_) => return,
+    };
+    findings.add(HistoryRule::Lost, history.ended_at, detail);
+}
+
 /// Checks that each task of a long-running job runs at the end or was lost within the restart
 /// allowance, unless a fault covers the beginning of the allowance.
 fn check_long_running(
--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -34,6 +34,7 @@
     network::{EmulatedPeers, Endpoint},
     outcome::{ScenarioOutcome, outcome},
     platform::EmulatedPlatform,
+    question::ask_about_jobs,
     scenario::EmulationScenario,
     vm::{MAINTENANCE_TIME, MOVE_TIME},
 };
@@ -125,6 +126,7 @@
             tasks.spawn(fleet.clone().inject(fault));
         }
         sleep(Duration::from_secs(fleet.scenario.secs) + COMPLETION_TIME).await;
+        ask_about_jobs(&fleet, seed).await;
         fleet.run_ended.send_replace(true);
         fleet.record_final_state();
         while tasks.join_next().await.is_some() {}
@@ -160,6 +162,14 @@
         self.scenario.members
     }
 
+    /// Indexes of the members that are running.
+    pub(crate) fn running_members(&self) -> Vec<usize> {
+        let slots = self.slots();
+        let running = slots.iter().enumerate();
+        let running = running.filter(|(_, slot)| slot.running.is_some());
+        running.map(|(index, _)| index).collect()
+    }
+
     pub(crate) fn load_duration(&self) -> ClockTime {
         ClockTime::from_secs(self.scenario.secs)
     }
--- a/crates/emulator/src/history.rs
+++ b/crates/emulator/src/history.rs
@@ -41,6 +41,20 @@
     Unknown,
 }
 
+/// Answer to the question for a job's state at the end of a run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum FinalAnswer {
+    /// The job was not asked for: it was not accepted, or its caller has cancelled it.
+    #[default]
+    NotAsked,
+    /// No attempt was answered with a state.
+    Unanswered,
+    /// The answer was that the job does not exist.
+    NoSuchJob,
+    /// State of the job.
+    State(JobState),
+}
+
 /// Job as its caller observed it.
 #[derive(Clone, Debug)]
 pub struct JobHistory {
@@ -54,6 +68,8 @@
     pub cancelled: Option<(ClockTime, Option<ClockTime>)>,
     /// Reported states; `None` if the answer was that the job does not exist.
     pub reported_states: Vec<(ClockTime, Option<JobState>)>,
+    /// Answer to the question at the end of the run.
+    pub final_answer: FinalAnswer,
 }
 
 /// Kind of the end of a run.
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -31,6 +31,7 @@
 //! | `platform` | the scheduler's platform interface on the emulated services |
 //! | `model` | shared state of the emulated platform |
 //! | `caller` | callers that submit, poll and cancel jobs |
+//! | `question` | questions for all accepted jobs at the end of a run |
 //! | `fleet` | start, stop and restart of members |
 //! | `fault` | fault injection |
 //! | `outcome` | service figures of a run |
@@ -45,6 +46,7 @@
 mod network;
 mod outcome;
 mod platform;
+mod question;
 mod scenario;
 mod store;
 mod vm;
@@ -53,8 +55,8 @@
 pub use check::{HistoryRule, RuleViolation, check};
 pub use fleet::{run_scenario, run_scenario_logged};
 pub use history::{
-    CallOutcome, EmulationHistory, EndKind, JobHistory, JobShape, RunHistory, VmOrderHistory,
-    WaveHistory,
+    CallOutcome, EmulationHistory, EndKind, FinalAnswer, JobHistory, JobShape, RunHistory,
+    VmOrderHistory, WaveHistory,
 };
 pub use outcome::ScenarioOutcome;
 pub use scenario::{EmulationScenario, FaultKind, ScenarioError, ScenarioFault, ScenarioLoad};
--- a/crates/emulator/tests/days.rs
+++ b/crates/emulator/tests/days.rs
@@ -1,8 +1,8 @@
 //! Scenarios on the emulator: without faults, with random faults, and regressions by seed.
 
-use jacinthhoist_core::ClockTime;
+use jacinthhoist_core::{ClockTime, job::JobState};
 use jacinthhoist_emulator::{
-    CallOutcome, EmulationScenario, FaultKind, RuleViolation, check, run_scenario,
+    CallOutcome, EmulationScenario, FaultKind, FinalAnswer, RuleViolation, check, run_scenario,
 };
 use rand::{SeedableRng, rngs::StdRng};
 
@@ -290,3 +290,33 @@
 fn an_owner_that_was_cut_off_does_not_take_the_pools_back() {
     assert_one_change_of_owner("member_cut", 6, 12, 8);
 }
+
+/// Questions for all accepted jobs, asked at the end of a run, are answered although all members were
+/// killed shortly before, some of them again, and the store had faults of its own.
+#[test]
+fn questions_at_the_end_are_answered_after_all_members_were_killed() {
+    let fault = |kind: &str, at: f64, for_s: f64| {
+        format!("[[faults]]\nat = {at}\nkind = \"{kind}\"\nfor_s = {for_s}\ncount = 2\n")
+    };
+    let load = "secs = 6\nmembers = 4\nreserves = 2\n[[loads]]\nper_sec = 5.0\ntask_ms = 300\n";
+    let kinds = [
+        "store_silent",
+        "store_down",
+        "store_slow",
+        "store_deal",
+        "member_kill",
+        "member_freeze",
+        "followers_store_cut",
+    ];
+    for kind in kinds {
+        for (seed, killed_at) in [(1, 18.0), (2, 19.2), (3, 19.9)] {
+            let all = fault("member_kill_all", killed_at, 0.1);
+            let text = format!("{load}{all}{}", fault(kind, 18.5, 1.8));
+            let scenario = EmulationScenario::parse(&text).expect("the scenario is valid");
+            let outcome = run_scenario(&scenario, seed);
+            assert_eq!(check(&outcome.history), [], "{kind}, seed {seed}");
+            let mut jobs = outcome.history.jobs.values();
+            assert!(jobs.any(|job| job.final_answer == FinalAnswer::State(JobState::Completed)));
+        }
+    }
+}
--- a/crates/emulator/tests/rules.rs
+++ b/crates/emulator/tests/rules.rs
@@ -7,8 +7,8 @@
     job::{JobId, JobState, TaskEnd},
 };
 use jacinthhoist_emulator::{
-    CallOutcome, EmulationHistory, EmulationScenario, EndKind, HistoryRule, RunHistory, check,
-    run_scenario,
+    CallOutcome, EmulationHistory, EmulationScenario, EndKind, FinalAnswer, HistoryRule,
+    JobHistory, RunHistory, check, run_scenario,
 };
 
 /// Runs a scenario that exercises every rule and violates none.
@@ -148,6 +148,24 @@
     }
 }
 
+/// A question at the end that no member answers, or that is answered wrongly, is found, and all
+/// accepted jobs are asked for.
+#[test]
+fn an_unanswered_question_at_the_end_is_found() {
+    let mut history = valid_history();
+    let (job, _) = done_job(&history, 0);
+    let jobs = history.jobs.values();
+    let asked = jobs.filter(|job| job.final_answer != FinalAnswer::NotAsked);
+    let is_state = |job: &JobHistory| matches!(job.final_answer, FinalAnswer::State(_));
+    assert!(asked.clone().count() > 5 && asked.clone().all(is_state));
+    for answer in [FinalAnswer::Unanswered, FinalAnswer::NoSuchJob] {
+        let asked = history.jobs.get_mut(&job).expect("the job is known");
+        asked.final_answer = answer;
+        let rules: Vec<_> = check(&history).iter().map(|found| found.rule).collect();
+        assert_eq!(rules, [HistoryRule::Lost], "{answer:?}");
+    }
+}
+
 #[test]
 fn an_order_of_a_replaced_owner_is_found() {
     let mut history = valid_history();
