Let questions wait for the catalogue of a member that has just started

What callers saw: 503 at once from a member that had just started, with a delay of 2 s before the next of their few attempts.

Cause: a call was classified by the catalogue that was known on its arrival, and without one it was refused, although the first catalogue follows within milliseconds, or once the store answers.

Change: a question waits for the first catalogue until its deadline.

--- a/crates/scheduler/src/caller.rs
+++ b/crates/scheduler/src/caller.rs
@@ -263,6 +263,9 @@
     }
 
     async fn serve(&self, call: JobCall<Received>) -> (Option<WorkName>, CallerReply) {
+        if matches!(call.request.action, CallerAction::Show) {
+            self.await_catalogue(call.deadline).await;
+        }
         let call = match self.classify(call) {
             Ok(call) => call,
             Err(reply) => return (None, reply),
@@ -280,6 +283,16 @@
         (Some(work), reply)
     }
 
+    /// Waits until the first catalogue has been read, or until a deadline. A member that has just
+    /// started reads it within the time for which most callers wait.
+    async fn await_catalogue(&self, deadline: Instant) {
+        while self.shared.catalogue.load().is_none()
+            && Instant::now() + QUERY_RETRY_DELAY < deadline
+        {
+            sleep(QUERY_RETRY_DELAY).await;
+        }
+    }
+
     fn classify(&self, call: JobCall<Received>) -> Result<JobCall<Classified>, CallerReply> {
         let catalogue = self.shared.catalogue.load_full();
         let catalogue = catalogue.ok_or_else(|| self.unavailable(0))?;
