Count the silence of the store from the start of the process

What callers saw: 503 from a member that had just started, with Retry-After 2 or 3 instead of 1.

Cause: the time of the store's last answer was zero before the first one, so the silence of the store was some fifty years, and the delay that grows with an outage was the longest one.

Change: the silence counts from the start of the process.

Evidence: a_restarted_member_asks_callers_to_retry_soon failed on the code before (2 instead of 1) and passes with the change.

--- a/crates/scheduler/src/shared.rs
+++ b/crates/scheduler/src/shared.rs
@@ -78,7 +78,8 @@
             owner_inbox: ArcSwapOption::empty(),
             followers: FollowerRegistry::open(),
             append_pace: ArcSwap::default(),
-            store_answered_at: AtomicU64::new(0),
+            // An outage before the start of this process is not known.
+            store_answered_at: AtomicU64::new(clock.now().as_millis()),
             stopping: AtomicBool::new(false),
         })
     }
