--- a/crates/scheduler/src/owner/engine.rs
+++ b/crates/scheduler/src/owner/engine.rs
@@ -104,7 +104,7 @@
             waves,
             catalogue: catalogue.ok_or("the catalogue is not known")?,
             pace: StepPace::default(),
-            tail_read_at: shared.clock.now(),
+            tail_read_at: loaded.accepted_read_at,
             heartbeat_at: ClockTime::ZERO,
             vms_listed_at: ClockTime::ZERO,
             pools_logged_at: ClockTime::ZERO,
@@ -239,8 +239,8 @@
         let now = self.shared.clock.now();
         let scheduler = &mut self.scheduler;
         match event {
-            OwnerEvent::Accepted(records) => {
-                self.tail_read_at = now;
+            OwnerEvent::Accepted { records, read_at } => {
+                self.tail_read_at = read_at.unwrap_or(self.tail_read_at);
                 apply_accepted(scheduler, records);
             }
             OwnerEvent::Forwarded(records) => apply_accepted(scheduler, records),
