Emulate tasks that crash each worker that starts them

Callers saw healthy jobs served late or not at all while one task was started on worker after worker.

The emulator gains two kinds of fault, at the end of the list: some new jobs have a task that crashes its worker within 50 ms, or after 1 to 2 s. The worker's connections are reset, further ones are refused or not answered, all its runs end, and 3 to 3.5 s later its VM has another worker, under a new id or the same one; the old entry goes after three heartbeats.

Rules: a task that has crashed three workers is not started three times more by members in touch (BUDGET); a job is reported as failed only if a task failed too often or its fatal task has crashed two workers (LOST); a job with a fatal task need not be done. Both are proved by planted violations in rules.rs. The availability of long-running tasks is not judged within the recovery of such a crash. `emulate` prints how much of the healthy jobs of the pools with fatal tasks was served.

--- a/crates/emulator/src/caller.rs
+++ b/crates/emulator/src/caller.rs
@@ -13,7 +13,8 @@
 use crate::{
     fleet::EmulatedFleet,
     history::{CallOutcome, JobHistory, JobShape},
-    model::{MAX_FAILURES, objective, task_need, task_payload},
+    model::{MAX_FAILURES, objective, task_need},
+    payload::TaskPayload,
     scenario::ScenarioLoad,
 };
 
@@ -83,14 +84,24 @@
         let hopeless = !long_running && rng.random_bool(load.hopeless);
         let mean = (!long_running).then_some(load.task_ms);
         let steps = if long_running { 1 } else { load.steps.max(1) };
+        let job = JobId(rng.random());
+        let fatal_arrivals = fleet.model.state().fatal_arrivals.clone();
+        let mut fatal_tasks = fatal_arrivals.iter().filter(|_| !long_running);
+        let payload = TaskPayload {
+            mean_ms: mean,
+            cpu: load.cpu,
+            hopeless,
+            fatal_task: fatal_tasks.find_map(|arrivals| arrivals.draw(load, rng)),
+        };
         Self {
             fleet: fleet.clone(),
-            job: JobId(rng.random()),
+            job,
             shape: JobShape {
                 pool: PoolName::new(&load.pool),
                 steps: vec![load.tasks.max(1); usize::from(steps)],
-                payload: task_payload(mean, load.cpu, hopeless).into(),
+                payload: payload.to_string().into(),
                 long_running,
+                fatal_task: payload.fatal_task,
                 max_failures: u32::from(MAX_FAILURES),
                 may_miss: usize::from(MAX_MISSING_TASKS),
                 objective: objective(load.task_ms * u64::from(steps)),
--- a/crates/emulator/src/check.rs
+++ b/crates/emulator/src/check.rs
@@ -1,5 +1,7 @@
 //! Checks of a recorded history against the scheduler's guarantees.
 
+mod crashes;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use jacinthhoist_core::{
@@ -9,6 +11,8 @@
 
 use crate::history::{CallOutcome, EmulationHistory, EndKind, JobHistory, RunHistory};
 
+use self::crashes::{check_starts_after_crashes, may_be_given_up};
+
 /// Time after the acknowledgement of a cancellation in which tasks may still start.
 const CANCEL_GRACE: ClockTime = ClockTime::from_millis(3_000);
 /// Time after its acceptance in which a member may not yet know a job.
@@ -47,12 +51,12 @@
     Twice => "A task has one active run at a time, and none begins after an acknowledged success.",
     Order => "A step starts only after the steps that it depends on are done.",
     Route => "Tasks run only on workers of their job's pool.",
-    Budget => "A task is not run again once its acknowledged failures reach the limit.",
+    Budget => "A task is not run again once its acknowledged failures reach the limit, nor more than twice once it has crashed three workers.",
     Unasked => "Only jobs that callers sent are started, and no tasks after cancellation.",
     Refused => "Rejected jobs never run.",
     Limit => "Workers stay within their capacity, and waves within their cap on VMs.",
     Mixed => "Reported states of jobs and waves match what happened.",
-    Lost => "An accepted job stays known and is eventually done, unless it fails or is cancelled.",
+    Lost => "An accepted job stays known and is eventually done, unless it fails, crashes its workers or is cancelled.",
     One => "A VM executes no order with an older fencing token than it has seen, nor one of an owner that was replaced long ago.",
     Drain => "A draining worker gets no new tasks.",
     Avail => "Planned VM orders leave no more tasks of a step missing than it allows.",
@@ -75,6 +79,7 @@
     let runs = runs_by_task(history);
     for (task, runs) in &runs {
         check_task(history, *task, runs, &mut findings);
+        check_starts_after_crashes(*task, runs, &mut findings);
     }
     check_starts(history, &runs, &mut findings);
     for (id, job) in &history.jobs {
@@ -288,11 +293,13 @@
                     findings.add(HistoryRule::Mixed, *at, detail);
                 }
             }
-            Some(JobState::Failed) if !job_tasks(id, job).any(failed) => {
+            Some(JobState::Failed)
+                if !job_tasks(id, job).any(failed) && !may_be_given_up(id, job, runs, *at) =>
+            {
                 findings.add(
                     HistoryRule::Lost,
                     *at,
-                    format!("{id}: reported as failed, but no task reached its failure limit"),
+                    format!("{id}: reported as failed, but no task reached a limit on its failures or crashes"),
                 );
             }
             Some(JobState::Cancelled) if job.cancelled.is_none() => {
@@ -316,7 +323,7 @@
         }
     }
     let must_be_done = accepted_at.is_some_and(|at| at + COMPLETION_ALLOWANCE < history.ended_at);
-    if !must_be_done || job.cancelled.is_some() {
+    if !must_be_done || job.cancelled.is_some() || job.shape.fatal_task.is_some() {
         return;
     }
     let last = job
@@ -348,7 +355,7 @@
     for task in job_tasks(id, job) {
         let runs = runs.get(&task).into_iter().flatten();
         let mut alive = runs.filter(|run| run.ended.is_none_or(|(at, _)| at > loss_limit));
-        if alive.next().is_none() && !history.is_in_fault_span(loss_limit) {
+        if alive.next().is_none() && !history.is_disrupted(loss_limit) {
             let detail = format!("{task}: long-running task is not running at the end");
             findings.add(HistoryRule::Lost, history.ended_at, detail);
         }
@@ -410,7 +417,7 @@
     let Some(worker) = &order.worker else {
         return;
     };
-    if history.is_in_fault_span(order.at) {
+    if history.is_disrupted(order.at) {
         return;
     }
     let is_available = |run: &&RunHistory, at: ClockTime| {
--- a/crates/emulator/src/fault.rs
+++ b/crates/emulator/src/fault.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use jacinthhoist_core::{
-    ClockTime, WorkerId,
+    ClockTime, PoolName, WorkerId,
     job::{VmState, WaveRequest, WorkerState},
 };
 use jacinthhoist_scheduler::ports::{OperatorRecord, WorkerRecord};
@@ -11,6 +11,7 @@
 use tokio::time::sleep;
 
 use crate::{
+    crash::FatalArrivals,
     fleet::{EmulatedFleet, RESTART_DELAY},
     history::WaveHistory,
     network::Endpoint,
@@ -111,6 +112,9 @@
                 self.model.state().drops_vm_answers = false;
             }
             FaultKind::Wave => self.request_wave(),
+            FaultKind::FatalTasks | FaultKind::LateFatalTasks => {
+                self.submit_fatal_tasks(&fault, span).await;
+            }
         }
         let until = self.model.clock.now() + RECOVERY_TIME;
         self.model.state().history.fault_spans[span_index].1 = until;
@@ -196,6 +200,22 @@
         }
     }
 
+    /// Adds a fatal task to some of the jobs that callers submit.
+    async fn submit_fatal_tasks(&self, fault: &ScenarioFault, span: Duration) {
+        let arrivals = FatalArrivals {
+            pool: fault.pool.as_deref().map(PoolName::new),
+            share: fault.share,
+            crashes_late: fault.kind == FaultKind::LateFatalTasks,
+        };
+        self.model.state().fatal_arrivals.push(arrivals.clone());
+        sleep(span).await;
+        let mut state = self.model.state();
+        let mut active = state.fatal_arrivals.iter();
+        if let Some(index) = active.position(|other| *other == arrivals) {
+            state.fatal_arrivals.remove(index);
+        }
+    }
+
     /// Crashes workers without notice and restarts them under the same ids.
     async fn crash_workers(&self, workers: &[WorkerId], span: Duration) {
         let mut crashed = BTreeMap::new();
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -30,6 +30,8 @@
 //! | `vm` | VMs, moves between pools, maintenance |
 //! | `platform` | the scheduler's platform interface on the emulated services |
 //! | `model` | shared state of the emulated platform |
+//! | `payload` | payloads, which set the behaviour of tasks |
+//! | `crash` | crashes of workers by the tasks that they run |
 //! | `caller` | callers that submit, poll and cancel jobs |
 //! | `fleet` | start, stop and restart of members |
 //! | `fault` | fault injection |
@@ -38,12 +40,14 @@
 
 mod caller;
 mod check;
+mod crash;
 mod fault;
 mod fleet;
 mod history;
 mod model;
 mod network;
 mod outcome;
+mod payload;
 mod platform;
 mod scenario;
 mod store;
@@ -53,8 +57,9 @@
 pub use check::{HistoryRule, RuleViolation, check};
 pub use fleet::{run_scenario, run_scenario_logged};
 pub use history::{
-    CallOutcome, EmulationHistory, EndKind, JobHistory, JobShape, RunHistory, VmOrderHistory,
-    WaveHistory,
+    CallOutcome, EmulationHistory, EndKind, JobHistory, JobShape, RunHistory, StartConditions,
+    VmOrderHistory, WaveHistory,
 };
 pub use outcome::ScenarioOutcome;
+pub use payload::FatalTask;
 pub use scenario::{EmulationScenario, FaultKind, ScenarioError, ScenarioFault, ScenarioLoad};
--- a/crates/emulator/src/network.rs
+++ b/crates/emulator/src/network.rs
@@ -16,7 +16,7 @@
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt, DuplexStream, ReadHalf, WriteHalf, duplex, split},
-    sync::{Mutex as AsyncMutex, mpsc},
+    sync::{Mutex as AsyncMutex, mpsc, watch},
     time::{Instant, sleep, sleep_until, timeout_at},
 };
 
@@ -26,6 +26,8 @@
 const LINK_BUFFER_BYTES: usize = 64 * 1024;
 /// Interval at which a blocked link or call checks whether its fault has ended.
 const FAULT_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Time after a disruption for which an endpoint does not count as in touch.
+const CONTACT_TIME: Duration = Duration::from_secs(4);
 /// Time after which a connection attempt to an unreachable host fails.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -48,6 +50,10 @@
     suspended: BTreeSet<Endpoint>,
     /// Endpoints whose process has stopped.
     stopped: BTreeSet<Endpoint>,
+    /// Number of times that the connections to an endpoint were reset.
+    resets: BTreeMap<Endpoint, u64>,
+    /// Last time at which an endpoint was isolated, partitioned or suspended, or ceased to be.
+    disrupted_at: BTreeMap<Endpoint, Instant>,
     listeners: BTreeMap<SocketAddr, (usize, mpsc::UnboundedSender<DuplexStream>)>,
 }
 
@@ -55,6 +61,14 @@
 #[derive(Debug, Default)]
 pub(crate) struct EmulatedNetwork {
     state: Mutex<NetworkState>,
+    /// Wakes calls in progress after a reset of connections.
+    reset: watch::Sender<()>,
+}
+
+impl NetworkState {
+    fn record_disruption(&mut self, endpoint: &Endpoint) {
+        self.disrupted_at.insert(endpoint.clone(), Instant::now());
+    }
 }
 
 impl EmulatedNetwork {
@@ -63,11 +77,15 @@
     }
 
     pub(crate) fn set_isolated(&self, endpoint: Endpoint, isolated: bool) {
-        set_contained(&mut self.state().isolated, endpoint, isolated);
+        let mut state = self.state();
+        state.record_disruption(&endpoint);
+        set_contained(&mut state.isolated, endpoint, isolated);
     }
 
     pub(crate) fn set_suspended(&self, endpoint: Endpoint, suspended: bool) {
-        set_contained(&mut self.state().suspended, endpoint, suspended);
+        let mut state = self.state();
+        state.record_disruption(&endpoint);
+        set_contained(&mut state.suspended, endpoint, suspended);
     }
 
     /// Waits until the process at an endpoint is not suspended.
@@ -78,7 +96,39 @@
     }
 
     pub(crate) fn set_partitioned(&self, one: Endpoint, other: Endpoint, partitioned: bool) {
-        set_contained(&mut self.state().partitioned, (one, other), partitioned);
+        let mut state = self.state();
+        state.record_disruption(&one);
+        state.record_disruption(&other);
+        set_contained(&mut state.partitioned, (one, other), partitioned);
+    }
+
+    /// Returns whether an endpoint has been neither cut off nor suspended for the contact time.
+    pub(crate) fn is_in_touch(&self, endpoint: &Endpoint) -> bool {
+        let state = self.state();
+        let in_pair = |(one, other): &(Endpoint, Endpoint)| one == endpoint || other == endpoint;
+        let is_disrupted = state.isolated.contains(endpoint)
+            || state.suspended.contains(endpoint)
+            || state.partitioned.iter().any(in_pair);
+        let disrupted_at = state.disrupted_at.get(endpoint);
+        !is_disrupted && disrupted_at.is_none_or(|at| at.elapsed() >= CONTACT_TIME)
+    }
+
+    /// Ends the calls in progress to an endpoint.
+    pub(crate) fn reset_connections(&self, endpoint: Endpoint) {
+        *self.state().resets.entry(endpoint).or_default() += 1;
+        self.reset.send_replace(());
+    }
+
+    /// Waits until the connections to an endpoint are reset.
+    async fn until_reset(&self, endpoint: &Endpoint) {
+        let mut reset = self.reset.subscribe();
+        let count = || self.state().resets.get(endpoint).copied();
+        let first = count();
+        while count() == first {
+            if reset.changed().await.is_err() {
+                return pending().await;
+            }
+        }
     }
 
     /// Sets whether the process at an endpoint has stopped.
@@ -140,17 +190,29 @@
             sleep_until(deadline).await;
             return Err(no_answer().into());
         }
-        let answer = match timeout_at(deadline, serve).await {
-            Ok(Some(answer)) if self.reaches(from, to) => answer,
-            Ok(_) => {
-                sleep_until(deadline).await;
-                return Err(no_answer().into());
+        let answer = async {
+            match timeout_at(deadline, serve).await {
+                Ok(Some(answer)) if self.reaches(from, to) => {
+                    sleep(LATENCY).await;
+                    self.until_resumed(from).await;
+                    answer
+                }
+                Ok(_) => {
+                    sleep_until(deadline).await;
+                    Err(no_answer().into())
+                }
+                Err(_) => Err(no_answer().into()),
             }
-            Err(_) => return Err(no_answer().into()),
         };
-        sleep(LATENCY).await;
-        self.until_resumed(from).await;
-        answer
+        tokio::select! {
+            biased;
+            () = self.until_reset(to) => {
+                self.until_resumed(from).await;
+                let message = "connection reset".to_owned();
+                Err(ErrorKind::NoAnswer { call: name, message }.into())
+            }
+            answer = answer => answer,
+        }
     }
 }
 
--- a/crates/emulator/src/platform.rs
+++ b/crates/emulator/src/platform.rs
@@ -260,7 +260,11 @@
     }
 
     async fn start(&self, order: StartOrder, token: u64) -> StartReply {
-        let serve = async { self.model.start_run(&self.worker, order, token).map(Ok) };
+        let serve = async {
+            let in_touch = self.model.network.is_in_touch(&self.member);
+            let reply = self.model.start_run(&self.worker, order, token, in_touch);
+            reply.map(Ok)
+        };
         let answer: Result<StartReply> = self.call("start", ORDER_TIMEOUT, serve).await;
         answer.unwrap_or_else(|error| match error.category() {
             Category::NotDone => StartReply::Unhealthy,
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -137,6 +137,12 @@
     /// Number of members or workers affected.
     #[serde(default = "default_count")]
     pub count: usize,
+    /// Share of the new jobs that are affected.
+    #[serde(default = "default_share")]
+    pub share: f64,
+    /// Pool whose jobs are affected; by default those of all pools.
+    #[serde(default)]
+    pub pool: Option<String>,
 }
 
 fn default_duration() -> f64 {
@@ -147,6 +153,10 @@
     1
 }
 
+fn default_share() -> f64 {
+    0.2
+}
+
 macro_rules! fault_kinds {
     ($($variant:ident => $doc:literal),* $(,)?) => {
         /// Kind of fault or planned operation.
@@ -189,6 +199,8 @@
     FollowersStoreCut => "Members that do not own the pools are partitioned from the store.",
     MemberFreeze => "Members are suspended, the owner first: calls that they have decided on go out when they resume.",
     VmAnswersLost => "Orders on VMs are executed, but their answers are lost.",
+    FatalTasks => "Some new jobs have a task that crashes each worker that starts it.",
+    LateFatalTasks => "Some new jobs have a task that crashes each worker after a second or two.",
 }
 
 impl EmulationScenario {
@@ -226,6 +238,8 @@
                 kind,
                 for_s: rng.random_range(0.5..5.0),
                 count: rng.random_range(1..3),
+                share: default_share(),
+                pool: None,
             });
         }
         self
--- a/crates/emulator/src/worker.rs
+++ b/crates/emulator/src/worker.rs
@@ -11,7 +11,7 @@
 };
 use jacinthhoist_scheduler::ports::{RenewalOrder, StartOrder};
 
-use crate::history::{EmulationHistory, EndKind};
+use crate::history::{EmulationHistory, EndKind, StartConditions};
 
 /// Longest lease that a worker grants.
 const MAX_LEASE: ClockTime = ClockTime::from_millis(6_000);
@@ -43,6 +43,8 @@
     pub(crate) duration: Option<ClockTime>,
     pub(crate) fails: bool,
     pub(crate) need: Resources,
+    /// Time from the start to the crash of the worker, if the task causes one.
+    pub(crate) crashes_after: Option<ClockTime>,
 }
 
 #[derive(Clone, Debug)]
@@ -177,6 +179,12 @@
             .any(|ended_run| !self.reported.contains(&ended_run.number))
     }
 
+    /// Returns whether a run is in progress.
+    pub(crate) fn is_running(&self, task: TaskKey, run: u32) -> bool {
+        let active = self.running.get(&task);
+        active.is_some_and(|active| active.run == run)
+    }
+
     /// Ends all runs unreported, because the process is gone.
     pub(crate) fn kill(&mut self, now: ClockTime, history: &mut EmulationHistory) {
         self.end_due_runs(now, history);
@@ -263,9 +271,10 @@
         order: &StartOrder,
         behaviour: TaskBehaviour,
         token: u64,
-        now: ClockTime,
+        conditions: StartConditions,
         history: &mut EmulationHistory,
     ) -> StartReply {
+        let now = conditions.at;
         self.end_due_runs(now, history);
         if token < self.token {
             return StartReply::Fenced;
@@ -312,8 +321,11 @@
                 ..behaviour
             },
         };
-        let over_capacity = !self.entry.capacity.fits(&used, &run.behaviour.need);
-        history.record_start(&self.id, &self.entry.pool, order, now, over_capacity);
+        let conditions = StartConditions {
+            over_capacity: !self.entry.capacity.fits(&used, &run.behaviour.need),
+            ..conditions
+        };
+        history.record_start(&self.id, &self.entry.pool, order, conditions);
         self.running.insert(order.task, run);
         StartReply::Started
     }
