--- a/crates/emulator/src/caller.rs
+++ b/crates/emulator/src/caller.rs
@@ -101,6 +101,7 @@
                 steps: vec![load.tasks.max(1); usize::from(steps)],
                 payload: payload.to_string().into(),
                 long_running,
+                speculative: load.speculative,
                 fatal_task: payload.fatal_task,
                 max_failures: u32::from(MAX_FAILURES),
                 may_miss: usize::from(MAX_MISSING_TASKS),
@@ -221,6 +222,7 @@
             need: task_need(self.cpu),
             after: number.checked_sub(1).into_iter().collect(),
             long_running: self.shape.long_running,
+            speculative: self.shape.speculative,
             may_miss: if self.shape.long_running {
                 MAX_MISSING_TASKS
             } else {
--- a/crates/emulator/src/check.rs
+++ b/crates/emulator/src/check.rs
@@ -24,6 +24,8 @@
 /// Time for which orders of a replaced owner are still executed: an owner's confirmation is valid
 /// for 900 ms, and an order is in transit for some more.
 const MAX_REPLACED_AGE: ClockTime = ClockTime::from_millis(1_000);
+/// Time after the acknowledgement of an end in which a speculative task may still start.
+const SPECULATION_GRACE: ClockTime = ClockTime::from_millis(1_000);
 /// Time before the end of the run; a job accepted within it need not be done.
 const COMPLETION_ALLOWANCE: ClockTime = ClockTime::from_millis(10_000);
 /// Time before the end of the run; a long-running task lost within it need not run again.
@@ -128,11 +130,17 @@
     runs: &[&RunHistory],
     findings: &mut RuleFindings,
 ) {
+    let job = history.jobs.get(&task.job);
+    let speculative = job.is_some_and(|job| job.shape.speculative);
+    // Several runs of a speculative task are allowed until the scheduler knows of an end.
+    let is_too_late = |run: &RunHistory, noted_at: ClockTime| {
+        !speculative || run.sender_in_touch && run.began_at > noted_at + SPECULATION_GRACE
+    };
     for (run_index, run) in runs.iter().enumerate() {
         let began_at = run.began_at;
         for earlier_run in &runs[..run_index] {
             let ended_at = earlier_run.ended.map_or(history.ended_at, |(at, _)| at);
-            if began_at < ended_at {
+            if began_at < ended_at && !speculative {
                 let detail = format!(
                     "{task}: run {} on {} began while run {} was active on {}",
                     run.run, run.worker, earlier_run.run, earlier_run.worker
@@ -140,7 +148,9 @@
                 findings.add(HistoryRule::Twice, began_at, detail);
             }
             let done_at = ended_with(earlier_run, TaskEnd::Done);
-            if earlier_run.acked_at.is_some() && done_at.is_some_and(|at| began_at >= at) {
+            if earlier_run.acked_at.is_some_and(|at| is_too_late(run, at))
+                && done_at.is_some_and(|at| began_at >= at)
+            {
                 let detail = format!(
                     "{task}: run {} began after run {} had succeeded",
                     run.run, earlier_run.run
@@ -148,12 +158,13 @@
                 findings.add(HistoryRule::Twice, began_at, detail);
             }
         }
-        let Some(job) = history.jobs.get(&task.job) else {
+        let Some(job) = job else {
             continue;
         };
         let failures = runs[..run_index].iter().filter(|earlier_run| {
             let failed_at = ended_with(earlier_run, TaskEnd::Failed);
-            earlier_run.acked_at.is_some() && failed_at.is_some_and(|at| at <= began_at)
+            earlier_run.acked_at.is_some_and(|at| is_too_late(run, at))
+                && failed_at.is_some_and(|at| at <= began_at)
         });
         if !job.shape.long_running && failures.count() >= job.shape.max_failures as usize {
             let detail = format!(
--- a/crates/emulator/src/history.rs
+++ b/crates/emulator/src/history.rs
@@ -24,6 +24,8 @@
     pub payload: Arc<str>,
     /// True if the job runs until it is cancelled.
     pub long_running: bool,
+    /// True if a task may have several runs at once.
+    pub speculative: bool,
     /// Task that crashes each worker that starts it.
     pub fatal_task: Option<FatalTask>,
     /// Number of failures of a task after which its job fails.
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -84,6 +84,8 @@
     pub hopeless: f64,
     /// Priority class; 0 is the most urgent.
     pub priority: u8,
+    /// True if a task may have several runs at once.
+    pub speculative: bool,
 }
 
 impl Default for ScenarioLoad {
@@ -101,6 +103,7 @@
             cancels: 0.0,
             hopeless: 0.0,
             priority: 0,
+            speculative: false,
         }
     }
 }
