Let the fake worker crash with a task, and play it over sockets

A payload `crash=N` ends the fake worker's process N ms after the start: its listener and connections close, its runs are gone, and 400 ms later the next process starts under the same id and address.

--- a/crates/fakes/src/platform/pool_worker.rs
+++ b/crates/fakes/src/platform/pool_worker.rs
@@ -1,41 +1,36 @@
 //! Fake of a worker, which runs tasks under leases, reports the runs that have ended and registers
 //! in the store.
 //!
-//! The payload of a task sets its behaviour: `ms=N` runs for N milliseconds, `fail` fails at once
-//! and `lasts` runs until it is stopped. `gang=N,ms=M` runs for M milliseconds together with the
+//! The payload of a task sets its behaviour: `ms=N` runs for N milliseconds, `fail` fails at once,
+//! `lasts` runs until it is stopped and `crash=N` crashes the worker after N milliseconds. `gang=N,ms=M` runs for M milliseconds together with the
 //! other tasks of its step, once N of them are present. Any other payload runs for 30 ms.
 
+mod incarnation;
+
 use std::{
     collections::BTreeMap,
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use http_body_util::BodyExt;
 use hyper::{Request, Response, StatusCode, body::Incoming};
-use serde::Deserialize;
-use serde_json::{Value, json};
+use serde_json::json;
 use tokio::{
-    sync::{Mutex, watch},
+    sync::{Mutex, mpsc, watch},
     task::JoinHandle,
     time::sleep,
 };
 
-use super::{
-    KeyedLog,
-    gang::{GangMember, GangTable},
-    loopback, policy,
-};
+use self::incarnation::{TaskCounts, WorkerIncarnation, WorkerOrder};
+use super::{KeyedLog, gang::GangTable, loopback, policy};
 use crate::http::{self, FakeServer, ResponseBody};
 
-/// Duration of a task whose payload sets none.
-const DEFAULT_TASK_TIME: Duration = Duration::from_millis(30);
-/// Longest lease that a worker grants.
-const MAX_LEASE_MS: u64 = 3_000;
 /// Delay of starts under [`WorkerFault::Late`].
 const LATE_START_DELAY: Duration = Duration::from_millis(1_200);
-/// Maximum number of ended runs in one report.
-const MAX_ENDED_ROWS: usize = 500;
+/// Time from a crash to the start of the next process.
+const CRASH_RESTART_DELAY: Duration = Duration::from_millis(400);
 
 /// Fault of a worker.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -55,87 +50,6 @@
     Refuse,
 }
 
-#[derive(Debug, Deserialize)]
-struct WorkerOrder {
-    #[serde(default)]
-    task: String,
-    #[serde(default)]
-    run: u64,
-    #[serde(default)]
-    task_spec: String,
-    deadline_at_ms: Option<u64>,
-    #[serde(default)]
-    fencing_token: u64,
-    #[serde(default)]
-    ack_cursor: u64,
-    #[serde(default)]
-    wait_ms: u64,
-    #[serde(default)]
-    ticket: String,
-}
-
-/// Task run in progress.
-#[derive(Debug)]
-struct ActiveRun {
-    number: u64,
-    started_at: Instant,
-    /// `None` for a task that runs until it is stopped.
-    duration: Option<Duration>,
-    gang: Option<GangMember>,
-    fails: bool,
-}
-
-impl ActiveRun {
-    /// Returns the end that the run has reached by itself.
-    fn outcome(&self) -> Option<&'static str> {
-        let duration = self.duration?;
-        match &self.gang {
-            Some(gang) => gang.outcome(duration),
-            None if self.started_at.elapsed() < duration => None,
-            None if self.fails => Some("failed"),
-            None => Some("done"),
-        }
-    }
-}
-
-/// Parses the payload of a gang task: the number of its tasks, and what each of them does.
-fn split_gang(payload: &str) -> (Option<usize>, &str) {
-    let parts = payload
-        .strip_prefix("gang=")
-        .and_then(|rest| rest.split_once(','));
-    let size = parts.and_then(|(size, _)| size.parse().ok());
-    match parts {
-        Some((_, rest)) if size.is_some() => (size, rest),
-        _ => (None, payload),
-    }
-}
-
-/// State of a worker between two restarts.
-#[derive(Debug)]
-struct WorkerIncarnation {
-    started_at: Instant,
-    number: u64,
-    newest_token: u64,
-    deadline: Option<u64>,
-    runs: BTreeMap<String, ActiveRun>,
-    /// Highest run number of each task that has ended or been stopped on this worker.
-    finished_runs: BTreeMap<String, u64>,
-    ended_rows: Vec<Value>,
-    end_count: u64,
-    /// Ticket that starts must carry, if tickets are required.
-    ticket: Option<String>,
-    gangs: GangTable,
-}
-
-/// Counts of task runs, which outlive a restart of the worker.
-#[derive(Debug, Default)]
-struct TaskCounts {
-    /// Number of starts by task.
-    starts: BTreeMap<String, u32>,
-    /// Number of runs that ended as done, by task.
-    done: BTreeMap<String, u32>,
-}
-
 /// Handle of a running worker.
 pub struct PoolWorker {
     id: String,
@@ -144,163 +58,17 @@
     fault: watch::Sender<WorkerFault>,
     tickets_required: watch::Sender<bool>,
     state: watch::Sender<&'static str>,
-    _server: FakeServer,
+    server_task: JoinHandle<()>,
     heartbeat_task: JoinHandle<()>,
 }
 
 impl Drop for PoolWorker {
     fn drop(&mut self) {
+        self.server_task.abort();
         self.heartbeat_task.abort();
     }
 }
 
-impl WorkerIncarnation {
-    fn new(number: u64, gangs: GangTable) -> Self {
-        Self {
-            started_at: Instant::now(),
-            number,
-            newest_token: 0,
-            deadline: None,
-            runs: BTreeMap::new(),
-            finished_runs: BTreeMap::new(),
-            ended_rows: Vec::new(),
-            end_count: 0,
-            ticket: None,
-            gangs,
-        }
-    }
-
-    fn clock_ms(&self) -> u64 {
-        self.started_at.elapsed().as_millis() as u64
-    }
-
-    fn extend(&mut self, deadline: Option<u64>) {
-        let latest_ms = self.clock_ms() + MAX_LEASE_MS;
-        let requested = deadline.map(|at| at.min(latest_ms));
-        self.deadline = self.deadline.max(requested);
-    }
-
-    /// Ends the runs that are finished, and all runs once the lease has lapsed.
-    fn finish_due(&mut self, counts: &mut TaskCounts) {
-        let now = self.clock_ms();
-        let lapsed = self.deadline.is_some_and(|deadline| now > deadline);
-        let names: Vec<String> = self.runs.keys().cloned().collect();
-        for name in names {
-            let outcome = match self.runs[&name].outcome() {
-                Some(outcome) => outcome,
-                None if lapsed => "lapsed",
-                None => continue,
-            };
-            if outcome == "done" {
-                *counts.done.entry(name.clone()).or_default() += 1;
-            }
-            self.end(&name, outcome);
-        }
-    }
-
-    fn end(&mut self, name: &str, outcome: &str) {
-        let Some(run) = self.runs.remove(name) else {
-            return;
-        };
-        if let Some(gang) = &run.gang {
-            gang.leave();
-        }
-        self.end_count += 1;
-        self.finished_runs.insert(name.to_owned(), run.number);
-        self.ended_rows
-            .push(json!([self.end_count, name, run.number, outcome, ""]));
-    }
-
-    fn start(
-        &mut self,
-        order: &WorkerOrder,
-        fails: bool,
-        counts: &mut TaskCounts,
-    ) -> Result<(), &'static str> {
-        self.check_token(order)?;
-        self.extend(order.deadline_at_ms);
-        let active_number = self.runs.get(&order.task).map(|run| run.number);
-        if active_number == Some(order.run) {
-            return Ok(());
-        }
-        let finished_run = self.finished_runs.get(&order.task).copied().unwrap_or(0);
-        if order.run <= finished_run {
-            return Err("old");
-        }
-        if order
-            .deadline_at_ms
-            .is_some_and(|deadline| deadline < self.clock_ms())
-        {
-            return Err("late");
-        }
-        if self
-            .ticket
-            .as_ref()
-            .is_some_and(|ticket| *ticket != order.ticket)
-        {
-            return Err("ticket");
-        }
-        let (gang_size, payload) = split_gang(&order.task_spec);
-        let duration = match payload {
-            "lasts" => None,
-            "fail" => Some(Duration::ZERO),
-            text => {
-                let millis = text
-                    .strip_prefix("ms=")
-                    .and_then(|number| number.parse().ok());
-                Some(millis.map_or(DEFAULT_TASK_TIME, Duration::from_millis))
-            }
-        };
-        let run = ActiveRun {
-            number: order.run,
-            started_at: Instant::now(),
-            duration,
-            gang: gang_size.map(|size| self.gangs.join(&order.task, order.run, size)),
-            fails: fails || order.task_spec == "fail",
-        };
-        *counts.starts.entry(order.task.clone()).or_default() += 1;
-        self.runs.insert(order.task.clone(), run);
-        Ok(())
-    }
-
-    fn stop(&mut self, order: &WorkerOrder) -> Result<(), &'static str> {
-        self.check_token(order)?;
-        let finished_run = self.finished_runs.entry(order.task.clone()).or_default();
-        *finished_run = order.run.max(*finished_run);
-        if self
-            .runs
-            .get(&order.task)
-            .is_some_and(|run| run.number <= order.run)
-        {
-            self.end(&order.task, "stopped");
-        }
-        Ok(())
-    }
-
-    fn check_token(&mut self, order: &WorkerOrder) -> Result<(), &'static str> {
-        if order.fencing_token < self.newest_token {
-            return Err("fence");
-        }
-        self.newest_token = order.fencing_token;
-        Ok(())
-    }
-
-    fn report(&self) -> Value {
-        let running = self.runs.iter().map(|(name, run)| {
-            let percent = match run.duration {
-                None => 100,
-                Some(duration) => (100 * run.started_at.elapsed().as_millis()
-                    / duration.as_millis().max(1))
-                .min(99),
-            };
-            json!([name, run.number, "", percent as u64, 0])
-        });
-        let running: Vec<Value> = running.collect();
-        let ended = &self.ended_rows[..self.ended_rows.len().min(MAX_ENDED_ROWS)];
-        json!({"clock_ms": self.clock_ms(), "born": self.number, "running": running, "ended": ended})
-    }
-}
-
 impl PoolWorker {
     /// Starts a worker of a pool, which renews its entry in a store at every heartbeat.
     ///
@@ -319,27 +87,32 @@
         let (fault, fault_receiver) = watch::channel(WorkerFault::None);
         let (tickets_required, ticket_switch) = watch::channel(false);
         let (state, state_receiver) = watch::channel("ready");
-        let (shared, shared_counts, target) = (incarnation.clone(), counts.clone(), id.to_owned());
-        let server = http::spawn(loopback(), move |_, request| {
-            let fault = *fault_receiver.borrow();
-            let context = RequestContext {
-                incarnation: shared.clone(),
-                counts: shared_counts.clone(),
-                fault,
-                target: target.clone(),
-                requires_ticket: *ticket_switch.borrow(),
-            };
-            serve(context, request)
-        });
-        let server = server.await?;
+        let (crashes, crash_requests) = mpsc::unbounded_channel();
+        let context = RequestContext {
+            incarnation: incarnation.clone(),
+            counts: counts.clone(),
+            fault: fault_receiver,
+            target: id.into(),
+            requires_ticket: ticket_switch,
+            crashes,
+        };
+        let server = context.clone().listen(loopback()).await?;
         let (key, address, pool) = (id.to_owned(), server.address, pool.to_owned());
+        let server_task = tokio::spawn(context.restart_after_crashes(server, crash_requests));
         let registered = incarnation.clone();
         let heartbeat_task = tokio::spawn(async move {
             let mut seq = 0u64;
             loop {
                 seq += 1;
                 let state = *state_receiver.borrow();
-                let number = registered.lock().await.number;
+                let (number, crashed) = {
+                    let incarnation = registered.lock().await;
+                    (incarnation.number, incarnation.crashed)
+                };
+                if crashed {
+                    sleep(heartbeat).await;
+                    continue;
+                }
                 let entry = json!({"service": pool, "address": address.to_string(), "zone": "dc-1",
                     "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0, "born": number,
                     "capacity": {"cpu": 32_000, "mem_mb": 131_072, "gpu": 0},
@@ -355,7 +128,7 @@
             fault,
             tickets_required,
             state,
-            _server: server,
+            server_task,
             heartbeat_task,
         })
     }
@@ -409,23 +182,86 @@
     }
 }
 
-/// State of the worker that a request is served with.
+/// State of the worker that its requests are served with.
+#[derive(Clone)]
 struct RequestContext {
     incarnation: Arc<Mutex<WorkerIncarnation>>,
     counts: Arc<Mutex<TaskCounts>>,
-    fault: WorkerFault,
-    target: String,
-    requires_ticket: bool,
+    fault: watch::Receiver<WorkerFault>,
+    target: Arc<str>,
+    requires_ticket: watch::Receiver<bool>,
+    crashes: mpsc::UnboundedSender<WorkerCrash>,
+}
+
+/// Crash that a task causes.
+struct WorkerCrash {
+    /// Number of the worker's incarnation.
+    incarnation: u64,
+    task: String,
+}
+
+impl RequestContext {
+    async fn listen(self, address: SocketAddr) -> std::io::Result<FakeServer> {
+        http::spawn(address, move |_, request| serve(self.clone(), request)).await
+    }
+
+    /// Ends the process at each crash, with its connections, and starts the next one on the same
+    /// address.
+    async fn restart_after_crashes(
+        self,
+        mut server: FakeServer,
+        mut crash_requests: mpsc::UnboundedReceiver<WorkerCrash>,
+    ) {
+        while let Some(crash) = crash_requests.recv().await {
+            let (number, gangs) = {
+                let mut incarnation = self.incarnation.lock().await;
+                let is_current = incarnation.number == crash.incarnation;
+                if !is_current || !incarnation.runs.contains_key(&crash.task) {
+                    continue;
+                }
+                let (number, gangs) = (incarnation.number, incarnation.gangs.clone());
+                *incarnation = WorkerIncarnation::new(number, gangs.clone());
+                incarnation.crashed = true;
+                (number, gangs)
+            };
+            let address = server.address;
+            drop(server);
+            sleep(CRASH_RESTART_DELAY).await;
+            *self.incarnation.lock().await = WorkerIncarnation::new(number + 1, gangs);
+            server = loop {
+                match self.clone().listen(address).await {
+                    Ok(server) => break server,
+                    // The former listener may not be closed yet.
+                    Err(_) => sleep(CRASH_RESTART_DELAY).await,
+                }
+            };
+        }
+    }
+
+    /// Carries out a start order, and the crash that the task causes.
+    async fn start(&self, order: &WorkerOrder, fails: bool) -> Response<ResponseBody> {
+        let (mut incarnation, mut counts) =
+            (self.incarnation.lock().await, self.counts.lock().await);
+        let started = incarnation.start(order, fails, &mut counts);
+        if let Ok(Some(after)) = started {
+            let crash = WorkerCrash {
+                incarnation: incarnation.number,
+                task: order.task.clone(),
+            };
+            let crashes = self.crashes.clone();
+            tokio::spawn(async move {
+                sleep(after).await;
+                // The worker may have been dropped.
+                let _ = crashes.send(crash);
+            });
+        }
+        order_response(&incarnation, started.map(|_| ()))
+    }
 }
 
 async fn serve(context: RequestContext, request: Request<Incoming>) -> Response<ResponseBody> {
-    let RequestContext {
-        incarnation,
-        counts,
-        fault,
-        target,
-        requires_ticket,
-    } = context;
+    let fault = *context.fault.borrow();
+    let target = &context.target;
     if fault == WorkerFault::Silent {
         return std::future::pending().await;
     }
@@ -440,24 +276,32 @@
     let Ok(order) = serde_json::from_slice::<WorkerOrder>(&body.to_bytes()) else {
         return http::status(StatusCode::BAD_REQUEST);
     };
-    incarnation.lock().await.ticket = requires_ticket.then(|| policy::ticket(&target));
+    let ticket = context
+        .requires_ticket
+        .borrow()
+        .then(|| policy::ticket(target));
+    context.incarnation.lock().await.ticket = ticket;
     match path.as_str() {
-        "/v1/run-start" => start(incarnation, counts, fault, order).await,
+        "/v1/run-start" => start(context, fault, order).await,
         "/v1/run-stop" => {
+            let RequestContext {
+                incarnation,
+                counts,
+                ..
+            } = context;
             let (mut incarnation, mut counts) = (incarnation.lock().await, counts.lock().await);
             // A run that has ended by itself is no longer there to be stopped.
             incarnation.finish_due(&mut counts);
             let stopped = incarnation.stop(&order);
             order_response(&incarnation, stopped)
         }
-        "/v1/hold" => hold(incarnation, counts, order).await,
+        "/v1/hold" => hold(context.incarnation, context.counts, order).await,
         _ => http::status(StatusCode::NOT_FOUND),
     }
 }
 
 async fn start(
-    incarnation: Arc<Mutex<WorkerIncarnation>>,
-    counts: Arc<Mutex<TaskCounts>>,
+    context: RequestContext,
     fault: WorkerFault,
     order: WorkerOrder,
 ) -> Response<ResponseBody> {
@@ -468,17 +312,12 @@
     if fault == WorkerFault::Late {
         tokio::spawn(async move {
             sleep(LATE_START_DELAY).await;
-            let (mut incarnation, mut counts) = (incarnation.lock().await, counts.lock().await);
             // The outcome is not reported: the request is never answered.
-            let _ = incarnation.start(&order, fails, &mut counts);
+            let _ = context.start(&order, fails).await;
         });
         return std::future::pending().await;
     }
-    let response = {
-        let (mut incarnation, mut counts) = (incarnation.lock().await, counts.lock().await);
-        let started = incarnation.start(&order, fails, &mut counts);
-        order_response(&incarnation, started)
-    };
+    let response = context.start(&order, fails).await;
     if fault == WorkerFault::LoseReplies {
         return std::future::pending().await;
     }
--- /dev/null
+++ b/crates/fakes/src/platform/pool_worker/incarnation.rs
@@ -0,0 +1,254 @@
+//! One incarnation of a fake worker: its runs, its lease and the ends that it reports.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use crate::platform::gang::{GangMember, GangTable};
+
+/// Duration of a task whose payload sets none.
+const DEFAULT_TASK_TIME: Duration = Duration::from_millis(30);
+/// Longest lease that a worker grants.
+const MAX_LEASE_MS: u64 = 3_000;
+/// Maximum number of ended runs in one report.
+const MAX_ENDED_ROWS: usize = 500;
+
+/// Order to a worker; fields that an order lacks have their defaults.
+#[derive(Debug, Deserialize)]
+pub(super) struct WorkerOrder {
+    #[serde(default)]
+    pub(super) task: String,
+    #[serde(default)]
+    pub(super) run: u64,
+    #[serde(default)]
+    pub(super) task_spec: String,
+    pub(super) deadline_at_ms: Option<u64>,
+    #[serde(default)]
+    pub(super) fencing_token: u64,
+    #[serde(default)]
+    pub(super) ack_cursor: u64,
+    #[serde(default)]
+    pub(super) wait_ms: u64,
+    #[serde(default)]
+    pub(super) ticket: String,
+}
+
+/// Task run in progress.
+#[derive(Debug)]
+pub(super) struct ActiveRun {
+    number: u64,
+    started_at: Instant,
+    /// `None` for a task that runs until it is stopped.
+    duration: Option<Duration>,
+    gang: Option<GangMember>,
+    fails: bool,
+}
+
+impl ActiveRun {
+    /// Returns the end that the run has reached by itself.
+    fn outcome(&self) -> Option<&'static str> {
+        let duration = self.duration?;
+        match &self.gang {
+            Some(gang) => gang.outcome(duration),
+            None if self.started_at.elapsed() < duration => None,
+            None if self.fails => Some("failed"),
+            None => Some("done"),
+        }
+    }
+}
+
+/// Parses the payload of a gang task: the number of its tasks, and what each of them does.
+fn split_gang(payload: &str) -> (Option<usize>, &str) {
+    let parts = payload
+        .strip_prefix("gang=")
+        .and_then(|rest| rest.split_once(','));
+    let size = parts.and_then(|(size, _)| size.parse().ok());
+    match parts {
+        Some((_, rest)) if size.is_some() => (size, rest),
+        _ => (None, payload),
+    }
+}
+
+/// State of a worker between two restarts.
+#[derive(Debug)]
+pub(super) struct WorkerIncarnation {
+    started_at: Instant,
+    pub(super) number: u64,
+    newest_token: u64,
+    deadline: Option<u64>,
+    pub(super) runs: BTreeMap<String, ActiveRun>,
+    /// Highest run number of each task that has ended or been stopped on this worker.
+    finished_runs: BTreeMap<String, u64>,
+    pub(super) ended_rows: Vec<Value>,
+    end_count: u64,
+    /// Ticket that starts must carry, if tickets are required.
+    pub(super) ticket: Option<String>,
+    pub(super) gangs: GangTable,
+    /// True once the process has crashed.
+    pub(super) crashed: bool,
+}
+
+/// Counts of task runs, which outlive a restart of the worker.
+#[derive(Debug, Default)]
+pub(super) struct TaskCounts {
+    /// Number of starts by task.
+    pub(super) starts: BTreeMap<String, u32>,
+    /// Number of runs that ended as done, by task.
+    pub(super) done: BTreeMap<String, u32>,
+}
+
+impl WorkerIncarnation {
+    pub(super) fn new(number: u64, gangs: GangTable) -> Self {
+        Self {
+            started_at: Instant::now(),
+            number,
+            newest_token: 0,
+            deadline: None,
+            runs: BTreeMap::new(),
+            finished_runs: BTreeMap::new(),
+            ended_rows: Vec::new(),
+            end_count: 0,
+            ticket: None,
+            gangs,
+            crashed: false,
+        }
+    }
+
+    pub(super) fn clock_ms(&self) -> u64 {
+        self.started_at.elapsed().as_millis() as u64
+    }
+
+    pub(super) fn extend(&mut self, deadline: Option<u64>) {
+        let latest_ms = self.clock_ms() + MAX_LEASE_MS;
+        let requested = deadline.map(|at| at.min(latest_ms));
+        self.deadline = self.deadline.max(requested);
+    }
+
+    /// Ends the runs that are finished, and all runs once the lease has lapsed.
+    pub(super) fn finish_due(&mut self, counts: &mut TaskCounts) {
+        let now = self.clock_ms();
+        let lapsed = self.deadline.is_some_and(|deadline| now > deadline);
+        let names: Vec<String> = self.runs.keys().cloned().collect();
+        for name in names {
+            let outcome = match self.runs[&name].outcome() {
+                Some(outcome) => outcome,
+                None if lapsed => "lapsed",
+                None => continue,
+            };
+            if outcome == "done" {
+                *counts.done.entry(name.clone()).or_default() += 1;
+            }
+            self.end(&name, outcome);
+        }
+    }
+
+    fn end(&mut self, name: &str, outcome: &str) {
+        let Some(run) = self.runs.remove(name) else {
+            return;
+        };
+        if let Some(gang) = &run.gang {
+            gang.leave();
+        }
+        self.end_count += 1;
+        self.finished_runs.insert(name.to_owned(), run.number);
+        self.ended_rows
+            .push(json!([self.end_count, name, run.number, outcome, ""]));
+    }
+
+    /// Starts a run; returns the time after which it crashes the worker, if it does.
+    pub(super) fn start(
+        &mut self,
+        order: &WorkerOrder,
+        fails: bool,
+        counts: &mut TaskCounts,
+    ) -> Result<Option<Duration>, &'static str> {
+        self.check_token(order)?;
+        self.extend(order.deadline_at_ms);
+        let active_number = self.runs.get(&order.task).map(|run| run.number);
+        if active_number == Some(order.run) {
+            return Ok(None);
+        }
+        let finished_run = self.finished_runs.get(&order.task).copied().unwrap_or(0);
+        if order.run <= finished_run {
+            return Err("old");
+        }
+        if order
+            .deadline_at_ms
+            .is_some_and(|deadline| deadline < self.clock_ms())
+        {
+            return Err("late");
+        }
+        if self
+            .ticket
+            .as_ref()
+            .is_some_and(|ticket| *ticket != order.ticket)
+        {
+            return Err("ticket");
+        }
+        let (gang_size, payload) = split_gang(&order.task_spec);
+        let crashes_after = payload.strip_prefix("crash=");
+        let crashes_after = crashes_after.and_then(|number| number.parse().ok());
+        let duration = match payload {
+            "lasts" => None,
+            _ if crashes_after.is_some() => None,
+            "fail" => Some(Duration::ZERO),
+            text => {
+                let millis = text
+                    .strip_prefix("ms=")
+                    .and_then(|number| number.parse().ok());
+                Some(millis.map_or(DEFAULT_TASK_TIME, Duration::from_millis))
+            }
+        };
+        let run = ActiveRun {
+            number: order.run,
+            started_at: Instant::now(),
+            duration,
+            gang: gang_size.map(|size| self.gangs.join(&order.task, order.run, size)),
+            fails: fails || order.task_spec == "fail",
+        };
+        *counts.starts.entry(order.task.clone()).or_default() += 1;
+        self.runs.insert(order.task.clone(), run);
+        Ok(crashes_after.map(Duration::from_millis))
+    }
+
+    pub(super) fn stop(&mut self, order: &WorkerOrder) -> Result<(), &'static str> {
+        self.check_token(order)?;
+        let finished_run = self.finished_runs.entry(order.task.clone()).or_default();
+        *finished_run = order.run.max(*finished_run);
+        if self
+            .runs
+            .get(&order.task)
+            .is_some_and(|run| run.number <= order.run)
+        {
+            self.end(&order.task, "stopped");
+        }
+        Ok(())
+    }
+
+    pub(super) fn check_token(&mut self, order: &WorkerOrder) -> Result<(), &'static str> {
+        if order.fencing_token < self.newest_token {
+            return Err("fence");
+        }
+        self.newest_token = order.fencing_token;
+        Ok(())
+    }
+
+    pub(super) fn report(&self) -> Value {
+        let running = self.runs.iter().map(|(name, run)| {
+            let percent = match run.duration {
+                None => 100,
+                Some(duration) => (100 * run.started_at.elapsed().as_millis()
+                    / duration.as_millis().max(1))
+                .min(99),
+            };
+            json!([name, run.number, "", percent as u64, 0])
+        });
+        let running: Vec<Value> = running.collect();
+        let ended = &self.ended_rows[..self.ended_rows.len().min(MAX_ENDED_ROWS)];
+        json!({"clock_ms": self.clock_ms(), "born": self.number, "running": running, "ended": ended})
+    }
+}
