Emulate workers whose capacity shrinks and grows again

The emulator's new kind of fault leaves some workers 20 to 75% of their capacity for a time; the entries follow within a heartbeat. Guarded workers reject by the present capacity, others start what they are told. LIMIT is proved by a planted violation on both sides of the 5.5 s.

--- a/crates/emulator/src/check.rs
+++ b/crates/emulator/src/check.rs
@@ -19,6 +19,9 @@
 const VISIBILITY_GRACE: ClockTime = ClockTime::from_millis(3_000);
 /// Time after a worker is registered as draining in which it may still get tasks.
 const DRAIN_GRACE: ClockTime = ClockTime::from_millis(2_000);
+/// Time after a shrinkage of a worker's capacity in which tasks that would have fitted before may
+/// still start: the contact time and a heartbeat.
+const CAPACITY_GRACE: ClockTime = ClockTime::from_millis(4_000 + 1_500);
 /// Time after which a long-running task counts as available.
 const AVAILABLE_AFTER: ClockTime = ClockTime::from_millis(400);
 /// Time for which orders of a replaced owner are still executed: an owner's confirmation is valid
@@ -212,7 +215,10 @@
             );
             findings.add(HistoryRule::Route, at, detail);
         }
-        if run.over_capacity {
+        let may_be_unknown = run
+            .shrunk_at
+            .is_some_and(|since| run.executed_late || at <= since + CAPACITY_GRACE);
+        if run.over_capacity && !may_be_unknown {
             let detail = format!("{task}: exceeds the capacity of {}", run.worker);
             findings.add(HistoryRule::Limit, at, detail);
         }
--- a/crates/emulator/src/fault.rs
+++ b/crates/emulator/src/fault.rs
@@ -1,13 +1,13 @@
 //! Fault injection.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, ops::Range, sync::Arc, time::Duration};
 
 use jacinthhoist_core::{
     ClockTime, PoolName, WorkerId,
-    job::{VmState, WaveRequest, WorkerState},
+    job::{Resources, VmState, WaveRequest, WorkerState},
 };
 use jacinthhoist_scheduler::ports::{OperatorRecord, WorkerRecord};
-use rand::seq::IndexedRandom;
+use rand::{RngExt, seq::IndexedRandom};
 use tokio::time::sleep;
 
 use crate::{
@@ -26,6 +26,10 @@
 const RECOVERY_TIME: ClockTime = ClockTime::from_millis(4_000);
 /// Time from a worker's registration as draining to its end.
 const DRAIN_TIME: Duration = Duration::from_millis(4_000);
+/// Interval between two registrations of a worker.
+const HEARTBEAT: Duration = Duration::from_millis(1_500);
+/// Capacity of a worker that has shrunk, in percent.
+const CAPACITY_PERCENT: Range<u64> = 20..75;
 /// Share of the running VMs that a wave covers, in percent.
 const WAVE_PERCENT: usize = 40;
 /// Maximum number of VMs in maintenance for a wave at once.
@@ -115,6 +119,7 @@
             FaultKind::FatalTasks | FaultKind::LateFatalTasks => {
                 self.submit_fatal_tasks(&fault, span).await;
             }
+            FaultKind::CapacityShrink => self.shrink_capacity(&fault, span).await,
         }
         let until = self.model.clock.now() + RECOVERY_TIME;
         self.model.state().history.fault_spans[span_index].1 = until;
@@ -216,6 +221,40 @@
         }
     }
 
+    /// Shrinks the capacity of some workers for a time; their entries show it at the next heartbeat.
+    async fn shrink_capacity(&self, fault: &ScenarioFault, span: Duration) {
+        let workers = self.random_workers(fault.count);
+        let full = self.model.capacity();
+        for id in &workers {
+            let percent = self.model.state().rng.random_range(CAPACITY_PERCENT);
+            let capacity = Resources {
+                cpu: full.cpu * percent / 100,
+                mem_mb: full.mem_mb * percent / 100,
+                ..full
+            };
+            self.set_capacity(id, capacity);
+        }
+        sleep(span).await;
+        for id in &workers {
+            self.set_capacity(id, full);
+        }
+    }
+
+    fn set_capacity(&self, id: &WorkerId, capacity: Resources) {
+        let now = self.model.clock.now();
+        self.with_worker(id, |worker| worker.set_capacity(capacity, now));
+        let heartbeat_in = self
+            .model
+            .state()
+            .rng
+            .random_range(Duration::ZERO..HEARTBEAT);
+        let (model, id) = (self.model.clone(), id.clone());
+        tokio::spawn(async move {
+            sleep(heartbeat_in).await;
+            model.refresh_entry(&id);
+        });
+    }
+
     /// Crashes workers without notice and restarts them under the same ids.
     async fn crash_workers(&self, workers: &[WorkerId], span: Duration) {
         let mut crashed = BTreeMap::new();
--- a/crates/emulator/src/history.rs
+++ b/crates/emulator/src/history.rs
@@ -88,6 +88,8 @@
     pub began_at: ClockTime,
     /// True if the run took its worker over its capacity.
     pub over_capacity: bool,
+    /// Time at which the worker's capacity had shrunk, if the run would have fitted before.
+    pub shrunk_at: Option<ClockTime>,
     /// Time and kind of the end.
     pub ended: Option<(ClockTime, EndKind)>,
     /// Time at which the worker received a stop order.
@@ -109,6 +111,8 @@
     pub at: ClockTime,
     /// True if the run takes its worker over its capacity.
     pub over_capacity: bool,
+    /// Time at which the worker's capacity shrank, if the run would have fitted before.
+    pub shrunk_at: Option<ClockTime>,
     /// True if the member that sent the start order is in touch with the platform.
     pub sender_in_touch: bool,
 }
@@ -201,6 +205,7 @@
             payload: order.payload.clone(),
             began_at: conditions.at,
             over_capacity: conditions.over_capacity,
+            shrunk_at: conditions.shrunk_at,
             ended: None,
             stop_received_at: None,
             acked_at: None,
--- a/crates/emulator/src/model.rs
+++ b/crates/emulator/src/model.rs
@@ -221,6 +221,16 @@
         self.notify_waiters();
     }
 
+    /// Registers a worker again, as at a heartbeat.
+    pub(crate) fn refresh_entry(&self, id: &WorkerId) {
+        let mut state = self.state();
+        if let Some(worker) = state.workers.get_mut(id) {
+            let entry = worker.refresh_entry().clone();
+            let registered = WorkerRecord::Registered(id.clone(), entry);
+            state.worker_entries.push(id.as_str(), registered, false);
+        }
+    }
+
     pub(crate) fn notify_waiters(&self) {
         self.changed.send_modify(|count| *count += 1);
     }
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -204,6 +204,7 @@
     VmAnswersLost => "Orders on VMs are executed, but their answers are lost.",
     FatalTasks => "Some new jobs have a task that crashes each worker that starts it.",
     LateFatalTasks => "Some new jobs have a task that crashes each worker after a second or two.",
+    CapacityShrink => "The capacity of some workers shrinks and grows again.",
 }
 
 impl EmulationScenario {
--- a/crates/emulator/src/worker.rs
+++ b/crates/emulator/src/worker.rs
@@ -65,6 +65,10 @@
     pub(crate) entry: WorkerEntry,
     pub(crate) mode: WorkerMode,
     pub(crate) guarded: bool,
+    /// Present capacity, which the entry shows from the next heartbeat on.
+    capacity: Resources,
+    /// Time of the last shrinkage and the capacity before it, while the worker has less.
+    shrunk_from: Option<(ClockTime, Resources)>,
     started_at: ClockTime,
     /// Lag of the worker's clock, in thousandths of the elapsed time.
     clock_lag_permille: u64,
@@ -93,6 +97,7 @@
         clock_lag_permille: u64,
         now: ClockTime,
     ) -> Self {
+        let capacity = entry.capacity;
         Self {
             id,
             vm,
@@ -102,6 +107,8 @@
             },
             mode: WorkerMode::Normal,
             guarded,
+            capacity,
+            shrunk_from: None,
             started_at: now,
             clock_lag_permille,
             token: 0,
@@ -179,6 +186,19 @@
             .any(|ended_run| !self.reported.contains(&ended_run.number))
     }
 
+    /// Changes the capacity; runs in progress stay.
+    pub(crate) fn set_capacity(&mut self, capacity: Resources, now: ClockTime) {
+        let shrinks = !capacity.fits(&Resources::default(), &self.capacity);
+        self.shrunk_from = shrinks.then_some((now, self.capacity));
+        self.capacity = capacity;
+    }
+
+    /// Shows the present capacity in the entry.
+    pub(crate) fn refresh_entry(&mut self) -> &WorkerEntry {
+        self.entry.capacity = self.capacity;
+        &self.entry
+    }
+
     /// Returns whether a run is in progress.
     pub(crate) fn is_running(&self, task: TaskKey, run: u32) -> bool {
         let active = self.running.get(&task);
@@ -299,7 +319,7 @@
         for run in self.running.values() {
             used = used.plus(&run.behaviour.need);
         }
-        if self.guarded && !self.entry.capacity.fits(&used, &behaviour.need) {
+        if self.guarded && !self.capacity.fits(&used, &behaviour.need) {
             return StartReply::NoRoom;
         }
         let factor = if self.mode == WorkerMode::Slow {
@@ -321,8 +341,12 @@
                 ..behaviour
             },
         };
+        let need = &run.behaviour.need;
+        let shrunk_from = self.shrunk_from.as_ref();
+        let shrunk_from = shrunk_from.filter(|(_, capacity)| capacity.fits(&used, need));
         let conditions = StartConditions {
-            over_capacity: !self.entry.capacity.fits(&used, &run.behaviour.need),
+            over_capacity: !self.capacity.fits(&used, need),
+            shrunk_at: shrunk_from.map(|(at, _)| *at),
             ..conditions
         };
         history.record_start(&self.id, &self.entry.pool, order, conditions);
--- a/crates/emulator/tests/rules.rs
+++ b/crates/emulator/tests/rules.rs
@@ -212,6 +212,20 @@
     assert_eq!(violated_rules(&history), [HistoryRule::Lost]);
 }
 
+#[test]
+fn a_start_over_a_capacity_that_has_shrunk_is_found() {
+    let mut history = valid_history();
+    let run = &mut history.runs[0];
+    run.over_capacity = true;
+    // The member may not know of it within the contact time and a heartbeat.
+    run.shrunk_at = Some(run.began_at - ms(5_500));
+    assert_eq!(violated_rules(&history), []);
+    history.runs[0].shrunk_at = Some(history.runs[0].began_at - ms(5_501));
+    assert_eq!(violated_rules(&history), [HistoryRule::Limit]);
+    history.runs[0].shrunk_at = None;
+    assert_eq!(violated_rules(&history), [HistoryRule::Limit]);
+}
+
 #[test]
 fn an_order_of_a_replaced_owner_is_found() {
     let mut history = valid_history();
