--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -216,6 +216,10 @@
         worker: WorkerId,
         /// Pool of the worker.
         pool: PoolName,
+        /// Network address of the worker.
+        address: Arc<str>,
+        /// Start time by the worker's clock, if it is known.
+        incarnation: Option<u64>,
         /// New state.
         change: WorkerChange,
     },
@@ -254,6 +258,8 @@
     LeaseLapsed,
     /// The worker has restarted.
     WorkerRestarted,
+    /// A later worker answers at the worker's address.
+    WorkerReplaced,
     /// The worker does not report the run.
     NotThere,
     /// The worker is silent and the task is speculative: a second copy may start while this one
@@ -276,6 +282,8 @@
     Draining,
     /// The worker receives no tasks for a while.
     Suspended,
+    /// The worker has ended: a later one answers at its address.
+    Replaced,
     /// The worker was dropped.
     Gone,
 }
--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -2,6 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use smallvec::SmallVec;
+
 use crate::{
     clock::ClockTime,
     job::{
@@ -10,7 +12,7 @@
         task::{AnyTask, StartOrderState, TaskEnd},
         worker::{ActiveRun, EndedRun, RenewalReport, Worker, WorkerEntry, WorkerState},
     },
-    name::{PoolName, WorkerId},
+    name::WorkerId,
 };
 
 use super::{BatchRecord, LossReason, Scheduler, SchedulerDecision, WorkerChange};
@@ -36,12 +38,11 @@
     pub fn worker_listed(&mut self, id: WorkerId, entry: WorkerEntry, now: ClockTime) {
         self.now = now;
         let Some(worker) = self.workers.get_mut(&id) else {
-            let pool = entry.pool.clone();
             let lease = self.unknown_lease();
             self.worker_list_version += 1;
             self.workers
                 .insert(id.clone(), Worker::listed(id.clone(), entry, lease));
-            self.log_worker_change(id, pool, WorkerChange::Listed);
+            self.log_worker_change(&id, WorkerChange::Listed);
             return;
         };
         worker.missing_since = None;
@@ -51,9 +52,8 @@
             self.worker_list_version += 1;
         }
         worker.entry = entry;
-        let pool = worker.entry.pool.clone();
         if starts_draining {
-            self.log_worker_change(id.clone(), pool, WorkerChange::Draining);
+            self.log_worker_change(&id, WorkerChange::Draining);
         }
     }
 
@@ -77,7 +77,6 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let pool = worker.entry.pool.clone();
         let change = match (worker.seen_at, worker.silent_since) {
             (None, _) => Some(WorkerChange::Adopted),
             (Some(_), Some(_)) => Some(WorkerChange::Answering),
@@ -97,7 +96,8 @@
             self.outbox.push(BatchRecord::LeaseExpiry(id.clone(), None));
         }
         if let Some(change) = change {
-            self.log_worker_change(id.clone(), pool, change);
+            self.log_worker_change(id, change);
+            self.release_predecessors(id, asked_at);
         }
         for row in &report.ended {
             self.apply_end(id, row);
@@ -110,6 +110,26 @@
         self.resolve_unreported(id, &reported, asked_at);
     }
 
+    /// Releases the runs of silent workers at whose address another worker has answered: an address
+    /// belongs to one process at a time, so their processes have ended.
+    fn release_predecessors(&mut self, id: &WorkerId, asked_at: ClockTime) {
+        let Some(successor) = self.workers.get(id) else {
+            return;
+        };
+        let address = &successor.entry.address;
+        let is_replaced = |worker: &&Worker| {
+            worker.id != *id
+                && worker.entry.address == *address
+                && worker.silent_since.is_some_and(|since| since <= asked_at)
+        };
+        let replaced = self.workers.values().filter(is_replaced);
+        let replaced: SmallVec<[WorkerId; 1]> = replaced.map(|worker| worker.id.clone()).collect();
+        for id in replaced {
+            self.log_worker_change(&id, WorkerChange::Replaced);
+            self.mark_all_runs_lost(&id, LossReason::WorkerReplaced);
+        }
+    }
+
     /// Returns the task if the given run is placed on the given worker.
     pub(super) fn assigned_slot(
         &mut self,
@@ -215,8 +235,7 @@
         let was_suspended = worker.is_suspended(now);
         worker.record_failure(first, now);
         if !was_suspended && worker.is_suspended(now) {
-            let pool = worker.entry.pool.clone();
-            self.log_worker_change(id.clone(), pool, WorkerChange::Suspended);
+            self.log_worker_change(id, WorkerChange::Suspended);
         }
     }
 
@@ -350,17 +369,21 @@
         }
     }
 
-    pub(super) fn log_worker_change(
-        &mut self,
-        worker: WorkerId,
-        pool: PoolName,
-        change: WorkerChange,
-    ) {
-        self.log_decision(SchedulerDecision::WorkerChanged {
-            worker,
-            pool,
-            change,
-        });
+    pub(super) fn log_worker_change(&mut self, id: &WorkerId, change: WorkerChange) {
+        if let Some(worker) = self.workers.get(id) {
+            self.log_decision(worker_changed(worker, change));
+        }
+    }
+}
+
+/// Builds the log entry for a change in the state of a worker.
+pub(super) fn worker_changed(worker: &Worker, change: WorkerChange) -> SchedulerDecision {
+    SchedulerDecision::WorkerChanged {
+        worker: worker.id.clone(),
+        pool: worker.entry.pool.clone(),
+        address: worker.entry.address.clone(),
+        incarnation: worker.incarnation.or(worker.entry.incarnation),
+        change,
     }
 }
 
--- a/crates/scheduler/src/owner/decisions.rs
+++ b/crates/scheduler/src/owner/decisions.rs
@@ -41,6 +41,7 @@
         SchedulerDecision::RunLost { reason, .. } => shared.meter.count_lost_run(match reason {
             LossReason::LeaseLapsed => "lease_lapsed",
             LossReason::WorkerRestarted => "worker_restarted",
+            LossReason::WorkerReplaced => "worker_replaced",
             LossReason::NotThere => "not_there",
             LossReason::Copied => "copied",
         }),
@@ -112,10 +113,13 @@
         SchedulerDecision::WorkerChanged {
             worker,
             pool,
+            address,
+            incarnation,
             change,
         } => (
             EventKind::Worker,
-            json!({"worker": worker.as_str(), "pool": pool.as_str(), "now": format!("{change:?}")}),
+            json!({"worker": worker.as_str(), "pool": pool.as_str(), "address": &*address,
+                "incarnation": incarnation, "now": format!("{change:?}")}),
         ),
         SchedulerDecision::EvacuationBegun {
             vm,
