--- a/crates/emulator/src/crash.rs
+++ b/crates/emulator/src/crash.rs
@@ -141,13 +141,15 @@
             return;
         };
         vm.state = VmState::Up;
-        if crashed.removed_after.is_some() {
-            self.start_worker(&mut state, &crashed.vm, now);
-            return;
-        }
+        let has_new_id = crashed.removed_after.is_some();
+        // The next worker refuses the calls that are meant for another one.
         let endpoint = Endpoint::Worker(crashed.id.clone());
         self.network.set_isolated(endpoint.clone(), false);
-        self.network.set_stopped(endpoint, false);
-        self.restart_worker(&mut state, crashed.id, &crashed.vm, now);
+        self.network.set_stopped(endpoint, has_new_id);
+        if has_new_id {
+            self.start_worker(&mut state, &crashed.vm, now);
+        } else {
+            self.restart_worker(&mut state, crashed.id, &crashed.vm, now);
+        }
     }
 }
--- a/crates/emulator/src/model.rs
+++ b/crates/emulator/src/model.rs
@@ -165,7 +165,7 @@
         vm_name: &VmName,
         now: ClockTime,
     ) {
-        let entry = self.new_worker_entry(state, vm_name, id.as_str());
+        let entry = self.new_worker_entry(state, vm_name);
         self.start_incarnation(state, id.clone(), vm_name, entry, now);
         if let Some(vm) = state.vms.get_mut(vm_name) {
             vm.worker = Some(id);
@@ -195,12 +195,13 @@
         state.workers.insert(id, worker);
     }
 
-    fn new_worker_entry(&self, state: &ModelState, vm_name: &VmName, address: &str) -> WorkerEntry {
+    fn new_worker_entry(&self, state: &ModelState, vm_name: &VmName) -> WorkerEntry {
         let vm = state.vms.get(vm_name);
         let rack = vm.map(|vm| vm.rack.clone());
         WorkerEntry {
             pool: vm.map_or_else(|| PoolName::new(""), |vm| vm.pool.clone()),
-            address: address.into(),
+            // The workers of a VM follow one another at its address.
+            address: vm_name.as_str().into(),
             data_centre: DataCentre::new("dc-1"),
             state: WorkerState::Ready,
             capacity: self.capacity(),
