--- a/crates/emulator/src/check.rs
+++ b/crates/emulator/src/check.rs
@@ -1,5 +1,7 @@
 //! Checks of a recorded history against the scheduler's guarantees.
 
+mod crashes;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use jacinthhoist_core::{
@@ -9,17 +11,24 @@
 
 use crate::history::{CallOutcome, EmulationHistory, EndKind, FinalAnswer, JobHistory, RunHistory};
 
+use self::crashes::{check_starts_after_crashes, may_be_given_up};
+
 /// Time after the acknowledgement of a cancellation in which tasks may still start.
 const CANCEL_GRACE: ClockTime = ClockTime::from_millis(3_000);
 /// Time after its acceptance in which a member may not yet know a job.
 const VISIBILITY_GRACE: ClockTime = ClockTime::from_millis(3_000);
 /// Time after a worker is registered as draining in which it may still get tasks.
 const DRAIN_GRACE: ClockTime = ClockTime::from_millis(2_000);
+/// Time after a shrinkage of a worker's capacity in which tasks that would have fitted before may
+/// still start: the contact time and a heartbeat.
+const CAPACITY_GRACE: ClockTime = ClockTime::from_millis(4_000 + 1_500);
 /// Time after which a long-running task counts as available.
 const AVAILABLE_AFTER: ClockTime = ClockTime::from_millis(400);
 /// Time for which orders of a replaced owner are still executed: an owner's confirmation is valid
 /// for 900 ms, and an order is in transit for some more.
 const MAX_REPLACED_AGE: ClockTime = ClockTime::from_millis(1_000);
+/// Time after the acknowledgement of an end in which a speculative task may still start.
+const SPECULATION_GRACE: ClockTime = ClockTime::from_millis(1_000);
 /// Time before the end of the run; a job accepted within it need not be done.
 const COMPLETION_ALLOWANCE: ClockTime = ClockTime::from_millis(10_000);
 /// Time before the end of the run; a long-running task lost within it need not run again.
@@ -47,12 +56,12 @@
     Twice => "A task has one active run at a time, and none begins after an acknowledged success.",
     Order => "A step starts only after the steps that it depends on are done.",
     Route => "Tasks run only on workers of their job's pool.",
-    Budget => "A task is not run again once its acknowledged failures reach the limit.",
+    Budget => "A task is not run again once its acknowledged failures reach the limit, nor more than twice once it has crashed three workers.",
     Unasked => "Only jobs that callers sent are started, and no tasks after cancellation.",
     Refused => "Rejected jobs never run.",
     Limit => "Workers stay within their capacity, and waves within their cap on VMs.",
     Mixed => "Reported states of jobs and waves match what happened.",
-    Lost => "An accepted job stays known, questions about it are answered, and it is eventually done, unless it fails or is cancelled.",
+    Lost => "An accepted job stays known, questions about it are answered, and it is eventually done, unless it fails, crashes its workers or is cancelled.",
     One => "A VM executes no order with an older fencing token than it has seen, nor one of an owner that was replaced long ago.",
     Drain => "A draining worker gets no new tasks.",
     Avail => "Planned VM orders leave no more tasks of a step missing than it allows.",
@@ -75,6 +84,7 @@
     let runs = runs_by_task(history);
     for (task, runs) in &runs {
         check_task(history, *task, runs, &mut findings);
+        check_starts_after_crashes(*task, runs, &mut findings);
     }
     check_starts(history, &runs, &mut findings);
     for (id, job) in &history.jobs {
@@ -123,11 +133,17 @@
     runs: &[&RunHistory],
     findings: &mut RuleFindings,
 ) {
+    let job = history.jobs.get(&task.job);
+    let speculative = job.is_some_and(|job| job.shape.speculative);
+    // Several runs of a speculative task are allowed until the scheduler knows of an end.
+    let is_too_late = |run: &RunHistory, noted_at: ClockTime| {
+        !speculative || run.sender_in_touch && run.began_at > noted_at + SPECULATION_GRACE
+    };
     for (run_index, run) in runs.iter().enumerate() {
         let began_at = run.began_at;
         for earlier_run in &runs[..run_index] {
             let ended_at = earlier_run.ended.map_or(history.ended_at, |(at, _)| at);
-            if began_at < ended_at {
+            if began_at < ended_at && !speculative {
                 let detail = format!(
                     "{task}: run {} on {} began while run {} was active on {}",
                     run.run, run.worker, earlier_run.run, earlier_run.worker
@@ -135,7 +151,9 @@
                 findings.add(HistoryRule::Twice, began_at, detail);
             }
             let done_at = ended_with(earlier_run, TaskEnd::Done);
-            if earlier_run.acked_at.is_some() && done_at.is_some_and(|at| began_at >= at) {
+            if earlier_run.acked_at.is_some_and(|at| is_too_late(run, at))
+                && done_at.is_some_and(|at| began_at >= at)
+            {
                 let detail = format!(
                     "{task}: run {} began after run {} had succeeded",
                     run.run, earlier_run.run
@@ -143,12 +161,13 @@
                 findings.add(HistoryRule::Twice, began_at, detail);
             }
         }
-        let Some(job) = history.jobs.get(&task.job) else {
+        let Some(job) = job else {
             continue;
         };
         let failures = runs[..run_index].iter().filter(|earlier_run| {
             let failed_at = ended_with(earlier_run, TaskEnd::Failed);
-            earlier_run.acked_at.is_some() && failed_at.is_some_and(|at| at <= began_at)
+            earlier_run.acked_at.is_some_and(|at| is_too_late(run, at))
+                && failed_at.is_some_and(|at| at <= began_at)
         });
         if !job.shape.long_running && failures.count() >= job.shape.max_failures as usize {
             let detail = format!(
@@ -196,7 +215,10 @@
             );
             findings.add(HistoryRule::Route, at, detail);
         }
-        if run.over_capacity {
+        let may_be_unknown = run
+            .shrunk_at
+            .is_some_and(|since| run.executed_late || at <= since + CAPACITY_GRACE);
+        if run.over_capacity && !may_be_unknown {
             let detail = format!("{task}: exceeds the capacity of {}", run.worker);
             findings.add(HistoryRule::Limit, at, detail);
         }
@@ -288,11 +310,13 @@
                     findings.add(HistoryRule::Mixed, *at, detail);
                 }
             }
-            Some(JobState::Failed) if !job_tasks(id, job).any(failed) => {
+            Some(JobState::Failed)
+                if !job_tasks(id, job).any(failed) && !may_be_given_up(id, job, runs, *at) =>
+            {
                 findings.add(
                     HistoryRule::Lost,
                     *at,
-                    format!("{id}: reported as failed, but no task reached its failure limit"),
+                    format!("{id}: reported as failed, but no task reached a limit on its failures or crashes"),
                 );
             }
             Some(JobState::Cancelled) if job.cancelled.is_none() => {
@@ -317,7 +341,7 @@
     }
     check_final_answer(history, id, job, findings);
     let must_be_done = accepted_at.is_some_and(|at| at + COMPLETION_ALLOWANCE < history.ended_at);
-    if !must_be_done || job.cancelled.is_some() {
+    if !must_be_done || job.cancelled.is_some() || job.shape.fatal_task.is_some() {
         return;
     }
     let last = job
@@ -364,7 +388,7 @@
     for task in job_tasks(id, job) {
         let runs = runs.get(&task).into_iter().flatten();
         let mut alive = runs.filter(|run| run.ended.is_none_or(|(at, _)| at > loss_limit));
-        if alive.next().is_none() && !history.is_in_fault_span(loss_limit) {
+        if alive.next().is_none() && !history.is_disrupted(loss_limit) {
             let detail = format!("{task}: long-running task is not running at the end");
             findings.add(HistoryRule::Lost, history.ended_at, detail);
         }
@@ -426,7 +450,7 @@
     let Some(worker) = &order.worker else {
         return;
     };
-    if history.is_in_fault_span(order.at) {
+    if history.is_disrupted(order.at) {
         return;
     }
     let is_available = |run: &&RunHistory, at: ClockTime| {
--- a/crates/emulator/src/fault.rs
+++ b/crates/emulator/src/fault.rs
@@ -1,16 +1,17 @@
 //! Fault injection.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, ops::Range, sync::Arc, time::Duration};
 
 use jacinthhoist_core::{
-    ClockTime, WorkerId,
-    job::{VmState, WaveRequest, WorkerState},
+    ClockTime, PoolName, WorkerId,
+    job::{Resources, VmState, WaveRequest, WorkerState},
 };
 use jacinthhoist_scheduler::ports::{OperatorRecord, WorkerRecord};
-use rand::seq::IndexedRandom;
+use rand::{RngExt, seq::IndexedRandom};
 use tokio::time::sleep;
 
 use crate::{
+    crash::FatalArrivals,
     fleet::{EmulatedFleet, RESTART_DELAY},
     history::WaveHistory,
     network::Endpoint,
@@ -25,6 +26,10 @@
 const RECOVERY_TIME: ClockTime = ClockTime::from_millis(4_000);
 /// Time from a worker's registration as draining to its end.
 const DRAIN_TIME: Duration = Duration::from_millis(4_000);
+/// Interval between two registrations of a worker.
+const HEARTBEAT: Duration = Duration::from_millis(1_500);
+/// Capacity of a worker that has shrunk, in percent.
+const CAPACITY_PERCENT: Range<u64> = 20..75;
 /// Share of the running VMs that a wave covers, in percent.
 const WAVE_PERCENT: usize = 40;
 /// Maximum number of VMs in maintenance for a wave at once.
@@ -111,6 +116,10 @@
                 self.model.state().drops_vm_answers = false;
             }
             FaultKind::Wave => self.request_wave(),
+            FaultKind::FatalTasks | FaultKind::LateFatalTasks => {
+                self.submit_fatal_tasks(&fault, span).await;
+            }
+            FaultKind::CapacityShrink => self.shrink_capacity(&fault, span).await,
         }
         let until = self.model.clock.now() + RECOVERY_TIME;
         self.model.state().history.fault_spans[span_index].1 = until;
@@ -196,6 +205,56 @@
         }
     }
 
+    /// Adds a fatal task to some of the jobs that callers submit.
+    async fn submit_fatal_tasks(&self, fault: &ScenarioFault, span: Duration) {
+        let arrivals = FatalArrivals {
+            pool: fault.pool.as_deref().map(PoolName::new),
+            share: fault.share,
+            crashes_late: fault.kind == FaultKind::LateFatalTasks,
+        };
+        self.model.state().fatal_arrivals.push(arrivals.clone());
+        sleep(span).await;
+        let mut state = self.model.state();
+        let mut active = state.fatal_arrivals.iter();
+        if let Some(index) = active.position(|other| *other == arrivals) {
+            state.fatal_arrivals.remove(index);
+        }
+    }
+
+    /// Shrinks the capacity of some workers for a time; their entries show it at the next heartbeat.
+    async fn shrink_capacity(&self, fault: &ScenarioFault, span: Duration) {
+        let workers = self.random_workers(fault.count);
+        let full = self.model.capacity();
+        for id in &workers {
+            let percent = self.model.state().rng.random_range(CAPACITY_PERCENT);
+            let capacity = Resources {
+                cpu: full.cpu * percent / 100,
+                mem_mb: full.mem_mb * percent / 100,
+                ..full
+            };
+            self.set_capacity(id, capacity);
+        }
+        sleep(span).await;
+        for id in &workers {
+            self.set_capacity(id, full);
+        }
+    }
+
+    fn set_capacity(&self, id: &WorkerId, capacity: Resources) {
+        let now = self.model.clock.now();
+        self.with_worker(id, |worker| worker.set_capacity(capacity, now));
+        let heartbeat_in = self
+            .model
+            .state()
+            .rng
+            .random_range(Duration::ZERO..HEARTBEAT);
+        let (model, id) = (self.model.clone(), id.clone());
+        tokio::spawn(async move {
+            sleep(heartbeat_in).await;
+            model.refresh_entry(&id);
+        });
+    }
+
     /// Crashes workers without notice and restarts them under the same ids.
     async fn crash_workers(&self, workers: &[WorkerId], span: Duration) {
         let mut crashed = BTreeMap::new();
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -84,6 +84,8 @@
     pub hopeless: f64,
     /// Priority class; 0 is the most urgent.
     pub priority: u8,
+    /// True if a task may have several runs at once.
+    pub speculative: bool,
 }
 
 impl Default for ScenarioLoad {
@@ -101,6 +103,7 @@
             cancels: 0.0,
             hopeless: 0.0,
             priority: 0,
+            speculative: false,
         }
     }
 }
@@ -137,6 +140,12 @@
     /// Number of members or workers affected.
     #[serde(default = "default_count")]
     pub count: usize,
+    /// Share of the new jobs that are affected.
+    #[serde(default = "default_share")]
+    pub share: f64,
+    /// Pool whose jobs are affected; by default those of all pools.
+    #[serde(default)]
+    pub pool: Option<String>,
 }
 
 fn default_duration() -> f64 {
@@ -147,6 +156,11 @@
     1
 }
 
+/// Small enough that the crashes leave most of the capacity of a pool of a few workers.
+fn default_share() -> f64 {
+    0.05
+}
+
 macro_rules! fault_kinds {
     ($($variant:ident => $doc:literal),* $(,)?) => {
         /// Kind of fault or planned operation.
@@ -189,6 +203,9 @@
     FollowersStoreCut => "Members that do not own the pools are partitioned from the store.",
     MemberFreeze => "Members are suspended, the owner first: calls that they have decided on go out when they resume.",
     VmAnswersLost => "Orders on VMs are executed, but their answers are lost.",
+    FatalTasks => "Some new jobs have a task that crashes each worker that starts it.",
+    LateFatalTasks => "Some new jobs have a task that crashes each worker after a second or two.",
+    CapacityShrink => "The capacity of some workers shrinks and grows again.",
 }
 
 impl EmulationScenario {
@@ -226,6 +243,8 @@
                 kind,
                 for_s: rng.random_range(0.5..5.0),
                 count: rng.random_range(1..3),
+                share: default_share(),
+                pool: None,
             });
         }
         self
--- a/crates/emulator/src/worker.rs
+++ b/crates/emulator/src/worker.rs
@@ -11,7 +11,7 @@
 };
 use jacinthhoist_scheduler::ports::{RenewalOrder, StartOrder};
 
-use crate::history::{EmulationHistory, EndKind};
+use crate::history::{EmulationHistory, EndKind, StartConditions};
 
 /// Longest lease that a worker grants.
 const MAX_LEASE: ClockTime = ClockTime::from_millis(6_000);
@@ -43,6 +43,8 @@
     pub(crate) duration: Option<ClockTime>,
     pub(crate) fails: bool,
     pub(crate) need: Resources,
+    /// Time from the start to the crash of the worker, if the task causes one.
+    pub(crate) crashes_after: Option<ClockTime>,
 }
 
 #[derive(Clone, Debug)]
@@ -63,6 +65,10 @@
     pub(crate) entry: WorkerEntry,
     pub(crate) mode: WorkerMode,
     pub(crate) guarded: bool,
+    /// Present capacity, which the entry shows from the next heartbeat on.
+    capacity: Resources,
+    /// Time of the last shrinkage and the capacity before it, while the worker has less.
+    shrunk_from: Option<(ClockTime, Resources)>,
     started_at: ClockTime,
     /// Lag of the worker's clock, in thousandths of the elapsed time.
     clock_lag_permille: u64,
@@ -91,6 +97,7 @@
         clock_lag_permille: u64,
         now: ClockTime,
     ) -> Self {
+        let capacity = entry.capacity;
         Self {
             id,
             vm,
@@ -100,6 +107,8 @@
             },
             mode: WorkerMode::Normal,
             guarded,
+            capacity,
+            shrunk_from: None,
             started_at: now,
             clock_lag_permille,
             token: 0,
@@ -177,6 +186,25 @@
             .any(|ended_run| !self.reported.contains(&ended_run.number))
     }
 
+    /// Changes the capacity; runs in progress stay.
+    pub(crate) fn set_capacity(&mut self, capacity: Resources, now: ClockTime) {
+        let shrinks = !capacity.fits(&Resources::default(), &self.capacity);
+        self.shrunk_from = shrinks.then_some((now, self.capacity));
+        self.capacity = capacity;
+    }
+
+    /// Shows the present capacity in the entry.
+    pub(crate) fn refresh_entry(&mut self) -> &WorkerEntry {
+        self.entry.capacity = self.capacity;
+        &self.entry
+    }
+
+    /// Returns whether a run is in progress.
+    pub(crate) fn is_running(&self, task: TaskKey, run: u32) -> bool {
+        let active = self.running.get(&task);
+        active.is_some_and(|active| active.run == run)
+    }
+
     /// Ends all runs unreported, because the process is gone.
     pub(crate) fn kill(&mut self, now: ClockTime, history: &mut EmulationHistory) {
         self.end_due_runs(now, history);
@@ -263,9 +291,10 @@
         order: &StartOrder,
         behaviour: TaskBehaviour,
         token: u64,
-        now: ClockTime,
+        conditions: StartConditions,
         history: &mut EmulationHistory,
     ) -> StartReply {
+        let now = conditions.at;
         self.end_due_runs(now, history);
         if token < self.token {
             return StartReply::Fenced;
@@ -290,7 +319,7 @@
         for run in self.running.values() {
             used = used.plus(&run.behaviour.need);
         }
-        if self.guarded && !self.entry.capacity.fits(&used, &behaviour.need) {
+        if self.guarded && !self.capacity.fits(&used, &behaviour.need) {
             return StartReply::NoRoom;
         }
         let factor = if self.mode == WorkerMode::Slow {
@@ -312,8 +341,15 @@
                 ..behaviour
             },
         };
-        let over_capacity = !self.entry.capacity.fits(&used, &run.behaviour.need);
-        history.record_start(&self.id, &self.entry.pool, order, now, over_capacity);
+        let need = &run.behaviour.need;
+        let shrunk_from = self.shrunk_from.as_ref();
+        let shrunk_from = shrunk_from.filter(|(_, capacity)| capacity.fits(&used, need));
+        let conditions = StartConditions {
+            over_capacity: !self.capacity.fits(&used, need),
+            shrunk_at: shrunk_from.map(|(at, _)| *at),
+            ..conditions
+        };
+        history.record_start(&self.id, &self.entry.pool, order, conditions);
         self.running.insert(order.task, run);
         StartReply::Started
     }
