Do not hold workers that end together against their tasks

Cause: each worker's end was looked at by itself, so a rack that fails looked like many crashes at a start. Change: three workers or more that fall silent within 100 ms are not held against their tasks, unless the same job was starting on all of them. Tests: workers_that_end_together_are_not_held_against_tasks, a_job_that_crashes_many_workers_at_once_is_given_up, workers_that_a_new_owner_finds_silent_did_not_end_together.

--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -40,7 +40,7 @@
 use super::{
     admit::WorkLoad,
     catalogue::{JobCatalogue, JobWork},
-    crash::Implication,
+    crash::{Implication, RecentSilences},
     life::ClosedLife,
     order::DurationTable,
     spec::{JobId, JobState, Resources, StepKey, TaskKey},
@@ -366,6 +366,7 @@
     permits: permits::PermitCache,
     /// Workers that have fallen silent or restarted with runs, and may have ended.
     doubted_workers: BTreeSet<WorkerId>,
+    recent_silences: RecentSilences,
     /// Workers that are reserved for trials.
     trial_workers: SmallVec<[WorkerId; 4]>,
     outbox: batch::Outbox,
@@ -395,6 +396,7 @@
             waves: WaveTable::default(),
             permits: permits::PermitCache::default(),
             doubted_workers: BTreeSet::new(),
+            recent_silences: RecentSilences::default(),
             trial_workers: SmallVec::new(),
             outbox: batch::Outbox::default(),
             effects: Vec::new(),
--- a/crates/core/tests/jobs/crashes.rs
+++ b/crates/core/tests/jobs/crashes.rs
@@ -304,6 +304,84 @@
     assert_eq!(harness.scheduler.state(JobId(1)), Some(JobState::Failed));
 }
 
+/// Guards against innocent jobs that are given up since all workers of a rack end at once, again and
+/// again.
+#[test]
+fn workers_that_end_together_are_not_held_against_tasks() {
+    let mut harness = SchedulerHarness::open(4);
+    for job in 1..=4 {
+        harness.accept(job, vec![step(1)]);
+    }
+    let mut next = 4;
+    for _ in 0..6 {
+        harness.settle();
+        let starts = harness.confirm();
+        assert_eq!(starts.len(), 4, "all tasks start again at once");
+        for number in next - 4..next {
+            harness
+                .scheduler
+                .renewal_failed(&worker(number), harness.now);
+        }
+        harness.settle();
+        harness.wait(3_000);
+        for number in next - 4..next {
+            answer_at(&mut harness, number, number + 4);
+        }
+        next += 4;
+    }
+}
+
+/// Guards against crashes that a new owner takes for one event, as it finds all ended workers silent at
+/// once.
+#[test]
+fn workers_that_a_new_owner_finds_silent_did_not_end_together() {
+    let mut harness = SchedulerHarness::open(4);
+    let spec = harness.accept(1, vec![step(1)]);
+    harness.settle();
+    let start = harness.confirm().remove(0);
+    crash(&mut harness, 0);
+    let mut next = harness.take_over(&[(JobId(1), spec)], 4);
+    for number in 0..4 {
+        next.scheduler.renewal_failed(&worker(number), next.now);
+    }
+    next.settle();
+    answer_at(&mut next, 0, 4);
+    let history = next.stored[&JobId(1)].crashes.get(&start.task);
+    assert_eq!(history.expect("the loss is stored").crashes(), 1);
+}
+
+/// Guards against a job all tasks of which crash their workers, many at once.
+#[test]
+fn a_job_that_crashes_many_workers_at_once_is_given_up() {
+    let mut harness = SchedulerHarness::open(4);
+    let spread = StepSpec {
+        max_per_worker: 1,
+        ..step(4)
+    };
+    harness.accept(1, vec![spread]);
+    let (mut next, mut rounds) = (4, 0);
+    while harness.scheduler.state(JobId(1)) != Some(JobState::Failed) {
+        harness.settle();
+        let starts = harness.confirm();
+        let hosts: Vec<usize> = (0..next)
+            .filter(|number| starts.iter().any(|start| start.worker == worker(*number)))
+            .collect();
+        for number in &hosts {
+            harness
+                .scheduler
+                .renewal_failed(&worker(*number), harness.now);
+        }
+        harness.settle();
+        harness.wait(3_000);
+        for number in hosts {
+            answer_at(&mut harness, number, next);
+            next += 1;
+        }
+        rounds += 1;
+        assert!(rounds <= 5, "the job is started again and again");
+    }
+}
+
 /// Guards against starvation: where all workers are busy, a trial waits until the runs on one of them
 /// have outlived their starts, and tasks of other jobs go to the rest.
 #[test]
