Restart long-running tasks on a worker where one has failed

What callers saw: LOST. A task that is to last failed at 9.9 s of a calm time and ran again at 21.1 s, once VMs of another pool had arrived.

Cause: a worker with a failure took no further task until it was empty or one had succeeded. Long-running tasks never succeed, so beside others of them the worker took none for as long as they ran. Its own step allows few tasks on one worker and the other workers had theirs, so the task had no place left. Class of fault: a wait for an event that the state does not allow.

Change: only runs that end by themselves count as the trial of a worker with a failure.

Evidence: a_failed_long_running_task_restarts_beside_others and a_worker_with_a_failure_gets_one_finite_task_until_it_succeeds failed before the change (0 starts each) and pass with it; all tests of the crate pass.

--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -149,6 +149,8 @@
     pub serves: bool,
     /// True if the task is best-effort and only uses idle processor time.
     pub best_effort: bool,
+    /// True if the task runs until its job is cancelled.
+    pub long_running: bool,
 }
 
 impl TaskCharge {
@@ -159,6 +161,7 @@
             need: step.charged(),
             serves: step.target > ClockTime::ZERO,
             best_effort: step.best_effort,
+            long_running: step.long_running,
         }
     }
 }
@@ -190,6 +193,8 @@
     pub serving_runs: u32,
     /// Number of best-effort runs.
     pub best_effort_runs: u32,
+    /// Number of runs that end by themselves.
+    pub finite_runs: u32,
     /// Highest sequence number of an end that has been processed.
     pub end_seen: u64,
     /// Highest sequence number of an end whose outcome is stored.
@@ -223,6 +228,7 @@
             empty_since: lease.since,
             serving_runs: 0,
             best_effort_runs: 0,
+            finite_runs: 0,
             end_seen: 0,
             end_stored: 0,
             awaits_report: false,
@@ -236,7 +242,8 @@
 
     /// True if a task may be placed on the worker now.
     pub fn takes_work(&self, now: ClockTime) -> bool {
-        let on_probation = self.consecutive_failures > 0 && !self.tasks.is_empty();
+        // Long-running tasks never succeed, so the worker would wait for them for good.
+        let on_probation = self.consecutive_failures > 0 && self.finite_runs > 0;
         self.is_in_service() && now >= self.suspended_until && !on_probation
     }
 
@@ -296,6 +303,7 @@
         self.used = self.used.plus(&charge.need);
         self.serving_runs += u32::from(charge.serves);
         self.best_effort_runs += u32::from(charge.best_effort);
+        self.finite_runs += u32::from(!charge.long_running);
         self.tasks.insert(task, charge);
     }
 
@@ -307,6 +315,7 @@
         self.used = self.used.minus(&charge.need);
         self.serving_runs -= u32::from(charge.serves);
         self.best_effort_runs -= u32::from(charge.best_effort);
+        self.finite_runs -= u32::from(!charge.long_running);
         if self.tasks.is_empty() {
             self.empty_since = now;
         }
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -3,6 +3,7 @@
 mod fleet;
 mod harness;
 mod placing;
+mod probation;
 mod waves;
 
 use harness::{SchedulerHarness, entry, key, long_running_step, ms, spec, step, worker};
--- /dev/null
+++ b/crates/core/tests/jobs/probation.rs
@@ -0,0 +1,73 @@
+//! Workers on which a task has failed.
+
+use jacinthhoist_core::job::{EndedRun, RenewalReport, StepSpec, TaskEnd};
+
+use super::harness::{RunOrder, SchedulerHarness, long_running_step, step, worker};
+
+/// Two workers with two long-running tasks each, of a step that allows no more on one worker. One task
+/// of worker 0 fails.
+fn with_failed_long_running_task() -> (SchedulerHarness, RunOrder) {
+    let mut harness = SchedulerHarness::open(2);
+    let spread = StepSpec {
+        max_per_worker: 2,
+        ..long_running_step(4, 0)
+    };
+    harness.accept(1, vec![spread]);
+    harness.settle();
+    let starts = harness.confirm();
+    harness.report_all(&starts, 2, 100);
+    let mut others: Vec<_> = starts
+        .into_iter()
+        .filter(|start| start.worker == worker(0))
+        .collect();
+    let failed = others.remove(0);
+    let ended = EndedRun {
+        number: 1,
+        task: failed.task,
+        run: failed.run,
+        end: TaskEnd::Failed,
+        checkpoint: None,
+    };
+    let report = RenewalReport {
+        ended: vec![ended],
+        ..SchedulerHarness::running(&others, 100)
+    };
+    harness.report(0, report);
+    harness.settle();
+    (harness, failed)
+}
+
+/// Regression test (LOST): a long-running task did not run for 11 s, as the only worker with a place for
+/// it took no tasks after its failure while the others, which never end, ran there.
+#[test]
+fn a_failed_long_running_task_restarts_beside_others() {
+    let (mut harness, failed) = with_failed_long_running_task();
+    let restarts = harness.confirm();
+    assert_eq!(restarts.len(), 1);
+    assert_eq!(restarts[0].task, failed.task);
+    assert_eq!(restarts[0].worker, worker(0));
+}
+
+/// Guards the trial of a worker with a single task: long-running tasks beside it are no trial, and tasks
+/// that end are not placed in numbers before one has succeeded.
+#[test]
+fn a_worker_with_a_failure_gets_one_finite_task_until_it_succeeds() {
+    let mut harness = SchedulerHarness::open(1);
+    harness.accept(1, vec![long_running_step(1, 0)]);
+    harness.accept(2, vec![step(1)]);
+    harness.settle();
+    let starts = harness.confirm();
+    let finite = starts.iter().find(|start| start.task.job.0 == 2);
+    harness.end(finite.expect("both jobs start"), TaskEnd::Failed);
+    for id in 3..=6 {
+        harness.accept(id, vec![step(1)]);
+    }
+    harness.settle();
+    let trial = harness.confirm();
+    assert_eq!(trial.len(), 1);
+    harness.end(&trial[0], TaskEnd::Done);
+    harness.settle();
+    // The reports of the ends do not list the long-running task, so it starts again too.
+    let finite = harness.confirm().into_iter();
+    assert_eq!(finite.filter(|start| start.task.job.0 != 1).count(), 4);
+}
