--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod harness;
 mod placing;
+mod probation;
 mod waves;
 
 use harness::{
