Send the loads of kinds of work that are not idle, and one time for each pool

Cause: the owner sends a heartbeat to every member five times a second, and it named the load of each kind of work in the catalogue. That site's has 250: 9,744 bytes a heartbeat as encoded, or 1.9 Mbit/s for five followers and 13 Mbit/s for the 34 of the full-size site, where members of the reserve have 10. The link was full: renewals of the membership timed out, the store gave the pools to the next member, and each takeover took longer than the one before (0.1 s, then 0.7, 1.3, 2.5 and 4.2 s). Class of fault: a message to every member whose size grows with the configuration.

Change: the heartbeat holds one time for each pool and only the kinds of work that have waiting jobs or a known duration; a member looks the pool of the others up in its catalogue. 399 bytes for five pools and eight kinds of work in use.

Evidence: a_load_report_names_only_kinds_of_work_that_are_not_idle; the sizes above were printed by a trial with both forms.

--- a/crates/codec/src/job.rs
+++ b/crates/codec/src/job.rs
@@ -3,8 +3,10 @@
 use std::collections::BTreeMap;
 
 use jacinthhoist_core::{
-    ClockTime, PoolName, WorkName, WorkerId,
-    job::{BatchRecord, JobId, JobProgress, JobSpec, JobState, MemberRank, WaveProgress, WorkLoad},
+    ClockTime, PoolName, WorkerId,
+    job::{
+        BatchRecord, JobId, JobProgress, JobSpec, JobState, LoadReport, MemberRank, WaveProgress,
+    },
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
@@ -181,8 +183,8 @@
 /// Owner's heartbeat: the load of its pools and the age of its information.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct OwnerHeartbeat {
-    /// Load of each kind of work.
-    pub loads: BTreeMap<WorkName, WorkLoad>,
+    /// Load of all kinds of work.
+    pub loads: LoadReport,
     /// Time since the owner last read the accepted jobs.
     pub read_age: ClockTime,
     /// Time since the store last confirmed that the sender owns the pools.
--- a/crates/codec/tests/job.rs
+++ b/crates/codec/tests/job.rs
@@ -10,8 +10,8 @@
 use jacinthhoist_core::{
     ClockTime, PoolName, RackName, VmName, WorkName, WorkerId,
     job::{
-        BatchRecord, JobId, JobProgress, JobSpec, JobState, JobTerms, MemberRank, RepeatPlan,
-        StepSpec, WaveProgress, WorkLoad,
+        BatchRecord, JobId, JobProgress, JobSpec, JobState, JobTerms, LoadReport, MemberRank,
+        RepeatPlan, StepSpec, WaveProgress, WorkLoad,
     },
 };
 
@@ -103,7 +103,10 @@
             answer: JobReply::Known(JobState::Running),
         },
         JobFrame::Loads(OwnerHeartbeat {
-            loads: BTreeMap::from([(WorkName::new("melt-plan"), WorkLoad::default())]),
+            loads: LoadReport {
+                drains: BTreeMap::from([(PoolName::new("melt-shop"), ClockTime::from_millis(700))]),
+                works: BTreeMap::from([(WorkName::new("melt-plan"), WorkLoad::default())]),
+            },
             read_age: ClockTime::from_millis(40),
             place_age: ClockTime::from_millis(900),
         }),
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -38,7 +38,7 @@
 mod wave;
 mod worker;
 
-pub use admit::{JobRefusal, WorkLoad, admit_job, outage_retry};
+pub use admit::{JobRefusal, LoadReport, WorkLoad, admit_job, outage_retry};
 pub use append_pace::{AppendPace, refusal_delay};
 pub use catalogue::{AdvicePolicy, CallerLimits, JobCatalogue, JobPool, JobWork};
 pub use lease::{HeldLease, UnknownLease, WorkerLease};
--- a/crates/core/src/job/admit.rs
+++ b/crates/core/src/job/admit.rs
@@ -4,7 +4,14 @@
 //! be served only long after its objective is refused at once, with the time by which the backlog
 //! will have drained.
 
-use crate::clock::ClockTime;
+use std::collections::BTreeMap;
+
+use crate::{
+    clock::ClockTime,
+    name::{PoolName, WorkName},
+};
+
+use super::order::DEFAULT_DURATION;
 
 /// Multiple of its objective beyond which a job's expected wait causes a refusal: by the users'
 /// rules an answer after three times the objective has no value to the caller.
@@ -27,6 +34,37 @@
     pub task: ClockTime,
 }
 
+/// Load of all kinds of work. A catalogue may list hundreds of them, of which a few have jobs, and the
+/// owner sends this report to every member several times a second: it names only those that have
+/// waiting jobs or a known duration.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct LoadReport {
+    /// Time in which each pool drains its backlog.
+    pub drains: BTreeMap<PoolName, ClockTime>,
+    /// Load of the kinds of work that differ from an idle one of their pool.
+    pub works: BTreeMap<WorkName, WorkLoad>,
+}
+
+impl LoadReport {
+    /// Returns the load of a kind of work, whose jobs run in the given pool.
+    ///
+    /// ```
+    /// use jacinthhoist_core::{ClockTime, PoolName, WorkName, job::LoadReport};
+    /// let (work, pool) = (WorkName::new("core-check"), PoolName::new("coreroom"));
+    /// let mut report = LoadReport::default();
+    /// report.drains.insert(pool.clone(), ClockTime::from_secs(3));
+    /// assert_eq!(report.load(&work, &pool).drain, ClockTime::from_secs(3));
+    /// ```
+    pub fn load(&self, work: &WorkName, pool: &PoolName) -> WorkLoad {
+        let idle = || WorkLoad {
+            drain: self.drains.get(pool).copied().unwrap_or_default(),
+            waiting: 0,
+            task: DEFAULT_DURATION,
+        };
+        self.works.get(work).copied().unwrap_or_else(idle)
+    }
+}
+
 /// Refusal of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct JobRefusal {
--- a/crates/core/src/job/order.rs
+++ b/crates/core/src/job/order.rs
@@ -15,7 +15,7 @@
 /// Weight of the newest observation in the moving mean, which converges within about ten tasks.
 const NEWEST_WEIGHT_PERCENT: u64 = 10;
 /// Assumed duration of a task before the first observation.
-const DEFAULT_DURATION: ClockTime = ClockTime::from_millis(1_000);
+pub(super) const DEFAULT_DURATION: ClockTime = ClockTime::from_millis(1_000);
 
 /// Mean observed task duration by kind of work; callers' estimates are too inaccurate to use.
 #[derive(Clone, Debug, Default)]
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -33,7 +33,7 @@
 };
 
 use super::{
-    admit::WorkLoad,
+    admit::{LoadReport, WorkLoad},
     catalogue::{JobCatalogue, JobWork},
     life::ClosedLife,
     order::DurationTable,
@@ -396,20 +396,36 @@
 
     /// Returns the load of each kind of work.
     pub fn loads(&self) -> Vec<(WorkName, WorkLoad)> {
-        let drains = self.drain_times();
+        let report = self.load_report();
+        let works = self.catalogue.works.iter();
+        let load = |work: &JobWork| report.load(&work.name, &work.pool);
+        works.map(|work| (work.name.clone(), load(work))).collect()
+    }
+
+    /// Returns the load of all kinds of work for the other members.
+    pub fn load_report(&self) -> LoadReport {
         let mut waiting: BTreeMap<&WorkName, u32> = BTreeMap::new();
         for job in self.jobs.values() {
             if !job.has_started() && job.spec.repeat.is_none() {
                 *waiting.entry(&job.spec.work).or_default() += 1;
             }
         }
-        let works = self.catalogue.works.iter();
-        let load = |work: &JobWork| WorkLoad {
-            drain: drains.get(&work.pool).copied().unwrap_or_default(),
-            waiting: waiting.get(&work.name).copied().unwrap_or(0),
-            task: self.durations.mean(&work.name),
+        let mut report = LoadReport {
+            drains: self.drain_times(),
+            works: BTreeMap::new(),
         };
-        works.map(|work| (work.name.clone(), load(work))).collect()
+        for work in &self.catalogue.works {
+            let idle = report.load(&work.name, &work.pool);
+            let load = WorkLoad {
+                waiting: waiting.get(&work.name).copied().unwrap_or(0),
+                task: self.durations.mean(&work.name),
+                ..idle
+            };
+            if load != idle {
+                report.works.insert(work.name.clone(), load);
+            }
+        }
+        report
     }
 
     /// Returns the worker with the given id.
--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -1,13 +1,14 @@
 //! Fleet: pool sizes by demand, and estimates of backlogs.
 
 use jacinthhoist_core::{
-    PoolName, VmName,
+    ClockTime, PoolName, VmName, WorkName,
     job::{
-        Effect, IdleVm, PoolDemandView, RenewalReport, ResizeMove, TaskEnd, VmState, plan_resize,
+        Effect, IdleVm, JobWork, PoolDemandView, RenewalReport, ResizeMove, TaskEnd, VmState,
+        plan_resize,
     },
 };
 
-use super::harness::{SchedulerHarness, ms, step, vm};
+use super::harness::{SchedulerHarness, catalogue, ms, step, vm};
 
 const MAX_MOVES: usize = 12;
 
@@ -273,6 +274,36 @@
     assert_eq!(drain, ms(5_000 + 1_500));
 }
 
+/// Guards against heartbeats that grow with the catalogue: with 250 kinds of work each took 10 KB, five
+/// times a second for each member, which is more than the link of a small owner carries.
+#[test]
+fn a_load_report_names_only_kinds_of_work_that_are_not_idle() {
+    let mut harness = SchedulerHarness::open(4);
+    let mut catalogue = catalogue().as_ref().clone();
+    let idle_work = catalogue.works[0].clone();
+    catalogue.works.extend((0..250).map(|number| JobWork {
+        name: WorkName::new(&format!("idle-{number}")),
+        ..idle_work.clone()
+    }));
+    catalogue.version += 1;
+    harness.scheduler.set_catalogue(catalogue.clone().into());
+    for id in 1..=80 {
+        harness.accept(id, vec![step(8)]);
+    }
+    harness.wait(1_000);
+    let vms = (0..4).map(|number| vm(number, "mould", VmState::Up));
+    let now = harness.now;
+    harness.scheduler.vms_listed(vms.collect(), now, now);
+    let report = harness.scheduler.load_report();
+    assert_eq!(report.works.len(), 1);
+    let load = |work: &JobWork| report.load(&work.name, &work.pool);
+    let (busy, idle) = (load(&catalogue.works[0]), load(&catalogue.works[2]));
+    assert_eq!((busy.waiting, idle.waiting), (80, 0));
+    // All kinds of work of a pool wait for its backlog.
+    assert!(idle.drain > ClockTime::ZERO && idle.drain == busy.drain);
+    assert_eq!(idle.task, busy.task);
+}
+
 /// Regression test: a pool of long tasks requested several times the VMs that its tasks could use
 /// at once, and took them from the next surge (run scale-2 of the larger foundry: 210 VMs instead
 /// of the base size of 70).
--- a/crates/scheduler/src/owner/engine.rs
+++ b/crates/scheduler/src/owner/engine.rs
@@ -215,7 +215,7 @@
         let open = self.scheduler.open_jobs();
         self.shared.meter.open_jobs.set(open as f64);
         let heartbeat = Arc::new(OwnerHeartbeat {
-            loads: self.scheduler.loads().into_iter().collect(),
+            loads: self.scheduler.load_report(),
             read_age: now - self.tail_read_at,
             place_age: now - self.ownership.borrow().confirmed_at,
         });
--- a/crates/scheduler/src/shared.rs
+++ b/crates/scheduler/src/shared.rs
@@ -98,7 +98,9 @@
     /// it.
     pub(crate) fn work_load(&self, work: &WorkName) -> (WorkLoad, ClockTime) {
         let read_at = ClockTime::from_millis(self.load_read_at.load(Ordering::Relaxed));
-        let load = self.heartbeat.load().loads.get(work).copied();
+        let catalogue = self.catalogue.load();
+        let entry = catalogue.as_ref().and_then(|known| known.work(work));
+        let load = entry.map(|entry| self.heartbeat.load().loads.load(work, &entry.pool));
         (load.unwrap_or_default(), self.clock.now() - read_at)
     }
 
