--- a/crates/codec/tests/job.rs
+++ b/crates/codec/tests/job.rs
@@ -11,7 +11,8 @@
     ClockTime, PoolName, RackName, VmName, WorkName, WorkerId,
     job::{
         BatchRecord, CrashHistory, Implication, JobId, JobProgress, JobSpec, JobState, JobTerms,
-        LostWorker, MemberRank, RepeatPlan, RunLoss, StepSpec, TaskKey, WaveProgress, WorkLoad,
+        LoadReport, LostWorker, MemberRank, RepeatPlan, RunLoss, StepSpec, TaskKey, WaveProgress,
+        WorkLoad,
     },
 };
 
@@ -124,7 +125,10 @@
             answer: JobReply::Known(JobState::Running),
         },
         JobFrame::Loads(OwnerHeartbeat {
-            loads: BTreeMap::from([(WorkName::new("melt-plan"), WorkLoad::default())]),
+            loads: LoadReport {
+                drains: BTreeMap::from([(PoolName::new("melt-shop"), ClockTime::from_millis(700))]),
+                works: BTreeMap::from([(WorkName::new("melt-plan"), WorkLoad::default())]),
+            },
             read_age: ClockTime::from_millis(40),
             place_age: ClockTime::from_millis(900),
         }),
