--- a/crates/codec/tests/hostile.rs
+++ b/crates/codec/tests/hostile.rs
@@ -12,8 +12,8 @@
 use jacinthhoist_core::{
     ClockTime, MemberName, Offset, PoolName, VmName, WorkName, WorkerId,
     job::{
-        BatchRecord, JobId, JobProgress, JobSpec, JobState, JobTerms, RepeatPlan, StepSpec,
-        WaveProgress, WorkLoad,
+        BatchRecord, JobId, JobProgress, JobSpec, JobState, JobTerms, LoadReport, RepeatPlan,
+        StepSpec, WaveProgress, WorkLoad,
     },
 };
 use proptest::{
@@ -264,7 +264,10 @@
 fn frames_that_are_cut_off_are_errors() {
     let record = encode_job(JobId(5), &spec()).unwrap();
     let heartbeat = OwnerHeartbeat {
-        loads: BTreeMap::from([(WorkName::new("melt-plan"), WorkLoad::default())]),
+        loads: LoadReport {
+            drains: BTreeMap::from([(PoolName::new("melt-shop"), ClockTime::from_secs(3))]),
+            works: BTreeMap::from([(WorkName::new("melt-plan"), WorkLoad::default())]),
+        },
         ..OwnerHeartbeat::default()
     };
     let frames = [
