Attribute crashes to a task on different VMs only, and confirm them after the worker was dropped

Cause: two lone starts on one VM that fails by itself looked like two crashes of the task; workers in doubt were compared with the known ones only. Change: attributed crashes count once for each address; a trial prefers addresses at which the task has not lost a worker. The addresses of workers in doubt are kept with the losses, so that they are confirmed also after the worker was dropped or the owner has changed. Tests: crashes_on_one_vm_are_attributed_once, a_crash_is_confirmed_after_its_worker_was_dropped; both failed before.

--- a/crates/codec/tests/job.rs
+++ b/crates/codec/tests/job.rs
@@ -75,6 +75,7 @@
     let mut history = CrashHistory::default();
     let lost_worker = LostWorker {
         id: WorkerId::new("i-1"),
+        address: "10.1.64.16:8364".into(),
         incarnation: Some(1_785_551_668_754),
     };
     let until = ClockTime::from_secs(6);
--- a/crates/core/src/job/crash.rs
+++ b/crates/core/src/job/crash.rs
@@ -7,6 +7,8 @@
 //! attributable to its job. Rack failures, restarts and partitions look alike at first; a loss counts
 //! only once the process of the worker is known to have ended.
 
+use std::{collections::BTreeSet, sync::Arc};
+
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
@@ -69,6 +71,8 @@
 pub struct LostWorker {
     /// Worker id.
     pub id: WorkerId,
+    /// Network address, which the next worker on the same VM takes over.
+    pub address: Arc<str>,
     /// Start time by the worker's clock, if it is known.
     pub incarnation: Option<u64>,
 }
@@ -127,12 +131,14 @@
         }
     }
 
-    /// True if the crash is attributable to the job of the task. A run that may never have begun
-    /// proves nothing: its worker may have ended before the order arrived.
-    fn is_attributable(&self) -> bool {
+    /// Address of the worker if the crash is attributable to the job of the task. A run that may never
+    /// have begun proves nothing: its worker may have ended before the order arrived.
+    fn attributable_address(&self) -> Option<&str> {
         match self {
-            Self::Suspected(_) => false,
-            Self::Confirmed(loss) => loss.began && loss.implication == Implication::Alone,
+            Self::Confirmed(loss) if loss.began && loss.implication == Implication::Alone => {
+                Some(&loss.worker.address)
+            }
+            Self::Suspected(_) | Self::Confirmed(_) => None,
         }
     }
 
@@ -153,10 +159,10 @@
         *implication = Implication::None;
     }
 
-    fn worker_id(&self) -> &WorkerId {
+    fn worker(&self) -> &LostWorker {
         match self {
-            Self::Suspected(loss) => &loss.worker.id,
-            Self::Confirmed(loss) => &loss.worker.id,
+            Self::Suspected(loss) => &loss.worker,
+            Self::Confirmed(loss) => &loss.worker,
         }
     }
 
@@ -184,7 +190,7 @@
 /// let mut history = CrashHistory::default();
 /// for (run, name) in [(1, "i-1"), (2, "i-2")] {
 ///     let id = WorkerId::new(name);
-///     let worker = LostWorker { id: id.clone(), incarnation: Some(1) };
+///     let worker = LostWorker { id: id.clone(), address: name.into(), incarnation: Some(1) };
 ///     history.record(RunLoss::open(run, worker, Implication::Alone, until).begun());
 ///     assert!(history.needs_trial() && !history.is_fatal());
 ///     history.confirm(&id);
@@ -223,8 +229,11 @@
     /// they are dropped. Returns true if there were any.
     pub fn settle(&mut self, answering: &LostWorker) -> bool {
         let count = self.losses.len();
+        let is_same = |lost: &LostWorker| {
+            (&lost.id, lost.incarnation) == (&answering.id, answering.incarnation)
+        };
         self.losses
-            .retain(|loss| loss.suspected_worker() != Some(answering));
+            .retain(|loss| !loss.suspected_worker().is_some_and(is_same));
         let confirmed = self.confirm(&answering.id);
         confirmed || self.losses.len() < count
     }
@@ -233,14 +242,19 @@
     /// were any.
     pub fn retract(&mut self, id: &WorkerId) -> bool {
         let count = self.losses.len();
-        self.losses.retain(|loss| loss.worker_id() != id);
+        self.losses.retain(|loss| loss.worker().id != *id);
         self.losses.len() < count
     }
 
     /// Workers that have fallen silent with a run of the task.
-    pub(super) fn suspected_workers(&self) -> impl Iterator<Item = &WorkerId> {
-        let workers = self.losses.iter().filter_map(AnyRunLoss::suspected_worker);
-        workers.map(|worker| &worker.id)
+    pub(super) fn suspected_workers(&self) -> impl Iterator<Item = &LostWorker> {
+        self.losses.iter().filter_map(AnyRunLoss::suspected_worker)
+    }
+
+    /// Returns whether a worker at this address was lost with a run of the task.
+    pub(super) fn has_lost_worker_at(&self, address: &str) -> bool {
+        let mut losses = self.losses.iter();
+        losses.any(|loss| &*loss.worker().address == address)
     }
 
     /// Records that a run has lasted for `age`; returns true if the history has changed.
@@ -291,9 +305,12 @@
 
     /// True if the task is given up, as it crashes its workers.
     pub fn is_fatal(&self) -> bool {
+        // A VM on which workers end again and again is at fault itself.
         let losses = self.losses.iter();
-        let attributable = losses.filter(|loss| loss.is_attributable());
-        attributable.count() >= MAX_ATTRIBUTED_CRASHES || self.crashes() >= MAX_CRASHES
+        let addresses: BTreeSet<&str> = losses
+            .filter_map(AnyRunLoss::attributable_address)
+            .collect();
+        addresses.len() >= MAX_ATTRIBUTED_CRASHES || self.crashes() >= MAX_CRASHES
     }
 
     fn is_implicated(&self) -> bool {
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -19,10 +19,7 @@
 mod trials;
 mod waves;
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-};
+use std::{collections::BTreeMap, sync::Arc};
 
 pub use batch::{Batch, BatchRecord, JobProgress, TaskRecord};
 pub use demand::PoolSummary;
@@ -364,8 +361,8 @@
     fleet: fleet::Fleet,
     waves: WaveTable,
     permits: permits::PermitCache,
-    /// Workers that have fallen silent or restarted with runs, and may have ended.
-    doubted_workers: BTreeSet<WorkerId>,
+    /// Workers that have fallen silent or restarted with runs, and may have ended, with their addresses.
+    doubted_workers: BTreeMap<WorkerId, Arc<str>>,
     recent_silences: RecentSilences,
     /// Workers that are reserved for trials.
     trial_workers: SmallVec<[WorkerId; 4]>,
@@ -395,7 +392,7 @@
             fleet: fleet::Fleet::open(now),
             waves: WaveTable::default(),
             permits: permits::PermitCache::default(),
-            doubted_workers: BTreeSet::new(),
+            doubted_workers: BTreeMap::new(),
             recent_silences: RecentSilences::default(),
             trial_workers: SmallVec::new(),
             outbox: batch::Outbox::default(),
--- a/crates/core/src/job/scheduler/crashes.rs
+++ b/crates/core/src/job/scheduler/crashes.rs
@@ -70,11 +70,13 @@
             return;
         };
         let until = worker.lease.latest_expiry();
+        let address = worker.entry.address.clone();
         let lost_worker = LostWorker {
             id: id.clone(),
+            address: address.clone(),
             incarnation: worker.incarnation,
         };
-        self.doubted_workers.insert(id.clone());
+        self.doubted_workers.insert(id.clone(), address);
         let starting = || lost.iter().filter(|(_, _, starting)| *starting);
         let first_job = starting().next().map(|(key, ..)| key.job);
         let alone = starting().all(|(key, ..)| Some(key.job) == first_job);
@@ -138,11 +140,24 @@
 
     /// Settles the losses of a worker that answers: it was only silent, or has restarted.
     pub(super) fn settle_losses(&mut self, id: &WorkerId, incarnation: Option<u64>) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
         let answering = LostWorker {
             id: id.clone(),
+            address: worker.entry.address.clone(),
             incarnation,
         };
         self.update_crashes(id, |history| history.settle(&answering));
+        // Workers that have been dropped since: an address belongs to one process at a time.
+        let doubted = self.doubted_workers.iter();
+        let replaced = doubted.filter(|(other, address)| {
+            **address == answering.address && !self.workers.contains_key(*other)
+        });
+        let replaced: SmallVec<[WorkerId; 1]> = replaced.map(|(other, _)| other.clone()).collect();
+        for other in replaced {
+            self.confirm_losses(&other);
+        }
     }
 
     /// Records that the process of a worker has ended.
@@ -152,7 +167,7 @@
 
     /// Updates the histories of tasks with a run that a worker may have taken with it.
     fn update_crashes(&mut self, id: &WorkerId, update: impl Fn(&mut CrashHistory) -> bool) {
-        if !self.doubted_workers.remove(id) {
+        if self.doubted_workers.remove(id).is_none() {
             return;
         }
         for (job_id, job) in &mut self.jobs {
@@ -197,7 +212,8 @@
             return;
         };
         let workers = job.crashes.values();
-        let workers = workers.flat_map(CrashHistory::suspected_workers).cloned();
-        self.doubted_workers.extend(workers);
+        let workers = workers.flat_map(CrashHistory::suspected_workers);
+        let doubted = workers.map(|worker| (worker.id.clone(), worker.address.clone()));
+        self.doubted_workers.extend(doubted);
     }
 }
--- a/crates/core/src/job/scheduler/trials.rs
+++ b/crates/core/src/job/scheduler/trials.rs
@@ -117,11 +117,15 @@
         let eligible = in_pool().filter(|worker| {
             (may_reserve || is_reserved(worker)) && is_eligible(request, worker, &need, now)
         });
+        let history = self.jobs.get(&job)?.crashes.get(&request.task);
         let chosen = eligible.filter(is_permitted).min_by_key(|worker| {
-            let avoided = request.avoid == Some(&worker.id);
+            // A further crash on the same VM would not be attributable to the task.
+            let address = &worker.entry.address;
+            let avoided = history.is_some_and(|history| history.has_lost_worker_at(address))
+                || request.avoid == Some(&worker.id);
             let is_quiet = self.is_quiet_for(worker, job);
             let others = worker.tasks.len();
-            (!is_reserved(worker), avoided, !is_quiet, others)
+            (avoided, !is_reserved(worker), !is_quiet, others)
         })?;
         let id = chosen.id.clone();
         Some(if self.is_quiet_for(chosen, job) {
--- a/crates/core/tests/jobs/crashes.rs
+++ b/crates/core/tests/jobs/crashes.rs
@@ -304,6 +304,49 @@
     assert_eq!(harness.scheduler.state(JobId(1)), Some(JobState::Failed));
 }
 
+/// Guards against crashes that are never counted, as the worker had been dropped when the next one
+/// answered at its address.
+#[test]
+fn a_crash_is_confirmed_after_its_worker_was_dropped() {
+    let mut harness = SchedulerHarness::open(4);
+    harness.accept(1, vec![step(1)]);
+    harness.settle();
+    let start = harness.confirm().remove(0);
+    let number = (0..4).find(|number| start.worker == worker(*number));
+    let number = number.expect("the worker is known");
+    let entry = listed_entry(number);
+    crash(&mut harness, number);
+    harness
+        .scheduler
+        .worker_unlisted(&worker(number), harness.now);
+    harness.wait(7_000);
+    harness.settle();
+    assert!(harness.scheduler.worker(&worker(number)).is_none());
+    harness
+        .scheduler
+        .worker_listed(worker(9), entry, harness.now);
+    harness.wait(1);
+    harness.report(9, RenewalReport::default());
+    harness.settle();
+    let history = harness.stored[&JobId(1)].crashes.get(&start.task);
+    assert_eq!(history.expect("the loss is stored").crashes(), 1);
+}
+
+/// Guards against an innocent task that is given up since its VM fails again and again: crashes on one
+/// VM are not attributed to the task twice.
+#[test]
+fn crashes_on_one_vm_are_attributed_once() {
+    let mut harness = SchedulerHarness::open(1);
+    harness.accept(1, vec![step(1)]);
+    for next in 1..4 {
+        harness.settle();
+        assert_eq!(harness.confirm().len(), 1);
+        replace(&mut harness, next - 1, next);
+    }
+    harness.settle();
+    assert_eq!(harness.starts.len(), 1, "the task is started again");
+}
+
 /// Guards against innocent jobs that are given up since all workers of a rack end at once, again and
 /// again.
 #[test]
