--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -1,6 +1,7 @@
 //! Tests of job scheduling: order of stored records and effects, takeovers, placement and priority.
 
 mod crashes;
+mod extremes;
 mod fleet;
 mod harness;
 mod placing;
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -33,6 +33,7 @@
 //! | `payload` | payloads, which set the behaviour of tasks |
 //! | `crash` | crashes of workers by the tasks that they run |
 //! | `caller` | callers that submit, poll and cancel jobs |
+//! | `question` | questions for all accepted jobs at the end of a run |
 //! | `fleet` | start, stop and restart of members |
 //! | `fault` | fault injection |
 //! | `outcome` | service figures of a run |
@@ -49,6 +50,7 @@
 mod outcome;
 mod payload;
 mod platform;
+mod question;
 mod scenario;
 mod store;
 mod vm;
@@ -57,8 +59,8 @@
 pub use check::{HistoryRule, RuleViolation, check};
 pub use fleet::{run_scenario, run_scenario_logged};
 pub use history::{
-    CallOutcome, EmulationHistory, EndKind, JobHistory, JobShape, RunHistory, StartConditions,
-    VmOrderHistory, WaveHistory,
+    CallOutcome, EmulationHistory, EndKind, FinalAnswer, JobHistory, JobShape, RunHistory,
+    StartConditions, VmOrderHistory, WaveHistory,
 };
 pub use outcome::ScenarioOutcome;
 pub use payload::FatalTask;
--- a/crates/fakes/src/platform/pool_worker.rs
+++ b/crates/fakes/src/platform/pool_worker.rs
@@ -48,6 +48,8 @@
     Late,
     /// Rejects starts with status 503.
     Refuse,
+    /// Reports its runs under names that are not those of tasks.
+    GarbledReports,
 }
 
 /// Handle of a running worker.
@@ -59,6 +61,8 @@
     tickets_required: watch::Sender<bool>,
     state: watch::Sender<&'static str>,
     server_task: JoinHandle<()>,
+    /// Bytes that replace the entry.
+    raw_entry: watch::Sender<Option<Vec<u8>>>,
     heartbeat_task: JoinHandle<()>,
 }
 
@@ -87,6 +91,7 @@
         let (fault, fault_receiver) = watch::channel(WorkerFault::None);
         let (tickets_required, ticket_switch) = watch::channel(false);
         let (state, state_receiver) = watch::channel("ready");
+        let (raw_entry, raw_receiver) = watch::channel(None::<Vec<u8>>);
         let (crashes, crash_requests) = mpsc::unbounded_channel();
         let context = RequestContext {
             incarnation: incarnation.clone(),
@@ -117,7 +122,9 @@
                     "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0, "born": number,
                     "capacity": {"cpu": 32_000, "mem_mb": 131_072, "gpu": 0},
                     "labels": ["a", "r-1"], "seq": seq});
-                store.put("keyed.servers", &key, &entry);
+                let bytes = raw_receiver.borrow().clone();
+                let bytes = bytes.unwrap_or_else(|| entry.to_string().into_bytes());
+                store.put_bytes("keyed.servers", &key, &bytes);
                 sleep(heartbeat).await;
             }
         });
@@ -129,6 +136,7 @@
             tickets_required,
             state,
             server_task,
+            raw_entry,
             heartbeat_task,
         })
     }
@@ -153,6 +161,11 @@
         self.state.send_replace("draining");
     }
 
+    /// Registers with these bytes in place of its entry from now on; `None` for the entry again.
+    pub fn replace_entry(&self, bytes: Option<&[u8]>) {
+        self.raw_entry.send_replace(bytes.map(<[u8]>::to_vec));
+    }
+
     /// Restarts under the same id, without its runs and their history.
     pub async fn restart(&self) {
         let mut incarnation = self.incarnation.lock().await;
@@ -295,7 +308,7 @@
             let stopped = incarnation.stop(&order);
             order_response(&incarnation, stopped)
         }
-        "/v1/hold" => hold(context.incarnation, context.counts, order).await,
+        "/v1/hold" => hold(context.incarnation, context.counts, fault, order).await,
         _ => http::status(StatusCode::NOT_FOUND),
     }
 }
@@ -344,6 +357,7 @@
 async fn hold(
     incarnation: Arc<Mutex<WorkerIncarnation>>,
     counts: Arc<Mutex<TaskCounts>>,
+    fault: WorkerFault,
     order: WorkerOrder,
 ) -> Response<ResponseBody> {
     let wait_until = Instant::now() + Duration::from_millis(order.wait_ms.min(2_000));
@@ -360,7 +374,8 @@
                 .ended_rows
                 .retain(|row| row[0].as_u64().is_some_and(|end| end > ack_cursor));
             if !incarnation.ended_rows.is_empty() || Instant::now() >= wait_until {
-                return http::json(&incarnation.report());
+                let garbled = fault == WorkerFault::GarbledReports;
+                return http::json(&incarnation.report(garbled));
             }
         }
         sleep(Duration::from_millis(5)).await;
--- a/crates/fakes/src/platform/pool_worker/incarnation.rs
+++ b/crates/fakes/src/platform/pool_worker/incarnation.rs
@@ -237,7 +237,7 @@
         Ok(())
     }
 
-    pub(super) fn report(&self) -> Value {
+    pub(super) fn report(&self, garbled: bool) -> Value {
         let running = self.runs.iter().map(|(name, run)| {
             let percent = match run.duration {
                 None => 100,
@@ -245,6 +245,7 @@
                     / duration.as_millis().max(1))
                 .min(99),
             };
+            let name = if garbled { "7.x" } else { name };
             json!([name, run.number, "", percent as u64, 0])
         });
         let running: Vec<Value> = running.collect();
--- a/crates/fakes/src/platform/store.rs
+++ b/crates/fakes/src/platform/store.rs
@@ -1,5 +1,7 @@
 //! Fake of the platform's log, with keyed topics and one consumer group.
 
+mod query;
+
 use std::{
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
@@ -15,6 +17,8 @@
 use serde_json::{Value, json};
 use tokio::sync::{mpsc, oneshot, watch};
 
+use query::QueryParameters;
+
 use super::{
     loopback,
     topic::{AppendOutcome, KeyedTopic},
@@ -29,6 +33,10 @@
 const SLOW_DELAY: Duration = Duration::from_millis(250);
 /// Delay of a page of the newest records under [`StoreFault::SlowPages`].
 const SLOW_PAGE_DELAY: Duration = Duration::from_millis(1_500);
+/// Size of the parts of a body under [`StoreFault::SlowBodies`].
+const SLOW_PART_BYTES: usize = 2_048;
+/// Time between two parts of a body under [`StoreFault::SlowBodies`].
+const SLOW_PART_DELAY: Duration = Duration::from_millis(700);
 /// Delay of appends under [`StoreFault::Late`].
 const LATE_WRITE_DELAY: Duration = Duration::from_millis(1_500);
 
@@ -46,6 +54,10 @@
     Slow,
     /// Delays pages of the newest records, as a link of low bandwidth does.
     SlowPages,
+    /// Sends the bodies of its responses slowly, as a link of low bandwidth does.
+    SlowBodies,
+    /// Adds items to pages of the newest records that are no records.
+    OddItems,
     /// Carries out appends but does not answer them.
     LoseReplies,
     /// Carries out appends late and does not answer them.
@@ -373,26 +385,35 @@
         StoreFault::SlowPages if request.uri().path() == "/v1/log-newest" => {
             tokio::time::sleep(SLOW_PAGE_DELAY).await;
         }
-        StoreFault::None | StoreFault::SlowPages | StoreFault::LoseReplies | StoreFault::Late => {}
+        StoreFault::None
+        | StoreFault::SlowPages
+        | StoreFault::SlowBodies
+        | StoreFault::OddItems
+        | StoreFault::LoseReplies
+        | StoreFault::Late => {}
     }
     let is_write = request.uri().path() == "/v1/log-append";
     if is_write && fault == StoreFault::Late {
         tokio::spawn(async move {
             tokio::time::sleep(LATE_WRITE_DELAY).await;
-            route(commands, changed, request).await;
+            route(commands, changed, fault, request).await;
         });
         return std::future::pending().await;
     }
-    let response = route(commands, changed, request).await;
+    let response = route(commands, changed, fault, request).await;
     if is_write && fault == StoreFault::LoseReplies {
         return std::future::pending().await;
     }
+    if fault == StoreFault::SlowBodies {
+        return http::slow_response(response, SLOW_PART_BYTES, SLOW_PART_DELAY).await;
+    }
     response
 }
 
 async fn route(
     commands: mpsc::UnboundedSender<StoreCommand>,
     changed: watch::Receiver<u64>,
+    fault: StoreFault,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let (head, body) = request.into_parts();
@@ -412,7 +433,7 @@
                 reply,
             })
             .await
-            .map(|page| http::json(&page))
+            .map(|page| http::json(&with_odd_items(page, fault)))
         }
         (Method::POST, "/v1/log-join") => match serde_json::from_slice(&body) {
             Ok(join) => execute(&commands, |reply| StoreCommand::Join { join, reply })
@@ -436,6 +457,19 @@
     response.unwrap_or_else(|| http::status(StatusCode::INTERNAL_SERVER_ERROR))
 }
 
+/// Adds odd items to a page under [`StoreFault::OddItems`].
+fn with_odd_items(mut page: Value, fault: StoreFault) -> Value {
+    if fault == StoreFault::OddItems
+        && let Some(items) = page["items"].as_array_mut()
+    {
+        items.insert(0, json!({"key": "i-odd", "value": "no base64"}));
+        items.insert(0, json!({"key": 7, "value": {"state": "ready"}}));
+        items.insert(0, json!({"value": "e30="}));
+        items.insert(0, json!({"key": "i-null", "value": null}));
+    }
+    page
+}
+
 async fn execute<T>(
     commands: &mpsc::UnboundedSender<StoreCommand>,
     command: impl FnOnce(oneshot::Sender<T>) -> StoreCommand,
@@ -500,25 +534,3 @@
         let _ = tokio::time::timeout_at(wait_until, changed.changed()).await;
     }
 }
-
-/// Parameters of a request's query.
-struct QueryParameters(HashMap<String, String>);
-
-impl QueryParameters {
-    fn parse(text: &str) -> Self {
-        let pairs = text.split('&').filter_map(|pair| pair.split_once('='));
-        Self(
-            pairs
-                .map(|(key, value)| (key.to_owned(), value.to_owned()))
-                .collect(),
-        )
-    }
-
-    fn text(&self, key: &str) -> String {
-        self.0.get(key).cloned().unwrap_or_default()
-    }
-
-    fn number(&self, key: &str) -> u64 {
-        self.text(key).parse().unwrap_or_default()
-    }
-}
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -1,22 +1,29 @@
 //! HTTP/1.1 client for short requests over persistent connections.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{future::Future, net::SocketAddr, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use crossbeam_queue::SegQueue;
+use futures::{StreamExt, stream::FuturesUnordered};
 use http_body_util::{BodyExt, Full};
 use hyper::{
-    HeaderMap, Method, Request, StatusCode,
+    HeaderMap, Method, Request, Response, StatusCode,
+    body::Incoming,
     client::conn::http1,
     header::{self, HeaderName, HeaderValue},
 };
 use hyper_util::rt::TokioIo;
 use snafu::ResultExt;
-use tokio::{net::TcpStream, time::timeout};
+use tokio::{
+    net::TcpStream,
+    time::{Instant, sleep_until, timeout, timeout_at},
+};
 
 use crate::{
     clock::SendExpiry,
-    error::{ConnectSnafu, ExchangeSnafu, ExpiredSnafu, RequestSnafu, Result, TimeoutSnafu},
+    error::{
+        Category, ConnectSnafu, ExchangeSnafu, ExpiredSnafu, RequestSnafu, Result, TimeoutSnafu,
+    },
 };
 
 /// Timeout for opening a connection: several times the round-trip time within a region.
@@ -30,6 +37,7 @@
     headers: Vec<(HeaderName, HeaderValue)>,
     body: Bytes,
     expiry: Option<SendExpiry>,
+    part_limit: Option<Duration>,
 }
 
 impl HttpRequest {
@@ -41,6 +49,7 @@
             headers: Vec::new(),
             body,
             expiry: None,
+            part_limit: None,
         }
     }
 
@@ -51,6 +60,13 @@
         self
     }
 
+    /// Sets a limit on the wait for each part of the response's body. The time limit of the request
+    /// then covers only its head, so that a body of any size can be read over a slow link.
+    pub fn part_limit(mut self, limit: Duration) -> Self {
+        self.part_limit = Some(limit);
+        self
+    }
+
     /// Adds a header.
     pub fn header(mut self, name: HeaderName, value: HeaderValue) -> Self {
         self.headers.push((name, value));
@@ -97,18 +113,29 @@
     ///
     /// The category of the error tells whether the request may have had an effect.
     pub async fn send(&mut self, request: HttpRequest, limit: Duration) -> Result<HttpResponse> {
-        let (address, expiry) = (self.address, request.expiry);
+        let (sender, response) = self.open(request, limit).await?.read().await?;
+        self.sender = Some(sender);
+        Ok(response)
+    }
+
+    /// Sends a request and waits for the head of its response.
+    async fn open(&mut self, request: HttpRequest, limit: Duration) -> Result<OpenResponse> {
+        let (address, expiry, part_limit) = (self.address, request.expiry, request.part_limit);
         let request = self.build_request(request)?;
         let sender = match self.sender.take() {
             Some(sender) if !sender.is_closed() => sender,
             _ => connect_with_timeout(address).await?,
         };
-        let Ok(result) = timeout(limit, exchange(address, sender, request, expiry)).await else {
-            return TimeoutSnafu { address }.fail().map_err(Into::into);
-        };
-        let (sender, response) = result?;
-        self.sender = Some(sender);
-        Ok(response)
+        let deadline = Instant::now() + limit;
+        let head = exchange(address, sender, request, expiry);
+        let (sender, response) = within(address, deadline, head).await?;
+        Ok(OpenResponse {
+            address,
+            sender,
+            response,
+            deadline,
+            part_limit,
+        })
     }
 
     fn build_request(&self, request: HttpRequest) -> Result<Request<Full<Bytes>>> {
@@ -131,28 +158,85 @@
     }
 }
 
+/// Response whose body has not been read.
+struct OpenResponse {
+    address: SocketAddr,
+    sender: http1::SendRequest<Full<Bytes>>,
+    response: Response<Incoming>,
+    deadline: Instant,
+    part_limit: Option<Duration>,
+}
+
+impl OpenResponse {
+    /// Reads the body to its end.
+    async fn read(self) -> Result<(http1::SendRequest<Full<Bytes>>, HttpResponse)> {
+        let (address, deadline) = (self.address, self.deadline);
+        let (parts, body) = self.response.into_parts();
+        let bytes = match self.part_limit {
+            Some(part_limit) => read_parts(address, body, part_limit).await?,
+            None => {
+                let body = async {
+                    let body = body.collect().await.context(ExchangeSnafu { address })?;
+                    Ok(body.to_bytes())
+                };
+                within(address, deadline, body).await?
+            }
+        };
+        let response = HttpResponse {
+            status: parts.status,
+            headers: parts.headers,
+            bytes,
+        };
+        Ok((self.sender, response))
+    }
+}
+
+/// Sends a request and waits for the head of its response.
 async fn exchange(
     address: SocketAddr,
     mut sender: http1::SendRequest<Full<Bytes>>,
     request: Request<Full<Bytes>>,
     expiry: Option<SendExpiry>,
-) -> Result<(http1::SendRequest<Full<Bytes>>, HttpResponse)> {
+) -> Result<(http1::SendRequest<Full<Bytes>>, Response<Incoming>)> {
     sender.ready().await.context(ExchangeSnafu { address })?;
     if expiry.is_some_and(|expiry| expiry.has_passed()) {
         return ExpiredSnafu { address }.fail().map_err(Into::into);
     }
-    let response = sender
-        .send_request(request)
-        .await
-        .context(ExchangeSnafu { address })?;
-    let (parts, body) = response.into_parts();
-    let body = body.collect().await.context(ExchangeSnafu { address })?;
-    let response = HttpResponse {
-        status: parts.status,
-        headers: parts.headers,
-        bytes: body.to_bytes(),
-    };
-    Ok((sender, response))
+    let response = sender.send_request(request).await;
+    Ok((sender, response.context(ExchangeSnafu { address })?))
+}
+
+/// Waits for an operation until a deadline.
+async fn within<T>(
+    address: SocketAddr,
+    deadline: Instant,
+    operation: impl Future<Output = Result<T>>,
+) -> Result<T> {
+    match timeout_at(deadline, operation).await {
+        Ok(result) => result,
+        Err(_) => TimeoutSnafu { address }.fail().map_err(Into::into),
+    }
+}
+
+/// Reads a body to its end, waiting at most `part_limit` for each part.
+async fn read_parts(
+    address: SocketAddr,
+    mut body: Incoming,
+    part_limit: Duration,
+) -> Result<Bytes> {
+    let mut bytes = BytesMut::new();
+    loop {
+        let part = async { Ok(body.frame().await) };
+        match within(address, Instant::now() + part_limit, part).await? {
+            Some(part) => {
+                let part = part.context(ExchangeSnafu { address })?;
+                if let Ok(data) = part.into_data() {
+                    bytes.extend_from_slice(&data);
+                }
+            }
+            None => return Ok(bytes.freeze()),
+        }
+    }
 }
 
 /// Opens a connection within [`CONNECT_TIMEOUT`].
@@ -210,13 +294,64 @@
 
     /// Sends a request on an idle client, or on a new one.
     ///
+    /// A connection that was open for a while and does not answer may have gone silent, and the idle
+    /// ones with it, so they are closed.
+    ///
     /// # Errors
     ///
     /// Those of [`HttpClient::send`].
     pub async fn send(&self, request: HttpRequest, limit: Duration) -> Result<HttpResponse> {
-        let idle = self.idle.pop();
-        let mut client = idle.unwrap_or_else(|| HttpClient::new(self.address));
-        let response = client.send(request, limit).await?;
+        let Some(mut client) = self.idle.pop() else {
+            let mut client = HttpClient::new(self.address);
+            let response = client.send(request, limit).await?;
+            self.idle.push(client);
+            return Ok(response);
+        };
+        let response = client.send(request, limit).await;
+        match &response {
+            Ok(_) => self.idle.push(client),
+            Err(error) if error.category() == Category::Unknown => {
+                while self.idle.pop().is_some() {}
+            }
+            Err(_) => {}
+        }
+        response
+    }
+
+    /// Sends a request on new connections until the head of a response arrives: again after each
+    /// `repeat`, while the earlier ones may still be answered. It finds a server that answers again, or
+    /// leaves a connection that has gone silent, sooner than a time limit that suits a slow link. The
+    /// request must not have an effect.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`HttpClient::send`], for the first attempt that fails.
+    pub async fn send_repeated(
+        &self,
+        request: HttpRequest,
+        repeat: Duration,
+        limit: Duration,
+    ) -> Result<HttpResponse> {
+        let mut attempts = FuturesUnordered::new();
+        let mut next_at = Instant::now();
+        let open = loop {
+            tokio::select! {
+                biased;
+                Some(opened) = attempts.next(), if !attempts.is_empty() => break opened?,
+                () = sleep_until(next_at) => {
+                    next_at += repeat;
+                    let request = request.clone();
+                    attempts.push(async move {
+                        HttpClient::new(self.address).open(request, limit).await
+                    });
+                }
+            }
+        };
+        // The responses of the other attempts would compete for the link.
+        drop(attempts);
+        let (sender, response) = open.read().await?;
+        let mut client = HttpClient::new(self.address);
+        client.sender = Some(sender);
         self.idle.push(client);
         Ok(response)
     }
--- a/crates/scheduler/src/eventlog.rs
+++ b/crates/scheduler/src/eventlog.rs
@@ -27,6 +27,9 @@
 const QUEUE_LINES: NonZeroUsize = NonZeroUsize::new(512).unwrap();
 /// Maximum lines of one kind per second; covers every request at twice the usual load.
 const LINES_PER_SEC: u64 = 100;
+/// Maximum length of a text in a line. Errors may quote what they could not decode, which has no
+/// limit; its beginning tells enough.
+const MAX_TEXT_BYTES: usize = 512;
 /// Window over which lines are counted.
 const WINDOW_MS: u64 = 1_000;
 
@@ -63,6 +66,8 @@
     RunEnded => ("run_ended", "A run ended without completing its task."),
     StartRefused => ("start_refused", "A start order did not start a run."),
     RunLost => ("run_lost", "A run was lost and can no longer be active."),
+    RunInDoubt => ("run_in_doubt", "A run may have ended together with its worker."),
+    TaskFatal => ("task_fatal", "A task was given up, as it crashes its workers."),
     Finished => ("finished", "A job has ended."),
     Pool => ("pool", "The load of a pool, once a second."),
     Worker => ("worker", "The state of a worker has changed."),
@@ -164,6 +169,7 @@
         if let Value::Object(fields) = fields {
             line.extend(fields);
         }
+        line.values_mut().for_each(shorten);
         if suppressed > 0 {
             line.insert("left_out".to_owned(), suppressed.into());
         }
@@ -171,6 +177,17 @@
     }
 }
 
+/// Cuts a text off at the maximum length.
+fn shorten(value: &mut Value) {
+    let Value::String(text) = value else {
+        return;
+    };
+    if text.len() > MAX_TEXT_BYTES {
+        text.truncate(text.floor_char_boundary(MAX_TEXT_BYTES));
+        text.push_str("...");
+    }
+}
+
 fn output_error(error: spdlog::Error) -> Error {
     BindSnafu {
         address: "standard output",
--- a/crates/scheduler/src/owner/sources.rs
+++ b/crates/scheduler/src/owner/sources.rs
@@ -35,22 +35,26 @@
 ) {
     let mut trimmed = false;
     loop {
+        let asked_at = shared.clock.now();
         let read = if trimmed {
-            read_all_accepted(&*platform, &mut next).await
+            let records = read_all_accepted(&*platform, &mut next).await;
+            records.map(|records| (records, Some(asked_at)))
         } else {
             let page = platform.read(StoreStream::Accepted, next, TAIL_WAIT).await;
             page.map(|page| {
                 next = page.next;
-                page.items
+                let is_complete = page.next >= page.end;
+                (page.items, is_complete.then(|| shared.clock.now()))
             })
         };
         shared.record_call(Dependency::AcceptedJobs, &read);
         match read {
-            Ok(records) => {
+            Ok((records, read_at)) => {
                 trimmed = false;
                 shared.record_store_answer();
                 let records = decode_accepted_records(&shared, &records);
-                if events.send(OwnerEvent::Accepted(records)).is_err() {
+                let accepted = OwnerEvent::Accepted { records, read_at };
+                if events.send(accepted).is_err() {
                     return;
                 }
             }
@@ -103,10 +107,7 @@
             Ok(page) => {
                 next = page.next;
                 for record in page.items {
-                    let Some(event) = worker_event(&shared, record) else {
-                        continue;
-                    };
-                    if events.send(event).is_err() {
+                    if events.send(worker_event(&shared, record)).is_err() {
                         return;
                     }
                 }
@@ -127,13 +128,14 @@
     }
 }
 
-fn worker_event(shared: &MemberShared, record: WorkerRecord) -> Option<OwnerEvent> {
+fn worker_event(shared: &MemberShared, record: WorkerRecord) -> OwnerEvent {
     match record {
-        WorkerRecord::Registered(id, entry) => Some(OwnerEvent::WorkerChanged(id, Some(entry))),
-        WorkerRecord::Removed(id) => Some(OwnerEvent::WorkerChanged(id, None)),
+        WorkerRecord::Registered(id, entry) => OwnerEvent::WorkerChanged(id, Some(entry)),
+        WorkerRecord::Removed(id) => OwnerEvent::WorkerChanged(id, None),
         WorkerRecord::Unreadable { key, reason } => {
             event!(shared.log, Unreadable, "key": key, "reason": reason);
-            None
+            // The next owner will not read the worker's earlier entry either.
+            OwnerEvent::WorkerChanged(WorkerId::new(&key), None)
         }
     }
 }
@@ -155,7 +157,7 @@
 ) -> BTreeMap<WorkerId, WorkerEntry> {
     let mut entries = BTreeMap::new();
     for record in records {
-        if let Some(OwnerEvent::WorkerChanged(id, Some(entry))) = worker_event(shared, record) {
+        if let OwnerEvent::WorkerChanged(id, Some(entry)) = worker_event(shared, record) {
             entries.insert(id, entry);
         }
     }
