Give the memberships of reserve members four seconds

Cause: a takeover reads megabytes over the link that its own renewals of the membership use. They timed out after 0.6 s, the membership ended after 1 s, the next member began the same takeover, and each took longer than the one before (6 to 12 s). An owner that has ended is still dismissed at once by members that find its address refused; one of the reserve that is cut off is replaced 3 s later than before.

--- a/crates/core/src/job/ownership.rs
+++ b/crates/core/src/job/ownership.rs
@@ -21,6 +21,11 @@
 const RESERVE_DELAY: ClockTime = ClockTime::from_millis(1_500);
 /// Period in which a member that yielded is not a candidate; longer than a takeover.
 const YIELD_PERIOD: ClockTime = ClockTime::from_millis(3_000);
+/// Time without a renewal after which a regular member's membership ends.
+const REGULAR_MEMBERSHIP: ClockTime = ClockTime::from_millis(1_000);
+/// The same for a reserve member, whose renewals wait behind the pages of its own takeover: a page of
+/// one megabyte takes four seconds at 2 Mbit/s.
+const RESERVE_MEMBERSHIP: ClockTime = ClockTime::from_millis(4_000);
 /// Validity of an owner's designation of its successor; longer than a takeover.
 const DESIGNATION_PERIOD: ClockTime = ClockTime::from_millis(2_000);
 
@@ -64,6 +69,19 @@
 }
 
 impl MemberRank {
+    /// Time without a renewal after which the membership of such a member ends.
+    ///
+    /// ```
+    /// use jacinthhoist_core::job::MemberRank;
+    /// assert!(MemberRank::Reserve.membership() > MemberRank::Regular.membership());
+    /// ```
+    pub fn membership(self) -> ClockTime {
+        match self {
+            Self::Reserve => RESERVE_MEMBERSHIP,
+            Self::Regular => REGULAR_MEMBERSHIP,
+        }
+    }
+
     /// Text form of the rank in a member's key.
     pub fn as_str(self) -> &'static str {
         match self {
--- a/crates/emulator/src/platform.rs
+++ b/crates/emulator/src/platform.rs
@@ -144,10 +144,15 @@
         self.store_call("workers read", CALL_TIMEOUT, serve).await
     }
 
-    async fn join(&self, member: &str, _generation: u64) -> Result<Membership> {
+    async fn join(
+        &self,
+        member: &str,
+        _generation: u64,
+        lifetime: ClockTime,
+    ) -> Result<Membership> {
         let serve = async {
             let now = self.model.clock.now();
-            Some(Ok(self.model.store.join(member, now)))
+            Some(Ok(self.model.store.join(member, lifetime, now)))
         };
         self.store_call("join", WAIT_MARGIN, serve).await
     }
--- a/crates/emulator/src/store.rs
+++ b/crates/emulator/src/store.rs
@@ -20,8 +20,6 @@
 
 use crate::network::Endpoint;
 
-/// Time after which a member that does not renew its membership is removed from the group.
-const MEMBER_TTL: ClockTime = ClockTime::from_millis(1_000);
 /// Maximum number of records on a page of newest records.
 const MAX_PAGE_RECORDS: usize = 200;
 /// Usual latency of an answer.
@@ -346,10 +344,10 @@
         }
     }
 
-    pub(crate) fn join(&self, member: &str, now: ClockTime) -> Membership {
+    pub(crate) fn join(&self, member: &str, lifetime: ClockTime, now: ClockTime) -> Membership {
         let mut state = self.state();
         state.expire(now);
-        let deadline = now + MEMBER_TTL;
+        let deadline = now + lifetime;
         let group = &mut state.group;
         if group.members.insert(member.to_owned(), deadline).is_none() {
             state.assign_owner(now);
--- a/crates/scheduler/src/membership.rs
+++ b/crates/scheduler/src/membership.rs
@@ -119,7 +119,8 @@
         in_group = true;
         // The age of the answer counts from the call, as the answer may be delayed in transit.
         let asked_at = shared.clock.now();
-        let joined = platform.join(&member, known.generation).await;
+        let lifetime = shared.identity.rank.membership();
+        let joined = platform.join(&member, known.generation, lifetime).await;
         shared.record_call(Dependency::Membership, &joined);
         let answered = joined.is_ok();
         if let Ok(membership) = joined {
--- a/crates/scheduler/src/ports.rs
+++ b/crates/scheduler/src/ports.rs
@@ -230,6 +230,7 @@
         &self,
         member: &str,
         generation: u64,
+        lifetime: ClockTime,
     ) -> impl Future<Output = Result<Membership>> + Send;
 
     /// Removes a member from the group.
