Take back the comparison of workers that end together

Cause, found by the review: three silences within 100 ms dropped all losses, so two fatal tasks of different jobs that crash workers every 40 to 60 ms cleared each other's history, were neither held nor tried, and did so again. Idle workers and a stalled owner made it likelier.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -43,9 +43,7 @@
 pub use admit::{JobRefusal, LoadReport, WorkLoad, admit_job, outage_retry};
 pub use append_pace::{AppendPace, refusal_delay};
 pub use catalogue::{AdvicePolicy, CallerLimits, JobCatalogue, JobPool, JobWork};
-pub use crash::{
-    Confirmed, CrashHistory, Implication, LostWorker, RecentSilences, RunLoss, Suspected,
-};
+pub use crash::{Confirmed, CrashHistory, Implication, LostWorker, RunLoss, Suspected};
 pub use lease::{HeldLease, UnknownLease, WorkerLease};
 pub use life::{Begun, ClosedLife, Ended, Ending, Forgotten, JobLife, OpenLife, Queued};
 pub use order::{DurationTable, JobUrgency, QueuedJob, order_queue};
--- a/crates/core/src/job/crash.rs
+++ b/crates/core/src/job/crash.rs
@@ -14,17 +14,10 @@
 
 use crate::{clock::ClockTime, name::WorkerId};
 
-use super::spec::JobId;
-
 /// Time that a run must last before it is no longer implicated in a crash of its worker.
 pub(super) const START_SPAN: ClockTime = ClockTime::from_millis(300);
 /// Time that a run must last before earlier crashes of its task's workers are forgotten.
 pub(super) const CLEARED_SPAN: ClockTime = ClockTime::from_millis(10_000);
-/// Workers that fall silent within [`MASS_SPAN`] for a reason outside their tasks, unless the same job
-/// was starting on all of them.
-const MASS_WORKERS: usize = 3;
-/// Time within which workers that end together are noticed.
-const MASS_SPAN: ClockTime = ClockTime::from_millis(100);
 /// Crashes attributable to a task's job alone after which the task is given up.
 const MAX_ATTRIBUTED_CRASHES: usize = 2;
 /// Crashes under a task after which it is given up, attributable or not: the platform allows two
@@ -238,14 +231,6 @@
         confirmed || self.losses.len() < count
     }
 
-    /// Drops the losses of a worker that ended for a reason outside its tasks; returns true if there
-    /// were any.
-    pub fn retract(&mut self, id: &WorkerId) -> bool {
-        let count = self.losses.len();
-        self.losses.retain(|loss| loss.worker().id != *id);
-        self.losses.len() < count
-    }
-
     /// Workers that have fallen silent with a run of the task.
     pub(super) fn suspected_workers(&self) -> impl Iterator<Item = &LostWorker> {
         self.losses.iter().filter_map(AnyRunLoss::suspected_worker)
@@ -318,63 +303,3 @@
         losses.any(|loss| loss.implication() != Implication::None)
     }
 }
-
-/// A worker that has just fallen silent.
-#[derive(Clone, Debug)]
-struct Silence {
-    worker: WorkerId,
-    at: ClockTime,
-    /// Jobs of which a run was starting on the worker.
-    starting: SmallVec<[JobId; 4]>,
-}
-
-/// Workers that have just fallen silent. Many at once, as when a rack fails, were not crashed by their
-/// tasks.
-///
-/// ```
-/// use jacinthhoist_core::{ClockTime, WorkerId, job::{JobId, RecentSilences}};
-/// let ms = ClockTime::from_millis;
-/// let id = |number: u64| WorkerId::new(&format!("i-{number}"));
-/// let mut silences = RecentSilences::default();
-/// assert!(silences.record(id(1), [JobId(1)].into_iter().collect(), ms(0)).is_empty());
-/// assert!(silences.record(id(2), [JobId(2)].into_iter().collect(), ms(20)).is_empty());
-/// assert_eq!(silences.record(id(3), [JobId(3)].into_iter().collect(), ms(40)).len(), 3);
-/// assert!(silences.record(id(4), [JobId(4)].into_iter().collect(), ms(900)).is_empty());
-/// ```
-#[derive(Clone, Debug, Default)]
-pub struct RecentSilences {
-    silences: SmallVec<[Silence; 4]>,
-}
-
-impl RecentSilences {
-    /// Records that a worker has fallen silent, and returns the workers that ended together with it
-    /// for a reason outside their tasks, if there are any.
-    pub fn record(
-        &mut self,
-        worker: WorkerId,
-        starting: SmallVec<[JobId; 4]>,
-        now: ClockTime,
-    ) -> SmallVec<[WorkerId; 4]> {
-        self.silences
-            .retain(|silence| now <= silence.at + MASS_SPAN);
-        self.silences.push(Silence {
-            worker,
-            at: now,
-            starting,
-        });
-        if self.silences.len() < MASS_WORKERS || self.has_common_job() {
-            return SmallVec::new();
-        }
-        let workers = self.silences.iter();
-        workers.map(|silence| silence.worker.clone()).collect()
-    }
-
-    /// Returns whether the same job was starting on all workers.
-    fn has_common_job(&self) -> bool {
-        let Some((first, others)) = self.silences.split_first() else {
-            return false;
-        };
-        let mut jobs = first.starting.iter();
-        jobs.any(|job| others.iter().all(|other| other.starting.contains(job)))
-    }
-}
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -37,7 +37,7 @@
 use super::{
     admit::{LoadReport, WorkLoad},
     catalogue::{JobCatalogue, JobWork},
-    crash::{Implication, RecentSilences},
+    crash::Implication,
     life::ClosedLife,
     order::DurationTable,
     spec::{JobId, JobState, Resources, StepKey, TaskKey},
@@ -363,7 +363,6 @@
     permits: permits::PermitCache,
     /// Workers that have fallen silent or restarted with runs, and may have ended, with their addresses.
     doubted_workers: BTreeMap<WorkerId, Arc<str>>,
-    recent_silences: RecentSilences,
     /// Workers that are reserved for trials.
     trial_workers: SmallVec<[WorkerId; 4]>,
     outbox: batch::Outbox,
@@ -393,7 +392,6 @@
             waves: WaveTable::default(),
             permits: permits::PermitCache::default(),
             doubted_workers: BTreeMap::new(),
-            recent_silences: RecentSilences::default(),
             trial_workers: SmallVec::new(),
             outbox: batch::Outbox::default(),
             effects: Vec::new(),
--- a/crates/core/src/job/scheduler/crashes.rs
+++ b/crates/core/src/job/scheduler/crashes.rs
@@ -52,8 +52,7 @@
         }
     }
 
-    /// Records runs whose worker has fallen silent or restarted, unless it has ended together with
-    /// others for a reason outside their tasks.
+    /// Records runs whose worker has fallen silent or restarted.
     pub(super) fn record_losses(&mut self, id: &WorkerId, runs: &[(TaskKey, u32)]) {
         let mut lost: SmallVec<[(TaskKey, u32, bool); 8]> = SmallVec::new();
         for (key, run) in runs {
@@ -61,11 +60,6 @@
                 lost.push((*key, *run, age < START_SPAN));
             }
         }
-        let starting = lost.iter().filter(|(_, _, starting)| *starting);
-        let starting = starting.map(|(key, ..)| key.job).collect();
-        if self.has_ended_with_others(id, starting) {
-            return;
-        }
         let Some(worker) = self.workers.get(id).filter(|_| !lost.is_empty()) else {
             return;
         };
@@ -120,24 +114,6 @@
         }
     }
 
-    /// Returns whether a worker has ended together with others for a reason outside their tasks, and
-    /// drops the losses of the others. A new owner finds workers silent at once that have ended one
-    /// after the other, so only workers that this owner has reached are compared.
-    fn has_ended_with_others(&mut self, id: &WorkerId, starting: SmallVec<[JobId; 4]>) -> bool {
-        let was_reached = self
-            .workers
-            .get(id)
-            .is_some_and(|worker| worker.seen_at.is_some());
-        if !was_reached {
-            return false;
-        }
-        let ended = self.recent_silences.record(id.clone(), starting, self.now);
-        for other in &ended {
-            self.update_crashes(other, |history| history.retract(other));
-        }
-        !ended.is_empty()
-    }
-
     /// Settles the losses of a worker that answers: it was only silent, or has restarted.
     pub(super) fn settle_losses(&mut self, id: &WorkerId, incarnation: Option<u64>) {
         let Some(worker) = self.workers.get(id) else {
