Keep what is known of crashes across a change of the owner

After a takeover an owner has not reached a worker whose first renewal fails: its losses were stored without a start time, so that its first answer counted as that of another life, and runs in progress as crashes. A worker that was no longer listed was a stub without an address, so that its successor confirmed nothing, and its end was not recorded. Workers that were silent but empty (their speculative runs released) did not have their successor asked. The time until which a task waits was on the clock of the member that stored it. Change: the start time in the list stands in for one that was not reported; a run that is reported as running was not lost; a stub counts as dropped, and its runs are recorded when its lease ends; successors are asked for workers in doubt too; restored times are limited to one lease. A report counts as survival only for the run that it names on the worker of that run. Tests: a_worker_that_a_new_owner_reaches_late_has_not_crashed, a_crash_is_confirmed_although_the_next_owner_never_saw_the_worker; both failed on the code before.

--- a/crates/core/src/job/crash.rs
+++ b/crates/core/src/job/crash.rs
@@ -231,6 +231,23 @@
         confirmed || self.losses.len() < count
     }
 
+    /// Drops the loss of a run that is in progress after all; returns true if it was recorded.
+    pub fn retract(&mut self, run: u32) -> bool {
+        let count = self.losses.len();
+        self.losses.retain(|loss| loss.run() != run);
+        self.losses.len() < count
+    }
+
+    /// Limits the time for which the task waits to what a lease that begins now can last: the time
+    /// stored by another member is on that member's clock.
+    pub(super) fn limit_doubts(&mut self, latest: ClockTime) {
+        for loss in &mut self.losses {
+            if let AnyRunLoss::Suspected(loss) = loss {
+                loss.phase.until = loss.phase.until.min(latest);
+            }
+        }
+    }
+
     /// Workers that have fallen silent with a run of the task.
     pub(super) fn suspected_workers(&self) -> impl Iterator<Item = &LostWorker> {
         self.losses.iter().filter_map(AnyRunLoss::suspected_worker)
--- a/crates/core/src/job/scheduler/crashes.rs
+++ b/crates/core/src/job/scheduler/crashes.rs
@@ -8,6 +8,7 @@
         crash::{CLEARED_SPAN, CrashHistory, Implication, LostWorker, RunLoss, START_SPAN},
         spec::{JobId, TaskKey},
         task::{AnyTask, StartOrderState},
+        worker::ActiveRun,
     },
     name::WorkerId,
 };
@@ -68,7 +69,7 @@
         let lost_worker = LostWorker {
             id: id.clone(),
             address: address.clone(),
-            incarnation: worker.incarnation,
+            incarnation: worker.incarnation.or(worker.entry.incarnation),
         };
         self.doubted_workers.insert(id.clone(), address);
         let starting = || lost.iter().filter(|(_, _, starting)| *starting);
@@ -128,7 +129,9 @@
         // Workers that have been dropped since: an address belongs to one process at a time.
         let doubted = self.doubted_workers.iter();
         let replaced = doubted.filter(|(other, address)| {
-            **address == answering.address && !self.workers.contains_key(*other)
+            let known = self.workers.get(*other);
+            let was_dropped = known.is_none_or(|worker| worker.entry.address.is_empty());
+            **address == answering.address && was_dropped
         });
         let replaced: SmallVec<[WorkerId; 1]> = replaced.map(|(other, _)| other.clone()).collect();
         for other in replaced {
@@ -160,7 +163,8 @@
     }
 
     /// Records that a worker has reported a run as in progress.
-    pub(super) fn record_survival(&mut self, key: TaskKey, asked_at: ClockTime) {
+    pub(super) fn record_survival(&mut self, id: &WorkerId, row: &ActiveRun, asked_at: ClockTime) {
+        let key = row.task;
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return;
         };
@@ -170,11 +174,15 @@
         let Some(AnyTask::Running(task)) = job.task(&key) else {
             return;
         };
-        let age = asked_at - task.phase.since;
+        if (&task.phase.worker, task.run) != (id, row.run) {
+            return;
+        }
+        let (age, run) = (asked_at - task.phase.since, task.run);
         let Some(history) = job.crashes.get_mut(&key) else {
             return;
         };
-        if history.outlived(age) {
+        let was_lost = history.retract(run);
+        if history.outlived(age) || was_lost {
             if history.is_empty() {
                 job.crashes.remove(&key);
             }
@@ -184,9 +192,13 @@
 
     /// Registers the workers that a restored job has lost runs with.
     pub(super) fn restore_doubts(&mut self, id: JobId) {
-        let Some(job) = self.jobs.get(&id) else {
+        let latest = self.unknown_lease().latest_expiry();
+        let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
+        for history in job.crashes.values_mut() {
+            history.limit_doubts(latest);
+        }
         let workers = job.crashes.values();
         let workers = workers.flat_map(CrashHistory::suspected_workers);
         let doubted = workers.map(|worker| (worker.id.clone(), worker.address.clone()));
--- a/crates/core/src/job/scheduler/leases.rs
+++ b/crates/core/src/job/scheduler/leases.rs
@@ -80,7 +80,9 @@
     /// Requests a report of the worker that has taken the address of a silent one, as its answer
     /// shows that the silent one has ended.
     fn ask_successor(&mut self, id: &WorkerId) {
-        let Some(silent) = self.workers.get(id).filter(|worker| !worker.is_empty()) else {
+        let is_doubted = self.doubted_workers.contains_key(id);
+        let silent = self.workers.get(id);
+        let Some(silent) = silent.filter(|worker| !worker.is_empty() || is_doubted) else {
             return;
         };
         let address = &silent.entry.address;
@@ -112,6 +114,8 @@
             }
         }
         for id in expired {
+            let runs = self.workers.get(&id).map(Worker::runs).unwrap_or_default();
+            self.record_losses(&id, &runs);
             self.mark_all_runs_lost(&id, LossReason::LeaseLapsed);
         }
         self.release_speculative();
--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -113,7 +113,7 @@
         for row in &report.running {
             reported.insert(row.task);
             self.apply_running(id, row);
-            self.record_survival(row.task, asked_at);
+            self.record_survival(id, row, asked_at);
         }
         self.resolve_unreported(id, &reported, asked_at);
     }
--- a/crates/core/tests/jobs/crashes.rs
+++ b/crates/core/tests/jobs/crashes.rs
@@ -304,6 +304,42 @@
     assert_eq!(harness.scheduler.state(JobId(1)), Some(JobState::Failed));
 }
 
+/// Guards against phantom crashes after a change of the owner: a worker whose first renewal failed
+/// answers with the start time that it has in the list, and its runs go on.
+#[test]
+fn a_worker_that_a_new_owner_reaches_late_has_not_crashed() {
+    let mut harness = SchedulerHarness::open(1);
+    let spec = harness.accept(1, vec![step(1)]);
+    harness.settle();
+    let starts = harness.confirm();
+    outlive_starts(&mut harness, 0, &starts);
+    let mut next = harness.take_over(&[(JobId(1), spec)], 1);
+    crash(&mut next, 0);
+    assert!(!next.stored[&JobId(1)].crashes.is_empty());
+    next.report(0, SchedulerHarness::running(&starts, 40));
+    next.settle();
+    assert!(next.stored[&JobId(1)].crashes.is_empty());
+}
+
+/// Guards against crashes that are lost with an owner: the next one finds the worker of a recorded run
+/// neither in the list nor at its address.
+#[test]
+fn a_crash_is_confirmed_although_the_next_owner_never_saw_the_worker() {
+    let mut harness = SchedulerHarness::open(1);
+    let spec = harness.accept(1, vec![step(1)]);
+    harness.settle();
+    let start = harness.confirm().remove(0);
+    let entry = listed_entry(0);
+    crash(&mut harness, 0);
+    let mut next = harness.take_over(&[(JobId(1), spec)], 0);
+    next.scheduler.worker_listed(worker(9), entry, next.now);
+    next.wait(1);
+    next.report(9, RenewalReport::default());
+    next.settle();
+    let history = next.stored[&JobId(1)].crashes.get(&start.task);
+    assert_eq!(history.expect("the loss is stored").crashes(), 1);
+}
+
 /// Guards against crashes that are never counted, as the worker had been dropped when the next one
 /// answered at its address.
 #[test]
