Keep the facts of a lost run in one struct

No decision changes. Both phases of a loss held the same four fields, and each accessor matched on the phase; now they share LostRun. The confirmation of losses of dropped workers is a function of its own.

--- a/crates/core/src/job/crash.rs
+++ b/crates/core/src/job/crash.rs
@@ -48,14 +48,20 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Confirmed(());
 
-/// Loss of a run together with its worker.
+/// A run that was in progress on a worker when it fell silent.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RunLoss<P> {
+struct LostRun {
     run: u32,
     worker: LostWorker,
     implication: Implication,
     /// True if the worker is known to have started the run.
     began: bool,
+}
+
+/// Loss of a run together with its worker.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunLoss<P> {
+    lost: LostRun,
     phase: P,
 }
 
@@ -74,29 +80,26 @@
     /// Records that the worker of a run has fallen silent; its lease has expired by `until`.
     pub fn open(run: u32, worker: LostWorker, implication: Implication, until: ClockTime) -> Self {
         Self {
-            run,
-            worker,
-            implication,
-            began: false,
+            lost: LostRun {
+                run,
+                worker,
+                implication,
+                began: false,
+            },
             phase: Suspected { until },
         }
     }
 
     /// Records that the worker is known to have started the run.
-    pub fn begun(self) -> Self {
-        Self {
-            began: true,
-            ..self
-        }
+    pub fn begun(mut self) -> Self {
+        self.lost.began = true;
+        self
     }
 
     /// Records that the process of the worker has ended.
     pub fn confirm(self) -> RunLoss<Confirmed> {
         RunLoss {
-            run: self.run,
-            worker: self.worker,
-            implication: self.implication,
-            began: self.began,
+            lost: self.lost,
             phase: Confirmed(()),
         }
     }
@@ -110,59 +113,34 @@
 }
 
 impl AnyRunLoss {
-    fn run(&self) -> u32 {
+    fn lost(&self) -> &LostRun {
         match self {
-            Self::Suspected(loss) => loss.run,
-            Self::Confirmed(loss) => loss.run,
+            Self::Suspected(loss) => &loss.lost,
+            Self::Confirmed(loss) => &loss.lost,
         }
     }
 
-    fn implication(&self) -> Implication {
+    fn lost_mut(&mut self) -> &mut LostRun {
         match self {
-            Self::Suspected(loss) => loss.implication,
-            Self::Confirmed(loss) => loss.implication,
+            Self::Suspected(loss) => &mut loss.lost,
+            Self::Confirmed(loss) => &mut loss.lost,
         }
     }
 
     /// Address of the worker if the crash is attributable to the job of the task. A run that may never
     /// have begun proves nothing: its worker may have ended before the order arrived.
     fn attributable_address(&self) -> Option<&str> {
-        match self {
-            Self::Confirmed(loss) if loss.began && loss.implication == Implication::Alone => {
-                Some(&loss.worker.address)
-            }
-            Self::Suspected(_) | Self::Confirmed(_) => None,
-        }
-    }
-
-    /// Records that the worker is known to have started the run; returns true if it was not.
-    fn record_begin(&mut self) -> bool {
-        let began = match self {
-            Self::Suspected(loss) => &mut loss.began,
-            Self::Confirmed(loss) => &mut loss.began,
-        };
-        !std::mem::replace(began, true)
-    }
-
-    fn clear_implication(&mut self) {
-        let implication = match self {
-            Self::Suspected(loss) => &mut loss.implication,
-            Self::Confirmed(loss) => &mut loss.implication,
-        };
-        *implication = Implication::None;
-    }
-
-    fn worker(&self) -> &LostWorker {
-        match self {
-            Self::Suspected(loss) => &loss.worker,
-            Self::Confirmed(loss) => &loss.worker,
-        }
+        let lost = self.lost();
+        let attributable = matches!(self, Self::Confirmed(_))
+            && lost.began
+            && lost.implication == Implication::Alone;
+        attributable.then_some(&*lost.worker.address)
     }
 
     /// Worker that has fallen silent, unless its process is known to have ended.
     fn suspected_worker(&self) -> Option<&LostWorker> {
         match self {
-            Self::Suspected(loss) => Some(&loss.worker),
+            Self::Suspected(loss) => Some(&loss.lost.worker),
             Self::Confirmed(_) => None,
         }
     }
@@ -199,7 +177,11 @@
 impl CrashHistory {
     /// Records the loss of a run; each run is recorded once.
     pub fn record(&mut self, loss: RunLoss<Suspected>) {
-        if self.losses.iter().all(|known| known.run() != loss.run) {
+        if self
+            .losses
+            .iter()
+            .all(|known| known.lost().run != loss.lost.run)
+        {
             self.losses.push(AnyRunLoss::Suspected(loss));
         }
     }
@@ -209,7 +191,7 @@
         let mut confirmed = false;
         for loss in &mut self.losses {
             if let AnyRunLoss::Suspected(suspected) = loss
-                && suspected.worker.id == *id
+                && suspected.lost.worker.id == *id
             {
                 *loss = AnyRunLoss::Confirmed(suspected.clone().confirm());
                 confirmed = true;
@@ -234,7 +216,7 @@
     /// Drops the loss of a run that is in progress after all; returns true if it was recorded.
     pub fn retract(&mut self, run: u32) -> bool {
         let count = self.losses.len();
-        self.losses.retain(|loss| loss.run() != run);
+        self.losses.retain(|loss| loss.lost().run != run);
         self.losses.len() < count
     }
 
@@ -256,7 +238,7 @@
     /// Returns whether a worker at this address was lost with a run of the task.
     pub(super) fn has_lost_worker_at(&self, address: &str) -> bool {
         let mut losses = self.losses.iter();
-        losses.any(|loss| &*loss.worker().address == address)
+        losses.any(|loss| &*loss.lost().worker.address == address)
     }
 
     /// Records that a run has lasted for `age`; returns true if the history has changed.
@@ -269,9 +251,9 @@
         if age < START_SPAN || !self.is_implicated() {
             return false;
         }
-        self.losses
-            .iter_mut()
-            .for_each(AnyRunLoss::clear_implication);
+        for loss in &mut self.losses {
+            loss.lost_mut().implication = Implication::None;
+        }
         true
     }
 
@@ -290,8 +272,8 @@
     /// Records that a run is known to have begun; returns true if this changes the history.
     pub fn record_begin(&mut self, run: u32) -> bool {
         let mut losses = self.losses.iter_mut();
-        let loss = losses.find(|loss| loss.run() == run);
-        loss.is_some_and(AnyRunLoss::record_begin)
+        let loss = losses.find(|loss| loss.lost().run == run);
+        loss.is_some_and(|loss| !std::mem::replace(&mut loss.lost_mut().began, true))
     }
 
     /// True if the next run must not start beside runs of other jobs that are starting.
@@ -317,6 +299,6 @@
 
     fn is_implicated(&self) -> bool {
         let mut losses = self.losses.iter();
-        losses.any(|loss| loss.implication() != Implication::None)
+        losses.any(|loss| loss.lost().implication != Implication::None)
     }
 }
--- a/crates/core/src/job/scheduler/crashes.rs
+++ b/crates/core/src/job/scheduler/crashes.rs
@@ -126,16 +126,22 @@
             incarnation,
         };
         self.update_crashes(id, |history| history.settle(&answering));
-        // Workers that have been dropped since: an address belongs to one process at a time.
+        self.confirm_dropped(&answering.address);
+    }
+
+    /// Confirms the losses of workers that were dropped while in doubt, and at whose address another
+    /// worker has answered: an address belongs to one process at a time.
+    fn confirm_dropped(&mut self, address: &str) {
         let doubted = self.doubted_workers.iter();
-        let replaced = doubted.filter(|(other, address)| {
-            let known = self.workers.get(*other);
+        let replaced = doubted.filter(|(id, doubted_address)| {
+            let known = self.workers.get(*id);
+            // A worker that is only known from stored records has no address.
             let was_dropped = known.is_none_or(|worker| worker.entry.address.is_empty());
-            **address == answering.address && was_dropped
+            was_dropped && &***doubted_address == address
         });
-        let replaced: SmallVec<[WorkerId; 1]> = replaced.map(|(other, _)| other.clone()).collect();
-        for other in replaced {
-            self.confirm_losses(&other);
+        let replaced: SmallVec<[WorkerId; 1]> = replaced.map(|(id, _)| id.clone()).collect();
+        for id in replaced {
+            self.confirm_losses(&id);
         }
     }
 
