--- a/crates/core/tests/jobs/crashes.rs
+++ b/crates/core/tests/jobs/crashes.rs
@@ -2,7 +2,9 @@
 
 use jacinthhoist_core::job::{JobId, JobState, RenewalReport, StartReply, StepSpec, TaskEnd};
 
-use crate::harness::{RunOrder, SchedulerHarness, listed_entry, long_running_step, step, worker};
+use crate::harness::{
+    RunOrder, SchedulerHarness, listed_entry, long_running_step, number_of, step, worker,
+};
 
 /// Guards against runs that wait for the lease of a worker whose process has ended: the next worker
 /// on its VM answers at the same address seconds before the lease expires.
@@ -99,12 +101,7 @@
 /// Lets all runs of a worker outlive their start.
 fn outlive_starts(harness: &mut SchedulerHarness, number: usize, starts: &[RunOrder]) {
     harness.wait(400);
-    let starts: Vec<RunOrder> = starts
-        .iter()
-        .filter(|start| start.worker == worker(number))
-        .cloned()
-        .collect();
-    harness.report(number, SchedulerHarness::running(&starts, 30));
+    harness.report_part(number, starts, 30);
     harness.settle();
 }
 
@@ -138,8 +135,7 @@
                 std::mem::take(&mut harness.starts)
             };
             assert_eq!(starts.len(), 1, "after {crashes} crashes");
-            let number = (0..20).find(|number| starts[0].worker == worker(*number));
-            let number = number.expect("the worker is known");
+            let number = number_of(&starts[0].worker);
             if lasts {
                 outlive_starts(&mut harness, number, &starts);
             }
@@ -161,9 +157,9 @@
     for _ in 0..2 {
         harness.settle();
         let start = harness.confirm().remove(0);
-        let number = (0..8).find(|number| start.worker == worker(*number));
-        numbers.push(number.expect("the worker is known"));
-        crash(&mut harness, *numbers.last().unwrap());
+        let number = number_of(&start.worker);
+        numbers.push(number);
+        crash(&mut harness, number);
     }
     harness.settle();
     assert!(harness.starts.is_empty());
@@ -189,13 +185,12 @@
         let fatal = running.iter().position(|start| start.task.job == JobId(1));
         if let Some(at) = fatal {
             let host = running[at].worker.clone();
-            let number = (0..next).find(|number| host == worker(*number)).unwrap();
             running.retain(|start| start.worker != host);
-            replace(&mut harness, number, next);
+            replace(&mut harness, number_of(&host), next);
             next += 1;
         } else if let Some(start) = running.pop() {
-            let number = (0..next).find(|number| start.worker == worker(*number));
-            outlive_starts(&mut harness, number.unwrap(), std::slice::from_ref(&start));
+            let number = number_of(&start.worker);
+            outlive_starts(&mut harness, number, std::slice::from_ref(&start));
             harness.end(&start, TaskEnd::Done);
         }
     }
@@ -212,17 +207,16 @@
     loop {
         harness.settle();
         let start = harness.confirm().remove(0);
-        let number = (0..20).find(|number| start.worker == worker(*number));
-        crash(&mut harness, number.unwrap());
+        let number = number_of(&start.worker);
+        crash(&mut harness, number);
         crashes += 1;
         let mut next = harness.take_over(&[(JobId(1), spec.clone())], 8);
-        for other in (0..8).filter(|other| Some(*other) != number) {
+        for other in (0..8).filter(|other| *other != number) {
             next.report(other, RenewalReport::default());
         }
-        next.scheduler
-            .renewal_failed(&worker(number.unwrap()), next.now);
+        next.scheduler.renewal_failed(&worker(number), next.now);
         next.wait(3_000);
-        answer_at(&mut next, number.unwrap(), 8 + crashes);
+        answer_at(&mut next, number, 8 + crashes);
         next.settle();
         if next.scheduler.state(JobId(1)) == Some(JobState::Failed) {
             break;
@@ -242,10 +236,10 @@
     for _ in 0..8 {
         harness.settle();
         let start = harness.confirm().remove(0);
-        let number = (0..3).find(|number| start.worker == worker(*number));
-        crash(&mut harness, number.unwrap());
+        let number = number_of(&start.worker);
+        crash(&mut harness, number);
         harness.wait(1_000);
-        harness.report(number.unwrap(), RenewalReport::default());
+        harness.report(number, RenewalReport::default());
     }
     harness.settle();
     assert_eq!(harness.starts.len(), 1);
@@ -260,10 +254,10 @@
         harness.settle();
         let starts = harness.confirm();
         assert_eq!(starts.len(), 1);
-        let number = (0..next).find(|number| starts[0].worker == worker(*number));
+        let number = number_of(&starts[0].worker);
         harness.wait(11_000);
-        harness.report(number.unwrap(), SchedulerHarness::running(&starts, 100));
-        replace(&mut harness, number.unwrap(), next);
+        harness.report(number, SchedulerHarness::running(&starts, 100));
+        replace(&mut harness, number, next);
     }
 }
 
@@ -276,11 +270,11 @@
     for next in 6..9 {
         harness.settle();
         let start = harness.starts.remove(0);
-        let number = (0..next).find(|number| start.worker == worker(*number));
-        crash(&mut harness, number.unwrap());
+        let number = number_of(&start.worker);
+        crash(&mut harness, number);
         harness.reply(&start, StartReply::Unknown);
         harness.wait(3_000);
-        answer_at(&mut harness, number.unwrap(), next);
+        answer_at(&mut harness, number, next);
     }
     harness.settle();
     assert_eq!(harness.starts.len(), 1, "the task is started again");
@@ -294,11 +288,11 @@
     for next in 6..8 {
         harness.settle();
         let start = harness.starts.remove(0);
-        let number = (0..next).find(|number| start.worker == worker(*number));
-        crash(&mut harness, number.unwrap());
+        let number = number_of(&start.worker);
+        crash(&mut harness, number);
         harness.reply(&start, StartReply::Started);
         harness.wait(3_000);
-        answer_at(&mut harness, number.unwrap(), next);
+        answer_at(&mut harness, number, next);
         harness.settle();
     }
     assert_eq!(harness.scheduler.state(JobId(1)), Some(JobState::Failed));
@@ -348,8 +342,7 @@
     harness.accept(1, vec![step(1)]);
     harness.settle();
     let start = harness.confirm().remove(0);
-    let number = (0..4).find(|number| start.worker == worker(*number));
-    let number = number.expect("the worker is known");
+    let number = number_of(&start.worker);
     let entry = listed_entry(number);
     crash(&mut harness, number);
     harness
--- a/crates/core/tests/jobs/harness.rs
+++ b/crates/core/tests/jobs/harness.rs
@@ -43,6 +43,13 @@
     WorkerId::new(&format!("i-{number}"))
 }
 
+/// Number of the worker with this id.
+pub(crate) fn number_of(id: &WorkerId) -> usize {
+    let number = id.as_str().strip_prefix("i-");
+    let number = number.and_then(|text| text.parse().ok());
+    number.expect("the id of a worker of the harness")
+}
+
 pub(crate) fn key(job: u64, step: u16, index: u16) -> TaskKey {
     TaskKey {
         job: JobId(job),
@@ -312,12 +319,17 @@
     /// Sends a report of each worker with its part of the running tasks.
     pub(crate) fn report_all(&mut self, starts: &[RunOrder], workers: usize, percent: u8) {
         for number in 0..workers {
-            let own_starts = starts.iter().filter(|start| start.worker == worker(number));
-            let own_starts: Vec<RunOrder> = own_starts.cloned().collect();
-            self.report(number, Self::running(&own_starts, percent));
+            self.report_part(number, starts, percent);
         }
     }
 
+    /// Sends a report of a worker with its part of the running tasks.
+    pub(crate) fn report_part(&mut self, number: usize, starts: &[RunOrder], percent: u8) {
+        let own_starts = starts.iter().filter(|start| start.worker == worker(number));
+        let own_starts: Vec<RunOrder> = own_starts.cloned().collect();
+        self.report(number, Self::running(&own_starts, percent));
+    }
+
     /// Reports the end of a run by its worker.
     pub(crate) fn end(&mut self, start: &RunOrder, end: TaskEnd) {
         let number = self.end_numbers.entry(start.worker.clone()).or_default();
--- a/crates/experiments/examples/schedule.rs
+++ b/crates/experiments/examples/schedule.rs
@@ -116,7 +116,7 @@
         let effects = self.scheduler.step(self.now);
         self.apply_effects(round, effects);
         if round.is_multiple_of(10) {
-            std::hint::black_box(self.scheduler.loads());
+            std::hint::black_box(self.scheduler.load_report());
         }
         step_start.elapsed()
     }
--- a/crates/experiments/src/schedule.rs
+++ b/crates/experiments/src/schedule.rs
@@ -219,10 +219,7 @@
     pub async fn done(&self, prefix: &str) -> BTreeMap<String, u32> {
         let mut totals = BTreeMap::new();
         for worker in &self.platform.workers {
-            let done = worker.done().await.into_iter();
-            for (task, count) in done.filter(|(task, _)| task.starts_with(prefix)) {
-                *totals.entry(task).or_default() += count;
-            }
+            add_counts(&mut totals, prefix, worker.done().await);
         }
         totals
     }
@@ -231,10 +228,7 @@
     pub async fn starts(&self, prefix: &str) -> BTreeMap<String, u32> {
         let mut totals = BTreeMap::new();
         for worker in &self.platform.workers {
-            let starts = worker.starts().await.into_iter();
-            for (task, count) in starts.filter(|(task, _)| task.starts_with(prefix)) {
-                *totals.entry(task).or_default() += count;
-            }
+            add_counts(&mut totals, prefix, worker.starts().await);
         }
         totals
     }
@@ -299,3 +293,11 @@
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
     listener.local_addr().map_or(0, |address| address.port())
 }
+
+/// Adds the counts of tasks whose name begins with `prefix`.
+fn add_counts(totals: &mut BTreeMap<String, u32>, prefix: &str, counts: BTreeMap<String, u32>) {
+    let counts = counts.into_iter();
+    for (task, count) in counts.filter(|(task, _)| task.starts_with(prefix)) {
+        *totals.entry(task).or_default() += count;
+    }
+}
