--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -202,6 +202,15 @@
         /// Reason for the loss.
         reason: LossReason,
     },
+    /// A worker reports a run that belongs to no task; it is ordered to stop.
+    RunStray {
+        /// Task of the run.
+        task: TaskKey,
+        /// Run number.
+        run: u32,
+        /// Worker of the run.
+        worker: WorkerId,
+    },
     /// A run is in doubt together with its worker, which has fallen silent or restarted.
     RunInDoubt {
         /// Task of the run.
--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -253,6 +253,11 @@
         let now = self.now;
         let Some(slot) = self.assigned_slot(id, row.task, row.run) else {
             // The job has ended or been cancelled, or the run was superseded.
+            self.log_decision(SchedulerDecision::RunStray {
+                task: row.task,
+                run: row.run,
+                worker: id.clone(),
+            });
             self.send_stop(id, row.task, row.run);
             return;
         };
--- a/crates/scheduler/src/owner/decisions.rs
+++ b/crates/scheduler/src/owner/decisions.rs
@@ -1,7 +1,10 @@
 //! Log lines and metrics of the scheduler's decisions.
 
-use jacinthhoist_core::job::{LossReason, PoolSummary, SchedulerDecision};
-use serde_json::json;
+use jacinthhoist_core::{
+    WorkerId,
+    job::{LossReason, PoolSummary, SchedulerDecision, TaskKey},
+};
+use serde_json::{Value, json};
 
 use crate::{
     eventlog::{EventKind, EventLog},
@@ -100,6 +103,9 @@
             json!({"job": task.job.to_string(), "task": task.to_string(), "run": run,
                 "worker": worker.as_str(), "reason": format!("{reason:?}")}),
         ),
+        SchedulerDecision::RunStray { task, run, worker } => {
+            (EventKind::RunStray, run_fields(&task, run, &worker))
+        }
         SchedulerDecision::RunInDoubt {
             task,
             run,
@@ -163,3 +169,8 @@
     };
     log.write(kind, fields);
 }
+
+fn run_fields(task: &TaskKey, run: u32, worker: &WorkerId) -> Value {
+    json!({"job": task.job.to_string(), "task": task.to_string(), "run": run,
+        "worker": worker.as_str()})
+}
