Charge runs that were given up to their worker until they are known to be gone

Cause: the owner counted a worker's runs by the tasks that refer to them. A run that was given up while it was still at work (a speculative task whose worker is silent, `Copied`), a run that a copy had overtaken, and a run that no record names after a takeover were ordered to stop at most, and took no place; two runs of one task counted as one. An order to stop and its answer do not free the place: the platform frees it when the end is listed.

Change: a worker's charges are kept by task and run, with a typestate of their own (`Held`, `Stray`). A stray run takes its place (step limit, capacity, best-effort beside serving, quiet workers of trials, VMs taken for empty) until its end is listed, or a report that was requested after it is known to have begun, or after the worker has acknowledged a stop, does not name it. A run whose task has not been started again when its worker answers goes back to its task instead of being stopped and started anew, also under the next owner. A run of an unknown job has an unknown cost: nothing is placed beside it. The stop of a stray run is repeated after 0.8 s, not with each report.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -25,6 +25,7 @@
 mod admit;
 mod append_pace;
 mod catalogue;
+mod charge;
 mod crash;
 mod lease;
 mod life;
@@ -43,6 +44,7 @@
 pub use admit::{JobRefusal, LoadReport, WorkLoad, admit_job, outage_retry};
 pub use append_pace::{AppendPace, refusal_delay};
 pub use catalogue::{AdvicePolicy, CallerLimits, JobCatalogue, JobPool, JobWork};
+pub use charge::{AnyCharge, Held, RunCharge, RunCost, Stray};
 pub use crash::{Confirmed, CrashHistory, Implication, LostWorker, RunLoss, Suspected};
 pub use lease::{HeldLease, UnknownLease, WorkerLease};
 pub use life::{Begun, ClosedLife, Ended, Ending, Forgotten, JobLife, OpenLife, Queued};
@@ -66,6 +68,5 @@
 pub use vm_order::{Accepted, AnyVmOrder, Sent, VmOrder, VmOrderRun};
 pub use wave::{Wave, WaveProgress, WaveRequest, WaveTable};
 pub use worker::{
-    ActiveRun, EndedRun, OrderReply, RenewalReport, StartReply, TaskCharge, Worker, WorkerEntry,
-    WorkerState,
+    ActiveRun, EndedRun, OrderReply, RenewalReport, StartReply, Worker, WorkerEntry, WorkerState,
 };
--- a/crates/core/src/job/place.rs
+++ b/crates/core/src/job/place.rs
@@ -127,6 +127,7 @@
         && worker.entry.capacity.fits(&worker.used, need)
         && step.requires.as_deref().is_none_or(label)
         && is_below_step_limit(request, worker)
+        && !worker.tasks().any(|task| *task == request.task)
         && !conflicts(step, worker)
 }
 
@@ -139,7 +140,7 @@
         ..
     } = request.task;
     let same = |key: &&TaskKey| (key.job, key.occurrence, key.step) == (job, occurrence, step);
-    limit == 0 || worker.tasks.keys().filter(same).count() < limit
+    limit == 0 || worker.tasks().filter(same).count() < limit
 }
 
 /// Best-effort tasks slow down tasks that serve users, so the two kinds are kept on different
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -16,6 +16,7 @@
 mod permits;
 mod placing;
 mod reports;
+mod strays;
 mod trials;
 mod waves;
 
@@ -202,6 +203,15 @@
         /// Reason for the loss.
         reason: LossReason,
     },
+    /// A run that was given up is in progress, and its task has not been started again.
+    RunAdopted {
+        /// Task of the run.
+        task: TaskKey,
+        /// Run number.
+        run: u32,
+        /// Worker of the run.
+        worker: WorkerId,
+    },
     /// A worker reports a run that belongs to no task; it is ordered to stop.
     RunStray {
         /// Task of the run.
--- a/crates/core/src/job/scheduler/batch.rs
+++ b/crates/core/src/job/scheduler/batch.rs
@@ -376,7 +376,7 @@
         if let Some(slot) = self.assigned_slot(worker, task, run) {
             *slot = slot.clone().released();
         }
-        self.discharge_task(worker, task);
+        self.discharge_run(worker, task, run);
         self.outbox.mark_changed(task.job);
     }
 }
--- a/crates/core/src/job/scheduler/crashes.rs
+++ b/crates/core/src/job/scheduler/crashes.rs
@@ -57,6 +57,10 @@
     pub(super) fn record_losses(&mut self, id: &WorkerId, runs: &[(TaskKey, u32)]) {
         let mut lost: SmallVec<[(TaskKey, u32, bool); 8]> = SmallVec::new();
         for (key, run) in runs {
+            // The loss of a run that was given up is recorded already.
+            if self.assigned_slot(id, *key, *run).is_none() {
+                continue;
+            }
             if let Some(age) = self.known_age(id, key).filter(|age| *age < CLEARED_SPAN) {
                 lost.push((*key, *run, age < START_SPAN));
             }
--- a/crates/core/src/job/scheduler/gang.rs
+++ b/crates/core/src/job/scheduler/gang.rs
@@ -91,7 +91,7 @@
             let first = found.first().and_then(|id| self.workers.get(id));
             let preferred_rack = first.and_then(|worker| worker.entry.rack.clone());
             let Some(worker) = self.find_worker(*member, workers, preferred_rack.as_ref()) else {
-                self.release_reserved(members, &found);
+                self.release_reserved(members, run, &found);
                 return None;
             };
             self.charge(&worker, *member, run);
@@ -100,11 +100,11 @@
         Some(found)
     }
 
-    fn release_reserved(&mut self, members: &[TaskKey], workers: &[WorkerId]) {
+    fn release_reserved(&mut self, members: &[TaskKey], run: u32, workers: &[WorkerId]) {
         let now = self.now;
         for (member, id) in members.iter().zip(workers) {
             if let Some(worker) = self.workers.get_mut(id) {
-                worker.discharge(member, now);
+                worker.discharge(member, run, now);
             }
         }
     }
--- a/crates/core/src/job/scheduler/jobs.rs
+++ b/crates/core/src/job/scheduler/jobs.rs
@@ -7,12 +7,12 @@
 use crate::{
     clock::ClockTime,
     job::{
+        charge::RunCost,
         crash::CrashHistory,
         life::{ClosedLife, JobLife, OpenLife},
         order::JobUrgency,
         spec::{JobId, JobSpec, JobState, JobTerms, StepSpec, TaskKey},
         task::{AnyTask, TaskRun},
-        worker::TaskCharge,
     },
     name::WorkerId,
 };
@@ -359,8 +359,8 @@
                 step,
                 index,
             };
-            let charge = TaskCharge::of(job.step(&key), run);
-            self.worker_or_stub(worker).charge(key, charge);
+            let cost = RunCost::of(job.step(&key));
+            self.worker_or_stub(worker).charge(key, run, cost);
         }
     }
 
--- a/crates/core/src/job/scheduler/leases.rs
+++ b/crates/core/src/job/scheduler/leases.rs
@@ -136,10 +136,10 @@
         let mut copies: SmallVec<[(WorkerId, TaskKey, u32); 8]> = smallvec![];
         let workers = self.workers.values();
         for worker in workers.filter(|worker| worker.silent_since.is_some()) {
-            for (key, charge) in &worker.tasks {
+            for ((key, run), charge) in &worker.charges {
                 let job = self.jobs.get(&key.job);
-                if job.is_some_and(|job| job.step(key).speculative) {
-                    copies.push((worker.id.clone(), *key, charge.run));
+                if !charge.is_stray() && job.is_some_and(|job| job.step(key).speculative) {
+                    copies.push((worker.id.clone(), *key, *run));
                 }
             }
         }
--- a/crates/core/src/job/scheduler/orders.rs
+++ b/crates/core/src/job/scheduler/orders.rs
@@ -5,6 +5,7 @@
 use crate::{
     clock::ClockTime,
     job::{
+        charge::STOP_RETRY_DELAY,
         spec::TaskKey,
         task::{AnyTask, FULL_PERCENT, StartOrderState},
         worker::{OrderReply, StartReply, WorkerState},
@@ -14,8 +15,6 @@
 
 use super::{Effect, Scheduler, SchedulerDecision};
 
-/// Time after which an unanswered stop order is repeated: twice the time that a stop may take.
-const STOP_RETRY_DELAY: ClockTime = ClockTime::from_millis(800);
 /// A run without progress for this long is stopped. Tasks last about a second.
 const HANG_TIMEOUT: ClockTime = ClockTime::from_millis(2_500);
 /// Interval between searches for runs to stop: short compared with the time allowed for a
@@ -49,6 +48,9 @@
         self.now = now;
         if reply == StartReply::Started {
             self.record_begin(key, run);
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.begin_run(key, run, now);
+            }
         } else {
             self.log_decision(SchedulerDecision::StartRefused {
                 task: key,
@@ -58,29 +60,24 @@
             });
         }
         self.apply_start_reply(id, key, reply);
+        if reply.is_refusal() {
+            self.drop_stray(id, key, run);
+        }
         let Some(slot) = self.assigned_slot(id, key, run) else {
             return;
         };
         let AnyTask::Assigned(mut task) = slot.clone() else {
             return;
         };
-        match reply {
-            StartReply::Started => *slot = AnyTask::Running(task.confirm(now)),
+        if reply == StartReply::Started {
+            *slot = AnyTask::Running(task.confirm(now));
+        } else if reply.is_refusal() {
+            *slot = AnyTask::Waiting(task.release());
+            self.discharge_run(id, key, run);
+        } else {
             // The worker has seen this run or a later one; its next report tells which.
-            StartReply::Unknown | StartReply::OldRun => {
-                task.phase.order = StartOrderState::Unsure(now);
-                *slot = AnyTask::Assigned(task);
-            }
-            StartReply::Fenced
-            | StartReply::TooLate
-            | StartReply::NoRoom
-            | StartReply::NoPermit
-            | StartReply::Invalid
-            | StartReply::Unhealthy
-            | StartReply::WrongLife => {
-                *slot = AnyTask::Waiting(task.release());
-                self.discharge_task(id, key);
-            }
+            task.phase.order = StartOrderState::Unsure(now);
+            *slot = AnyTask::Assigned(task);
         }
     }
 
@@ -122,6 +119,12 @@
         if let Some(AnyTask::Stopping(task)) = self.assigned_slot(id, key, run) {
             task.phase.acked_at = Some(now);
             self.request_report(id);
+            return;
+        }
+        let worker = self.workers.get_mut(id);
+        if let Some(stray) = worker.and_then(|worker| worker.stray_mut(key, run)) {
+            stray.stop_acked(now);
+            self.request_report(id);
         }
     }
 
@@ -165,14 +168,14 @@
         let mut migrations: SmallVec<[(WorkerId, TaskKey, u32); 8]> = smallvec![];
         let mut hung: SmallVec<[WorkerId; 2]> = smallvec![];
         for worker in self.workers.values() {
-            for (key, charge) in &worker.tasks {
+            for (key, run) in worker.charges.keys() {
                 let Some(job) = self.jobs.get(&key.job) else {
                     continue;
                 };
                 let Some(task) = job.task(key) else {
                     continue;
                 };
-                if task.placed() != Some((&worker.id, charge.run)) {
+                if task.placed() != Some((&worker.id, *run)) {
                     continue;
                 }
                 let step = job.step(key);
@@ -193,7 +196,7 @@
                         let is_unwanted =
                             is_hung || job.life.goal().is_some() || job.has_lost_members(key);
                         if should_migrate && !is_unwanted {
-                            migrations.push((worker.id.clone(), *key, charge.run));
+                            migrations.push((worker.id.clone(), *key, *run));
                         }
                         is_unwanted
                     }
@@ -204,7 +207,7 @@
                     _ => false,
                 };
                 if should_stop {
-                    stops.push((worker.id.clone(), *key, charge.run));
+                    stops.push((worker.id.clone(), *key, *run));
                 }
             }
         }
@@ -219,6 +222,7 @@
             }
             self.stop_task(&id, key, run);
         }
+        self.stop_strays();
         for (id, key, run) in migrations {
             let job = self.jobs.get(&key.job);
             if job.is_some_and(|job| self.can_stop_one(job, &key)) {
--- a/crates/core/src/job/scheduler/placing.rs
+++ b/crates/core/src/job/scheduler/placing.rs
@@ -6,11 +6,12 @@
 
 use crate::{
     job::{
+        charge::RunCost,
         order::{QueuedJob, order_queue},
         place::{PlaceCandidates, PlaceRequest, choose_candidate, choose_worker, is_eligible},
         spec::{JobId, StepKey, TaskKey},
         task::AnyTask,
-        worker::{TaskCharge, Worker},
+        worker::Worker,
     },
     name::{PoolName, RackName, WorkerId},
 };
@@ -181,9 +182,9 @@
         let Some(job) = self.jobs.get(&key.job) else {
             return;
         };
-        let charge = TaskCharge::of(job.step(&key), run);
+        let cost = RunCost::of(job.step(&key));
         if let Some(worker) = self.workers.get_mut(id) {
-            worker.charge(key, charge);
+            worker.charge(key, run, cost);
         }
     }
 }
--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -109,13 +109,15 @@
         for row in &report.ended {
             self.apply_end(id, row);
         }
+        let is_first = change == Some(WorkerChange::Adopted);
         let mut reported = BTreeSet::new();
         for row in &report.running {
-            reported.insert(row.task);
-            self.apply_running(id, row);
+            reported.insert((row.task, row.run));
+            self.apply_running(id, row, is_first);
             self.record_survival(id, row, asked_at);
         }
         self.resolve_unreported(id, &reported, asked_at);
+        self.stop_strays_of(id);
     }
 
     /// Releases the runs of silent workers at whose address another worker has answered: an address
@@ -160,10 +162,7 @@
             return;
         }
         worker.end_seen = row.number;
-        let charge = worker.tasks.get(&row.task);
-        if charge.is_some_and(|charge| charge.run == row.run) {
-            worker.discharge(&row.task, now);
-        }
+        worker.discharge(&row.task, row.run, now);
         let Some(job) = self.jobs.get_mut(&row.task.job) else {
             return;
         };
@@ -249,16 +248,17 @@
         }
     }
 
-    fn apply_running(&mut self, id: &WorkerId, row: &ActiveRun) {
+    fn apply_running(&mut self, id: &WorkerId, row: &ActiveRun, is_first: bool) {
         let now = self.now;
+        if self.assigned_slot(id, row.task, row.run).is_none() && !self.adopt_run(id, row, is_first)
+        {
+            self.charge_stray(id, row);
+            return;
+        }
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.begin_run(row.task, row.run, now);
+        }
         let Some(slot) = self.assigned_slot(id, row.task, row.run) else {
-            // The job has ended or been cancelled, or the run was superseded.
-            self.log_decision(SchedulerDecision::RunStray {
-                task: row.task,
-                run: row.run,
-                worker: id.clone(),
-            });
-            self.send_stop(id, row.task, row.run);
             return;
         };
         if let Some(checkpoint) = &row.checkpoint {
@@ -279,7 +279,7 @@
     fn resolve_unreported(
         &mut self,
         id: &WorkerId,
-        reported: &BTreeSet<TaskKey>,
+        reported: &BTreeSet<(TaskKey, u32)>,
         asked_at: ClockTime,
     ) {
         let Some(worker) = self.workers.get_mut(id) else {
@@ -287,10 +287,10 @@
         };
         worker.awaits_report = false;
         let mut unreported = worker.runs();
-        unreported.retain(|(key, _)| !reported.contains(key));
+        unreported.retain(|run| !reported.contains(run));
         for (key, run) in unreported {
             let Some(slot) = self.assigned_slot(id, key, run) else {
-                self.discharge_task(id, key);
+                self.resolve_stray(id, key, run, asked_at);
                 continue;
             };
             let verdict = match &*slot {
@@ -320,7 +320,8 @@
         }
     }
 
-    /// Releases a run that can no longer be executing; its task waits again.
+    /// Releases a run that can no longer be executing, or that a copy may run beside; its task waits
+    /// again.
     pub(super) fn mark_run_lost(
         &mut self,
         id: &WorkerId,
@@ -338,7 +339,11 @@
                 reason,
             });
         }
-        self.discharge_task(id, key);
+        match self.workers.get_mut(id) {
+            // The run may still be in progress.
+            Some(worker) if reason == LossReason::Copied => worker.give_up_run(key, run),
+            _ => self.discharge_run(id, key, run),
+        }
     }
 
     /// Releases all runs of a worker.
@@ -351,10 +356,10 @@
         }
     }
 
-    pub(super) fn discharge_task(&mut self, id: &WorkerId, key: TaskKey) {
+    pub(super) fn discharge_run(&mut self, id: &WorkerId, key: TaskKey, run: u32) {
         let now = self.now;
         if let Some(worker) = self.workers.get_mut(id) {
-            worker.discharge(&key, now);
+            worker.discharge(&key, run, now);
         }
     }
 
--- a/crates/core/src/job/scheduler/trials.rs
+++ b/crates/core/src/job/scheduler/trials.rs
@@ -5,6 +5,7 @@
 
 use crate::{
     job::{
+        charge::AnyCharge,
         crash::START_SPAN,
         place::{PlaceCandidates, PlaceRequest, is_eligible},
         spec::{JobId, TaskKey},
@@ -39,7 +40,7 @@
                 continue;
             };
             let is_needed = self.is_trial_running(worker, job) || self.awaits_trial(worker, job);
-            let awaits_report = worker.tasks.keys().any(|key| {
+            let awaits_report = worker.tasks().any(|key| {
                 let task = self.jobs.get(&key.job).and_then(|job| job.task(key));
                 let Some(AnyTask::Running(task)) = task else {
                     return false;
@@ -61,8 +62,8 @@
 
     /// Returns whether a run of the job has not outlived its start on the worker.
     fn is_trial_running(&self, worker: &Worker, job: JobId) -> bool {
-        let mut own = worker.tasks.keys().filter(|key| key.job == job);
-        own.any(|key| !self.has_outlived_start(&worker.id, key))
+        let mut own = worker.charges.iter().filter(|((key, _), _)| key.job == job);
+        own.any(|((key, _), charge)| !self.has_outlived_start(worker, key, charge))
     }
 
     /// Returns whether a task of the job waits for its trial on the worker.
@@ -84,14 +85,19 @@
         })
     }
 
-    fn has_outlived_start(&self, id: &WorkerId, key: &TaskKey) -> bool {
-        self.known_age(id, key).is_some_and(|age| age >= START_SPAN)
+    fn has_outlived_start(&self, worker: &Worker, key: &TaskKey, charge: &AnyCharge) -> bool {
+        let seen_at = worker.seen_at.unwrap_or_default();
+        let age = match charge {
+            AnyCharge::Held(_) => self.known_age(&worker.id, key),
+            AnyCharge::Stray(_) => charge.begun_at().map(|begun_at| seen_at - begun_at),
+        };
+        age.is_some_and(|age| age >= START_SPAN)
     }
 
     /// Returns whether no run of another job is starting on the worker.
     fn is_quiet_for(&self, worker: &Worker, job: JobId) -> bool {
-        let mut others = worker.tasks.keys().filter(|key| key.job != job);
-        others.all(|key| self.has_outlived_start(&worker.id, key))
+        let mut others = worker.charges.iter().filter(|((key, _), _)| key.job != job);
+        others.all(|((key, _), charge)| self.has_outlived_start(worker, key, charge))
     }
 
     /// Chooses the worker for a trial: one that is reserved for the job already, or the one on which
@@ -124,7 +130,7 @@
             let avoided = history.is_some_and(|history| history.has_lost_worker_at(address))
                 || request.avoid == Some(&worker.id);
             let is_quiet = self.is_quiet_for(worker, job);
-            let others = worker.tasks.len();
+            let others = worker.charges.len();
             (avoided, !is_reserved(worker), !is_quiet, others)
         })?;
         let id = chosen.id.clone();
--- a/crates/core/src/job/scheduler/waves.rs
+++ b/crates/core/src/job/scheduler/waves.rs
@@ -5,6 +5,7 @@
 use crate::{
     clock::ClockTime,
     job::{
+        charge::AnyCharge,
         spec::TaskKey,
         task::{AnyTask, FULL_PERCENT},
         vm_order::VmOrder,
@@ -131,7 +132,7 @@
                 && !evacuating
             {
                 busy.push(BusyVm {
-                    has_only_short_tasks: self.count_long_running(worker) == 0,
+                    has_only_short_tasks: Self::count_long_running(worker) == 0,
                     used_cpu: worker.used.cpu,
                     name,
                 });
@@ -217,19 +218,16 @@
             vm: vm.clone(),
             wave,
             worker: worker.map(|worker| worker.id.clone()),
-            runs: worker.map_or(0, |worker| worker.tasks.len()),
-            long_running: worker.map_or(0, |worker| self.count_long_running(worker)),
+            runs: worker.map_or(0, |worker| worker.charges.len()),
+            long_running: worker.map_or(0, Self::count_long_running),
         };
         self.log_decision(decision);
     }
 
     /// Counts the runs of a worker that last until they are stopped.
-    fn count_long_running(&self, worker: &Worker) -> usize {
-        let is_long_running = |key: &&TaskKey| {
-            let job = self.jobs.get(&key.job);
-            job.is_some_and(|job| job.step(key).long_running)
-        };
-        worker.tasks.keys().filter(is_long_running).count()
+    fn count_long_running(worker: &Worker) -> usize {
+        let costs = worker.charges.values().filter_map(AnyCharge::cost);
+        costs.filter(|cost| cost.long_running).count()
     }
 
     /// Stops runs on a worker that would hold up its evacuation, so that they resume elsewhere:
--- a/crates/core/src/job/task.rs
+++ b/crates/core/src/job/task.rs
@@ -187,6 +187,12 @@
         self.place(worker, StartOrderState::Queued, now)
     }
 
+    /// Returns the last run to the task, which its worker reports as in progress.
+    pub fn resume(self, worker: WorkerId, now: ClockTime) -> TaskRun<Running> {
+        self.place(worker, StartOrderState::Inherited, now)
+            .confirm(now)
+    }
+
     /// Adopts a run that an earlier owner recorded for a worker.
     pub fn adopt(self, worker: WorkerId, now: ClockTime) -> TaskRun<Assigned> {
         self.place(worker, StartOrderState::Inherited, now)
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -10,8 +10,9 @@
 };
 
 use super::{
+    charge::{AnyCharge, RunCharge, RunCost, Stray},
     lease::{UnknownLease, WorkerLease},
-    spec::{JobId, Resources, StepSpec, TaskKey},
+    spec::{JobId, Resources, TaskKey},
     task::TaskEnd,
 };
 
@@ -123,6 +124,13 @@
     Unknown,
 }
 
+impl StartReply {
+    /// Returns whether the order has not been carried out and will not be.
+    pub fn is_refusal(self) -> bool {
+        !matches!(self, Self::Started | Self::Unknown | Self::OldRun)
+    }
+}
+
 /// Reply to a stop order, or to an order on a VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum OrderReply {
@@ -138,34 +146,6 @@
     Unknown,
 }
 
-/// Capacity that a run takes on its worker.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct TaskCharge {
-    /// Run number.
-    pub run: u32,
-    /// Resources taken.
-    pub need: Resources,
-    /// True if the task serves its own users.
-    pub serves: bool,
-    /// True if the task is best-effort and only uses idle processor time.
-    pub best_effort: bool,
-    /// True if the task runs until its job is cancelled.
-    pub long_running: bool,
-}
-
-impl TaskCharge {
-    /// Computes the charge of a run of a step.
-    pub fn of(step: &StepSpec, run: u32) -> Self {
-        Self {
-            run,
-            need: step.charged(),
-            serves: step.target > ClockTime::ZERO,
-            best_effort: step.best_effort,
-            long_running: step.long_running,
-        }
-    }
-}
-
 /// State of a worker as known to the owner.
 #[derive(Clone, Debug)]
 pub struct Worker {
@@ -183,10 +163,10 @@
     pub seen_at: Option<ClockTime>,
     /// Time since which requests for reports have failed.
     pub silent_since: Option<ClockTime>,
-    /// Resources taken by the tasks.
+    /// Resources taken by the runs.
     pub used: Resources,
-    /// Runs that may be in progress on the worker.
-    pub tasks: BTreeMap<TaskKey, TaskCharge>,
+    /// Runs that may be in progress on the worker, whether their tasks refer to them or not.
+    pub charges: BTreeMap<(TaskKey, u32), AnyCharge>,
     /// Time since which no run can be in progress on the worker.
     pub empty_since: ClockTime,
     /// Number of runs that serve their own users.
@@ -195,6 +175,8 @@
     pub best_effort_runs: u32,
     /// Number of runs that end by themselves.
     pub finite_runs: u32,
+    /// Number of runs whose cost is unknown, as their job is.
+    unknown_runs: u32,
     /// Highest sequence number of an end that has been processed.
     pub end_seen: u64,
     /// Highest sequence number of an end whose outcome is stored.
@@ -226,11 +208,12 @@
             seen_at: None,
             silent_since: None,
             used: Resources::default(),
-            tasks: BTreeMap::new(),
+            charges: BTreeMap::new(),
             empty_since: lease.since,
             serving_runs: 0,
             best_effort_runs: 0,
             finite_runs: 0,
+            unknown_runs: 0,
             end_seen: 0,
             end_stored: 0,
             awaits_report: false,
@@ -247,7 +230,8 @@
     pub fn takes_work(&self, now: ClockTime) -> bool {
         // Long-running tasks never succeed, so the worker would wait for them for good.
         let on_probation = self.consecutive_failures > 0 && self.finite_runs > 0;
-        self.is_in_service() && now >= self.suspended_until && !on_probation
+        let is_known = self.unknown_runs == 0;
+        self.is_in_service() && now >= self.suspended_until && !on_probation && is_known
     }
 
     /// True if the worker counts towards its pool's capacity.
@@ -300,30 +284,76 @@
         now < self.suspended_until
     }
 
-    /// Charges a run to the worker's capacity.
-    pub fn charge(&mut self, task: TaskKey, charge: TaskCharge) {
-        self.discharge(&task, ClockTime::ZERO);
-        self.used = self.used.plus(&charge.need);
-        self.serving_runs += u32::from(charge.serves);
-        self.best_effort_runs += u32::from(charge.best_effort);
-        self.finite_runs += u32::from(!charge.long_running);
-        self.tasks.insert(task, charge);
+    /// Charges a run that is assigned to the worker.
+    pub fn charge(&mut self, task: TaskKey, run: u32, cost: RunCost) {
+        self.insert(task, run, AnyCharge::Held(RunCharge::open(cost)));
+    }
+
+    /// Charges a reported run that belongs to no task; its cost is unknown without its job.
+    pub fn charge_stray(&mut self, task: TaskKey, run: u32, cost: Option<RunCost>, now: ClockTime) {
+        self.insert(task, run, AnyCharge::Stray(RunCharge::found(cost, now)));
     }
 
-    /// Releases the capacity charged for a run.
-    pub fn discharge(&mut self, task: &TaskKey, now: ClockTime) {
-        let Some(charge) = self.tasks.remove(task) else {
+    fn insert(&mut self, task: TaskKey, run: u32, charge: AnyCharge) {
+        self.discharge(&task, run, ClockTime::ZERO);
+        match charge.cost() {
+            Some(cost) => {
+                self.used = self.used.plus(&cost.need);
+                self.serving_runs += u32::from(cost.serves);
+                self.best_effort_runs += u32::from(cost.best_effort);
+                self.finite_runs += u32::from(!cost.long_running);
+            }
+            None => self.unknown_runs += 1,
+        }
+        self.charges.insert((task, run), charge);
+    }
+
+    /// Releases the capacity charged for a run, which cannot be in progress any more.
+    pub fn discharge(&mut self, task: &TaskKey, run: u32, now: ClockTime) {
+        let Some(charge) = self.charges.remove(&(*task, run)) else {
             return;
         };
-        self.used = self.used.minus(&charge.need);
-        self.serving_runs -= u32::from(charge.serves);
-        self.best_effort_runs -= u32::from(charge.best_effort);
-        self.finite_runs -= u32::from(!charge.long_running);
-        if self.tasks.is_empty() {
+        match charge.cost() {
+            Some(cost) => {
+                self.used = self.used.minus(&cost.need);
+                self.serving_runs -= u32::from(cost.serves);
+                self.best_effort_runs -= u32::from(cost.best_effort);
+                self.finite_runs -= u32::from(!cost.long_running);
+            }
+            None => self.unknown_runs -= 1,
+        }
+        if self.charges.is_empty() {
             self.empty_since = now;
         }
     }
 
+    /// Records that a run is known to have begun.
+    pub fn begin_run(&mut self, task: TaskKey, run: u32, now: ClockTime) {
+        if let Some(charge) = self.charges.get_mut(&(task, run)) {
+            charge.begin(now);
+        }
+    }
+
+    /// Gives up a run that may still be in progress; it takes its place until it is known to be gone.
+    pub fn give_up_run(&mut self, task: TaskKey, run: u32) {
+        if let Some(charge) = self.charges.get_mut(&(task, run)) {
+            *charge = charge.given_up();
+        }
+    }
+
+    /// Returns a run that belongs to no task.
+    pub fn stray_mut(&mut self, task: TaskKey, run: u32) -> Option<&mut RunCharge<Stray>> {
+        match self.charges.get_mut(&(task, run)) {
+            Some(AnyCharge::Stray(stray)) => Some(stray),
+            _ => None,
+        }
+    }
+
+    /// Tasks of the runs that may be in progress on the worker, once for each run.
+    pub fn tasks(&self) -> impl Iterator<Item = &TaskKey> {
+        self.charges.keys().map(|(task, _)| task)
+    }
+
     /// CPU that no run takes, in thousandths of a core.
     pub fn free_cpu(&self) -> u64 {
         self.entry.capacity.cpu.saturating_sub(self.used.cpu)
@@ -331,12 +361,11 @@
 
     /// Runs that may be in progress on the worker.
     pub fn runs(&self) -> SmallVec<[(TaskKey, u32); 8]> {
-        let tasks = self.tasks.iter();
-        tasks.map(|(key, charge)| (*key, charge.run)).collect()
+        self.charges.keys().copied().collect()
     }
 
     /// True if no run is in progress on the worker or can start there.
     pub fn is_empty(&self) -> bool {
-        self.tasks.is_empty()
+        self.charges.is_empty()
     }
 }
--- a/crates/scheduler/src/eventlog.rs
+++ b/crates/scheduler/src/eventlog.rs
@@ -66,6 +66,7 @@
     RunEnded => ("run_ended", "A run ended without completing its task."),
     StartRefused => ("start_refused", "A start order did not start a run."),
     RunLost => ("run_lost", "A run was lost and can no longer be active."),
+    RunAdopted => ("run_adopted", "A run that was given up is in progress, and its task keeps it."),
     RunStray => ("run_stray", "A worker reports a run that belongs to no task."),
     RunInDoubt => ("run_in_doubt", "A run may have ended together with its worker."),
     TaskFatal => ("task_fatal", "A task was given up, as it crashes its workers."),
--- a/crates/scheduler/src/owner/decisions.rs
+++ b/crates/scheduler/src/owner/decisions.rs
@@ -103,6 +103,9 @@
             json!({"job": task.job.to_string(), "task": task.to_string(), "run": run,
                 "worker": worker.as_str(), "reason": format!("{reason:?}")}),
         ),
+        SchedulerDecision::RunAdopted { task, run, worker } => {
+            (EventKind::RunAdopted, run_fields(&task, run, &worker))
+        }
         SchedulerDecision::RunStray { task, run, worker } => {
             (EventKind::RunStray, run_fields(&task, run, &worker))
         }
