Stop an unanswered start again after its worker has restarted under its id

What callers could see: a task that runs twice at once, or beside more of its step than its worker may hold, when the start order without an answer is carried out late by the next process under the worker's id.

Cause: `reset_restarted` took all runs that the new process does not report for lost. A start that was not answered before the restart may still arrive, and the new process does not know of a stop that its predecessor acknowledged.

Change: a run that is not known to have begun stays with its task until the new process has acknowledged a stop and a report requested after that does not name it. Orders of an earlier owner are void there, as the report shows that the process has seen this owner's token.

--- a/crates/core/src/job/charge.rs
+++ b/crates/core/src/job/charge.rs
@@ -119,6 +119,11 @@
         }
     }
 
+    /// Forgets the stop orders, which a new process of the worker does not know of.
+    pub fn forget_stops(&mut self) {
+        (self.phase.ordered_at, self.phase.acked_at) = (None, None);
+    }
+
     /// Records a stop order if one is due; returns whether it is to be sent.
     pub fn order_stop(&mut self, now: ClockTime) -> bool {
         let ordered_at = self.phase.ordered_at;
--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -389,7 +389,11 @@
         });
         self.record_losses(id, &lost);
         for (key, run) in lost {
-            self.mark_run_lost(id, key, run, LossReason::WorkerRestarted);
+            if self.may_begin_after_restart(id, key, run) {
+                self.stop_again(id, key, run);
+            } else {
+                self.mark_run_lost(id, key, run, LossReason::WorkerRestarted);
+            }
         }
     }
 
--- a/crates/core/src/job/scheduler/strays.rs
+++ b/crates/core/src/job/scheduler/strays.rs
@@ -10,7 +10,7 @@
     job::{
         charge::{AnyCharge, RunCost},
         spec::TaskKey,
-        task::AnyTask,
+        task::{AnyTask, StartOrderState},
         worker::{ActiveRun, Worker},
     },
     name::WorkerId,
@@ -152,4 +152,31 @@
             self.send_stop(id, key, run);
         }
     }
+
+    /// Returns whether a start order without an answer may reach the new process of a restarted
+    /// worker, which knows of no stop. An order of an earlier owner is void there.
+    pub(super) fn may_begin_after_restart(&self, id: &WorkerId, key: TaskKey, run: u32) -> bool {
+        let worker = self.workers.get(id);
+        let charge = worker.and_then(|worker| worker.charges.get(&(key, run)));
+        let is_inherited = matches!(
+            self.jobs.get(&key.job).and_then(|job| job.task(&key)),
+            Some(AnyTask::Assigned(task)) if task.run == run
+                && task.phase.order == StartOrderState::Inherited
+        );
+        charge.is_some_and(|charge| charge.begun_at().is_none()) && !is_inherited
+    }
+
+    /// Stops a run in the new process of a restarted worker.
+    pub(super) fn stop_again(&mut self, id: &WorkerId, key: TaskKey, run: u32) {
+        let now = self.now;
+        if let Some(slot) = self.assigned_slot(id, key, run) {
+            *slot = slot.clone().stopped_again(now);
+            self.send_stop(id, key, run);
+        } else if let Some(worker) = self.workers.get_mut(id) {
+            worker.give_up_run(key, run);
+            if let Some(stray) = worker.stray_mut(key, run) {
+                stray.forget_stops();
+            }
+        }
+    }
 }
--- a/crates/core/src/job/task.rs
+++ b/crates/core/src/job/task.rs
@@ -259,6 +259,14 @@
     }
 }
 
+impl TaskRun<Stopping> {
+    /// Records that the run has been ordered to stop in a new process, which knows of no earlier order.
+    pub fn stop_again(self, now: ClockTime) -> Self {
+        let worker = self.phase.worker.clone();
+        self.with_phase(Stopping::ordered(worker, now))
+    }
+}
+
 impl Stopping {
     fn ordered(worker: WorkerId, now: ClockTime) -> Self {
         Self {
@@ -409,6 +417,14 @@
         }
     }
 
+    /// Moves the task to `Stopping` when its run is ordered to stop, whether or not it was before.
+    pub fn stopped_again(self, now: ClockTime) -> Self {
+        match self {
+            Self::Stopping(task) => Self::Stopping(task.stop_again(now)),
+            other => other.stopped(now),
+        }
+    }
+
     /// Applies the end of a run. `max_failures` is none if the number of failures is not limited.
     pub fn ended(self, end: TaskEnd, max_failures: Option<u8>) -> Self {
         let run = self.run();
