Look up the runs of a task and of a step on a worker by range

The charges of a worker are ordered by task and run, so the search for a copy of the same task and the count for the step limit need not pass over all runs of the worker for each candidate.

--- a/crates/core/src/job/place.rs
+++ b/crates/core/src/job/place.rs
@@ -127,20 +127,13 @@
         && worker.entry.capacity.fits(&worker.used, need)
         && step.requires.as_deref().is_none_or(label)
         && is_below_step_limit(request, worker)
-        && !worker.tasks().any(|task| *task == request.task)
+        && !worker.has_run_of(request.task)
         && !conflicts(step, worker)
 }
 
 fn is_below_step_limit(request: &PlaceRequest<'_>, worker: &Worker) -> bool {
     let limit = usize::from(request.step.max_per_worker);
-    let TaskKey {
-        job,
-        occurrence,
-        step,
-        ..
-    } = request.task;
-    let same = |key: &&TaskKey| (key.job, key.occurrence, key.step) == (job, occurrence, step);
-    limit == 0 || worker.tasks().filter(same).count() < limit
+    limit == 0 || worker.count_step_runs(request.task.into()) < limit
 }
 
 /// Best-effort tasks slow down tasks that serve users, so the two kinds are kept on different
--- a/crates/core/src/job/scheduler/gang.rs
+++ b/crates/core/src/job/scheduler/gang.rs
@@ -20,19 +20,8 @@
 impl Job {
     /// Returns the tasks of a step.
     fn members(&self, key: StepKey) -> SmallVec<[TaskKey; 16]> {
-        let StepKey {
-            job,
-            occurrence,
-            step,
-        } = key;
-        let indices = 0..self.spec.steps[usize::from(step)].count;
-        let member = |index| TaskKey {
-            job,
-            occurrence,
-            step,
-            index,
-        };
-        indices.map(member).collect()
+        let indices = 0..self.spec.steps[usize::from(key.step)].count;
+        indices.map(|index| key.task(index)).collect()
     }
 
     /// Returns whether the task belongs to a gang of which some member has no run.
--- a/crates/core/src/job/spec.rs
+++ b/crates/core/src/job/spec.rs
@@ -107,6 +107,29 @@
     pub step: u16,
 }
 
+impl StepKey {
+    /// Returns the task of the step with the given index.
+    ///
+    /// ```
+    /// use jacinthhoist_core::job::{JobId, StepKey};
+    /// let step = StepKey { job: JobId(1), occurrence: 0, step: 2 };
+    /// assert_eq!(StepKey::from(step.task(5)), step);
+    /// ```
+    pub fn task(self, index: u16) -> TaskKey {
+        let Self {
+            job,
+            occurrence,
+            step,
+        } = self;
+        TaskKey {
+            job,
+            occurrence,
+            step,
+            index,
+        }
+    }
+}
+
 impl From<TaskKey> for StepKey {
     fn from(task: TaskKey) -> Self {
         let TaskKey {
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -12,7 +12,7 @@
 use super::{
     charge::{AnyCharge, RunCharge, RunCost, Stray},
     lease::{UnknownLease, WorkerLease},
-    spec::{JobId, Resources, TaskKey},
+    spec::{JobId, Resources, StepKey, TaskKey},
     task::TaskEnd,
 };
 
@@ -349,6 +349,19 @@
         }
     }
 
+    /// Returns whether a run of the task may be in progress on the worker.
+    pub fn has_run_of(&self, task: TaskKey) -> bool {
+        let mut runs = self.charges.range((task, 0)..=(task, u32::MAX));
+        runs.next().is_some()
+    }
+
+    /// Number of runs of a step that may be in progress on the worker.
+    pub fn count_step_runs(&self, step: StepKey) -> usize {
+        let first = (step.task(0), 0);
+        let last = (step.task(u16::MAX), u32::MAX);
+        self.charges.range(first..=last).count()
+    }
+
     /// Tasks of the runs that may be in progress on the worker, once for each run.
     pub fn tasks(&self) -> impl Iterator<Item = &TaskKey> {
         self.charges.keys().map(|(task, _)| task)
