Emulate several runs of a task on a worker, and check the limit of a step

- A worker refused every start of a task that it already ran.
- Jobs had no limit per worker (`max_per_worker` in a load), and ROUTE was checked for pools only.

--- a/crates/emulator/src/caller.rs
+++ b/crates/emulator/src/caller.rs
@@ -102,6 +102,7 @@
                 payload: payload.to_string().into(),
                 long_running,
                 speculative: load.speculative,
+                max_per_worker: load.max_per_worker,
                 fatal_task: payload.fatal_task,
                 max_failures: u32::from(MAX_FAILURES),
                 may_miss: usize::from(MAX_MISSING_TASKS),
@@ -224,6 +225,7 @@
             after: number.checked_sub(1).into_iter().collect(),
             long_running: self.shape.long_running,
             speculative: self.shape.speculative,
+            max_per_worker: self.shape.max_per_worker,
             may_miss: if self.shape.long_running {
                 MAX_MISSING_TASKS
             } else {
--- a/crates/emulator/src/check.rs
+++ b/crates/emulator/src/check.rs
@@ -55,7 +55,7 @@
 rules! {
     Twice => "A task has one active run at a time, and none begins after an acknowledged success.",
     Order => "A step starts only after the steps that it depends on are done.",
-    Route => "Tasks run only on workers of their job's pool.",
+    Route => "Tasks run only on workers of their job's pool, and no more of a step on one worker than it allows.",
     Budget => "A task is not run again once its acknowledged failures reach the limit, nor more than twice once it has crashed three workers.",
     Unasked => "Only jobs that callers sent are started, and no tasks after cancellation.",
     Refused => "Rejected jobs never run.",
@@ -215,6 +215,14 @@
             );
             findings.add(HistoryRule::Route, at, detail);
         }
+        let limit = usize::from(job.shape.max_per_worker);
+        if limit > 0 && run.beside >= limit {
+            let detail = format!(
+                "{task}: run {} began on {} beside {} others of its step; {limit} may be on one worker",
+                run.run, run.worker, run.beside
+            );
+            findings.add(HistoryRule::Route, at, detail);
+        }
         let may_be_unknown = run
             .shrunk_at
             .is_some_and(|since| run.executed_late || at <= since + CAPACITY_GRACE);
--- a/crates/emulator/src/history.rs
+++ b/crates/emulator/src/history.rs
@@ -26,6 +26,8 @@
     pub long_running: bool,
     /// True if a task may have several runs at once.
     pub speculative: bool,
+    /// Maximum number of tasks of a step on one worker; 0 if there is no limit.
+    pub max_per_worker: u16,
     /// Task that crashes each worker that starts it.
     pub fatal_task: Option<FatalTask>,
     /// Number of failures of a task after which its job fails.
@@ -102,6 +104,8 @@
     pub payload: Arc<str>,
     /// Start of the run.
     pub began_at: ClockTime,
+    /// Number of runs of its step that were in progress on the worker.
+    pub beside: usize,
     /// True if the run took its worker over its capacity.
     pub over_capacity: bool,
     /// Time at which the worker's capacity had shrunk, if the run would have fitted before.
@@ -125,6 +129,8 @@
 pub struct StartConditions {
     /// Time of the start.
     pub at: ClockTime,
+    /// Number of runs of its step that are in progress on the worker.
+    pub beside: usize,
     /// True if the run takes its worker over its capacity.
     pub over_capacity: bool,
     /// Time at which the worker's capacity shrank, if the run would have fitted before.
@@ -220,6 +226,7 @@
             pool: pool.clone(),
             payload: order.payload.clone(),
             began_at: conditions.at,
+            beside: conditions.beside,
             over_capacity: conditions.over_capacity,
             shrunk_at: conditions.shrunk_at,
             ended: None,
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -86,6 +86,8 @@
     pub priority: u8,
     /// True if a task may have several runs at once.
     pub speculative: bool,
+    /// Maximum number of tasks of a step on one worker; 0 if there is no limit.
+    pub max_per_worker: u16,
 }
 
 impl Default for ScenarioLoad {
@@ -104,6 +106,7 @@
             hopeless: 0.0,
             priority: 0,
             speculative: false,
+            max_per_worker: 0,
         }
     }
 }
--- a/crates/emulator/src/worker.rs
+++ b/crates/emulator/src/worker.rs
@@ -5,8 +5,8 @@
 use jacinthhoist_core::{
     ClockTime, VmName, WorkerId,
     job::{
-        ActiveRun, EndedRun, OrderReply, RenewalReport, Resources, StartReply, TaskEnd, TaskKey,
-        WorkerEntry,
+        ActiveRun, EndedRun, OrderReply, RenewalReport, Resources, StartReply, StepKey, TaskEnd,
+        TaskKey, WorkerEntry,
     },
 };
 use jacinthhoist_scheduler::ports::{RenewalOrder, StartOrder};
@@ -49,7 +49,6 @@
 
 #[derive(Clone, Debug)]
 struct WorkerRun {
-    run: u32,
     began_at: ClockTime,
     behaviour: TaskBehaviour,
     /// `None` if the run does not end on its own.
@@ -76,7 +75,8 @@
     token: u64,
     /// End of the lease on the worker's clock, in milliseconds.
     lease_until: u64,
-    running: BTreeMap<TaskKey, WorkerRun>,
+    /// Runs by task and number; a task may have several.
+    running: BTreeMap<(TaskKey, u32), WorkerRun>,
     /// Highest run number of each task that was stopped or has ended here.
     highest_runs: BTreeMap<TaskKey, u32>,
     ended: Vec<EndedRun>,
@@ -136,7 +136,7 @@
     /// Ends the runs that are due by now.
     pub(crate) fn end_due_runs(&mut self, now: ClockTime, history: &mut EmulationHistory) {
         let lapses_at = self.emulation_time(self.lease_until);
-        let mut due: Vec<(ClockTime, TaskKey, TaskEnd)> = Vec::new();
+        let mut due: Vec<(ClockTime, (TaskKey, u32), TaskEnd)> = Vec::new();
         for (key, run) in &self.running {
             let done = if run.behaviour.fails {
                 TaskEnd::Failed
@@ -155,16 +155,16 @@
         }
         due.sort_unstable_by_key(|(at, key, _)| (*at, *key));
         for (at, key, end) in due {
-            let Some(run) = self.running.remove(&key) else {
-                continue;
-            };
-            history.record_end(&self.id, key, run.run, at, EndKind::Reported(end));
-            self.highest_runs.insert(key, run.run);
+            self.running.remove(&key);
+            let (task, run) = key;
+            history.record_end(&self.id, task, run, at, EndKind::Reported(end));
+            let highest_run = self.highest_runs.entry(task).or_default();
+            *highest_run = (*highest_run).max(run);
             self.last_end += 1;
             self.ended.push(EndedRun {
                 number: self.last_end,
-                task: key,
-                run: run.run,
+                task,
+                run,
                 end,
                 checkpoint: None,
             });
@@ -201,15 +201,14 @@
 
     /// Returns whether a run is in progress.
     pub(crate) fn is_running(&self, task: TaskKey, run: u32) -> bool {
-        let active = self.running.get(&task);
-        active.is_some_and(|active| active.run == run)
+        self.running.contains_key(&(task, run))
     }
 
     /// Ends all runs unreported, because the process is gone.
     pub(crate) fn kill(&mut self, now: ClockTime, history: &mut EmulationHistory) {
         self.end_due_runs(now, history);
-        for (key, run) in std::mem::take(&mut self.running) {
-            history.record_end(&self.id, key, run.run, now, EndKind::ProcessLost);
+        for (task, run) in std::mem::take(&mut self.running).into_keys() {
+            history.record_end(&self.id, task, run, now, EndKind::ProcessLost);
         }
     }
 
@@ -255,7 +254,7 @@
     pub(crate) fn report(&mut self, now: ClockTime) -> RenewalReport {
         self.reported
             .extend(self.ended.iter().map(|ended_run| ended_run.number));
-        let active_run = |(key, run): (&TaskKey, &WorkerRun)| {
+        let active_run = |(&(task, number), run): (&(TaskKey, u32), &WorkerRun)| {
             let elapsed = (now - run.began_at).as_millis();
             let total = run
                 .behaviour
@@ -271,8 +270,8 @@
                 elapsed * FULL_PERCENT / total
             };
             ActiveRun {
-                task: *key,
-                run: run.run,
+                task,
+                run: number,
                 checkpoint: None,
                 percent: percent.min(FULL_PERCENT) as u8,
                 load: 0,
@@ -300,16 +299,12 @@
             return StartReply::Fenced;
         }
         self.token = token;
-        if self
-            .running
-            .get(&order.task)
-            .is_some_and(|run| run.run == order.run)
-        {
+        if self.is_running(order.task, order.run) {
             return StartReply::Started;
         }
         self.extend_lease(order.lease_until, now);
         let highest_run = self.highest_runs.get(&order.task).copied().unwrap_or(0);
-        if order.run <= highest_run || self.running.contains_key(&order.task) {
+        if order.run <= highest_run {
             return StartReply::OldRun;
         }
         if self.lease_until <= self.worker_clock(now) {
@@ -332,7 +327,6 @@
             .map(|duration| duration.as_millis() * factor);
         let done_at = duration.map(|duration| now + ClockTime::from_millis(duration));
         let run = WorkerRun {
-            run: order.run,
             began_at: now,
             done_at: done_at.filter(|_| self.mode != WorkerMode::Hang),
             stops_at: None,
@@ -344,13 +338,17 @@
         let need = &run.behaviour.need;
         let shrunk_from = self.shrunk_from.as_ref();
         let shrunk_from = shrunk_from.filter(|(_, capacity)| capacity.fits(&used, need));
+        let step = StepKey::from(order.task);
+        let running = self.running.keys();
+        let beside = running.filter(|(task, _)| StepKey::from(*task) == step);
         let conditions = StartConditions {
+            beside: beside.count(),
             over_capacity: !self.capacity.fits(&used, need),
             shrunk_at: shrunk_from.map(|(at, _)| *at),
             ..conditions
         };
         history.record_start(&self.id, &self.entry.pool, order, conditions);
-        self.running.insert(order.task, run);
+        self.running.insert((order.task, order.run), run);
         StartReply::Started
     }
 
@@ -369,11 +367,7 @@
         self.token = token;
         let highest_run = self.highest_runs.entry(task).or_default();
         *highest_run = (*highest_run).max(run);
-        if let Some(running) = self
-            .running
-            .get_mut(&task)
-            .filter(|active| active.run == run)
-        {
+        if let Some(running) = self.running.get_mut(&(task, run)) {
             running.stops_at.get_or_insert(now + STOP_TIME);
             history.record_stop(&self.id, task, run, now);
         }
