Look up a reported task before its step when a run is adopted

What callers could see: the owner's thread panics on the first report of a worker that names a step which a known job does not have. The next owner gets the same report.

Cause: `adopt_run` asked whether the task was exhausted, which indexes the job's steps, before it looked up the task.

Evidence: `the_first_report_may_name_a_step_that_the_job_does_not_have` panicked before (index out of bounds in `Job::step`) and passes now; 109 tests of `jobs` pass.

--- a/crates/core/src/job/scheduler/strays.rs
+++ b/crates/core/src/job/scheduler/strays.rs
@@ -36,12 +36,14 @@
         let Some(job) = self.jobs.get_mut(&key.job).filter(|_| was_given_up) else {
             return false;
         };
-        let is_wanted = job.life.goal().is_none() && !job.is_exhausted(&key);
-        let Some(AnyTask::Waiting(task)) = job.task(&key).filter(|_| is_wanted) else {
+        // A report may name a task that the job does not have.
+        let Some(AnyTask::Waiting(task)) = job.task(&key) else {
             return false;
         };
+        let is_wanted = job.life.goal().is_none() && !job.is_exhausted(&key);
         // The members of a gang start again together.
-        if task.run != run || task.failed_runs.contains(run) || job.step(&key).gang {
+        let is_alone = !job.step(&key).gang;
+        if !is_wanted || !is_alone || task.run != run || task.failed_runs.contains(run) {
             return false;
         }
         let (resumed, cost) = (
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -7,6 +7,7 @@
 mod occupancy;
 mod placing;
 mod probation;
+mod strays;
 mod waves;
 
 use harness::{
