Ask for another report after the acknowledged stop of a stray run

What callers could see: the place of a start without an answer stays taken for up to a long poll or more after its worker has acknowledged the stop, and the worker gets a stop order each 0.8 s meanwhile.

Cause: a report that was requested before the acknowledgement cleared the wish for a report without deciding anything, where a task in `Stopping` asks again. Stops were repeated after their acknowledgement, and each new one moved the time from which a report counts.

Change: such a report is followed by another; the first acknowledgement counts, and only the stop of a run that has begun all the same is repeated.

--- a/crates/core/src/job/charge.rs
+++ b/crates/core/src/job/charge.rs
@@ -46,7 +46,7 @@
 pub struct Stray {
     /// Time at which the last stop order was sent.
     ordered_at: Option<ClockTime>,
-    /// Time at which the worker acknowledged a stop order.
+    /// Time at which the worker first acknowledged a stop order.
     acked_at: Option<ClockTime>,
 }
 
@@ -127,7 +127,10 @@
     /// Records a stop order if one is due; returns whether it is to be sent.
     pub fn order_stop(&mut self, now: ClockTime) -> bool {
         let ordered_at = self.phase.ordered_at;
-        let is_due = ordered_at.is_none_or(|ordered_at| now > ordered_at + STOP_RETRY_DELAY);
+        // An acknowledged order is repeated only for a run that has begun all the same.
+        let may_repeat = self.phase.acked_at.is_none() || self.begun_at.is_some();
+        let is_due =
+            ordered_at.is_none_or(|ordered_at| may_repeat && now > ordered_at + STOP_RETRY_DELAY);
         if is_due {
             self.phase.ordered_at = Some(now);
         }
@@ -141,7 +144,12 @@
 
     /// Records that the worker has acknowledged a stop order.
     pub fn stop_acked(&mut self, now: ClockTime) {
-        self.phase.acked_at = Some(now);
+        self.phase.acked_at.get_or_insert(now);
+    }
+
+    /// Returns whether the worker has acknowledged a stop order.
+    pub fn is_stop_acked(&self) -> bool {
+        self.phase.acked_at.is_some()
     }
 
     /// Returns whether a report that does not name the run shows that it is gone: it had begun before
--- a/crates/core/src/job/scheduler/strays.rs
+++ b/crates/core/src/job/scheduler/strays.rs
@@ -102,15 +102,16 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let is_gone = match worker.charges.get(&(key, run)) {
-            Some(AnyCharge::Held(charge)) => charge.has_begun_before(asked_at),
-            Some(AnyCharge::Stray(stray)) => stray.is_gone(asked_at),
-            None => return,
-        };
-        if is_gone {
-            self.discharge_run(id, key, run);
-        } else {
-            worker.give_up_run(key, run);
+        match worker.charges.get(&(key, run)) {
+            Some(AnyCharge::Held(charge)) if !charge.has_begun_before(asked_at) => {
+                worker.give_up_run(key, run);
+            }
+            Some(AnyCharge::Stray(stray)) if !stray.is_gone(asked_at) => {
+                // The report was requested too early to decide.
+                worker.awaits_report |= stray.is_stop_acked();
+            }
+            Some(_) => self.discharge_run(id, key, run),
+            None => {}
         }
     }
 
--- a/crates/core/tests/jobs/strays.rs
+++ b/crates/core/tests/jobs/strays.rs
@@ -1,9 +1,16 @@
 //! Runs and reports that come late: what the owner concludes from them, and where it sends orders.
 
-use jacinthhoist_core::job::JobId;
+use jacinthhoist_core::job::{JobId, OrderReply, RenewalReport, StartReply, StepSpec};
 
 use crate::harness::{RunOrder, SchedulerHarness, key, spec, step, worker};
 
+fn fall_silent(harness: &mut SchedulerHarness, number: usize) {
+    harness
+        .scheduler
+        .renewal_failed(&worker(number), harness.now);
+    harness.settle();
+}
+
 /// Guards against a panic on the first report to a new owner: it names a step that the job lacks.
 #[test]
 fn the_first_report_may_name_a_step_that_the_job_does_not_have() {
@@ -21,3 +28,60 @@
     next.settle();
     assert_eq!(next.stops, [odd]);
 }
+
+/// Strands a run on worker 0 whose start was not answered; worker 0 answers again, without it.
+fn strand_unanswered(harness: &mut SchedulerHarness) -> RunOrder {
+    let speculative = StepSpec {
+        speculative: true,
+        ..step(1)
+    };
+    harness.accept(1, vec![speculative]);
+    harness.settle();
+    let start = harness.starts.remove(0);
+    harness.reply(&start, StartReply::Unknown);
+    fall_silent(harness, 0);
+    harness.wait(100);
+    harness.report(0, RenewalReport::default());
+    harness.step();
+    assert_eq!(harness.stops, std::slice::from_ref(&start));
+    start
+}
+
+/// Guards against a place that stays taken for a long poll: a report that was requested before the
+/// stop was acknowledged did not lead to another request.
+#[test]
+fn a_report_from_before_the_acknowledged_stop_of_a_stray_is_followed_by_another() {
+    let mut harness = SchedulerHarness::open(1);
+    let start = strand_unanswered(&mut harness);
+    let asked_at = harness.now;
+    harness.wait(10);
+    let reply = OrderReply::Done;
+    harness
+        .scheduler
+        .stop_replied(&worker(0), start.task, start.run, reply, harness.now);
+    harness.wait(10);
+    let early = RenewalReport {
+        clock: harness.now.as_millis(),
+        incarnation: Some(1),
+        ..RenewalReport::default()
+    };
+    harness
+        .scheduler
+        .report(&worker(0), early, asked_at, harness.now);
+    assert!(harness.scheduler.needs_report(&worker(0)));
+}
+
+/// Guards against stops that are repeated after their acknowledgement, each of which made the reports
+/// requested before it worthless.
+#[test]
+fn an_acknowledged_stop_of_a_stray_is_not_repeated() {
+    let mut harness = SchedulerHarness::open(1);
+    let start = strand_unanswered(&mut harness);
+    let reply = OrderReply::Done;
+    harness
+        .scheduler
+        .stop_replied(&worker(0), start.task, start.run, reply, harness.now);
+    harness.wait(1_000);
+    harness.step();
+    assert_eq!(harness.stops, [start]);
+}
