Ignore a report of an earlier process that arrives after one of the present process

What callers could see: a task that runs twice at once. A worker restarts under its id while a long poll and a probe are under way; the probe's answer, from the new process, arrives before the delayed one of the old process.

Cause: any report with another incarnation than the last one was taken for a restart, so the runs of the present process were taken for lost and started again.

Change: a report with another incarnation is ignored if it was requested before the last one that was applied. Whichever process it is of, the next renewal tells.

Evidence: `a_late_report_of_an_earlier_process_is_not_a_restart` failed before (the task was started again) and passes now; 112 tests of `jobs` pass.

--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -84,6 +84,10 @@
         };
         let settles_orders = worker.awaits_report;
         let restarted = worker.incarnation.is_some() && worker.incarnation != report.incarnation;
+        // Responses may overtake each other, so this one may be of an earlier process.
+        if restarted && worker.seen_at.is_some_and(|seen_at| asked_at < seen_at) {
+            return;
+        }
         if restarted {
             self.reset_restarted(id, &report);
         }
--- a/crates/core/tests/jobs/strays.rs
+++ b/crates/core/tests/jobs/strays.rs
@@ -1,6 +1,6 @@
 //! Runs and reports that come late: what the owner concludes from them, and where it sends orders.
 
-use jacinthhoist_core::job::{JobId, OrderReply, RenewalReport, StartReply, StepSpec};
+use jacinthhoist_core::job::{AnyTask, JobId, OrderReply, RenewalReport, StartReply, StepSpec};
 
 use crate::harness::{RunOrder, SchedulerHarness, key, spec, step, worker};
 
@@ -29,6 +29,38 @@
     assert_eq!(next.stops, [odd]);
 }
 
+/// Guards against a second run beside one at work: a report of the earlier process under the id
+/// arrives after one of the present process, and was taken for a restart.
+#[test]
+fn a_late_report_of_an_earlier_process_is_not_a_restart() {
+    let mut harness = SchedulerHarness::open(2);
+    let asked_at = harness.now;
+    harness.wait(10);
+    for number in 0..2 {
+        let restarted = RenewalReport {
+            incarnation: Some(2),
+            ..RenewalReport::default()
+        };
+        harness.report(number, restarted);
+    }
+    harness.accept(1, vec![step(1)]);
+    harness.settle();
+    let start = harness.confirm().remove(0);
+    harness.wait(100);
+    let late = RenewalReport {
+        clock: harness.now.as_millis(),
+        incarnation: Some(1),
+        ..RenewalReport::default()
+    };
+    harness
+        .scheduler
+        .report(&start.worker, late, asked_at, harness.now);
+    harness.settle();
+    assert!(harness.starts.is_empty(), "{:?}", harness.starts);
+    let task = harness.task(start.task);
+    assert!(matches!(task, AnyTask::Running(_)), "{task:?}");
+}
+
 /// Strands a run on worker 0 whose start was not answered; worker 0 answers again, without it.
 fn strand_unanswered(harness: &mut SchedulerHarness) -> RunOrder {
     let speculative = StepSpec {
