Count stray runs that are starting when a crash is attributed

What callers could see: a sound job is given up as the cause of crashes (`task_fatal`) which a run of another job caused.

Cause: `record_losses` skips runs that belong to no task, so a run of one job that was starting beside a stray run of another one was recorded as starting alone.

Change: a stray run of another job that has not outlived its start makes the implication shared.

--- a/crates/core/src/job/scheduler/crashes.rs
+++ b/crates/core/src/job/scheduler/crashes.rs
@@ -78,7 +78,13 @@
         self.doubted_workers.insert(id.clone(), address);
         let starting = || lost.iter().filter(|(_, _, starting)| *starting);
         let first_job = starting().next().map(|(key, ..)| key.job);
-        let alone = starting().all(|(key, ..)| Some(key.job) == first_job);
+        // A stray run of another job may be the cause as well.
+        let beside_stray = worker.charges.iter().any(|((key, _), charge)| {
+            charge.is_stray()
+                && Some(key.job) != first_job
+                && !self.has_outlived_start(worker, key, charge)
+        });
+        let alone = !beside_stray && starting().all(|(key, ..)| Some(key.job) == first_job);
         for (key, run, starting) in &lost {
             let implication = match (starting, alone) {
                 (false, _) => Implication::None,
--- a/crates/core/src/job/scheduler/trials.rs
+++ b/crates/core/src/job/scheduler/trials.rs
@@ -85,7 +85,13 @@
         })
     }
 
-    fn has_outlived_start(&self, worker: &Worker, key: &TaskKey, charge: &AnyCharge) -> bool {
+    /// Returns whether a run is known to have outlived its start on the worker.
+    pub(super) fn has_outlived_start(
+        &self,
+        worker: &Worker,
+        key: &TaskKey,
+        charge: &AnyCharge,
+    ) -> bool {
         let seen_at = worker.seen_at.unwrap_or_default();
         let age = match charge {
             AnyCharge::Held(_) => self.known_age(&worker.id, key),
--- a/crates/core/tests/jobs/strays.rs
+++ b/crates/core/tests/jobs/strays.rs
@@ -1,6 +1,9 @@
 //! Runs and reports that come late: what the owner concludes from them, and where it sends orders.
 
-use jacinthhoist_core::job::{AnyTask, JobId, OrderReply, RenewalReport, StartReply, StepSpec};
+use jacinthhoist_core::job::{
+    AnyTask, Effect, Implication, JobId, OrderReply, RenewalReport, SchedulerDecision, StartReply,
+    StepSpec,
+};
 
 use crate::harness::{RunOrder, SchedulerHarness, key, spec, step, worker};
 
@@ -117,3 +120,25 @@
     harness.step();
     assert_eq!(harness.stops, [start]);
 }
+
+/// Guards against a crash that is blamed on one job alone: a run of another one, which the owner had
+/// given up, was starting on the worker as well.
+#[test]
+fn a_stray_run_that_is_starting_shares_the_blame_for_a_crash() {
+    let mut harness = SchedulerHarness::open(1);
+    strand_unanswered(&mut harness);
+    harness.accept(2, vec![step(1)]);
+    harness.settle();
+    let other = harness.confirm();
+    let other = other.iter().find(|start| start.task.job == JobId(2));
+    assert_eq!(other.expect("job 2 was started").worker, worker(0));
+    harness.scheduler.renewal_failed(&worker(0), harness.now);
+    let effects = harness.scheduler.step(harness.now);
+    let implications = effects.iter().filter_map(|effect| match effect {
+        Effect::Log(SchedulerDecision::RunInDoubt {
+            task, implication, ..
+        }) if task.job == JobId(2) => Some(*implication),
+        _ => None,
+    });
+    assert_eq!(implications.collect::<Vec<_>>(), [Implication::Shared]);
+}
