Withdraw starts that are stored only after their worker has fallen silent

What callers could see: a task waits for an order to a silent worker to time out, and the order may be carried out seconds later, beside the run that replaced it. Members of a gang start while another one cannot.

Cause: a start is sent when its record is stored, some 20 ms or more after the worker was chosen, and what has become known of the worker since was not looked at. The lease in the order also went beyond the expiry that is stored for the silent worker.

Change: a start that was not sent is withdrawn if its worker is silent, and so are those of the other members of its gang.

--- a/crates/core/src/job/scheduler/batch.rs
+++ b/crates/core/src/job/scheduler/batch.rs
@@ -332,11 +332,30 @@
         for (id, state) in batch.ends {
             self.close_job(id, state);
         }
+        // First, so that no member of a gang is started without the others.
+        for (task, run) in &batch.starts {
+            self.withdraw_silent(*task, *run);
+        }
         for (task, run) in batch.starts {
             self.send_start(task, run);
         }
     }
 
+    /// Withdraws a start order that was not sent if its worker has fallen silent, where it might be
+    /// carried out late.
+    fn withdraw_silent(&mut self, task: TaskKey, run: u32) {
+        let job = self.jobs.get(&task.job);
+        let Some(AnyTask::Assigned(assigned)) = job.and_then(|job| job.task(&task)) else {
+            return;
+        };
+        let worker = assigned.phase.worker.clone();
+        let known = self.workers.get(&worker);
+        let is_silent = known.is_some_and(|known| known.silent_since.is_some());
+        if assigned.run == run && is_silent {
+            self.withdraw_start(&worker, task, run);
+        }
+    }
+
     fn send_start(&mut self, task: TaskKey, run: u32) {
         let (max_lease, now) = (self.limits.max_lease, self.now);
         let Some(job) = self.jobs.get_mut(&task.job) else {
@@ -352,7 +371,9 @@
         let worker = assigned.phase.worker.clone();
         let checkpoint = assigned.checkpoint.clone();
         // A late report may have shown since the assignment that an earlier run failed.
-        if job.life.goal().is_some() || job.is_exhausted(&task) {
+        let is_unwanted =
+            job.life.goal().is_some() || job.is_exhausted(&task) || job.has_lost_members(&task);
+        if is_unwanted {
             self.withdraw_start(&worker, task, run);
             return;
         }
--- a/crates/core/tests/jobs/strays.rs
+++ b/crates/core/tests/jobs/strays.rs
@@ -121,6 +121,24 @@
     assert_eq!(harness.stops, [start]);
 }
 
+/// Guards against a start on a worker that is known to be silent, which may take effect late: the
+/// worker fell silent while the run was being stored.
+#[test]
+fn a_start_is_not_sent_to_a_worker_that_fell_silent_before_it_was_stored() {
+    let mut harness = SchedulerHarness::open(1);
+    harness.accept(1, vec![step(1)]);
+    harness.wait(20);
+    harness.step();
+    harness.scheduler.renewal_failed(&worker(0), harness.now);
+    harness.settle();
+    assert!(harness.starts.is_empty(), "{:?}", harness.starts);
+    harness.wait(100);
+    harness.report(0, RenewalReport::default());
+    harness.settle();
+    assert_eq!(harness.starts.remove(0).run, 2);
+    assert!(harness.stops.is_empty(), "the first start was never sent");
+}
+
 /// Guards against a crash that is blamed on one job alone: a run of another one, which the owner had
 /// given up, was starting on the worker as well.
 #[test]
@@ -142,3 +160,24 @@
     });
     assert_eq!(implications.collect::<Vec<_>>(), [Implication::Shared]);
 }
+
+/// Guards against members of a gang that are started although another one cannot be.
+#[test]
+fn no_member_of_a_gang_is_started_if_the_worker_of_one_fell_silent_before_it_was_stored() {
+    for silent in 0..2 {
+        let mut harness = SchedulerHarness::open(2);
+        let gang = StepSpec {
+            gang: true,
+            max_per_worker: 1,
+            ..step(2)
+        };
+        harness.accept(1, vec![gang]);
+        harness.wait(20);
+        harness.step();
+        harness
+            .scheduler
+            .renewal_failed(&worker(silent), harness.now);
+        harness.settle();
+        assert!(harness.starts.is_empty(), "{:?}", harness.starts);
+    }
+}
