Leave VMs in operation until their workers have reported to a new owner

What callers could see: maintenance ends a run at work.

Cause: a wave takes a VM for empty if no record names a run on its worker, also before the worker has reported to this owner. A run that the previous owner had given up is named by no record.

Change: a wave passes over a VM whose worker has not reported and may hold a lease; that takes a lease at most.

Evidence: `a_vm_is_not_maintained_before_its_worker_has_reported_to_a_new_owner` failed before and passes now; 116 tests of `jobs` pass.

--- a/crates/core/src/job/scheduler/waves.rs
+++ b/crates/core/src/job/scheduler/waves.rs
@@ -118,6 +118,9 @@
                 continue;
             }
             let worker = vm.worker.as_ref().and_then(|id| self.workers.get(id));
+            if worker.is_some_and(|worker| worker.is_unseen(now)) {
+                continue;
+            }
             if worker.is_none_or(Worker::is_empty) {
                 let is_off = self.is_off(&name);
                 // VMs that are off or evacuated carry no load that could suffer.
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -368,4 +368,10 @@
     pub fn is_empty(&self) -> bool {
         self.charges.is_empty()
     }
+
+    /// True if the worker may have runs that no record names: it has not reported to this owner, and
+    /// its lease may be in force.
+    pub fn is_unseen(&self, now: ClockTime) -> bool {
+        self.seen_at.is_none() && now <= self.lease.latest_expiry()
+    }
 }
--- a/crates/core/tests/jobs/strays.rs
+++ b/crates/core/tests/jobs/strays.rs
@@ -1,11 +1,14 @@
 //! Runs and reports that come late: what the owner concludes from them, and where it sends orders.
 
-use jacinthhoist_core::job::{
-    AnyTask, Effect, Implication, JobId, OrderReply, RenewalReport, SchedulerDecision, StartReply,
-    StepSpec,
+use jacinthhoist_core::{
+    VmName,
+    job::{
+        AnyTask, Effect, Implication, JobId, OrderReply, RenewalReport, SchedulerDecision,
+        StartReply, StepSpec, VmState, WaveRequest,
+    },
 };
 
-use crate::harness::{RunOrder, SchedulerHarness, key, spec, step, worker};
+use crate::harness::{RunOrder, SchedulerHarness, entry, key, ms, spec, step, vm, worker};
 
 fn fall_silent(harness: &mut SchedulerHarness, number: usize) {
     harness
@@ -139,6 +142,39 @@
     assert!(harness.stops.is_empty(), "the first start was never sent");
 }
 
+/// Guards against maintenance of a VM under a run at work: the worker has not reported to the new owner,
+/// and no record names the run.
+#[test]
+fn a_vm_is_not_maintained_before_its_worker_has_reported_to_a_new_owner() {
+    let mut harness = SchedulerHarness::open(1);
+    let speculative = StepSpec {
+        speculative: true,
+        need: entry("mould").capacity,
+        ..step(1)
+    };
+    let spec = spec(vec![speculative.clone()], harness.now);
+    harness.accept(1, vec![speculative]);
+    harness.settle();
+    harness.confirm();
+    fall_silent(&mut harness, 0);
+    let mut next = harness.take_over(&[(JobId(1), spec)], 1);
+    let wave = WaveRequest {
+        number: 1,
+        vms: [VmName::new("m-0")].into_iter().collect(),
+        within: ms(20_000),
+        cap: 1,
+    };
+    next.scheduler.request_wave(wave, next.now);
+    for _ in 0..4 {
+        next.wait(500);
+        let vms = vec![vm(0, "mould", VmState::Up)];
+        next.scheduler.vms_listed(vms, next.now, next.now);
+        next.step();
+    }
+    let maintained = |order: &Effect| matches!(order, Effect::Maintain { .. });
+    assert!(!next.orders.iter().any(maintained), "{:?}", next.orders);
+}
+
 /// Guards against a crash that is blamed on one job alone: a run of another one, which the owner had
 /// given up, was starting on the worker as well.
 #[test]
