Keep the age of a run that its task adopts

What callers could see: a sound job is blamed alone for a crash of its worker, after the worker was silent for a moment.

Cause: an adopted run counted as begun when it was reported again, so it was implicated in a crash within the next 0.3 s however long it had lasted; the same time entered the mean duration of its kind of work and the estimate of its rest.

Change: the charge keeps the time by which the run is known to have begun, and the task takes it over.

Evidence: `an_adopted_run_is_as_old_as_before` failed before (`Alone`) and passes now; 117 tests of `jobs` pass.

--- a/crates/core/src/job/charge.rs
+++ b/crates/core/src/job/charge.rs
@@ -219,4 +219,12 @@
             stray => stray,
         }
     }
+
+    /// Returns the run to its task.
+    pub fn adopted(self) -> Self {
+        match self {
+            Self::Stray(charge) => Self::Held(charge.adopt()),
+            held => held,
+        }
+    }
 }
--- a/crates/core/src/job/scheduler/strays.rs
+++ b/crates/core/src/job/scheduler/strays.rs
@@ -46,14 +46,11 @@
         if !is_wanted || !is_alone || task.run != run || task.failed_runs.contains(run) {
             return false;
         }
-        let (resumed, cost) = (
-            task.clone().resume(id.clone(), now),
-            RunCost::of(job.step(&key)),
-        );
+        let begun_at = worker.adopt_run(key, run, RunCost::of(job.step(&key)), now);
+        let resumed = task.clone().resume(id.clone(), begun_at, now);
         if let Some(slot) = job.task_mut(&key) {
             *slot = AnyTask::Running(resumed);
         }
-        worker.charge(key, run, cost);
         self.outbox.mark_changed(key.job);
         self.log_decision(SchedulerDecision::RunAdopted {
             task: key,
--- a/crates/core/src/job/task.rs
+++ b/crates/core/src/job/task.rs
@@ -187,10 +187,15 @@
         self.place(worker, StartOrderState::Queued, now)
     }
 
-    /// Returns the last run to the task, which its worker reports as in progress.
-    pub fn resume(self, worker: WorkerId, now: ClockTime) -> TaskRun<Running> {
-        self.place(worker, StartOrderState::Inherited, now)
-            .confirm(now)
+    /// Returns the last run to the task, which its worker reports as in progress; it is known to have
+    /// begun by `begun_at`.
+    pub fn resume(self, worker: WorkerId, begun_at: ClockTime, now: ClockTime) -> TaskRun<Running> {
+        self.with_phase(Running {
+            worker,
+            since: begun_at,
+            percent: 0,
+            progressed_at: now,
+        })
     }
 
     /// Adopts a run that an earlier owner recorded for a worker.
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -341,6 +341,28 @@
         }
     }
 
+    /// Returns a run that was given up to its task; returns the time by which it is known to have begun.
+    pub fn adopt_run(
+        &mut self,
+        task: TaskKey,
+        run: u32,
+        cost: RunCost,
+        now: ClockTime,
+    ) -> ClockTime {
+        let begun_at = match self.charges.get_mut(&(task, run)) {
+            Some(charge) => {
+                *charge = charge.adopted();
+                charge.begun_at()
+            }
+            None => {
+                self.charge(task, run, cost);
+                None
+            }
+        };
+        self.begin_run(task, run, now);
+        begun_at.unwrap_or(now)
+    }
+
     /// Returns a run that belongs to no task.
     pub fn stray_mut(&mut self, task: TaskKey, run: u32) -> Option<&mut RunCharge<Stray>> {
         match self.charges.get_mut(&(task, run)) {
--- a/crates/core/tests/jobs/strays.rs
+++ b/crates/core/tests/jobs/strays.rs
@@ -217,3 +217,29 @@
         assert!(harness.starts.is_empty(), "{:?}", harness.starts);
     }
 }
+
+/// Guards against a crash that is blamed on a run which had outlived its start: its worker was silent for
+/// a moment, so that the run was given up and adopted.
+#[test]
+fn an_adopted_run_is_as_old_as_before() {
+    let mut harness = SchedulerHarness::open(1);
+    let speculative = StepSpec {
+        speculative: true,
+        ..step(1)
+    };
+    harness.accept(1, vec![speculative]);
+    harness.settle();
+    let starts = harness.confirm();
+    harness.wait(1_000);
+    harness.report_part(0, &starts, 20);
+    fall_silent(&mut harness, 0);
+    harness.report_part(0, &starts, 30);
+    harness.settle();
+    harness.scheduler.renewal_failed(&worker(0), harness.now);
+    let effects = harness.scheduler.step(harness.now);
+    let implications = effects.iter().filter_map(|effect| match effect {
+        Effect::Log(SchedulerDecision::RunInDoubt { implication, .. }) => Some(*implication),
+        _ => None,
+    });
+    assert_eq!(implications.collect::<Vec<_>>(), [Implication::None]);
+}
