Stop unanswered starts when their worker answers after its lease has lapsed

What callers could see: a task that runs twice at once, or beside more of its step than its worker may hold.

Cause: a start order without an answer was forgotten when the lease of its silent worker lapsed. An order may be carried out seconds late; where the worker judges it by its present lease (as our emulator does; the fake platform judges by the deadline in the order), a lease that is granted anew lets it begin.

Change: such orders are kept beside the worker, and charged to it as stray runs when it answers, so that they are stopped and take their place until then. They do not hold up the removal of the worker or orders on its VM. Not covered: a worker that was dropped meanwhile and is listed again, and an order that arrives between the renewal of the lease and the stop.

Evidence: `an_unanswered_start_is_stopped_when_its_worker_answers_after_its_lease_has_lapsed` failed before and passes now; 118 tests of `jobs` pass.

--- a/crates/core/src/job/scheduler/leases.rs
+++ b/crates/core/src/job/scheduler/leases.rs
@@ -116,6 +116,9 @@
         for id in expired {
             let runs = self.workers.get(&id).map(Worker::runs).unwrap_or_default();
             self.record_losses(&id, &runs);
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.lapse();
+            }
             self.mark_all_runs_lost(&id, LossReason::LeaseLapsed);
         }
         self.release_speculative();
--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -94,6 +94,7 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
+        worker.charge_lapsed_starts();
         worker.incarnation = report.incarnation;
         worker.lease.read(report.clock, now);
         worker.seen_at = Some(asked_at);
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -167,6 +167,9 @@
     pub used: Resources,
     /// Runs that may be in progress on the worker, whether their tasks refer to them or not.
     pub charges: BTreeMap<(TaskKey, u32), AnyCharge>,
+    /// Start orders without an answer whose lease has lapsed. They may be carried out once the worker has
+    /// a lease again.
+    lapsed_starts: SmallVec<[(TaskKey, u32, RunCost); 2]>,
     /// Time since which no run can be in progress on the worker.
     pub empty_since: ClockTime,
     /// Number of runs that serve their own users.
@@ -209,6 +212,7 @@
             silent_since: None,
             used: Resources::default(),
             charges: BTreeMap::new(),
+            lapsed_starts: SmallVec::new(),
             empty_since: lease.since,
             serving_runs: 0,
             best_effort_runs: 0,
@@ -363,6 +367,27 @@
         begun_at.unwrap_or(now)
     }
 
+    /// Records that the lease has lapsed: no run is in progress, and none can begin without a new lease.
+    pub fn lapse(&mut self) {
+        if self.seen_at.is_none() {
+            // Orders of earlier owners are void once the worker answers.
+            return;
+        }
+        let unanswered = self.charges.iter().filter_map(|((task, run), charge)| {
+            let cost = charge.cost().filter(|_| charge.begun_at().is_none())?;
+            Some((*task, *run, cost))
+        });
+        self.lapsed_starts.extend(unanswered);
+    }
+
+    /// Charges the start orders that may be carried out now that the worker answers.
+    pub fn charge_lapsed_starts(&mut self) {
+        for (task, run, cost) in std::mem::take(&mut self.lapsed_starts) {
+            self.charge(task, run, cost);
+            self.give_up_run(task, run);
+        }
+    }
+
     /// Returns a run that belongs to no task.
     pub fn stray_mut(&mut self, task: TaskKey, run: u32) -> Option<&mut RunCharge<Stray>> {
         match self.charges.get_mut(&(task, run)) {
--- a/crates/core/tests/jobs/strays.rs
+++ b/crates/core/tests/jobs/strays.rs
@@ -142,6 +142,23 @@
     assert!(harness.stops.is_empty(), "the first start was never sent");
 }
 
+/// Guards against a run beside another one of its task: a start without an answer is carried out after
+/// the lease of its silent worker has lapsed and been granted anew.
+#[test]
+fn an_unanswered_start_is_stopped_when_its_worker_answers_after_its_lease_has_lapsed() {
+    let mut harness = SchedulerHarness::open(1);
+    harness.accept(1, vec![step(1)]);
+    harness.settle();
+    let start = harness.starts.remove(0);
+    harness.reply(&start, StartReply::Unknown);
+    fall_silent(&mut harness, 0);
+    harness.wait(10_000);
+    harness.settle();
+    harness.report(0, RenewalReport::default());
+    harness.step();
+    assert_eq!(harness.stops, [start]);
+}
+
 /// Guards against maintenance of a VM under a run at work: the worker has not reported to the new owner,
 /// and no record names the run.
 #[test]
