--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -84,12 +84,17 @@
         };
         let settles_orders = worker.awaits_report;
         let restarted = worker.incarnation.is_some() && worker.incarnation != report.incarnation;
+        // Responses may overtake each other, so this one may be of an earlier process.
+        if restarted && worker.seen_at.is_some_and(|seen_at| asked_at < seen_at) {
+            return;
+        }
         if restarted {
             self.reset_restarted(id, &report);
         }
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
+        worker.charge_lapsed_starts();
         worker.incarnation = report.incarnation;
         worker.lease.read(report.clock, now);
         worker.seen_at = Some(asked_at);
