Keep the skew of clocks out of the lease expiry that is stored again

Cause: an owner that a silent worker answered once converted the expiry stored by an earlier owner to its own clock, which adds 2.5 s for the difference of clocks, and stored the result when the worker fell silent again, although it had not extended the lease. The owner after it added 2.5 s more. The first lease period of an owner that had read the worker's clock also began anew at each takeover.

Change: the stored time is the latest of the deadlines that this owner has sent, on its clock, and of the expiry that it has read, as it was stored. Each of them has passed on the clock of one member at the latest, so a later owner adds the skew once. Within an owner the bounds are the same as before.

Evidence: a_stored_expiry_stays_as_it_is_while_no_owner_extends_the_lease failed before (1007730 instead of 1006410 after the first takeover) and passes; it also checks that nothing is released before the skew has passed.

--- a/crates/core/src/job/lease.rs
+++ b/crates/core/src/job/lease.rs
@@ -14,7 +14,7 @@
 const EXPIRY_MARGIN: ClockTime = ClockTime::from_millis(100);
 
 /// Maximum difference between the wall clocks of two members, added to times stored by another
-/// member so that they are never early.
+/// member so that they are never early. It is not part of the times that are stored again.
 const MAX_CLOCK_SKEW: ClockTime = ClockTime::from_millis(2_500);
 
 /// Lease of a worker whose clock has not been read; another member may have just renewed it.
@@ -31,21 +31,29 @@
 impl UnknownLease {
     /// Latest time at which a lease granted by another member expires.
     pub fn latest_expiry(&self) -> ClockTime {
-        let latest = self.since + with_clock_drift(self.max_span) + EXPIRY_MARGIN;
-        match self.stored_expiry {
-            Some(expiry) => latest.min(expiry + MAX_CLOCK_SKEW),
-            None => latest,
-        }
+        let latest = self.longest_expiry();
+        self.stored_expiry
+            .map_or(latest, |expiry| latest.min(expiry + MAX_CLOCK_SKEW))
+    }
+
+    /// Time by which the lease has expired on the clock of at least one member.
+    pub fn storable_expiry(&self) -> ClockTime {
+        let latest = self.longest_expiry();
+        self.stored_expiry
+            .map_or(latest, |expiry| latest.min(expiry))
+    }
+
+    fn longest_expiry(&self) -> ClockTime {
+        self.since + with_clock_drift(self.max_span) + EXPIRY_MARGIN
     }
 
     /// Converts the lease on the first reading of the worker's clock.
     pub fn into_held(self, worker_clock: u64, now: ClockTime) -> HeldLease {
-        let earlier_expiry = self.latest_expiry();
         HeldLease {
             worker_clock,
             read_at: now,
-            deadline: worker_clock,
-            earlier_expiry,
+            deadline: None,
+            earlier: self,
         }
     }
 }
@@ -57,10 +65,10 @@
     worker_clock: u64,
     /// Local time of that reading.
     read_at: ClockTime,
-    /// Latest deadline sent to the worker, on the worker's clock.
-    deadline: u64,
-    /// Latest time at which a lease granted before the first reading expires.
-    earlier_expiry: ClockTime,
+    /// Latest deadline sent to the worker, on the worker's clock; none before the first.
+    deadline: Option<u64>,
+    /// Lease granted before the first reading.
+    earlier: UnknownLease,
 }
 
 impl HeldLease {
@@ -74,14 +82,26 @@
     pub fn extend(&mut self, span: ClockTime, now: ClockTime) -> u64 {
         let since_reading = (now - self.read_at + span).as_millis();
         let deadline = self.worker_clock.saturating_add(since_reading);
-        self.deadline = self.deadline.max(deadline);
+        self.deadline = self.deadline.max(Some(deadline));
         deadline
     }
 
     /// Latest time at which the lease expires, unless it is extended.
     pub fn latest_expiry(&self) -> ClockTime {
-        let remaining = ClockTime::from_millis(self.deadline.saturating_sub(self.worker_clock));
-        (self.read_at + with_clock_drift(remaining) + EXPIRY_MARGIN).max(self.earlier_expiry)
+        self.granted_expiry().max(self.earlier.latest_expiry())
+    }
+
+    /// Time by which the lease has expired on the clock of at least one member, unless it is extended.
+    pub fn storable_expiry(&self) -> ClockTime {
+        self.granted_expiry().max(self.earlier.storable_expiry())
+    }
+
+    /// Latest time at which the deadline sent by this member is reached; zero before the first.
+    fn granted_expiry(&self) -> ClockTime {
+        self.deadline.map_or(ClockTime::ZERO, |deadline| {
+            let remaining = ClockTime::from_millis(deadline.saturating_sub(self.worker_clock));
+            self.read_at + with_clock_drift(remaining) + EXPIRY_MARGIN
+        })
     }
 }
 
@@ -119,6 +139,15 @@
             Self::Held(lease) => lease.latest_expiry(),
         }
     }
+
+    /// Expiry to be stored for later owners: each of the leases that count has expired by then on the
+    /// clock of the member that granted or bounded it. A later owner adds the skew of the clocks, once.
+    pub fn storable_expiry(&self) -> ClockTime {
+        match self {
+            Self::Unknown(lease) => lease.storable_expiry(),
+            Self::Held(lease) => lease.storable_expiry(),
+        }
+    }
 }
 
 fn with_clock_drift(span: ClockTime) -> ClockTime {
--- a/crates/core/src/job/scheduler/leases.rs
+++ b/crates/core/src/job/scheduler/leases.rs
@@ -66,7 +66,7 @@
             worker.silent_since = Some(now);
             if !worker.is_empty() && !worker.expiry_stored {
                 worker.expiry_stored = true;
-                let expiry = Some(worker.lease.latest_expiry());
+                let expiry = Some(worker.lease.storable_expiry());
                 self.outbox
                     .push(BatchRecord::LeaseExpiry(id.clone(), expiry));
             }
--- /dev/null
+++ b/crates/core/tests/jobs/leases.rs
@@ -0,0 +1,88 @@
+//! Tests of stored lease expiries over changes of the owner.
+
+use std::sync::Arc;
+
+use crate::harness::{RunOrder, SchedulerHarness, long_running_step, ms, number_of};
+use jacinthhoist_core::{
+    ClockTime,
+    job::{JobId, JobSpec, RenewalReport},
+};
+
+const WORKERS: usize = 2;
+
+struct OwnerChain {
+    owner: SchedulerHarness,
+    jobs: [(JobId, Arc<JobSpec>); 1],
+    start: RunOrder,
+}
+
+impl OwnerChain {
+    /// Creates an owner with one long-running task whose worker has been granted a lease.
+    fn open() -> Self {
+        let mut owner = SchedulerHarness::open(WORKERS);
+        let spec = owner.accept(1, vec![long_running_step(1, 0)]);
+        owner.settle();
+        let start = owner.confirm().remove(0);
+        owner.report_all(std::slice::from_ref(&start), WORKERS, 100);
+        let plan = owner.scheduler.plan_renewal(&start.worker, owner.now);
+        assert!(plan.unwrap().lease_until.is_some());
+        Self {
+            owner,
+            jobs: [(JobId(1), spec)],
+            start,
+        }
+    }
+
+    fn fall_silent(&mut self) {
+        let owner = &mut self.owner;
+        owner
+            .scheduler
+            .renewal_failed(&self.start.worker, owner.now);
+    }
+
+    /// The worker reports its run.
+    fn answer(&mut self) {
+        let starts = std::slice::from_ref(&self.start);
+        self.owner
+            .report_part(number_of(&self.start.worker), starts, 100);
+    }
+
+    fn take_over(&mut self) {
+        self.owner = self.owner.take_over(&self.jobs, WORKERS);
+    }
+
+    fn stored_expiry(&self) -> Option<ClockTime> {
+        self.owner.lease_expiries.get(&self.start.worker).copied()
+    }
+
+    /// Starts the task on the other worker, if its old run is released now.
+    fn starts(&mut self) -> usize {
+        let other = 1 - number_of(&self.start.worker);
+        self.owner.report(other, RenewalReport::default());
+        self.owner.settle();
+        self.owner.starts.len()
+    }
+}
+
+/// Guards against a task that waits ever longer for a worker that is gone: each owner that the worker
+/// answered once added the skew of the clocks to the expiry of the lease that it had not extended.
+#[test]
+fn a_stored_expiry_stays_as_it_is_while_no_owner_extends_the_lease() {
+    let mut chain = OwnerChain::open();
+    chain.fall_silent();
+    chain.owner.settle();
+    let expiry = chain.stored_expiry().expect("the expiry is stored");
+    for takeover in 1..=3 {
+        chain.owner.wait(1_200);
+        chain.take_over();
+        chain.answer();
+        chain.owner.settle();
+        chain.fall_silent();
+        chain.owner.settle();
+        assert_eq!(chain.stored_expiry(), Some(expiry), "takeover {takeover}");
+    }
+    chain.owner.now = chain.owner.now.max(expiry + ms(2_200));
+    assert_eq!(chain.starts(), 0, "the clocks may differ by more");
+    chain.owner.now = chain.owner.now.max(expiry + ms(2_600));
+    assert_eq!(chain.starts(), 1);
+}
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -4,6 +4,7 @@
 mod extremes;
 mod fleet;
 mod harness;
+mod leases;
 mod placing;
 mod probation;
 mod waves;
