Keep the stored expiry of a worker that answers only once

What callers saw: nothing of its own; a task on a worker that was gone waited longer after the next change of the owner.

Cause: a report of a silent worker has its stored lease expiry cleared. A worker that fell silent again before the batch with the removal was stored kept the mark that a record exists, so none was written, and the next owner waited for a whole lease period from its takeover.

Change: the changes of lease expiries are kept by worker until the next batch, which holds the last one only; a worker that falls silent with runs always stores its expiry. Repeated reports no longer repeat the removal in one batch.

Evidence: the_expiry_of_a_worker_that_answers_only_once_remains_stored failed before (no record) and passes.

--- a/crates/core/src/job/scheduler/batch.rs
+++ b/crates/core/src/job/scheduler/batch.rs
@@ -178,6 +178,8 @@
     starts: Vec<(TaskKey, u32)>,
     ends: BTreeMap<JobId, JobState>,
     records: Vec<BatchRecord>,
+    /// Lease expiries to store or, if `None`, to clear.
+    expiries: BTreeMap<WorkerId, Option<ClockTime>>,
     in_flight: Option<BatchInFlight>,
     last_number: u64,
     flushed_at: ClockTime,
@@ -214,8 +216,14 @@
         self.records.push(record);
     }
 
+    /// Stores or clears the lease expiry of a worker with the next batch, which holds only the last
+    /// change of each worker.
+    pub(super) fn set_expiry(&mut self, worker: &WorkerId, expiry: Option<ClockTime>) {
+        self.expiries.insert(worker.clone(), expiry);
+    }
+
     fn is_empty(&self) -> bool {
-        self.changed.is_empty() && self.records.is_empty()
+        self.changed.is_empty() && self.records.is_empty() && self.expiries.is_empty()
     }
 }
 
@@ -239,11 +247,12 @@
     fn take_batch(&mut self) -> Batch {
         let mut in_flight = BatchInFlight::default();
         let mut records = std::mem::take(&mut self.outbox.records);
-        let expiry_cleared = records.iter().filter_map(|record| match record {
-            BatchRecord::LeaseExpiry(worker, None) => Some(worker.clone()),
-            _ => None,
-        });
-        in_flight.expiry_cleared = expiry_cleared.collect();
+        for (worker, expiry) in std::mem::take(&mut self.outbox.expiries) {
+            if expiry.is_none() {
+                in_flight.expiry_cleared.push(worker.clone());
+            }
+            records.push(BatchRecord::LeaseExpiry(worker, expiry));
+        }
         let changed: Vec<JobId> = self
             .outbox
             .changed
--- a/crates/core/src/job/scheduler/leases.rs
+++ b/crates/core/src/job/scheduler/leases.rs
@@ -12,7 +12,7 @@
     name::{DataCentre, PoolName, WorkerId},
 };
 
-use super::{BatchRecord, LossReason, Scheduler, WorkerChange, reports::worker_changed};
+use super::{LossReason, Scheduler, WorkerChange, reports::worker_changed};
 
 /// Parameters of the next lease renewal of a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -64,11 +64,11 @@
         };
         if worker.silent_since.is_none() {
             worker.silent_since = Some(now);
-            if !worker.is_empty() && !worker.expiry_stored {
+            // A record that is already there may be about to be cleared.
+            if !worker.is_empty() {
                 worker.expiry_stored = true;
-                let expiry = Some(worker.lease.storable_expiry());
-                self.outbox
-                    .push(BatchRecord::LeaseExpiry(id.clone(), expiry));
+                let expiry = worker.lease.storable_expiry();
+                self.outbox.set_expiry(id, Some(expiry));
             }
             self.log_worker_change(id, WorkerChange::Silent);
             let runs = self.workers.get(id).map(Worker::runs).unwrap_or_default();
@@ -123,7 +123,7 @@
             if let Some(worker) = self.workers.remove(&id) {
                 self.worker_list_version += 1;
                 if worker.expiry_stored {
-                    self.outbox.push(BatchRecord::LeaseExpiry(id.clone(), None));
+                    self.outbox.set_expiry(&id, None);
                 }
                 self.log_decision(worker_changed(&worker, WorkerChange::Gone));
             }
--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -15,7 +15,7 @@
     name::WorkerId,
 };
 
-use super::{BatchRecord, LossReason, Scheduler, SchedulerDecision, WorkerChange};
+use super::{LossReason, Scheduler, SchedulerDecision, WorkerChange};
 
 impl Scheduler {
     /// Updates the workers from a complete list; known workers that are not in it are marked as
@@ -95,7 +95,7 @@
         worker.seen_at = Some(asked_at);
         worker.silent_since = None;
         if worker.expiry_stored {
-            self.outbox.push(BatchRecord::LeaseExpiry(id.clone(), None));
+            self.outbox.set_expiry(id, None);
         }
         if let Some(change) = change {
             self.log_worker_change(id, change);
--- a/crates/core/tests/jobs/leases.rs
+++ b/crates/core/tests/jobs/leases.rs
@@ -86,3 +86,25 @@
     chain.owner.now = chain.owner.now.max(expiry + ms(2_600));
     assert_eq!(chain.starts(), 1);
 }
+
+/// Guards against a lost record: a worker that fell silent again before the removal of its stored expiry
+/// was stored had none from then on, and the next owner waited for a whole lease.
+#[test]
+fn the_expiry_of_a_worker_that_answers_only_once_remains_stored() {
+    let mut chain = OwnerChain::open();
+    chain.fall_silent();
+    chain.owner.settle();
+    let expiry = chain.stored_expiry().expect("the expiry is stored");
+    chain.answer();
+    chain.fall_silent();
+    chain.owner.settle();
+    assert!(chain.stored_expiry().is_some_and(|at| at <= expiry));
+    // The same while the removal is being stored.
+    chain.answer();
+    chain.owner.wait(20);
+    chain.owner.step();
+    chain.fall_silent();
+    chain.owner.store();
+    chain.owner.settle();
+    assert!(chain.stored_expiry().is_some_and(|at| at <= expiry));
+}
