Send no start order that extends a lease whose expiry is stored

What callers saw: nothing seen; found by reading. Two runs of a task could be in progress after a change of the owner.

Cause: a start order is sent once its record is stored, and extends the worker's lease. If the worker had fallen silent meanwhile, its expiry had been computed without that order, and a later owner releases the runs of the worker by the stored expiry. Renewals had the check, start orders had not.

Change: such a start is withdrawn, like one that is no longer wanted, and the task is placed again at once; both callers ask Worker::is_extendable. So are starts on workers that are not known any more.

Evidence: no_start_order_is_sent_while_the_expiry_of_the_lease_is_stored failed before (the order went to the silent worker) and passes.

--- a/crates/core/src/job/scheduler/batch.rs
+++ b/crates/core/src/job/scheduler/batch.rs
@@ -15,6 +15,7 @@
         spec::{JobId, JobState, TaskKey},
         task::{AnyTask, FailedRuns, StartOrderState, TaskRun},
         wave::WaveProgress,
+        worker::Worker,
     },
     name::{PoolName, WorkerId},
 };
@@ -360,8 +361,10 @@
         assigned.phase.order = StartOrderState::Pending;
         let worker = assigned.phase.worker.clone();
         let checkpoint = assigned.checkpoint.clone();
+        let known = self.workers.get(&worker);
+        let is_extendable = known.is_some_and(Worker::is_extendable);
         // A late report may have shown since the assignment that an earlier run failed.
-        if job.life.goal().is_some() || job.is_exhausted(&task) {
+        if job.life.goal().is_some() || job.is_exhausted(&task) || !is_extendable {
             self.withdraw_start(&worker, task, run);
             return;
         }
--- a/crates/core/src/job/scheduler/leases.rs
+++ b/crates/core/src/job/scheduler/leases.rs
@@ -43,10 +43,10 @@
         let max_lease = self.limits.max_lease;
         let worker = self.workers.get_mut(id)?;
         let silent = worker.silent_since.is_some();
-        let lease_until = if silent || worker.expiry_stored {
-            None
-        } else {
+        let lease_until = if worker.is_extendable() {
             worker.lease.extend(max_lease, now)
+        } else {
+            None
         };
         Some(RenewalPlan {
             ack: worker.end_stored,
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -300,6 +300,11 @@
         now < self.suspended_until
     }
 
+    /// True if the lease may be extended: the worker answers, and later owners rely on no stored expiry.
+    pub fn is_extendable(&self) -> bool {
+        self.silent_since.is_none() && !self.expiry_stored
+    }
+
     /// Charges a run to the worker's capacity.
     pub fn charge(&mut self, task: TaskKey, charge: TaskCharge) {
         self.discharge(&task, ClockTime::ZERO);
--- a/crates/core/tests/jobs/leases.rs
+++ b/crates/core/tests/jobs/leases.rs
@@ -2,10 +2,10 @@
 
 use std::sync::Arc;
 
-use crate::harness::{RunOrder, SchedulerHarness, long_running_step, ms, number_of};
+use crate::harness::{RunOrder, SchedulerHarness, key, long_running_step, ms, number_of, step};
 use jacinthhoist_core::{
     ClockTime,
-    job::{JobId, JobSpec, RenewalReport},
+    job::{AnyTask, JobId, JobSpec, RenewalReport},
 };
 
 const WORKERS: usize = 2;
@@ -108,3 +108,34 @@
     chain.owner.settle();
     assert!(chain.stored_expiry().is_some_and(|at| at <= expiry));
 }
+
+/// Guards against two runs of a task: a start order that waited for its record extended the lease of a
+/// worker whose expiry had been stored meanwhile, and the next owner released the runs by that record.
+#[test]
+fn no_start_order_is_sent_while_the_expiry_of_the_lease_is_stored() {
+    for answers in [false, true] {
+        let mut owner = SchedulerHarness::open(WORKERS);
+        owner.accept(1, vec![step(1)]);
+        owner.wait(20);
+        owner.step();
+        let placed = owner.task(key(1, 0, 0));
+        let (chosen, _) = placed.placed().expect("the task has a run");
+        let chosen = chosen.clone();
+        owner.scheduler.renewal_failed(&chosen, owner.now);
+        if answers {
+            owner.report(number_of(&chosen), RenewalReport::default());
+        }
+        // The batch that is stored now holds the run, and not yet the expiry or its removal.
+        owner.store();
+        assert_eq!(owner.starts, [], "answers: {answers}");
+        assert!(matches!(
+            owner.task(key(1, 0, 0)),
+            AnyTask::Assigned(_) | AnyTask::Waiting(_)
+        ));
+        owner.settle();
+        let starts = owner.confirm();
+        assert_eq!(starts.len(), 1, "answers: {answers}");
+        assert_eq!(starts[0].run, 2);
+        assert!(answers || starts[0].worker != chosen);
+    }
+}
