Count a job as begun only once a worker has shown a run of it

Cause: a job counted as begun as soon as a task that waits had a run number. After a takeover, runs that the old owner had stored, and whose start orders were never sent or never arrived, are released once their workers report without them: each of these jobs counted as begun. So did a job whose start had been refused.

Change: a job counts as begun once the reply to a start, a report or the end of a run has shown it. Later owners know it from a field in the job's progress, which is written with the next change of the job; no record is added and older records read as before (ends, failures and checkpoints show a start too). Cost: a job whose only runs began and were lost together with the owner's memory counts as waiting until it is started again.

--- a/crates/codec/tests/job.rs
+++ b/crates/codec/tests/job.rs
@@ -91,6 +91,7 @@
     };
     let crashed = JobProgress {
         crashes: BTreeMap::from([(key, history)]),
+        started: true,
         ..JobProgress::default()
     };
     let wave = WaveProgress {
--- a/crates/core/src/job/scheduler/batch.rs
+++ b/crates/core/src/job/scheduler/batch.rs
@@ -61,12 +61,17 @@
     /// Tasks whose runs were lost together with their workers.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub crashes: BTreeMap<TaskKey, CrashHistory>,
+    /// True if a run of some task was known to have started. A start alone is not stored: after a
+    /// takeover a job counts as waiting until a worker reports its run.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub started: bool,
 }
 
 impl JobProgress {
     fn of(job: &Job) -> Self {
         let mut progress = Self {
             crashes: job.crashes.clone(),
+            started: job.has_started(),
             ..Self::default()
         };
         for occurrence in &job.occurrences {
--- a/crates/core/src/job/scheduler/jobs.rs
+++ b/crates/core/src/job/scheduler/jobs.rs
@@ -73,6 +73,8 @@
     pub life: OpenLife,
     /// Terms currently in force.
     pub terms: JobTerms,
+    /// True if a run of some task is known to have started.
+    started: bool,
     /// True if a task or the life cycle has changed since the job was last reviewed.
     changed: bool,
     /// True if some task could start when the job was last reviewed.
@@ -89,16 +91,21 @@
         self.tasks().any(|(_, task)| task.run() > 0)
     }
 
-    /// Returns whether a run of any task is known to have started. A recorded run starts only once
-    /// its record is stored and its order has arrived.
+    /// Returns whether a run of any task is known to have started. The number of a run says nothing
+    /// about that: its start order may have been refused, lost or never sent.
     pub(super) fn has_started(&self) -> bool {
-        self.tasks().any(|(_, task)| match task {
-            AnyTask::Waiting(task) => task.run > 0,
-            AnyTask::Assigned(task) => task.run > 1,
-            AnyTask::Running(_)
-            | AnyTask::Stopping(_)
-            | AnyTask::Done { .. }
-            | AnyTask::Exhausted { .. } => true,
+        self.started
+    }
+
+    /// Records that a worker has started a run.
+    pub(super) fn record_start(&mut self) {
+        self.started = true;
+    }
+
+    /// Returns whether the records of the tasks show that a run has started.
+    fn shows_start(&self) -> bool {
+        self.tasks().any(|(_, task)| {
+            task.is_terminal() || task.failures() > 0 || task.checkpoint().is_some()
         })
     }
 
@@ -266,6 +273,7 @@
             }
         }
         self.crashes = progress.crashes.clone();
+        self.started = progress.started || self.shows_start();
     }
 }
 
@@ -392,6 +400,7 @@
             occurrences: occurrences.collect(),
             life: OpenLife::Queued(JobLife::open()),
             terms,
+            started: false,
             changed: true,
             has_startable: false,
             avoided_workers: SmallVec::new(),
--- a/crates/core/src/job/scheduler/orders.rs
+++ b/crates/core/src/job/scheduler/orders.rs
@@ -48,6 +48,9 @@
     ) {
         self.now = now;
         if reply == StartReply::Started {
+            if let Some(job) = self.jobs.get_mut(&key.job) {
+                job.record_start();
+            }
             self.record_begin(key, run);
         } else {
             self.log_decision(SchedulerDecision::StartRefused {
--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -172,6 +172,7 @@
         if job.task(&row.task).is_none() {
             return;
         }
+        job.record_start();
         let max_failures = job.max_failures(&row.task);
         let Some(slot) = job.task_mut(&row.task) else {
             return;
@@ -251,6 +252,9 @@
 
     fn apply_running(&mut self, id: &WorkerId, row: &ActiveRun) {
         let now = self.now;
+        if let Some(job) = self.jobs.get_mut(&row.task.job) {
+            job.record_start();
+        }
         let Some(slot) = self.assigned_slot(id, row.task, row.run) else {
             // The job has ended or been cancelled, or the run was superseded.
             self.send_stop(id, row.task, row.run);
