Stop no long-running task for a wave that has no place elsewhere

Change: an evacuation stops a long-running task only if another worker of the pool could take it now, or if all runs of the worker may stop at once, so that the VM is maintained and takes them back. Cost: an evacuation in a pool without room waits until the pool has grown.

--- a/crates/core/src/job/scheduler/waves.rs
+++ b/crates/core/src/job/scheduler/waves.rs
@@ -5,6 +5,7 @@
 use crate::{
     clock::ClockTime,
     job::{
+        place::{PlaceRequest, is_eligible},
         spec::TaskKey,
         task::{AnyTask, FULL_PERCENT},
         vm_order::VmOrder,
@@ -233,12 +234,13 @@
     }
 
     /// Stops runs on a worker that would hold up its evacuation, so that they resume elsewhere:
-    /// long-running tasks, as far as the availability limits of their steps allow, and tasks with
-    /// checkpoints that are not about to end.
+    /// long-running tasks, as far as the availability limits of their steps allow and another worker
+    /// has room, and tasks with checkpoints that are not about to end.
     fn move_runs(&mut self, id: &WorkerId) {
         let Some(worker) = self.workers.get(id) else {
             return;
         };
+        let can_empty = self.can_stop_all(worker);
         for (key, run) in worker.runs() {
             let Some(job) = self.jobs.get(&key.job) else {
                 continue;
@@ -249,6 +251,7 @@
             let step = job.step(&key);
             let should_move = if step.long_running {
                 self.can_stop_one(job, &key)
+                    && (can_empty || self.has_room_elsewhere(job, &key, id))
             } else {
                 let remaining = task.expected_remaining();
                 let is_long = remaining.is_some_and(|remaining| remaining > MAX_RUN_WAIT);
@@ -260,6 +263,40 @@
         }
     }
 
+    /// Returns whether a task could be placed on another worker of its pool now.
+    fn has_room_elsewhere(&self, job: &Job, key: &TaskKey, id: &WorkerId) -> bool {
+        let request = PlaceRequest {
+            task: *key,
+            step: job.step(key),
+            avoid: None,
+            preferred_rack: None,
+        };
+        let workers = self.workers.values();
+        let mut others =
+            workers.filter(|worker| worker.entry.pool == job.terms.pool && worker.id != *id);
+        let need = request.step.charged();
+        others.any(|worker| is_eligible(&request, worker, &need, self.now))
+    }
+
+    /// Returns whether all runs of a worker may be stopped at once, so that those without room elsewhere
+    /// wait only until its VM is back.
+    fn can_stop_all(&self, worker: &Worker) -> bool {
+        worker.finite_runs == 0
+            && worker.runs().iter().all(|(key, _)| {
+                let Some(job) = self.jobs.get(&key.job) else {
+                    return true;
+                };
+                let is_here =
+                    |task: &AnyTask| task.placed().is_some_and(|(id, _)| *id == worker.id);
+                let tasks = &job.occurrences[key.occurrence as usize].steps[usize::from(key.step)];
+                let away = tasks
+                    .iter()
+                    .filter(|task| is_here(task) || !self.is_available(task));
+                let max_unavailable = usize::from(job.step(key).may_miss);
+                max_unavailable == 0 || away.count() <= max_unavailable
+            })
+    }
+
     /// Returns whether one more task of a step may be stopped: fewer other tasks are unavailable
     /// than the step tolerates.
     pub(super) fn can_stop_one(&self, job: &Job, key: &TaskKey) -> bool {
--- a/crates/core/tests/jobs/waves.rs
+++ b/crates/core/tests/jobs/waves.rs
@@ -1,14 +1,16 @@
 //! Maintenance waves: caps, pace, evacuation, availability limits, and answers to orders on VMs.
 
+use std::collections::BTreeSet;
+
 use jacinthhoist_core::{
     ClockTime, VmName, WorkerId,
     job::{
-        Effect, OrderReply, RenewalReport, StepSpec, TaskEnd, VmEntry, VmState, WaveRequest,
-        WorkerEntry, WorkerState,
+        Effect, OrderReply, RenewalReport, StepSpec, TaskEnd, TaskKey, VmEntry, VmState,
+        WaveRequest, WorkerEntry, WorkerState,
     },
 };
 
-use super::harness::{SchedulerHarness, entry, long_running_step, ms, step, vm, worker};
+use super::harness::{RunOrder, SchedulerHarness, entry, long_running_step, ms, step, vm, worker};
 
 fn wave(vms: &[usize], cap: usize) -> WaveRequest {
     WaveRequest {
@@ -455,3 +457,60 @@
     list_vms_after(&mut harness, &[VmState::Up], 200);
     assert_eq!(maintained(&harness).len(), 1);
 }
+
+/// Opens an owner whose workers run a long-running step of `tasks` tasks, at most two a worker, and that
+/// has a wave for the first VM.
+fn wave_over_first_vm(workers: usize, tasks: u16) -> (SchedulerHarness, Vec<RunOrder>) {
+    let mut harness = SchedulerHarness::open(workers);
+    let service = StepSpec {
+        max_per_worker: 2,
+        ..long_running_step(tasks, 1)
+    };
+    harness.accept(1, vec![service]);
+    harness.settle();
+    let starts = harness.confirm();
+    assert_eq!(starts.len(), usize::from(tasks));
+    harness.scheduler.request_wave(wave(&[0], 1), harness.now);
+    (harness, starts)
+}
+
+/// Reports all runs in full operation and lists the VMs as up, a few times.
+fn observe_evacuation(harness: &mut SchedulerHarness, starts: &[RunOrder], workers: usize) {
+    for _ in 0..4 {
+        harness.report_all(starts, workers, 100);
+        list_vms_after(harness, &vec![VmState::Up; workers], 500);
+    }
+}
+
+/// Tasks that were ordered to stop on a worker; unanswered orders are repeated.
+fn stopped_on(harness: &SchedulerHarness, number: usize) -> BTreeSet<TaskKey> {
+    let stops = harness.stops.iter();
+    let stops = stops.filter(|stop| stop.worker == worker(number));
+    stops.map(|stop| stop.task).collect()
+}
+
+/// Guards against a long-running task that waits for a place (LOST): an evacuation stopped it although the
+/// only other worker of the pool had as many tasks of its step as it may, and the rest could not follow.
+#[test]
+fn an_evacuation_stops_no_long_running_task_that_has_no_place_elsewhere() {
+    let (mut harness, starts) = wave_over_first_vm(2, 4);
+    observe_evacuation(&mut harness, &starts, 2);
+    assert_eq!(cordoned(&harness), [worker(0)]);
+    assert_eq!(harness.stops, []);
+    harness.list_workers(3);
+    observe_evacuation(&mut harness, &starts, 3);
+    assert_eq!(stopped_on(&harness, 0).len(), 1, "a new worker has room");
+}
+
+/// Guards against a wave that never ends in a pool without room: a run that is the last on its VM moves
+/// although it has to wait until the VM is back.
+#[test]
+fn a_vm_is_maintained_although_its_only_run_has_no_place_elsewhere() {
+    let (mut harness, starts) = wave_over_first_vm(1, 1);
+    observe_evacuation(&mut harness, &starts, 1);
+    assert_eq!(stopped_on(&harness, 0).len(), 1);
+    harness.end(&starts[0], TaskEnd::Stopped);
+    harness.settle();
+    list_vms_after(&mut harness, &[VmState::Up], 500);
+    assert!(maintained(&harness).contains(&VmName::new("m-0")));
+}
