--- a/crates/core/src/job/scheduler/waves.rs
+++ b/crates/core/src/job/scheduler/waves.rs
@@ -5,6 +5,7 @@
 use crate::{
     clock::ClockTime,
     job::{
+        charge::AnyCharge,
         place::{PlaceRequest, is_eligible},
         spec::TaskKey,
         task::{AnyTask, FULL_PERCENT},
@@ -132,7 +133,7 @@
                 && !evacuating
             {
                 busy.push(BusyVm {
-                    has_only_short_tasks: self.count_long_running(worker) == 0,
+                    has_only_short_tasks: Self::count_long_running(worker) == 0,
                     used_cpu: worker.used.cpu,
                     name,
                 });
@@ -218,19 +219,16 @@
             vm: vm.clone(),
             wave,
             worker: worker.map(|worker| worker.id.clone()),
-            runs: worker.map_or(0, |worker| worker.tasks.len()),
-            long_running: worker.map_or(0, |worker| self.count_long_running(worker)),
+            runs: worker.map_or(0, |worker| worker.charges.len()),
+            long_running: worker.map_or(0, Self::count_long_running),
         };
         self.log_decision(decision);
     }
 
     /// Counts the runs of a worker that last until they are stopped.
-    fn count_long_running(&self, worker: &Worker) -> usize {
-        let is_long_running = |key: &&TaskKey| {
-            let job = self.jobs.get(&key.job);
-            job.is_some_and(|job| job.step(key).long_running)
-        };
-        worker.tasks.keys().filter(is_long_running).count()
+    fn count_long_running(worker: &Worker) -> usize {
+        let costs = worker.charges.values().filter_map(AnyCharge::cost);
+        costs.filter(|cost| cost.long_running).count()
     }
 
     /// Stops runs on a worker that would hold up its evacuation, so that they resume elsewhere:
@@ -281,20 +279,23 @@
     /// Returns whether all runs of a worker may be stopped at once, so that those without room elsewhere
     /// wait only until its VM is back.
     fn can_stop_all(&self, worker: &Worker) -> bool {
-        worker.finite_runs == 0
-            && worker.runs().iter().all(|(key, _)| {
-                let Some(job) = self.jobs.get(&key.job) else {
-                    return true;
-                };
-                let is_here =
-                    |task: &AnyTask| task.placed().is_some_and(|(id, _)| *id == worker.id);
-                let tasks = &job.occurrences[key.occurrence as usize].steps[usize::from(key.step)];
-                let away = tasks
-                    .iter()
-                    .filter(|task| is_here(task) || !self.is_available(task));
-                let max_unavailable = usize::from(job.step(key).may_miss);
-                max_unavailable == 0 || away.count() <= max_unavailable
-            })
+        let runs = worker.runs();
+        let mut known = runs.iter().filter_map(|(key, _)| {
+            let job = self.jobs.get(&key.job)?;
+            // A report may have named a task that the job does not have.
+            job.task(key).map(|_| (job, key))
+        });
+        worker.finite_runs == 0 && known.all(|(job, key)| self.can_stop_here(job, key, worker))
+    }
+
+    /// Returns whether all tasks of a step that are on a worker may be stopped at once.
+    fn can_stop_here(&self, job: &Job, key: &TaskKey, worker: &Worker) -> bool {
+        let max_unavailable = usize::from(job.step(key).may_miss);
+        let is_here = |task: &AnyTask| task.placed().is_some_and(|(id, _)| *id == worker.id);
+        let occurrence = &job.occurrences[key.occurrence as usize];
+        let tasks = occurrence.steps[usize::from(key.step)].iter();
+        let away = tasks.filter(|task| is_here(task) || !self.is_available(task));
+        max_unavailable == 0 || away.count() <= max_unavailable
     }
 
     /// Returns whether one more task of a step may be stopped: fewer other tasks are unavailable
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod harness;
 mod leases;
+mod occupancy;
 mod placing;
 mod probation;
 mod waves;
