--- a/crates/core/src/job/scheduler/batch.rs
+++ b/crates/core/src/job/scheduler/batch.rs
@@ -15,6 +15,7 @@
         spec::{JobId, JobState, TaskKey},
         task::{AnyTask, FailedRuns, StartOrderState, TaskRun},
         wave::WaveProgress,
+        worker::Worker,
     },
     name::{PoolName, WorkerId},
 };
@@ -60,12 +61,17 @@
     /// Tasks whose runs were lost together with their workers.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub crashes: BTreeMap<TaskKey, CrashHistory>,
+    /// True if a run of some task was known to have started. A start alone is not stored: after a
+    /// takeover a job counts as waiting until a worker reports its run.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub started: bool,
 }
 
 impl JobProgress {
     fn of(job: &Job) -> Self {
         let mut progress = Self {
             crashes: job.crashes.clone(),
+            started: job.has_started(),
             ..Self::default()
         };
         for occurrence in &job.occurrences {
@@ -178,6 +184,8 @@
     starts: Vec<(TaskKey, u32)>,
     ends: BTreeMap<JobId, JobState>,
     records: Vec<BatchRecord>,
+    /// Lease expiries to store or, if `None`, to clear.
+    expiries: BTreeMap<WorkerId, Option<ClockTime>>,
     in_flight: Option<BatchInFlight>,
     last_number: u64,
     flushed_at: ClockTime,
@@ -214,8 +222,14 @@
         self.records.push(record);
     }
 
+    /// Stores or clears the lease expiry of a worker with the next batch, which holds only the last
+    /// change of each worker.
+    pub(super) fn set_expiry(&mut self, worker: &WorkerId, expiry: Option<ClockTime>) {
+        self.expiries.insert(worker.clone(), expiry);
+    }
+
     fn is_empty(&self) -> bool {
-        self.changed.is_empty() && self.records.is_empty()
+        self.changed.is_empty() && self.records.is_empty() && self.expiries.is_empty()
     }
 }
 
@@ -239,11 +253,12 @@
     fn take_batch(&mut self) -> Batch {
         let mut in_flight = BatchInFlight::default();
         let mut records = std::mem::take(&mut self.outbox.records);
-        let expiry_cleared = records.iter().filter_map(|record| match record {
-            BatchRecord::LeaseExpiry(worker, None) => Some(worker.clone()),
-            _ => None,
-        });
-        in_flight.expiry_cleared = expiry_cleared.collect();
+        for (worker, expiry) in std::mem::take(&mut self.outbox.expiries) {
+            if expiry.is_none() {
+                in_flight.expiry_cleared.push(worker.clone());
+            }
+            records.push(BatchRecord::LeaseExpiry(worker, expiry));
+        }
         let changed: Vec<JobId> = self
             .outbox
             .changed
@@ -334,7 +349,7 @@
         }
         // First, so that no member of a gang is started without the others.
         for (task, run) in &batch.starts {
-            self.withdraw_silent(*task, *run);
+            self.withdraw_unsafe(*task, *run);
         }
         for (task, run) in batch.starts {
             self.send_start(task, run);
@@ -342,16 +357,16 @@
     }
 
     /// Withdraws a start order that was not sent if its worker has fallen silent, where it might be
-    /// carried out late.
-    fn withdraw_silent(&mut self, task: TaskKey, run: u32) {
+    /// carried out late, or if it would extend a lease whose expiry is stored.
+    fn withdraw_unsafe(&mut self, task: TaskKey, run: u32) {
         let job = self.jobs.get(&task.job);
         let Some(AnyTask::Assigned(assigned)) = job.and_then(|job| job.task(&task)) else {
             return;
         };
         let worker = assigned.phase.worker.clone();
         let known = self.workers.get(&worker);
-        let is_silent = known.is_some_and(|known| known.silent_since.is_some());
-        if assigned.run == run && is_silent {
+        let is_extendable = known.is_some_and(Worker::is_extendable);
+        if assigned.run == run && !is_extendable {
             self.withdraw_start(&worker, task, run);
         }
     }
--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -15,7 +15,7 @@
     name::WorkerId,
 };
 
-use super::{BatchRecord, LossReason, Scheduler, SchedulerDecision, WorkerChange};
+use super::{LossReason, Scheduler, SchedulerDecision, WorkerChange};
 
 impl Scheduler {
     /// Updates the workers from a complete list; known workers that are not in it are marked as
@@ -100,7 +100,7 @@
         worker.seen_at = Some(asked_at);
         worker.silent_since = None;
         if worker.expiry_stored {
-            self.outbox.push(BatchRecord::LeaseExpiry(id.clone(), None));
+            self.outbox.set_expiry(id, None);
         }
         if let Some(change) = change {
             self.log_worker_change(id, change);
@@ -176,6 +176,7 @@
         if job.task(&row.task).is_none() {
             return;
         }
+        job.record_start();
         let max_failures = job.max_failures(&row.task);
         let Some(slot) = job.task_mut(&row.task) else {
             return;
@@ -255,6 +256,9 @@
 
     fn apply_running(&mut self, id: &WorkerId, row: &ActiveRun, is_first: bool) {
         let now = self.now;
+        if let Some(job) = self.jobs.get_mut(&row.task.job) {
+            job.record_start();
+        }
         if self.assigned_slot(id, row.task, row.run).is_none() && !self.adopt_run(id, row, is_first)
         {
             self.charge_stray(id, row);
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -288,6 +288,11 @@
         now < self.suspended_until
     }
 
+    /// True if the lease may be extended: the worker answers, and later owners rely on no stored expiry.
+    pub fn is_extendable(&self) -> bool {
+        self.silent_since.is_none() && !self.expiry_stored
+    }
+
     /// Charges a run that is assigned to the worker.
     pub fn charge(&mut self, task: TaskKey, run: u32, cost: RunCost) {
         self.insert(task, run, AnyCharge::Held(RunCharge::open(cost)));
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -1,9 +1,11 @@
 //! Tests of job scheduling: order of stored records and effects, takeovers, placement and priority.
 
+mod counts;
 mod crashes;
 mod extremes;
 mod fleet;
 mod harness;
+mod leases;
 mod occupancy;
 mod placing;
 mod probation;
