Give a long-running task up only for crashes at its starts

Cause: losses counted towards the limit of four whether or not the run was starting, until a run had lasted ten seconds. A task that never ends loses runs to all failures of its workers.

Change: for a long-running task a run of 0.3 s, instead of ten seconds, clears what is known of crashes, and its loss is not recorded.

The test failed before (no start after four crashes).

--- a/crates/core/src/job/crash.rs
+++ b/crates/core/src/job/crash.rs
@@ -241,9 +241,10 @@
         losses.any(|loss| &*loss.lost().worker.address == address)
     }
 
-    /// Records that a run has lasted for `age`; returns true if the history has changed.
-    pub fn outlived(&mut self, age: ClockTime) -> bool {
-        if age >= CLEARED_SPAN {
+    /// Records that a run has lasted for `age`, where a run of `cleared_span` clears its task; returns
+    /// true if the history has changed.
+    pub fn outlived(&mut self, age: ClockTime, cleared_span: ClockTime) -> bool {
+        if age >= cleared_span {
             let had_losses = !self.losses.is_empty();
             self.losses.clear();
             return had_losses;
--- a/crates/core/src/job/scheduler/crashes.rs
+++ b/crates/core/src/job/scheduler/crashes.rs
@@ -29,6 +29,17 @@
         self.crashes.get(key).is_some_and(CrashHistory::needs_trial)
     }
 
+    /// Time that a run must last before earlier crashes of its task's workers are forgotten. A task that
+    /// runs until its job is cancelled is given up for crashes at its starts only, as it loses runs to
+    /// all failures of its workers.
+    fn cleared_span(&self, key: &TaskKey) -> ClockTime {
+        if self.step(key).long_running {
+            START_SPAN
+        } else {
+            CLEARED_SPAN
+        }
+    }
+
     /// Iterates over the unfinished tasks that crash their workers, with the number of crashes.
     pub(super) fn fatal_tasks(&self) -> impl Iterator<Item = (TaskKey, usize)> {
         let fatal = self.crashes.iter().filter(|(key, history)| {
@@ -57,7 +68,11 @@
     pub(super) fn record_losses(&mut self, id: &WorkerId, runs: &[(TaskKey, u32)]) {
         let mut lost: SmallVec<[(TaskKey, u32, bool); 8]> = SmallVec::new();
         for (key, run) in runs {
-            if let Some(age) = self.known_age(id, key).filter(|age| *age < CLEARED_SPAN) {
+            let job = self.jobs.get(&key.job);
+            let Some((job, age)) = job.zip(self.known_age(id, key)) else {
+                continue;
+            };
+            if age < job.cleared_span(key) {
                 lost.push((*key, *run, age < START_SPAN));
             }
         }
@@ -184,11 +199,12 @@
             return;
         }
         let (age, run) = (asked_at - task.phase.since, task.run);
+        let cleared_span = job.cleared_span(&key);
         let Some(history) = job.crashes.get_mut(&key) else {
             return;
         };
         let was_lost = history.retract(run);
-        if history.outlived(age) || was_lost {
+        if history.outlived(age, cleared_span) || was_lost {
             if history.is_empty() {
                 job.crashes.remove(&key);
             }
--- a/crates/core/tests/jobs/crashes.rs
+++ b/crates/core/tests/jobs/crashes.rs
@@ -73,7 +73,7 @@
 }
 
 /// Ends a worker and, some seconds later, lets the next one answer at its address.
-fn replace(harness: &mut SchedulerHarness, number: usize, next: usize) {
+pub(crate) fn replace(harness: &mut SchedulerHarness, number: usize, next: usize) {
     crash(harness, number);
     harness.wait(3_000);
     answer_at(harness, number, next);
@@ -99,7 +99,7 @@
 }
 
 /// Lets all runs of a worker outlive their start.
-fn outlive_starts(harness: &mut SchedulerHarness, number: usize, starts: &[RunOrder]) {
+pub(crate) fn outlive_starts(harness: &mut SchedulerHarness, number: usize, starts: &[RunOrder]) {
     harness.wait(400);
     harness.report_part(number, starts, 30);
     harness.settle();
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -1,5 +1,6 @@
 //! Tests of job scheduling: order of stored records and effects, takeovers, placement and priority.
 
+mod causes;
 mod crashes;
 mod extremes;
 mod fleet;
