Do not hold crashes with a common cause against tasks

Change: where a worker on which nothing was starting falls silent at about the same time, the losses of starting runs are excused; where one without any task that ends does, or half of a pool on which nothing was starting, all losses are. An excused loss neither holds a task nor sends it into a trial nor counts; after three excused starts in a row a task is a suspect all the same, and after five crashes at its starts it is given up.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -18,7 +18,7 @@
 //! | `wave` | progress of rolling VM maintenance |
 //! | `admit` | admission control and the retry delay of refused jobs |
 //! | `append_pace` | repetition of appends to a store that may be slow |
-//! | `crash` | attribution of worker crashes to the tasks that cause them |
+//! | `crash`, `silence` | attribution of worker crashes to the tasks that cause them |
 //! | `ownership` | candidacy of members for ownership of the pools |
 //! | `step_pace` | time between the owner's scheduling steps |
 
@@ -33,6 +33,7 @@
 mod place;
 mod resize;
 mod scheduler;
+mod silence;
 mod spec;
 mod step_pace;
 mod task;
@@ -56,6 +57,7 @@
     Batch, BatchRecord, Effect, Job, JobProgress, LossReason, PoolSummary, RenewalPlan, Scheduler,
     SchedulerDecision, SchedulerLimits, StepAdvice, TaskRecord, VmEntry, VmState, WorkerChange,
 };
+pub use silence::{ExcusedLosses, RecentSilences, SilenceCause};
 pub use spec::{
     JobError, JobId, JobSpec, JobState, JobTerms, RepeatPlan, Resources, StepKey, StepSpec, TaskKey,
 };
--- a/crates/core/src/job/crash.rs
+++ b/crates/core/src/job/crash.rs
@@ -14,6 +14,8 @@
 
 use crate::{clock::ClockTime, name::WorkerId};
 
+use super::silence::ExcusedLosses;
+
 /// Time that a run must last before it is no longer implicated in a crash of its worker.
 pub(super) const START_SPAN: ClockTime = ClockTime::from_millis(300);
 /// Time that a run must last before earlier crashes of its task's workers are forgotten.
@@ -23,8 +25,12 @@
 /// Crashes under a task after which it is given up, attributable or not: the platform allows two
 /// more starts after the third.
 const MAX_CRASHES: usize = 4;
+/// Crashes at the start of a task in a row after which it is given up, whatever else has ended then.
+const MAX_START_CRASHES: usize = 5;
 /// Losses after which a task waits until it is known whether the workers have ended.
 const MAX_UNRESOLVED_LOSSES: usize = 2;
+/// Losses of starting runs in a row after which a task is a suspect, whatever else has ended then.
+const MAX_EXCUSED_STARTS: usize = 3;
 
 /// Whether a run is implicated in the loss of its worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -56,6 +62,15 @@
     implication: Implication,
     /// True if the worker is known to have started the run.
     began: bool,
+    /// True if the worker ended together with others for a reason outside their tasks.
+    #[serde(default)]
+    excused: bool,
+}
+
+impl LostRun {
+    fn is_start(&self) -> bool {
+        self.implication != Implication::None
+    }
 }
 
 /// Loss of a run together with its worker.
@@ -85,6 +100,7 @@
                 worker,
                 implication,
                 began: false,
+                excused: false,
             },
             phase: Suspected { until },
         }
@@ -133,6 +149,7 @@
         let lost = self.lost();
         let attributable = matches!(self, Self::Confirmed(_))
             && lost.began
+            && !lost.excused
             && lost.implication == Implication::Alone;
         attributable.then_some(&*lost.worker.address)
     }
@@ -145,6 +162,14 @@
         }
     }
 
+    /// The lost run, if the process of its worker is known to have ended.
+    fn confirmed(&self) -> Option<&LostRun> {
+        match self {
+            Self::Suspected(_) => None,
+            Self::Confirmed(loss) => Some(&loss.lost),
+        }
+    }
+
     fn is_unresolved(&self, now: ClockTime) -> bool {
         matches!(self, Self::Suspected(loss) if now <= loss.phase.until)
     }
@@ -220,6 +245,20 @@
         self.losses.len() < count
     }
 
+    /// Records that a worker ended together with others for a reason outside their tasks; returns true
+    /// if this changes the history.
+    pub fn excuse(&mut self, id: &WorkerId, losses: ExcusedLosses) -> bool {
+        let mut changed = false;
+        for loss in &mut self.losses {
+            let lost = loss.lost_mut();
+            let is_meant = losses == ExcusedLosses::All || lost.is_start();
+            if lost.worker.id == *id && is_meant {
+                changed |= !std::mem::replace(&mut lost.excused, true);
+            }
+        }
+        changed
+    }
+
     /// Limits the time for which the task waits to what a lease that begins now can last: the time
     /// stored by another member is on that member's clock.
     pub(super) fn limit_doubts(&mut self, latest: ClockTime) {
@@ -266,8 +305,7 @@
     /// Number of crashes that are known to have ended a worker.
     pub fn crashes(&self) -> usize {
         let losses = self.losses.iter();
-        let confirmed = losses.filter(|loss| matches!(loss, AnyRunLoss::Confirmed(_)));
-        confirmed.count()
+        losses.filter_map(AnyRunLoss::confirmed).count()
     }
 
     /// Records that a run is known to have begun; returns true if this changes the history.
@@ -279,13 +317,13 @@
 
     /// True if the next run must not start beside runs of other jobs that are starting.
     pub fn needs_trial(&self) -> bool {
-        self.is_implicated() || self.losses.len() >= MAX_UNRESOLVED_LOSSES
+        let mut unexcused = self.unexcused();
+        unexcused.any(LostRun::is_start) || self.is_suspect()
     }
 
     /// True if the task waits until it is known whether the workers of its runs have ended.
     pub fn is_held(&self, now: ClockTime) -> bool {
-        self.losses.len() >= MAX_UNRESOLVED_LOSSES
-            && self.losses.iter().any(|loss| loss.is_unresolved(now))
+        self.is_suspect() && self.losses.iter().any(|loss| loss.is_unresolved(now))
     }
 
     /// True if the task is given up, as it crashes its workers.
@@ -295,11 +333,27 @@
         let addresses: BTreeSet<&str> = losses
             .filter_map(AnyRunLoss::attributable_address)
             .collect();
-        addresses.len() >= MAX_ATTRIBUTED_CRASHES || self.crashes() >= MAX_CRASHES
+        let confirmed = || self.losses.iter().filter_map(AnyRunLoss::confirmed);
+        let unexcused = confirmed().filter(|lost| !lost.excused);
+        let starts = confirmed().filter(|lost| lost.is_start());
+        addresses.len() >= MAX_ATTRIBUTED_CRASHES
+            || unexcused.count() >= MAX_CRASHES
+            || starts.count() >= MAX_START_CRASHES
+    }
+
+    /// True if the losses of the task are too many to be chance.
+    fn is_suspect(&self) -> bool {
+        let starts = self.losses.iter().filter(|loss| loss.lost().is_start());
+        self.unexcused().count() >= MAX_UNRESOLVED_LOSSES || starts.count() >= MAX_EXCUSED_STARTS
+    }
+
+    /// Losses that may be the fault of the task.
+    fn unexcused(&self) -> impl Iterator<Item = &LostRun> {
+        let losses = self.losses.iter().map(AnyRunLoss::lost);
+        losses.filter(|lost| !lost.excused)
     }
 
     fn is_implicated(&self) -> bool {
-        let mut losses = self.losses.iter();
-        losses.any(|loss| loss.lost().implication != Implication::None)
+        self.losses.iter().any(|loss| loss.lost().is_start())
     }
 }
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -40,6 +40,7 @@
     crash::Implication,
     life::ClosedLife,
     order::DurationTable,
+    silence::RecentSilences,
     spec::{JobId, JobState, Resources, StepKey, TaskKey},
     task::TaskEnd,
     wave::WaveTable,
@@ -363,6 +364,7 @@
     permits: permits::PermitCache,
     /// Workers that have fallen silent or restarted with runs, and may have ended, with their addresses.
     doubted_workers: BTreeMap<WorkerId, Arc<str>>,
+    recent_silences: RecentSilences,
     /// Workers that are reserved for trials.
     trial_workers: SmallVec<[WorkerId; 4]>,
     outbox: batch::Outbox,
@@ -392,6 +394,7 @@
             waves: WaveTable::default(),
             permits: permits::PermitCache::default(),
             doubted_workers: BTreeMap::new(),
+            recent_silences: RecentSilences::default(),
             trial_workers: SmallVec::new(),
             outbox: batch::Outbox::default(),
             effects: Vec::new(),
--- a/crates/core/src/job/scheduler/crashes.rs
+++ b/crates/core/src/job/scheduler/crashes.rs
@@ -6,6 +6,7 @@
     clock::ClockTime,
     job::{
         crash::{CLEARED_SPAN, CrashHistory, Implication, LostWorker, RunLoss, START_SPAN},
+        silence::SilenceCause,
         spec::{JobId, TaskKey},
         task::{AnyTask, StartOrderState},
         worker::ActiveRun,
@@ -118,6 +119,56 @@
         }
     }
 
+    /// Returns whether a task may be the cause if a worker falls silent now; `None` if it was silent
+    /// already. A new owner finds workers silent at once that have ended one after the other, so only
+    /// workers that this owner has reached count.
+    pub(super) fn silence_cause(&self, id: &WorkerId) -> Option<SilenceCause> {
+        let worker = self.workers.get(id)?;
+        if worker.seen_at.is_none() || worker.silent_since.is_some() {
+            return None;
+        }
+        let has_outlived = |key: &TaskKey| {
+            let job = self.jobs.get(&key.job);
+            let is_running = matches!(job.and_then(|job| job.task(key)), Some(AnyTask::Running(_)));
+            is_running && self.has_outlived_start(id, key)
+        };
+        // A worker that is being emptied ends by itself.
+        let is_settled = worker.is_in_service() && worker.tasks.keys().all(has_outlived);
+        Some(match (is_settled, worker.finite_runs) {
+            (false, _) => SilenceCause::AnyTask,
+            (true, 0) => SilenceCause::Outside,
+            (true, _) => SilenceCause::LateTask,
+        })
+    }
+
+    /// Records that a worker has fallen silent, and excuses the tasks of those that fell silent with
+    /// it for a reason outside their tasks.
+    pub(super) fn record_silence(&mut self, id: &WorkerId, cause: Option<SilenceCause>) {
+        let Some(cause) = cause else {
+            return;
+        };
+        let pool = self.workers.get(id).map(|worker| &worker.entry.pool);
+        let in_pool = self
+            .workers
+            .values()
+            .filter(|worker| Some(&worker.entry.pool) == pool);
+        let size = in_pool.filter(|worker| worker.seen_at.is_some()).count();
+        let excused = self
+            .recent_silences
+            .record(id.clone(), cause, size, self.now);
+        for (other, losses) in excused {
+            for (job_id, job) in &mut self.jobs {
+                let histories = job.crashes.values_mut();
+                let excused =
+                    histories.filter_map(|history| history.excuse(&other, losses).then_some(()));
+                if excused.count() > 0 {
+                    job.mark_changed();
+                    self.outbox.mark_changed(*job_id);
+                }
+            }
+        }
+    }
+
     /// Records that a run is known to have begun, also after it was lost.
     pub(super) fn record_begin(&mut self, key: TaskKey, run: u32) {
         let Some(job) = self.jobs.get_mut(&key.job) else {
--- a/crates/core/src/job/scheduler/leases.rs
+++ b/crates/core/src/job/scheduler/leases.rs
@@ -63,6 +63,10 @@
             return;
         };
         if worker.silent_since.is_none() {
+            let cause = self.silence_cause(id);
+            let Some(worker) = self.workers.get_mut(id) else {
+                return;
+            };
             worker.silent_since = Some(now);
             if !worker.is_empty() && !worker.expiry_stored {
                 worker.expiry_stored = true;
@@ -73,6 +77,7 @@
             self.log_worker_change(id, WorkerChange::Silent);
             let runs = self.workers.get(id).map(Worker::runs).unwrap_or_default();
             self.record_losses(id, &runs);
+            self.record_silence(id, cause);
         }
         self.ask_successor(id);
     }
--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -357,6 +357,7 @@
     /// its ends from 1. Starts that reached the new process, or whose reply is pending, are kept.
     fn reset_restarted(&mut self, id: &WorkerId, report: &RenewalReport) {
         let lease = self.unknown_lease();
+        let cause = self.silence_cause(id);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -378,6 +379,7 @@
             !reply_pending && !reported && !ended
         });
         self.record_losses(id, &lost);
+        self.record_silence(id, cause);
         for (key, run) in lost {
             self.mark_run_lost(id, key, run, LossReason::WorkerRestarted);
         }
--- a/crates/core/src/job/scheduler/trials.rs
+++ b/crates/core/src/job/scheduler/trials.rs
@@ -84,7 +84,7 @@
         })
     }
 
-    fn has_outlived_start(&self, id: &WorkerId, key: &TaskKey) -> bool {
+    pub(super) fn has_outlived_start(&self, id: &WorkerId, key: &TaskKey) -> bool {
         self.known_age(id, key).is_some_and(|age| age >= START_SPAN)
     }
 
--- /dev/null
+++ b/crates/core/src/job/silence.rs
@@ -0,0 +1,120 @@
+//! Workers that fall silent together.
+//!
+//! A task crashes its worker at its start, or later if it is one that ends. Where a worker falls silent
+//! that had no such run, the cause lies outside the tasks, and those that fall silent with it share the
+//! cause. Two workers on each of which a run was starting do not excuse each other.
+
+use smallvec::SmallVec;
+
+use crate::{clock::ClockTime, name::WorkerId};
+
+/// Time within which workers that crash together are noticed: they refuse connections at once.
+const CRASH_SPAN: ClockTime = ClockTime::from_millis(100);
+/// Time within which workers that are cut off together are noticed: a request for a report may last half
+/// a second before it is known to be late.
+const CUT_SPAN: ClockTime = ClockTime::from_millis(500);
+/// Number of workers, and their part of the pool as one over a number, that end together for a reason
+/// outside their tasks if no run was starting on any of them.
+const MASS_WORKERS: usize = 3;
+const MASS_SHARE: usize = 2;
+
+/// Which of its tasks may be the cause of a worker's silence.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum SilenceCause {
+    /// Any: a run was starting, or may have been.
+    AnyTask,
+    /// One that ends, after its start.
+    LateTask,
+    /// None.
+    Outside,
+}
+
+/// Losses of a worker's runs that are not held against the tasks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ExcusedLosses {
+    /// Those of runs that were starting.
+    Starts,
+    /// All.
+    All,
+}
+
+/// Silence of a worker.
+#[derive(Clone, Debug)]
+struct WorkerSilence {
+    worker: WorkerId,
+    at: ClockTime,
+    cause: SilenceCause,
+    excused: Option<ExcusedLosses>,
+}
+
+/// Workers that have just fallen silent.
+///
+/// ```
+/// use jacinthhoist_core::{ClockTime, WorkerId, job::{ExcusedLosses, RecentSilences, SilenceCause}};
+/// let ms = ClockTime::from_millis;
+/// let id = |number: u64| WorkerId::new(&format!("i-{number}"));
+/// let mut silences = RecentSilences::default();
+/// assert!(silences.record(id(1), SilenceCause::AnyTask, 20, ms(0)).is_empty());
+/// assert!(silences.record(id(2), SilenceCause::AnyTask, 20, ms(20)).is_empty());
+/// let excused = silences.record(id(3), SilenceCause::Outside, 20, ms(40));
+/// assert_eq!(excused.as_slice(), [(id(1), ExcusedLosses::All), (id(2), ExcusedLosses::All)]);
+/// assert!(silences.record(id(4), SilenceCause::AnyTask, 20, ms(900)).is_empty());
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct RecentSilences {
+    silences: SmallVec<[WorkerSilence; 4]>,
+}
+
+impl RecentSilences {
+    /// Records that one of `workers` workers has fallen silent; returns those of which losses are now
+    /// known to have a cause outside their tasks.
+    pub fn record(
+        &mut self,
+        worker: WorkerId,
+        cause: SilenceCause,
+        workers: usize,
+        now: ClockTime,
+    ) -> SmallVec<[(WorkerId, ExcusedLosses); 4]> {
+        self.silences
+            .retain(|silence| now <= silence.at + CUT_SPAN && silence.worker != worker);
+        self.silences.push(WorkerSilence {
+            worker,
+            at: now,
+            cause,
+            excused: None,
+        });
+        let evidence = |number: usize| self.evidence(number, workers);
+        let found: SmallVec<[_; 4]> = (0..self.silences.len()).map(evidence).collect();
+        let mut excused = SmallVec::new();
+        for (silence, found) in self.silences.iter_mut().zip(found) {
+            if let Some(losses) = found
+                && silence.excused < found
+            {
+                silence.excused = found;
+                excused.push((silence.worker.clone(), losses));
+            }
+        }
+        excused
+    }
+
+    /// Losses of a worker that other silences excuse.
+    fn evidence(&self, number: usize, workers: usize) -> Option<ExcusedLosses> {
+        let at = self.silences[number].at;
+        let within = |span: ClockTime| {
+            let others = self.silences.iter().enumerate();
+            let others = others.filter(move |(other, _)| *other != number);
+            others.filter_map(move |(_, other)| {
+                let is_near = at <= other.at + span && other.at <= at + span;
+                is_near.then_some(other.cause)
+            })
+        };
+        let without_start = within(CRASH_SPAN).filter(|cause| *cause > SilenceCause::AnyTask);
+        let mass = without_start.count();
+        if within(CUT_SPAN).any(|cause| cause == SilenceCause::Outside)
+            || mass + 1 >= MASS_WORKERS.max(workers.div_ceil(MASS_SHARE))
+        {
+            return Some(ExcusedLosses::All);
+        }
+        (mass > 0).then_some(ExcusedLosses::Starts)
+    }
+}
