Try suspects on empty workers beyond the share of a pool

A quarter of a pool's workers may be reserved for trials at once. With more suspects than that, the others waited while workers were empty. On an empty worker a trial begins at once and holds nobody up, so these may be reserved beyond the share.

The test failed before: one of three suspects was started on four workers, three of them empty.

--- a/crates/core/src/job/scheduler/trials.rs
+++ b/crates/core/src/job/scheduler/trials.rs
@@ -16,7 +16,8 @@
 
 use super::Scheduler;
 
-/// Part of a pool's workers that may be reserved for trials at once, as one over this number.
+/// Part of a pool's workers that may be reserved for trials at once, as one over this number, beside empty
+/// ones.
 const MAX_RESERVED_SHARE: usize = 4;
 
 /// Worker chosen for a trial.
@@ -114,8 +115,10 @@
         // The tasks of a gang start together, however many trials that takes.
         let may_reserve =
             request.step.gang || reserved.count() < (in_pool().count() / MAX_RESERVED_SHARE).max(1);
+        // A trial begins at once on an empty worker, so that none idles while suspects wait.
         let eligible = in_pool().filter(|worker| {
-            (may_reserve || is_reserved(worker)) && is_eligible(request, worker, &need, now)
+            (may_reserve || is_reserved(worker) || worker.is_empty())
+                && is_eligible(request, worker, &need, now)
         });
         let history = self.jobs.get(&job)?.crashes.get(&request.task);
         let chosen = eligible.filter(is_permitted).min_by_key(|worker| {
--- a/crates/core/tests/jobs/causes.rs
+++ b/crates/core/tests/jobs/causes.rs
@@ -126,3 +126,25 @@
     }
     assert_eq!(harness.scheduler.state(JobId(1)), Some(JobState::Failed));
 }
+
+/// Guards against suspects that wait for their trials, a few at a time, while workers are empty.
+#[test]
+fn suspects_are_tried_on_all_empty_workers_at_once() {
+    let mut harness = SchedulerHarness::open(4);
+    for job in 1..=3 {
+        harness.accept(job, vec![wide_step()]);
+    }
+    harness.settle();
+    let starts = harness.confirm();
+    assert_eq!(starts.len(), 3);
+    for start in &starts {
+        let silent = &start.worker;
+        harness.scheduler.renewal_failed(silent, harness.now);
+    }
+    harness.wait(3_000);
+    for (start, next) in starts.iter().zip(4..) {
+        answer_at(&mut harness, number_of(&start.worker), next);
+    }
+    harness.settle();
+    assert_eq!(harness.starts.len(), 3);
+}
