--- a/crates/core/src/job/scheduler/crashes.rs
+++ b/crates/core/src/job/scheduler/crashes.rs
@@ -5,6 +5,7 @@
 use crate::{
     clock::ClockTime,
     job::{
+        charge::AnyCharge,
         crash::{CLEARED_SPAN, CrashHistory, Implication, LostWorker, RunLoss, START_SPAN},
         silence::SilenceCause,
         spec::{JobId, TaskKey},
@@ -69,6 +70,10 @@
     pub(super) fn record_losses(&mut self, id: &WorkerId, runs: &[(TaskKey, u32)]) {
         let mut lost: SmallVec<[(TaskKey, u32, bool); 8]> = SmallVec::new();
         for (key, run) in runs {
+            // The loss of a run that was given up is recorded already.
+            if self.assigned_slot(id, *key, *run).is_none() {
+                continue;
+            }
             let job = self.jobs.get(&key.job);
             let Some((job, age)) = job.zip(self.known_age(id, key)) else {
                 continue;
@@ -127,17 +132,19 @@
         if worker.seen_at.is_none() || worker.silent_since.is_some() {
             return None;
         }
-        let has_outlived = |key: &TaskKey| {
-            let job = self.jobs.get(&key.job);
-            let is_running = matches!(job.and_then(|job| job.task(key)), Some(AnyTask::Running(_)));
-            is_running && self.has_outlived_start(id, key)
-        };
+        let mut charges = worker.charges.iter();
         // A worker that is being emptied ends by itself.
-        let is_settled = worker.is_in_service() && worker.tasks.keys().all(has_outlived);
-        Some(match (is_settled, worker.finite_runs) {
+        let is_settled = worker.is_in_service()
+            && charges.all(|((key, _), charge)| {
+                charge.begun_at().is_some() && self.has_outlived_start(worker, key, charge)
+            });
+        let mut charges = worker.charges.values();
+        let has_strays = charges.any(|charge| matches!(charge, AnyCharge::Stray(_)));
+        let is_free_of_tasks = worker.finite_runs == 0 && !has_strays;
+        Some(match (is_settled, is_free_of_tasks) {
             (false, _) => SilenceCause::AnyTask,
-            (true, 0) => SilenceCause::Outside,
-            (true, _) => SilenceCause::LateTask,
+            (true, false) => SilenceCause::LateTask,
+            (true, true) => SilenceCause::Outside,
         })
     }
 
--- a/crates/core/src/job/scheduler/gang.rs
+++ b/crates/core/src/job/scheduler/gang.rs
@@ -20,19 +20,8 @@
 impl Job {
     /// Returns the tasks of a step.
     fn members(&self, key: StepKey) -> SmallVec<[TaskKey; 16]> {
-        let StepKey {
-            job,
-            occurrence,
-            step,
-        } = key;
-        let indices = 0..self.spec.steps[usize::from(step)].count;
-        let member = |index| TaskKey {
-            job,
-            occurrence,
-            step,
-            index,
-        };
-        indices.map(member).collect()
+        let indices = 0..self.spec.steps[usize::from(key.step)].count;
+        indices.map(|index| key.task(index)).collect()
     }
 
     /// Returns whether the task belongs to a gang of which some member has no run.
@@ -91,7 +80,7 @@
             let first = found.first().and_then(|id| self.workers.get(id));
             let preferred_rack = first.and_then(|worker| worker.entry.rack.clone());
             let Some(worker) = self.find_worker(*member, workers, preferred_rack.as_ref()) else {
-                self.release_reserved(members, &found);
+                self.release_reserved(members, run, &found);
                 return None;
             };
             self.charge(&worker, *member, run);
@@ -100,11 +89,11 @@
         Some(found)
     }
 
-    fn release_reserved(&mut self, members: &[TaskKey], workers: &[WorkerId]) {
+    fn release_reserved(&mut self, members: &[TaskKey], run: u32, workers: &[WorkerId]) {
         let now = self.now;
         for (member, id) in members.iter().zip(workers) {
             if let Some(worker) = self.workers.get_mut(id) {
-                worker.discharge(member, now);
+                worker.discharge(member, run, now);
             }
         }
     }
