--- a/crates/core/tests/jobs/crashes.rs
+++ b/crates/core/tests/jobs/crashes.rs
@@ -73,13 +73,13 @@
 }
 
 /// Ends a worker and, some seconds later, lets the next one answer at its address.
-fn replace(harness: &mut SchedulerHarness, number: usize, next: usize) {
+pub(crate) fn replace(harness: &mut SchedulerHarness, number: usize, next: usize) {
     crash(harness, number);
     harness.wait(3_000);
     answer_at(harness, number, next);
 }
 
-fn crash(harness: &mut SchedulerHarness, number: usize) {
+pub(crate) fn crash(harness: &mut SchedulerHarness, number: usize) {
     harness
         .scheduler
         .renewal_failed(&worker(number), harness.now);
@@ -87,7 +87,7 @@
 }
 
 /// Registers worker `next` at the address of worker `number` and lets it report.
-fn answer_at(harness: &mut SchedulerHarness, number: usize, next: usize) {
+pub(crate) fn answer_at(harness: &mut SchedulerHarness, number: usize, next: usize) {
     let previous = harness.scheduler.worker(&worker(number));
     let entry = previous.expect("the worker is known").entry.clone();
     harness
@@ -99,13 +99,13 @@
 }
 
 /// Lets all runs of a worker outlive their start.
-fn outlive_starts(harness: &mut SchedulerHarness, number: usize, starts: &[RunOrder]) {
+pub(crate) fn outlive_starts(harness: &mut SchedulerHarness, number: usize, starts: &[RunOrder]) {
     harness.wait(400);
     harness.report_part(number, starts, 30);
     harness.settle();
 }
 
-fn speculative_step(count: u16) -> StepSpec {
+pub(crate) fn speculative_step(count: u16) -> StepSpec {
     StepSpec {
         speculative: true,
         ..step(count)
