--- a/crates/core/src/job/scheduler/batch.rs
+++ b/crates/core/src/job/scheduler/batch.rs
@@ -15,6 +15,7 @@
         spec::{JobId, JobState, TaskKey},
         task::{AnyTask, FailedRuns, StartOrderState, TaskRun},
         wave::WaveProgress,
+        worker::Worker,
     },
     name::{PoolName, WorkerId},
 };
@@ -60,12 +61,17 @@
     /// Tasks whose runs were lost together with their workers.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub crashes: BTreeMap<TaskKey, CrashHistory>,
+    /// True if a run of some task was known to have started. A start alone is not stored: after a
+    /// takeover a job counts as waiting until a worker reports its run.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub started: bool,
 }
 
 impl JobProgress {
     fn of(job: &Job) -> Self {
         let mut progress = Self {
             crashes: job.crashes.clone(),
+            started: job.has_started(),
             ..Self::default()
         };
         for occurrence in &job.occurrences {
@@ -178,6 +184,8 @@
     starts: Vec<(TaskKey, u32)>,
     ends: BTreeMap<JobId, JobState>,
     records: Vec<BatchRecord>,
+    /// Lease expiries to store or, if `None`, to clear.
+    expiries: BTreeMap<WorkerId, Option<ClockTime>>,
     in_flight: Option<BatchInFlight>,
     last_number: u64,
     flushed_at: ClockTime,
@@ -214,8 +222,14 @@
         self.records.push(record);
     }
 
+    /// Stores or clears the lease expiry of a worker with the next batch, which holds only the last
+    /// change of each worker.
+    pub(super) fn set_expiry(&mut self, worker: &WorkerId, expiry: Option<ClockTime>) {
+        self.expiries.insert(worker.clone(), expiry);
+    }
+
     fn is_empty(&self) -> bool {
-        self.changed.is_empty() && self.records.is_empty()
+        self.changed.is_empty() && self.records.is_empty() && self.expiries.is_empty()
     }
 }
 
@@ -239,11 +253,12 @@
     fn take_batch(&mut self) -> Batch {
         let mut in_flight = BatchInFlight::default();
         let mut records = std::mem::take(&mut self.outbox.records);
-        let expiry_cleared = records.iter().filter_map(|record| match record {
-            BatchRecord::LeaseExpiry(worker, None) => Some(worker.clone()),
-            _ => None,
-        });
-        in_flight.expiry_cleared = expiry_cleared.collect();
+        for (worker, expiry) in std::mem::take(&mut self.outbox.expiries) {
+            if expiry.is_none() {
+                in_flight.expiry_cleared.push(worker.clone());
+            }
+            records.push(BatchRecord::LeaseExpiry(worker, expiry));
+        }
         let changed: Vec<JobId> = self
             .outbox
             .changed
@@ -332,11 +347,30 @@
         for (id, state) in batch.ends {
             self.close_job(id, state);
         }
+        // First, so that no member of a gang is started without the others.
+        for (task, run) in &batch.starts {
+            self.withdraw_unsafe(*task, *run);
+        }
         for (task, run) in batch.starts {
             self.send_start(task, run);
         }
     }
 
+    /// Withdraws a start order that was not sent if its worker has fallen silent, where it might be
+    /// carried out late, or if it would extend a lease whose expiry is stored.
+    fn withdraw_unsafe(&mut self, task: TaskKey, run: u32) {
+        let job = self.jobs.get(&task.job);
+        let Some(AnyTask::Assigned(assigned)) = job.and_then(|job| job.task(&task)) else {
+            return;
+        };
+        let worker = assigned.phase.worker.clone();
+        let known = self.workers.get(&worker);
+        let is_extendable = known.is_some_and(Worker::is_extendable);
+        if assigned.run == run && !is_extendable {
+            self.withdraw_start(&worker, task, run);
+        }
+    }
+
     fn send_start(&mut self, task: TaskKey, run: u32) {
         let (max_lease, now) = (self.limits.max_lease, self.now);
         let Some(job) = self.jobs.get_mut(&task.job) else {
@@ -352,7 +386,9 @@
         let worker = assigned.phase.worker.clone();
         let checkpoint = assigned.checkpoint.clone();
         // A late report may have shown since the assignment that an earlier run failed.
-        if job.life.goal().is_some() || job.is_exhausted(&task) {
+        let is_unwanted =
+            job.life.goal().is_some() || job.is_exhausted(&task) || job.has_lost_members(&task);
+        if is_unwanted {
             self.withdraw_start(&worker, task, run);
             return;
         }
--- a/crates/core/src/job/scheduler/crashes.rs
+++ b/crates/core/src/job/scheduler/crashes.rs
@@ -5,7 +5,9 @@
 use crate::{
     clock::ClockTime,
     job::{
+        charge::AnyCharge,
         crash::{CLEARED_SPAN, CrashHistory, Implication, LostWorker, RunLoss, START_SPAN},
+        silence::SilenceCause,
         spec::{JobId, TaskKey},
         task::{AnyTask, StartOrderState},
         worker::ActiveRun,
@@ -29,6 +31,17 @@
         self.crashes.get(key).is_some_and(CrashHistory::needs_trial)
     }
 
+    /// Time that a run must last before earlier crashes of its task's workers are forgotten. A task that
+    /// runs until its job is cancelled is given up for crashes at its starts only, as it loses runs to
+    /// all failures of its workers.
+    fn cleared_span(&self, key: &TaskKey) -> ClockTime {
+        if self.step(key).long_running {
+            START_SPAN
+        } else {
+            CLEARED_SPAN
+        }
+    }
+
     /// Iterates over the unfinished tasks that crash their workers, with the number of crashes.
     pub(super) fn fatal_tasks(&self) -> impl Iterator<Item = (TaskKey, usize)> {
         let fatal = self.crashes.iter().filter(|(key, history)| {
@@ -61,7 +74,11 @@
             if self.assigned_slot(id, *key, *run).is_none() {
                 continue;
             }
-            if let Some(age) = self.known_age(id, key).filter(|age| *age < CLEARED_SPAN) {
+            let job = self.jobs.get(&key.job);
+            let Some((job, age)) = job.zip(self.known_age(id, key)) else {
+                continue;
+            };
+            if age < job.cleared_span(key) {
                 lost.push((*key, *run, age < START_SPAN));
             }
         }
@@ -78,7 +95,13 @@
         self.doubted_workers.insert(id.clone(), address);
         let starting = || lost.iter().filter(|(_, _, starting)| *starting);
         let first_job = starting().next().map(|(key, ..)| key.job);
-        let alone = starting().all(|(key, ..)| Some(key.job) == first_job);
+        // A stray run of another job may be the cause as well.
+        let beside_stray = worker.charges.iter().any(|((key, _), charge)| {
+            charge.is_stray()
+                && Some(key.job) != first_job
+                && !self.has_outlived_start(worker, key, charge)
+        });
+        let alone = !beside_stray && starting().all(|(key, ..)| Some(key.job) == first_job);
         for (key, run, starting) in &lost {
             let implication = match (starting, alone) {
                 (false, _) => Implication::None,
@@ -107,6 +130,58 @@
         }
     }
 
+    /// Returns whether a task may be the cause if a worker falls silent now; `None` if it was silent
+    /// already. A new owner finds workers silent at once that have ended one after the other, so only
+    /// workers that this owner has reached count.
+    pub(super) fn silence_cause(&self, id: &WorkerId) -> Option<SilenceCause> {
+        let worker = self.workers.get(id)?;
+        if worker.seen_at.is_none() || worker.silent_since.is_some() {
+            return None;
+        }
+        let mut charges = worker.charges.iter();
+        // A worker that is being emptied ends by itself.
+        let is_settled = worker.is_in_service()
+            && charges.all(|((key, _), charge)| {
+                charge.begun_at().is_some() && self.has_outlived_start(worker, key, charge)
+            });
+        let mut charges = worker.charges.values();
+        let has_strays = charges.any(|charge| matches!(charge, AnyCharge::Stray(_)));
+        let is_free_of_tasks = worker.finite_runs == 0 && !has_strays;
+        Some(match (is_settled, is_free_of_tasks) {
+            (false, _) => SilenceCause::AnyTask,
+            (true, false) => SilenceCause::LateTask,
+            (true, true) => SilenceCause::Outside,
+        })
+    }
+
+    /// Records that a worker has fallen silent, and excuses the tasks of those that fell silent with
+    /// it for a reason outside their tasks.
+    pub(super) fn record_silence(&mut self, id: &WorkerId, cause: Option<SilenceCause>) {
+        let Some(cause) = cause else {
+            return;
+        };
+        let pool = self.workers.get(id).map(|worker| &worker.entry.pool);
+        let in_pool = self
+            .workers
+            .values()
+            .filter(|worker| Some(&worker.entry.pool) == pool);
+        let size = in_pool.filter(|worker| worker.seen_at.is_some()).count();
+        let excused = self
+            .recent_silences
+            .record(id.clone(), cause, size, self.now);
+        for (other, losses) in excused {
+            for (job_id, job) in &mut self.jobs {
+                let histories = job.crashes.values_mut();
+                let excused =
+                    histories.filter_map(|history| history.excuse(&other, losses).then_some(()));
+                if excused.count() > 0 {
+                    job.mark_changed();
+                    self.outbox.mark_changed(*job_id);
+                }
+            }
+        }
+    }
+
     /// Records that a run is known to have begun, also after it was lost.
     pub(super) fn record_begin(&mut self, key: TaskKey, run: u32) {
         let Some(job) = self.jobs.get_mut(&key.job) else {
@@ -188,11 +263,12 @@
             return;
         }
         let (age, run) = (asked_at - task.phase.since, task.run);
+        let cleared_span = job.cleared_span(&key);
         let Some(history) = job.crashes.get_mut(&key) else {
             return;
         };
         let was_lost = history.retract(run);
-        if history.outlived(age) || was_lost {
+        if history.outlived(age, cleared_span) || was_lost {
             if history.is_empty() {
                 job.crashes.remove(&key);
             }
--- a/crates/core/src/job/scheduler/leases.rs
+++ b/crates/core/src/job/scheduler/leases.rs
@@ -12,7 +12,7 @@
     name::{DataCentre, PoolName, WorkerId},
 };
 
-use super::{BatchRecord, LossReason, Scheduler, WorkerChange, reports::worker_changed};
+use super::{LossReason, Scheduler, WorkerChange, reports::worker_changed};
 
 /// Parameters of the next lease renewal of a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,10 +43,10 @@
         let max_lease = self.limits.max_lease;
         let worker = self.workers.get_mut(id)?;
         let silent = worker.silent_since.is_some();
-        let lease_until = if silent || worker.expiry_stored {
-            None
-        } else {
+        let lease_until = if worker.is_extendable() {
             worker.lease.extend(max_lease, now)
+        } else {
+            None
         };
         Some(RenewalPlan {
             ack: worker.end_stored,
@@ -63,16 +63,21 @@
             return;
         };
         if worker.silent_since.is_none() {
+            let cause = self.silence_cause(id);
+            let Some(worker) = self.workers.get_mut(id) else {
+                return;
+            };
             worker.silent_since = Some(now);
-            if !worker.is_empty() && !worker.expiry_stored {
+            // A record that is already there may be about to be cleared.
+            if !worker.is_empty() {
                 worker.expiry_stored = true;
-                let expiry = Some(worker.lease.latest_expiry());
-                self.outbox
-                    .push(BatchRecord::LeaseExpiry(id.clone(), expiry));
+                let expiry = worker.lease.storable_expiry();
+                self.outbox.set_expiry(id, Some(expiry));
             }
             self.log_worker_change(id, WorkerChange::Silent);
             let runs = self.workers.get(id).map(Worker::runs).unwrap_or_default();
             self.record_losses(id, &runs);
+            self.record_silence(id, cause);
         }
         self.ask_successor(id);
     }
@@ -116,6 +121,9 @@
         for id in expired {
             let runs = self.workers.get(&id).map(Worker::runs).unwrap_or_default();
             self.record_losses(&id, &runs);
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.lapse();
+            }
             self.mark_all_runs_lost(&id, LossReason::LeaseLapsed);
         }
         self.release_speculative();
@@ -123,7 +131,7 @@
             if let Some(worker) = self.workers.remove(&id) {
                 self.worker_list_version += 1;
                 if worker.expiry_stored {
-                    self.outbox.push(BatchRecord::LeaseExpiry(id.clone(), None));
+                    self.outbox.set_expiry(&id, None);
                 }
                 self.log_decision(worker_changed(&worker, WorkerChange::Gone));
             }
--- a/crates/core/src/job/scheduler/orders.rs
+++ b/crates/core/src/job/scheduler/orders.rs
@@ -47,6 +47,9 @@
     ) {
         self.now = now;
         if reply == StartReply::Started {
+            if let Some(job) = self.jobs.get_mut(&key.job) {
+                job.record_start();
+            }
             self.record_begin(key, run);
             if let Some(worker) = self.workers.get_mut(id) {
                 worker.begin_run(key, run, now);
--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -15,7 +15,7 @@
     name::WorkerId,
 };
 
-use super::{BatchRecord, LossReason, Scheduler, SchedulerDecision, WorkerChange};
+use super::{LossReason, Scheduler, SchedulerDecision, WorkerChange};
 
 impl Scheduler {
     /// Updates the workers from a complete list; known workers that are not in it are marked as
@@ -84,18 +84,23 @@
         };
         let settles_orders = worker.awaits_report;
         let restarted = worker.incarnation.is_some() && worker.incarnation != report.incarnation;
+        // Responses may overtake each other, so this one may be of an earlier process.
+        if restarted && worker.seen_at.is_some_and(|seen_at| asked_at < seen_at) {
+            return;
+        }
         if restarted {
             self.reset_restarted(id, &report);
         }
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
+        worker.charge_lapsed_starts();
         worker.incarnation = report.incarnation;
         worker.lease.read(report.clock, now);
         worker.seen_at = Some(asked_at);
         worker.silent_since = None;
         if worker.expiry_stored {
-            self.outbox.push(BatchRecord::LeaseExpiry(id.clone(), None));
+            self.outbox.set_expiry(id, None);
         }
         if let Some(change) = change {
             self.log_worker_change(id, change);
@@ -171,6 +176,7 @@
         if job.task(&row.task).is_none() {
             return;
         }
+        job.record_start();
         let max_failures = job.max_failures(&row.task);
         let Some(slot) = job.task_mut(&row.task) else {
             return;
@@ -250,6 +256,9 @@
 
     fn apply_running(&mut self, id: &WorkerId, row: &ActiveRun, is_first: bool) {
         let now = self.now;
+        if let Some(job) = self.jobs.get_mut(&row.task.job) {
+            job.record_start();
+        }
         if self.assigned_slot(id, row.task, row.run).is_none() && !self.adopt_run(id, row, is_first)
         {
             self.charge_stray(id, row);
@@ -367,6 +376,7 @@
     /// its ends from 1. Starts that reached the new process, or whose reply is pending, are kept.
     fn reset_restarted(&mut self, id: &WorkerId, report: &RenewalReport) {
         let lease = self.unknown_lease();
+        let cause = self.silence_cause(id);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -388,6 +398,7 @@
             !reply_pending && !reported && !ended
         });
         self.record_losses(id, &lost);
+        self.record_silence(id, cause);
         for (key, run) in lost {
             if self.may_begin_after_restart(id, key, run) {
                 self.stop_again(id, key, run);
--- a/crates/core/src/job/scheduler/strays.rs
+++ b/crates/core/src/job/scheduler/strays.rs
@@ -36,22 +36,21 @@
         let Some(job) = self.jobs.get_mut(&key.job).filter(|_| was_given_up) else {
             return false;
         };
-        let is_wanted = job.life.goal().is_none() && !job.is_exhausted(&key);
-        let Some(AnyTask::Waiting(task)) = job.task(&key).filter(|_| is_wanted) else {
+        // A report may name a task that the job does not have.
+        let Some(AnyTask::Waiting(task)) = job.task(&key) else {
             return false;
         };
+        let is_wanted = job.life.goal().is_none() && !job.is_exhausted(&key);
         // The members of a gang start again together.
-        if task.run != run || task.failed_runs.contains(run) || job.step(&key).gang {
+        let is_alone = !job.step(&key).gang;
+        if !is_wanted || !is_alone || task.run != run || task.failed_runs.contains(run) {
             return false;
         }
-        let (resumed, cost) = (
-            task.clone().resume(id.clone(), now),
-            RunCost::of(job.step(&key)),
-        );
+        let begun_at = worker.adopt_run(key, run, RunCost::of(job.step(&key)), now);
+        let resumed = task.clone().resume(id.clone(), begun_at, now);
         if let Some(slot) = job.task_mut(&key) {
             *slot = AnyTask::Running(resumed);
         }
-        worker.charge(key, run, cost);
         self.outbox.mark_changed(key.job);
         self.log_decision(SchedulerDecision::RunAdopted {
             task: key,
@@ -100,15 +99,16 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let is_gone = match worker.charges.get(&(key, run)) {
-            Some(AnyCharge::Held(charge)) => charge.has_begun_before(asked_at),
-            Some(AnyCharge::Stray(stray)) => stray.is_gone(asked_at),
-            None => return,
-        };
-        if is_gone {
-            self.discharge_run(id, key, run);
-        } else {
-            worker.give_up_run(key, run);
+        match worker.charges.get(&(key, run)) {
+            Some(AnyCharge::Held(charge)) if !charge.has_begun_before(asked_at) => {
+                worker.give_up_run(key, run);
+            }
+            Some(AnyCharge::Stray(stray)) if !stray.is_gone(asked_at) => {
+                // The report was requested too early to decide.
+                worker.awaits_report |= stray.is_stop_acked();
+            }
+            Some(_) => self.discharge_run(id, key, run),
+            None => {}
         }
     }
 
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -1,12 +1,16 @@
 //! Tests of job scheduling: order of stored records and effects, takeovers, placement and priority.
 
+mod causes;
+mod counts;
 mod crashes;
 mod extremes;
 mod fleet;
 mod harness;
+mod leases;
 mod occupancy;
 mod placing;
 mod probation;
+mod strays;
 mod waves;
 
 use harness::{
