Print the whole answer if work under a lease is not done

KNOWN-RED says of a_lease_is_renewed_beyond_its_first_term that its next failure tells the reason; the test compared the outcome only and printed nothing else. It prints the response now. The cause of the one failure remains unknown.

--- a/crates/entry/tests/leases.rs
+++ b/crates/entry/tests/leases.rs
@@ -75,10 +75,8 @@
 async fn a_lease_is_renewed_beyond_its_first_term() {
     let fleet = LocalFleet::start(plan()).await;
     let caller = WorkCaller::new(fleet.caller(0)).service_ms(4_000);
-    assert_eq!(
-        caller.send("mould-cure", "a").await.unwrap().outcome,
-        "done"
-    );
+    let answer = caller.send("mould-cure", "a").await.unwrap();
+    assert_eq!(answer.outcome, "done", "{answer:?}");
     assert_eq!(
         total_lease_ends(&fleet, |ends| ends.lapsed + ends.stopped),
         0
