Renew no lease while a start from before its lapse may take effect

What callers could see: a task that runs twice at once.

Cause: a worker that answers after its lease has lapsed got a new lease with its next renewal, while an unanswered start from before was still to be stopped. An order lives longer than a lease, so it could begin in between.

Change: such a worker gets no lease and no tasks until it has acknowledged the stops of these starts.

Evidence: `an_unanswered_start_is_stopped_before_the_lease_of_a_silent_worker_is_renewed` failed before (a deadline instead of none) and passes now.

--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -170,6 +170,8 @@
     /// Start orders without an answer whose lease has lapsed. They may be carried out once the worker has
     /// a lease again.
     lapsed_starts: SmallVec<[(TaskKey, u32, RunCost); 2]>,
+    /// Stray runs among them: the worker gets no lease before it has acknowledged their stops.
+    unsettled_starts: SmallVec<[(TaskKey, u32); 2]>,
     /// Time since which no run can be in progress on the worker.
     pub empty_since: ClockTime,
     /// Number of runs that serve their own users.
@@ -213,6 +215,7 @@
             used: Resources::default(),
             charges: BTreeMap::new(),
             lapsed_starts: SmallVec::new(),
+            unsettled_starts: SmallVec::new(),
             empty_since: lease.since,
             serving_runs: 0,
             best_effort_runs: 0,
@@ -234,7 +237,7 @@
     pub fn takes_work(&self, now: ClockTime) -> bool {
         // Long-running tasks never succeed, so the worker would wait for them for good.
         let on_probation = self.consecutive_failures > 0 && self.finite_runs > 0;
-        let is_known = self.unknown_runs == 0;
+        let is_known = self.unknown_runs == 0 && !self.has_unsettled_starts();
         self.is_in_service() && now >= self.suspended_until && !on_probation && is_known
     }
 
@@ -288,9 +291,17 @@
         now < self.suspended_until
     }
 
-    /// True if the lease may be extended: the worker answers, and later owners rely on no stored expiry.
+    /// True if the lease may be extended: the worker answers, later owners rely on no stored expiry, and no
+    /// order from before its lapse can take effect.
     pub fn is_extendable(&self) -> bool {
-        self.silent_since.is_none() && !self.expiry_stored
+        self.silent_since.is_none() && !self.expiry_stored && !self.has_unsettled_starts()
+    }
+
+    fn has_unsettled_starts(&self) -> bool {
+        self.unsettled_starts.iter().any(|run| {
+            let charge = self.charges.get(run);
+            matches!(charge, Some(AnyCharge::Stray(stray)) if !stray.is_stop_acked())
+        })
     }
 
     /// Charges a run that is assigned to the worker.
@@ -390,7 +401,11 @@
         for (task, run, cost) in std::mem::take(&mut self.lapsed_starts) {
             self.charge(task, run, cost);
             self.give_up_run(task, run);
+            self.unsettled_starts.push((task, run));
         }
+        let charges = &self.charges;
+        self.unsettled_starts
+            .retain(|run| charges.contains_key(run));
     }
 
     /// Returns a run that belongs to no task.
--- a/crates/core/tests/jobs/occupancy.rs
+++ b/crates/core/tests/jobs/occupancy.rs
@@ -245,3 +245,36 @@
         );
     }
 }
+
+/// Guards against a start order that is carried out after its worker's lease has expired and been renewed,
+/// beside the run that replaced it: such an order lives longer than a lease.
+#[test]
+fn an_unanswered_start_is_stopped_before_the_lease_of_a_silent_worker_is_renewed() {
+    let mut harness = SchedulerHarness::open(2);
+    harness.accept(1, vec![step(1)]);
+    harness.settle();
+    let start = harness.starts.remove(0);
+    harness.reply(&start, StartReply::Unknown);
+    let host = if start.worker == worker(0) { 0 } else { 1 };
+    fall_silent(&mut harness, host);
+    harness.wait(7_000);
+    harness.settle();
+    let again = harness.confirm().remove(0);
+    assert_ne!(again.worker, start.worker);
+    harness.report(host, RenewalReport::default());
+    harness.settle();
+    assert_eq!(harness.stops, std::slice::from_ref(&start));
+    let renewal = |harness: &mut SchedulerHarness| {
+        let plan = harness.scheduler.plan_renewal(&start.worker, harness.now);
+        plan.expect("the worker is known").lease_until
+    };
+    assert_eq!(
+        renewal(&mut harness),
+        None,
+        "the start could still take effect"
+    );
+    harness
+        .scheduler
+        .stop_replied(&start.worker, start.task, 1, OrderReply::Done, harness.now);
+    assert!(renewal(&mut harness).is_some());
+}
