Send followers no heartbeat before the first step of an ownership

A link sends the newest heartbeat at once, and before the first step that was the empty one of a process that has never owned the pools, or the last one of its earlier ownership. Their ages count from their receipt, so the members gave the empty load as fresh: no job waits. They also admitted by it.

Change: the heartbeats of an ownership are a feed that holds none until the first step of the owner pipe, and none after its end.

--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -31,4 +31,4 @@
 pub use eventlog::{EventKind, EventLog};
 pub use member::{MemberIdentity, SchedulerMember, SchedulerSettings};
 pub use meter::recorder;
-pub use peer::TcpPeers;
+pub use peer::{FollowedHeartbeats, HeartbeatFeed, TcpPeers};
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -131,6 +131,7 @@
             // The state is dropped; the next owner loads it anew from the store.
             let reason = owning.await.unwrap_or("the owner pipe has panicked");
             self.shared.owner_inbox.store(None);
+            self.shared.heartbeats.end();
             self.shared.owner_view.record_ownership_end();
             ended_at = self.shared.clock.now();
             event!(self.shared.log, Ownership, "owns": false, "token": token, "reason": reason);
--- a/crates/scheduler/src/owner/engine.rs
+++ b/crates/scheduler/src/owner/engine.rs
@@ -220,7 +220,7 @@
             place_age: now - self.ownership.borrow().confirmed_at,
         });
         self.shared.set_heartbeat(Arc::clone(&heartbeat));
-        self.shared.heartbeats.send_replace(heartbeat);
+        self.shared.heartbeats.publish(heartbeat);
     }
 
     fn poll_vms(&mut self, now: ClockTime) {
--- a/crates/scheduler/src/peer/serve.rs
+++ b/crates/scheduler/src/peer/serve.rs
@@ -77,8 +77,7 @@
     let Ok(Ok(mut socket)) = timeout(HANDSHAKE_TIMEOUT, accept_async(stream)).await else {
         return;
     };
-    let mut heartbeats = shared.heartbeats.subscribe();
-    heartbeats.mark_changed();
+    let mut heartbeats = shared.heartbeats.follow();
     let (answers, mut pending_answers) = mpsc::channel(MAX_QUEUED_ANSWERS);
     let mut designation = None;
     while shared.owner_inbox.load().is_some() {
@@ -94,10 +93,9 @@
             },
             answer = pending_answers.recv() => answer,
             () = wait_designation(&mut designation) => Some(JobFrame::Follow),
-            changed = heartbeats.changed() => changed.ok().map(|()| {
-                let heartbeat = heartbeats.borrow_and_update().clone();
-                JobFrame::Loads(OwnerHeartbeat::clone(&heartbeat))
-            }),
+            heartbeat = heartbeats.next() => {
+                heartbeat.map(|newest| JobFrame::Loads(OwnerHeartbeat::clone(&newest)))
+            }
         };
         let Some(frame) = frame else {
             return;
--- a/crates/scheduler/src/shared.rs
+++ b/crates/scheduler/src/shared.rs
@@ -12,7 +12,7 @@
     job::{AppendPace, JobCatalogue, WorkLoad},
 };
 use jacinthhoist_net::BootClock;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::mpsc;
 
 use crate::{
     dependency::{Dependency, DependencyStatus},
@@ -22,7 +22,7 @@
     meter::JobMeter,
     owner::OwnerEvent,
     owner_view::OwnerView,
-    peer::FollowerRegistry,
+    peer::{FollowerRegistry, HeartbeatFeed},
 };
 
 /// Age of the store's last confirmation after which the owner may have lost the pools: two renewals
@@ -44,7 +44,7 @@
     /// clock.
     load_read_at: AtomicU64,
     /// Heartbeats for the followers of this member while it owns the pools.
-    pub(crate) heartbeats: watch::Sender<Arc<OwnerHeartbeat>>,
+    pub(crate) heartbeats: HeartbeatFeed,
     /// Inbox of the owner pipe while this member owns the pools.
     pub(crate) owner_inbox: ArcSwapOption<mpsc::UnboundedSender<OwnerEvent>>,
     /// View of which member owns the pools.
@@ -63,7 +63,6 @@
         clock: BootClock,
         log: Arc<EventLog>,
     ) -> Arc<Self> {
-        let (heartbeats, _) = watch::channel(Arc::default());
         Arc::new(Self {
             owner_view: OwnerView::open(identity.clone(), clock),
             identity,
@@ -74,7 +73,7 @@
             catalogue: ArcSwapOption::empty(),
             heartbeat: ArcSwap::from_pointee(OwnerHeartbeat::default()),
             load_read_at: AtomicU64::new(0),
-            heartbeats,
+            heartbeats: HeartbeatFeed::open(),
             owner_inbox: ArcSwapOption::empty(),
             followers: FollowerRegistry::open(),
             append_pace: ArcSwap::default(),
