--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -84,12 +84,17 @@
         };
         let settles_orders = worker.awaits_report;
         let restarted = worker.incarnation.is_some() && worker.incarnation != report.incarnation;
+        // Responses may overtake each other, so this one may be of an earlier process.
+        if restarted && worker.seen_at.is_some_and(|seen_at| asked_at < seen_at) {
+            return;
+        }
         if restarted {
             self.reset_restarted(id, &report);
         }
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
+        worker.charge_lapsed_starts();
         worker.incarnation = report.incarnation;
         worker.lease.read(report.clock, now);
         worker.seen_at = Some(asked_at);
@@ -371,6 +376,7 @@
     /// its ends from 1. Starts that reached the new process, or whose reply is pending, are kept.
     fn reset_restarted(&mut self, id: &WorkerId, report: &RenewalReport) {
         let lease = self.unknown_lease();
+        let cause = self.silence_cause(id);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -392,6 +398,7 @@
             !reply_pending && !reported && !ended
         });
         self.record_losses(id, &lost);
+        self.record_silence(id, cause);
         for (key, run) in lost {
             if self.may_begin_after_restart(id, key, run) {
                 self.stop_again(id, key, run);
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -1,5 +1,6 @@
 //! Tests of job scheduling: order of stored records and effects, takeovers, placement and priority.
 
+mod causes;
 mod counts;
 mod crashes;
 mod extremes;
@@ -9,6 +10,7 @@
 mod occupancy;
 mod placing;
 mod probation;
+mod strays;
 mod waves;
 
 use harness::{
