Release the place of a start that was never sent when its worker falls silent

What callers could see: a worker that was silent for a moment gets a stop order for a run that it was never told to start, and the run takes its place until the worker has acknowledged it and reported.

Cause: a speculative run whose record was not stored yet was given up like one that may be in progress.

Evidence: `a_start_that_was_never_sent_takes_no_place` failed before (a stop was sent) and passes now; 134 tests of `jobs` pass.

--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -338,7 +338,10 @@
         run: u32,
         reason: LossReason,
     ) {
+        let mut was_sent = true;
         if let Some(slot) = self.assigned_slot(id, key, run) {
+            was_sent = !matches!(slot, AnyTask::Assigned(task)
+                if task.phase.order == StartOrderState::Queued);
             *slot = slot.clone().released();
             self.outbox.mark_changed(key.job);
             self.log_decision(SchedulerDecision::RunLost {
@@ -350,7 +353,9 @@
         }
         match self.workers.get_mut(id) {
             // The run may still be in progress.
-            Some(worker) if reason == LossReason::Copied => worker.give_up_run(key, run),
+            Some(worker) if reason == LossReason::Copied && was_sent => {
+                worker.give_up_run(key, run);
+            }
             _ => self.discharge_run(id, key, run),
         }
     }
--- a/crates/core/tests/jobs/strays.rs
+++ b/crates/core/tests/jobs/strays.rs
@@ -260,3 +260,23 @@
     });
     assert_eq!(implications.collect::<Vec<_>>(), [Implication::None]);
 }
+
+/// Guards against a place that stays taken by a start which was never sent: its worker fell silent while
+/// the run was being stored.
+#[test]
+fn a_start_that_was_never_sent_takes_no_place() {
+    let mut harness = SchedulerHarness::open(1);
+    let speculative = StepSpec {
+        speculative: true,
+        ..step(1)
+    };
+    harness.accept(1, vec![speculative]);
+    harness.wait(20);
+    harness.step();
+    fall_silent(&mut harness, 0);
+    harness.wait(100);
+    harness.report(0, RenewalReport::default());
+    harness.settle();
+    assert!(harness.stops.is_empty(), "{:?}", harness.stops);
+    assert_eq!(harness.starts.remove(0).run, 2);
+}
