Log workers whose losses are excused

A worker line with `Excused` says that the worker fell silent together with others that no task can have ended, so that an operator sees why its run_in_doubt lines do not count.

--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -327,6 +327,8 @@
     Suspended,
     /// The worker has ended: a later one answers at its address.
     Replaced,
+    /// The worker fell silent for a reason outside its tasks, as others did with it.
+    Excused,
     /// The worker was dropped.
     Gone,
 }
--- a/crates/core/src/job/scheduler/crashes.rs
+++ b/crates/core/src/job/scheduler/crashes.rs
@@ -15,7 +15,7 @@
     name::WorkerId,
 };
 
-use super::{Job, Scheduler, SchedulerDecision};
+use super::{Job, Scheduler, SchedulerDecision, WorkerChange};
 
 impl Job {
     /// Returns whether a task waits until it is known whether it has crashed its workers.
@@ -164,6 +164,7 @@
             .recent_silences
             .record(id.clone(), cause, size, self.now);
         for (other, losses) in excused {
+            self.log_worker_change(&other, WorkerChange::Excused);
             for (job_id, job) in &mut self.jobs {
                 let histories = job.crashes.values_mut();
                 let excused =
