Count an excused crash once its task has outlived a start

What callers could see: a task that crashes its workers late is started a sixth time (BUDGET).

Cause: a late crash that no report preceded is recorded as one at the start. A worker on which nothing was starting excuses such losses, as it cannot have been crashed by a start; once a later run outlives its start the loss is known to be a late one, which that worker does not excuse, but the mark stayed.

Change: the kind of the excuse is kept, and asked together with the present implication of the loss.

--- a/crates/core/src/job/crash.rs
+++ b/crates/core/src/job/crash.rs
@@ -63,15 +63,26 @@
     implication: Implication,
     /// True if the worker is known to have started the run.
     began: bool,
-    /// True if the worker ended together with others for a reason outside their tasks.
-    #[serde(default)]
-    excused: bool,
+    /// Losses of the worker that are excused, as it ended together with others for a reason outside their
+    /// tasks.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    excuse: Option<ExcusedLosses>,
 }
 
 impl LostRun {
     fn is_start(&self) -> bool {
         self.implication != Implication::None
     }
+
+    /// True if something else than the task has ended the worker. A run that had outlived its start is not
+    /// excused by a worker on which nothing was starting.
+    fn is_excused(&self) -> bool {
+        match self.excuse {
+            Some(ExcusedLosses::All) => true,
+            Some(ExcusedLosses::Starts) => self.is_start(),
+            None => false,
+        }
+    }
 }
 
 /// Loss of a run together with its worker.
@@ -101,7 +112,7 @@
                 worker,
                 implication,
                 began: false,
-                excused: false,
+                excuse: None,
             },
             phase: Suspected { until },
         }
@@ -150,7 +161,7 @@
         let lost = self.lost();
         let attributable = matches!(self, Self::Confirmed(_))
             && lost.began
-            && !lost.excused
+            && !lost.is_excused()
             && lost.implication == Implication::Alone;
         attributable.then_some(&*lost.worker.address)
     }
@@ -252,9 +263,8 @@
         let mut changed = false;
         for loss in &mut self.losses {
             let lost = loss.lost_mut();
-            let is_meant = losses == ExcusedLosses::All || lost.is_start();
-            if lost.worker.id == *id && is_meant {
-                changed |= !std::mem::replace(&mut lost.excused, true);
+            if lost.worker.id == *id && lost.excuse != Some(ExcusedLosses::All) {
+                changed |= lost.excuse.replace(losses) != Some(losses);
             }
         }
         changed
@@ -335,7 +345,7 @@
             .filter_map(AnyRunLoss::attributable_address)
             .collect();
         let confirmed = || self.losses.iter().filter_map(AnyRunLoss::confirmed);
-        let unexcused = confirmed().filter(|lost| !lost.excused);
+        let unexcused = confirmed().filter(|lost| !lost.is_excused());
         let starts = confirmed().filter(|lost| lost.is_start());
         addresses.len() >= MAX_ATTRIBUTED_CRASHES
             || unexcused.count() >= MAX_CRASHES
@@ -351,7 +361,7 @@
     /// Losses that may be the fault of the task.
     fn unexcused(&self) -> impl Iterator<Item = &LostRun> {
         let losses = self.losses.iter().map(AnyRunLoss::lost);
-        losses.filter(|lost| !lost.excused)
+        losses.filter(|lost| !lost.is_excused())
     }
 
     fn is_implicated(&self) -> bool {
--- a/crates/core/src/job/silence.rs
+++ b/crates/core/src/job/silence.rs
@@ -4,6 +4,7 @@
 //! that had no such run, the cause lies outside the tasks, and those that fall silent with it share the
 //! cause. Two workers on each of which a run was starting do not excuse each other.
 
+use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
 use crate::{clock::ClockTime, name::WorkerId};
@@ -30,7 +31,7 @@
 }
 
 /// Losses of a worker's runs that are not held against the tasks.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum ExcusedLosses {
     /// Those of runs that were starting.
     Starts,
--- a/crates/core/tests/jobs/causes.rs
+++ b/crates/core/tests/jobs/causes.rs
@@ -148,3 +148,32 @@
     harness.settle();
     assert_eq!(harness.starts.len(), 3);
 }
+
+/// Guards against a late crash that is never counted: no report had preceded it, so it was taken for one at
+/// the start, which another late crash at that moment excused.
+#[test]
+fn an_excused_start_counts_once_the_task_has_outlived_one() {
+    let mut harness = SchedulerHarness::open(4);
+    harness.accept(1, vec![wide_step()]);
+    harness.settle();
+    let other = harness.confirm();
+    outlive_starts(&mut harness, number_of(&other[0].worker), &other);
+    harness.accept(2, vec![wide_step()]);
+    harness.settle();
+    let start = harness.confirm().remove(0);
+    harness
+        .scheduler
+        .renewal_failed(&other[0].worker, harness.now);
+    replace(&mut harness, number_of(&start.worker), 4);
+    for (crashes, next) in (1..).zip(5..8) {
+        harness.settle();
+        let mut starts = harness.confirm();
+        starts.retain(|start| start.task.job == JobId(2));
+        assert_eq!(starts.len(), 1, "after {crashes} crashes");
+        let number = number_of(&starts[0].worker);
+        outlive_starts(&mut harness, number, &starts);
+        replace(&mut harness, number, next);
+    }
+    harness.settle();
+    assert_eq!(harness.scheduler.state(JobId(2)), Some(JobState::Failed));
+}
