--- a/crates/emulator/tests/stray_runs.rs
+++ b/crates/emulator/tests/stray_runs.rs
@@ -92,3 +92,30 @@
 fn workers_that_were_silent_get_no_tasks_beyond_their_capacity() {
     check_scenarios("guarded = false\n", "");
 }
+
+/// Guards against a start without an answer that is carried out after its worker's lease has lapsed and
+/// been renewed, beside the run that replaced it: a late order lives longer than a lease.
+#[test]
+fn a_late_start_does_not_begin_after_the_lease_of_its_worker_has_lapsed() {
+    let fault = |kind: &str, at: f64, for_s: f64, count: u32| {
+        format!("[[faults]]\nkind = \"{kind}\"\nat = {at}\nfor_s = {for_s}\ncount = {count}\n")
+    };
+    let load = BASE_SCENARIO
+        .replace("secs = 16", "secs = 22")
+        .replace("worker_cpu = 6000", "worker_cpu = 16000")
+        .replace("per_sec = 1.5", "per_sec = 1.0")
+        .replace("task_ms = 2000", "task_ms = 2500")
+        .replace("speculative = true", "speculative = false");
+    let faults: String = [2.0, 12.0]
+        .map(|at| {
+            let late = fault("worker_late", at, 0.5, 8);
+            late + &fault("worker_dark", at + 0.6, 6.5, 5)
+        })
+        .concat();
+    let scenario = EmulationScenario::parse(&format!("{load}{faults}"));
+    let scenario = scenario.expect("the scenario is valid");
+    for seed in [2, 3, 6, 7, 10, 14] {
+        let outcome = run_scenario(&scenario, seed);
+        assert_eq!(check(&outcome.history), [], "seed {seed}");
+    }
+}
