Update the histories of crashes in one place

The excuse of a worker's losses walked all jobs and marked the changed ones in a loop of its own, beside the one that settles and confirms losses. Both call `update_histories` now, and the search for stray runs calls `AnyCharge::is_stray`. Behaviour as before: an excuse leaves no history empty, so that none is dropped.

--- a/crates/core/src/job/scheduler/crashes.rs
+++ b/crates/core/src/job/scheduler/crashes.rs
@@ -144,8 +144,7 @@
             && charges.all(|((key, _), charge)| {
                 charge.begun_at().is_some() && self.has_outlived_start(worker, key, charge)
             });
-        let mut charges = worker.charges.values();
-        let has_strays = charges.any(|charge| matches!(charge, AnyCharge::Stray(_)));
+        let has_strays = worker.charges.values().any(AnyCharge::is_stray);
         let is_free_of_tasks = worker.finite_runs == 0 && !has_strays;
         Some(match (is_settled, is_free_of_tasks) {
             (false, _) => SilenceCause::AnyTask,
@@ -171,15 +170,7 @@
             .record(id.clone(), cause, size, self.now);
         for (other, losses) in excused {
             self.log_worker_change(&other, WorkerChange::Excused);
-            for (job_id, job) in &mut self.jobs {
-                let histories = job.crashes.values_mut();
-                let excused =
-                    histories.filter_map(|history| history.excuse(&other, losses).then_some(()));
-                if excused.count() > 0 {
-                    job.mark_changed();
-                    self.outbox.mark_changed(*job_id);
-                }
-            }
+            self.update_histories(|history| history.excuse(&other, losses));
         }
     }
 
@@ -232,9 +223,13 @@
 
     /// Updates the histories of tasks with a run that a worker may have taken with it.
     fn update_crashes(&mut self, id: &WorkerId, update: impl Fn(&mut CrashHistory) -> bool) {
-        if self.doubted_workers.remove(id).is_none() {
-            return;
+        if self.doubted_workers.remove(id).is_some() {
+            self.update_histories(update);
         }
+    }
+
+    /// Updates all histories; `update` returns true if it has changed one.
+    fn update_histories(&mut self, update: impl Fn(&mut CrashHistory) -> bool) {
         for (job_id, job) in &mut self.jobs {
             let mut changed = false;
             job.crashes.retain(|_, history| {
