--- a/crates/core/tests/jobs/causes.rs
+++ b/crates/core/tests/jobs/causes.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     crashes::{answer_at, crash, outlive_starts, replace, speculative_step},
-    harness::{SchedulerHarness, long_running_step, number_of, step, worker},
+    harness::{RunOrder, SchedulerHarness, long_running_step, number_of, step, worker},
 };
 
 /// Guards against a long-running job that is given up since its workers crash again and again, each
@@ -26,6 +26,58 @@
     assert_ne!(harness.scheduler.state(JobId(1)), Some(JobState::Failed));
 }
 
+/// Accepts a long-running job of three tasks, one of which may be missing, and brings them to work;
+/// returns their starts.
+fn start_service(harness: &mut SchedulerHarness) -> Vec<RunOrder> {
+    harness.accept(1, vec![long_running_step(3, 1)]);
+    harness.settle();
+    let starts = harness.confirm();
+    assert_eq!(starts.len(), 3);
+    harness.wait(400);
+    harness.report_all(&starts, 8, 100);
+    harness.settle();
+    starts
+}
+
+/// Crashes the worker of the first task of a service `crashes` times, and after that the worker of each
+/// next run of it that starts; returns the number of its starts. The runs outlive their start if
+/// `outlives` is true.
+fn crash_first_task(
+    harness: &mut SchedulerHarness,
+    starts: &[RunOrder],
+    crashes: usize,
+    outlives: bool,
+) -> usize {
+    let mut run = starts[0].clone();
+    for crash in 0..crashes {
+        replace(harness, number_of(&run.worker), 8 + crash);
+        for other in &starts[1..] {
+            harness.report_part(number_of(&other.worker), starts, 100);
+        }
+        harness.settle();
+        let Some(next) = harness.confirm().pop() else {
+            return crash;
+        };
+        assert_eq!(next.task, run.task);
+        run = next;
+        if outlives {
+            outlive_starts(harness, number_of(&run.worker), std::slice::from_ref(&run));
+        }
+    }
+    crashes
+}
+
+/// Guards against sound runs of a service that are stopped while another task is away, since its worker
+/// has crashed again and again under runs that had outlived their start.
+#[test]
+fn sound_runs_are_not_stopped_for_crashes_under_another_task() {
+    let mut harness = SchedulerHarness::open(8);
+    let starts = start_service(&mut harness);
+    assert_eq!(crash_first_task(&mut harness, &starts, 6, true), 6);
+    assert_eq!(harness.stops, []);
+    assert_eq!(harness.scheduler.state(JobId(1)), Some(JobState::Running));
+}
+
 /// Ends the workers with these numbers at the same time; those that follow answer some seconds later.
 fn replace_all(harness: &mut SchedulerHarness, numbers: Range<usize>) {
     for number in numbers.clone() {
