Give a long-running task up alone

Cause: a fatal task ended its job, and all runs of a job that ends are stopped in one step; may_miss is the caller's limit for just that and was not asked. Each of these runs would stay away for good, so no order in which to stop them could keep the limit.

Change: a fatal long-running task is given up by itself (Exhausted, which is stored, so that the next owner does not start it either). Tasks that end take their jobs with them, as before: these cannot be done any more.

--- a/crates/core/src/job/scheduler/crashes.rs
+++ b/crates/core/src/job/scheduler/crashes.rs
@@ -42,10 +42,15 @@
         }
     }
 
-    /// Iterates over the unfinished tasks that crash their workers, with the number of crashes.
+    /// Iterates over the unfinished tasks that crash their workers, with the number of crashes. A
+    /// long-running task is not among them while it has a run, which clears it if it outlives its start.
     pub(super) fn fatal_tasks(&self) -> impl Iterator<Item = (TaskKey, usize)> {
-        let fatal = self.crashes.iter().filter(|(key, history)| {
-            history.is_fatal() && self.task(key).is_some_and(|task| !task.is_terminal())
+        let may_give_up = |key: &TaskKey, task: &AnyTask| match task {
+            AnyTask::Waiting(_) => true,
+            other => !other.is_terminal() && !self.step(key).long_running,
+        };
+        let fatal = self.crashes.iter().filter(move |(key, history)| {
+            history.is_fatal() && self.task(key).is_some_and(|task| may_give_up(key, task))
         });
         fatal.map(|(key, history)| (*key, history.crashes()))
     }
--- a/crates/core/src/job/task.rs
+++ b/crates/core/src/job/task.rs
@@ -315,7 +315,7 @@
         /// Number of the last run.
         run: u32,
     },
-    /// The task reached its maximum number of failures.
+    /// The task reached its maximum number of failures, or crashes its workers.
     Exhausted {
         /// Number of the last run.
         run: u32,
@@ -450,6 +450,17 @@
         }
     }
 
+    /// Gives the task up if it has no run.
+    pub(super) fn given_up(self) -> Self {
+        match self {
+            Self::Waiting(task) => Self::Exhausted {
+                run: task.run,
+                failed_runs: task.failed_runs,
+            },
+            other => other,
+        }
+    }
+
     /// True if the task will not run again.
     pub fn is_terminal(&self) -> bool {
         matches!(self, Self::Done { .. } | Self::Exhausted { .. })
--- a/crates/core/tests/jobs/causes.rs
+++ b/crates/core/tests/jobs/causes.rs
@@ -2,7 +2,7 @@
 
 use std::ops::Range;
 
-use jacinthhoist_core::job::{JobId, JobState, StepSpec};
+use jacinthhoist_core::job::{AnyTask, JobId, JobState, StepSpec};
 
 use crate::{
     crashes::{answer_at, crash, outlive_starts, replace, speculative_step},
@@ -78,6 +78,36 @@
     assert_eq!(harness.scheduler.state(JobId(1)), Some(JobState::Running));
 }
 
+/// Guards against sound runs of a service that are stopped, more at once than it may miss, with a task
+/// that is given up, as it has crashed its workers at its starts.
+#[test]
+fn sound_runs_go_on_when_a_task_of_their_step_is_given_up() {
+    let mut harness = SchedulerHarness::open(8);
+    let starts = start_service(&mut harness);
+    let restarts = crash_first_task(&mut harness, &starts, 8, false);
+    assert!((2..=5).contains(&restarts), "{restarts} restarts");
+    assert!(matches!(
+        harness.task(starts[0].task),
+        AnyTask::Exhausted { .. }
+    ));
+    assert_eq!(harness.stops, []);
+    assert_eq!(harness.scheduler.state(JobId(1)), Some(JobState::Running));
+}
+
+/// Guards against a task that a new owner starts again after the earlier one has given it up.
+#[test]
+fn a_task_of_a_service_that_was_given_up_is_not_started_by_the_next_owner() {
+    let mut harness = SchedulerHarness::open(8);
+    let starts = start_service(&mut harness);
+    crash_first_task(&mut harness, &starts, 8, false);
+    let spec = harness.scheduler.job(JobId(1)).expect("the job is open");
+    let spec = spec.spec.clone();
+    let mut next = harness.take_over(&[(JobId(1), spec)], 16);
+    next.report_all(&starts[1..], 16, 100);
+    next.settle();
+    assert_eq!((next.starts, next.stops), (vec![], vec![]));
+}
+
 /// Ends the workers with these numbers at the same time; those that follow answer some seconds later.
 fn replace_all(harness: &mut SchedulerHarness, numbers: Range<usize>) {
     for number in numbers.clone() {
