Judge hung runs by the reports of their workers

What callers may see: sound runs of a long-running job are stopped, all at once, shortly after they were started (AVAIL).

Cause: a run counted as hung 2.5 s after its last known progress by the owner's clock. An owner that was suspended for that long (or had read no report) stopped in its next step every run that it had started just before, before the reports that were already there were read; availability limits are not asked for hung runs.

Change: a run is hung if a report requested 2.5 s after its last progress shows none.

Evidence: the first test failed before (three stops); the second one, that a run reported at 0 percent is still stopped, passed before and after.

--- a/crates/core/src/job/scheduler/orders.rs
+++ b/crates/core/src/job/scheduler/orders.rs
@@ -15,7 +15,7 @@
 
 use super::{Effect, Scheduler, SchedulerDecision};
 
-/// A run without progress for this long is stopped. Tasks last about a second.
+/// A run that its worker reports without progress for this long is stopped. Tasks last about a second.
 const HANG_TIMEOUT: ClockTime = ClockTime::from_millis(2_500);
 /// Interval between searches for runs to stop: short compared with the time allowed for a
 /// cancellation.
@@ -190,9 +190,11 @@
                             && now > task.phase.ordered_at + STOP_RETRY_DELAY
                     }
                     AnyTask::Running(task) => {
+                        // By the last report, as this owner may have been suspended since then.
+                        let seen_at = worker.seen_at.unwrap_or_default();
                         let is_hung = task.phase.percent < FULL_PERCENT
                             && worker.silent_since.is_none()
-                            && now > task.phase.progressed_at + HANG_TIMEOUT;
+                            && seen_at > task.phase.progressed_at + HANG_TIMEOUT;
                         if is_hung {
                             hung.push(worker.id.clone());
                         }
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -1,5 +1,6 @@
 //! Tests of job scheduling: order of stored records and effects, takeovers, placement and priority.
 
+mod availability;
 mod causes;
 mod counts;
 mod crashes;
