Count inherited runs as available once no earlier stop can end them

What callers may see: one task more of a long-running step away than it may miss (AVAIL), just after a change of the owner.

Cause: a run that the earlier owner has ordered to stop is reported as running, at 100 percent, until it has ended. The new owner took it for available and stopped another run of the step, for a wave or on a draining worker.

Change: a run that this owner has found, not started, counts as available once a report shows it in full operation that was requested a second, the longest time of a stop, after the first one. The worker carries out no order of the earlier owner after that, by its fencing token.

--- a/crates/core/src/job/scheduler/waves.rs
+++ b/crates/core/src/job/scheduler/waves.rs
@@ -312,16 +312,18 @@
         max_unavailable == 0 || unavailable < max_unavailable
     }
 
-    /// Returns whether a task is in full operation. A task on a silent worker counts as
-    /// unavailable.
+    /// Returns whether a task is in full operation. A task on a silent worker counts as unavailable, and so
+    /// does one that an earlier owner may have ordered to stop.
     fn is_available(&self, task: &AnyTask) -> bool {
         let AnyTask::Running(task) = task else {
             return false;
         };
         let worker = self.workers.get(&task.phase.worker);
         let answers = worker.is_some_and(|worker| {
-            let seen = worker.seen_at.unwrap_or_default();
-            worker.silent_since.is_none() && self.now < seen + MAX_REPORT_AGE
+            let seen_at = worker.seen_at.unwrap_or_default();
+            worker.silent_since.is_none()
+                && seen_at >= task.phase.settled_at
+                && self.now < seen_at + MAX_REPORT_AGE
         });
         answers && task.phase.percent >= FULL_PERCENT
     }
--- a/crates/core/src/job/task.rs
+++ b/crates/core/src/job/task.rs
@@ -13,6 +13,8 @@
 
 /// Progress of a run that is complete, or in full operation.
 pub(super) const FULL_PERCENT: u8 = 100;
+/// Longest time that a run takes to stop.
+const MAX_STOP_TIME: ClockTime = ClockTime::from_millis(1_000);
 /// Failed runs of a task that are remembered by number; only long-running tasks may fail more often.
 const MAX_REMEMBERED_FAILURES: usize = 16;
 
@@ -110,6 +112,8 @@
     pub percent: u8,
     /// Time of the last change in progress.
     pub progressed_at: ClockTime,
+    /// Time by which a stop order of an earlier owner has ended the run; it is reported until then.
+    pub settled_at: ClockTime,
 }
 
 /// The run has been ordered to stop.
@@ -195,6 +199,7 @@
             since: begun_at,
             percent: 0,
             progressed_at: now,
+            settled_at: now + MAX_STOP_TIME,
         })
     }
 
@@ -222,11 +227,16 @@
     /// Records that the worker runs the task.
     pub fn confirm(self, now: ClockTime) -> TaskRun<Running> {
         let worker = self.phase.worker.clone();
+        let settled_at = match self.phase.order {
+            StartOrderState::Inherited => now + MAX_STOP_TIME,
+            _ => ClockTime::ZERO,
+        };
         self.with_phase(Running {
             worker,
             since: now,
             percent: 0,
             progressed_at: now,
+            settled_at,
         })
     }
 
--- a/crates/core/tests/jobs/availability.rs
+++ b/crates/core/tests/jobs/availability.rs
@@ -1,8 +1,10 @@
 //! Availability of long-running steps: which orders end a sound run.
 
-use jacinthhoist_core::job::JobId;
+use jacinthhoist_core::job::{JobId, TaskEnd, WorkerEntry, WorkerState};
 
-use crate::harness::{RunOrder, SchedulerHarness, long_running_step};
+use crate::harness::{
+    RunOrder, SchedulerHarness, listed_entry, long_running_step, number_of, worker,
+};
 
 /// Starts a service of three tasks, one of which may be missing, on as many workers; returns the starts.
 fn start_service(harness: &mut SchedulerHarness) -> Vec<RunOrder> {
@@ -42,3 +44,35 @@
     assert_eq!(harness.stops, hung);
     assert!(harness.scheduler.job(JobId(1)).is_some());
 }
+
+/// Guards against a second run of a step that a new owner stops while the one that the earlier owner has
+/// ordered to stop is still reported in full operation.
+#[test]
+fn a_new_owner_stops_no_run_while_one_of_the_earlier_owner_may_be_stopping() {
+    let mut harness = SchedulerHarness::open(3);
+    let starts = start_service(&mut harness);
+    harness.report_all(&starts, 3, 100);
+    harness.settle();
+    let spec = harness.scheduler.job(JobId(1)).expect("the job is open");
+    let mut next = harness.take_over(&[(JobId(1), spec.spec.clone())], 3);
+    next.report_all(&starts, 3, 100);
+    let number = number_of(&starts[0].worker);
+    let draining = WorkerEntry {
+        state: WorkerState::Draining,
+        ..listed_entry(number)
+    };
+    next.scheduler
+        .worker_listed(worker(number), draining, next.now);
+    next.wait(150);
+    next.step();
+    assert_eq!(next.stops, []);
+    next.end(&starts[1], TaskEnd::Stopped);
+    next.settle();
+    assert_eq!(next.stops, [], "one task is away");
+    next.wait(1_000);
+    let again = next.confirm();
+    let running = [&starts[..1], &starts[2..], &again[..]].concat();
+    next.report_all(&running, 3, 100);
+    next.settle();
+    assert_eq!(next.stops, starts[..1], "all tasks are back");
+}
