Wait with a task's last trial while workers end for other reasons

Cause: the loss of a run weighs the same whether the pool is calm or a tenth of its workers end every second. Other silences excuse it only if they are noticed within 0.1 to 0.5 s.

Change: a pool is unsettled for three seconds after workers, a sixteenth of them at least, have ended on which no task was starting. Until it is calm no crash is attributed to a job alone, and a task waits with the run whose loss would end it. The number of starts that a task gets is the same as before, so the limit on starts after crashes holds as it did.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -59,7 +59,7 @@
     Batch, BatchRecord, Effect, Job, JobProgress, LossReason, PoolSummary, RenewalPlan, Scheduler,
     SchedulerDecision, SchedulerLimits, StepAdvice, TaskRecord, VmEntry, VmState, WorkerChange,
 };
-pub use silence::{ExcusedLosses, RecentSilences, SilenceCause};
+pub use silence::{ExcusedLosses, PoolUnrest, RecentSilences, SilenceCause};
 pub use spec::{
     JobError, JobId, JobSpec, JobState, JobTerms, RepeatPlan, Resources, StepKey, StepSpec, TaskKey,
 };
--- a/crates/core/src/job/crash.rs
+++ b/crates/core/src/job/crash.rs
@@ -337,6 +337,12 @@
         self.is_suspect() && self.losses.iter().any(|loss| loss.is_unresolved(now))
     }
 
+    /// True if the next run is the last one before the task is given up, so that its loss must not be chance.
+    pub fn is_last_trial(&self) -> bool {
+        let starts = self.losses.iter().filter(|loss| loss.lost().is_start());
+        self.unexcused().count() + 1 >= MAX_CRASHES || starts.count() + 1 >= MAX_START_CRASHES
+    }
+
     /// True if the task is given up, as it crashes its workers.
     pub fn is_fatal(&self) -> bool {
         // A VM on which workers end again and again is at fault itself.
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -41,7 +41,7 @@
     crash::Implication,
     life::ClosedLife,
     order::DurationTable,
-    silence::RecentSilences,
+    silence::{PoolUnrest, RecentSilences},
     spec::{JobId, JobState, Resources, StepKey, TaskKey},
     task::TaskEnd,
     wave::WaveTable,
@@ -386,6 +386,7 @@
     /// Workers that have fallen silent or restarted with runs, and may have ended, with their addresses.
     doubted_workers: BTreeMap<WorkerId, Arc<str>>,
     recent_silences: RecentSilences,
+    unrest: PoolUnrest,
     /// Workers that are reserved for trials.
     trial_workers: SmallVec<[WorkerId; 4]>,
     outbox: batch::Outbox,
@@ -416,6 +417,7 @@
             permits: permits::PermitCache::default(),
             doubted_workers: BTreeMap::new(),
             recent_silences: RecentSilences::default(),
+            unrest: PoolUnrest::default(),
             trial_workers: SmallVec::new(),
             outbox: batch::Outbox::default(),
             effects: Vec::new(),
--- a/crates/core/src/job/scheduler/crashes.rs
+++ b/crates/core/src/job/scheduler/crashes.rs
@@ -7,22 +7,24 @@
     job::{
         charge::AnyCharge,
         crash::{CLEARED_SPAN, CrashHistory, Implication, LostWorker, RunLoss, START_SPAN},
-        silence::SilenceCause,
+        silence::{SilenceCause, UNREST_SPAN},
         spec::{JobId, TaskKey},
         task::{AnyTask, StartOrderState},
         worker::ActiveRun,
     },
-    name::WorkerId,
+    name::{PoolName, WorkerId},
 };
 
 use super::{Job, Scheduler, SchedulerDecision, WorkerChange};
 
 impl Job {
-    /// Returns whether a task waits until it is known whether it has crashed its workers.
+    /// Returns whether a task waits until it is known whether it has crashed its workers, or until its last
+    /// trial would show that.
     pub(super) fn is_held(&self, key: &TaskKey, now: ClockTime) -> bool {
+        let is_unsettled = now < self.calm_from;
         self.crashes
             .get(key)
-            .is_some_and(|history| history.is_held(now))
+            .is_some_and(|history| history.is_held(now) || is_unsettled && history.is_last_trial())
     }
 
     /// Returns whether a task may have crashed a worker, so that no run of another job may start
@@ -106,7 +108,11 @@
                 && Some(key.job) != first_job
                 && !self.has_outlived_start(worker, key, charge)
         });
-        let alone = !beside_stray && starting().all(|(key, ..)| Some(key.job) == first_job);
+        // Nothing is attributed to a job while workers of the pool end for other reasons.
+        let calm_from = self.unrest.calm_from(&worker.entry.pool);
+        let alone = !beside_stray
+            && self.now >= calm_from
+            && starting().all(|(key, ..)| Some(key.job) == first_job);
         for (key, run, starting) in &lost {
             let implication = match (starting, alone) {
                 (false, _) => Implication::None,
@@ -120,6 +126,7 @@
                 job.task(key),
                 Some(AnyTask::Running(_) | AnyTask::Stopping(_))
             );
+            job.calm_from = job.calm_from.max(calm_from);
             let loss = RunLoss::open(*run, lost_worker.clone(), implication, until);
             let history = job.crashes.entry(*key).or_default();
             history.record(if began { loss.begun() } else { loss });
@@ -164,12 +171,17 @@
         let Some(cause) = cause else {
             return;
         };
-        let pool = self.workers.get(id).map(|worker| &worker.entry.pool);
+        let Some(pool) = self.workers.get(id).map(|worker| worker.entry.pool.clone()) else {
+            return;
+        };
         let in_pool = self
             .workers
             .values()
-            .filter(|worker| Some(&worker.entry.pool) == pool);
+            .filter(|worker| worker.entry.pool == pool);
         let size = in_pool.filter(|worker| worker.seen_at.is_some()).count();
+        if cause > SilenceCause::AnyTask {
+            self.record_unrest(&pool, size);
+        }
         let excused = self
             .recent_silences
             .record(id.clone(), cause, size, self.now);
@@ -179,6 +191,17 @@
         }
     }
 
+    /// Records that a worker of a pool has ended for a reason outside its starting tasks, and has the last
+    /// trials of the pool's tasks wait.
+    fn record_unrest(&mut self, pool: &PoolName, workers: usize) {
+        self.unrest.record(pool, workers, self.now);
+        let calm_from = self.unrest.calm_from(pool);
+        let jobs = self.jobs.values_mut();
+        for job in jobs.filter(|job| job.terms.pool == *pool && !job.crashes.is_empty()) {
+            job.calm_from = job.calm_from.max(calm_from);
+        }
+    }
+
     /// Records that a run is known to have begun, also after it was lost.
     pub(super) fn record_begin(&mut self, key: TaskKey, run: u32) {
         let Some(job) = self.jobs.get_mut(&key.job) else {
@@ -280,9 +303,12 @@
     /// Registers the workers that a restored job has lost runs with.
     pub(super) fn restore_doubts(&mut self, id: JobId) {
         let latest = self.unknown_lease().latest_expiry();
+        let now = self.now;
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
+        // The earlier owner may just have seen workers end.
+        job.calm_from = now + UNREST_SPAN;
         for history in job.crashes.values_mut() {
             history.limit_doubts(latest);
         }
--- a/crates/core/src/job/scheduler/jobs.rs
+++ b/crates/core/src/job/scheduler/jobs.rs
@@ -83,6 +83,9 @@
     pub(super) avoided_workers: SmallVec<[(TaskKey, WorkerId); 2]>,
     /// Tasks whose runs were lost together with their workers.
     pub(super) crashes: BTreeMap<TaskKey, CrashHistory>,
+    /// Time from which the loss of a run counts as evidence again, after workers have ended for other
+    /// reasons.
+    pub(super) calm_from: ClockTime,
 }
 
 impl Job {
@@ -428,6 +431,7 @@
             has_startable: false,
             avoided_workers: SmallVec::new(),
             crashes: BTreeMap::new(),
+            calm_from: ClockTime::ZERO,
             spec,
         }
     }
--- a/crates/core/src/job/silence.rs
+++ b/crates/core/src/job/silence.rs
@@ -4,10 +4,15 @@
 //! that had no such run, the cause lies outside the tasks, and those that fall silent with it share the
 //! cause. Two workers on each of which a run was starting do not excuse each other.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
-use crate::{clock::ClockTime, name::WorkerId};
+use crate::{
+    clock::ClockTime,
+    name::{PoolName, WorkerId},
+};
 
 /// Time within which workers that crash together are noticed: they refuse connections at once.
 const CRASH_SPAN: ClockTime = ClockTime::from_millis(100);
@@ -18,6 +23,11 @@
 /// outside their tasks if no run was starting on any of them.
 const MASS_WORKERS: usize = 3;
 const MASS_SHARE: usize = 2;
+/// Time after the end of a worker for an outside reason in which further ones are to be expected.
+pub(super) const UNREST_SPAN: ClockTime = ClockTime::from_millis(3_000);
+/// Part of a pool's workers, as one over this number, that end within that time for an outside reason in
+/// a pool that is unsettled.
+const UNREST_SHARE: usize = 16;
 
 /// Which of its tasks may be the cause of a worker's silence.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -119,3 +129,46 @@
         (mass > 0).then_some(ExcusedLosses::Starts)
     }
 }
+
+/// Workers of a pool that have ended for an outside reason.
+#[derive(Clone, Debug, Default)]
+struct PoolEnds {
+    recent: SmallVec<[ClockTime; 8]>,
+    calm_from: ClockTime,
+}
+
+/// Pools whose workers end for outside reasons: there, the loss of a starting run proves little.
+///
+/// ```
+/// use jacinthhoist_core::{ClockTime, PoolName, job::PoolUnrest};
+/// let (ms, pool) = (ClockTime::from_millis, PoolName::new("mould"));
+/// let mut unrest = PoolUnrest::default();
+/// unrest.record(&pool, 20, ms(1_000));
+/// assert!(unrest.calm_from(&pool) <= ms(1_000), "one of twenty workers");
+/// unrest.record(&pool, 20, ms(2_000));
+/// assert_eq!(unrest.calm_from(&pool), ms(5_000));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct PoolUnrest {
+    pools: BTreeMap<PoolName, PoolEnds>,
+}
+
+impl PoolUnrest {
+    /// Records that one of `workers` workers of a pool has ended and that no starting task can be the
+    /// cause.
+    pub fn record(&mut self, pool: &PoolName, workers: usize, now: ClockTime) {
+        let ends = self.pools.entry(pool.clone()).or_default();
+        ends.recent.retain(|at| now < *at + UNREST_SPAN);
+        ends.recent.push(now);
+        if ends.recent.len() >= workers.div_ceil(UNREST_SHARE) {
+            ends.calm_from = now + UNREST_SPAN;
+        }
+    }
+
+    /// Time from which a pool counts as calm.
+    pub fn calm_from(&self, pool: &PoolName) -> ClockTime {
+        self.pools
+            .get(pool)
+            .map_or(ClockTime::ZERO, |ends| ends.calm_from)
+    }
+}
--- a/crates/core/tests/jobs/causes.rs
+++ b/crates/core/tests/jobs/causes.rs
@@ -259,3 +259,49 @@
     harness.settle();
     assert_eq!(harness.scheduler.state(JobId(2)), Some(JobState::Failed));
 }
+
+/// Guards against an innocent job that is given up while workers end for other reasons: its last trial
+/// waits until they have not done so for a while.
+#[test]
+fn the_last_trial_of_a_task_waits_until_the_workers_of_its_pool_have_stopped_ending() {
+    let mut harness = SchedulerHarness::open(8);
+    harness.accept(1, vec![step(1)]);
+    for next in 8..11 {
+        harness.settle();
+        let starts = harness.confirm();
+        assert_eq!(starts.len(), 1);
+        let number = number_of(&starts[0].worker);
+        outlive_starts(&mut harness, number, &starts);
+        crash(&mut harness, number);
+        harness.wait(3_000);
+        if next == 10 {
+            crash(&mut harness, 7);
+        }
+        answer_at(&mut harness, number, next);
+    }
+    harness.wait(2_500);
+    harness.settle();
+    assert_eq!(harness.starts, [], "an idle worker has just ended");
+    harness.wait(500);
+    harness.settle();
+    assert_eq!(harness.starts.len(), 1);
+}
+
+/// Guards against an innocent job that is given up since two workers crash at its lone starts, among
+/// others that end for other reasons.
+#[test]
+fn crashes_at_lone_starts_are_not_attributed_while_workers_end_for_other_reasons() {
+    let mut harness = SchedulerHarness::open(8);
+    harness.accept(1, vec![step(1)]);
+    for (round, idle) in [(0, 6), (1, 7)] {
+        harness.settle();
+        let starts = harness.confirm();
+        assert_eq!(starts.len(), 1, "round {round}");
+        crash(&mut harness, idle);
+        harness.wait(700);
+        replace(&mut harness, number_of(&starts[0].worker), 8 + round);
+    }
+    harness.settle();
+    assert_ne!(harness.scheduler.state(JobId(1)), Some(JobState::Failed));
+    assert_eq!(harness.starts.len(), 1);
+}
