Check stop orders for availability on the emulator

The emulator checked AVAIL for orders on VMs only, and not while a fault or its recovery lasts. The check of stop orders follows the rule: another task is away if an order has ended it, or if it has not been at work for 4.5 s; orders that are carried out late, draining workers and cancelled jobs are left out. The check of VM orders moves to the same module, unchanged.

Evidence: rules.rs plants such a stop, with each of the exceptions.

--- a/crates/emulator/src/check.rs
+++ b/crates/emulator/src/check.rs
@@ -1,5 +1,6 @@
 //! Checks of a recorded history against the scheduler's guarantees.
 
+mod availability;
 mod crashes;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -11,7 +12,10 @@
 
 use crate::history::{CallOutcome, EmulationHistory, EndKind, FinalAnswer, JobHistory, RunHistory};
 
-use self::crashes::{check_starts_after_crashes, may_be_given_up};
+use self::{
+    availability::{check_stops, check_vm_order},
+    crashes::{check_starts_after_crashes, may_be_given_up},
+};
 
 /// Time after the acknowledgement of a cancellation in which tasks may still start.
 const CANCEL_GRACE: ClockTime = ClockTime::from_millis(3_000);
@@ -22,8 +26,6 @@
 /// Time after a shrinkage of a worker's capacity in which tasks that would have fitted before may
 /// still start: the contact time and a heartbeat.
 const CAPACITY_GRACE: ClockTime = ClockTime::from_millis(4_000 + 1_500);
-/// Time after which a long-running task counts as available.
-const AVAILABLE_AFTER: ClockTime = ClockTime::from_millis(400);
 /// Time for which orders of a replaced owner are still executed: an owner's confirmation is valid
 /// for 900 ms, and an order is in transit for some more.
 const MAX_REPLACED_AGE: ClockTime = ClockTime::from_millis(1_000);
@@ -64,7 +66,7 @@
     Lost => "An accepted job stays known, questions about it are answered, and it is eventually done, unless it fails, crashes its workers or is cancelled.",
     One => "A VM executes no order with an older fencing token than it has seen, nor one of an owner that was replaced long ago.",
     Drain => "A draining worker gets no new tasks.",
-    Avail => "Planned VM orders leave no more tasks of a step missing than it allows.",
+    Avail => "Orders to VMs and workers leave no more tasks of a step missing than it allows.",
 }
 
 /// Violation of a rule.
@@ -91,6 +93,7 @@
         check_job(history, *id, job, &runs, &mut findings);
     }
     check_vms(history, &mut findings);
+    check_stops(history, &runs, &mut findings);
     findings.violations.sort_by_key(|violation| violation.at);
     findings.violations
 }
@@ -420,7 +423,7 @@
             let detail = format!("{}: executed an order of a replaced owner", order.vm);
             findings.add(HistoryRule::One, order.at, detail);
         }
-        check_availability(history, order_index, findings);
+        check_vm_order(history, order, findings);
         let Some(wave) = order.wave else {
             continue;
         };
@@ -451,41 +454,3 @@
         }
     }
 }
-
-/// Checks that a VM order leaves no more tasks of a long-running job missing than the job allows.
-fn check_availability(history: &EmulationHistory, order_index: usize, findings: &mut RuleFindings) {
-    let order = &history.vm_orders[order_index];
-    let Some(worker) = &order.worker else {
-        return;
-    };
-    if history.is_disrupted(order.at) {
-        return;
-    }
-    let is_available = |run: &&RunHistory, at: ClockTime| {
-        run.began_at + AVAILABLE_AFTER <= at && run.ended.is_none_or(|(end, _)| end >= at)
-    };
-    let affected = history.runs.iter().filter(|run| {
-        let stopped = run.stop_received_at.is_some_and(|at| at < order.at);
-        run.worker == *worker && is_available(run, order.at) && !stopped
-    });
-    for run in affected {
-        let Some(job) = history.jobs.get(&run.task.job) else {
-            continue;
-        };
-        if !job.shape.long_running || job.cancelled.is_some() {
-            continue;
-        }
-        let others = job_tasks(run.task.job, job).filter(|task| *task != run.task);
-        let missing = others.filter(|task| {
-            let mut runs = history.runs.iter();
-            !runs.any(|other| other.task == *task && is_available(&other, order.at))
-        });
-        if missing.count() >= job.shape.may_miss {
-            let detail = format!(
-                "{}: stopped by an order on {} while too many other tasks of its step are missing",
-                run.task, order.vm
-            );
-            findings.add(HistoryRule::Avail, order.at, detail);
-        }
-    }
-}
--- a/crates/emulator/src/history.rs
+++ b/crates/emulator/src/history.rs
@@ -114,6 +114,8 @@
     pub ended: Option<(ClockTime, EndKind)>,
     /// Time at which the worker received a stop order.
     pub stop_received_at: Option<ClockTime>,
+    /// True if the worker executed that order late.
+    pub stop_executed_late: bool,
     /// Time at which the scheduler acknowledged the end.
     pub acked_at: Option<ClockTime>,
     /// True if the worker executed the start order late.
@@ -231,6 +233,7 @@
             shrunk_at: conditions.shrunk_at,
             ended: None,
             stop_received_at: None,
+            stop_executed_late: false,
             acked_at: None,
             executed_late: false,
             sender_in_touch: conditions.sender_in_touch,
@@ -271,6 +274,15 @@
         }
     }
 
+    /// Records that a worker executed the first stop order for a run late.
+    pub fn record_late_stop(&mut self, worker: &WorkerId, task: TaskKey, run: u32, at: ClockTime) {
+        if let Some(run) = self.run(worker, task, run)
+            && run.stop_received_at == Some(at)
+        {
+            run.stop_executed_late = true;
+        }
+    }
+
     /// Records that a run crashed its worker.
     pub fn record_crash(&mut self, worker: &WorkerId, task: TaskKey, run: u32) {
         if let Some(run) = self.run(worker, task, run) {
--- a/crates/emulator/src/model.rs
+++ b/crates/emulator/src/model.rs
@@ -365,9 +365,13 @@
         token: u64,
     ) -> Option<OrderReply> {
         let worker_id = id.clone();
-        self.deliver_order(id, move |model, _| {
+        self.deliver_order(id, move |model, late| {
             let reply = model.with_worker(&worker_id, |worker, now, history| {
-                worker.stop_run(task, run, token, now, history)
+                let reply = worker.stop_run(task, run, token, now, history);
+                if late {
+                    history.record_late_stop(&worker_id, task, run, now);
+                }
+                reply
             })?;
             model.notify_waiters();
             Some(reply)
--- a/crates/emulator/tests/rules.rs
+++ b/crates/emulator/tests/rules.rs
@@ -61,6 +61,7 @@
     copy.ended = Some((after + ms(1), EndKind::ProcessLost));
     copy.acked_at = None;
     copy.stop_received_at = None;
+    copy.stop_executed_late = false;
     history.runs.push(copy);
     history.runs.last_mut().expect("it was just added")
 }
@@ -273,3 +274,72 @@
     let rules: Vec<_> = check(&history).iter().map(|found| found.rule).collect();
     assert_eq!(rules, [HistoryRule::One]);
 }
+
+/// Runs a scenario with a long-running job on three workers; returns the history and the indexes of the
+/// runs of that job.
+fn history_of_service() -> (EmulationHistory, Vec<usize>) {
+    let scenario = EmulationScenario::parse(
+        "secs = 6\nworkers = 3\n[[loads]]\nper_sec = 1.0\ntasks = 3\ntask_ms = 300\nlasting = 1\n",
+    );
+    let history = run_scenario(&scenario.expect("the scenario is valid"), 1).history;
+    let runs = history.runs.iter().enumerate();
+    let service = runs.filter(|(_, run)| history.jobs[&run.task.job].shape.long_running);
+    let service: Vec<usize> = service.map(|(index, _)| index).collect();
+    assert_eq!(service.len(), 3);
+    (history, service)
+}
+
+/// Ends a run with a stop order at the given time.
+fn plant_stop(history: &mut EmulationHistory, index: usize, at: ClockTime) {
+    let run = &mut history.runs[index];
+    run.stop_received_at = Some(at);
+    run.ended = Some((at + ms(300), EndKind::Reported(TaskEnd::Stopped)));
+}
+
+#[test]
+fn a_stop_while_another_task_of_the_step_is_away_is_found() {
+    let (valid, service) = history_of_service();
+    assert_eq!(check(&valid), []);
+    let at = valid.ended_at - ms(1_000);
+    let violations = |change: &dyn Fn(&mut EmulationHistory)| {
+        let mut history = valid.clone();
+        plant_stop(&mut history, service[0], at);
+        change(&mut history);
+        violated_rules(&history)
+    };
+    assert_eq!(violations(&|_| {}), []);
+    // An order has ended another one.
+    assert_eq!(
+        violations(&|history| plant_stop(history, service[1], at - ms(200))),
+        [HistoryRule::Avail]
+    );
+    // The worker of another one has crashed, just now or a while ago.
+    let lose = |history: &mut EmulationHistory, ago: ClockTime| {
+        history.runs[service[1]].ended = Some((at - ago, EndKind::ProcessLost));
+    };
+    assert_eq!(violations(&|history| lose(history, ms(4_000))), []);
+    assert_eq!(
+        violations(&|history| lose(history, ms(4_300))),
+        [HistoryRule::Avail]
+    );
+    // The order was executed late, the worker is draining, or the caller has cancelled the job.
+    let excuses: [&dyn Fn(&mut EmulationHistory); 3] = [
+        &|history| history.runs[service[0]].stop_executed_late = true,
+        &|history| {
+            let worker = history.runs[service[0]].worker.clone();
+            history.draining_since.insert(worker, at);
+        },
+        &|history| {
+            let id = history.runs[service[0]].task.job;
+            let job = history.jobs.get_mut(&id).expect("the job is known");
+            job.cancelled = Some((at, None));
+        },
+    ];
+    for (number, excuse) in excuses.iter().enumerate() {
+        let found = violations(&|history| {
+            lose(history, ms(4_300));
+            excuse(history);
+        });
+        assert!(!found.contains(&HistoryRule::Avail), "{number}");
+    }
+}
