Count series of ends as unrest, whatever was starting

Cause: after each pulse all waiting runs start at once, so that the next one hits every worker while something starts on it. Such ends were no sign of unrest, and the pool counted as calm in the middle of the series.

Change: three ends within one and a half seconds, and a quarter of the pool, are a series too, whatever was starting.

--- a/crates/core/src/job/scheduler/crashes.rs
+++ b/crates/core/src/job/scheduler/crashes.rs
@@ -179,9 +179,7 @@
             .values()
             .filter(|worker| worker.entry.pool == pool);
         let size = in_pool.filter(|worker| worker.seen_at.is_some()).count();
-        if cause > SilenceCause::AnyTask {
-            self.record_unrest(&pool, size);
-        }
+        self.record_unrest(&pool, cause, size);
         let excused = self
             .recent_silences
             .record(id.clone(), cause, size, self.now);
@@ -191,10 +189,10 @@
         }
     }
 
-    /// Records that a worker of a pool has ended for a reason outside its starting tasks, and has the last
-    /// trials of the pool's tasks wait.
-    fn record_unrest(&mut self, pool: &PoolName, workers: usize) {
-        self.unrest.record(pool, workers, self.now);
+    /// Records that one of `workers` workers of a pool has ended, and has the last trials of the pool's tasks
+    /// wait while further ones are likely to end for outside reasons.
+    fn record_unrest(&mut self, pool: &PoolName, cause: SilenceCause, workers: usize) {
+        self.unrest.record(pool, cause, workers, self.now);
         let calm_from = self.unrest.calm_from(pool);
         let jobs = self.jobs.values_mut();
         for job in jobs.filter(|job| job.terms.pool == *pool && !job.crashes.is_empty()) {
--- a/crates/core/src/job/silence.rs
+++ b/crates/core/src/job/silence.rs
@@ -27,7 +27,12 @@
 pub(super) const UNREST_SPAN: ClockTime = ClockTime::from_millis(3_000);
 /// Part of a pool's workers, as one over this number, that end within that time for an outside reason in
 /// a pool that is unsettled.
-const UNREST_SHARE: usize = 16;
+const OUTSIDE_SHARE: usize = 16;
+/// Time within which a series of ends is noticed, and number of workers in it, at least this part of the
+/// pool as one over a number: too many for tasks that crash their workers one by one.
+const SERIES_SPAN: ClockTime = ClockTime::from_millis(1_500);
+const SERIES_WORKERS: usize = 3;
+const SERIES_SHARE: usize = 4;
 
 /// Which of its tasks may be the cause of a worker's silence.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -130,22 +135,36 @@
     }
 }
 
-/// Workers of a pool that have ended for an outside reason.
+/// Workers of a pool that have ended.
 #[derive(Clone, Debug, Default)]
 struct PoolEnds {
-    recent: SmallVec<[ClockTime; 8]>,
+    recent: SmallVec<[(ClockTime, SilenceCause); 8]>,
     calm_from: ClockTime,
 }
 
+impl PoolEnds {
+    /// Returns whether further workers out of `workers` are likely to end for outside reasons.
+    fn is_unsettled(&self, workers: usize, now: ClockTime) -> bool {
+        let ends = self.recent.iter();
+        let outside = ends
+            .clone()
+            .filter(|(_, cause)| *cause > SilenceCause::AnyTask);
+        let outside = outside.count();
+        let in_series = ends.filter(|(at, _)| now < *at + SERIES_SPAN).count();
+        outside > 0 && outside >= workers.div_ceil(OUTSIDE_SHARE)
+            || in_series >= SERIES_WORKERS.max(workers.div_ceil(SERIES_SHARE))
+    }
+}
+
 /// Pools whose workers end for outside reasons: there, the loss of a starting run proves little.
 ///
 /// ```
-/// use jacinthhoist_core::{ClockTime, PoolName, job::PoolUnrest};
+/// use jacinthhoist_core::{ClockTime, PoolName, job::{PoolUnrest, SilenceCause}};
 /// let (ms, pool) = (ClockTime::from_millis, PoolName::new("mould"));
 /// let mut unrest = PoolUnrest::default();
-/// unrest.record(&pool, 20, ms(1_000));
+/// unrest.record(&pool, SilenceCause::Outside, 20, ms(1_000));
 /// assert!(unrest.calm_from(&pool) <= ms(1_000), "one of twenty workers");
-/// unrest.record(&pool, 20, ms(2_000));
+/// unrest.record(&pool, SilenceCause::Outside, 20, ms(2_000));
 /// assert_eq!(unrest.calm_from(&pool), ms(5_000));
 /// ```
 #[derive(Clone, Debug, Default)]
@@ -154,21 +173,19 @@
 }
 
 impl PoolUnrest {
-    /// Records that one of `workers` workers of a pool has ended and that no starting task can be the
-    /// cause.
-    pub fn record(&mut self, pool: &PoolName, workers: usize, now: ClockTime) {
+    /// Records that one of `workers` workers of a pool has ended.
+    pub fn record(&mut self, pool: &PoolName, cause: SilenceCause, workers: usize, now: ClockTime) {
         let ends = self.pools.entry(pool.clone()).or_default();
-        ends.recent.retain(|at| now < *at + UNREST_SPAN);
-        ends.recent.push(now);
-        if ends.recent.len() >= workers.div_ceil(UNREST_SHARE) {
+        ends.recent.retain(|(at, _)| now < *at + UNREST_SPAN);
+        ends.recent.push((now, cause));
+        if ends.is_unsettled(workers, now) {
             ends.calm_from = now + UNREST_SPAN;
         }
     }
 
     /// Time from which a pool counts as calm.
     pub fn calm_from(&self, pool: &PoolName) -> ClockTime {
-        self.pools
-            .get(pool)
-            .map_or(ClockTime::ZERO, |ends| ends.calm_from)
+        let ends = self.pools.get(pool);
+        ends.map_or(ClockTime::ZERO, |ends| ends.calm_from)
     }
 }
