Attribute no crash of a series to a lone start, also the first one

Cause: whether a crash is attributed to the only job that was starting is decided when it is noticed. The first end of a series is noticed while the pool is still calm.

Change: once a pool is found unsettled, the ends of the last one and a half seconds count as shared.

--- a/crates/core/src/job/crash.rs
+++ b/crates/core/src/job/crash.rs
@@ -270,6 +270,20 @@
         changed
     }
 
+    /// Records that a worker ended in a series, so that its end is not attributable to one job; returns true if
+    /// this changes the history.
+    pub fn share(&mut self, id: &WorkerId) -> bool {
+        let mut changed = false;
+        for loss in &mut self.losses {
+            let lost = loss.lost_mut();
+            if lost.worker.id == *id && lost.implication == Implication::Alone {
+                lost.implication = Implication::Shared;
+                changed = true;
+            }
+        }
+        changed
+    }
+
     /// Limits the time for which the task waits to what a lease that begins now can last: the time
     /// stored by another member is on that member's clock.
     pub(super) fn limit_doubts(&mut self, latest: ClockTime) {
--- a/crates/core/src/job/scheduler/crashes.rs
+++ b/crates/core/src/job/scheduler/crashes.rs
@@ -179,7 +179,7 @@
             .values()
             .filter(|worker| worker.entry.pool == pool);
         let size = in_pool.filter(|worker| worker.seen_at.is_some()).count();
-        self.record_unrest(&pool, cause, size);
+        self.record_unrest(&pool, id, cause, size);
         let excused = self
             .recent_silences
             .record(id.clone(), cause, size, self.now);
@@ -189,10 +189,19 @@
         }
     }
 
-    /// Records that one of `workers` workers of a pool has ended, and has the last trials of the pool's tasks
-    /// wait while further ones are likely to end for outside reasons.
-    fn record_unrest(&mut self, pool: &PoolName, cause: SilenceCause, workers: usize) {
-        self.unrest.record(pool, cause, workers, self.now);
+    /// Records that one of `workers` workers of a pool has ended. While further ones are likely to end for
+    /// outside reasons, nothing is attributed to a job, and the last trials of the pool's tasks wait.
+    fn record_unrest(
+        &mut self,
+        pool: &PoolName,
+        id: &WorkerId,
+        cause: SilenceCause,
+        workers: usize,
+    ) {
+        let now = self.now;
+        for other in self.unrest.record(pool, id.clone(), cause, workers, now) {
+            self.update_histories(|history| history.share(&other));
+        }
         let calm_from = self.unrest.calm_from(pool);
         let jobs = self.jobs.values_mut();
         for job in jobs.filter(|job| job.terms.pool == *pool && !job.crashes.is_empty()) {
--- a/crates/core/src/job/silence.rs
+++ b/crates/core/src/job/silence.rs
@@ -135,10 +135,20 @@
     }
 }
 
+/// End of a worker.
+#[derive(Clone, Debug)]
+struct WorkerEnd {
+    worker: WorkerId,
+    at: ClockTime,
+    cause: SilenceCause,
+    /// True if it is known to be one of a series.
+    in_series: bool,
+}
+
 /// Workers of a pool that have ended.
 #[derive(Clone, Debug, Default)]
 struct PoolEnds {
-    recent: SmallVec<[(ClockTime, SilenceCause); 8]>,
+    recent: SmallVec<[WorkerEnd; 4]>,
     calm_from: ClockTime,
 }
 
@@ -146,11 +156,9 @@
     /// Returns whether further workers out of `workers` are likely to end for outside reasons.
     fn is_unsettled(&self, workers: usize, now: ClockTime) -> bool {
         let ends = self.recent.iter();
-        let outside = ends
-            .clone()
-            .filter(|(_, cause)| *cause > SilenceCause::AnyTask);
+        let outside = ends.clone().filter(|end| end.cause > SilenceCause::AnyTask);
         let outside = outside.count();
-        let in_series = ends.filter(|(at, _)| now < *at + SERIES_SPAN).count();
+        let in_series = ends.filter(|end| now < end.at + SERIES_SPAN).count();
         outside > 0 && outside >= workers.div_ceil(OUTSIDE_SHARE)
             || in_series >= SERIES_WORKERS.max(workers.div_ceil(SERIES_SHARE))
     }
@@ -159,12 +167,14 @@
 /// Pools whose workers end for outside reasons: there, the loss of a starting run proves little.
 ///
 /// ```
-/// use jacinthhoist_core::{ClockTime, PoolName, job::{PoolUnrest, SilenceCause}};
+/// use jacinthhoist_core::{ClockTime, PoolName, WorkerId, job::{PoolUnrest, SilenceCause}};
 /// let (ms, pool) = (ClockTime::from_millis, PoolName::new("mould"));
+/// let id = |number: u64| WorkerId::new(&format!("i-{number}"));
 /// let mut unrest = PoolUnrest::default();
-/// unrest.record(&pool, SilenceCause::Outside, 20, ms(1_000));
-/// assert!(unrest.calm_from(&pool) <= ms(1_000), "one of twenty workers");
-/// unrest.record(&pool, SilenceCause::Outside, 20, ms(2_000));
+/// let series = unrest.record(&pool, id(1), SilenceCause::Outside, 20, ms(1_000));
+/// assert!(series.is_empty() && unrest.calm_from(&pool) <= ms(1_000), "one of twenty workers");
+/// let series = unrest.record(&pool, id(2), SilenceCause::Outside, 20, ms(2_000));
+/// assert_eq!(series.as_slice(), [id(1), id(2)]);
 /// assert_eq!(unrest.calm_from(&pool), ms(5_000));
 /// ```
 #[derive(Clone, Debug, Default)]
@@ -173,14 +183,35 @@
 }
 
 impl PoolUnrest {
-    /// Records that one of `workers` workers of a pool has ended.
-    pub fn record(&mut self, pool: &PoolName, cause: SilenceCause, workers: usize, now: ClockTime) {
+    /// Records that one of `workers` workers of a pool has ended; returns those that are now known to have
+    /// ended in a series.
+    pub fn record(
+        &mut self,
+        pool: &PoolName,
+        worker: WorkerId,
+        cause: SilenceCause,
+        workers: usize,
+        now: ClockTime,
+    ) -> SmallVec<[WorkerId; 4]> {
         let ends = self.pools.entry(pool.clone()).or_default();
-        ends.recent.retain(|(at, _)| now < *at + UNREST_SPAN);
-        ends.recent.push((now, cause));
-        if ends.is_unsettled(workers, now) {
-            ends.calm_from = now + UNREST_SPAN;
+        ends.recent.retain(|end| now < end.at + UNREST_SPAN);
+        ends.recent.push(WorkerEnd {
+            worker,
+            at: now,
+            cause,
+            in_series: false,
+        });
+        if !ends.is_unsettled(workers, now) {
+            return SmallVec::new();
         }
+        ends.calm_from = now + UNREST_SPAN;
+        let latest = ends.recent.iter_mut();
+        let latest = latest.filter(|end| now < end.at + SERIES_SPAN && !end.in_series);
+        let found = latest.map(|end| {
+            end.in_series = true;
+            end.worker.clone()
+        });
+        found.collect()
     }
 
     /// Time from which a pool counts as calm.
--- a/crates/core/tests/jobs/causes.rs
+++ b/crates/core/tests/jobs/causes.rs
@@ -305,3 +305,27 @@
     assert_ne!(harness.scheduler.state(JobId(1)), Some(JobState::Failed));
     assert_eq!(harness.starts.len(), 1);
 }
+
+/// Guards against an innocent job that is given up for the first end of each series: the others are noticed
+/// after it.
+#[test]
+fn the_first_crash_of_a_series_is_not_attributed_to_a_lone_start() {
+    let mut harness = SchedulerHarness::open(8);
+    harness.accept(1, vec![step(1)]);
+    for (round, others) in [(0, [4, 5]), (1, [6, 7])] {
+        harness.settle();
+        let starts = harness.confirm();
+        assert_eq!(starts.len(), 1, "round {round}");
+        let number = number_of(&starts[0].worker);
+        crash(&mut harness, number);
+        for other in others {
+            harness.wait(550);
+            crash(&mut harness, other);
+        }
+        harness.wait(8_000);
+        answer_at(&mut harness, number, 8 + round);
+    }
+    harness.settle();
+    assert_ne!(harness.scheduler.state(JobId(1)), Some(JobState::Failed));
+    assert_eq!(harness.starts.len(), 1);
+}
