--- a/crates/core/src/job/scheduler/crashes.rs
+++ b/crates/core/src/job/scheduler/crashes.rs
@@ -1,4 +1,4 @@
-//! Losses of runs together with their workers, and what they tell about the tasks.
+//! Losses of runs together with their workers, what they tell about the tasks, and when a job is given up.
 
 use smallvec::SmallVec;
 
@@ -8,7 +8,7 @@
         charge::AnyCharge,
         crash::{CLEARED_SPAN, CrashHistory, Implication, LostWorker, RunLoss, START_SPAN},
         silence::{SilenceCause, UNREST_SPAN},
-        spec::{JobId, TaskKey},
+        spec::{JobId, StepSpec, TaskKey},
         task::{AnyTask, StartOrderState},
         worker::ActiveRun,
     },
@@ -56,6 +56,43 @@
         });
         fatal.map(|(key, history)| (*key, history.crashes()))
     }
+
+    /// Gives up the tasks that crash their workers; returns them with the number of crashes. Where they are
+    /// long-running, the others of their steps go on: to stop all of these as well would exceed what the
+    /// steps may miss. A task that ends takes its job with it.
+    pub(super) fn give_up_fatal_tasks(&mut self) -> SmallVec<[(TaskKey, usize); 2]> {
+        let fatal: SmallVec<[(TaskKey, usize); 2]> = self.fatal_tasks().collect();
+        for (key, _) in &fatal {
+            if self.step(key).long_running
+                && let Some(slot) = self.task_mut(key)
+            {
+                *slot = slot.clone().given_up();
+                self.crashes.remove(key);
+            }
+        }
+        fatal
+    }
+
+    /// Returns whether the job cannot be done: some task that ends has failed too often and is not
+    /// running any more, or crashes its workers, or all tasks of a long-running step are given up.
+    pub(super) fn has_failed(&self) -> bool {
+        self.fatal_tasks().next().is_some()
+            || self.occurrences.iter().any(|occurrence| {
+                let mut steps = self.spec.steps.iter().zip(&occurrence.steps);
+                steps.any(|(step, tasks)| self.has_step_failed(step, tasks))
+            })
+    }
+
+    fn has_step_failed(&self, step: &StepSpec, tasks: &[AnyTask]) -> bool {
+        let is_given_up = |task: &AnyTask| matches!(task, AnyTask::Exhausted { .. });
+        if step.long_running {
+            return tasks.iter().all(is_given_up);
+        }
+        tasks.iter().any(|task| match task {
+            AnyTask::Waiting(task) => task.failed_runs.count() >= self.terms.max_failures,
+            other => is_given_up(other),
+        })
+    }
 }
 
 impl Scheduler {
--- a/crates/core/tests/jobs/availability.rs
+++ b/crates/core/tests/jobs/availability.rs
@@ -6,8 +6,8 @@
     RunOrder, SchedulerHarness, listed_entry, long_running_step, number_of, worker,
 };
 
-/// Starts a service of three tasks, one of which may be missing, on as many workers; returns the starts.
-fn start_service(harness: &mut SchedulerHarness) -> Vec<RunOrder> {
+/// Starts a service of three tasks, one of which may be missing; returns the starts.
+pub(crate) fn start_service(harness: &mut SchedulerHarness) -> Vec<RunOrder> {
     harness.accept(1, vec![long_running_step(3, 1)]);
     harness.settle();
     let starts = harness.confirm();
--- a/crates/core/tests/jobs/causes.rs
+++ b/crates/core/tests/jobs/causes.rs
@@ -5,6 +5,7 @@
 use jacinthhoist_core::job::{AnyTask, JobId, JobState, StepSpec};
 
 use crate::{
+    availability::start_service,
     crashes::{answer_at, crash, outlive_starts, replace, speculative_step},
     harness::{RunOrder, SchedulerHarness, long_running_step, number_of, step, worker},
 };
@@ -26,13 +27,10 @@
     assert_ne!(harness.scheduler.state(JobId(1)), Some(JobState::Failed));
 }
 
-/// Accepts a long-running job of three tasks, one of which may be missing, and brings them to work;
-/// returns their starts.
-fn start_service(harness: &mut SchedulerHarness) -> Vec<RunOrder> {
-    harness.accept(1, vec![long_running_step(3, 1)]);
-    harness.settle();
-    let starts = harness.confirm();
-    assert_eq!(starts.len(), 3);
+/// Starts a service of three tasks, one of which may be missing, and brings them to work; returns the
+/// starts.
+fn start_available_service(harness: &mut SchedulerHarness) -> Vec<RunOrder> {
+    let starts = start_service(harness);
     harness.wait(400);
     harness.report_all(&starts, 8, 100);
     harness.settle();
@@ -72,7 +70,7 @@
 #[test]
 fn sound_runs_are_not_stopped_for_crashes_under_another_task() {
     let mut harness = SchedulerHarness::open(8);
-    let starts = start_service(&mut harness);
+    let starts = start_available_service(&mut harness);
     assert_eq!(crash_first_task(&mut harness, &starts, 6, true), 6);
     assert_eq!(harness.stops, []);
     assert_eq!(harness.scheduler.state(JobId(1)), Some(JobState::Running));
@@ -83,7 +81,7 @@
 #[test]
 fn sound_runs_go_on_when_a_task_of_their_step_is_given_up() {
     let mut harness = SchedulerHarness::open(8);
-    let starts = start_service(&mut harness);
+    let starts = start_available_service(&mut harness);
     let restarts = crash_first_task(&mut harness, &starts, 8, false);
     assert!((2..=5).contains(&restarts), "{restarts} restarts");
     assert!(matches!(
@@ -98,7 +96,7 @@
 #[test]
 fn a_task_of_a_service_that_was_given_up_is_not_started_by_the_next_owner() {
     let mut harness = SchedulerHarness::open(8);
-    let starts = start_service(&mut harness);
+    let starts = start_available_service(&mut harness);
     crash_first_task(&mut harness, &starts, 8, false);
     let spec = harness.scheduler.job(JobId(1)).expect("the job is open");
     let spec = spec.spec.clone();
