Walk the jobs once for a series of ends, and count losses at starts in one place

A series of ends had all jobs walked once for each of its workers, and each end once more, also while its pool was calm, where the walk has no effect. Both are one walk now, and none while the pool is calm. The number of losses at starts was computed in three places.

No decision changes, and no test was touched.

--- a/crates/core/src/job/crash.rs
+++ b/crates/core/src/job/crash.rs
@@ -270,13 +270,12 @@
         changed
     }
 
-    /// Records that a worker ended in a series, so that its end is not attributable to one job; returns true if
-    /// this changes the history.
-    pub fn share(&mut self, id: &WorkerId) -> bool {
+    /// Records that these workers ended in a series, so that their ends are not attributable to one job;
+    /// returns true if this changes the history.
+    pub fn share(&mut self, series: &[WorkerId]) -> bool {
         let mut changed = false;
-        for loss in &mut self.losses {
-            let lost = loss.lost_mut();
-            if lost.worker.id == *id && lost.implication == Implication::Alone {
+        for lost in self.losses.iter_mut().map(AnyRunLoss::lost_mut) {
+            if lost.implication == Implication::Alone && series.contains(&lost.worker.id) {
                 lost.implication = Implication::Shared;
                 changed = true;
             }
@@ -353,8 +352,7 @@
 
     /// True if the next run is the last one before the task is given up, so that its loss must not be chance.
     pub fn is_last_trial(&self) -> bool {
-        let starts = self.losses.iter().filter(|loss| loss.lost().is_start());
-        self.unexcused().count() + 1 >= MAX_CRASHES || starts.count() + 1 >= MAX_START_CRASHES
+        self.unexcused().count() + 1 >= MAX_CRASHES || self.start_losses() + 1 >= MAX_START_CRASHES
     }
 
     /// True if the task is given up, as it crashes its workers.
@@ -374,8 +372,14 @@
 
     /// True if the losses of the task are too many to be chance.
     fn is_suspect(&self) -> bool {
-        let starts = self.losses.iter().filter(|loss| loss.lost().is_start());
-        self.unexcused().count() >= MAX_UNRESOLVED_LOSSES || starts.count() >= MAX_EXCUSED_STARTS
+        self.unexcused().count() >= MAX_UNRESOLVED_LOSSES
+            || self.start_losses() >= MAX_EXCUSED_STARTS
+    }
+
+    /// Number of starting runs that were lost.
+    fn start_losses(&self) -> usize {
+        let losses = self.losses.iter().map(AnyRunLoss::lost);
+        losses.filter(|lost| lost.is_start()).count()
     }
 
     /// Losses that may be the fault of the task.
@@ -385,6 +389,6 @@
     }
 
     fn is_implicated(&self) -> bool {
-        self.losses.iter().any(|loss| loss.lost().is_start())
+        self.start_losses() > 0
     }
 }
--- a/crates/core/src/job/scheduler/crashes.rs
+++ b/crates/core/src/job/scheduler/crashes.rs
@@ -235,11 +235,16 @@
         cause: SilenceCause,
         workers: usize,
     ) {
-        let now = self.now;
-        for other in self.unrest.record(pool, id.clone(), cause, workers, now) {
-            self.update_histories(|history| history.share(&other));
+        let series = self
+            .unrest
+            .record(pool, id.clone(), cause, workers, self.now);
+        if !series.is_empty() {
+            self.update_histories(|history| history.share(&series));
         }
         let calm_from = self.unrest.calm_from(pool);
+        if self.now >= calm_from {
+            return;
+        }
         let jobs = self.jobs.values_mut();
         for job in jobs.filter(|job| job.terms.pool == *pool && !job.crashes.is_empty()) {
             job.calm_from = job.calm_from.max(calm_from);
