--- a/review/standin/case.rs
+++ b/review/standin/case.rs
@@ -37,6 +37,7 @@
         "crashes" => crashes,
         "late-repeat" => late_repeat,
         "old-clock" => old_clock,
+        "long" => long,
         "probation" => probation,
         "queue" => queue,
         _ => {
@@ -511,3 +512,23 @@
         "{{\"task_spec\":\"{plan}\",\"steps\":[{{\"count\":{count},\"cpu\":{cpu},\"mem_mb\":512,\"estimate_ms\":1000,\"max_per_server\":1}}]}}"
     )
 }
+
+/// A work unit that takes longer than a percent in 2.5 s.
+fn long(folder: &str) -> i32 {
+    let size = Size { members: 3, workers: 4, hold_max_ms: 10_000, status_s: 120, attempts: 4 };
+    let platform = Platform::spawn(folder, &size);
+    if !platform.wait_ready() {
+        platform.end(keeps_logs());
+        return COULD_NOT_RUN;
+    }
+    let mean_ms = if has_trouble() { 400_000 } else { 20_000 };
+    let id = "00000000000000a2";
+    platform.submit(0, id, &one_step(1, 1_000, 512, mean_ms), vec![(1_000, 512)]);
+    let state = platform.wait_end(id, Duration::from_secs(40));
+    let seen = platform.seen.lock().unwrap().clone();
+    write_runs(&platform.record, &seen);
+    let runs: usize = seen.values().map(Vec::len).sum();
+    platform.record.line(&format!("state {state}; runs of the work unit: {runs}"));
+    platform.end(keeps_logs());
+    if runs > 1 { BROKEN } else { HELD }
+}
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -148,8 +148,10 @@
 
     /// Ends the process with all runs; another one starts at the same address after `down`.
     pub fn crash(self: &Arc<Self>, down: Duration) {
-        self.crashed.store(true, Ordering::SeqCst);
         let mut process = self.process.lock().unwrap();
+        if self.crashed.swap(true, Ordering::SeqCst) {
+            return;
+        }
         let runs = std::mem::take(&mut process.runs);
         self.record.line(&format!("worker {} crashes with {} runs", self.id, runs.len()));
         let mut seen = self.seen.lock().unwrap();
@@ -321,6 +323,9 @@
 
     fn start(&self, body: &Json) -> Answer {
         let mut process = self.process.lock().unwrap();
+        if self.crashed.load(Ordering::SeqCst) {
+            return Answer::Close;
+        }
         if !Self::accepts_token(&mut process, body) {
             return Self::refusal(&process, "fence");
         }
