--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# An idle worker starts again under its id, and is cut off later while it runs a work unit.
+# More work units end on one worker during an outage of the store than one answer lists.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/standin ] && [ -x target/release/jacinthhoistd ] || exit 2
-exec target/review/standin old-clock review/3
+exec target/review/standin many-ends review/3
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# A twentieth of the submissions can never be done; then demand rises for some seconds.
+# An idle worker starts again under its id, and is cut off later while it runs a work unit.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/standin ] && [ -x target/release/jacinthhoistd ] || exit 2
-exec target/review/standin queue review/4
+exec target/review/standin old-clock review/4
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# A submission fails while a long work unit runs on each worker.
+# A twentieth of the submissions can never be done; then demand rises for some seconds.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/standin ] && [ -x target/release/jacinthhoistd ] || exit 2
-exec target/review/standin probation review/5
+exec target/review/standin queue review/5
--- a/review/standin/case.rs
+++ b/review/standin/case.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     fmt::Write,
+    process::Command,
     sync::atomic::Ordering,
     thread,
     time::{Duration, Instant},
@@ -38,6 +39,7 @@
         "late-repeat" => late_repeat,
         "old-clock" => old_clock,
         "long" => long,
+        "stale-owner" => stale_owner,
         "probation" => probation,
         "queue" => queue,
         _ => {
@@ -152,7 +154,7 @@
         sleep_ms(4_500);
         platform.set_store_down(false);
     }
-    let state = platform.wait_end(id, Duration::from_secs(40));
+    let state = platform.wait_end(0, id, Duration::from_secs(40));
     sleep_ms(2_000);
     let seen = platform.seen.lock().unwrap().clone();
     write_runs(&platform.record, &seen);
@@ -365,7 +367,7 @@
     if has_trouble() {
         platform.submit(1, id, &body, vec![(1_000, 512)]);
     }
-    let state = platform.wait_end(id, Duration::from_secs(10));
+    let state = platform.wait_end(0, id, Duration::from_secs(10));
     platform.record.line(&format!("state {state}"));
     sleep_ms(36_000);
     let (status, state) = platform.state(0, id);
@@ -419,7 +421,7 @@
         sleep_ms(5_500);
         at_work.cut_off(false);
     }
-    let state = platform.wait_end(id, Duration::from_secs(30));
+    let state = platform.wait_end(0, id, Duration::from_secs(30));
     sleep_ms(1_000);
     let seen = platform.seen.lock().unwrap().clone();
     write_runs(&platform.record, &seen);
@@ -524,7 +526,7 @@
     let mean_ms = if has_trouble() { 400_000 } else { 20_000 };
     let id = "00000000000000a2";
     platform.submit(0, id, &one_step(1, 1_000, 512, mean_ms), vec![(1_000, 512)]);
-    let state = platform.wait_end(id, Duration::from_secs(40));
+    let state = platform.wait_end(0, id, Duration::from_secs(40));
     let seen = platform.seen.lock().unwrap().clone();
     write_runs(&platform.record, &seen);
     let runs: usize = seen.values().map(Vec::len).sum();
@@ -532,3 +534,48 @@
     platform.end(keeps_logs());
     if runs > 1 { BROKEN } else { HELD }
 }
+
+/// The process that holds the partition freezes while start orders are under way. Another one has the
+/// work units done, and their worker starts again under its id before the first one wakes.
+fn stale_owner(folder: &str) -> i32 {
+    let size = Size { members: 3, workers: 8, hold_max_ms: 10_000, status_s: 120, attempts: 4 };
+    let platform = Platform::spawn(folder, &size);
+    let holder = if platform.wait_ready() { platform.owner() } else { None };
+    let Some((holder, process)) = holder.and_then(|index| Some((index, platform.process(index)?))) else {
+        platform.end(keeps_logs());
+        return COULD_NOT_RUN;
+    };
+    let id = "0000000000000061";
+    if has_trouble() {
+        let record = platform.record.clone();
+        let freeze = move || {
+            record.line("the process that holds the partition freezes");
+            let _ = Command::new("kill").arg("-STOP").arg(process.to_string()).status();
+        };
+        // All work units go to the first worker, which has room for them.
+        *platform.workers[0].trap.lock().unwrap() = Some(Box::new(freeze));
+    }
+    platform.submit(holder + 1, id, &one_step(40, 300, 512, 600), vec![(300, 512)]);
+    let begun = Instant::now();
+    let state = platform.wait_end(holder + 1, id, Duration::from_secs(20));
+    let runs_at = |seen: &BTreeMap<String, Vec<SeenRun>>| {
+        seen.values().flatten().map(|run| run.worker.clone()).collect::<BTreeSet<String>>()
+    };
+    let used = runs_at(&platform.seen.lock().unwrap());
+    platform.record.line(&format!("state {state}; the work units have run on {used:?}"));
+    if has_trouble() {
+        sleep_ms(300);
+        for worker in platform.workers.iter().filter(|worker| used.contains(&worker.id)) {
+            worker.crash(Duration::from_millis(300));
+        }
+        thread::sleep(Duration::from_millis(4_000).saturating_sub(begun.elapsed()));
+        platform.signal(holder, "CONT");
+    }
+    sleep_ms(4_000);
+    let seen = platform.seen.lock().unwrap().clone();
+    write_runs(&platform.record, &seen);
+    let breaks = breaks_of_twice(&platform.record, &seen);
+    platform.record.line(&format!("breaks of TWICE: {breaks}"));
+    platform.end(keeps_logs());
+    if breaks > 0 { BROKEN } else { HELD }
+}
--- a/review/standin/platform.rs
+++ b/review/standin/platform.rs
@@ -172,6 +172,11 @@
         }
     }
 
+    /// Process of a member.
+    pub fn process(&self, index: usize) -> Option<u32> {
+        self.members[index].child.as_ref().map(Child::id)
+    }
+
     /// Kills the process of a member and waits for its end.
     pub fn kill(&mut self, index: usize) {
         self.signal(index, "KILL");
@@ -238,10 +243,10 @@
     }
 
     /// Waits for an end of a submission; returns the last state seen.
-    pub fn wait_end(&self, id: &str, limit: Duration) -> String {
+    pub fn wait_end(&self, member: usize, id: &str, limit: Duration) -> String {
         let (until, mut last) = (Instant::now() + limit, String::new());
         while Instant::now() < until {
-            let (status, state) = self.state(0, id);
+            let (status, state) = self.state(member, id);
             let shown = format!("{status:?} {state}");
             if shown != last {
                 self.record.line(&format!("GET {id} -> {shown}"));
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -98,6 +98,8 @@
     pub cut: AtomicBool,
     crashed: AtomicBool,
     holds: AtomicU64,
+    /// Called once, when a work unit has been started and before the order is answered.
+    pub trap: Mutex<Option<Box<dyn FnOnce() + Send>>>,
     seen: SeenRuns,
     submissions: Submissions,
     record: Record,
@@ -124,6 +126,7 @@
             cut: AtomicBool::new(false),
             crashed: AtomicBool::new(false),
             holds: AtomicU64::new(0),
+            trap: Mutex::new(None),
             seen,
             submissions,
             record,
@@ -365,6 +368,9 @@
                 crashed: false,
             };
             self.seen.lock().unwrap().entry(unit).or_default().push(row);
+            if let Some(act) = self.trap.lock().unwrap().take() {
+                act();
+            }
         }
         json(200, format!("{{\"clock_ms\":{},\"born\":{}}}", process.clock_ms(), process.born))
     }
