--- a/review/standin/platform.rs
+++ b/review/standin/platform.rs
@@ -24,6 +24,15 @@
 pub const SERVICE: &str = "galerij";
 const CONSUMER_LIMIT: Duration = Duration::from_millis(3_000);
 
+/// Processes of members that have been started and not ended.
+pub static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+fn end_child(mut child: Child) {
+    let _ = child.kill();
+    let _ = child.wait();
+    STARTED.lock().unwrap().retain(|process| *process != child.id());
+}
+
 pub fn unix_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |span| span.as_millis() as u64)
 }
@@ -160,6 +169,7 @@
             .spawn();
         let child = child.expect("target/release/jacinthhoistd can be started");
         self.record.line(&format!("member {} starts as process {}", member.name, child.id()));
+        STARTED.lock().unwrap().push(child.id());
         member.child = Some(child);
     }
 
@@ -180,8 +190,8 @@
     /// Kills the process of a member and waits for its end.
     pub fn kill(&mut self, index: usize) {
         self.signal(index, "KILL");
-        if let Some(mut child) = self.members[index].child.take() {
-            let _ = child.wait();
+        if let Some(child) = self.members[index].child.take() {
+            end_child(child);
         }
     }
 
@@ -280,9 +290,8 @@
 impl Platform {
     fn end_members(&mut self) {
         for member in &mut self.members {
-            if let Some(mut child) = member.child.take() {
-                let _ = child.kill();
-                let _ = child.wait();
+            if let Some(child) = member.child.take() {
+                end_child(child);
             }
         }
     }
