Send no order after the permission behind it has run out

An owner that had been suspended for 3.6 s sent the start orders of before, and their worker, restarted under its id, knew no token of the next owner.

Cause: orders to workers relied on the recipient's memory of a higher token. They waited for one of four slots in tasks that outlived the engine, and nothing compared their age before they were sent.

Change: every order to a worker carries an expiry: starts 0.9 s after the store last confirmed the ownership, renewals and stops 0.9 s after their decision. It is compared before the request is sent and at each write of the connection. An order that was not sent counts as such: its run is free at once. Orders that wait for a slot are dropped with their engine.

--- a/crates/core/src/job/scheduler/orders.rs
+++ b/crates/core/src/job/scheduler/orders.rs
@@ -102,6 +102,7 @@
             StartReply::Unhealthy
             | StartReply::Fenced
             | StartReply::TooLate
+            | StartReply::Expired
             | StartReply::Invalid => {}
         }
     }
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -120,6 +120,8 @@
     Unhealthy,
     /// Another incarnation of the worker answered and ignored the order.
     WrongLife,
+    /// The order was not sent, as the permission to send it had run out.
+    Expired,
     /// No reply; the order may have been carried out or may still be.
     Unknown,
 }
--- a/crates/emulator/src/platform.rs
+++ b/crates/emulator/src/platform.rs
@@ -8,10 +8,10 @@
     job::{OrderReply, RenewalReport, StartReply, StepAdvice, StepKey, TaskKey},
 };
 use jacinthhoist_scheduler::{
-    Category, Result,
+    Category, ErrorKind, Result,
     ports::{
-        AppendSequence, Membership, NewestPage, OperatorRecord, Platform, ReadPage, RenewalOrder,
-        StartOrder, StoreStream, VmAuthority, VmListing, WorkerLink, WorkerRecord,
+        AppendSequence, Membership, NewestPage, OperatorRecord, OrderAuthority, Platform, ReadPage,
+        RenewalOrder, StartOrder, StoreStream, VmListing, WorkerLink, WorkerRecord,
     },
 };
 use tokio::time::sleep;
@@ -206,12 +206,12 @@
             .await
     }
 
-    async fn move_vm(&self, vm: &VmName, to: &PoolName, authority: VmAuthority) -> OrderReply {
+    async fn move_vm(&self, vm: &VmName, to: &PoolName, authority: OrderAuthority) -> OrderReply {
         self.order_vm(vm, VmCommand::Move(to.clone()), authority)
             .await
     }
 
-    async fn maintain_vm(&self, vm: &VmName, wave: u64, authority: VmAuthority) -> OrderReply {
+    async fn maintain_vm(&self, vm: &VmName, wave: u64, authority: OrderAuthority) -> OrderReply {
         self.order_vm(vm, VmCommand::Maintain(wave), authority)
             .await
     }
@@ -226,7 +226,12 @@
 }
 
 impl EmulatedPlatform {
-    async fn order_vm(&self, vm: &VmName, order: VmCommand, authority: VmAuthority) -> OrderReply {
+    async fn order_vm(
+        &self,
+        vm: &VmName,
+        order: VmCommand,
+        authority: OrderAuthority,
+    ) -> OrderReply {
         let token = authority.token;
         let serve = async {
             let reply = self.model.order_vm(vm, order, token, &self.member);
@@ -248,41 +253,57 @@
     async fn call<T>(
         &self,
         name: &'static str,
+        authority: OrderAuthority,
         timeout: Duration,
         serve: impl Future<Output = Option<Result<T>>>,
     ) -> Result<T> {
         let to = Endpoint::Worker(self.worker.clone());
         let network = &self.model.network;
+        network.until_resumed(&self.member).await;
+        if authority.expiry.has_passed() {
+            return Err(ErrorKind::Expired { call: name }.into());
+        }
         network.call(name, &self.member, &to, timeout, serve).await
     }
 }
 
 impl WorkerLink for EmulatedLink {
-    async fn renew(&self, order: RenewalOrder, token: u64) -> Result<Option<RenewalReport>> {
+    async fn renew(
+        &self,
+        order: RenewalOrder,
+        authority: OrderAuthority,
+    ) -> Result<Option<RenewalReport>> {
+        let token = authority.token;
         let timeout = WAIT_MARGIN + Duration::from_millis(order.wait.as_millis());
         let serve = async { self.model.renew(&self.worker, order, token).await.map(Ok) };
-        self.call("hold", timeout, serve).await
+        self.call("hold", authority, timeout, serve).await
     }
 
-    async fn start(&self, order: StartOrder, token: u64) -> StartReply {
+    async fn start(&self, order: StartOrder, authority: OrderAuthority) -> StartReply {
+        let token = authority.token;
         let serve = async {
             let in_touch = self.model.network.is_in_touch(&self.member);
             let reply = self.model.start_run(&self.worker, order, token, in_touch);
             reply.map(Ok)
         };
-        let answer: Result<StartReply> = self.call("start", ORDER_TIMEOUT, serve).await;
+        let answer: Result<StartReply> = self.call("start", authority, ORDER_TIMEOUT, serve).await;
         answer.unwrap_or_else(|error| match error.category() {
+            Category::Expired => StartReply::Expired,
             Category::NotDone => StartReply::Unhealthy,
             _ => StartReply::Unknown,
         })
     }
 
-    async fn stop(&self, task: TaskKey, run: u32, token: u64) -> OrderReply {
+    async fn stop(&self, task: TaskKey, run: u32, authority: OrderAuthority) -> OrderReply {
+        let token = authority.token;
         let serve = async {
             let stopped = self.model.stop_run(&self.worker, task, run, token);
             stopped.map(Ok)
         };
-        let answer: Result<OrderReply> = self.call("stop", ORDER_TIMEOUT, serve).await;
-        answer.unwrap_or(OrderReply::Unknown)
+        let answer: Result<OrderReply> = self.call("stop", authority, ORDER_TIMEOUT, serve).await;
+        answer.unwrap_or_else(|error| match error.category() {
+            Category::Expired => OrderReply::Expired,
+            _ => OrderReply::Unknown,
+        })
     }
 }
--- /dev/null
+++ b/crates/emulator/tests/late_orders.rs
@@ -0,0 +1,47 @@
+//! Pattern: an owner is suspended with orders under way, and their workers restart under their ids
+//! before it resumes.
+
+use jacinthhoist_emulator::{EmulationScenario, check, run_scenario};
+
+const SCENARIO: &str = r#"
+    secs = 16
+    members = 3
+    workers = 4
+    spare = 0
+    [[loads]]
+    per_sec = 6.0
+    steps = 1
+    tasks = 6
+    task_ms = 400
+"#;
+
+fn fault(kind: &str, at: f64, for_s: f64, count: usize) -> String {
+    format!("[[faults]]\nkind = \"{kind}\"\nat = {at}\nfor_s = {for_s}\ncount = {count}\n")
+}
+
+/// Guards against tasks that run again after they were done: an owner that resumed sent the start
+/// orders of before its suspension, and their worker, which had restarted since, knew no token of the
+/// owner that had had the tasks done elsewhere (review/2).
+#[test]
+fn a_resumed_owner_sends_no_start_orders_of_before() {
+    // Orders went out late with each of these seeds.
+    for (at, seeds) in [
+        (3.1, [3, 10, 17, 19, 21].as_slice()),
+        (4.2, [15, 26, 30, 39].as_slice()),
+    ] {
+        let text = format!(
+            "{SCENARIO}{}{}",
+            fault("member_freeze", at, 3.5, 1),
+            fault("worker_crash", at + 2.9, 0.3, 4),
+        );
+        let scenario = EmulationScenario::parse(&text).expect("the scenario is valid");
+        for seed in seeds {
+            let outcome = run_scenario(&scenario, *seed);
+            assert_eq!(
+                check(&outcome.history),
+                [],
+                "seed {seed}, suspended at {at} s"
+            );
+        }
+    }
+}
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -24,6 +24,7 @@
     error::{
         Category, ConnectSnafu, ExchangeSnafu, ExpiredSnafu, RequestSnafu, Result, TimeoutSnafu,
     },
+    stream::{ExpiringStream, StreamExpiry},
 };
 
 /// Timeout for opening a connection: several times the round-trip time within a region.
@@ -90,7 +91,14 @@
 pub struct HttpClient {
     address: SocketAddr,
     host: HeaderValue,
-    sender: Option<http1::SendRequest<Full<Bytes>>>,
+    connection: Option<HttpConnection>,
+}
+
+/// Open connection, with the expiry of the request that is sent on it.
+#[derive(Debug)]
+struct HttpConnection {
+    sender: http1::SendRequest<Full<Bytes>>,
+    expiry: StreamExpiry,
 }
 
 impl HttpClient {
@@ -100,7 +108,7 @@
         Self {
             address,
             host: host.unwrap_or(HeaderValue::from_static("localhost")),
-            sender: None,
+            connection: None,
         }
     }
 
@@ -113,8 +121,8 @@
     ///
     /// The category of the error tells whether the request may have had an effect.
     pub async fn send(&mut self, request: HttpRequest, limit: Duration) -> Result<HttpResponse> {
-        let (sender, response) = self.open(request, limit).await?.read().await?;
-        self.sender = Some(sender);
+        let (connection, response) = self.open(request, limit).await?.read().await?;
+        self.connection = Some(connection);
         Ok(response)
     }
 
@@ -122,16 +130,16 @@
     async fn open(&mut self, request: HttpRequest, limit: Duration) -> Result<OpenResponse> {
         let (address, expiry, part_limit) = (self.address, request.expiry, request.part_limit);
         let request = self.build_request(request)?;
-        let sender = match self.sender.take() {
-            Some(sender) if !sender.is_closed() => sender,
+        let connection = match self.connection.take() {
+            Some(connection) if !connection.sender.is_closed() => connection,
             _ => connect_with_timeout(address).await?,
         };
         let deadline = Instant::now() + limit;
-        let head = exchange(address, sender, request, expiry);
-        let (sender, response) = within(address, deadline, head).await?;
+        let head = exchange(address, connection, request, expiry);
+        let (connection, response) = within(address, deadline, head).await?;
         Ok(OpenResponse {
             address,
-            sender,
+            connection,
             response,
             deadline,
             part_limit,
@@ -161,7 +169,7 @@
 /// Response whose body has not been read.
 struct OpenResponse {
     address: SocketAddr,
-    sender: http1::SendRequest<Full<Bytes>>,
+    connection: HttpConnection,
     response: Response<Incoming>,
     deadline: Instant,
     part_limit: Option<Duration>,
@@ -169,7 +177,7 @@
 
 impl OpenResponse {
     /// Reads the body to its end.
-    async fn read(self) -> Result<(http1::SendRequest<Full<Bytes>>, HttpResponse)> {
+    async fn read(self) -> Result<(HttpConnection, HttpResponse)> {
         let (address, deadline) = (self.address, self.deadline);
         let (parts, body) = self.response.into_parts();
         let bytes = match self.part_limit {
@@ -187,23 +195,26 @@
             headers: parts.headers,
             bytes,
         };
-        Ok((self.sender, response))
+        Ok((self.connection, response))
     }
 }
 
 /// Sends a request and waits for the head of its response.
 async fn exchange(
     address: SocketAddr,
-    mut sender: http1::SendRequest<Full<Bytes>>,
+    mut connection: HttpConnection,
     request: Request<Full<Bytes>>,
     expiry: Option<SendExpiry>,
-) -> Result<(http1::SendRequest<Full<Bytes>>, Response<Incoming>)> {
-    sender.ready().await.context(ExchangeSnafu { address })?;
+) -> Result<(HttpConnection, Response<Incoming>)> {
+    let ready = connection.sender.ready().await;
+    ready.context(ExchangeSnafu { address })?;
     if expiry.is_some_and(|expiry| expiry.has_passed()) {
         return ExpiredSnafu { address }.fail().map_err(Into::into);
     }
-    let response = sender.send_request(request).await;
-    Ok((sender, response.context(ExchangeSnafu { address })?))
+    // Another task writes the request, and the process may be suspended before it does.
+    connection.expiry.set(expiry);
+    let response = connection.sender.send_request(request).await;
+    Ok((connection, response.context(ExchangeSnafu { address })?))
 }
 
 /// Waits for an operation until a deadline.
@@ -240,8 +251,8 @@
 }
 
 /// Opens a connection within [`CONNECT_TIMEOUT`].
-async fn connect_with_timeout(address: SocketAddr) -> Result<http1::SendRequest<Full<Bytes>>> {
-    let Ok(result) = timeout(CONNECT_TIMEOUT, connect(address)).await else {
+async fn connect_with_timeout(address: SocketAddr) -> Result<HttpConnection> {
+    let Ok(result) = timeout(CONNECT_TIMEOUT, open_connection(address)).await else {
         let message = "timed out".to_owned();
         return ConnectSnafu { address, message }.fail().map_err(Into::into);
     };
@@ -254,6 +265,10 @@
 ///
 /// The connection could not be opened.
 pub async fn connect(address: SocketAddr) -> Result<http1::SendRequest<Full<Bytes>>> {
+    Ok(open_connection(address).await?.sender)
+}
+
+async fn open_connection(address: SocketAddr) -> Result<HttpConnection> {
     let connect_error = |message: String| ConnectSnafu { address, message }.build();
     let stream = TcpStream::connect(address)
         .await
@@ -266,6 +281,8 @@
     stream
         .set_zero_linger()
         .map_err(|error| connect_error(error.to_string()))?;
+    let expiry = StreamExpiry::default();
+    let stream = ExpiringStream::new(stream, expiry.clone());
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(|error| connect_error(error.to_string()))?;
     tokio::spawn(async move {
@@ -273,7 +290,7 @@
             spdlog::debug!("[net] Connection to {address} closed: {error}.");
         }
     });
-    Ok(sender)
+    Ok(HttpConnection { sender, expiry })
 }
 
 /// Pool of clients of one address for concurrent requests; idle clients are reused.
@@ -349,9 +366,9 @@
         };
         // The responses of the other attempts would compete for the link.
         drop(attempts);
-        let (sender, response) = open.read().await?;
+        let (connection, response) = open.read().await?;
         let mut client = HttpClient::new(self.address);
-        client.sender = Some(sender);
+        client.connection = Some(connection);
         self.idle.push(client);
         Ok(response)
     }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -17,6 +17,7 @@
 mod client;
 mod clock;
 mod error;
+mod stream;
 
 pub use client::{ClientPool, HttpClient, HttpRequest, HttpResponse, connect};
 pub use clock::{BootClock, RunClock, SendExpiry};
--- a/crates/net/tests/expiry.rs
+++ b/crates/net/tests/expiry.rs
@@ -9,7 +9,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt, Interest},
     net::TcpListener,
-    time::timeout,
+    time::{sleep, timeout},
 };
 
 const LIMIT: Duration = Duration::from_secs(5);
@@ -64,3 +64,34 @@
     let is_reset = timeout(LIMIT, stream.ready(Interest::ERROR)).await;
     assert!(is_reset.is_ok_and(|ready| ready.unwrap().is_error()));
 }
+
+/// Guards against a request that leaves the process after a suspension in the middle of it: the expiry
+/// was compared before the request was handed to the connection, but not when its bytes were written.
+#[tokio::test]
+async fn no_part_of_an_expired_request_is_written() {
+    const BODY_BYTES: usize = 64 << 20;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let clock = BootClock::start();
+    let expires_at = clock.now() + ClockTime::from_millis(300);
+    let server = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        // The client fills the buffers of the connection and waits.
+        while !SendExpiry::new(clock, expires_at).has_passed() {
+            sleep(Duration::from_millis(20)).await;
+        }
+        let (mut received, mut bytes) = (0, vec![0; 1 << 16]);
+        while let Ok(count) = stream.read(&mut bytes).await
+            && count > 0
+        {
+            received += count;
+        }
+        received
+    });
+    let request = HttpRequest::new(Method::POST, "/", Bytes::from(vec![0; BODY_BYTES]));
+    let request = request.expires(SendExpiry::new(clock, expires_at));
+    let error = HttpClient::new(address).send(request, LIMIT).await;
+    // A part of it had been written, so the server may have acted on it.
+    assert_eq!(error.unwrap_err().category(), Category::Unknown);
+    assert!(server.await.unwrap() < BODY_BYTES);
+}
--- a/crates/scheduler/src/append.rs
+++ b/crates/scheduler/src/append.rs
@@ -62,7 +62,7 @@
                     };
                     self.shared.meter.append_retries.increment(1);
                     match error.category() {
-                        Category::NotDone => {
+                        Category::NotDone | Category::Expired => {
                             // A refusal does not undo an earlier attempt that was not answered.
                             if attempts.is_empty() && !in_doubt {
                                 return Err(AppendFailure { error, in_doubt });
--- a/crates/scheduler/src/error.rs
+++ b/crates/scheduler/src/error.rs
@@ -22,6 +22,7 @@
     pub fn category(&self) -> Category {
         match *self.0 {
             ErrorKind::Refused { .. } => Category::NotDone,
+            ErrorKind::Expired { .. } => Category::Expired,
             ErrorKind::NoAnswer { .. } => Category::Unknown,
             ErrorKind::Fenced { .. } => Category::Fenced,
             ErrorKind::OutOfOrder => Category::OutOfOrder,
@@ -37,6 +38,8 @@
 pub enum Category {
     /// The call had no effect.
     NotDone,
+    /// The call was not sent, as the permission to send it had run out.
+    Expired,
     /// The call may have taken effect, or may still do so.
     Unknown,
     /// A newer writer has taken over.
@@ -63,6 +66,12 @@
         /// Response of the platform, or error of the connection.
         message: String,
     },
+    /// The permission to send the call ran out before it was sent.
+    #[snafu(display("{call}: not sent, as its permission had run out: decide on it anew"))]
+    Expired {
+        /// Name of the call.
+        call: &'static str,
+    },
     /// The call may have had an effect.
     #[snafu(display(
         "{call}: outcome unknown ({message}): repeat it with the same sequence number"
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -3,6 +3,7 @@
 //! It runs on the one member that owns the pools. A single task holds the scheduler; calls to the
 //! platform run in separate tasks and report their results as [`OwnerEvent`]s.
 
+mod authority;
 mod decisions;
 mod effects;
 mod engine;
@@ -67,6 +68,12 @@
         /// True if the order was a status probe outside the regular renewals.
         probe: bool,
     },
+    /// A renewal order was not sent, as the permission to send it had run out.
+    RenewalExpired {
+        worker: WorkerId,
+        /// True if the order was a status probe outside the regular renewals.
+        probe: bool,
+    },
     /// Answer of a worker to a start order.
     Started {
         worker: WorkerId,
@@ -81,8 +88,12 @@
         run: u32,
         reply: OrderReply,
     },
-    /// Number of a batch that has been stored.
-    Stored(u64),
+    /// A batch has been stored.
+    Stored {
+        number: u64,
+        /// Time at which its append was first sent.
+        asked_at: ClockTime,
+    },
     /// Jobs whose bodies have been removed from the store.
     BodiesRemoved(Vec<JobId>),
     /// Answer of the policy service; `None` if the call failed.
--- a/crates/scheduler/src/owner/effects.rs
+++ b/crates/scheduler/src/owner/effects.rs
@@ -7,21 +7,19 @@
     ClockTime, VmName, WorkerId,
     job::{Batch, Effect, JobId, OrderReply, StepKey, refusal_delay},
 };
-use jacinthhoist_net::SendExpiry;
 use tokio::{sync::mpsc, task::JoinSet, time::sleep};
 
 use crate::{
     append::{StoreAppend, duration},
     dependency::Dependency,
     eventlog::event,
-    ports::{
-        AppendSequence, Platform, StartOrder, StoreStream, UnreadableRow, VmAuthority, VmListing,
-    },
+    ports::{AppendSequence, Platform, StartOrder, StoreStream, UnreadableRow, VmListing},
     shared::MemberShared,
 };
 
 use super::{
     OwnerEvent,
+    authority::OwnerAuthority,
     decisions::log_decision,
     takeover::{OWNER_PRODUCER, is_fenced},
     workers::WorkerConnections,
@@ -38,8 +36,6 @@
     shared: Arc<MemberShared>,
     events: mpsc::UnboundedSender<OwnerEvent>,
     token: u64,
-    /// Time after which no order on a VM may be sent without another confirmation of the ownership.
-    owned_until: ClockTime,
     seq: u64,
     removal_seq: u64,
     /// Aborted when the engine is dropped.
@@ -58,26 +54,18 @@
             shared,
             events,
             token,
-            owned_until: ClockTime::ZERO,
             seq: 0,
             removal_seq: 0,
             calls: JoinSet::new(),
         }
     }
 
-    /// Sets the time until which the last confirmation of the ownership is valid.
-    pub(super) fn set_owned_until(&mut self, owned_until: ClockTime) {
-        self.owned_until = owned_until;
-    }
-
-    fn vm_authority(&self) -> VmAuthority {
-        VmAuthority {
-            token: self.token,
-            expiry: SendExpiry::new(self.shared.clock, self.owned_until),
-        }
-    }
-
-    pub(super) fn run(&mut self, effect: Effect, workers: &WorkerConnections<P>) {
+    pub(super) fn run(
+        &mut self,
+        effect: Effect,
+        workers: &WorkerConnections<P>,
+        authority: &OwnerAuthority,
+    ) {
         while self.calls.try_join_next().is_some() {}
         match effect {
             Effect::Store(batch) => self.store(batch),
@@ -98,13 +86,15 @@
                     lease_until,
                     permit,
                 };
-                workers.start(worker, order);
+                workers.start(worker, order, authority.for_start());
             }
             Effect::Advise { step, workers } => self.advise(step, workers),
-            Effect::Stop { worker, task, run } => workers.stop(worker, task, run),
+            Effect::Stop { worker, task, run } => {
+                workers.stop(worker, task, run, authority.for_decision());
+            }
             Effect::RemoveBodies(jobs) => self.remove_bodies(jobs),
             Effect::Move { vm, to } => {
-                let (platform, authority) = (self.platform.clone(), self.vm_authority());
+                let (platform, authority) = (self.platform.clone(), authority.for_vm());
                 let name = vm.clone();
                 let order = format!("move to {to}");
                 self.order_vm(vm, order, async move {
@@ -112,7 +102,7 @@
                 });
             }
             Effect::Maintain { vm, wave } => {
-                let (platform, authority) = (self.platform.clone(), self.vm_authority());
+                let (platform, authority) = (self.platform.clone(), authority.for_vm());
                 let name = vm.clone();
                 let order = format!("maintenance of wave {wave}");
                 self.order_vm(vm, order, async move {
@@ -167,7 +157,10 @@
             seq: self.seq,
         };
         self.seq += 1;
-        let stored_event = OwnerEvent::Stored(batch.number);
+        let stored_event = OwnerEvent::Stored {
+            number: batch.number,
+            asked_at: self.shared.clock.now(),
+        };
         self.append(StoreStream::Progress, sequence, records, stored_event);
     }
 
--- a/crates/scheduler/src/owner/engine.rs
+++ b/crates/scheduler/src/owner/engine.rs
@@ -5,7 +5,7 @@
 use jacinthhoist_codec::{AcceptedRecord, JobReply, OwnerHeartbeat};
 use jacinthhoist_core::{
     ClockTime,
-    job::{JobCatalogue, JobId, Scheduler, StepPace},
+    job::{JobCatalogue, JobId, OrderReply, Scheduler, StepPace},
 };
 use tokio::{
     sync::{mpsc, watch},
@@ -14,12 +14,13 @@
 };
 
 use crate::{
-    append::duration, membership::PoolOwnership, operator::WaveRequests, ports::Platform,
-    shared::MemberShared,
+    append::duration, eventlog::event, membership::PoolOwnership, operator::WaveRequests,
+    ports::Platform, shared::MemberShared,
 };
 
 use super::{
     OwnerEvent, OwnerTask,
+    authority::OwnerAuthority,
     decisions::log_pool,
     effects::EffectRunner,
     sources::{follow_workers, tail_accepted},
@@ -41,9 +42,6 @@
 const POOL_LOG_INTERVAL: ClockTime = ClockTime::from_millis(1_000);
 /// Maximum age of the last read of accepted jobs at which the owner may report a job as missing.
 const MAX_TAIL_AGE: ClockTime = ClockTime::from_millis(1_500);
-/// Maximum age of the group's confirmation of the ownership at which VM orders are sent: the
-/// shortest time after which the store may reassign the pools.
-const MAX_OWNERSHIP_AGE: ClockTime = ClockTime::from_millis(900);
 
 /// Owner pipe under one fencing token.
 pub(super) struct OwnerEngine<P: Platform> {
@@ -51,6 +49,7 @@
     scheduler: Scheduler,
     workers: WorkerConnections<P>,
     effect_runner: EffectRunner<P>,
+    authority: OwnerAuthority,
     events: mpsc::UnboundedReceiver<OwnerEvent>,
     ownership: watch::Receiver<PoolOwnership>,
     waves: watch::Receiver<WaveRequests>,
@@ -93,12 +92,12 @@
         let mut waves = owner.waves.clone();
         waves.mark_changed();
         shared.owner_inbox.store(Some(Arc::new(sender.clone())));
-        let workers =
-            WorkerConnections::open(platform.clone(), shared.clone(), sender.clone(), token);
+        let workers = WorkerConnections::open(platform.clone(), shared.clone(), sender.clone());
         Ok(Self {
             scheduler: loaded.scheduler,
             workers,
             effect_runner: EffectRunner::open(platform, shared.clone(), sender, token),
+            authority: OwnerAuthority::open(shared.clock, token),
             events,
             ownership: owner.ownership.clone(),
             waves,
@@ -180,18 +179,20 @@
     fn step(&mut self) {
         let now = self.shared.clock.now();
         let confirmed_at = self.ownership.borrow().confirmed_at;
-        let owned_until = confirmed_at + MAX_OWNERSHIP_AGE;
-        self.scheduler.set_ownership_confirmed(now < owned_until);
-        self.effect_runner.set_owned_until(owned_until);
+        self.authority.record_confirmation(confirmed_at);
+        let is_confirmed = self.authority.is_confirmed(now);
+        self.scheduler.set_ownership_confirmed(is_confirmed);
         let effects = self.scheduler.step(now);
         let elapsed = self.shared.clock.now() - now;
         let meter = &self.shared.meter;
         meter.step_time.record(elapsed.as_secs_f64());
         self.workers.sync(&self.scheduler);
         for effect in effects {
-            self.effect_runner.run(effect, &self.workers);
+            let authority = &self.authority;
+            self.effect_runner.run(effect, &self.workers, authority);
         }
-        self.workers.renew_due(&mut self.scheduler, now);
+        let authority = &self.authority;
+        self.workers.renew_due(&mut self.scheduler, authority, now);
         self.publish_heartbeat(now);
         self.poll_vms(now);
         self.log_pools(now);
@@ -262,6 +263,11 @@
                     None => scheduler.renewal_failed(&worker, now),
                 }
             }
+            OwnerEvent::RenewalExpired { worker, probe } => {
+                event!(self.shared.log, OrderExpired, "worker": worker.as_str(),
+                    "order": "renewal");
+                self.workers.record_unsent_renewal(&worker, probe);
+            }
             OwnerEvent::Started {
                 worker,
                 task,
@@ -276,8 +282,17 @@
                 task,
                 run,
                 reply,
-            } => scheduler.stop_replied(&worker, task, run, reply, now),
-            OwnerEvent::Stored(number) => scheduler.batch_stored(number, now),
+            } => {
+                if reply == OrderReply::Expired {
+                    event!(self.shared.log, OrderExpired, "worker": worker.as_str(),
+                        "order": "stop", "task": task.to_string(), "run": run);
+                }
+                scheduler.stop_replied(&worker, task, run, reply, now);
+            }
+            OwnerEvent::Stored { number, asked_at } => {
+                self.authority.record_append(asked_at);
+                scheduler.batch_stored(number, now);
+            }
             OwnerEvent::BodiesRemoved(jobs) => scheduler.bodies_removed(&jobs),
             OwnerEvent::Advised(advice) => scheduler.advice_received(advice, now),
             OwnerEvent::Vms { vms, asked_at } => scheduler.vms_listed(vms, asked_at, now),
--- a/crates/scheduler/src/owner/workers.rs
+++ b/crates/scheduler/src/owner/workers.rs
@@ -12,11 +12,11 @@
     error::Category,
     eventlog::event,
     meter::JobMeter,
-    ports::{Platform, RenewalOrder, StartOrder, WorkerLink},
+    ports::{OrderAuthority, Platform, RenewalOrder, StartOrder, WorkerLink},
     shared::MemberShared,
 };
 
-use super::OwnerEvent;
+use super::{OwnerEvent, authority::OwnerAuthority};
 
 /// Maximum time for which an active worker waits for a run to end before it answers a renewal; well
 /// below a lease, so that two consecutive renewals may be lost.
@@ -49,12 +49,18 @@
     probing: bool,
 }
 
+impl<W> Drop for WorkerConnection<W> {
+    /// Orders that wait for a slot are not sent any more.
+    fn drop(&mut self) {
+        self.order_slots.close();
+    }
+}
+
 /// Connections to all workers.
 pub(super) struct WorkerConnections<P: Platform> {
     platform: Arc<P>,
     shared: Arc<MemberShared>,
     events: mpsc::UnboundedSender<OwnerEvent>,
-    token: u64,
     connections: BTreeMap<WorkerId, WorkerConnection<P::Worker>>,
     /// Version of the worker list that the connections reflect.
     synced_version: Option<u64>,
@@ -67,13 +73,11 @@
         platform: Arc<P>,
         shared: Arc<MemberShared>,
         events: mpsc::UnboundedSender<OwnerEvent>,
-        token: u64,
     ) -> Self {
         Self {
             platform,
             shared,
             events,
-            token,
             connections: BTreeMap::new(),
             synced_version: None,
             searched_at: ClockTime::ZERO,
@@ -116,7 +120,12 @@
     }
 
     /// Renews the leases that are due, and probes workers whose status settles an open order.
-    pub(super) fn renew_due(&mut self, scheduler: &mut Scheduler, now: ClockTime) {
+    pub(super) fn renew_due(
+        &mut self,
+        scheduler: &mut Scheduler,
+        authority: &OwnerAuthority,
+        now: ClockTime,
+    ) {
         if now < self.searched_at + RENEWAL_SEARCH_INTERVAL {
             return;
         }
@@ -147,7 +156,7 @@
                 shared: self.shared.clone(),
                 worker: id.clone(),
                 order,
-                token: self.token,
+                authority: authority.for_decision(),
                 asked_at: now,
                 probe,
             };
@@ -155,6 +164,18 @@
         }
     }
 
+    /// Records that a renewal or status probe was not sent.
+    pub(super) fn record_unsent_renewal(&mut self, id: &WorkerId, probe: bool) {
+        let Some(connection) = self.connections.get_mut(id) else {
+            return;
+        };
+        if probe {
+            connection.probing = false;
+        } else {
+            connection.renewing = false;
+        }
+    }
+
     /// Records the end of a renewal or status probe.
     pub(super) fn record_renewal(&mut self, id: &WorkerId, answered: bool, probe: bool) {
         let Some(connection) = self.connections.get_mut(id) else {
@@ -169,8 +190,8 @@
     }
 
     /// Sends a start order.
-    pub(super) fn start(&self, worker: WorkerId, order: StartOrder) {
-        let (task, run, token) = (order.task, order.run, self.token);
+    pub(super) fn start(&self, worker: WorkerId, order: StartOrder, authority: OrderAuthority) {
+        let (task, run) = (order.task, order.run);
         let id = worker.clone();
         let started = move |reply| OwnerEvent::Started {
             worker,
@@ -184,14 +205,19 @@
         };
         self.shared.meter.starts.increment(1);
         let link = connection.link.clone();
-        self.send(connection, async move {
-            started(link.start(order, token).await)
-        });
+        let call = async move { link.start(order, authority).await };
+        self.send(connection, call, StartReply::Expired, started);
     }
 
     /// Sends a stop order.
-    pub(super) fn stop(&self, worker: WorkerId, task: TaskKey, run: u32) {
-        let (id, token) = (worker.clone(), self.token);
+    pub(super) fn stop(
+        &self,
+        worker: WorkerId,
+        task: TaskKey,
+        run: u32,
+        authority: OrderAuthority,
+    ) {
+        let id = worker.clone();
         let stopped = move |reply| OwnerEvent::Stopped {
             worker,
             task,
@@ -203,24 +229,27 @@
             return;
         };
         let link = connection.link.clone();
-        self.send(connection, async move {
-            stopped(link.stop(task, run, token).await)
-        });
+        let call = async move { link.stop(task, run, authority).await };
+        self.send(connection, call, OrderReply::Expired, stopped);
     }
 
-    /// Makes a call within the limit on concurrent orders to a worker.
-    fn send(
+    /// Makes a call within the limit on concurrent orders to a worker. If the connection is dropped
+    /// before, the order is not sent, and the reply is `unsent`.
+    fn send<R: Send + 'static>(
         &self,
         connection: &WorkerConnection<P::Worker>,
-        call: impl Future<Output = OwnerEvent> + Send + 'static,
+        call: impl Future<Output = R> + Send + 'static,
+        unsent: R,
+        replied: impl FnOnce(R) -> OwnerEvent + Send + 'static,
     ) {
         let (order_slots, events) = (connection.order_slots.clone(), self.events.clone());
         tokio::spawn(async move {
-            let Ok(_permit) = order_slots.acquire().await else {
-                return;
+            let reply = match order_slots.acquire().await {
+                Ok(_permit) => call.await,
+                Err(_) => unsent,
             };
             // The engine may have stopped.
-            let _ = events.send(call.await);
+            let _ = events.send(replied(reply));
         });
     }
 
@@ -235,7 +264,7 @@
     shared: Arc<MemberShared>,
     worker: WorkerId,
     order: RenewalOrder,
-    token: u64,
+    authority: OrderAuthority,
     asked_at: ClockTime,
     probe: bool,
 }
@@ -243,13 +272,22 @@
 impl RenewalCall {
     async fn send<W: WorkerLink>(self, link: Arc<W>, events: mpsc::UnboundedSender<OwnerEvent>) {
         let fenced = OwnerEvent::Fenced("a worker has seen a newer owner");
-        let report = match link.renew(self.order, self.token).await {
+        let report = match link.renew(self.order, self.authority).await {
             Ok(Some(report)) => Some(report),
             Ok(None) => {
                 // The engine may have stopped.
                 let _ = events.send(fenced);
                 return;
             }
+            // Nothing was sent, so this tells nothing about the worker.
+            Err(error) if error.category() == Category::Expired => {
+                // The engine may have stopped.
+                let _ = events.send(OwnerEvent::RenewalExpired {
+                    worker: self.worker,
+                    probe: self.probe,
+                });
+                return;
+            }
             // The scheduler records the worker's silence.
             Err(error) => {
                 if error.category() == Category::Unreadable {
@@ -281,6 +319,7 @@
         StartReply::Invalid => "invalid",
         StartReply::Unhealthy => "unhealthy",
         StartReply::WrongLife => "wrong_life",
+        StartReply::Expired => "expired",
         StartReply::Unknown => "unknown",
     };
     meter.count_start_refusal(reason);
--- a/crates/scheduler/src/ports.rs
+++ b/crates/scheduler/src/ports.rs
@@ -159,21 +159,31 @@
     pub wait: ClockTime,
 }
 
-/// Connection to one incarnation of a worker; orders carry the owner's fencing token.
+/// Connection to a worker; orders carry the owner's fencing token, and are not sent once their
+/// permission has run out.
 pub trait WorkerLink: Send + Sync + 'static {
     /// Renews the lease and returns the current and ended runs; `None` if the worker has seen a
     /// higher token.
     fn renew(
         &self,
         order: RenewalOrder,
-        token: u64,
+        authority: OrderAuthority,
     ) -> impl Future<Output = Result<Option<RenewalReport>>> + Send;
 
     /// Starts a run of a task.
-    fn start(&self, order: StartOrder, token: u64) -> impl Future<Output = StartReply> + Send;
+    fn start(
+        &self,
+        order: StartOrder,
+        authority: OrderAuthority,
+    ) -> impl Future<Output = StartReply> + Send;
 
     /// Stops a run of a task.
-    fn stop(&self, task: TaskKey, run: u32, token: u64) -> impl Future<Output = OrderReply> + Send;
+    fn stop(
+        &self,
+        task: TaskKey,
+        run: u32,
+        authority: OrderAuthority,
+    ) -> impl Future<Output = OrderReply> + Send;
 }
 
 /// Services of the platform that the scheduler uses.
@@ -257,7 +267,7 @@
         &self,
         vm: &VmName,
         to: &PoolName,
-        authority: VmAuthority,
+        authority: OrderAuthority,
     ) -> impl Future<Output = OrderReply> + Send;
 
     /// Begins the maintenance of a VM.
@@ -265,7 +275,7 @@
         &self,
         vm: &VmName,
         wave: u64,
-        authority: VmAuthority,
+        authority: OrderAuthority,
     ) -> impl Future<Output = OrderReply> + Send;
 
     /// Returns a connection to a worker.
@@ -276,13 +286,13 @@
     fn worker(&self, id: &WorkerId, address: &str) -> Result<Self::Worker>;
 }
 
-/// Permission of an owner to order VMs about.
+/// Permission of an owner to send an order.
 #[derive(Clone, Copy, Debug)]
-pub struct VmAuthority {
-    /// Fencing token. A VM that the next owner has not ordered about accepts it still.
+pub struct OrderAuthority {
+    /// Fencing token. A recipient that has not seen the token of a later owner accepts it still, and
+    /// so does a worker that has restarted since.
     pub token: u64,
-    /// Time after which the group may have assigned the pools to another member, so that the order
-    /// must not be sent any more.
+    /// Time after which another member may own the pools, so that the order must not be sent any more.
     pub expiry: SendExpiry,
 }
 
