Bind leases and acknowledged ends to one process of a worker

A worker had restarted under its id while it was idle, got the run and was cut off; its run went on for up to hold_max_ms, and the owner started the task elsewhere after its own, shorter lease. The emulator shows a second form: tasks ran again after they were done, without any cut.

Cause: clock, lease and the numbers of ends are about one process, but were kept as those of the worker. A deadline on the earlier process's clock is far ahead on the new one, which shortens it to the longest lease that it accepts; an acknowledgement of the earlier process's ends makes the new one discard ends that it never reported.

Change: WorkerProcess holds what is about one process and is replaced as a whole. Deadlines and acknowledgements go only to a worker that has reported within 1.5 s; an end is not acknowledged again once the worker has discarded it. A process that may have received a deadline on an earlier clock is taken to hold the longest lease that workers accept. A new start time in the entry asks for a report at once. The log tells of each restart how long the new process may run on.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -70,5 +70,6 @@
 pub use vm_order::{Accepted, AnyVmOrder, Sent, VmOrder, VmOrderRun};
 pub use wave::{Wave, WaveProgress, WaveRequest, WaveTable};
 pub use worker::{
-    ActiveRun, EndedRun, OrderReply, RenewalReport, StartReply, Worker, WorkerEntry, WorkerState,
+    ActiveRun, EndedRun, OrderReply, RenewalReport, StartReply, Worker, WorkerEntry, WorkerProcess,
+    WorkerState,
 };
--- a/crates/core/src/job/lease.rs
+++ b/crates/core/src/job/lease.rs
@@ -22,7 +22,7 @@
 pub struct UnknownLease {
     /// Time at which this member took over the worker.
     pub since: ClockTime,
-    /// Longest lease that any member grants.
+    /// Longest lease that another member, or an order to an earlier process, may have granted.
     pub max_span: ClockTime,
     /// Expiry time stored by an earlier owner, on that owner's clock.
     pub stored_expiry: Option<ClockTime>,
@@ -47,12 +47,24 @@
         self.since + with_clock_drift(self.max_span) + EXPIRY_MARGIN
     }
 
+    /// Lease of a process that was restarted, before its clock has been read. An order with a deadline
+    /// on the clock of the process before may have reached it, and the worker shortens such a deadline to
+    /// the longest lease that it accepts.
+    pub fn of_restarted(since: ClockTime, longest_lease: ClockTime) -> Self {
+        Self {
+            since,
+            max_span: longest_lease,
+            stored_expiry: None,
+        }
+    }
+
     /// Converts the lease on the first reading of the worker's clock.
     pub fn into_held(self, worker_clock: u64, now: ClockTime) -> HeldLease {
         HeldLease {
             worker_clock,
             read_at: now,
             deadline: None,
+            granted_at: ClockTime::ZERO,
             earlier: self,
         }
     }
@@ -67,6 +79,8 @@
     read_at: ClockTime,
     /// Latest deadline sent to the worker, on the worker's clock; none before the first.
     deadline: Option<u64>,
+    /// Time at which a deadline was last sent to the worker.
+    granted_at: ClockTime,
     /// Lease granted before the first reading.
     earlier: UnknownLease,
 }
@@ -83,6 +97,7 @@
         let since_reading = (now - self.read_at + span).as_millis();
         let deadline = self.worker_clock.saturating_add(since_reading);
         self.deadline = self.deadline.max(Some(deadline));
+        self.granted_at = now;
         deadline
     }
 
@@ -132,6 +147,14 @@
         }
     }
 
+    /// Returns whether a deadline has been sent to the worker at `since` or later.
+    pub fn was_granted_since(&self, since: ClockTime) -> bool {
+        match self {
+            Self::Unknown(_) => false,
+            Self::Held(lease) => lease.granted_at >= since,
+        }
+    }
+
     /// Latest time at which the lease expires, unless it is extended.
     pub fn latest_expiry(&self) -> ClockTime {
         match self {
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -53,6 +53,9 @@
 pub struct SchedulerLimits {
     /// Longest lease granted to a worker; at most the longest that workers accept.
     pub max_lease: ClockTime,
+    /// Longest lease that workers accept. An order by the clock of a worker's earlier process grants
+    /// it to a restarted one.
+    pub longest_lease: ClockTime,
     /// Time for a VM to join another pool.
     pub move_time: ClockTime,
     /// Downtime of a VM during maintenance.
@@ -71,6 +74,7 @@
     pub fn example() -> Self {
         Self {
             max_lease: ClockTime::from_secs(6),
+            longest_lease: ClockTime::from_secs(10),
             move_time: ClockTime::from_millis(1_500),
             maintenance_time: ClockTime::from_secs(2),
             vm_orders_per_sec: 64,
@@ -279,6 +283,17 @@
         /// Runs among them that last until they are stopped.
         long_running: usize,
     },
+    /// Another process answers under the id of a worker.
+    ProcessReplaced {
+        /// Affected worker.
+        worker: WorkerId,
+        /// Start time of the new process.
+        incarnation: Option<u64>,
+        /// Time by which a lease that it may have been given has expired.
+        lease_until: ClockTime,
+        /// True if a deadline on the clock of the earlier process may have reached it.
+        was_granted: bool,
+    },
     /// A VM was ordered to move to another pool.
     VmReassigned {
         /// VM to move.
@@ -321,6 +336,8 @@
     Silent,
     /// The worker answers again.
     Answering,
+    /// The worker's entry names another process than its last report.
+    Doubted,
     /// The worker has started to drain.
     Draining,
     /// The worker receives no tasks for a while.
--- a/crates/core/src/job/scheduler/batch.rs
+++ b/crates/core/src/job/scheduler/batch.rs
@@ -304,16 +304,22 @@
 
     fn pending_cursors(&self) -> Vec<(WorkerId, Option<u64>, u64)> {
         let workers = self.workers.values();
-        let behind = workers.filter(|worker| worker.end_seen > worker.end_stored);
+        let behind = workers.filter(|worker| worker.has_unstored_ends());
         behind
-            .map(|worker| (worker.id.clone(), worker.incarnation, worker.end_seen))
+            .map(|worker| {
+                (
+                    worker.id.clone(),
+                    worker.process.incarnation,
+                    worker.process.end_seen,
+                )
+            })
             .collect()
     }
 
     /// Acknowledges all reported ends: with nothing left to store, none of them changed any state.
     fn advance_cursors(&mut self) {
         for worker in self.workers.values_mut() {
-            worker.end_stored = worker.end_seen;
+            worker.process.end_stored = worker.process.end_seen;
         }
     }
 
@@ -329,8 +335,9 @@
         };
         for (id, incarnation, cursor) in batch.cursors {
             let worker = self.workers.get_mut(&id);
-            if let Some(worker) = worker.filter(|worker| worker.incarnation == incarnation) {
-                worker.end_stored = worker.end_stored.max(cursor);
+            if let Some(worker) = worker.filter(|worker| worker.process.incarnation == incarnation)
+            {
+                worker.process.end_stored = worker.process.end_stored.max(cursor);
             }
         }
         for id in batch.expiry_cleared {
@@ -400,7 +407,7 @@
             lease_until: self
                 .workers
                 .get_mut(&worker)
-                .and_then(|known| known.lease.extend(max_lease, now)),
+                .and_then(|known| known.process.lease.extend(max_lease, now)),
             permit: self.permits.find(task.into(), &worker, now),
             worker,
         };
--- a/crates/core/src/job/scheduler/crashes.rs
+++ b/crates/core/src/job/scheduler/crashes.rs
@@ -129,12 +129,12 @@
         let Some(worker) = self.workers.get(id).filter(|_| !lost.is_empty()) else {
             return;
         };
-        let until = worker.lease.latest_expiry();
+        let until = worker.process.lease.latest_expiry();
         let address = worker.entry.address.clone();
         let lost_worker = LostWorker {
             id: id.clone(),
             address: address.clone(),
-            incarnation: worker.incarnation.or(worker.entry.incarnation),
+            incarnation: worker.process.incarnation.or(worker.entry.incarnation),
         };
         self.doubted_workers.insert(id.clone(), address);
         let starting = || lost.iter().filter(|(_, _, starting)| *starting);
--- a/crates/core/src/job/scheduler/leases.rs
+++ b/crates/core/src/job/scheduler/leases.rs
@@ -17,10 +17,10 @@
 /// Parameters of the next lease renewal of a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RenewalPlan {
-    /// Highest sequence number of an end that the worker may discard.
+    /// Highest sequence number of an end that the worker may discard; 0 for none.
     pub ack: u64,
     /// New deadline on the worker's clock; `None` if the worker is silent, so that its lease
-    /// expires at a known time.
+    /// expires at a known time, or if its clock has not been read of late.
     pub lease_until: Option<u64>,
     /// True if reported ends are not stored yet; the worker would answer another request at once.
     pub has_unstored_ends: bool,
@@ -33,7 +33,7 @@
     pub fn restore_lease_expiry(&mut self, id: &WorkerId, at: ClockTime) {
         let worker = self.worker_or_stub(id);
         worker.expiry_stored = true;
-        if let WorkerLease::Unknown(lease) = &mut worker.lease {
+        if let WorkerLease::Unknown(lease) = &mut worker.process.lease {
             lease.stored_expiry = Some(at);
         }
     }
@@ -43,15 +43,10 @@
         let max_lease = self.limits.max_lease;
         let worker = self.workers.get_mut(id)?;
         let silent = worker.silent_since.is_some();
-        let lease_until = if worker.is_extendable() {
-            worker.lease.extend(max_lease, now)
-        } else {
-            None
-        };
         Some(RenewalPlan {
-            ack: worker.end_stored,
-            lease_until,
-            has_unstored_ends: worker.end_seen > worker.end_stored,
+            ack: worker.acknowledge(now),
+            lease_until: worker.renew_lease(max_lease, now),
+            has_unstored_ends: worker.has_unstored_ends(),
             silent,
         })
     }
@@ -71,7 +66,7 @@
             // A record that is already there may be about to be cleared.
             if !worker.is_empty() {
                 worker.expiry_stored = true;
-                let expiry = worker.lease.storable_expiry();
+                let expiry = worker.process.lease.storable_expiry();
                 self.outbox.set_expiry(id, Some(expiry));
             }
             self.log_worker_change(id, WorkerChange::Silent);
@@ -108,7 +103,7 @@
         let mut gone: SmallVec<[WorkerId; 4]> = smallvec![];
         for worker in self.workers.values() {
             let unreachable = worker.silent_since.is_some() || worker.seen_at.is_none();
-            if unreachable && !worker.is_empty() && now > worker.lease.latest_expiry() {
+            if unreachable && !worker.is_empty() && now > worker.process.lease.latest_expiry() {
                 expired.push(worker.id.clone());
             }
             let unlisted = worker
--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -7,10 +7,12 @@
 use crate::{
     clock::ClockTime,
     job::{
-        lease::WorkerLease,
+        lease::UnknownLease,
         spec::TaskKey,
         task::{AnyTask, StartOrderState, TaskEnd},
-        worker::{ActiveRun, EndedRun, RenewalReport, Worker, WorkerEntry, WorkerState},
+        worker::{
+            ActiveRun, EndedRun, RenewalReport, Worker, WorkerEntry, WorkerProcess, WorkerState,
+        },
     },
     name::WorkerId,
 };
@@ -51,7 +53,16 @@
         if worker.entry.address != entry.address {
             self.worker_list_version += 1;
         }
+        let is_new = entry.incarnation.is_some()
+            && entry.incarnation != worker.entry.incarnation
+            && worker.process.incarnation.is_some()
+            && entry.incarnation != worker.process.incarnation;
         worker.entry = entry;
+        if is_new {
+            worker.process.is_doubted = true;
+            worker.awaits_report = true;
+            self.log_worker_change(&id, WorkerChange::Doubted);
+        }
         if starts_draining {
             self.log_worker_change(&id, WorkerChange::Draining);
         }
@@ -83,22 +94,20 @@
             (Some(_), None) => None,
         };
         let settles_orders = worker.awaits_report;
-        let restarted = worker.incarnation.is_some() && worker.incarnation != report.incarnation;
+        let restarted = worker.process.incarnation.is_some()
+            && worker.process.incarnation != report.incarnation;
         // Responses may overtake each other, so this one may be of an earlier process.
         if restarted && worker.seen_at.is_some_and(|seen_at| asked_at < seen_at) {
             return;
         }
         if restarted {
-            self.reset_restarted(id, &report);
+            self.replace_process(id, &report);
         }
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
         worker.charge_lapsed_starts();
-        worker.incarnation = report.incarnation;
-        worker.lease.read(report.clock, now);
-        worker.seen_at = Some(asked_at);
-        worker.silent_since = None;
+        worker.record_report(&report, asked_at, now);
         if worker.expiry_stored {
             self.outbox.set_expiry(id, None);
         }
@@ -163,10 +172,10 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        if row.number <= worker.end_seen {
+        if row.number <= worker.process.end_seen {
             return;
         }
-        worker.end_seen = row.number;
+        worker.process.end_seen = row.number;
         worker.discharge(&row.task, row.run, now);
         let Some(job) = self.jobs.get_mut(&row.task.job) else {
             return;
@@ -377,17 +386,13 @@
         }
     }
 
-    /// Resets a worker that restarted under the same id: it has lost its earlier runs and numbers
-    /// its ends from 1. Starts that reached the new process, or whose reply is pending, are kept.
-    fn reset_restarted(&mut self, id: &WorkerId, report: &RenewalReport) {
-        let lease = self.unknown_lease();
+    /// Replaces the process of a worker that restarted under the same id: it has lost its earlier
+    /// runs. Starts that reached the new process, or whose reply is pending, are kept.
+    fn replace_process(&mut self, id: &WorkerId, report: &RenewalReport) {
         let cause = self.silence_cause(id);
-        let Some(worker) = self.workers.get_mut(id) else {
+        let Some(worker) = self.workers.get(id) else {
             return;
         };
-        worker.end_seen = 0;
-        worker.end_stored = 0;
-        worker.lease = WorkerLease::Unknown(lease);
         let mut lost = worker.runs();
         lost.retain(|(key, run)| {
             let (key, run) = (*key, *run);
@@ -402,8 +407,10 @@
                 .any(|row| (row.task, row.run) == (key, run));
             !reply_pending && !reported && !ended
         });
+        // The runs were lost with the earlier process.
         self.record_losses(id, &lost);
         self.record_silence(id, cause);
+        self.forget_process(id, report.incarnation);
         for (key, run) in lost {
             if self.may_begin_after_restart(id, key, run) {
                 self.stop_again(id, key, run);
@@ -413,6 +420,27 @@
         }
     }
 
+    /// Begins anew with what is known of a worker's process.
+    fn forget_process(&mut self, id: &WorkerId, incarnation: Option<u64>) {
+        let (now, limits) = (self.now, self.limits);
+        let mut lease = self.unknown_lease();
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let seen_at = worker.seen_at.unwrap_or_default();
+        let was_granted = worker.process.lease.was_granted_since(seen_at);
+        if was_granted {
+            lease = UnknownLease::of_restarted(now, limits.longest_lease);
+        }
+        worker.process = WorkerProcess::unseen(lease);
+        self.log_decision(SchedulerDecision::ProcessReplaced {
+            worker: id.clone(),
+            incarnation,
+            lease_until: lease.latest_expiry(),
+            was_granted,
+        });
+    }
+
     pub(super) fn log_worker_change(&mut self, id: &WorkerId, change: WorkerChange) {
         if let Some(worker) = self.workers.get(id) {
             self.log_decision(worker_changed(worker, change));
@@ -426,7 +454,7 @@
         worker: worker.id.clone(),
         pool: worker.entry.pool.clone(),
         address: worker.entry.address.clone(),
-        incarnation: worker.incarnation.or(worker.entry.incarnation),
+        incarnation: worker.process.incarnation.or(worker.entry.incarnation),
         change,
     }
 }
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -22,6 +22,10 @@
 /// Consecutive start orders without a reply or effect after which a worker is suspended; a single
 /// one may be a lost packet.
 const MAX_CONSECUTIVE_UNANSWERED: u32 = 2;
+/// Age of the last report up to which the process behind it counts as the present one. Longer than an
+/// active worker takes to answer a renewal, which waits for up to half a second; an idle worker may have
+/// restarted unnoticed.
+const MAX_REPORT_AGE: ClockTime = ClockTime::from_millis(1_500);
 /// Suspension period of a worker, after which it is tried with a single task.
 const SUSPENSION: ClockTime = ClockTime::from_millis(4_000);
 
@@ -148,6 +152,62 @@
     Unknown,
 }
 
+/// What the owner knows of one process of a worker. It is replaced as a whole once another process
+/// answers under the worker's id: clock, lease and the numbers of ends begin anew.
+#[derive(Clone, Debug)]
+pub struct WorkerProcess {
+    /// Start time in the last report; none before the first.
+    pub incarnation: Option<u64>,
+    /// Lease, which bounds the time for which the process may run its tasks.
+    pub lease: WorkerLease,
+    /// Highest sequence number of an end that has been processed.
+    pub end_seen: u64,
+    /// Highest sequence number of an end whose outcome is stored.
+    pub end_stored: u64,
+    /// Highest sequence number of an end that the process is known to have discarded.
+    end_discarded: u64,
+    /// Last acknowledgement of ends, with the time at which it was sent.
+    ack_sent: (u64, ClockTime),
+    /// True if the worker's entry names another process than the last report.
+    pub is_doubted: bool,
+}
+
+impl WorkerProcess {
+    /// Creates the state of a process that has not reported.
+    pub fn unseen(lease: UnknownLease) -> Self {
+        Self {
+            incarnation: None,
+            lease: WorkerLease::Unknown(lease),
+            end_seen: 0,
+            end_stored: 0,
+            end_discarded: 0,
+            ack_sent: (0, ClockTime::ZERO),
+            is_doubted: false,
+        }
+    }
+
+    /// Records a report of the process.
+    fn record_report(&mut self, report: &RenewalReport, asked_at: ClockTime, now: ClockTime) {
+        self.incarnation = report.incarnation;
+        self.lease.read(report.clock, now);
+        self.is_doubted = false;
+        let (ack, sent_at) = self.ack_sent;
+        if asked_at >= sent_at {
+            self.end_discarded = self.end_discarded.max(ack);
+        }
+    }
+
+    /// Returns the highest number of an end to acknowledge, 0 if the process has discarded it already:
+    /// an acknowledgement that reaches a later process discards ends that were never reported.
+    fn acknowledge(&mut self, now: ClockTime) -> u64 {
+        if self.end_stored <= self.end_discarded {
+            return 0;
+        }
+        self.ack_sent = (self.end_stored, now);
+        self.end_stored
+    }
+}
+
 /// State of a worker as known to the owner.
 #[derive(Clone, Debug)]
 pub struct Worker {
@@ -157,10 +217,9 @@
     pub entry: WorkerEntry,
     /// Time since which the worker has been missing from the list.
     pub missing_since: Option<ClockTime>,
-    /// Incarnation in the last report.
-    pub incarnation: Option<u64>,
-    /// Lease, which bounds the time for which the worker may run its tasks.
-    pub lease: WorkerLease,
+    /// Process that reported last. The runs, and the health derived from them, are those of the worker,
+    /// as an order to an earlier process may still reach a later one.
+    pub process: WorkerProcess,
     /// Time at which the last report was requested; none before the first.
     pub seen_at: Option<ClockTime>,
     /// Time since which requests for reports have failed.
@@ -184,10 +243,6 @@
     pub finite_runs: u32,
     /// Number of runs whose cost is unknown, as their job is.
     unknown_runs: u32,
-    /// Highest sequence number of an end that has been processed.
-    pub end_seen: u64,
-    /// Highest sequence number of an end whose outcome is stored.
-    pub end_stored: u64,
     /// True if the next report will show the outcome of an order.
     pub awaits_report: bool,
     /// True if the expiry time of the worker's lease is stored. The lease is not renewed until that
@@ -210,8 +265,7 @@
             id,
             entry,
             missing_since: None,
-            incarnation: None,
-            lease: WorkerLease::Unknown(lease),
+            process: WorkerProcess::unseen(lease),
             seen_at: None,
             silent_since: None,
             used: Resources::default(),
@@ -223,8 +277,6 @@
             best_effort_runs: 0,
             finite_runs: 0,
             unknown_runs: 0,
-            end_seen: 0,
-            end_stored: 0,
             awaits_report: false,
             expiry_stored: false,
             cordoned: false,
@@ -293,6 +345,50 @@
         now < self.suspended_until
     }
 
+    /// Records a report of the present process.
+    pub(super) fn record_report(
+        &mut self,
+        report: &RenewalReport,
+        asked_at: ClockTime,
+        now: ClockTime,
+    ) {
+        self.process.record_report(report, asked_at, now);
+        self.seen_at = Some(asked_at);
+        self.silent_since = None;
+    }
+
+    /// True if the last report is recent enough for an order that only the process behind it may carry
+    /// out: an acknowledgement of its ends, or a deadline on its clock.
+    fn is_current(&self, now: ClockTime) -> bool {
+        let is_recent = self
+            .seen_at
+            .is_some_and(|seen_at| now <= seen_at + MAX_REPORT_AGE);
+        is_recent && self.silent_since.is_none() && !self.process.is_doubted
+    }
+
+    /// Returns the highest number of an end that the worker may discard; 0 for none.
+    pub(super) fn acknowledge(&mut self, now: ClockTime) -> u64 {
+        if self.is_current(now) {
+            self.process.acknowledge(now)
+        } else {
+            0
+        }
+    }
+
+    /// Extends the lease with a renewal and returns the deadline on the worker's clock; none if it may
+    /// not be extended, or if another process may have taken the worker's place.
+    pub(super) fn renew_lease(&mut self, span: ClockTime, now: ClockTime) -> Option<u64> {
+        let may_extend = self.is_extendable() && self.is_current(now);
+        may_extend
+            .then(|| self.process.lease.extend(span, now))
+            .flatten()
+    }
+
+    /// True if ends have been reported whose outcome is not stored.
+    pub fn has_unstored_ends(&self) -> bool {
+        self.process.end_seen > self.process.end_stored
+    }
+
     /// True if the lease may be extended: the worker answers, later owners rely on no stored expiry, and no
     /// order from before its lapse can take effect.
     pub fn is_extendable(&self) -> bool {
@@ -454,6 +550,6 @@
     /// True if the worker may have runs that no record names: it has not reported to this owner, and
     /// its lease may be in force.
     pub fn is_unseen(&self, now: ClockTime) -> bool {
-        self.seen_at.is_none() && now <= self.lease.latest_expiry()
+        self.seen_at.is_none() && now <= self.process.lease.latest_expiry()
     }
 }
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -11,6 +11,7 @@
 mod occupancy;
 mod placing;
 mod probation;
+mod processes;
 mod strays;
 mod waves;
 
@@ -372,6 +373,7 @@
         .scheduler
         .worker(&start.worker)
         .unwrap()
+        .process
         .lease
         .latest_expiry();
     assert!(expiry >= harness.now + ms(6_000 - 2));
--- /dev/null
+++ b/crates/core/tests/jobs/processes.rs
@@ -0,0 +1,97 @@
+//! Tests of workers that restart under their ids without notice.
+
+use crate::harness::{SchedulerHarness, key, listed_entry, ms, number_of, step, worker};
+use jacinthhoist_core::job::{RenewalReport, SchedulerLimits, TaskEnd, WorkerEntry};
+
+const WORKERS: usize = 2;
+
+fn restarted_report() -> RenewalReport {
+    RenewalReport {
+        incarnation: Some(2),
+        ..RenewalReport::default()
+    }
+}
+
+/// Guards against two runs of a task: a start order with a deadline on the clock of a worker's earlier
+/// process gave the new one the longest lease that workers accept, and the task was started elsewhere
+/// after the owner's own, shorter lease (review/4).
+#[test]
+fn a_lease_by_the_clock_of_an_earlier_process_is_waited_for() {
+    let mut owner = SchedulerHarness::open(WORKERS);
+    owner.accept(1, vec![step(1)]);
+    owner.settle();
+    let start = owner.confirm().remove(0);
+    let (chosen, other) = (number_of(&start.worker), 1 - number_of(&start.worker));
+    // The start reached a process that began after the last report.
+    let report = RenewalReport {
+        incarnation: Some(2),
+        ..SchedulerHarness::running(std::slice::from_ref(&start), 10)
+    };
+    owner.report(chosen, report);
+    let since = owner.now;
+    owner.scheduler.renewal_failed(&start.worker, owner.now);
+    let limits = SchedulerLimits::example();
+    owner.now = since + limits.longest_lease;
+    owner.report(other, RenewalReport::default());
+    owner.settle();
+    assert_eq!(owner.starts.len(), 0, "the first run may be in progress");
+    owner.now = since + limits.longest_lease + ms(500);
+    owner.report(other, RenewalReport::default());
+    owner.settle();
+    assert_eq!(owner.starts.len(), 1);
+    assert_eq!(owner.starts[0].worker, worker(other));
+}
+
+/// Guards against a lease that is longer than the owner knows, and against lost ends: an idle worker is
+/// asked for a report now and then only, so another process may have taken its place since.
+#[test]
+fn a_worker_not_heard_of_late_gets_no_deadline_and_discards_no_ends() {
+    let mut owner = SchedulerHarness::open(WORKERS);
+    owner.accept(1, vec![step(1)]);
+    owner.settle();
+    let start = owner.confirm().remove(0);
+    owner.end(&start, TaskEnd::Done);
+    owner.settle();
+    let (id, number) = (start.worker.clone(), number_of(&start.worker));
+    let idle_since = owner.now;
+    owner.wait(2_900);
+    let plan = owner.scheduler.plan_renewal(&id, owner.now).unwrap();
+    assert_eq!((plan.ack, plan.lease_until), (0, None));
+    owner.now = idle_since;
+    let plan = owner.scheduler.plan_renewal(&id, owner.now).unwrap();
+    assert_eq!(plan.ack, 1);
+    assert!(plan.lease_until.is_some());
+    owner.report(number, RenewalReport::default());
+    // The end is discarded; a later process may have reported none of its own yet.
+    assert_eq!(owner.ack(number), 0);
+}
+
+/// Guards against a restart that is noticed only with the next report of an idle worker, although its
+/// entry has shown the new process before.
+#[test]
+fn an_entry_of_a_later_process_is_looked_into_at_once() {
+    let mut owner = SchedulerHarness::open(WORKERS);
+    let entry = |incarnation| WorkerEntry {
+        incarnation: Some(incarnation),
+        ..listed_entry(0)
+    };
+    let id = worker(0);
+    let now = owner.now;
+    owner.scheduler.worker_listed(id.clone(), entry(1), now);
+    assert!(!owner.scheduler.needs_report(&id));
+    owner.scheduler.worker_listed(id.clone(), entry(2), now);
+    assert!(owner.scheduler.needs_report(&id));
+    let plan = owner.scheduler.plan_renewal(&id, now).unwrap();
+    assert_eq!((plan.ack, plan.lease_until), (0, None));
+    owner.report(0, restarted_report());
+    assert!(!owner.scheduler.needs_report(&id));
+    // An entry that is read late names the earlier process still.
+    let now = owner.now;
+    owner.scheduler.worker_listed(id.clone(), entry(2), now);
+    assert!(!owner.scheduler.needs_report(&id));
+    let plan = owner.scheduler.plan_renewal(&id, now).unwrap();
+    assert!(plan.lease_until.is_some());
+    owner.accept(1, vec![step(1)]);
+    owner.settle();
+    assert!(owner.task(key(1, 0, 0)).placed().is_some());
+}
--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -37,6 +37,7 @@
     question::ask_about_jobs,
     scenario::EmulationScenario,
     vm::{MAINTENANCE_TIME, MOVE_TIME},
+    worker::LONGEST_LEASE,
 };
 
 /// Wall-clock time at the start of a run.
@@ -230,6 +231,7 @@
             },
             limits: SchedulerLimits {
                 max_lease: MAX_LEASE,
+                longest_lease: LONGEST_LEASE,
                 move_time: MOVE_TIME,
                 maintenance_time: MAINTENANCE_TIME,
                 ..SchedulerLimits::example()
--- a/crates/emulator/src/worker.rs
+++ b/crates/emulator/src/worker.rs
@@ -14,7 +14,7 @@
 use crate::history::{EmulationHistory, EndKind, StartConditions};
 
 /// Longest lease that a worker grants.
-const MAX_LEASE: ClockTime = ClockTime::from_millis(6_000);
+pub(crate) const LONGEST_LEASE: ClockTime = ClockTime::from_millis(6_000);
 /// Time that a run takes to stop.
 const STOP_TIME: ClockTime = ClockTime::from_millis(300);
 /// Time after its start at which a long-running task is fully available.
@@ -213,7 +213,7 @@
     }
 
     fn extend_lease(&mut self, until: Option<u64>, now: ClockTime) {
-        let max_lease = self.worker_clock(now) + MAX_LEASE.as_millis();
+        let max_lease = self.worker_clock(now) + LONGEST_LEASE.as_millis();
         if let Some(until) = until {
             self.lease_until = self.lease_until.max(until.min(max_lease));
         }
--- a/crates/emulator/tests/late_orders.rs
+++ b/crates/emulator/tests/late_orders.rs
@@ -19,23 +19,15 @@
     format!("[[faults]]\nkind = \"{kind}\"\nat = {at}\nfor_s = {for_s}\ncount = {count}\n")
 }
 
-/// Guards against tasks that run again after they were done: an owner that resumed sent the start
-/// orders of before its suspension, and their worker, which had restarted since, knew no token of the
-/// owner that had had the tasks done elsewhere (review/2).
-#[test]
-fn a_resumed_owner_sends_no_start_orders_of_before() {
-    // Orders went out late with each of these seeds.
-    for (at, seeds) in [
-        (3.1, [3, 10, 17, 19, 21].as_slice()),
-        (4.2, [15, 26, 30, 39].as_slice()),
-    ] {
+fn check_days(days: &[(f64, &[u64])]) {
+    for (at, seeds) in days {
         let text = format!(
             "{SCENARIO}{}{}",
-            fault("member_freeze", at, 3.5, 1),
+            fault("member_freeze", *at, 3.5, 1),
             fault("worker_crash", at + 2.9, 0.3, 4),
         );
         let scenario = EmulationScenario::parse(&text).expect("the scenario is valid");
-        for seed in seeds {
+        for seed in *seeds {
             let outcome = run_scenario(&scenario, *seed);
             assert_eq!(
                 check(&outcome.history),
@@ -45,3 +37,24 @@
         }
     }
 }
+
+/// Guards against tasks that run again after they were done: an owner that resumed sent the start
+/// orders of before its suspension, and their worker, which had restarted since, knew no token of the
+/// owner that had had the tasks done elsewhere (review/2).
+#[test]
+fn a_resumed_owner_sends_no_start_orders_of_before() {
+    // Orders went out late with each of these seeds.
+    check_days(&[(3.1, &[3, 10, 17, 19, 21]), (4.2, &[15, 26, 30, 39])]);
+}
+
+/// Guards against tasks that run again after they were done: a renewal acknowledged ends of a worker's
+/// earlier process, and the process that had taken its place discarded its own, which had not been
+/// reported.
+#[test]
+fn a_restarted_worker_discards_no_ends_unreported() {
+    // Ends were lost with each of these seeds.
+    check_days(&[
+        (3.1, &[14, 20, 33, 40]),
+        (4.2, &[1, 11, 14, 22, 24, 31, 33, 35]),
+    ]);
+}
--- a/crates/scheduler/src/owner/decisions.rs
+++ b/crates/scheduler/src/owner/decisions.rs
@@ -146,6 +146,16 @@
             json!({"worker": worker.as_str(), "pool": pool.as_str(), "address": &*address,
                 "incarnation": incarnation, "now": format!("{change:?}")}),
         ),
+        SchedulerDecision::ProcessReplaced {
+            worker,
+            incarnation,
+            lease_until,
+            was_granted,
+        } => (
+            EventKind::Worker,
+            json!({"worker": worker.as_str(), "incarnation": incarnation, "now": "Restarted",
+                "lease_until_ms": lease_until.as_millis(), "was_granted": was_granted}),
+        ),
         SchedulerDecision::EvacuationBegun {
             vm,
             wave,
--- a/crates/scheduler/src/owner/workers.rs
+++ b/crates/scheduler/src/owner/workers.rs
@@ -330,7 +330,7 @@
         ClockTime::ZERO
     } else if failed || worker.silent_since.is_some() {
         SILENT_RENEWAL_INTERVAL
-    } else if worker.end_seen > worker.end_stored {
+    } else if worker.has_unstored_ends() {
         UNSTORED_RENEWAL_INTERVAL
     } else if worker.is_empty() {
         IDLE_RENEWAL_INTERVAL
