Store progress within the size limits of the store

Cause: no code knew record_bytes and call_bytes. A lost run adds some 170 bytes to the record of its job, and a batch was limited by its number of jobs only. The store refused the append, which was repeated for ever, and one batch is in flight at a time.

Change: progress above a record is stored in parts, with one call; a batch is stored with as many calls as it needs; progress above a call leaves out crash histories, then checkpoints. Accepted jobs and removals are split the same way, and a job whose record can never be stored is refused by itself. The stand-in and the emulator's store enforce limits.

--- a/crates/codec/src/job.rs
+++ b/crates/codec/src/job.rs
@@ -23,6 +23,10 @@
 const PREFIX_CANCEL: char = 'c';
 /// Prefix of the key of a job's progress.
 const PREFIX_PROGRESS: char = 'p';
+/// Prefix of the key of a part of a job's progress.
+const PREFIX_PART: char = 'x';
+/// Separates the job from the number of the part in its key.
+const PART_SEPARATOR: char = '.';
 /// Prefix of the key of the time by which a worker's lease has certainly expired.
 const PREFIX_LEASE_EXPIRY: char = 'l';
 /// Prefix of the key of a maintenance wave's progress.
@@ -115,9 +119,9 @@
 pub fn encode_progress(record: &BatchRecord) -> Result<KeyedRecord> {
     let (key, value) = match record {
         BatchRecord::Progress(id, progress) => {
-            (format!("{PREFIX_PROGRESS}{id}"), to_cbor(progress)?)
+            (progress_key(*id), encode_progress_value(progress)?)
         }
-        BatchRecord::Remove(id) => (format!("{PREFIX_PROGRESS}{id}"), Vec::new()),
+        BatchRecord::Remove(id) => (progress_key(*id), Vec::new()),
         BatchRecord::Wave(number, progress) => {
             (format!("{PREFIX_WAVE}{number}"), to_cbor(progress)?)
         }
@@ -144,7 +148,7 @@
     match prefix {
         PREFIX_PROGRESS if record.value.is_empty() => Ok(BatchRecord::Remove(parse_id(id)?)),
         PREFIX_PROGRESS => {
-            let progress: JobProgress = from_cbor(&record.value)?;
+            let progress = decode_progress_value(&record.value)?;
             Ok(BatchRecord::Progress(parse_id(id)?, progress))
         }
         PREFIX_LEASE_EXPIRY => {
@@ -161,6 +165,41 @@
     }
 }
 
+pub(crate) fn progress_key(id: JobId) -> String {
+    format!("{PREFIX_PROGRESS}{id}")
+}
+
+pub(crate) fn encode_progress_value(progress: &JobProgress) -> Result<Vec<u8>> {
+    to_cbor(progress)
+}
+
+pub(crate) fn decode_progress_value(value: &[u8]) -> Result<JobProgress> {
+    from_cbor(value)
+}
+
+/// Record that takes the place of a job's progress and holds the number of its parts.
+pub(crate) fn progress_head(id: JobId, parts: u32) -> Result<KeyedRecord> {
+    Ok(KeyedRecord {
+        key: progress_key(id),
+        value: to_cbor(&parts)?,
+    })
+}
+
+/// Reads the number of parts; `None` if the record is another one. Progress itself is a map.
+pub(crate) fn read_progress_head(record: &KeyedRecord) -> Option<(JobId, u32)> {
+    let id = record.key.strip_prefix(PREFIX_PROGRESS)?.parse().ok()?;
+    Some((id, from_cbor(&record.value).ok()?))
+}
+
+pub(crate) fn progress_part_key(id: JobId, index: u32) -> String {
+    format!("{PREFIX_PART}{id}{PART_SEPARATOR}{index}")
+}
+
+pub(crate) fn read_progress_part_key(key: &str) -> Option<(JobId, u32)> {
+    let (id, index) = key.strip_prefix(PREFIX_PART)?.split_once(PART_SEPARATOR)?;
+    Some((id.parse().ok()?, index.parse().ok()?))
+}
+
 /// Owner's reply to a query for the state of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum JobReply {
@@ -269,7 +308,7 @@
     Err(invalid(format!("unknown key `{key}`")))
 }
 
-fn invalid(message: String) -> Error {
+pub(crate) fn invalid(message: String) -> Error {
     CborSnafu { message }.build().into()
 }
 
--- a/crates/codec/src/lib.rs
+++ b/crates/codec/src/lib.rs
@@ -28,6 +28,7 @@
 mod file;
 mod frame;
 mod job;
+mod parts;
 mod platform;
 mod record;
 mod snapshot;
@@ -52,6 +53,7 @@
     decode_job_frame, decode_progress, encode_cancel, encode_job, encode_job_frame,
     encode_progress, encode_removal,
 };
+pub use parts::{ProgressGroup, ProgressReader, StoreLimits, encode_progress_group};
 pub use platform::{AppendResponse, ListedVm, LogPage, LogRecord, VmListPage, VmRole};
 pub use record::{decode_record, encode_record};
 pub use snapshot::{decode_snapshot, encode_snapshot};
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -87,7 +87,7 @@
 /// A side effect for the runtime to perform.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
-    /// Stores the records atomically, then calls [`Scheduler::batch_stored`].
+    /// Stores the records in order, then calls [`Scheduler::batch_stored`].
     Store(Batch),
     /// Sends a start order to a worker.
     Start {
--- a/crates/core/src/job/scheduler/batch.rs
+++ b/crates/core/src/job/scheduler/batch.rs
@@ -25,7 +25,7 @@
 /// Minimum time between two batches: long enough for the ends of one step to share a write, short
 /// compared with the shortest tasks.
 const BATCH_INTERVAL: ClockTime = ClockTime::from_millis(15);
-/// At about 200 bytes per job, a full batch stays well below the size limit of a store call.
+/// Maximum jobs of a batch. At about 200 bytes per job it is stored with one call.
 const MAX_BATCH_JOBS: usize = 400;
 
 /// The task has no run.
@@ -84,6 +84,23 @@
         progress
     }
 
+    /// Returns the progress without the crashes of workers: a later owner attributes them anew.
+    pub fn without_crashes(&self) -> Self {
+        Self {
+            crashes: BTreeMap::new(),
+            ..self.clone()
+        }
+    }
+
+    /// Returns the progress without checkpoints: tasks whose runs end early begin anew.
+    pub fn without_checkpoints(mut self) -> Self {
+        let steps = self.occurrences.iter_mut().flatten();
+        for TaskRecord(_, _, _, _, checkpoint, _) in steps.flatten() {
+            *checkpoint = None;
+        }
+        self
+    }
+
     fn final_state(state: JobState) -> Self {
         Self {
             ended: Some(state),
@@ -156,7 +173,8 @@
     BaseSizes(BTreeMap<PoolName, usize>),
 }
 
-/// Records to be stored atomically.
+/// Records to be stored in order. Each takes effect by itself, and what depends on the batch waits for
+/// all of them.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Batch {
     /// Sequence number, starting at 1.
--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -7,6 +7,7 @@
     time::Duration,
 };
 
+use jacinthhoist_codec::StoreLimits;
 use jacinthhoist_core::{
     ClockTime, MemberName,
     job::{MemberRank, SchedulerLimits},
@@ -236,6 +237,7 @@
                 maintenance_time: MAINTENANCE_TIME,
                 ..SchedulerLimits::example()
             },
+            store_limits: StoreLimits::example(),
         };
         let clock = self.model.clock;
         let log = EventLog::with_sink(&name, clock, log_sink(self.prints_logs));
--- a/crates/emulator/src/store.rs
+++ b/crates/emulator/src/store.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use jacinthhoist_codec::KeyedRecord;
+use jacinthhoist_codec::{KeyedRecord, StoreLimits};
 use jacinthhoist_core::ClockTime;
 use jacinthhoist_scheduler::{
     ErrorKind, Result,
@@ -264,6 +264,15 @@
         sequence: &AppendSequence,
         records: &[KeyedRecord],
     ) -> Result<()> {
+        let limits = StoreLimits::example();
+        let groups = records.chunks(1);
+        if !records.iter().all(|record| limits.admits(record))
+            || limits.count_fitting(groups) < records.len()
+        {
+            let message = "over a size limit".to_owned();
+            let call = "append";
+            return Err(ErrorKind::Refused { call, message }.into());
+        }
         let mut state = self.state();
         let index = stream_index(stream);
         let producer = state.producers.entry((index, sequence.producer.clone()));
--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -15,6 +15,7 @@
 pub use machines::MachineService;
 pub use policy::PolicyService;
 pub use pool_worker::{PoolWorker, WorkerFault};
+use store::{CALL_BYTES, RECORD_BYTES};
 pub use store::{KeyedLog, StoreEndpoint, StoreFault};
 
 use std::{net::SocketAddr, time::Duration};
@@ -108,6 +109,7 @@
              [listen]\nfront = \"127.0.0.1:{front}\"\nready = \"127.0.0.1:{ready}\"\n\
              [bounds]\nhold_max_ms = 3000\nmove_s = 0.2\nupkeep_s = 0.2\nstatus_s = 120\ngrace_s = 6\n\
              [platform]\naddress = \"{store}\"\nttl_min_ms = 1000\n\
+             record_bytes = {RECORD_BYTES}\ncall_bytes = {CALL_BYTES}\n\
              [cloud_api]\naddress = \"{machines}\"\n"
         )
     }
--- a/crates/fakes/src/platform/store.rs
+++ b/crates/fakes/src/platform/store.rs
@@ -27,6 +27,10 @@
 
 /// Records in one page of the newest; few, so that tests read several pages.
 const PAGE_RECORDS: usize = 50;
+/// Maximum size of a record: smaller than the platform's, so that few tasks reach it.
+pub(super) const RECORD_BYTES: usize = 16_384;
+/// Maximum total size of the records of a call.
+pub(super) const CALL_BYTES: usize = 65_536;
 /// Number of partitions of a topic.
 const PARTITIONS: u32 = 16;
 /// Delay of every response under [`StoreFault::Slow`].
@@ -484,6 +488,9 @@
     query: &QueryParameters,
     body: Bytes,
 ) -> Option<Response<ResponseBody>> {
+    if !is_within_limits(&body) {
+        return Some(http::status(StatusCode::BAD_REQUEST));
+    }
     let topic = query.text("topic");
     let producer = query.text("producer");
     let stamp =
@@ -501,6 +508,19 @@
     })
 }
 
+/// Returns whether each record, and the call as a whole, is within the size limits.
+fn is_within_limits(body: &[u8]) -> bool {
+    let mut rest = body;
+    while let Some((length, records)) = rest.split_first_chunk() {
+        let length = u32::from_be_bytes(*length) as usize;
+        if length > RECORD_BYTES || length > records.len() {
+            return false;
+        }
+        rest = &records[length..];
+    }
+    body.len() <= CALL_BYTES
+}
+
 fn conflict(reason: &str) -> Response<ResponseBody> {
     let mut response = http::json(&json!({"reason": reason}));
     *response.status_mut() = StatusCode::CONFLICT;
--- a/crates/scheduler/src/accept.rs
+++ b/crates/scheduler/src/accept.rs
@@ -1,7 +1,7 @@
 //! Stores accepted jobs and cancellations: one append at a time, each with all records that have
 //! arrived during the one before.
 
-use std::{pin::pin, sync::Arc, time::Duration};
+use std::{pin::pin, slice::from_ref, sync::Arc, time::Duration};
 
 use jacinthhoist_codec::{KeyedRecord, StoreOutcome};
 use jacinthhoist_core::{ClockTime, job::refusal_delay};
@@ -14,12 +14,12 @@
     append::{StoreAppend, duration},
     dependency::Dependency,
     error::Category,
+    eventlog::event,
     ports::{AppendSequence, Platform, StoreStream},
     shared::MemberShared,
 };
 
-/// Maximum records of one append: about 500 KB at the largest payload, well within the limit of a
-/// store call.
+/// Maximum records of one append.
 const MAX_BATCH_RECORDS: usize = 100;
 /// Time after which the outcome of an append counts as unknown, well before its callers give up.
 const APPEND_DEADLINE: Duration = Duration::from_millis(2_200);
@@ -103,8 +103,13 @@
     }
 
     pub(crate) async fn run(mut self) {
-        let mut batch = Vec::new();
-        while self.inbox.recv_many(&mut batch, MAX_BATCH_RECORDS).await > 0 {
+        let mut waiting = Vec::new();
+        while !waiting.is_empty() || self.inbox.recv_many(&mut waiting, MAX_BATCH_RECORDS).await > 0
+        {
+            let mut batch = self.take_batch(&mut waiting);
+            if batch.is_empty() {
+                continue;
+            }
             let records: Vec<_> = batch.iter().map(|request| request.record.clone()).collect();
             let append = self.writer.append(&records);
             let outcome = refuse_during(&mut self.inbox, SLOW_APPEND, append).await;
@@ -116,6 +121,9 @@
                 request.settle(outcome);
             }
             if outcome != StoreOutcome::Stored {
+                for request in waiting.drain(..) {
+                    request.settle(StoreOutcome::NotStored);
+                }
                 let probe = self.writer.probe();
                 refuse_during(&mut self.inbox, Duration::ZERO, probe).await;
             }
@@ -123,6 +131,23 @@
     }
 }
 
+impl<P: Platform> AcceptTask<P> {
+    /// Takes the first requests that the store accepts in one call. Those that it would never accept are
+    /// refused, as they would take the others of their call with them.
+    fn take_batch(&self, waiting: &mut Vec<StoreRequest>) -> Vec<StoreRequest> {
+        let shared = &self.writer.shared;
+        let limits = &shared.store_limits;
+        for request in waiting.extract_if(.., |request| !limits.admits(&request.record)) {
+            event!(shared.log, Oversize, "key": request.record.key,
+                "bytes": request.record.value.len(), "outcome": "refused");
+            request.settle(StoreOutcome::NotStored);
+        }
+        let records = waiting.iter().map(|request| from_ref(&request.record));
+        let count = limits.count_fitting(records);
+        waiting.drain(..count).collect()
+    }
+}
+
 /// Waits for a call to the store. Requests that are still queued after `grace` are refused at once:
 /// nothing of them has been sent to the store.
 async fn refuse_during<T>(
--- a/crates/scheduler/src/eventlog.rs
+++ b/crates/scheduler/src/eventlog.rs
@@ -76,6 +76,7 @@
     Worker => ("worker", "The state of a worker has changed."),
     Vm => ("vm", "A VM was ordered to move or to begin maintenance."),
     Wave => ("wave", "A maintenance wave has progressed."),
+    Oversize => ("oversize", "Records were over a size limit of the store."),
     Unreadable => ("unreadable", "A record or message could not be decoded."),
 }
 
--- a/crates/scheduler/src/member.rs
+++ b/crates/scheduler/src/member.rs
@@ -6,6 +6,7 @@
     sync::Arc,
 };
 
+use jacinthhoist_codec::StoreLimits;
 use jacinthhoist_core::{
     ClockTime, MemberName,
     job::{MemberRank, SchedulerLimits},
@@ -103,6 +104,8 @@
     pub identity: MemberIdentity,
     /// Limits set by the platform.
     pub limits: SchedulerLimits,
+    /// Size limits of the store.
+    pub store_limits: StoreLimits,
 }
 
 /// Running member. Dropping it aborts its tasks; [`SchedulerMember::stop`] also waits for them.
@@ -141,7 +144,7 @@
         log: Arc<EventLog>,
     ) -> Result<Self> {
         let address = settings.identity.peer_address;
-        let shared = MemberShared::open(settings.identity, clock, log);
+        let shared = MemberShared::open(settings.identity, settings.store_limits, clock, log);
         let peers = Arc::new(peers);
         event!(shared.log, Start, "version": env!("CARGO_PKG_VERSION"),
             "key": shared.identity.member_key());
--- a/crates/scheduler/src/owner/effects.rs
+++ b/crates/scheduler/src/owner/effects.rs
@@ -1,11 +1,11 @@
 //! Performs the effects of scheduling steps.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use jacinthhoist_codec::{KeyedRecord, encode_progress, encode_removal};
+use jacinthhoist_codec::{KeyedRecord, ProgressGroup, encode_progress_group, encode_removal};
 use jacinthhoist_core::{
     ClockTime, VmName, WorkerId,
-    job::{Batch, Effect, JobId, OrderReply, StepKey, refusal_delay},
+    job::{Batch, BatchRecord, Effect, JobId, OrderReply, StepKey, refusal_delay},
 };
 use tokio::{sync::mpsc, task::JoinSet, time::sleep};
 
@@ -38,6 +38,8 @@
     token: u64,
     seq: u64,
     removal_seq: u64,
+    /// Number of parts that are stored of the progress of large jobs.
+    stored_parts: BTreeMap<JobId, u32>,
     /// Aborted when the engine is dropped.
     calls: JoinSet<()>,
 }
@@ -48,6 +50,7 @@
         shared: Arc<MemberShared>,
         events: mpsc::UnboundedSender<OwnerEvent>,
         token: u64,
+        stored_parts: BTreeMap<JobId, u32>,
     ) -> Self {
         Self {
             platform,
@@ -56,6 +59,7 @@
             token,
             seq: 0,
             removal_seq: 0,
+            stored_parts,
             calls: JoinSet::new(),
         }
     }
@@ -143,71 +147,90 @@
     }
 
     fn store(&mut self, batch: Batch) {
-        let mut records = Vec::with_capacity(batch.records.len());
+        let mut groups = Vec::with_capacity(batch.records.len());
         for record in &batch.records {
-            match encode_progress(record) {
-                Ok(encoded) => records.push(encoded),
+            match self.encode(record) {
+                Ok(group) => groups.push(group.records),
                 Err(error) => event!(self.shared.log, Unreadable, "key": "progress",
                     "reason": error.to_string()),
             }
         }
-        let sequence = AppendSequence {
+        let calls = self.shared.store_limits.split_calls(groups);
+        if calls.len() > 1 {
+            event!(self.shared.log, Oversize, "batch": batch.number, "calls": calls.len());
+        }
+        let first = AppendSequence {
             producer: OWNER_PRODUCER.to_owned(),
             epoch: self.token,
             seq: self.seq,
         };
-        self.seq += 1;
+        self.seq += calls.len() as u64;
         let stored_event = OwnerEvent::Stored {
             number: batch.number,
             asked_at: self.shared.clock.now(),
         };
-        self.append(StoreStream::Progress, sequence, records, stored_event);
+        self.append(StoreStream::Progress, first, calls, stored_event);
+    }
+
+    /// Encodes a record within the limits of the store.
+    fn encode(&mut self, record: &BatchRecord) -> jacinthhoist_codec::Result<ProgressGroup> {
+        let job = match record {
+            BatchRecord::Progress(id, _) | BatchRecord::Remove(id) => Some(*id),
+            _ => None,
+        };
+        let stored_parts = job.and_then(|id| self.stored_parts.remove(&id));
+        let limits = &self.shared.store_limits;
+        let group = encode_progress_group(record, limits, stored_parts.unwrap_or_default())?;
+        if let Some(id) = job.filter(|_| group.parts > 0) {
+            event!(self.shared.log, Oversize, "job": id.to_string(), "parts": group.parts,
+                "reduced": group.is_reduced);
+            self.stored_parts.insert(id, group.parts);
+        }
+        Ok(group)
     }
 
     fn remove_bodies(&mut self, jobs: Vec<JobId>) {
-        let records = jobs.iter().flat_map(|id| encode_removal(*id)).collect();
-        let sequence = AppendSequence {
+        let groups = jobs.iter().map(|id| encode_removal(*id).to_vec()).collect();
+        let calls = self.shared.store_limits.split_calls(groups);
+        let first = AppendSequence {
             producer: format!("{OWNER_PRODUCER}-forget"),
             epoch: self.token,
             seq: self.removal_seq,
         };
-        self.removal_seq += 1;
+        self.removal_seq += calls.len() as u64;
         let stored_event = OwnerEvent::BodiesRemoved(jobs);
-        self.append(StoreStream::Accepted, sequence, records, stored_event);
+        self.append(StoreStream::Accepted, first, calls, stored_event);
     }
 
-    /// Repeats an append until the store confirms it, then sends `stored_event`; the sequence
-    /// number makes repeated appends idempotent.
+    /// Makes the calls of an append one after the other, each until the store confirms it, then sends
+    /// `stored_event`; the sequence numbers make repeated calls idempotent.
     fn append(
         &mut self,
         stream: StoreStream,
-        sequence: AppendSequence,
-        records: Vec<KeyedRecord>,
+        first: AppendSequence,
+        calls: Vec<Vec<KeyedRecord>>,
         stored_event: OwnerEvent,
     ) {
         let (platform, shared) = (self.platform.clone(), self.shared.clone());
         let events = self.events.clone();
         self.calls.spawn(async move {
-            let append = StoreAppend {
-                platform: &*platform,
-                shared: &shared,
-                dependency: Dependency::Progress,
-                stream,
-                sequence: &sequence,
-                records: &records,
-            };
-            let mut refusals = 0;
-            let event = loop {
-                match append.send(None).await {
-                    Ok(()) => break stored_event,
-                    Err(failure) if is_fenced(&failure.error) => {
-                        break OwnerEvent::Fenced("the store has seen a newer owner");
-                    }
-                    // Recorded by the append; it is repeated after a pause.
-                    Err(_) => refusals += 1,
+            let mut sequence = first;
+            let mut event = stored_event;
+            for records in &calls {
+                let append = StoreAppend {
+                    platform: &*platform,
+                    shared: &shared,
+                    dependency: Dependency::Progress,
+                    stream,
+                    sequence: &sequence,
+                    records,
+                };
+                if !append_until_stored(append).await {
+                    event = OwnerEvent::Fenced("the store has seen a newer owner");
+                    break;
                 }
-                sleep(duration(refusal_delay(refusals).min(MAX_REFUSAL_DELAY))).await;
-            };
+                sequence.seq += 1;
+            }
             // The engine may have stopped.
             let _ = events.send(event);
         });
@@ -244,3 +267,17 @@
         });
     }
 }
+
+/// Repeats a call until the store confirms it; returns false if a newer owner has fenced this one off.
+async fn append_until_stored<P: Platform>(append: StoreAppend<'_, P>) -> bool {
+    let mut refusals = 0;
+    loop {
+        match append.send(None).await {
+            Ok(()) => return true,
+            Err(failure) if is_fenced(&failure.error) => return false,
+            // Recorded by the append; it is repeated after a pause.
+            Err(_) => refusals += 1,
+        }
+        sleep(duration(refusal_delay(refusals).min(MAX_REFUSAL_DELAY))).await;
+    }
+}
--- a/crates/scheduler/src/owner/engine.rs
+++ b/crates/scheduler/src/owner/engine.rs
@@ -96,7 +96,13 @@
         Ok(Self {
             scheduler: loaded.scheduler,
             workers,
-            effect_runner: EffectRunner::open(platform, shared.clone(), sender, token),
+            effect_runner: EffectRunner::open(
+                platform,
+                shared.clone(),
+                sender,
+                token,
+                loaded.stored_parts,
+            ),
             authority: OwnerAuthority::open(shared.clock, token),
             events,
             ownership: owner.ownership.clone(),
--- a/crates/scheduler/src/owner/takeover.rs
+++ b/crates/scheduler/src/owner/takeover.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use jacinthhoist_codec::{AcceptedRecord, KeyedRecord, decode_accepted, decode_progress};
+use jacinthhoist_codec::{AcceptedRecord, KeyedRecord, ProgressReader, decode_accepted};
 use jacinthhoist_core::{
     ClockTime,
     job::{BatchRecord, JobCatalogue, JobId, JobProgress, JobSpec, Scheduler, SchedulerLimits},
@@ -34,6 +34,8 @@
     pub(super) accepted_read_at: ClockTime,
     /// Offset at which the next read of worker entries begins.
     pub(super) workers_next: u64,
+    /// Number of parts that are stored of the progress of large jobs.
+    pub(super) stored_parts: BTreeMap<JobId, u32>,
 }
 
 /// Stored records read in a takeover.
@@ -42,6 +44,7 @@
     jobs: BTreeMap<JobId, Arc<JobSpec>>,
     cancels: Vec<JobId>,
     progress: Vec<BatchRecord>,
+    stored_parts: BTreeMap<JobId, u32>,
     accepted_next: u64,
 }
 
@@ -103,6 +106,7 @@
     let page = read_workers(platform, shared).await?;
     let workers_next = page.next;
     let accepted_next = records.accepted_next;
+    let stored_parts = std::mem::take(&mut records.stored_parts);
     let mut scheduler = restore(records, shared, limits, catalogue);
     let now = shared.clock.now();
     scheduler.workers_listed(workers_by_id(shared, page.items), now);
@@ -114,6 +118,7 @@
         accepted_next,
         accepted_read_at,
         workers_next,
+        stored_parts,
     }))
 }
 
@@ -122,15 +127,25 @@
     shared: &MemberShared,
     records: &mut StoredRecords,
 ) -> Result<()> {
+    let mut reader = ProgressReader::default();
     let add = |page: Vec<KeyedRecord>| {
         for record in &page {
-            match decode_progress(record) {
-                Ok(progress) => records.progress.push(progress),
+            match reader.add(record) {
+                Ok(progress) => records.progress.extend(progress),
                 Err(error) => log_unreadable(shared, record, &error.to_string()),
             }
         }
     };
     read_newest(platform, StoreStream::Progress, add).await?;
+    records.stored_parts = reader.stored_parts();
+    for job in reader.into_jobs() {
+        match job {
+            Ok((id, progress)) => records.progress.push(BatchRecord::Progress(id, progress)),
+            Err((key, error)) => {
+                event!(shared.log, Unreadable, "key": key, "reason": error.to_string());
+            }
+        }
+    }
     Ok(())
 }
 
--- a/crates/scheduler/src/shared.rs
+++ b/crates/scheduler/src/shared.rs
@@ -6,7 +6,7 @@
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use jacinthhoist_codec::OwnerHeartbeat;
+use jacinthhoist_codec::{OwnerHeartbeat, StoreLimits};
 use jacinthhoist_core::{
     ClockTime, WorkName,
     job::{AppendPace, JobCatalogue, WorkLoad},
@@ -32,6 +32,7 @@
 /// State shared by the pipes of a member.
 pub(crate) struct MemberShared {
     pub(crate) identity: MemberIdentity,
+    pub(crate) store_limits: StoreLimits,
     pub(crate) clock: BootClock,
     pub(crate) log: Arc<EventLog>,
     pub(crate) meter: JobMeter,
@@ -60,12 +61,14 @@
 impl MemberShared {
     pub(crate) fn open(
         identity: MemberIdentity,
+        store_limits: StoreLimits,
         clock: BootClock,
         log: Arc<EventLog>,
     ) -> Arc<Self> {
         Arc::new(Self {
             owner_view: OwnerView::open(identity.clone(), clock),
             identity,
+            store_limits,
             clock,
             log,
             meter: JobMeter::open(),
