Conclude nothing from runs that a cut list of ends does not name

Cause: a worker lists 500 ends at a time. A run that a report names neither as running nor as ended counted as gone, also when the list was cut.

Change: a report says whether its worker may hold more ends than it has listed; then nothing follows from a run that it does not name, also for stray runs, starts without an answer and restarted processes. Ends are applied in the order of their numbers.

Tests: both of core/tests/jobs/ends.rs failed before. The emulator's workers list 20 ends at a time.

--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -338,6 +338,8 @@
     Answering,
     /// The worker's entry names another process than its last report.
     Doubted,
+    /// The worker listed only a part of its ends, so that runs it did not name stay as they are.
+    EndsCut,
     /// The worker has started to drain.
     Draining,
     /// The worker receives no tasks for a while.
--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -80,11 +80,13 @@
     pub fn report(
         &mut self,
         id: &WorkerId,
-        report: RenewalReport,
+        mut report: RenewalReport,
         asked_at: ClockTime,
         now: ClockTime,
     ) {
         self.now = now;
+        // An end counts as processed once one with a higher number is.
+        report.ended.sort_by_key(|row| row.number);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -130,7 +132,11 @@
             self.apply_running(id, row, is_first);
             self.record_survival(id, row, asked_at);
         }
-        self.resolve_unreported(id, &reported, asked_at);
+        if report.has_more_ends {
+            self.log_worker_change(id, WorkerChange::EndsCut);
+        } else {
+            self.resolve_unreported(id, &reported, asked_at);
+        }
         self.stop_strays_of(id);
     }
 
@@ -293,7 +299,8 @@
         }
     }
 
-    /// Resolves runs charged to the worker that it reports neither as running nor as ended.
+    /// Resolves runs charged to the worker that it reports neither as running nor as ended. The report
+    /// must list all ends.
     fn resolve_unreported(
         &mut self,
         id: &WorkerId,
@@ -407,6 +414,10 @@
                 .any(|row| (row.task, row.run) == (key, run));
             !reply_pending && !reported && !ended
         });
+        // The new process may have run any of them; the next whole report tells.
+        if report.has_more_ends {
+            lost.clear();
+        }
         // The runs were lost with the earlier process.
         self.record_losses(id, &lost);
         self.record_silence(id, cause);
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -101,6 +101,9 @@
     pub running: Vec<ActiveRun>,
     /// Runs that have ended and whose ends have not been acknowledged.
     pub ended: Vec<EndedRun>,
+    /// True if the worker may hold more ends than it has listed, so that a run which the report does not
+    /// name may have ended in any way.
+    pub has_more_ends: bool,
 }
 
 /// A worker's reply to a start order.
--- a/crates/core/tests/jobs/harness.rs
+++ b/crates/core/tests/jobs/harness.rs
@@ -348,6 +348,7 @@
             incarnation: Some(1),
             running: Vec::new(),
             ended: vec![row],
+            has_more_ends: false,
         };
         let id = start.worker.clone();
         self.scheduler.report(&id, report, asked_at, self.now);
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -4,6 +4,7 @@
 mod causes;
 mod counts;
 mod crashes;
+mod ends;
 mod extremes;
 mod fleet;
 mod harness;
--- a/crates/emulator/src/worker.rs
+++ b/crates/emulator/src/worker.rs
@@ -15,6 +15,8 @@
 
 /// Longest lease that a worker grants.
 pub(crate) const LONGEST_LEASE: ClockTime = ClockTime::from_millis(6_000);
+/// Number of ends that a worker lists at most.
+const MAX_LISTED_ENDS: usize = 20;
 /// Time that a run takes to stop.
 const STOP_TIME: ClockTime = ClockTime::from_millis(300);
 /// Time after its start at which a long-running task is fully available.
@@ -252,8 +254,12 @@
 
     /// Reports active and ended runs.
     pub(crate) fn report(&mut self, now: ClockTime) -> RenewalReport {
-        self.reported
-            .extend(self.ended.iter().map(|ended_run| ended_run.number));
+        self.reported.extend(
+            self.ended
+                .iter()
+                .take(MAX_LISTED_ENDS)
+                .map(|ended_run| ended_run.number),
+        );
         let active_run = |(&(task, number), run): (&(TaskKey, u32), &WorkerRun)| {
             let elapsed = (now - run.began_at).as_millis();
             let total = run
@@ -281,7 +287,8 @@
             clock: self.worker_clock(now),
             incarnation: self.entry.incarnation,
             running: self.running.iter().map(active_run).collect(),
-            ended: self.ended.clone(),
+            ended: self.ended.iter().take(MAX_LISTED_ENDS).cloned().collect(),
+            has_more_ends: self.ended.len() >= MAX_LISTED_ENDS,
         }
     }
 
--- a/crates/experiments/examples/schedule.rs
+++ b/crates/experiments/examples/schedule.rs
@@ -187,6 +187,7 @@
             incarnation: Some(1),
             running: Vec::new(),
             ended,
+            has_more_ends: false,
         };
         // Requested before any start, so that the scheduler does not treat unlisted runs as lost.
         let requested_at = ClockTime::from_secs(1);
