--- a/crates/codec/src/parts.rs
+++ b/crates/codec/src/parts.rs
@@ -50,6 +50,11 @@
         stored_bytes(record) <= self.record_bytes
     }
 
+    /// Returns whether the store accepts records with one call.
+    pub fn admits_call(&self, records: &[KeyedRecord]) -> bool {
+        records.iter().map(stored_bytes).sum::<usize>() <= self.call_bytes
+    }
+
     /// Returns how many of the first groups of records fit into one call; at least one.
     pub fn count_fitting<'a>(&self, groups: impl Iterator<Item = &'a [KeyedRecord]>) -> usize {
         let (mut total, mut count) = (0, 0);
@@ -155,7 +160,9 @@
     limits: &StoreLimits,
     stored_parts: u32,
 ) -> Result<Option<ProgressGroup>> {
-    let part_bytes = limits.record_bytes - FRAMING_BYTES - MAX_PART_KEY_BYTES;
+    let overhead = FRAMING_BYTES + MAX_PART_KEY_BYTES;
+    // A limit that leaves no room for a value is one that the settings give by mistake.
+    let part_bytes = limits.record_bytes.saturating_sub(overhead).max(1);
     let parts = value.len().div_ceil(part_bytes) as u32;
     let mut records = vec![progress_head(id, parts)?];
     let values = value.chunks(part_bytes).map(<[u8]>::to_vec);
@@ -164,8 +171,7 @@
         value,
     }));
     records.extend(removed_parts(id, parts..stored_parts));
-    let total: usize = records.iter().map(stored_bytes).sum();
-    Ok((total <= limits.call_bytes).then_some(ProgressGroup {
+    Ok(limits.admits_call(&records).then_some(ProgressGroup {
         records,
         parts,
         is_reduced: false,
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -32,6 +32,7 @@
 mod order;
 mod ownership;
 mod place;
+mod process;
 mod resize;
 mod scheduler;
 mod silence;
@@ -54,6 +55,7 @@
     MemberCapacity, MemberRank, OwnerSnapshot, RecordedOwner, UnknownRank, candidacy_at,
 };
 pub use place::{PlaceCandidates, PlaceRequest, choose_worker};
+pub use process::WorkerProcess;
 pub use resize::{IdleVm, PoolDemandView, ResizeMove, plan_resize};
 pub use scheduler::{
     Batch, BatchRecord, Effect, Job, JobProgress, LossReason, PoolSummary, RenewalPlan, Scheduler,
@@ -70,6 +72,5 @@
 pub use vm_order::{Accepted, AnyVmOrder, Sent, VmOrder, VmOrderRun};
 pub use wave::{Wave, WaveProgress, WaveRequest, WaveTable};
 pub use worker::{
-    ActiveRun, EndedRun, OrderReply, RenewalReport, StartReply, Worker, WorkerEntry, WorkerProcess,
-    WorkerState,
+    ActiveRun, EndedRun, OrderReply, RenewalReport, StartReply, Worker, WorkerEntry, WorkerState,
 };
--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -8,11 +8,10 @@
     clock::ClockTime,
     job::{
         lease::UnknownLease,
+        process::WorkerProcess,
         spec::TaskKey,
         task::{AnyTask, StartOrderState, TaskEnd},
-        worker::{
-            ActiveRun, EndedRun, RenewalReport, Worker, WorkerEntry, WorkerProcess, WorkerState,
-        },
+        worker::{ActiveRun, EndedRun, RenewalReport, Worker, WorkerEntry, WorkerState},
     },
     name::WorkerId,
 };
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -11,7 +11,8 @@
 
 use super::{
     charge::{AnyCharge, RunCharge, RunCost, Stray},
-    lease::{UnknownLease, WorkerLease},
+    lease::UnknownLease,
+    process::WorkerProcess,
     spec::{JobId, Resources, StepKey, TaskKey},
     task::TaskEnd,
 };
@@ -155,62 +156,6 @@
     Unknown,
 }
 
-/// What the owner knows of one process of a worker. It is replaced as a whole once another process
-/// answers under the worker's id: clock, lease and the numbers of ends begin anew.
-#[derive(Clone, Debug)]
-pub struct WorkerProcess {
-    /// Start time in the last report; none before the first.
-    pub incarnation: Option<u64>,
-    /// Lease, which bounds the time for which the process may run its tasks.
-    pub lease: WorkerLease,
-    /// Highest sequence number of an end that has been processed.
-    pub end_seen: u64,
-    /// Highest sequence number of an end whose outcome is stored.
-    pub end_stored: u64,
-    /// Highest sequence number of an end that the process is known to have discarded.
-    end_discarded: u64,
-    /// Last acknowledgement of ends, with the time at which it was sent.
-    ack_sent: (u64, ClockTime),
-    /// True if the worker's entry names another process than the last report.
-    pub is_doubted: bool,
-}
-
-impl WorkerProcess {
-    /// Creates the state of a process that has not reported.
-    pub fn unseen(lease: UnknownLease) -> Self {
-        Self {
-            incarnation: None,
-            lease: WorkerLease::Unknown(lease),
-            end_seen: 0,
-            end_stored: 0,
-            end_discarded: 0,
-            ack_sent: (0, ClockTime::ZERO),
-            is_doubted: false,
-        }
-    }
-
-    /// Records a report of the process.
-    fn record_report(&mut self, report: &RenewalReport, asked_at: ClockTime, now: ClockTime) {
-        self.incarnation = report.incarnation;
-        self.lease.read(report.clock, now);
-        self.is_doubted = false;
-        let (ack, sent_at) = self.ack_sent;
-        if asked_at >= sent_at {
-            self.end_discarded = self.end_discarded.max(ack);
-        }
-    }
-
-    /// Returns the highest number of an end to acknowledge, 0 if the process has discarded it already:
-    /// an acknowledgement that reaches a later process discards ends that were never reported.
-    fn acknowledge(&mut self, now: ClockTime) -> u64 {
-        if self.end_stored <= self.end_discarded {
-            return 0;
-        }
-        self.ack_sent = (self.end_stored, now);
-        self.end_stored
-    }
-}
-
 /// State of a worker as known to the owner.
 #[derive(Clone, Debug)]
 pub struct Worker {
--- a/crates/emulator/src/network.rs
+++ b/crates/emulator/src/network.rs
@@ -12,7 +12,7 @@
 use jacinthhoist_core::WorkerId;
 use jacinthhoist_scheduler::{
     ErrorKind, Result,
-    ports::{PeerListener, PeerNetwork},
+    ports::{OrderAuthority, PeerListener, PeerNetwork},
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt, DuplexStream, ReadHalf, WriteHalf, duplex, split},
@@ -95,6 +95,13 @@
         }
     }
 
+    /// Waits until the process at an endpoint is not suspended, and returns whether it may still send an
+    /// order then.
+    pub(crate) async fn may_send(&self, endpoint: &Endpoint, authority: OrderAuthority) -> bool {
+        self.until_resumed(endpoint).await;
+        !authority.expiry.has_passed()
+    }
+
     pub(crate) fn set_partitioned(&self, one: Endpoint, other: Endpoint, partitioned: bool) {
         let mut state = self.state();
         state.record_disruption(&one);
--- a/crates/emulator/src/platform.rs
+++ b/crates/emulator/src/platform.rs
@@ -239,8 +239,7 @@
             is_answered.then_some(Ok(reply))
         };
         let network = &self.model.network;
-        network.until_resumed(&self.member).await;
-        if authority.expiry.has_passed() {
+        if !network.may_send(&self.member, authority).await {
             return OrderReply::Expired;
         }
         let (name, to) = ("order on a VM", Endpoint::VmService);
@@ -259,8 +258,7 @@
     ) -> Result<T> {
         let to = Endpoint::Worker(self.worker.clone());
         let network = &self.model.network;
-        network.until_resumed(&self.member).await;
-        if authority.expiry.has_passed() {
+        if !network.may_send(&self.member, authority).await {
             return Err(ErrorKind::Expired { call: name }.into());
         }
         network.call(name, &self.member, &to, timeout, serve).await
--- a/crates/emulator/src/store.rs
+++ b/crates/emulator/src/store.rs
@@ -265,10 +265,8 @@
         records: &[KeyedRecord],
     ) -> Result<()> {
         let limits = StoreLimits::example();
-        let groups = records.chunks(1);
-        if !records.iter().all(|record| limits.admits(record))
-            || limits.count_fitting(groups) < records.len()
-        {
+        let admits_each = records.iter().all(|record| limits.admits(record));
+        if !admits_each || !limits.admits_call(records) {
             let message = "over a size limit".to_owned();
             let call = "append";
             return Err(ErrorKind::Refused { call, message }.into());
--- a/crates/scheduler/src/accept.rs
+++ b/crates/scheduler/src/accept.rs
@@ -129,9 +129,7 @@
             }
         }
     }
-}
 
-impl<P: Platform> AcceptTask<P> {
     /// Takes the first requests that the store accepts in one call. Those that it would never accept are
     /// refused, as they would take the others of their call with them.
     fn take_batch(&self, waiting: &mut Vec<StoreRequest>) -> Vec<StoreRequest> {
--- a/crates/scheduler/src/owner/engine.rs
+++ b/crates/scheduler/src/owner/engine.rs
@@ -263,7 +263,7 @@
                 probe,
             } => {
                 self.workers
-                    .record_renewal(&worker, report.is_some(), probe);
+                    .record_renewal(&worker, Some(report.is_some()), probe);
                 match report {
                     Some(report) => scheduler.report(&worker, report, asked_at, now),
                     None => scheduler.renewal_failed(&worker, now),
@@ -272,7 +272,7 @@
             OwnerEvent::RenewalExpired { worker, probe } => {
                 event!(self.shared.log, OrderExpired, "worker": worker.as_str(),
                     "order": "renewal");
-                self.workers.record_unsent_renewal(&worker, probe);
+                self.workers.record_renewal(&worker, None, probe);
             }
             OwnerEvent::Started {
                 worker,
--- a/crates/scheduler/src/owner/workers.rs
+++ b/crates/scheduler/src/owner/workers.rs
@@ -164,8 +164,9 @@
         }
     }
 
-    /// Records that a renewal or status probe was not sent.
-    pub(super) fn record_unsent_renewal(&mut self, id: &WorkerId, probe: bool) {
+    /// Records the end of a renewal or status probe; `answered` is none if it was not sent, which tells
+    /// nothing about the worker.
+    pub(super) fn record_renewal(&mut self, id: &WorkerId, answered: Option<bool>, probe: bool) {
         let Some(connection) = self.connections.get_mut(id) else {
             return;
         };
@@ -173,19 +174,7 @@
             connection.probing = false;
         } else {
             connection.renewing = false;
-        }
-    }
-
-    /// Records the end of a renewal or status probe.
-    pub(super) fn record_renewal(&mut self, id: &WorkerId, answered: bool, probe: bool) {
-        let Some(connection) = self.connections.get_mut(id) else {
-            return;
-        };
-        if probe {
-            connection.probing = false;
-        } else {
-            connection.renewing = false;
-            connection.failed = !answered;
+            connection.failed = answered.map_or(connection.failed, |answered| !answered);
         }
     }
 
