Log the evidence behind leases and the reason for which one has lapsed

The owner now writes a leases line once a second while its last evidence from the store is older than 0.9 s (its age, the busy workers with leases that it granted, the latest end of these), and a worker line Lapsed when it takes a lease for lapsed, with that time and its origin: granted by this owner, stored by an earlier one, or assumed. No decision changes.

--- a/crates/core/src/job/lease.rs
+++ b/crates/core/src/job/lease.rs
@@ -120,6 +120,17 @@
     }
 }
 
+/// Origin of the time by which the lease of a worker has lapsed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeaseBasis {
+    /// This owner granted the lease.
+    Granted,
+    /// The worker has not reported to this owner; an earlier one stored the time.
+    Stored,
+    /// The worker has not reported to this owner, and no time is stored.
+    Assumed,
+}
+
 /// Lease of a worker, with or without a reading of the worker's clock.
 #[derive(Clone, Copy, Debug)]
 pub enum WorkerLease {
@@ -163,6 +174,23 @@
         }
     }
 
+    /// Returns the end of the lease on the local clock if this member has granted it.
+    pub fn granted_until(&self) -> Option<ClockTime> {
+        match self {
+            Self::Held(lease) if lease.deadline.is_some() => Some(lease.granted_expiry()),
+            Self::Unknown(_) | Self::Held(_) => None,
+        }
+    }
+
+    /// Returns the origin of the latest expiry.
+    pub fn basis(&self) -> LeaseBasis {
+        match self {
+            Self::Held(_) => LeaseBasis::Granted,
+            Self::Unknown(lease) if lease.stored_expiry.is_some() => LeaseBasis::Stored,
+            Self::Unknown(_) => LeaseBasis::Assumed,
+        }
+    }
+
     /// Expiry to be stored for later owners: each of the leases that count has expired by then on the
     /// clock of the member that granted or bounded it. A later owner adds the skew of the clocks, once.
     pub fn storable_expiry(&self) -> ClockTime {
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -39,6 +39,7 @@
     admit::{LoadReport, WorkLoad},
     catalogue::{JobCatalogue, JobWork},
     crash::Implication,
+    lease::LeaseBasis,
     life::ClosedLife,
     order::DurationTable,
     silence::{PoolUnrest, RecentSilences},
@@ -294,6 +295,15 @@
         /// True if a deadline on the clock of the earlier process may have reached it.
         was_granted: bool,
     },
+    /// The lease of a worker that cannot be reached has lapsed; its runs are released.
+    LeaseLapsed {
+        /// Affected worker.
+        worker: WorkerId,
+        /// Time by which the lease had lapsed.
+        lease_until: ClockTime,
+        /// Origin of that time.
+        basis: LeaseBasis,
+    },
     /// A VM was ordered to move to another pool.
     VmReassigned {
         /// VM to move.
--- a/crates/core/src/job/scheduler/leases.rs
+++ b/crates/core/src/job/scheduler/leases.rs
@@ -12,7 +12,7 @@
     name::{DataCentre, PoolName, WorkerId},
 };
 
-use super::{LossReason, Scheduler, WorkerChange, reports::worker_changed};
+use super::{LossReason, Scheduler, SchedulerDecision, WorkerChange, reports::worker_changed};
 
 /// Parameters of the next lease renewal of a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -118,6 +118,13 @@
             self.record_losses(&id, &runs);
             if let Some(worker) = self.workers.get_mut(&id) {
                 worker.lapse();
+                let lease = worker.process.lease;
+                let lapsed = SchedulerDecision::LeaseLapsed {
+                    worker: id.clone(),
+                    lease_until: lease.latest_expiry(),
+                    basis: lease.basis(),
+                };
+                self.log_decision(lapsed);
             }
             self.mark_all_runs_lost(&id, LossReason::LeaseLapsed);
         }
--- a/crates/scheduler/src/owner/authority.rs
+++ b/crates/scheduler/src/owner/authority.rs
@@ -7,7 +7,7 @@
 
 /// Shortest time after which the store may reassign the pools of a silent owner; no order is sent
 /// later than this after the evidence or the decision behind it.
-const MAX_AUTHORITY_AGE: ClockTime = ClockTime::from_millis(900);
+pub(super) const MAX_AUTHORITY_AGE: ClockTime = ClockTime::from_millis(900);
 
 /// What the owner knows of its ownership, and the permissions that follow from it.
 ///
@@ -49,6 +49,11 @@
         now < self.confirmed_at + MAX_AUTHORITY_AGE
     }
 
+    /// Time of the last evidence from the store that no other member owns the pools.
+    pub(super) fn evidence_at(&self) -> ClockTime {
+        self.confirmed_at.max(self.appended_at)
+    }
+
     /// Permission for an order on a VM, which may be accepted although another member owns the pools.
     pub(super) fn for_vm(&self) -> OrderAuthority {
         self.since(self.confirmed_at)
@@ -56,7 +61,7 @@
 
     /// Permission for a start order.
     pub(super) fn for_start(&self) -> OrderAuthority {
-        self.since(self.confirmed_at.max(self.appended_at))
+        self.since(self.evidence_at())
     }
 
     /// Permission for a renewal or a stop order decided now. They begin no run, so they do not wait for
--- a/crates/scheduler/src/owner/decisions.rs
+++ b/crates/scheduler/src/owner/decisions.rs
@@ -156,6 +156,15 @@
             json!({"worker": worker.as_str(), "incarnation": incarnation, "now": "Restarted",
                 "lease_until_ms": lease_until.as_millis(), "was_granted": was_granted}),
         ),
+        SchedulerDecision::LeaseLapsed {
+            worker,
+            lease_until,
+            basis,
+        } => (
+            EventKind::Worker,
+            json!({"worker": worker.as_str(), "now": "Lapsed", "lease_until_ms": lease_until.as_millis(),
+                "basis": format!("{basis:?}")}),
+        ),
         SchedulerDecision::EvacuationBegun {
             vm,
             wave,
--- a/crates/scheduler/src/owner/engine.rs
+++ b/crates/scheduler/src/owner/engine.rs
@@ -20,7 +20,7 @@
 
 use super::{
     OwnerEvent, OwnerTask,
-    authority::OwnerAuthority,
+    authority::{MAX_AUTHORITY_AGE, OwnerAuthority},
     decisions::log_pool,
     effects::EffectRunner,
     sources::{follow_workers, tail_accepted},
@@ -40,6 +40,8 @@
 const VM_LIST_IDLE_INTERVAL: ClockTime = ClockTime::from_millis(3_000);
 /// Interval between log lines on the load of the pools.
 const POOL_LOG_INTERVAL: ClockTime = ClockTime::from_millis(1_000);
+/// Interval between log lines on the leases of an owner without evidence from the store.
+const LEASE_LOG_INTERVAL: ClockTime = ClockTime::from_millis(1_000);
 /// Maximum age of the last read of accepted jobs at which the owner may report a job as missing.
 const MAX_TAIL_AGE: ClockTime = ClockTime::from_millis(1_500);
 
@@ -59,6 +61,7 @@
     heartbeat_at: ClockTime,
     vms_listed_at: ClockTime,
     pools_logged_at: ClockTime,
+    leases_logged_at: ClockTime,
     /// Aborted when the engine is dropped.
     _sources: JoinSet<()>,
 }
@@ -113,6 +116,7 @@
             heartbeat_at: ClockTime::ZERO,
             vms_listed_at: ClockTime::ZERO,
             pools_logged_at: ClockTime::ZERO,
+            leases_logged_at: ClockTime::ZERO,
             _sources: sources,
             shared,
         })
@@ -202,6 +206,26 @@
         self.publish_heartbeat(now);
         self.poll_vms(now);
         self.log_pools(now);
+        self.log_leases(now);
+    }
+
+    /// Logs until when the leases run that an owner without evidence from the store has granted.
+    fn log_leases(&mut self, now: ClockTime) {
+        let evidence_at = self.authority.evidence_at();
+        let is_due = now >= self.leases_logged_at + LEASE_LOG_INTERVAL;
+        if now < evidence_at + MAX_AUTHORITY_AGE || !is_due {
+            return;
+        }
+        self.leases_logged_at = now;
+        let busy = self.scheduler.workers().filter(|worker| !worker.is_empty());
+        let granted = busy.filter_map(|worker| worker.process.lease.granted_until());
+        let (count, until) = granted
+            .filter(|until| *until > now)
+            .fold((0, ClockTime::ZERO), |(count, latest), until| {
+                (count + 1, latest.max(until))
+            });
+        event!(self.shared.log, Leases, "evidence_age_ms": (now - evidence_at).as_millis(),
+            "workers": count, "until_ms": until.as_millis());
     }
 
     fn log_pools(&mut self, now: ClockTime) {
