--- a/crates/emulator/src/fault.rs
+++ b/crates/emulator/src/fault.rs
@@ -119,6 +119,7 @@
             FaultKind::FatalTasks | FaultKind::LateFatalTasks => {
                 self.submit_fatal_tasks(&fault, span).await;
             }
+            FaultKind::Partition => self.divide_network(&fault, span).await,
             FaultKind::CapacityShrink => self.shrink_capacity(&fault, span).await,
         }
         let until = self.model.clock.now() + RECOVERY_TIME;
@@ -175,6 +176,18 @@
         set(false);
     }
 
+    async fn divide_network(&self, fault: &ScenarioFault, span: Duration) {
+        let worker_count = self.model.state().workers.len();
+        let worker_count = (worker_count as f64 * fault.worker_share) as usize;
+        let workers = self.random_workers(worker_count).into_iter();
+        let members = self.owner_first().into_iter().take(fault.count);
+        let side = workers.map(Endpoint::Worker);
+        let side = side.chain(members.map(Endpoint::Member)).collect();
+        let number = self.model.network.begin_partition(side);
+        sleep(span).await;
+        self.model.network.end_partition(number);
+    }
+
     async fn store_fault(&self, mode: StoreMode, span: Duration) {
         self.model.store.set_mode(mode);
         sleep(span).await;
--- a/crates/emulator/src/network.rs
+++ b/crates/emulator/src/network.rs
@@ -46,6 +46,8 @@
     isolated: BTreeSet<Endpoint>,
     /// Pairs of endpoints that cannot reach each other.
     partitioned: BTreeSet<(Endpoint, Endpoint)>,
+    /// Endpoints on the smaller side of each partition of the network, by the number of the partition.
+    sides: BTreeMap<u64, BTreeSet<Endpoint>>,
     /// Endpoints whose process is suspended.
     suspended: BTreeSet<Endpoint>,
     /// Endpoints whose process has stopped.
@@ -109,12 +111,32 @@
         set_contained(&mut state.partitioned, (one, other), partitioned);
     }
 
+    /// Separates some endpoints from all others and returns the number of the partition.
+    pub(crate) fn begin_partition(&self, side: BTreeSet<Endpoint>) -> u64 {
+        let mut state = self.state();
+        for endpoint in &side {
+            state.record_disruption(endpoint);
+        }
+        let number = state.sides.keys().next_back().map_or(0, |last| last + 1);
+        state.sides.insert(number, side);
+        number
+    }
+
+    /// Ends a partition.
+    pub(crate) fn end_partition(&self, number: u64) {
+        let mut state = self.state();
+        for endpoint in state.sides.remove(&number).into_iter().flatten() {
+            state.record_disruption(&endpoint);
+        }
+    }
+
     /// Returns whether an endpoint has been neither cut off nor suspended for the contact time.
     pub(crate) fn is_in_touch(&self, endpoint: &Endpoint) -> bool {
         let state = self.state();
         let in_pair = |(one, other): &(Endpoint, Endpoint)| one == endpoint || other == endpoint;
         let is_disrupted = state.isolated.contains(endpoint)
             || state.suspended.contains(endpoint)
+            || state.sides.values().any(|side| side.contains(endpoint))
             || state.partitioned.iter().any(in_pair);
         let disrupted_at = state.disrupted_at.get(endpoint);
         !is_disrupted && disrupted_at.is_none_or(|at| at.elapsed() >= CONTACT_TIME)
@@ -159,8 +181,10 @@
                 .partitioned
                 .contains(&(pair.0.clone(), pair.1.clone()))
         };
+        let is_divided = |side: &BTreeSet<Endpoint>| side.contains(from) != side.contains(to);
         !state.isolated.contains(from)
             && !state.isolated.contains(to)
+            && !state.sides.values().any(is_divided)
             && !is_partitioned((from, to))
             && !is_partitioned((to, from))
     }
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -146,6 +146,9 @@
     /// Share of the new jobs that are affected.
     #[serde(default = "default_share")]
     pub share: f64,
+    /// Share of the workers on the side of the affected members in a partition.
+    #[serde(default = "default_worker_share")]
+    pub worker_share: f64,
     /// Pool whose jobs are affected; by default those of all pools.
     #[serde(default)]
     pub pool: Option<String>,
@@ -164,6 +167,11 @@
     0.05
 }
 
+/// One of three data centres.
+fn default_worker_share() -> f64 {
+    0.34
+}
+
 macro_rules! fault_kinds {
     ($($variant:ident => $doc:literal),* $(,)?) => {
         /// Kind of fault or planned operation.
@@ -209,6 +217,7 @@
     FatalTasks => "Some new jobs have a task that crashes each worker that starts it.",
     LateFatalTasks => "Some new jobs have a task that crashes each worker after a second or two.",
     CapacityShrink => "The capacity of some workers shrinks and grows again.",
+    Partition => "Members, the owner first, and some workers are partitioned from all others and the store.",
 }
 
 impl EmulationScenario {
@@ -247,6 +256,7 @@
                 for_s: rng.random_range(0.5..5.0),
                 count: rng.random_range(1..3),
                 share: default_share(),
+                worker_share: default_worker_share(),
                 pool: None,
             });
         }
--- a/crates/emulator/tests/fatal_tasks.rs
+++ b/crates/emulator/tests/fatal_tasks.rs
@@ -8,6 +8,9 @@
 };
 use rand::{SeedableRng, rngs::StdRng};
 
+/// Number of fault kinds that existed when the seeds of the random days were recorded.
+const KIND_COUNT: usize = 28;
+
 const FOUNDRY_SCENARIO: &str = include_str!("../examples/days/foundry.toml");
 
 /// Jobs of two kinds on eight workers each; those of the first kind are affected.
@@ -184,7 +187,9 @@
     let scenario = EmulationScenario::parse(&scenario).expect("the scenario is valid");
     for seed in 1..=8 {
         let mut rng = StdRng::seed_from_u64(seed);
-        let scenario = scenario.clone().with_faults(FaultKind::ALL, 4, &mut rng);
+        let scenario = scenario
+            .clone()
+            .with_faults(&FaultKind::ALL[..KIND_COUNT], 4, &mut rng);
         let outcome = run_scenario(&scenario, seed);
         assert_eq!(check(&outcome.history), [], "seed {seed}");
     }
