--- a/crates/codec/src/job.rs
+++ b/crates/codec/src/job.rs
@@ -1,6 +1,6 @@
 //! Records of jobs and their progress, and frames exchanged by scheduler members, in CBOR.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc};
 
 use jacinthhoist_core::{
     ClockTime, PoolName, WorkerId,
@@ -17,6 +17,8 @@
 
 /// Key of the base sizes of the pools.
 const KEY_BASE_SIZES: &str = "standing";
+/// Key of the members whose promises the owner uses.
+const KEY_SUCCESSION: &str = "succession";
 /// Prefix of the key of an accepted job.
 const PREFIX_JOB: char = 'j';
 /// Prefix of the key of a cancellation.
@@ -130,6 +132,7 @@
             (format!("{PREFIX_LEASE_EXPIRY}{worker}"), value)
         }
         BatchRecord::BaseSizes(base_sizes) => (KEY_BASE_SIZES.to_owned(), to_cbor(base_sizes)?),
+        BatchRecord::Succession(record) => (KEY_SUCCESSION.to_owned(), to_cbor(record)?),
     };
     Ok(KeyedRecord { key, value })
 }
@@ -144,6 +147,9 @@
         let base_sizes: BTreeMap<PoolName, usize> = from_cbor(&record.value)?;
         return Ok(BatchRecord::BaseSizes(base_sizes));
     }
+    if record.key == KEY_SUCCESSION {
+        return Ok(BatchRecord::Succession(from_cbor(&record.value)?));
+    }
     let (prefix, id) = split_key(&record.key)?;
     match prefix {
         PREFIX_PROGRESS if record.value.is_empty() => Ok(BatchRecord::Remove(parse_id(id)?)),
@@ -231,6 +237,20 @@
     pub read_age: ClockTime,
     /// Time since the store last confirmed that the sender owns the pools.
     pub place_age: ClockTime,
+    /// Time on the owner's clock at which the heartbeat was sent.
+    #[serde(default)]
+    pub sent_at: ClockTime,
+}
+
+/// Evidence of a follower that its owner has not been replaced.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StandingEvidence {
+    /// The store named the owner in answer to a call made after the heartbeat had arrived.
+    Confirmed,
+    /// The follower does not take over for [`PROMISE_SPAN`] after the heartbeat.
+    ///
+    /// [`PROMISE_SPAN`]: jacinthhoist_core::job::PROMISE_SPAN
+    Promised,
 }
 
 /// A frame exchanged by scheduler members.
@@ -272,6 +292,15 @@
         /// Whether the record is stored.
         outcome: StoreOutcome,
     },
+    /// Key of the member that opened the connection.
+    Identify(Arc<str>),
+    /// Answer of a follower to a heartbeat of an owner that the store has not confirmed of late.
+    Standing {
+        /// Time at which that heartbeat was sent, by the owner's clock.
+        sent_at: ClockTime,
+        /// Evidence as of that time.
+        evidence: StandingEvidence,
+    },
 }
 
 /// Encodes a frame.
--- a/crates/codec/tests/hostile.rs
+++ b/crates/codec/tests/hostile.rs
@@ -5,15 +5,15 @@
 
 use jacinthhoist_codec::{
     CatalogueFile, ClaimReply, HeartbeatFrame, HelloFrame, JobFrame, KeyedRecord, LogRecord,
-    OwnerHeartbeat, PeerFrame, PoolLoad, StoredResponse, VmLoan, decode_accepted, decode_frame,
-    decode_job_frame, decode_progress, decode_record, decode_snapshot, digest, encode_frame,
-    encode_job, encode_job_frame, encode_progress,
+    OwnerHeartbeat, PeerFrame, PoolLoad, StandingEvidence, StoredResponse, VmLoan, decode_accepted,
+    decode_frame, decode_job_frame, decode_progress, decode_record, decode_snapshot, digest,
+    encode_frame, encode_job, encode_job_frame, encode_progress,
 };
 use jacinthhoist_core::{
     ClockTime, MemberName, Offset, PoolName, VmName, WorkName, WorkerId,
     job::{
         BatchRecord, JobId, JobProgress, JobSpec, JobState, JobTerms, LoadReport, RepeatPlan,
-        StepSpec, WaveProgress, WorkLoad,
+        StepSpec, SuccessionRecord, WaveProgress, WorkLoad,
     },
 };
 use proptest::{
@@ -191,12 +191,18 @@
     };
     let sizes = BTreeMap::from([(PoolName::new("melt-shop"), 12)]);
     let expiry = Some(ClockTime::from_millis(1_790_000_000_000));
+    let succession = SuccessionRecord {
+        owner: "entry-1".into(),
+        members: ["entry-2".into()].into_iter().collect(),
+        former_until: ClockTime::from_secs(9),
+    };
     let mut progress: Vec<KeyedRecord> = Vec::new();
     for record in [
         BatchRecord::Progress(JobId(1), ended),
         BatchRecord::Wave(7, wave),
         BatchRecord::BaseSizes(sizes),
         BatchRecord::LeaseExpiry(WorkerId::new("i-1"), expiry),
+        BatchRecord::Succession(succession),
     ] {
         progress.push(encode_progress(&record).unwrap());
     }
@@ -274,6 +280,11 @@
         JobFrame::Stored(vec![record.clone()]),
         JobFrame::Store { id: 5, record },
         JobFrame::Loads(heartbeat),
+        JobFrame::Identify("entry-2".into()),
+        JobFrame::Standing {
+            sent_at: ClockTime::from_secs(9),
+            evidence: StandingEvidence::Confirmed,
+        },
     ];
     for frame in frames {
         let bytes = encode_job_frame(&frame).unwrap();
--- a/crates/codec/tests/job.rs
+++ b/crates/codec/tests/job.rs
@@ -3,16 +3,16 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use jacinthhoist_codec::{
-    AcceptedRecord, JobFrame, JobReply, KeyedRecord, OwnerHeartbeat, StoreOutcome, decode_accepted,
-    decode_job_frame, decode_progress, encode_cancel, encode_job, encode_job_frame,
-    encode_progress, encode_removal,
+    AcceptedRecord, JobFrame, JobReply, KeyedRecord, OwnerHeartbeat, StandingEvidence,
+    StoreOutcome, decode_accepted, decode_job_frame, decode_progress, encode_cancel, encode_job,
+    encode_job_frame, encode_progress, encode_removal,
 };
 use jacinthhoist_core::{
     ClockTime, PoolName, RackName, VmName, WorkName, WorkerId,
     job::{
         BatchRecord, CrashHistory, Implication, JobId, JobProgress, JobSpec, JobState, JobTerms,
-        LoadReport, LostWorker, MemberRank, RepeatPlan, RunLoss, StepSpec, TaskKey, WaveProgress,
-        WorkLoad,
+        LoadReport, LostWorker, MemberRank, RepeatPlan, RunLoss, StepSpec, SuccessionRecord,
+        TaskKey, WaveProgress, WorkLoad,
     },
 };
 
@@ -100,6 +100,13 @@
     };
     let base_sizes = BTreeMap::from([(PoolName::new("melt-shop"), 12)]);
     let worker = WorkerId::new("i-7f3a");
+    let succession = SuccessionRecord {
+        owner: "entry-1|10.0.0.1:7060|1|regular".into(),
+        members: ["entry-2|10.0.0.2:7060|1|regular".into()]
+            .into_iter()
+            .collect(),
+        former_until: ClockTime::from_secs(9),
+    };
     let cases = [
         BatchRecord::Progress(JobId(1), ended),
         BatchRecord::Progress(JobId(1), crashed),
@@ -108,6 +115,7 @@
         BatchRecord::BaseSizes(base_sizes),
         BatchRecord::LeaseExpiry(worker.clone(), Some(ClockTime::from_secs(9))),
         BatchRecord::LeaseExpiry(worker, None),
+        BatchRecord::Succession(succession),
     ];
     for record in cases {
         let stored = encode_progress(&record).unwrap();
@@ -133,7 +141,13 @@
             },
             read_age: ClockTime::from_millis(40),
             place_age: ClockTime::from_millis(900),
+            sent_at: ClockTime::from_secs(9),
         }),
+        JobFrame::Identify("entry-2|10.0.0.2:7060|1|regular".into()),
+        JobFrame::Standing {
+            sent_at: ClockTime::from_secs(9),
+            evidence: StandingEvidence::Promised,
+        },
         JobFrame::Offer(MemberRank::Reserve),
         JobFrame::Follow,
         JobFrame::Stored(vec![encode_cancel(JobId(7))]),
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -20,6 +20,7 @@
 //! | `append_pace` | repetition of appends to a store that may be slow |
 //! | `crash`, `silence` | attribution of worker crashes to the tasks that cause them |
 //! | `ownership` | candidacy of members for ownership of the pools |
+//! | `succession` | evidence behind leases, and what the next owner assumes of it |
 //! | `step_pace` | time between the owner's scheduling steps |
 
 mod admit;
@@ -38,6 +39,7 @@
 mod silence;
 mod spec;
 mod step_pace;
+mod succession;
 mod task;
 mod vm_order;
 mod wave;
@@ -66,6 +68,9 @@
     JobError, JobId, JobSpec, JobState, JobTerms, RepeatPlan, Resources, StepKey, StepSpec, TaskKey,
 };
 pub use step_pace::StepPace;
+pub use succession::{
+    OwnershipEvidence, PROMISE_SPAN, SuccessionLedger, SuccessionRecord, promise_end,
+};
 pub use task::{
     AnyTask, Assigned, FailedRuns, Running, StartOrderState, Stopping, TaskEnd, TaskRun, Waiting,
 };
--- a/crates/core/src/job/lease.rs
+++ b/crates/core/src/job/lease.rs
@@ -26,6 +26,8 @@
     pub max_span: ClockTime,
     /// Expiry time stored by an earlier owner, on that owner's clock.
     pub stored_expiry: Option<ClockTime>,
+    /// Time until which earlier owners may have extended the lease beyond that span.
+    pub former_until: ClockTime,
 }
 
 impl UnknownLease {
@@ -33,7 +35,7 @@
     pub fn latest_expiry(&self) -> ClockTime {
         let latest = self.longest_expiry();
         self.stored_expiry
-            .map_or(latest, |expiry| latest.min(expiry + MAX_CLOCK_SKEW))
+            .map_or(latest, |expiry| latest.min(skewed_expiry(expiry)))
     }
 
     /// Time by which the lease has expired on the clock of at least one member.
@@ -44,7 +46,7 @@
     }
 
     fn longest_expiry(&self) -> ClockTime {
-        self.since + with_clock_drift(self.max_span) + EXPIRY_MARGIN
+        latest_expiry(self.since, self.max_span).max(self.former_until)
     }
 
     /// Lease of a process that was restarted, before its clock has been read. An order with a deadline
@@ -55,6 +57,7 @@
             since,
             max_span: longest_lease,
             stored_expiry: None,
+            former_until: ClockTime::ZERO,
         }
     }
 
@@ -65,7 +68,11 @@
             read_at: now,
             deadline: None,
             granted_at: ClockTime::ZERO,
-            earlier: self,
+            // The worker has seen this owner's token by now, and accepts no further extension.
+            earlier: Self {
+                former_until: self.former_until.min(latest_expiry(now, self.max_span)),
+                ..self
+            },
         }
     }
 }
@@ -158,6 +165,15 @@
         }
     }
 
+    /// Shortens the time until which earlier owners may have extended the lease.
+    pub fn bound_former(&mut self, until: ClockTime) {
+        let earlier = match self {
+            Self::Unknown(lease) => lease,
+            Self::Held(lease) => &mut lease.earlier,
+        };
+        earlier.former_until = earlier.former_until.min(until);
+    }
+
     /// Returns whether a deadline has been sent to the worker at `since` or later.
     pub fn was_granted_since(&self, since: ClockTime) -> bool {
         match self {
@@ -201,6 +217,17 @@
     }
 }
 
+/// Latest time on the local clock at which a lease expires that was granted for `span` at `since` or
+/// before.
+pub(super) fn latest_expiry(since: ClockTime, span: ClockTime) -> ClockTime {
+    since + with_clock_drift(span) + EXPIRY_MARGIN
+}
+
+/// Time at which an expiry stored by another member has passed on its clock too.
+pub(super) fn skewed_expiry(stored: ClockTime) -> ClockTime {
+    stored + MAX_CLOCK_SKEW
+}
+
 fn with_clock_drift(span: ClockTime) -> ClockTime {
     let permille = span.as_millis().saturating_mul(CLOCK_DRIFT_PERMILLE);
     ClockTime::from_millis(permille / 1_000).max(span)
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -44,6 +44,7 @@
     order::DurationTable,
     silence::{PoolUnrest, RecentSilences},
     spec::{JobId, JobState, Resources, StepKey, TaskKey},
+    succession::SuccessionLedger,
     task::TaskEnd,
     wave::WaveTable,
     worker::{StartReply, Worker},
@@ -421,6 +422,11 @@
     outbox: batch::Outbox,
     effects: Vec<Effect>,
     ownership_confirmed: bool,
+    /// Latest end of the leases that may be granted.
+    leases_until: ClockTime,
+    /// Time until which earlier owners may have extended leases beyond one lease.
+    former_until: ClockTime,
+    succession: SuccessionLedger,
     /// Time of the last search for runs to stop.
     last_sweep_at: ClockTime,
     now: ClockTime,
@@ -451,6 +457,9 @@
             outbox: batch::Outbox::default(),
             effects: Vec::new(),
             ownership_confirmed: true,
+            leases_until: ClockTime::from_millis(u64::MAX),
+            former_until: ClockTime::ZERO,
+            succession: SuccessionLedger::default(),
             last_sweep_at: ClockTime::ZERO,
             now,
         }
--- a/crates/core/src/job/scheduler/batch.rs
+++ b/crates/core/src/job/scheduler/batch.rs
@@ -13,6 +13,7 @@
     job::{
         crash::CrashHistory,
         spec::{JobId, JobState, TaskKey},
+        succession::SuccessionRecord,
         task::{AnyTask, FailedRuns, StartOrderState, TaskRun},
         wave::WaveProgress,
         worker::Worker,
@@ -171,6 +172,8 @@
     LeaseExpiry(WorkerId, Option<ClockTime>),
     /// Number of VMs of each pool outside surges.
     BaseSizes(BTreeMap<PoolName, usize>),
+    /// Members whose promises the owner uses.
+    Succession(SuccessionRecord),
 }
 
 /// Records to be stored in order. Each takes effect by itself, and what depends on the batch waits for
@@ -193,6 +196,8 @@
     cursors: Vec<(WorkerId, Option<u64>, u64)>,
     /// Workers whose lease expiry record is cleared by the batch.
     expiry_cleared: Vec<WorkerId>,
+    /// True if the batch stores the succession record.
+    has_succession: bool,
 }
 
 /// Changes to be stored with the next batch.
@@ -311,6 +316,8 @@
             .partition(|(task, _)| unstored.contains(&task.job));
         in_flight.starts = ready;
         self.outbox.starts = deferred;
+        let is_succession = |record: &BatchRecord| matches!(record, BatchRecord::Succession(_));
+        in_flight.has_succession = records.iter().any(is_succession);
         self.outbox.last_number += 1;
         self.outbox.flushed_at = self.now;
         self.outbox.in_flight = Some(in_flight);
@@ -351,6 +358,9 @@
         let Some(batch) = self.outbox.in_flight.take() else {
             return;
         };
+        if batch.has_succession {
+            self.succession.record_stored();
+        }
         for (id, incarnation, cursor) in batch.cursors {
             let worker = self.workers.get_mut(&id);
             if let Some(worker) = worker.filter(|worker| worker.process.incarnation == incarnation)
@@ -397,7 +407,8 @@
     }
 
     fn send_start(&mut self, task: TaskKey, run: u32) {
-        let (max_lease, now) = (self.limits.max_lease, self.now);
+        let now = self.now;
+        let span = self.grantable_lease(now);
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
@@ -425,7 +436,7 @@
             lease_until: self
                 .workers
                 .get_mut(&worker)
-                .and_then(|known| known.process.lease.extend(max_lease, now)),
+                .and_then(|known| known.process.lease.extend(span, now)),
             permit: self.permits.find(task.into(), &worker, now),
             worker,
         };
--- a/crates/core/src/job/scheduler/leases.rs
+++ b/crates/core/src/job/scheduler/leases.rs
@@ -1,18 +1,23 @@
 //! Worker leases: renewal, and release of runs after expiry.
 
+use std::sync::Arc;
+
 use smallvec::{SmallVec, smallvec};
 
 use crate::{
     clock::ClockTime,
     job::{
-        lease::{UnknownLease, WorkerLease},
+        lease::{UnknownLease, WorkerLease, latest_expiry},
         spec::{Resources, TaskKey},
+        succession::{OwnershipEvidence, SuccessionRecord},
         worker::{Worker, WorkerEntry, WorkerState},
     },
     name::{DataCentre, PoolName, WorkerId},
 };
 
-use super::{LossReason, Scheduler, SchedulerDecision, WorkerChange, reports::worker_changed};
+use super::{
+    BatchRecord, LossReason, Scheduler, SchedulerDecision, WorkerChange, reports::worker_changed,
+};
 
 /// Parameters of the next lease renewal of a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -20,8 +25,11 @@
     /// Highest sequence number of an end that the worker may discard; 0 for none.
     pub ack: u64,
     /// New deadline on the worker's clock; `None` if the worker is silent, so that its lease
-    /// expires at a known time, or if its clock has not been read of late.
+    /// expires at a known time, if its clock has not been read of late, or without recent evidence of
+    /// the ownership.
     pub lease_until: Option<u64>,
+    /// True if the last report is recent, so that the next one may wait for an end.
+    pub is_current: bool,
     /// True if reported ends are not stored yet; the worker would answer another request at once.
     pub has_unstored_ends: bool,
     /// True if the worker does not answer.
@@ -40,17 +48,71 @@
 
     /// Returns the parameters of the next lease renewal; the deadline counts as sent.
     pub fn plan_renewal(&mut self, id: &WorkerId, now: ClockTime) -> Option<RenewalPlan> {
-        let max_lease = self.limits.max_lease;
+        let span = self.grantable_lease(now);
         let worker = self.workers.get_mut(id)?;
         let silent = worker.silent_since.is_some();
         Some(RenewalPlan {
             ack: worker.acknowledge(now),
-            lease_until: worker.renew_lease(max_lease, now),
+            lease_until: worker.renew_lease(span, now),
+            is_current: worker.is_current(now),
             has_unstored_ends: worker.has_unstored_ends(),
             silent,
         })
     }
 
+    /// Sets the evidence that no other member owns the pools, which bounds the leases to be granted.
+    pub fn set_evidence(&mut self, evidence: OwnershipEvidence) {
+        self.leases_until = evidence.lease_until(self.limits.max_lease);
+    }
+
+    /// Returns the span of a lease that may be granted now; zero if the evidence for it is too old.
+    pub(super) fn grantable_lease(&self, now: ClockTime) -> ClockTime {
+        self.limits.max_lease.min(self.leases_until - now)
+    }
+
+    /// Sets the time until which earlier owners may have extended the leases of workers, before any
+    /// worker is known.
+    pub fn restore_former_bound(&mut self, until: ClockTime) {
+        self.former_until = until;
+    }
+
+    /// Records that the process of the last owner has ended: its leases lapse within one lease, and
+    /// those of the owners before it by `until`.
+    pub fn former_owner_ended(&mut self, until: ClockTime, now: ClockTime) {
+        let until = until.max(self.longest_expiry(now)).min(self.former_until);
+        self.former_until = until;
+        for worker in self.workers.values_mut() {
+            worker.process.lease.bound_former(until);
+        }
+    }
+
+    /// Time until which earlier owners may have extended the leases of workers; zero once it has
+    /// passed.
+    pub fn former_until(&self, now: ClockTime) -> ClockTime {
+        if self.former_until > now {
+            self.former_until
+        } else {
+            ClockTime::ZERO
+        }
+    }
+
+    fn longest_expiry(&self, now: ClockTime) -> ClockTime {
+        latest_expiry(now, self.limits.max_lease)
+    }
+
+    /// Stores the members whose promises this owner uses, if they have changed.
+    pub fn set_succession(&mut self, record: SuccessionRecord) {
+        if let Some(record) = self.succession.replace(record) {
+            self.outbox.push(BatchRecord::Succession(record));
+        }
+    }
+
+    /// Returns the members whose promises are needed in place of the store's confirmation; `None` if
+    /// promises do not count yet.
+    pub fn successors(&self) -> Option<impl Iterator<Item = &Arc<str>>> {
+        self.succession.successors()
+    }
+
     /// Handles a renewal that the worker did not answer.
     pub fn renewal_failed(&mut self, id: &WorkerId, now: ClockTime) {
         self.now = now;
@@ -184,6 +246,7 @@
             since: self.now,
             max_span: self.limits.max_lease,
             stored_expiry: None,
+            former_until: self.former_until,
         }
     }
 }
--- /dev/null
+++ b/crates/core/src/job/succession.rs
@@ -0,0 +1,154 @@
+//! Evidence on which an owner extends leases, and what the next owner assumes of it.
+//!
+//! The store replaces an owner that it has not heard from for a while, and the next owner waits one
+//! lease for the workers that it cannot reach. An owner therefore extends no lease beyond one lease
+//! after its last evidence that no other member owns the pools. In an outage of the store for all
+//! members, their promises not to take over are such evidence. They count if they are those of all
+//! members on the stored [`SuccessionRecord`]; a member that is not on it waits for the longest time
+//! for which leases are extended on promises.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+
+use crate::clock::ClockTime;
+
+use super::lease::{latest_expiry, skewed_expiry};
+
+/// Longest time from the store's last evidence to the end of a lease that is extended on promises;
+/// several times the outages of the store that work in progress must survive.
+const MAX_PROMISED_SPAN: ClockTime = ClockTime::from_millis(20_000);
+
+/// Time for which a member that promises so does not take over, by its own clock.
+pub const PROMISE_SPAN: ClockTime = ClockTime::from_millis(1_500);
+/// Time for which an owner relies on a promise, by its own clock: the clocks of two members may differ
+/// by 2% in rate.
+const RELIED_SPAN: ClockTime = ClockTime::from_millis(1_450);
+
+/// Evidence of an owner that no other member owns the pools.
+///
+/// ```
+/// use jacinthhoist_core::{ClockTime, job::OwnershipEvidence};
+/// let ms = ClockTime::from_millis;
+/// let confirmed = OwnershipEvidence { stored_at: ms(1_000), promised_until: ms(0) };
+/// assert_eq!(confirmed.lease_until(ms(3_500)), ms(4_500));
+/// let promised = OwnershipEvidence { promised_until: ms(6_000), ..confirmed };
+/// assert_eq!(promised.lease_until(ms(3_500)), ms(9_500));
+/// let outlived = OwnershipEvidence { promised_until: ms(90_000), ..confirmed };
+/// assert_eq!(outlived.lease_until(ms(3_500)), ms(21_000));
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct OwnershipEvidence {
+    /// Time at which the store last confirmed the ownership, to this member or to a follower.
+    pub stored_at: ClockTime,
+    /// Time before which no member on the succession record takes over; zero without their promises.
+    pub promised_until: ClockTime,
+}
+
+impl OwnershipEvidence {
+    /// Time before which no member takes over that assumes no more than one lease.
+    pub fn stands_until(&self) -> ClockTime {
+        self.stored_at.max(self.promised_until)
+    }
+
+    /// Latest end of a lease that may be granted on this evidence.
+    pub fn lease_until(&self, longest_lease: ClockTime) -> ClockTime {
+        let promised = self.promised_until + longest_lease;
+        (self.stored_at + longest_lease).max(promised.min(self.stored_at + MAX_PROMISED_SPAN))
+    }
+}
+
+/// Returns the time before which a member does not take over that has promised so in answer to a
+/// heartbeat sent at `sent_at`.
+pub fn promise_end(sent_at: ClockTime) -> ClockTime {
+    sent_at + RELIED_SPAN
+}
+
+/// Stored list of the members whose promises an owner uses in place of the store's confirmation.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuccessionRecord {
+    /// Key of the owner.
+    pub owner: Arc<str>,
+    /// Keys of the members, in order.
+    pub members: SmallVec<[Arc<str>; 8]>,
+    /// Time by the owner's clock until which owners before it may have extended leases; zero if that
+    /// has passed.
+    pub former_until: ClockTime,
+}
+
+impl SuccessionRecord {
+    /// Returns the time until which earlier owners may have extended leases beyond one lease, for a
+    /// member that takes over after this record's owner.
+    ///
+    /// ```
+    /// use jacinthhoist_core::{ClockTime, job::SuccessionRecord};
+    /// let record = SuccessionRecord {
+    ///     owner: "entry-1".into(),
+    ///     members: ["entry-2".into()].into_iter().collect(),
+    ///     former_until: ClockTime::ZERO,
+    /// };
+    /// let now = ClockTime::from_secs(100);
+    /// assert_eq!(record.former_until("entry-2", now), ClockTime::ZERO);
+    /// assert!(record.former_until("entry-3", now) > now);
+    /// ```
+    pub fn former_until(&self, successor: &str, now: ClockTime) -> ClockTime {
+        let is_listed = self.members.iter().any(|member| **member == *successor);
+        if is_listed || *self.owner == *successor {
+            return self.before_owner();
+        }
+        self.before_owner()
+            .max(latest_expiry(now, MAX_PROMISED_SPAN))
+    }
+
+    /// Returns the time until which owners before this record's owner may have extended leases.
+    pub fn before_owner(&self) -> ClockTime {
+        if self.former_until == ClockTime::ZERO {
+            return ClockTime::ZERO;
+        }
+        skewed_expiry(self.former_until)
+    }
+}
+
+/// The succession record of an owner and its way into the store.
+#[derive(Clone, Debug, Default)]
+pub struct SuccessionLedger {
+    stored: Option<SuccessionRecord>,
+    /// Record that is being stored, and that a successor may have read.
+    written: Option<SuccessionRecord>,
+}
+
+impl SuccessionLedger {
+    /// Replaces the record; returns it if it has to be stored. One record is stored at a time.
+    pub fn replace(&mut self, record: SuccessionRecord) -> Option<SuccessionRecord> {
+        if self.written.is_some() || self.stored.as_ref() == Some(&record) {
+            return None;
+        }
+        Some(self.written.insert(record).clone())
+    }
+
+    /// Records that the record has been stored.
+    pub fn record_stored(&mut self) {
+        if let Some(written) = self.written.take() {
+            self.stored = Some(written);
+        }
+    }
+
+    /// Returns the members that may take over and assume one lease only, so that the promises of all of
+    /// them are needed; `None` before the first record of this owner has been stored.
+    ///
+    /// ```
+    /// use jacinthhoist_core::job::{SuccessionLedger, SuccessionRecord};
+    /// let mut ledger = SuccessionLedger::default();
+    /// let members = ["entry-2".into()].into_iter().collect();
+    /// ledger.replace(SuccessionRecord { members, ..SuccessionRecord::default() });
+    /// assert!(ledger.successors().is_none());
+    /// ledger.record_stored();
+    /// assert_eq!(ledger.successors().unwrap().count(), 1);
+    /// ```
+    pub fn successors(&self) -> Option<impl Iterator<Item = &Arc<str>>> {
+        let stored = self.stored.as_ref()?;
+        let written = self.written.iter().flat_map(|record| &record.members);
+        Some(stored.members.iter().chain(written))
+    }
+}
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -307,7 +307,7 @@
 
     /// True if the last report is recent enough for an order that only the process behind it may carry
     /// out: an acknowledgement of its ends, or a deadline on its clock.
-    fn is_current(&self, now: ClockTime) -> bool {
+    pub(super) fn is_current(&self, now: ClockTime) -> bool {
         let is_recent = self
             .seen_at
             .is_some_and(|seen_at| now <= seen_at + MAX_REPORT_AGE);
@@ -326,7 +326,7 @@
     /// Extends the lease with a renewal and returns the deadline on the worker's clock; none if it may
     /// not be extended, or if another process may have taken the worker's place.
     pub(super) fn renew_lease(&mut self, span: ClockTime, now: ClockTime) -> Option<u64> {
-        let may_extend = self.is_extendable() && self.is_current(now);
+        let may_extend = span > ClockTime::ZERO && self.is_extendable() && self.is_current(now);
         may_extend
             .then(|| self.process.lease.extend(span, now))
             .flatten()
--- a/crates/core/tests/jobs/extremes.rs
+++ b/crates/core/tests/jobs/extremes.rs
@@ -144,6 +144,7 @@
         since: ms(10),
         max_span: ms(6_000),
         stored_expiry: Some(MAX),
+        former_until: MAX,
     });
     lease.read(u64::MAX - 5, ms(20));
     assert_eq!(lease.extend(ms(6_000), ms(30)), Some(u64::MAX));
@@ -152,6 +153,7 @@
         since: ms(10),
         max_span: MAX,
         stored_expiry: None,
+        former_until: ms(0),
     };
     assert_eq!(unbounded.latest_expiry(), MAX);
 }
--- a/crates/core/tests/jobs/leases.rs
+++ b/crates/core/tests/jobs/leases.rs
@@ -2,10 +2,12 @@
 
 use std::sync::Arc;
 
-use crate::harness::{RunOrder, SchedulerHarness, key, long_running_step, ms, number_of, step};
+use crate::harness::{
+    RunOrder, SchedulerHarness, key, long_running_step, ms, number_of, step, worker,
+};
 use jacinthhoist_core::{
-    ClockTime,
-    job::{AnyTask, JobId, JobSpec, RenewalReport},
+    ClockTime, WorkerId,
+    job::{AnyTask, JobId, JobSpec, OwnershipEvidence, RenewalReport, SchedulerLimits},
 };
 
 const WORKERS: usize = 2;
@@ -139,3 +141,91 @@
         assert!(answers || starts[0].worker != chosen);
     }
 }
+
+/// Returns the span of the lease that the next renewal grants.
+fn granted_span(owner: &mut SchedulerHarness, id: &WorkerId) -> Option<u64> {
+    let plan = owner.scheduler.plan_renewal(id, owner.now)?;
+    // The workers of the harness have the clock of the owner.
+    plan.lease_until.map(|until| until - owner.now.as_millis())
+}
+
+/// Guards against two runs of a task (issue 43): an owner without evidence that it had not been replaced
+/// went on extending leases, which the next owner takes for lapsed one lease after its takeover.
+#[test]
+fn no_lease_outlives_the_evidence_of_the_ownership_by_more_than_a_lease() {
+    let mut owner = SchedulerHarness::open(1);
+    let longest = SchedulerLimits::example().max_lease;
+    let confirmed = OwnershipEvidence {
+        stored_at: owner.now,
+        promised_until: ms(0),
+    };
+    let id = worker(0);
+    for age in [0, 1_000, 5_900] {
+        owner.now = confirmed.stored_at + ms(age);
+        owner.report(0, RenewalReport::default());
+        owner.scheduler.set_evidence(confirmed);
+        let span = granted_span(&mut owner, &id).expect("the evidence is recent");
+        assert!(
+            ms(span) + (owner.now - confirmed.stored_at) <= longest,
+            "{age}"
+        );
+    }
+    owner.now = confirmed.stored_at + longest + ms(10);
+    owner.report(0, RenewalReport::default());
+    assert_eq!(granted_span(&mut owner, &id), None);
+    // In an outage of the store for all members their promises count.
+    owner.scheduler.set_evidence(OwnershipEvidence {
+        promised_until: owner.now + ms(1_000),
+        ..confirmed
+    });
+    assert_eq!(granted_span(&mut owner, &id), Some(longest.as_millis()));
+}
+
+/// Guards against two runs of a task (issue 43): a member of which an owner needs no promise assumed one
+/// lease for a worker whose lease that owner may extend on the promises of the others.
+#[test]
+fn a_member_that_has_made_no_promise_waits_for_leases_extended_on_promises() {
+    for (former_until, waited) in [(0, 7_000), (12_000, 13_000)] {
+        let mut chain = OwnerChain::open();
+        chain.owner.settle();
+        let mut next = SchedulerHarness::without_workers(chain.owner.now);
+        let taken_over_at = next.now;
+        let until = taken_over_at + ms(former_until);
+        next.scheduler.restore_former_bound(until);
+        let (id, spec) = &chain.jobs[0];
+        let progress = chain.owner.stored.get(id).expect("the start is stored");
+        next.scheduler.restore(*id, Some(spec.clone()), progress);
+        next.list_workers(WORKERS);
+        next.scheduler.renewal_failed(&chain.start.worker, next.now);
+        next.report(1 - number_of(&chain.start.worker), RenewalReport::default());
+        next.settle();
+        next.now = (until - ms(200)).max(taken_over_at + ms(5_900));
+        next.settle();
+        assert_eq!(next.starts, [], "{former_until}");
+        next.now = taken_over_at + ms(waited);
+        next.settle();
+        assert_eq!(next.starts.len(), 1, "{former_until}");
+    }
+}
+
+/// Guards against a wait for an owner whose process is known to have ended: it extends no leases.
+#[test]
+fn the_end_of_the_former_owner_shortens_the_wait_for_its_leases() {
+    let mut chain = OwnerChain::open();
+    chain.owner.settle();
+    let mut next = SchedulerHarness::without_workers(chain.owner.now);
+    next.scheduler.restore_former_bound(next.now + ms(20_000));
+    let (id, spec) = &chain.jobs[0];
+    let progress = chain.owner.stored.get(id).expect("the start is stored");
+    next.scheduler.restore(*id, Some(spec.clone()), progress);
+    next.list_workers(WORKERS);
+    next.report(1 - number_of(&chain.start.worker), RenewalReport::default());
+    next.settle();
+    next.scheduler.former_owner_ended(ms(0), next.now);
+    next.wait(6_000);
+    next.settle();
+    assert_eq!(next.starts, []);
+    next.wait(400);
+    next.settle();
+    assert_eq!(next.starts.len(), 1);
+}
--- a/crates/scheduler/src/membership.rs
+++ b/crates/scheduler/src/membership.rs
@@ -92,31 +92,38 @@
     ownership: Arc<watch::Sender<PoolOwnership>>,
 ) {
     let member = shared.identity.member_key();
-    let mut in_group = false;
+    let mut candidacy = None;
     while !shared.is_stopping() {
         let known = *ownership.borrow();
         let now = shared.clock.now();
         let owns =
             known.owned_since.is_some() && !shared.owner_view.is_outdated(known.confirmed_at);
         let candidacy_at = shared.owner_view.candidacy_at(owns);
-        if candidacy_at.is_none() && in_group {
+        if candidacy_at.is_none() && candidacy.is_some() {
             withdraw(&*platform, &shared, &ownership).await;
-            in_group = false;
+            candidacy = None;
         }
         let due = candidacy_at.is_some_and(|at| at <= now);
-        if !due && !in_group {
+        if !due && candidacy.is_none() {
             let until_due = candidacy_at.map(|at| Duration::from_millis((at - now).as_millis()));
             wait_change(&shared, until_due.unwrap_or(RENEWAL_INTERVAL)).await;
             continue;
         }
         // Another member may have joined first; a further join could move the pools again.
-        if !in_group {
+        if candidacy.is_none() {
             look_up_owner(&*platform, &shared).await;
             if shared.owner_view.candidacy_at(false).is_none() {
                 continue;
             }
+            match shared.owner_view.begin_candidacy() {
+                Ok(begun) => candidacy = Some(begun),
+                Err(promised_until) => {
+                    let rest = promised_until - shared.clock.now();
+                    wait_change(&shared, Duration::from_millis(rest.as_millis())).await;
+                    continue;
+                }
+            }
         }
-        in_group = true;
         // The age of the answer counts from the call, as the answer may be delayed in transit.
         let asked_at = shared.clock.now();
         let lifetime = shared.identity.rank.membership();
@@ -157,10 +164,14 @@
     platform: &P,
     shared: &MemberShared,
 ) -> Option<String> {
+    let heard = shared.owner_view.last_heartbeat();
     let owner = platform.owner().await;
     shared.record_call(Dependency::Membership, &owner);
-    let owner = owner.ok()?;
-    shared.owner_view.record_owner(owner.as_deref());
+    let Ok(owner) = owner else {
+        shared.owner_view.record_lookup_failure();
+        return None;
+    };
+    shared.owner_view.record_owner(owner.as_deref(), heard);
     owner
 }
 
--- a/crates/scheduler/src/owner/authority.rs
+++ b/crates/scheduler/src/owner/authority.rs
@@ -1,6 +1,6 @@
 //! Permissions of the owner to send orders, each with the time at which it runs out.
 
-use jacinthhoist_core::ClockTime;
+use jacinthhoist_core::{ClockTime, job::OwnershipEvidence};
 use jacinthhoist_net::{BootClock, SendExpiry};
 
 use crate::ports::OrderAuthority;
@@ -21,6 +21,17 @@
     confirmed_at: ClockTime,
     /// Time at which the last append that the store accepted was first sent.
     appended_at: ClockTime,
+    /// Evidence of the other members.
+    followers: FollowerEvidence,
+}
+
+/// Evidence of the other members that the owner has not been replaced.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct FollowerEvidence {
+    /// Time as of which the store last named the owner in answer to a follower.
+    pub(super) confirmed_at: ClockTime,
+    /// Time before which no member takes over; zero without the promises of all of them.
+    pub(super) promised_until: ClockTime,
 }
 
 impl OwnerAuthority {
@@ -30,6 +41,7 @@
             token,
             confirmed_at: ClockTime::ZERO,
             appended_at: ClockTime::ZERO,
+            followers: FollowerEvidence::default(),
         }
     }
 
@@ -44,14 +56,23 @@
         self.appended_at = self.appended_at.max(asked_at);
     }
 
+    /// Records the present evidence of the other members.
+    pub(super) fn record_followers(&mut self, followers: FollowerEvidence) {
+        self.followers = followers;
+    }
+
     /// Returns whether the group's confirmation is recent enough for orders on VMs.
     pub(super) fn is_confirmed(&self, now: ClockTime) -> bool {
         now < self.confirmed_at + MAX_AUTHORITY_AGE
     }
 
-    /// Time of the last evidence from the store that no other member owns the pools.
-    pub(super) fn evidence_at(&self) -> ClockTime {
-        self.confirmed_at.max(self.appended_at)
+    /// Evidence that no other member owns the pools.
+    pub(super) fn evidence(&self) -> OwnershipEvidence {
+        let own = self.confirmed_at.max(self.appended_at);
+        OwnershipEvidence {
+            stored_at: own.max(self.followers.confirmed_at),
+            promised_until: self.followers.promised_until,
+        }
     }
 
     /// Permission for an order on a VM, which may be accepted although another member owns the pools.
@@ -61,19 +82,32 @@
 
     /// Permission for a start order.
     pub(super) fn for_start(&self) -> OrderAuthority {
-        self.since(self.evidence_at())
+        self.since(self.confirmed_at.max(self.appended_at))
     }
 
-    /// Permission for a renewal or a stop order decided now. They begin no run, so they do not wait for
-    /// the store, whose outage must not end the runs in progress.
-    pub(super) fn for_decision(&self) -> OrderAuthority {
+    /// Permission for a renewal decided now. It begins and ends no run, and the evidence bounds the lease
+    /// that it grants.
+    pub(super) fn for_renewal(&self) -> OrderAuthority {
         self.since(self.clock.now())
     }
 
+    /// Permission for a stop order decided now. In an outage of the store the promises of the other
+    /// members stand in for it; in a partition the next owner may be stopping other runs of the step.
+    pub(super) fn for_stop(&self) -> OrderAuthority {
+        let evidence = self.evidence();
+        let confirmed = evidence.stored_at + MAX_AUTHORITY_AGE;
+        let decided = self.clock.now() + MAX_AUTHORITY_AGE;
+        self.until(confirmed.max(evidence.promised_until).min(decided))
+    }
+
     fn since(&self, evidence_at: ClockTime) -> OrderAuthority {
+        self.until(evidence_at + MAX_AUTHORITY_AGE)
+    }
+
+    fn until(&self, expires_at: ClockTime) -> OrderAuthority {
         OrderAuthority {
             token: self.token,
-            expiry: SendExpiry::new(self.clock, evidence_at + MAX_AUTHORITY_AGE),
+            expiry: SendExpiry::new(self.clock, expires_at),
         }
     }
 }
--- a/crates/scheduler/src/owner/effects.rs
+++ b/crates/scheduler/src/owner/effects.rs
@@ -94,7 +94,7 @@
             }
             Effect::Advise { step, workers } => self.advise(step, workers),
             Effect::Stop { worker, task, run } => {
-                workers.stop(worker, task, run, authority.for_decision());
+                workers.stop(worker, task, run, authority.for_stop());
             }
             Effect::RemoveBodies(jobs) => self.remove_bodies(jobs),
             Effect::Move { vm, to } => {
--- a/crates/scheduler/src/owner/engine.rs
+++ b/crates/scheduler/src/owner/engine.rs
@@ -5,7 +5,9 @@
 use jacinthhoist_codec::{AcceptedRecord, JobReply, OwnerHeartbeat};
 use jacinthhoist_core::{
     ClockTime,
-    job::{JobCatalogue, JobId, OrderReply, Scheduler, StepPace},
+    job::{
+        JobCatalogue, JobId, OrderReply, OwnershipEvidence, Scheduler, StepPace, SuccessionRecord,
+    },
 };
 use tokio::{
     sync::{mpsc, watch},
@@ -20,7 +22,7 @@
 
 use super::{
     OwnerEvent, OwnerTask,
-    authority::{MAX_AUTHORITY_AGE, OwnerAuthority},
+    authority::{FollowerEvidence, MAX_AUTHORITY_AGE, OwnerAuthority},
     decisions::log_pool,
     effects::EffectRunner,
     sources::{follow_workers, tail_accepted},
@@ -42,6 +44,8 @@
 const POOL_LOG_INTERVAL: ClockTime = ClockTime::from_millis(1_000);
 /// Interval between log lines on the leases of an owner without evidence from the store.
 const LEASE_LOG_INTERVAL: ClockTime = ClockTime::from_millis(1_000);
+/// Time after a takeover at which the other members have opened their links.
+const SUCCESSION_DELAY: ClockTime = ClockTime::from_millis(1_000);
 /// Maximum age of the last read of accepted jobs at which the owner may report a job as missing.
 const MAX_TAIL_AGE: ClockTime = ClockTime::from_millis(1_500);
 
@@ -62,6 +66,10 @@
     vms_listed_at: ClockTime,
     pools_logged_at: ClockTime,
     leases_logged_at: ClockTime,
+    member_key: Arc<str>,
+    taken_over_at: ClockTime,
+    /// Record of the last owner, while its process may go on.
+    former: Option<SuccessionRecord>,
     /// Aborted when the engine is dropped.
     _sources: JoinSet<()>,
 }
@@ -117,6 +125,9 @@
             vms_listed_at: ClockTime::ZERO,
             pools_logged_at: ClockTime::ZERO,
             leases_logged_at: ClockTime::ZERO,
+            member_key: shared.identity.member_key().into(),
+            taken_over_at: shared.clock.now(),
+            former: loaded.former,
             _sources: sources,
             shared,
         })
@@ -190,6 +201,9 @@
         let now = self.shared.clock.now();
         let confirmed_at = self.ownership.borrow().confirmed_at;
         self.authority.record_confirmation(confirmed_at);
+        self.authority.record_followers(self.follower_evidence());
+        self.scheduler.set_evidence(self.authority.evidence());
+        self.update_succession(now);
         let is_confirmed = self.authority.is_confirmed(now);
         self.scheduler.set_ownership_confirmed(is_confirmed);
         let effects = self.scheduler.step(now);
@@ -209,9 +223,42 @@
         self.log_leases(now);
     }
 
+    /// Returns the evidence of the other members; promises count once it is stored whose are needed.
+    fn follower_evidence(&self) -> FollowerEvidence {
+        let standings = &self.shared.standings;
+        let successors = self.scheduler.successors();
+        FollowerEvidence {
+            confirmed_at: standings.confirmed_at(),
+            promised_until: successors
+                .map_or(ClockTime::ZERO, |members| standings.promised_until(members)),
+        }
+    }
+
+    /// Stores the members that may take over, and notes the end of the former owner's process.
+    fn update_succession(&mut self, now: ClockTime) {
+        let former = self.former.as_ref();
+        if let Some(former) = former.filter(|former| self.shared.standings.has_ended(&former.owner))
+        {
+            self.scheduler
+                .former_owner_ended(former.before_owner(), now);
+            self.former = None;
+        }
+        if now >= self.taken_over_at + SUCCESSION_DELAY {
+            let record = SuccessionRecord {
+                owner: self.member_key.clone(),
+                members: self.shared.standings.successors(now),
+                former_until: self.scheduler.former_until(now),
+            };
+            self.scheduler.set_succession(record);
+        }
+    }
+
     /// Logs until when the leases run that an owner without evidence from the store has granted.
     fn log_leases(&mut self, now: ClockTime) {
-        let evidence_at = self.authority.evidence_at();
+        let OwnershipEvidence {
+            stored_at: evidence_at,
+            promised_until,
+        } = self.authority.evidence();
         let is_due = now >= self.leases_logged_at + LEASE_LOG_INTERVAL;
         if now < evidence_at + MAX_AUTHORITY_AGE || !is_due {
             return;
@@ -225,7 +272,8 @@
                 (count + 1, latest.max(until))
             });
         event!(self.shared.log, Leases, "evidence_age_ms": (now - evidence_at).as_millis(),
-            "workers": count, "until_ms": until.as_millis());
+            "promised_until_ms": promised_until.as_millis(), "workers": count,
+            "until_ms": until.as_millis());
     }
 
     fn log_pools(&mut self, now: ClockTime) {
@@ -249,6 +297,7 @@
             loads: self.scheduler.load_report(),
             read_age: now - self.tail_read_at,
             place_age: now - self.ownership.borrow().confirmed_at,
+            sent_at: now,
         });
         self.shared.set_heartbeat(Arc::clone(&heartbeat));
         self.shared.heartbeats.publish(heartbeat);
--- a/crates/scheduler/src/owner/takeover.rs
+++ b/crates/scheduler/src/owner/takeover.rs
@@ -5,7 +5,10 @@
 use jacinthhoist_codec::{AcceptedRecord, KeyedRecord, ProgressReader, decode_accepted};
 use jacinthhoist_core::{
     ClockTime,
-    job::{BatchRecord, JobCatalogue, JobId, JobProgress, JobSpec, Scheduler, SchedulerLimits},
+    job::{
+        BatchRecord, JobCatalogue, JobId, JobProgress, JobSpec, Scheduler, SchedulerLimits,
+        SuccessionRecord,
+    },
 };
 use tokio::time::sleep;
 
@@ -14,6 +17,7 @@
     dependency::Dependency,
     error::{Category, Error, Result},
     eventlog::event,
+    member::MemberIdentity,
     ports::{AppendSequence, Platform, StoreStream},
     shared::MemberShared,
 };
@@ -36,6 +40,8 @@
     pub(super) workers_next: u64,
     /// Number of parts that are stored of the progress of large jobs.
     pub(super) stored_parts: BTreeMap<JobId, u32>,
+    /// Record of the last owner, if leases that it extends on promises are waited for.
+    pub(super) former: Option<SuccessionRecord>,
 }
 
 /// Stored records read in a takeover.
@@ -44,6 +50,8 @@
     jobs: BTreeMap<JobId, Arc<JobSpec>>,
     cancels: Vec<JobId>,
     progress: Vec<BatchRecord>,
+    /// Record of the last owner.
+    former: Option<SuccessionRecord>,
     stored_parts: BTreeMap<JobId, u32>,
     accepted_next: u64,
 }
@@ -107,18 +115,23 @@
     let workers_next = page.next;
     let accepted_next = records.accepted_next;
     let stored_parts = std::mem::take(&mut records.stored_parts);
-    let mut scheduler = restore(records, shared, limits, catalogue);
+    let former = records.former.take();
+    let mut scheduler = restore(records, shared, limits, catalogue, former.as_ref());
     let now = shared.clock.now();
     scheduler.workers_listed(workers_by_id(shared, page.items), now);
+    let former_until = scheduler.former_until(now);
     event!(shared.log, Ownership, "token": token, "outcome": "taken over",
         "open_jobs": scheduler.open_jobs(), "workers": scheduler.workers().count(),
-        "took_ms": (now - started_at).as_millis());
+        "took_ms": (now - started_at).as_millis(),
+        "former_owner": former.as_ref().map(|former| &*former.owner),
+        "former_until_ms": former_until.as_millis());
     Ok(Some(LoadedState {
         scheduler,
         accepted_next,
         accepted_read_at,
         workers_next,
         stored_parts,
+        former: former.filter(|_| former_until > ClockTime::ZERO),
     }))
 }
 
@@ -131,6 +144,7 @@
     let add = |page: Vec<KeyedRecord>| {
         for record in &page {
             match reader.add(record) {
+                Ok(Some(BatchRecord::Succession(former))) => records.former = Some(former),
                 Ok(progress) => records.progress.extend(progress),
                 Err(error) => log_unreadable(shared, record, &error.to_string()),
             }
@@ -169,13 +183,26 @@
     Ok(())
 }
 
+/// Returns the time until which earlier owners may have extended leases beyond one lease.
+fn former_bound(identity: &MemberIdentity, former: &SuccessionRecord, now: ClockTime) -> ClockTime {
+    if identity.is_earlier_incarnation(&former.owner) {
+        return former.before_owner();
+    }
+    former.former_until(&identity.member_key(), now)
+}
+
 fn restore(
     mut records: StoredRecords,
     shared: &MemberShared,
     limits: SchedulerLimits,
     catalogue: Arc<JobCatalogue>,
+    former: Option<&SuccessionRecord>,
 ) -> Scheduler {
-    let mut scheduler = Scheduler::open(limits, catalogue, shared.clock.now());
+    let now = shared.clock.now();
+    let mut scheduler = Scheduler::open(limits, catalogue, now);
+    if let Some(former) = former {
+        scheduler.restore_former_bound(former_bound(&shared.identity, former, now));
+    }
     for id in records.cancels {
         scheduler.cancel(id);
     }
@@ -192,6 +219,7 @@
                 }
             }
             BatchRecord::BaseSizes(standing) => scheduler.restore_base_sizes(standing),
+            BatchRecord::Succession(_) => {}
         }
     }
     // Jobs without stored progress have not started.
--- a/crates/scheduler/src/owner/workers.rs
+++ b/crates/scheduler/src/owner/workers.rs
@@ -156,7 +156,7 @@
                 shared: self.shared.clone(),
                 worker: id.clone(),
                 order,
-                authority: authority.for_decision(),
+                authority: authority.for_renewal(),
                 asked_at: now,
                 probe,
             };
@@ -329,7 +329,7 @@
 }
 
 fn renewal_order(plan: &RenewalPlan, idle: bool) -> RenewalOrder {
-    let waits = !plan.silent && !plan.has_unstored_ends && !idle && plan.lease_until.is_some();
+    let waits = !plan.silent && !plan.has_unstored_ends && !idle && plan.is_current;
     RenewalOrder {
         ack: plan.ack,
         lease_until: plan.lease_until,
--- a/crates/scheduler/src/owner_view.rs
+++ b/crates/scheduler/src/owner_view.rs
@@ -3,13 +3,13 @@
 
 use std::sync::{
     Arc,
-    atomic::{AtomicU64, Ordering},
+    atomic::{AtomicBool, AtomicU64, Ordering},
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use jacinthhoist_core::{
     ClockTime,
-    job::{MemberRank, OwnerSnapshot, RecordedOwner, candidacy_at},
+    job::{MemberRank, OwnerSnapshot, PROMISE_SPAN, RecordedOwner, candidacy_at},
 };
 use jacinthhoist_net::BootClock;
 use tokio::sync::Notify;
@@ -31,10 +31,39 @@
     designated_at: AtomicU64,
     /// Time at which this member's ownership last ended; zero for never.
     ownership_ended_at: AtomicU64,
+    /// Last heartbeat that has arrived.
+    heartbeat: ArcSwapOption<HeardHeartbeat>,
+    /// Last heartbeat that had arrived before a look-up in which the store named its sender.
+    confirmed: ArcSwapOption<HeardHeartbeat>,
+    /// True if the last look-up in the store failed.
+    lookup_failed: AtomicBool,
+    /// True while this member may take over.
+    is_candidate: AtomicBool,
+    /// Time before which this member has promised not to take over.
+    promised_until: AtomicU64,
     /// Wakes the membership task.
     changed: Notify,
 }
 
+/// Heartbeat of an owner.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct HeardHeartbeat {
+    owner: Arc<str>,
+    /// Time on the owner's clock at which it was sent.
+    sent_at: ClockTime,
+}
+
+/// Candidacy of this member, from before its first join call until it has left the group. There are no
+/// promises while it lasts.
+#[derive(Debug)]
+pub(crate) struct Candidacy<'a>(&'a OwnerView);
+
+impl Drop for Candidacy<'_> {
+    fn drop(&mut self) {
+        self.0.is_candidate.store(false, Ordering::SeqCst);
+    }
+}
+
 impl OwnerView {
     pub(crate) fn open(identity: MemberIdentity, clock: BootClock) -> Self {
         Self {
@@ -45,6 +74,11 @@
             outranked_at: AtomicU64::new(0),
             designated_at: AtomicU64::new(0),
             ownership_ended_at: AtomicU64::new(0),
+            heartbeat: ArcSwapOption::empty(),
+            confirmed: ArcSwapOption::empty(),
+            lookup_failed: AtomicBool::new(false),
+            is_candidate: AtomicBool::new(false),
+            promised_until: AtomicU64::new(0),
             changed: Notify::new(),
         }
     }
@@ -70,8 +104,71 @@
         self.recorded_key.load_full()
     }
 
-    /// Records the owner that the store reports; `None` if there is none.
-    pub(crate) fn record_owner(&self, key: Option<&str>) {
+    /// Records a heartbeat of an owner.
+    pub(crate) fn record_heartbeat(&self, owner: &str, sent_at: ClockTime) {
+        let known = self.heartbeat.load();
+        let owner = match known.as_ref().filter(|known| *known.owner == *owner) {
+            Some(known) => known.owner.clone(),
+            None => owner.into(),
+        };
+        self.heartbeat
+            .store(Some(Arc::new(HeardHeartbeat { owner, sent_at })));
+    }
+
+    /// Returns the last heartbeat that has arrived.
+    pub(crate) fn last_heartbeat(&self) -> Option<Arc<HeardHeartbeat>> {
+        self.heartbeat.load_full()
+    }
+
+    /// Returns when the owner sent the last heartbeat that had arrived before the store named it; `None`
+    /// if the store has not answered since.
+    pub(crate) fn confirmed_heartbeat(&self, owner: &str) -> Option<ClockTime> {
+        if self.lookup_failed.load(Ordering::Relaxed) {
+            return None;
+        }
+        let confirmed = self.confirmed.load();
+        let confirmed = confirmed.as_ref()?;
+        (*confirmed.owner == *owner).then_some(confirmed.sent_at)
+    }
+
+    /// Promises not to take over from an owner for [`PROMISE_SPAN`]; returns `false` without a promise.
+    /// A member promises only while the store does not answer it.
+    pub(crate) fn promise(&self, owner: &str) -> bool {
+        if !self.lookup_failed.load(Ordering::Relaxed) || self.is_superseded(owner) {
+            return false;
+        }
+        let until = self.clock.now() + PROMISE_SPAN;
+        self.promised_until
+            .fetch_max(until.as_millis(), Ordering::SeqCst);
+        // After the store, as `begin_candidacy` checks in the opposite order.
+        !self.is_candidate.load(Ordering::SeqCst)
+    }
+
+    /// Begins a candidacy, unless a promise is in force; returns the end of the promise then.
+    pub(crate) fn begin_candidacy(&self) -> Result<Candidacy<'_>, ClockTime> {
+        self.is_candidate.store(true, Ordering::SeqCst);
+        let candidacy = Candidacy(self);
+        let promised_until = ClockTime::from_millis(self.promised_until.load(Ordering::SeqCst));
+        if self.clock.now() < promised_until {
+            return Err(promised_until);
+        }
+        Ok(candidacy)
+    }
+
+    /// Records that a look-up of the owner failed.
+    pub(crate) fn record_lookup_failure(&self) {
+        self.lookup_failed.store(true, Ordering::Relaxed);
+    }
+
+    /// Records the owner that the store reports; `None` if there is none. `heard` is the last heartbeat
+    /// that had arrived before the store was asked.
+    pub(crate) fn record_owner(&self, key: Option<&str>, heard: Option<Arc<HeardHeartbeat>>) {
+        self.lookup_failed.store(false, Ordering::Relaxed);
+        if let Some(heard) = heard
+            && key == Some(&*heard.owner)
+        {
+            self.confirmed.store(Some(heard));
+        }
         let known = **self.recorded_owner.load();
         let recorded = match key {
             Some(key) if key == self.identity.member_key() => RecordedOwner::ThisMember,
--- a/crates/scheduler/src/peer/query.rs
+++ b/crates/scheduler/src/peer/query.rs
@@ -7,7 +7,10 @@
 use std::{collections::BTreeMap, pin::pin, sync::Arc, time::Duration};
 
 use futures::StreamExt;
-use jacinthhoist_codec::{JobFrame, JobReply, KeyedRecord, StoreOutcome, decode_job_frame};
+use jacinthhoist_codec::{
+    JobFrame, JobReply, KeyedRecord, OwnerHeartbeat, StandingEvidence, StoreOutcome,
+    decode_job_frame,
+};
 use jacinthhoist_core::job::JobId;
 use tokio::{
     sync::{mpsc, oneshot},
@@ -19,7 +22,7 @@
     accept::StoreRequest,
     eventlog::event,
     ports::{PeerNetwork, Platform},
-    shared::MemberShared,
+    shared::{MemberShared, is_in_doubt},
 };
 
 use super::{
@@ -184,8 +187,11 @@
     ) {
         // An owner of lower rank gives up the pools; one of the same rank ignores this frame.
         let announcement = JobFrame::Offer(self.shared.identity.rank);
-        if !send(&mut socket, &announcement).await {
-            return;
+        let identity = JobFrame::Identify(self.shared.identity.member_key().into());
+        for frame in [identity, announcement] {
+            if !send(&mut socket, &frame).await {
+                return;
+            }
         }
         let mut heartbeat_deadline = Instant::now() + HEARTBEAT_TIMEOUT;
         loop {
@@ -197,12 +203,18 @@
                     };
                     // Only heartbeats extend the timeout: a member whose owner pipe has ended may
                     // still send answers.
-                    if self.handle_frame(&message, open) {
+                    if let Some(heartbeat) = self.handle_frame(&message, open) {
                         heartbeat_deadline = Instant::now() + HEARTBEAT_TIMEOUT;
                         // The store may have assigned the pools to another member in the meantime.
                         if self.shared.owner_view.is_superseded(owner) {
                             return;
                         }
+                        let answer = self.answer_doubt(owner, &heartbeat);
+                        if let Some(answer) = answer
+                            && !send(&mut socket, &answer).await
+                        {
+                            return;
+                        }
                         if !std::mem::replace(found, true) {
                             event!(self.shared.log, Dependency, "name": "owner", "lost": false,
                                 "owner": owner);
@@ -245,10 +257,26 @@
         }
     }
 
-    /// Handles a frame; returns `true` for a heartbeat.
-    fn handle_frame(&self, message: &Message, open: &mut OpenCalls) -> bool {
+    /// Returns the answer to a heartbeat of an owner that the store has not confirmed of late, if this
+    /// member has evidence that the owner has not been replaced.
+    fn answer_doubt(&self, owner: &str, heartbeat: &OwnerHeartbeat) -> Option<JobFrame> {
+        let view = &self.shared.owner_view;
+        view.record_heartbeat(owner, heartbeat.sent_at);
+        if !is_in_doubt(heartbeat) {
+            return None;
+        }
+        let (sent_at, evidence) = match view.confirmed_heartbeat(owner) {
+            Some(sent_at) => (sent_at, StandingEvidence::Confirmed),
+            None if view.promise(owner) => (heartbeat.sent_at, StandingEvidence::Promised),
+            None => return None,
+        };
+        Some(JobFrame::Standing { sent_at, evidence })
+    }
+
+    /// Handles a frame; returns a heartbeat.
+    fn handle_frame(&self, message: &Message, open: &mut OpenCalls) -> Option<Arc<OwnerHeartbeat>> {
         let Message::Binary(bytes) = message else {
-            return false;
+            return None;
         };
         match decode_job_frame(bytes) {
             Ok(JobFrame::Answer { id, answer }) => {
@@ -263,20 +291,23 @@
                 }
             }
             Ok(JobFrame::Loads(heartbeat)) => {
-                self.shared.set_heartbeat(Arc::new(heartbeat));
-                return true;
+                let heartbeat = Arc::new(heartbeat);
+                self.shared.set_heartbeat(heartbeat.clone());
+                return Some(heartbeat);
             }
             Ok(JobFrame::Follow) => self.shared.owner_view.record_designation(),
             Ok(
                 JobFrame::Ask { .. }
                 | JobFrame::Offer(_)
                 | JobFrame::Stored(_)
-                | JobFrame::Store { .. },
+                | JobFrame::Store { .. }
+                | JobFrame::Identify(_)
+                | JobFrame::Standing { .. },
             ) => {}
             Err(error) => event!(self.shared.log, Unreadable, "key": "peer frame",
                 "reason": error.to_string()),
         }
-        false
+        None
     }
 
     /// Settles a record on the owner's reply. A record that the owner could not store goes to this
--- a/crates/scheduler/src/peer/serve.rs
+++ b/crates/scheduler/src/peer/serve.rs
@@ -4,9 +4,13 @@
 
 use futures::{SinkExt, StreamExt};
 use jacinthhoist_codec::{
-    JobFrame, JobReply, KeyedRecord, OwnerHeartbeat, decode_job_frame, encode_job_frame,
+    JobFrame, JobReply, KeyedRecord, OwnerHeartbeat, StandingEvidence, decode_job_frame,
+    encode_job_frame,
+};
+use jacinthhoist_core::{
+    ClockTime,
+    job::{JobId, MemberRank},
 };
-use jacinthhoist_core::job::{JobId, MemberRank};
 use tokio::{
     sync::{mpsc, oneshot},
     task::JoinSet,
@@ -80,12 +84,24 @@
     let mut heartbeats = shared.heartbeats.follow();
     let (answers, mut pending_answers) = mpsc::channel(MAX_QUEUED_ANSWERS);
     let mut designation = None;
+    let mut member = None;
     while shared.owner_inbox.load().is_some() {
         let frame = tokio::select! {
             message = socket.next() => match message {
                 Some(Ok(message)) => {
-                    if let Some(rank) = handle_frame(&shared, &answers, &appends, &message) {
-                        designation = Some(shared.followers.add(rank));
+                    match handle_frame(&shared, &answers, &appends, &message) {
+                        Some(FollowerNotice::Candidate(rank)) => {
+                            designation = Some(shared.followers.add(rank));
+                        }
+                        Some(FollowerNotice::Identity(key)) => {
+                            member = Some(LinkedMember::open(shared.clone(), key));
+                        }
+                        Some(FollowerNotice::Standing { sent_at, evidence }) => {
+                            if let Some(member) = &member {
+                                shared.standings.record_answer(&member.key, sent_at, evidence);
+                            }
+                        }
+                        None => {}
                     }
                     continue;
                 }
@@ -110,6 +126,39 @@
     }
 }
 
+/// What a follower says of itself.
+enum FollowerNotice {
+    /// It is a candidate of this rank.
+    Candidate(MemberRank),
+    /// Its key.
+    Identity(Arc<str>),
+    /// Its evidence on the ownership as of a heartbeat.
+    Standing {
+        sent_at: ClockTime,
+        evidence: StandingEvidence,
+    },
+}
+
+/// Member at the other end of a link; dropped when the link ends.
+struct LinkedMember {
+    shared: Arc<MemberShared>,
+    key: Arc<str>,
+}
+
+impl LinkedMember {
+    fn open(shared: Arc<MemberShared>, key: Arc<str>) -> Self {
+        shared.standings.link_opened(&key);
+        Self { shared, key }
+    }
+}
+
+impl Drop for LinkedMember {
+    fn drop(&mut self) {
+        let now = self.shared.clock.now();
+        self.shared.standings.link_closed(&self.key, now);
+    }
+}
+
 /// Waits until the follower is designated as this member's successor.
 async fn wait_designation(designation: &mut Option<oneshot::Receiver<()>>) {
     let Some(receiver) = designation else {
@@ -122,13 +171,13 @@
     }
 }
 
-/// Handles a frame; returns the rank of the follower if it announces its candidacy.
+/// Handles a frame; returns what the follower says of itself.
 fn handle_frame(
     shared: &Arc<MemberShared>,
     answers: &mpsc::Sender<JobFrame>,
     appends: &mpsc::UnboundedSender<StoreRequest>,
     message: &Message,
-) -> Option<MemberRank> {
+) -> Option<FollowerNotice> {
     let Message::Binary(bytes) = message else {
         return None;
     };
@@ -146,7 +195,11 @@
                 event!(shared.log, Ownership, "outcome": "gives way",
                     "rank": shared.identity.rank.as_str(), "to": rank.as_str());
             }
-            return Some(rank);
+            return Some(FollowerNotice::Candidate(rank));
+        }
+        Ok(JobFrame::Identify(key)) => return Some(FollowerNotice::Identity(key)),
+        Ok(JobFrame::Standing { sent_at, evidence }) => {
+            return Some(FollowerNotice::Standing { sent_at, evidence });
         }
         Ok(JobFrame::Stored(records)) => forward_records(shared, &records),
         Ok(JobFrame::Store { id, record }) => {
--- a/crates/scheduler/src/shared.rs
+++ b/crates/scheduler/src/shared.rs
@@ -22,7 +22,7 @@
     meter::JobMeter,
     owner::OwnerEvent,
     owner_view::OwnerView,
-    peer::{FollowerRegistry, HeartbeatFeed},
+    peer::{FollowerRegistry, FollowerStandings, HeartbeatFeed},
 };
 
 /// Age of the store's last confirmation after which the owner may have lost the pools: two renewals
@@ -52,6 +52,8 @@
     pub(crate) owner_view: OwnerView,
     /// Followers of this member while it owns the pools.
     pub(crate) followers: FollowerRegistry,
+    /// Evidence of the other members that this one has not been replaced as the owner.
+    pub(crate) standings: FollowerStandings,
     /// Latency that the store's appends have shown.
     pub(crate) append_pace: ArcSwap<AppendPace>,
     store_answered_at: AtomicU64,
@@ -79,6 +81,7 @@
             heartbeats: HeartbeatFeed::open(),
             owner_inbox: ArcSwapOption::empty(),
             followers: FollowerRegistry::open(),
+            standings: FollowerStandings::default(),
             append_pace: ArcSwap::default(),
             // An outage before the start of this process is not known.
             store_answered_at: AtomicU64::new(clock.now().as_millis()),
@@ -108,7 +111,7 @@
 
     /// Returns `true` if the current owner may have lost the pools without noticing.
     pub(crate) fn is_owner_in_doubt(&self) -> bool {
-        self.heartbeat.load().place_age > OWNERSHIP_DOUBT_AGE
+        is_in_doubt(&self.heartbeat.load())
     }
 
     /// Records the result of a call to a dependency.
@@ -147,3 +150,8 @@
         self.stopping.load(Ordering::Relaxed)
     }
 }
+
+/// Returns `true` if the sender of a heartbeat may have lost the pools without noticing.
+pub(crate) fn is_in_doubt(heartbeat: &OwnerHeartbeat) -> bool {
+    heartbeat.place_age > OWNERSHIP_DOUBT_AGE
+}
