Wait for a former owner by name, until it follows the next one

A member that had started in the outage was not on the succession record, took over, and waited 20 s for the runs of workers that were gone, although the former owner had ended its ownership 20 ms later and followed it; the next owner inherited the wait from its record.

The record and the scheduler now name each former owner with its time. A former owner that opens a link to the new one after the takeover, or whose place another process takes, extends no lease any more, and its last one lapses within one lease. The longest time for which promises extend leases is 12 s, longer than the outages that running work must survive.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -69,7 +69,7 @@
 };
 pub use step_pace::StepPace;
 pub use succession::{
-    OwnershipEvidence, PROMISE_SPAN, SuccessionLedger, SuccessionRecord, promise_end,
+    FormerOwner, OwnershipEvidence, PROMISE_SPAN, SuccessionLedger, SuccessionRecord, promise_end,
 };
 pub use task::{
     AnyTask, Assigned, FailedRuns, Running, StartOrderState, Stopping, TaskEnd, TaskRun, Waiting,
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -44,7 +44,7 @@
     order::DurationTable,
     silence::{PoolUnrest, RecentSilences},
     spec::{JobId, JobState, Resources, StepKey, TaskKey},
-    succession::SuccessionLedger,
+    succession::{FormerOwner, SuccessionLedger},
     task::TaskEnd,
     wave::WaveTable,
     worker::{StartReply, Worker},
@@ -424,8 +424,8 @@
     ownership_confirmed: bool,
     /// Latest end of the leases that may be granted.
     leases_until: ClockTime,
-    /// Time until which earlier owners may have extended leases beyond one lease.
-    former_until: ClockTime,
+    /// Former owners that may still extend leases on promises.
+    former_owners: SmallVec<[FormerOwner; 2]>,
     succession: SuccessionLedger,
     /// Time of the last search for runs to stop.
     last_sweep_at: ClockTime,
@@ -458,7 +458,7 @@
             effects: Vec::new(),
             ownership_confirmed: true,
             leases_until: ClockTime::from_millis(u64::MAX),
-            former_until: ClockTime::ZERO,
+            former_owners: SmallVec::new(),
             succession: SuccessionLedger::default(),
             last_sweep_at: ClockTime::ZERO,
             now,
--- a/crates/core/src/job/scheduler/leases.rs
+++ b/crates/core/src/job/scheduler/leases.rs
@@ -9,7 +9,7 @@
     job::{
         lease::{UnknownLease, WorkerLease, latest_expiry},
         spec::{Resources, TaskKey},
-        succession::{OwnershipEvidence, SuccessionRecord},
+        succession::{FormerOwner, OwnershipEvidence, SuccessionRecord},
         worker::{Worker, WorkerEntry, WorkerState},
     },
     name::{DataCentre, PoolName, WorkerId},
@@ -70,34 +70,30 @@
         self.limits.max_lease.min(self.leases_until - now)
     }
 
-    /// Sets the time until which earlier owners may have extended the leases of workers, before any
-    /// worker is known.
-    pub fn restore_former_bound(&mut self, until: ClockTime) {
-        self.former_until = until;
+    /// Sets the former owners that may still extend leases on promises, before any worker is known.
+    pub fn restore_former_owners(&mut self, formers: SmallVec<[FormerOwner; 2]>) {
+        self.former_owners = formers;
     }
 
-    /// Records that the process of the last owner has ended: its leases lapse within one lease, and
-    /// those of the owners before it by `until`.
-    pub fn former_owner_ended(&mut self, until: ClockTime, now: ClockTime) {
-        let until = until.max(self.longest_expiry(now)).min(self.former_until);
-        self.former_until = until;
-        for worker in self.workers.values_mut() {
-            worker.process.lease.bound_former(until);
-        }
+    /// Returns the former owners that may still extend leases on promises.
+    pub fn former_owners(&self) -> &[FormerOwner] {
+        &self.former_owners
     }
 
-    /// Time until which earlier owners may have extended the leases of workers; zero once it has
-    /// passed.
-    pub fn former_until(&self, now: ClockTime) -> ClockTime {
-        if self.former_until > now {
-            self.former_until
-        } else {
-            ClockTime::ZERO
+    /// Records that a former owner is known to extend leases no more: its last one lapses within one
+    /// lease.
+    pub fn former_owner_ended(&mut self, key: &str, now: ClockTime) {
+        self.former_owners.retain(|former| *former.key != *key);
+        let until = latest_expiry(now, self.limits.max_lease).max(self.former_until());
+        for worker in self.workers.values_mut() {
+            worker.process.lease.bound_former(until);
         }
     }
 
-    fn longest_expiry(&self, now: ClockTime) -> ClockTime {
-        latest_expiry(now, self.limits.max_lease)
+    /// Time until which former owners may extend leases on promises; zero if none does.
+    fn former_until(&self) -> ClockTime {
+        let ends = self.former_owners.iter().map(|former| former.until);
+        ends.max().unwrap_or_default()
     }
 
     /// Stores the members whose promises this owner uses, if they have changed.
@@ -246,7 +242,7 @@
             since: self.now,
             max_span: self.limits.max_lease,
             stored_expiry: None,
-            former_until: self.former_until,
+            former_until: self.former_until(),
         }
     }
 }
--- a/crates/core/src/job/succession.rs
+++ b/crates/core/src/job/succession.rs
@@ -17,8 +17,8 @@
 use super::lease::{latest_expiry, skewed_expiry};
 
 /// Longest time from the store's last evidence to the end of a lease that is extended on promises;
-/// several times the outages of the store that work in progress must survive.
-const MAX_PROMISED_SPAN: ClockTime = ClockTime::from_millis(20_000);
+/// longer than the outages of the store that work in progress must survive, 9 s.
+const MAX_PROMISED_SPAN: ClockTime = ClockTime::from_millis(12_000);
 
 /// Time for which a member that promises so does not take over, by its own clock.
 pub const PROMISE_SPAN: ClockTime = ClockTime::from_millis(1_500);
@@ -36,7 +36,7 @@
 /// let promised = OwnershipEvidence { promised_until: ms(6_000), ..confirmed };
 /// assert_eq!(promised.lease_until(ms(3_500)), ms(9_500));
 /// let outlived = OwnershipEvidence { promised_until: ms(90_000), ..confirmed };
-/// assert_eq!(outlived.lease_until(ms(3_500)), ms(21_000));
+/// assert_eq!(outlived.lease_until(ms(3_500)), ms(13_000));
 /// ```
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct OwnershipEvidence {
@@ -65,6 +65,15 @@
     sent_at + RELIED_SPAN
 }
 
+/// Owner that was replaced and may still extend leases on promises.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FormerOwner {
+    /// Key of the owner.
+    pub key: Arc<str>,
+    /// Time by which its last lease has lapsed.
+    pub until: ClockTime,
+}
+
 /// Stored list of the members whose promises an owner uses in place of the store's confirmation.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuccessionRecord {
@@ -72,41 +81,39 @@
     pub owner: Arc<str>,
     /// Keys of the members, in order.
     pub members: SmallVec<[Arc<str>; 8]>,
-    /// Time by the owner's clock until which owners before it may have extended leases; zero if that
-    /// has passed.
-    pub former_until: ClockTime,
+    /// Owners before it, by its clock.
+    pub formers: SmallVec<[FormerOwner; 2]>,
 }
 
 impl SuccessionRecord {
-    /// Returns the time until which earlier owners may have extended leases beyond one lease, for a
-    /// member that takes over after this record's owner.
+    /// Returns the owners up to this record's one that may still extend leases on promises, for a member
+    /// that takes over now. Others extend none that run for longer than one lease from now on.
     ///
     /// ```
     /// use jacinthhoist_core::{ClockTime, job::SuccessionRecord};
     /// let record = SuccessionRecord {
     ///     owner: "entry-1".into(),
     ///     members: ["entry-2".into()].into_iter().collect(),
-    ///     former_until: ClockTime::ZERO,
+    ///     ..SuccessionRecord::default()
     /// };
     /// let now = ClockTime::from_secs(100);
-    /// assert_eq!(record.former_until("entry-2", now), ClockTime::ZERO);
-    /// assert!(record.former_until("entry-3", now) > now);
+    /// assert!(record.former_owners("entry-2", now).is_empty());
+    /// assert!(record.former_owners("entry-3", now)[0].until > now);
     /// ```
-    pub fn former_until(&self, successor: &str, now: ClockTime) -> ClockTime {
+    pub fn former_owners(&self, successor: &str, now: ClockTime) -> SmallVec<[FormerOwner; 2]> {
+        let earlier = self.formers.iter().map(|former| FormerOwner {
+            until: skewed_expiry(former.until),
+            ..former.clone()
+        });
+        let mut formers: SmallVec<_> = earlier.filter(|former| former.until > now).collect();
         let is_listed = self.members.iter().any(|member| **member == *successor);
-        if is_listed || *self.owner == *successor {
-            return self.before_owner();
-        }
-        self.before_owner()
-            .max(latest_expiry(now, MAX_PROMISED_SPAN))
-    }
-
-    /// Returns the time until which owners before this record's owner may have extended leases.
-    pub fn before_owner(&self) -> ClockTime {
-        if self.former_until == ClockTime::ZERO {
-            return ClockTime::ZERO;
+        if !is_listed && *self.owner != *successor {
+            formers.push(FormerOwner {
+                key: self.owner.clone(),
+                until: latest_expiry(now, MAX_PROMISED_SPAN),
+            });
         }
-        skewed_expiry(self.former_until)
+        formers
     }
 }
 
--- a/crates/scheduler/src/owner/engine.rs
+++ b/crates/scheduler/src/owner/engine.rs
@@ -9,6 +9,7 @@
         JobCatalogue, JobId, OrderReply, OwnershipEvidence, Scheduler, StepPace, SuccessionRecord,
     },
 };
+use smallvec::SmallVec;
 use tokio::{
     sync::{mpsc, watch},
     task::JoinSet,
@@ -68,8 +69,6 @@
     leases_logged_at: ClockTime,
     member_key: Arc<str>,
     taken_over_at: ClockTime,
-    /// Record of the last owner, while its process may go on.
-    former: Option<SuccessionRecord>,
     /// Aborted when the engine is dropped.
     _sources: JoinSet<()>,
 }
@@ -127,7 +126,6 @@
             leases_logged_at: ClockTime::ZERO,
             member_key: shared.identity.member_key().into(),
             taken_over_at: shared.clock.now(),
-            former: loaded.former,
             _sources: sources,
             shared,
         })
@@ -234,20 +232,30 @@
         }
     }
 
-    /// Stores the members that may take over, and notes the end of the former owner's process.
-    fn update_succession(&mut self, now: ClockTime) {
-        let former = self.former.as_ref();
-        if let Some(former) = former.filter(|former| self.shared.standings.has_ended(&former.owner))
-        {
-            self.scheduler
-                .former_owner_ended(former.before_owner(), now);
-            self.former = None;
+    /// Notes which former owners extend leases no more: those that follow this member, or in whose place
+    /// another process does.
+    fn review_former_owners(&mut self, now: ClockTime) {
+        let standings = &self.shared.standings;
+        let formers = self.scheduler.former_owners().iter();
+        let ended = formers.filter(|former| {
+            standings.has_ended(&former.key)
+                || standings.follows_since(&former.key, self.taken_over_at)
+        });
+        let ended: SmallVec<[Arc<str>; 2]> = ended.map(|former| former.key.clone()).collect();
+        for key in ended {
+            event!(self.shared.log, Ownership, "outcome": "a former owner has ended", "owner": &*key);
+            self.scheduler.former_owner_ended(&key, now);
         }
+    }
+
+    /// Stores the members that may take over.
+    fn update_succession(&mut self, now: ClockTime) {
+        self.review_former_owners(now);
         if now >= self.taken_over_at + SUCCESSION_DELAY {
             let record = SuccessionRecord {
                 owner: self.member_key.clone(),
                 members: self.shared.standings.successors(now),
-                former_until: self.scheduler.former_until(now),
+                formers: self.scheduler.former_owners().iter().cloned().collect(),
             };
             self.scheduler.set_succession(record);
         }
--- a/crates/scheduler/src/owner/takeover.rs
+++ b/crates/scheduler/src/owner/takeover.rs
@@ -6,10 +6,12 @@
 use jacinthhoist_core::{
     ClockTime,
     job::{
-        BatchRecord, JobCatalogue, JobId, JobProgress, JobSpec, Scheduler, SchedulerLimits,
-        SuccessionRecord,
+        BatchRecord, FormerOwner, JobCatalogue, JobId, JobProgress, JobSpec, Scheduler,
+        SchedulerLimits, SuccessionRecord,
     },
 };
+use serde_json::json;
+use smallvec::SmallVec;
 use tokio::time::sleep;
 
 use crate::{
@@ -40,8 +42,6 @@
     pub(super) workers_next: u64,
     /// Number of parts that are stored of the progress of large jobs.
     pub(super) stored_parts: BTreeMap<JobId, u32>,
-    /// Record of the last owner, if leases that it extends on promises are waited for.
-    pub(super) former: Option<SuccessionRecord>,
 }
 
 /// Stored records read in a takeover.
@@ -51,7 +51,7 @@
     cancels: Vec<JobId>,
     progress: Vec<BatchRecord>,
     /// Record of the last owner.
-    former: Option<SuccessionRecord>,
+    succession: Option<SuccessionRecord>,
     stored_parts: BTreeMap<JobId, u32>,
     accepted_next: u64,
 }
@@ -115,23 +115,23 @@
     let workers_next = page.next;
     let accepted_next = records.accepted_next;
     let stored_parts = std::mem::take(&mut records.stored_parts);
-    let former = records.former.take();
-    let mut scheduler = restore(records, shared, limits, catalogue, former.as_ref());
+    let mut scheduler = restore(records, shared, limits, catalogue);
     let now = shared.clock.now();
     scheduler.workers_listed(workers_by_id(shared, page.items), now);
-    let former_until = scheduler.former_until(now);
+    let formers = scheduler.former_owners().iter();
+    let formers: Vec<_> = formers
+        .map(|former| json!({"key": &*former.key, "until_ms": former.until.as_millis()}))
+        .collect();
     event!(shared.log, Ownership, "token": token, "outcome": "taken over",
         "open_jobs": scheduler.open_jobs(), "workers": scheduler.workers().count(),
         "took_ms": (now - started_at).as_millis(),
-        "former_owner": former.as_ref().map(|former| &*former.owner),
-        "former_until_ms": former_until.as_millis());
+        "former_owners": formers);
     Ok(Some(LoadedState {
         scheduler,
         accepted_next,
         accepted_read_at,
         workers_next,
         stored_parts,
-        former: former.filter(|_| former_until > ClockTime::ZERO),
     }))
 }
 
@@ -144,7 +144,7 @@
     let add = |page: Vec<KeyedRecord>| {
         for record in &page {
             match reader.add(record) {
-                Ok(Some(BatchRecord::Succession(former))) => records.former = Some(former),
+                Ok(Some(BatchRecord::Succession(last))) => records.succession = Some(last),
                 Ok(progress) => records.progress.extend(progress),
                 Err(error) => log_unreadable(shared, record, &error.to_string()),
             }
@@ -183,12 +183,17 @@
     Ok(())
 }
 
-/// Returns the time until which earlier owners may have extended leases beyond one lease.
-fn former_bound(identity: &MemberIdentity, former: &SuccessionRecord, now: ClockTime) -> ClockTime {
-    if identity.is_earlier_incarnation(&former.owner) {
-        return former.before_owner();
-    }
-    former.former_until(&identity.member_key(), now)
+/// Returns the former owners that may still extend leases on promises. An earlier process of this
+/// member has ended.
+fn former_owners(
+    identity: &MemberIdentity,
+    record: &SuccessionRecord,
+    now: ClockTime,
+) -> SmallVec<[FormerOwner; 2]> {
+    let key = identity.member_key();
+    let mut formers = record.former_owners(&key, now);
+    formers.retain(|former| *former.key != *key && !identity.is_earlier_incarnation(&former.key));
+    formers
 }
 
 fn restore(
@@ -196,12 +201,11 @@
     shared: &MemberShared,
     limits: SchedulerLimits,
     catalogue: Arc<JobCatalogue>,
-    former: Option<&SuccessionRecord>,
 ) -> Scheduler {
     let now = shared.clock.now();
     let mut scheduler = Scheduler::open(limits, catalogue, now);
-    if let Some(former) = former {
-        scheduler.restore_former_bound(former_bound(&shared.identity, former, now));
+    if let Some(record) = &records.succession {
+        scheduler.restore_former_owners(former_owners(&shared.identity, record, now));
     }
     for id in records.cancels {
         scheduler.cancel(id);
--- a/crates/scheduler/src/peer/serve.rs
+++ b/crates/scheduler/src/peer/serve.rs
@@ -147,7 +147,7 @@
 
 impl LinkedMember {
     fn open(shared: Arc<MemberShared>, key: Arc<str>) -> Self {
-        shared.standings.link_opened(&key);
+        shared.standings.link_opened(&key, shared.clock.now());
         Self { shared, key }
     }
 }
--- a/crates/scheduler/src/peer/standing.rs
+++ b/crates/scheduler/src/peer/standing.rs
@@ -28,6 +28,8 @@
 #[derive(Clone, Copy, Debug)]
 struct MemberRecord {
     standing: MemberStanding,
+    /// Time at which its last link was opened.
+    linked_at: ClockTime,
     /// Time of the last heartbeat for which the store had named the owner.
     confirmed_at: ClockTime,
     /// Time of the last heartbeat that the member has answered with a promise.
@@ -41,7 +43,7 @@
 
 impl FollowerStandings {
     /// Records a new link of a member; earlier processes at its address have ended.
-    pub(super) fn link_opened(&self, key: &Arc<str>) {
+    pub(super) fn link_opened(&self, key: &Arc<str>, now: ClockTime) {
         let address = peer_address(key);
         self.change(|records| {
             for (other, record) in records.iter_mut() {
@@ -51,6 +53,7 @@
             }
             let record = records.entry(key.clone()).or_insert(MemberRecord {
                 standing: MemberStanding::Following(0),
+                linked_at: now,
                 confirmed_at: ClockTime::ZERO,
                 promised_at: ClockTime::ZERO,
             });
@@ -59,6 +62,7 @@
                 MemberStanding::Away(_) | MemberStanding::Ended => 0,
             };
             record.standing = MemberStanding::Following(links + 1);
+            record.linked_at = now;
         });
     }
 
@@ -130,6 +134,14 @@
         until.unwrap_or_default()
     }
 
+    /// Returns whether a member has opened a link at `since` or later, which it does not while it owns the
+    /// pools.
+    pub(crate) fn follows_since(&self, key: &str, since: ClockTime) -> bool {
+        let records = self.0.load();
+        let record = records.get(key);
+        record.is_some_and(|record| record.linked_at >= since)
+    }
+
     /// Returns whether another process has taken the place of a member.
     pub(crate) fn has_ended(&self, key: &str) -> bool {
         let records = self.0.load();
