Need no promise of a member that has ended, and none from one told of a vacancy

And where the store answered for moments only, an owner that was cut off was never replaced: the others promised again and again, although the store had told them of the vacancy.

An owner in doubt now connects to the addresses of members without a link. A refused connection, or a later process that answers there, shows that the member has ended, and its promise is not needed. A member promises nothing once the store has named no owner. Members that send no key are of an earlier release and make the promises incomplete. Processes of a member are ordered by their start, so that a link of an earlier one that is read late ends nothing; ended members are forgotten. Stop orders keep to the longest time for promises, and the step reads the ownership once. The first succession record is stored 0.3 s after a takeover, as an outage that begins before it ends runs.

--- a/crates/core/src/job/succession.rs
+++ b/crates/core/src/job/succession.rs
@@ -47,9 +47,10 @@
 }
 
 impl OwnershipEvidence {
-    /// Time before which no member takes over that assumes no more than one lease.
+    /// Time before which no other member owns the pools, as far as the evidence tells.
     pub fn stands_until(&self) -> ClockTime {
-        self.stored_at.max(self.promised_until)
+        let promised = self.promised_until.min(self.stored_at + MAX_PROMISED_SPAN);
+        self.stored_at.max(promised)
     }
 
     /// Latest end of a lease that may be granted on this evidence.
--- a/crates/emulator/tests/partition.rs
+++ b/crates/emulator/tests/partition.rs
@@ -1,8 +1,10 @@
 //! Pattern: a partition with workers on both sides. The owner is on the smaller side, the store and the
 //! members that replace it on the other.
 
+use std::ops::RangeInclusive;
+
 use jacinthhoist_core::job::TaskEnd;
-use jacinthhoist_emulator::{EmulationScenario, EndKind, check, run_scenario};
+use jacinthhoist_emulator::{EmulationScenario, EndKind, ScenarioOutcome, check, run_scenario};
 
 const SCENARIO: &str = r#"
     secs = 24
@@ -56,20 +58,61 @@
     }
 }
 
+/// Returns the number of runs that ended with their leases.
+fn count_lapsed(outcome: &ScenarioOutcome) -> usize {
+    let ends = outcome.history.runs.iter().map(|run| run.ended);
+    let lapsed =
+        ends.filter(|end| end.is_some_and(|(_, kind)| kind == EndKind::Reported(TaskEnd::Lapsed)));
+    lapsed.count()
+}
+
+/// Checks that days with an outage of the store end no run.
+fn check_outages(faults: &str, seeds: RangeInclusive<u64>) {
+    let scenario = EmulationScenario::parse(&format!("{SCENARIO}{faults}"));
+    let scenario = scenario.expect("the scenario is valid");
+    for seed in seeds {
+        let outcome = run_scenario(&scenario, seed);
+        assert_eq!(check(&outcome.history), [], "seed {seed}, {faults}");
+        assert_eq!(count_lapsed(&outcome), 0, "seed {seed}, {faults}");
+    }
+}
+
 /// Guards against the end of all runs in an outage of the store: it answers nobody, so that no member
 /// takes over, and the owner extends leases on the promises of the others.
 #[test]
 fn an_outage_of_the_store_for_all_members_ends_no_run() {
     for kind in ["store_silent", "store_down"] {
-        let text = format!("{SCENARIO}[[faults]]\nkind = \"{kind}\"\nat = 8.0\nfor_s = 9.0\n");
-        let scenario = EmulationScenario::parse(&text).expect("the scenario is valid");
-        for seed in 1..=3 {
-            let outcome = run_scenario(&scenario, seed);
-            assert_eq!(check(&outcome.history), [], "seed {seed}");
-            let mut ends = outcome.history.runs.iter().map(|run| run.ended);
-            let lapsed = ends
-                .any(|end| end.is_some_and(|(_, kind)| kind == EndKind::Reported(TaskEnd::Lapsed)));
-            assert!(!lapsed, "seed {seed}, {kind}");
-        }
+        let outage = format!("[[faults]]\nkind = \"{kind}\"\nat = 8.0\nfor_s = 9.0\n");
+        check_outages(&outage, 1..=3);
+    }
+}
+
+/// Guards against the same beside a member that has just ended: the owner waited for the promise of its
+/// process, and the process that took its place knew no owner while the store was silent.
+#[test]
+fn no_promise_of_a_process_that_has_ended_is_needed() {
+    for at in [8.8, 9.0] {
+        let kill = "[[faults]]\nkind = \"member_kill\"\nat = 7.0\ncount = 2\n";
+        let outage = format!("[[faults]]\nkind = \"store_silent\"\nat = {at:.1}\nfor_s = 9.0\n");
+        check_outages(&format!("{kill}{outage}"), 1..=3);
+    }
+}
+
+/// Guards against an owner that is never replaced: a store that answers in between had told the others that
+/// nobody owned the pools, and they went on promising not to take over.
+#[test]
+fn no_member_promises_that_the_store_has_told_of_a_vacancy() {
+    let mut faults = "[[faults]]\nkind = \"owner_store_cut\"\nat = 8.0\nfor_s = 12.0\n".to_owned();
+    for number in 0..15 {
+        let at = 8.0 + 0.8 * f64::from(number);
+        faults += &format!("[[faults]]\nkind = \"store_down\"\nat = {at:.2}\nfor_s = 0.65\n");
+    }
+    let scenario = EmulationScenario::parse(&format!("{SCENARIO}{faults}"));
+    let scenario = scenario.expect("the scenario is valid");
+    for seed in 1..=3 {
+        let outcome = run_scenario(&scenario, seed);
+        assert_eq!(check(&outcome.history), [], "seed {seed}");
+        let successor = outcome.history.owners.get(1);
+        assert!(successor.is_some(), "seed {seed}");
     }
 }
--- a/crates/scheduler/src/member.rs
+++ b/crates/scheduler/src/member.rs
@@ -97,6 +97,11 @@
     key.split(KEY_SEPARATOR).nth(1)?.parse().ok()
 }
 
+/// Returns the number in a member key that rises with the processes of a member.
+pub(crate) fn process_nonce(key: &str) -> Option<u64> {
+    key.split(KEY_SEPARATOR).nth(2)?.parse().ok()
+}
+
 /// Settings of a member.
 #[derive(Clone, Debug)]
 pub struct SchedulerSettings {
@@ -191,6 +196,7 @@
         tasks.spawn(OperatorTask::open(platform.clone(), shared.clone(), waves).run());
         let ownership = Arc::new(ownership);
         tasks.spawn(membership::watch_owner(platform.clone(), shared.clone()));
+        tasks.spawn(peer::watch_absent_members(peers, shared.clone()));
         tasks.spawn(membership::run(
             platform.clone(),
             shared.clone(),
--- a/crates/scheduler/src/owner/authority.rs
+++ b/crates/scheduler/src/owner/authority.rs
@@ -97,7 +97,7 @@
         let evidence = self.evidence();
         let confirmed = evidence.stored_at + MAX_AUTHORITY_AGE;
         let decided = self.clock.now() + MAX_AUTHORITY_AGE;
-        self.until(confirmed.max(evidence.promised_until).min(decided))
+        self.until(confirmed.max(evidence.stands_until()).min(decided))
     }
 
     fn since(&self, evidence_at: ClockTime) -> OrderAuthority {
--- a/crates/scheduler/src/owner/engine.rs
+++ b/crates/scheduler/src/owner/engine.rs
@@ -5,9 +5,7 @@
 use jacinthhoist_codec::{AcceptedRecord, JobReply, OwnerHeartbeat};
 use jacinthhoist_core::{
     ClockTime,
-    job::{
-        JobCatalogue, JobId, OrderReply, OwnershipEvidence, Scheduler, StepPace, SuccessionRecord,
-    },
+    job::{JobCatalogue, JobId, OrderReply, Scheduler, StepPace, SuccessionRecord},
 };
 use smallvec::SmallVec;
 use tokio::{
@@ -45,8 +43,9 @@
 const POOL_LOG_INTERVAL: ClockTime = ClockTime::from_millis(1_000);
 /// Interval between log lines on the leases of an owner without evidence from the store.
 const LEASE_LOG_INTERVAL: ClockTime = ClockTime::from_millis(1_000);
-/// Time after a takeover at which the other members have opened their links.
-const SUCCESSION_DELAY: ClockTime = ClockTime::from_millis(1_000);
+/// Time after a takeover at which most other members have opened their links; they look for the owner
+/// every 100 ms.
+const SUCCESSION_DELAY: ClockTime = ClockTime::from_millis(300);
 /// Maximum age of the last read of accepted jobs at which the owner may report a job as missing.
 const MAX_TAIL_AGE: ClockTime = ClockTime::from_millis(1_500);
 
@@ -197,8 +196,10 @@
 
     fn step(&mut self) {
         let now = self.shared.clock.now();
-        let confirmed_at = self.ownership.borrow().confirmed_at;
-        self.authority.record_confirmation(confirmed_at);
+        let ownership = *self.ownership.borrow();
+        if ownership.owned_since.is_some() {
+            self.authority.record_confirmation(ownership.confirmed_at);
+        }
         self.authority.record_followers(self.follower_evidence());
         self.scheduler.set_evidence(self.authority.evidence());
         self.update_succession(now);
@@ -238,7 +239,7 @@
         let standings = &self.shared.standings;
         let formers = self.scheduler.former_owners().iter();
         let ended = formers.filter(|former| {
-            standings.has_ended(&former.key)
+            standings.has_ended(&former.key, self.taken_over_at)
                 || standings.follows_since(&former.key, self.taken_over_at)
         });
         let ended: SmallVec<[Arc<str>; 2]> = ended.map(|former| former.key.clone()).collect();
@@ -263,10 +264,8 @@
 
     /// Logs until when the leases run that an owner without evidence from the store has granted.
     fn log_leases(&mut self, now: ClockTime) {
-        let OwnershipEvidence {
-            stored_at: evidence_at,
-            promised_until,
-        } = self.authority.evidence();
+        let evidence = self.authority.evidence();
+        let evidence_at = evidence.stored_at;
         let is_due = now >= self.leases_logged_at + LEASE_LOG_INTERVAL;
         if now < evidence_at + MAX_AUTHORITY_AGE || !is_due {
             return;
@@ -280,7 +279,7 @@
                 (count + 1, latest.max(until))
             });
         event!(self.shared.log, Leases, "evidence_age_ms": (now - evidence_at).as_millis(),
-            "promised_until_ms": promised_until.as_millis(), "workers": count,
+            "stands_until_ms": evidence.stands_until().as_millis(), "workers": count,
             "until_ms": until.as_millis());
     }
 
--- a/crates/scheduler/src/owner_view.rs
+++ b/crates/scheduler/src/owner_view.rs
@@ -132,9 +132,12 @@
     }
 
     /// Promises not to take over from an owner for [`PROMISE_SPAN`]; returns `false` without a promise.
-    /// A member promises only while the store does not answer it.
+    /// A member promises only while the store does not answer it, and not once the store has named no
+    /// owner or another one.
     pub(crate) fn promise(&self, owner: &str) -> bool {
-        if !self.lookup_failed.load(Ordering::Relaxed) || self.is_superseded(owner) {
+        let is_vacant = matches!(**self.recorded_owner.load(), RecordedOwner::Vacant(_));
+        let is_answered = !self.lookup_failed.load(Ordering::Relaxed);
+        if is_answered || is_vacant || self.is_superseded(owner) {
             return false;
         }
         let until = self.clock.now() + PROMISE_SPAN;
--- a/crates/scheduler/src/peer.rs
+++ b/crates/scheduler/src/peer.rs
@@ -1,6 +1,7 @@
 //! Links between members: the owner answers job queries and sends heartbeats; the other
 //! members follow it.
 
+mod absence;
 mod feed;
 mod finder;
 mod followers;
@@ -9,6 +10,7 @@
 mod serve;
 mod standing;
 
+pub(crate) use absence::watch_absent_members;
 pub use feed::{FollowedHeartbeats, HeartbeatFeed};
 pub(crate) use followers::FollowerRegistry;
 pub use network::TcpPeers;
--- a/crates/scheduler/src/peer/serve.rs
+++ b/crates/scheduler/src/peer/serve.rs
@@ -81,6 +81,10 @@
     let Ok(Ok(mut socket)) = timeout(HANDSHAKE_TIMEOUT, accept_async(stream)).await else {
         return;
     };
+    let identity = JobFrame::Identify(shared.identity.member_key().into());
+    if !send(&mut socket, &identity).await {
+        return;
+    }
     let mut heartbeats = shared.heartbeats.follow();
     let (answers, mut pending_answers) = mpsc::channel(MAX_QUEUED_ANSWERS);
     let mut designation = None;
@@ -91,6 +95,10 @@
                 Some(Ok(message)) => {
                     match handle_frame(&shared, &answers, &appends, &message) {
                         Some(FollowerNotice::Candidate(rank)) => {
+                            // Without a key it is of an earlier release, and makes no promises.
+                            member.get_or_insert_with(|| {
+                                LinkedMember::open(shared.clone(), shared.standings.unknown_key())
+                            });
                             designation = Some(shared.followers.add(rank));
                         }
                         Some(FollowerNotice::Identity(key)) => {
--- a/crates/scheduler/src/peer/standing.rs
+++ b/crates/scheduler/src/peer/standing.rs
@@ -1,18 +1,27 @@
 //! Evidence of the other members that an owner has not been replaced.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+};
 
 use arc_swap::ArcSwap;
 use jacinthhoist_codec::StandingEvidence;
 use jacinthhoist_core::{ClockTime, job::promise_end};
 use smallvec::SmallVec;
 
-use crate::member::peer_address;
+use crate::member::{peer_address, process_nonce};
 
 /// Time after the end of its link for which a member counts as one that may take over; longer than a
 /// link takes to be reopened.
 const MAX_LINK_GAP: ClockTime = ClockTime::from_millis(5_000);
 
+/// Time after its last link for which an ended or absent member is remembered.
+const RETENTION: ClockTime = ClockTime::from_secs(600);
+
 /// What the owner knows of one other member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum MemberStanding {
@@ -20,7 +29,7 @@
     Following(u32),
     /// The last link of the member ended at this time.
     Away(ClockTime),
-    /// Another process of the member has identified itself.
+    /// The process has ended.
     Ended,
 }
 
@@ -39,33 +48,67 @@
 /// Members that have identified themselves to this one, by key, and what they have answered. Readers
 /// take a snapshot.
 #[derive(Debug, Default)]
-pub(crate) struct FollowerStandings(ArcSwap<BTreeMap<Arc<str>, MemberRecord>>);
+pub(crate) struct FollowerStandings {
+    records: ArcSwap<BTreeMap<Arc<str>, MemberRecord>>,
+    /// Number of links without a key so far.
+    unknown_links: AtomicU64,
+}
 
 impl FollowerStandings {
+    /// Returns a key for a link of a member that has not sent its own.
+    pub(super) fn unknown_key(&self) -> Arc<str> {
+        let number = self.unknown_links.fetch_add(1, Ordering::Relaxed);
+        format!("unknown {number}").into()
+    }
+
     /// Records a new link of a member; earlier processes at its address have ended.
     pub(super) fn link_opened(&self, key: &Arc<str>, now: ClockTime) {
-        let address = peer_address(key);
         self.change(|records| {
-            for (other, record) in records.iter_mut() {
-                if other != key && peer_address(other) == address {
-                    record.standing = MemberStanding::Ended;
-                }
-            }
+            records.retain(|_, record| {
+                matches!(record.standing, MemberStanding::Following(_))
+                    || now < record.linked_at + RETENTION
+            });
+            end_predecessors(records, key);
+            let is_outdated = records.keys().any(|other| is_later_process(other, key));
             let record = records.entry(key.clone()).or_insert(MemberRecord {
                 standing: MemberStanding::Following(0),
                 linked_at: now,
                 confirmed_at: ClockTime::ZERO,
                 promised_at: ClockTime::ZERO,
             });
-            let links = match record.standing {
-                MemberStanding::Following(links) => links,
-                MemberStanding::Away(_) | MemberStanding::Ended => 0,
-            };
-            record.standing = MemberStanding::Following(links + 1);
             record.linked_at = now;
+            record.standing = match record.standing {
+                _ if is_outdated => MemberStanding::Ended,
+                MemberStanding::Following(links) => MemberStanding::Following(links + 1),
+                MemberStanding::Away(_) | MemberStanding::Ended => MemberStanding::Following(1),
+            };
         });
     }
 
+    /// Records the process that answers at the address of an absent member; returns whether the member
+    /// has ended.
+    pub(super) fn record_process(&self, key: &Arc<str>, absent: &Arc<str>) -> bool {
+        self.change(|records| end_predecessors(records, key));
+        is_later_process(key, absent)
+    }
+
+    /// Records that the process of a member has ended.
+    pub(super) fn record_end(&self, key: &Arc<str>) {
+        self.change(|records| {
+            if let Some(record) = records.get_mut(key) {
+                record.standing = MemberStanding::Ended;
+            }
+        });
+    }
+
+    /// Returns the members without a link.
+    pub(super) fn absent(&self) -> SmallVec<[Arc<str>; 8]> {
+        let records = self.records.load();
+        let is_away = |record: &MemberRecord| matches!(record.standing, MemberStanding::Away(_));
+        let away = records.iter().filter(|(_, record)| is_away(record));
+        away.map(|(key, _)| key.clone()).collect()
+    }
+
     /// Records the end of a link.
     pub(super) fn link_closed(&self, key: &Arc<str>, now: ClockTime) {
         self.change(|records| {
@@ -100,7 +143,7 @@
 
     /// Returns the members that may take over, in order.
     pub(crate) fn successors(&self, now: ClockTime) -> SmallVec<[Arc<str>; 8]> {
-        let records = self.0.load();
+        let records = self.records.load();
         let present = records.iter().filter(|(_, record)| match record.standing {
             MemberStanding::Following(_) => true,
             MemberStanding::Away(since) => now < since + MAX_LINK_GAP,
@@ -111,7 +154,7 @@
 
     /// Returns the time as of which the store last named this member as the owner in answer to a follower.
     pub(crate) fn confirmed_at(&self) -> ClockTime {
-        let records = self.0.load();
+        let records = self.records.load();
         let confirmed = records.values().map(|record| record.confirmed_at);
         confirmed.max().unwrap_or_default()
     }
@@ -122,7 +165,7 @@
         &self,
         mut members: impl Iterator<Item = &'a Arc<str>>,
     ) -> ClockTime {
-        let records = self.0.load();
+        let records = self.records.load();
         let until = members.try_fold(ClockTime::from_millis(u64::MAX), |earliest, key| {
             let record = records.get(key)?;
             match record.standing {
@@ -137,28 +180,37 @@
     /// Returns whether a member has opened a link at `since` or later, which it does not while it owns the
     /// pools.
     pub(crate) fn follows_since(&self, key: &str, since: ClockTime) -> bool {
-        let records = self.0.load();
+        let records = self.records.load();
         let record = records.get(key);
         record.is_some_and(|record| record.linked_at >= since)
     }
 
-    /// Returns whether another process has taken the place of a member.
-    pub(crate) fn has_ended(&self, key: &str) -> bool {
-        let records = self.0.load();
-        let address = peer_address(key);
-        let mut others = records.iter();
-        others.any(|(other, record)| {
-            **other != *key
-                && peer_address(other) == address
-                && record.standing != MemberStanding::Ended
-        })
+    /// Returns whether a later process of a member has opened a link at `since` or later.
+    pub(crate) fn has_ended(&self, key: &str, since: ClockTime) -> bool {
+        let records = self.records.load();
+        let mut later = records.iter();
+        later.any(|(other, record)| record.linked_at >= since && is_later_process(other, key))
     }
 
     fn change(&self, change: impl Fn(&mut BTreeMap<Arc<str>, MemberRecord>)) {
-        self.0.rcu(|records| {
+        self.records.rcu(|records| {
             let mut records = BTreeMap::clone(records);
             change(&mut records);
             records
         });
     }
 }
+
+/// Returns whether a key is that of a later process at the address in another key.
+fn is_later_process(key: &str, other: &str) -> bool {
+    let address = peer_address(key);
+    address.is_some() && address == peer_address(other) && process_nonce(key) > process_nonce(other)
+}
+
+fn end_predecessors(records: &mut BTreeMap<Arc<str>, MemberRecord>, key: &str) {
+    for (other, record) in records.iter_mut() {
+        if is_later_process(key, other) {
+            record.standing = MemberStanding::Ended;
+        }
+    }
+}
