Log each stop order with its reason

A `run_stop` line now names task, run, worker and reason, each time that the order is sent; a task that is being stopped keeps the reason, so that a repeated order names the first one's. The test fails without the line.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -38,6 +38,7 @@
 mod silence;
 mod spec;
 mod step_pace;
+mod stop;
 mod task;
 mod vm_order;
 mod wave;
@@ -66,6 +67,7 @@
     JobError, JobId, JobSpec, JobState, JobTerms, RepeatPlan, Resources, StepKey, StepSpec, TaskKey,
 };
 pub use step_pace::StepPace;
+pub use stop::StopReason;
 pub use task::{
     AnyTask, Assigned, FailedRuns, Running, StartOrderState, Stopping, TaskEnd, TaskRun, Waiting,
 };
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -44,6 +44,7 @@
     order::DurationTable,
     silence::{PoolUnrest, RecentSilences},
     spec::{JobId, JobState, Resources, StepKey, TaskKey},
+    stop::StopReason,
     task::TaskEnd,
     wave::WaveTable,
     worker::{StartReply, Worker},
@@ -227,6 +228,17 @@
         /// Worker of the run.
         worker: WorkerId,
     },
+    /// A run is ordered to stop.
+    RunStop {
+        /// Task of the run.
+        task: TaskKey,
+        /// Run number.
+        run: u32,
+        /// Worker that receives the order.
+        worker: WorkerId,
+        /// Reason for the order.
+        reason: StopReason,
+    },
     /// A run is in doubt together with its worker, which has fallen silent or restarted.
     RunInDoubt {
         /// Task of the run.
--- a/crates/core/src/job/scheduler/orders.rs
+++ b/crates/core/src/job/scheduler/orders.rs
@@ -7,6 +7,7 @@
     job::{
         charge::STOP_RETRY_DELAY,
         spec::TaskKey,
+        stop::StopReason,
         task::{AnyTask, FULL_PERCENT, StartOrderState},
         worker::{OrderReply, StartReply, WorkerState},
     },
@@ -144,15 +145,21 @@
     }
 
     /// Orders a run to stop.
-    pub(super) fn stop_task(&mut self, id: &WorkerId, key: TaskKey, run: u32) {
+    pub(super) fn stop_task(&mut self, id: &WorkerId, key: TaskKey, run: u32, reason: StopReason) {
         let now = self.now;
         if let Some(slot) = self.assigned_slot(id, key, run) {
-            *slot = slot.clone().stopped(now);
+            *slot = slot.clone().stopped(reason, now);
         }
-        self.send_stop(id, key, run);
+        self.send_stop(id, key, run, reason);
     }
 
-    pub(super) fn send_stop(&mut self, id: &WorkerId, task: TaskKey, run: u32) {
+    pub(super) fn send_stop(&mut self, id: &WorkerId, task: TaskKey, run: u32, reason: StopReason) {
+        self.log_decision(SchedulerDecision::RunStop {
+            task,
+            run,
+            worker: id.clone(),
+            reason,
+        });
         self.effects.push(Effect::Stop {
             worker: id.clone(),
             task,
@@ -168,7 +175,7 @@
             return;
         }
         self.last_sweep_at = now;
-        let mut stops: SmallVec<[(WorkerId, TaskKey, u32); 8]> = smallvec![];
+        let mut stops: SmallVec<[(WorkerId, TaskKey, u32, StopReason); 8]> = smallvec![];
         let mut migrations: SmallVec<[(WorkerId, TaskKey, u32); 8]> = smallvec![];
         let mut hung: SmallVec<[WorkerId; 2]> = smallvec![];
         for worker in self.workers.values() {
@@ -185,10 +192,16 @@
                 let step = job.step(key);
                 let can_resume = step.long_running || step.checkpoints;
                 let should_migrate = worker.entry.state == WorkerState::Draining && can_resume;
-                let should_stop = match task {
+                let unwanted = if job.life.goal().is_some() {
+                    Some(StopReason::Unwanted)
+                } else {
+                    job.has_lost_members(key).then_some(StopReason::GangBroken)
+                };
+                let stop = match task {
                     AnyTask::Stopping(task) => {
-                        task.phase.acked_at.is_none()
-                            && now > task.phase.ordered_at + STOP_RETRY_DELAY
+                        let is_due = task.phase.acked_at.is_none()
+                            && now > task.phase.ordered_at + STOP_RETRY_DELAY;
+                        is_due.then_some(task.phase.reason)
                     }
                     AnyTask::Running(task) => {
                         // By the last report, as this owner may have been suspended since then.
@@ -199,21 +212,19 @@
                         if is_hung {
                             hung.push(worker.id.clone());
                         }
-                        let is_unwanted =
-                            is_hung || job.life.goal().is_some() || job.has_lost_members(key);
-                        if should_migrate && !is_unwanted {
+                        let stop = unwanted.or(is_hung.then_some(StopReason::Hung));
+                        if should_migrate && stop.is_none() {
                             migrations.push((worker.id.clone(), *key, *run));
                         }
-                        is_unwanted
+                        stop
                     }
                     AnyTask::Assigned(task) => {
-                        (job.life.goal().is_some() || job.has_lost_members(key))
-                            && task.phase.order != StartOrderState::Inherited
+                        unwanted.filter(|_| task.phase.order != StartOrderState::Inherited)
                     }
-                    _ => false,
+                    _ => None,
                 };
-                if should_stop {
-                    stops.push((worker.id.clone(), *key, *run));
+                if let Some(reason) = stop {
+                    stops.push((worker.id.clone(), *key, *run, reason));
                 }
             }
         }
@@ -222,17 +233,17 @@
                 worker.suspend(now);
             }
         }
-        for (id, key, run) in stops {
+        for (id, key, run, reason) in stops {
             if let Some(AnyTask::Stopping(task)) = self.assigned_slot(&id, key, run) {
                 task.phase.ordered_at = now;
             }
-            self.stop_task(&id, key, run);
+            self.stop_task(&id, key, run, reason);
         }
         self.stop_strays();
         for (id, key, run) in migrations {
             let job = self.jobs.get(&key.job);
             if job.is_some_and(|job| self.can_stop_one(job, &key)) {
-                self.stop_task(&id, key, run);
+                self.stop_task(&id, key, run, StopReason::Draining);
             }
         }
     }
--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -10,6 +10,7 @@
         lease::UnknownLease,
         process::WorkerProcess,
         spec::TaskKey,
+        stop::StopReason,
         task::{AnyTask, StartOrderState, TaskEnd},
         worker::{ActiveRun, EndedRun, RenewalReport, Worker, WorkerEntry, WorkerState},
     },
@@ -337,7 +338,7 @@
                 UnreportedRun::AskAgain => self.request_report(id),
                 UnreportedRun::Stop => {
                     self.avoid_worker(id, key);
-                    self.stop_task(id, key, run);
+                    self.stop_task(id, key, run, StopReason::Unanswered);
                 }
                 UnreportedRun::Lost => self.mark_run_lost(id, key, run, LossReason::NotThere),
             }
--- a/crates/core/src/job/scheduler/strays.rs
+++ b/crates/core/src/job/scheduler/strays.rs
@@ -10,6 +10,7 @@
     job::{
         charge::{AnyCharge, RunCost},
         spec::TaskKey,
+        stop::StopReason,
         task::{AnyTask, StartOrderState},
         worker::{ActiveRun, Worker},
     },
@@ -149,7 +150,7 @@
             }
         }
         for (key, run) in stops {
-            self.send_stop(id, key, run);
+            self.send_stop(id, key, run, StopReason::Stray);
         }
     }
 
@@ -168,10 +169,10 @@
 
     /// Stops a run in the new process of a restarted worker.
     pub(super) fn stop_again(&mut self, id: &WorkerId, key: TaskKey, run: u32) {
-        let now = self.now;
+        let (reason, now) = (StopReason::Restarted, self.now);
         if let Some(slot) = self.assigned_slot(id, key, run) {
-            *slot = slot.clone().stopped_again(now);
-            self.send_stop(id, key, run);
+            *slot = slot.clone().stopped_again(reason, now);
+            self.send_stop(id, key, run, reason);
         } else if let Some(worker) = self.workers.get_mut(id) {
             worker.give_up_run(key, run);
             if let Some(stray) = worker.stray_mut(key, run) {
--- a/crates/core/src/job/scheduler/waves.rs
+++ b/crates/core/src/job/scheduler/waves.rs
@@ -8,6 +8,7 @@
         charge::AnyCharge,
         place::{PlaceRequest, is_eligible},
         spec::TaskKey,
+        stop::StopReason,
         task::{AnyTask, FULL_PERCENT},
         vm_order::VmOrder,
         wave::{WaveProgress, WaveRequest},
@@ -259,7 +260,7 @@
                 step.checkpoints && !step.gang && is_long
             };
             if should_move {
-                self.stop_task(id, key, run);
+                self.stop_task(id, key, run, StopReason::VmLeaving);
             }
         }
     }
--- a/crates/core/src/job/task.rs
+++ b/crates/core/src/job/task.rs
@@ -11,6 +11,8 @@
 
 use crate::{clock::ClockTime, name::WorkerId};
 
+use super::stop::StopReason;
+
 /// Progress of a run that is complete, or in full operation.
 pub(super) const FULL_PERCENT: u8 = 100;
 /// Longest time that a run takes to stop.
@@ -121,6 +123,8 @@
 pub struct Stopping {
     /// Worker of the run.
     pub worker: WorkerId,
+    /// Reason for the stop.
+    pub reason: StopReason,
     /// Time at which the last stop order was sent.
     pub ordered_at: ClockTime,
     /// Time at which the worker acknowledged a stop order.
@@ -241,9 +245,9 @@
     }
 
     /// Records that the run has been ordered to stop.
-    pub fn stop(self, now: ClockTime) -> TaskRun<Stopping> {
+    pub fn stop(self, reason: StopReason, now: ClockTime) -> TaskRun<Stopping> {
         let worker = self.phase.worker.clone();
-        self.with_phase(Stopping::ordered(worker, now))
+        self.with_phase(Stopping::ordered(worker, reason, now))
     }
 }
 
@@ -268,24 +272,25 @@
     }
 
     /// Records that the run has been ordered to stop.
-    pub fn stop(self, now: ClockTime) -> TaskRun<Stopping> {
+    pub fn stop(self, reason: StopReason, now: ClockTime) -> TaskRun<Stopping> {
         let worker = self.phase.worker.clone();
-        self.with_phase(Stopping::ordered(worker, now))
+        self.with_phase(Stopping::ordered(worker, reason, now))
     }
 }
 
 impl TaskRun<Stopping> {
     /// Records that the run has been ordered to stop in a new process, which knows of no earlier order.
-    pub fn stop_again(self, now: ClockTime) -> Self {
+    pub fn stop_again(self, reason: StopReason, now: ClockTime) -> Self {
         let worker = self.phase.worker.clone();
-        self.with_phase(Stopping::ordered(worker, now))
+        self.with_phase(Stopping::ordered(worker, reason, now))
     }
 }
 
 impl Stopping {
-    fn ordered(worker: WorkerId, now: ClockTime) -> Self {
+    fn ordered(worker: WorkerId, reason: StopReason, now: ClockTime) -> Self {
         Self {
             worker,
+            reason,
             ordered_at: now,
             acked_at: None,
         }
@@ -424,19 +429,19 @@
     }
 
     /// Moves the task to `Stopping` when its run is ordered to stop.
-    pub fn stopped(self, now: ClockTime) -> Self {
+    pub fn stopped(self, reason: StopReason, now: ClockTime) -> Self {
         match self {
-            Self::Assigned(task) => Self::Stopping(task.stop(now)),
-            Self::Running(task) => Self::Stopping(task.stop(now)),
+            Self::Assigned(task) => Self::Stopping(task.stop(reason, now)),
+            Self::Running(task) => Self::Stopping(task.stop(reason, now)),
             other => other,
         }
     }
 
     /// Moves the task to `Stopping` when its run is ordered to stop, whether or not it was before.
-    pub fn stopped_again(self, now: ClockTime) -> Self {
+    pub fn stopped_again(self, reason: StopReason, now: ClockTime) -> Self {
         match self {
-            Self::Stopping(task) => Self::Stopping(task.stop_again(now)),
-            other => other.stopped(now),
+            Self::Stopping(task) => Self::Stopping(task.stop_again(reason, now)),
+            other => other.stopped(reason, now),
         }
     }
 
--- a/crates/core/tests/jobs/availability.rs
+++ b/crates/core/tests/jobs/availability.rs
@@ -1,6 +1,8 @@
 //! Availability of long-running steps: which orders end a sound run.
 
-use jacinthhoist_core::job::{JobId, TaskEnd, WorkerEntry, WorkerState};
+use jacinthhoist_core::job::{
+    Effect, JobId, SchedulerDecision, StartReply, StopReason, TaskEnd, WorkerEntry, WorkerState,
+};
 
 use crate::harness::{
     RunOrder, SchedulerHarness, listed_entry, long_running_step, number_of, worker,
@@ -76,3 +78,25 @@
     next.settle();
     assert_eq!(next.stops, starts[..1], "all tasks are back");
 }
+
+/// Guards against a trace in which the order that ended a run cannot be found: each stop order is logged
+/// with its reason.
+#[test]
+fn each_stop_order_is_logged_with_its_reason() {
+    let mut harness = SchedulerHarness::open(1);
+    harness.accept(1, vec![long_running_step(1, 1)]);
+    harness.settle();
+    let start = harness.starts.remove(0);
+    harness.reply(&start, StartReply::Unknown);
+    harness.report_all(&[], 1, 100);
+    let mut reasons = Vec::new();
+    for _ in 0..2 {
+        let effects = harness.scheduler.step(harness.now);
+        reasons.extend(effects.into_iter().filter_map(|effect| match effect {
+            Effect::Log(SchedulerDecision::RunStop { reason, .. }) => Some(reason),
+            _ => None,
+        }));
+        harness.wait(1_000);
+    }
+    assert_eq!(reasons, [StopReason::Unanswered; 2]);
+}
--- a/crates/scheduler/src/eventlog.rs
+++ b/crates/scheduler/src/eventlog.rs
@@ -69,6 +69,7 @@
     RunLost => ("run_lost", "A run was lost and can no longer be active."),
     RunAdopted => ("run_adopted", "A run that was given up is in progress, and its task keeps it."),
     RunStray => ("run_stray", "A worker reports a run that belongs to no task."),
+    RunStop => ("run_stop", "A run is ordered to stop."),
     RunInDoubt => ("run_in_doubt", "A run may have ended together with its worker."),
     TaskFatal => ("task_fatal", "A task was given up, as it crashes its workers."),
     Finished => ("finished", "A job has ended."),
--- a/crates/scheduler/src/owner/decisions.rs
+++ b/crates/scheduler/src/owner/decisions.rs
@@ -109,6 +109,16 @@
         SchedulerDecision::RunStray { task, run, worker } => {
             (EventKind::RunStray, run_fields(&task, run, &worker))
         }
+        SchedulerDecision::RunStop {
+            task,
+            run,
+            worker,
+            reason,
+        } => (
+            EventKind::RunStop,
+            json!({"job": task.job.to_string(), "task": task.to_string(), "run": run,
+                "worker": worker.as_str(), "reason": format!("{reason:?}")}),
+        ),
         SchedulerDecision::RunInDoubt {
             task,
             run,
