--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -199,6 +199,15 @@
         /// Reply of the worker.
         reply: StartReply,
     },
+    /// A start order without an answer is sent again.
+    StartRepeated {
+        /// Task of the run.
+        task: TaskKey,
+        /// Run number.
+        run: u32,
+        /// Worker that receives the order.
+        worker: WorkerId,
+    },
     /// A run can no longer be executing, or is replaced by a speculative copy.
     RunLost {
         /// Task of the run.
@@ -210,7 +219,7 @@
         /// Reason for the loss.
         reason: LossReason,
     },
-    /// A run that was given up is in progress, and its task has not been started again.
+    /// A run that was given up or ordered to stop is in progress, and its task has not been started again.
     RunAdopted {
         /// Task of the run.
         task: TaskKey,
--- a/crates/core/src/job/scheduler/batch.rs
+++ b/crates/core/src/job/scheduler/batch.rs
@@ -396,7 +396,7 @@
         }
     }
 
-    fn send_start(&mut self, task: TaskKey, run: u32) {
+    pub(super) fn send_start(&mut self, task: TaskKey, run: u32) {
         let (max_lease, now) = (self.limits.max_lease, self.now);
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
--- a/crates/core/src/job/scheduler/orders.rs
+++ b/crates/core/src/job/scheduler/orders.rs
@@ -9,7 +9,7 @@
         spec::TaskKey,
         stop::StopReason,
         task::{AnyTask, FULL_PERCENT, StartOrderState},
-        worker::{OrderReply, StartReply, WorkerState},
+        worker::{OrderReply, StartReply, Worker, WorkerState},
     },
     name::WorkerId,
 };
@@ -21,6 +21,12 @@
 /// Interval between searches for runs to stop: short compared with the time allowed for a
 /// cancellation.
 const SWEEP_INTERVAL: ClockTime = ClockTime::from_millis(100);
+/// Time after which a start order without an answer is repeated at the earliest: as long as an answer is
+/// awaited.
+const START_RETRY_DELAY: ClockTime = ClockTime::from_millis(300);
+/// Time for which a start order is repeated. The platform counts a long-running task as lost from 6 s after
+/// its last run.
+const START_PATIENCE: ClockTime = ClockTime::from_millis(4_000);
 
 impl Scheduler {
     /// Returns whether the worker's next report resolves a pending stop or a start with unknown
@@ -75,14 +81,24 @@
         };
         if reply == StartReply::Started {
             *slot = AnyTask::Running(task.confirm(now));
-        } else if reply.is_refusal() {
-            *slot = AnyTask::Waiting(task.release());
-            self.discharge_run(id, key, run);
-        } else {
-            // The worker has seen this run or a later one; its next report tells which.
-            task.phase.order = StartOrderState::Unsure(now);
-            *slot = AnyTask::Assigned(task);
+            return;
         }
+        let is_repeat = task.phase.order == StartOrderState::Repeated;
+        task.phase.order = match reply {
+            StartReply::OldRun => StartOrderState::Outdated(now),
+            StartReply::Unknown => StartOrderState::Unsure(now),
+            StartReply::Expired if is_repeat => StartOrderState::Unsure(now),
+            _ if is_repeat => {
+                self.stop_unanswered(id, key, run);
+                return;
+            }
+            _ => {
+                *slot = AnyTask::Waiting(task.release());
+                self.discharge_run(id, key, run);
+                return;
+            }
+        };
+        *slot = AnyTask::Assigned(task);
     }
 
     /// Updates the worker's health and permits from its reply to a start order.
@@ -144,6 +160,88 @@
         }
     }
 
+    /// Returns whether a start order without an answer is to be sent again: its worker would have to stop
+    /// the run before the task could start elsewhere, but too many others of the step are unavailable, and
+    /// the run may be at work by then.
+    pub(super) fn must_repeat_start(&self, id: &WorkerId, key: TaskKey) -> bool {
+        let Some((job, worker)) = self.jobs.get(&key.job).zip(self.workers.get(id)) else {
+            return false;
+        };
+        let Some(AnyTask::Assigned(task)) = job.task(&key) else {
+            return false;
+        };
+        let step = job.step(&key);
+        let is_wanted = job.life.goal().is_none() && !job.is_exhausted(&key);
+        // The members of a gang start again together, and the copies of a speculative task beside it.
+        let is_alone = !step.gang && !step.speculative;
+        let is_in_time = self.now <= task.phase.since + START_PATIENCE;
+        let may_start = worker.entry.state == WorkerState::Ready && worker.missing_since.is_none();
+        step.long_running
+            && is_wanted
+            && is_alone
+            && is_in_time
+            && may_start
+            && !self.can_stop_one(job, &key)
+    }
+
+    /// Sends a start order again, unless one was sent of late or the worker's lease cannot be extended yet.
+    /// A worker that runs the task already answers as if it had just started it.
+    pub(super) fn repeat_start(&mut self, id: &WorkerId, key: TaskKey, run: u32) {
+        let now = self.now;
+        let is_extendable = self.workers.get(id).is_some_and(Worker::is_extendable);
+        let Some(AnyTask::Assigned(task)) = self.assigned_slot(id, key, run) else {
+            return;
+        };
+        if !is_extendable || now < task.phase.ordered_at + START_RETRY_DELAY {
+            return;
+        }
+        task.phase.ordered_at = now;
+        self.send_start(key, run);
+        let Some(AnyTask::Assigned(task)) = self.assigned_slot(id, key, run) else {
+            return;
+        };
+        task.phase.order = StartOrderState::Repeated;
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.record_unanswered(now);
+        }
+        self.log_decision(SchedulerDecision::StartRepeated {
+            task: key,
+            run,
+            worker: id.clone(),
+        });
+    }
+
+    /// Stops a run whose start order may be carried out late.
+    pub(super) fn stop_unanswered(&mut self, id: &WorkerId, key: TaskKey, run: u32) {
+        self.avoid_worker(id, key);
+        self.stop_task(id, key, run, StopReason::Unanswered);
+    }
+
+    /// Keeps a reported run that was ordered to stop only because it might begin late: it is the newest run
+    /// of its task, and no copy of it has been started. An order that is under way may end it.
+    pub(super) fn keep_late_run(&mut self, id: &WorkerId, key: TaskKey, run: u32) {
+        let now = self.now;
+        let job = self.jobs.get(&key.job);
+        let is_wanted = job.is_some_and(|job| {
+            job.life.goal().is_none() && !job.is_exhausted(&key) && !job.step(&key).gang
+        });
+        let Some(slot) = self.assigned_slot(id, key, run).filter(|_| is_wanted) else {
+            return;
+        };
+        let AnyTask::Stopping(task) = &*slot else {
+            return;
+        };
+        if task.phase.acked_at.is_some() || !task.phase.reason.is_precaution() {
+            return;
+        }
+        *slot = AnyTask::Running(task.clone().keep(now));
+        self.log_decision(SchedulerDecision::RunAdopted {
+            task: key,
+            run,
+            worker: id.clone(),
+        });
+    }
+
     /// Orders a run to stop.
     pub(super) fn stop_task(&mut self, id: &WorkerId, key: TaskKey, run: u32, reason: StopReason) {
         let now = self.now;
--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -10,7 +10,6 @@
         lease::UnknownLease,
         process::WorkerProcess,
         spec::TaskKey,
-        stop::StopReason,
         task::{AnyTask, StartOrderState, TaskEnd},
         worker::{ActiveRun, EndedRun, RenewalReport, Worker, WorkerEntry, WorkerState},
     },
@@ -282,6 +281,7 @@
         if let Some(worker) = self.workers.get_mut(id) {
             worker.begin_run(row.task, row.run, now);
         }
+        self.keep_late_run(id, row.task, row.run);
         let Some(slot) = self.assigned_slot(id, row.task, row.run) else {
             return;
         };
@@ -320,10 +320,15 @@
             };
             let verdict = match &*slot {
                 AnyTask::Assigned(task) => match task.phase.order {
-                    StartOrderState::Queued | StartOrderState::Pending => UnreportedRun::Wait,
+                    StartOrderState::Queued
+                    | StartOrderState::Pending
+                    | StartOrderState::Repeated => UnreportedRun::Wait,
                     StartOrderState::Inherited => UnreportedRun::Lost,
-                    StartOrderState::Unsure(since) if asked_at >= since => UnreportedRun::Stop,
-                    StartOrderState::Unsure(_) => UnreportedRun::AskAgain,
+                    StartOrderState::Unsure(since) if asked_at >= since => UnreportedRun::Unsure,
+                    StartOrderState::Outdated(since) if asked_at >= since => UnreportedRun::Stop,
+                    StartOrderState::Unsure(_) | StartOrderState::Outdated(_) => {
+                        UnreportedRun::AskAgain
+                    }
                 },
                 AnyTask::Running(task) if asked_at > task.phase.since => UnreportedRun::Lost,
                 AnyTask::Stopping(task) => match task.phase.acked_at {
@@ -336,9 +341,11 @@
             match verdict {
                 UnreportedRun::Wait => {}
                 UnreportedRun::AskAgain => self.request_report(id),
-                UnreportedRun::Stop => {
-                    self.avoid_worker(id, key);
-                    self.stop_task(id, key, run, StopReason::Unanswered);
+                UnreportedRun::Unsure if self.must_repeat_start(id, key) => {
+                    self.repeat_start(id, key, run);
+                }
+                UnreportedRun::Unsure | UnreportedRun::Stop => {
+                    self.stop_unanswered(id, key, run);
                 }
                 UnreportedRun::Lost => self.mark_run_lost(id, key, run, LossReason::NotThere),
             }
@@ -476,6 +483,8 @@
     Wait,
     /// The report was requested too early to decide.
     AskAgain,
+    /// The run may start late unless it is stopped; its start order may be repeated.
+    Unsure,
     /// The run may start late unless it is stopped.
     Stop,
     /// The run can no longer be executing.
--- a/crates/core/src/job/stop.rs
+++ b/crates/core/src/job/stop.rs
@@ -20,3 +20,17 @@
     /// The run belongs to no task.
     Stray,
 }
+
+impl StopReason {
+    /// Returns whether the run is stopped only because it might begin late, so that its task keeps it if
+    /// it does.
+    ///
+    /// ```
+    /// use jacinthhoist_core::job::StopReason;
+    /// assert!(StopReason::Unanswered.is_precaution());
+    /// assert!(!StopReason::Hung.is_precaution());
+    /// ```
+    pub fn is_precaution(self) -> bool {
+        matches!(self, Self::Unanswered | Self::Restarted)
+    }
+}
--- a/crates/core/src/job/task.rs
+++ b/crates/core/src/job/task.rs
@@ -1,7 +1,8 @@
 //! The life cycle of one task as a typestate.
 //!
 //! `Waiting → Assigned → Running → Stopping`, back to `Waiting` when a run ends without completing
-//! the task, and finally to `Done` or `Exhausted`. Each transition consumes the value of the
+//! the task, and finally to `Done` or `Exhausted`. A run that was ordered to stop before it had begun, and
+//! begins all the same, returns to `Running`. Each transition consumes the value of the
 //! previous phase. The run number increases with each assignment, so no two runs of a task share a
 //! number.
 
@@ -85,6 +86,8 @@
     pub worker: WorkerId,
     /// Time of the assignment.
     pub since: ClockTime,
+    /// Time at which the start order was last repeated; that of the assignment before.
+    pub ordered_at: ClockTime,
     /// State of the start order.
     pub order: StartOrderState,
 }
@@ -98,6 +101,11 @@
     Pending,
     /// The outcome has been unknown since this time; the order may still be carried out.
     Unsure(ClockTime),
+    /// The order has been sent again after one without an answer, which may still be carried out
+    /// although this one is refused.
+    Repeated,
+    /// The worker answered at this time that it has seen this run or a later one.
+    Outdated(ClockTime),
     /// An earlier owner may have sent the order. It becomes void once the worker has seen this
     /// owner's fencing token.
     Inherited,
@@ -114,7 +122,7 @@
     pub percent: u8,
     /// Time of the last change in progress.
     pub progressed_at: ClockTime,
-    /// Time by which a stop order of an earlier owner has ended the run; it is reported until then.
+    /// Time by which a stop order that may have been sent has ended the run; it is reported until then.
     pub settled_at: ClockTime,
 }
 
@@ -216,6 +224,7 @@
         self.with_phase(Assigned {
             worker,
             since: now,
+            ordered_at: now,
             order,
         })
     }
@@ -279,6 +288,12 @@
 }
 
 impl TaskRun<Stopping> {
+    /// Keeps a run that has begun although it was ordered to stop before it could.
+    pub fn keep(self, now: ClockTime) -> TaskRun<Running> {
+        let worker = self.phase.worker.clone();
+        self.release().resume(worker, now, now)
+    }
+
     /// Records that the run has been ordered to stop in a new process, which knows of no earlier order.
     pub fn stop_again(self, reason: StopReason, now: ClockTime) -> Self {
         let worker = self.phase.worker.clone();
--- a/crates/emulator/tests/late_orders.rs
+++ b/crates/emulator/tests/late_orders.rs
@@ -1,5 +1,5 @@
-//! Pattern: an owner is suspended with orders under way, and their workers restart under their ids
-//! before it resumes.
+//! Patterns: an owner is suspended with orders under way, and their workers restart under their ids before
+//! it resumes; starts of long-running tasks are carried out late.
 
 use jacinthhoist_emulator::{EmulationScenario, check, run_scenario};
 
@@ -58,3 +58,34 @@
         (4.2, &[1, 11, 14, 22, 24, 31, 33, 35]),
     ]);
 }
+
+/// Long-running jobs whose workers carry out orders late, beside crashes.
+const SERVICES: &str = r#"
+    secs = 24
+    members = 3
+    workers = 8
+    spare = 0
+    [[loads]]
+    per_sec = 0.2
+    steps = 1
+    tasks = 4
+    task_ms = 600
+    lasting = 6
+"#;
+
+/// Guards against runs of a long-running step that are stopped while too many others are away: their starts
+/// got no answer and were carried out late, and each was ordered to stop until it ended (issue 43).
+#[test]
+fn late_runs_of_a_long_running_step_are_not_stopped_together() {
+    let mut text = SERVICES.to_owned();
+    for at in [4.0, 10.0, 16.0] {
+        text += &fault("worker_crash", at, 0.3, 3);
+        text += &fault("worker_late", at - 0.1, 4.0, 8);
+    }
+    let scenario = EmulationScenario::parse(&text).expect("the scenario is valid");
+    // Runs were stopped so with each of these seeds.
+    for seed in [11, 15, 19, 41, 50, 56, 85, 88] {
+        let outcome = run_scenario(&scenario, seed);
+        assert_eq!(check(&outcome.history), [], "seed {seed}");
+    }
+}
--- a/crates/scheduler/src/eventlog.rs
+++ b/crates/scheduler/src/eventlog.rs
@@ -65,6 +65,7 @@
     Placed => ("placed", "Tasks were assigned to workers."),
     RunEnded => ("run_ended", "A run ended without completing its task."),
     StartRefused => ("start_refused", "A start order did not start a run."),
+    StartRepeated => ("start_repeated", "A start order without an answer is sent again."),
     OrderExpired => ("order_expired", "An order was not sent, as its permission had run out."),
     RunLost => ("run_lost", "A run was lost and can no longer be active."),
     RunAdopted => ("run_adopted", "A run that was given up is in progress, and its task keeps it."),
--- a/crates/scheduler/src/owner/decisions.rs
+++ b/crates/scheduler/src/owner/decisions.rs
@@ -103,6 +103,9 @@
             json!({"job": task.job.to_string(), "task": task.to_string(), "run": run,
                 "worker": worker.as_str(), "reason": format!("{reason:?}")}),
         ),
+        SchedulerDecision::StartRepeated { task, run, worker } => {
+            (EventKind::StartRepeated, run_fields(&task, run, &worker))
+        }
         SchedulerDecision::RunAdopted { task, run, worker } => {
             (EventKind::RunAdopted, run_fields(&task, run, &worker))
         }
