--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -39,6 +39,7 @@
 mod silence;
 mod spec;
 mod step_pace;
+mod stop;
 mod succession;
 mod task;
 mod vm_order;
@@ -68,6 +69,7 @@
     JobError, JobId, JobSpec, JobState, JobTerms, RepeatPlan, Resources, StepKey, StepSpec, TaskKey,
 };
 pub use step_pace::StepPace;
+pub use stop::StopReason;
 pub use succession::{
     FormerOwner, OwnershipEvidence, PROMISE_SPAN, SuccessionLedger, SuccessionRecord, promise_end,
 };
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -44,6 +44,7 @@
     order::DurationTable,
     silence::{PoolUnrest, RecentSilences},
     spec::{JobId, JobState, Resources, StepKey, TaskKey},
+    stop::StopReason,
     succession::{FormerOwner, SuccessionLedger},
     task::TaskEnd,
     wave::WaveTable,
@@ -199,6 +200,15 @@
         /// Reply of the worker.
         reply: StartReply,
     },
+    /// A start order without an answer is sent again.
+    StartRepeated {
+        /// Task of the run.
+        task: TaskKey,
+        /// Run number.
+        run: u32,
+        /// Worker that receives the order.
+        worker: WorkerId,
+    },
     /// A run can no longer be executing, or is replaced by a speculative copy.
     RunLost {
         /// Task of the run.
@@ -210,7 +220,7 @@
         /// Reason for the loss.
         reason: LossReason,
     },
-    /// A run that was given up is in progress, and its task has not been started again.
+    /// A run that was given up or ordered to stop is in progress, and its task has not been started again.
     RunAdopted {
         /// Task of the run.
         task: TaskKey,
@@ -228,6 +238,17 @@
         /// Worker of the run.
         worker: WorkerId,
     },
+    /// A run is ordered to stop.
+    RunStop {
+        /// Task of the run.
+        task: TaskKey,
+        /// Run number.
+        run: u32,
+        /// Worker that receives the order.
+        worker: WorkerId,
+        /// Reason for the order.
+        reason: StopReason,
+    },
     /// A run is in doubt together with its worker, which has fallen silent or restarted.
     RunInDoubt {
         /// Task of the run.
--- a/crates/core/src/job/scheduler/batch.rs
+++ b/crates/core/src/job/scheduler/batch.rs
@@ -406,7 +406,7 @@
         }
     }
 
-    fn send_start(&mut self, task: TaskKey, run: u32) {
+    pub(super) fn send_start(&mut self, task: TaskKey, run: u32) {
         let now = self.now;
         let span = self.grantable_lease(now);
         let Some(job) = self.jobs.get_mut(&task.job) else {
