Remove a body again that was stored during its removal

The cause: a request that arrived again between the removal of the ended job's body and the answer to it was ignored by accept, as a removal was still to come, although that had been sent. Its answer then counted for the new body too, the end was dropped after status_s, and the next owner found a body without an end.

The life cycle of an ended job gets a phase for a removal under way. Only from there a job is forgotten; a body that is stored again leads back to Ended, where the answer to the earlier removal has no effect, and is removed again. So the end goes only once the last body that the owner has heard of is covered by a stored removal.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -49,7 +49,7 @@
 pub use charge::{AnyCharge, Held, RunCharge, RunCost, Stray};
 pub use crash::{Confirmed, CrashHistory, Implication, LostWorker, RunLoss, Suspected};
 pub use lease::{HeldLease, LeaseBasis, UnknownLease, WorkerLease};
-pub use life::{Begun, ClosedLife, Ended, Ending, Forgotten, JobLife, OpenLife, Queued};
+pub use life::{Begun, ClosedLife, Ended, Ending, Forgotten, JobLife, OpenLife, Queued, Removing};
 pub use order::{DurationTable, JobUrgency, QueuedJob, order_queue};
 pub use ownership::{
     MemberCapacity, MemberRank, OwnerSnapshot, RecordedOwner, UnknownRank, candidacy_at,
--- a/crates/core/src/job/life.rs
+++ b/crates/core/src/job/life.rs
@@ -1,13 +1,13 @@
 //! The life cycle of a job as a typestate.
 //!
-//! `Queued → Begun → Ending → Ended → Forgotten`; a job that ends before any of its tasks has
-//! started skips `Begun`. Each transition consumes the value of the previous phase. The state
-//! reported to callers follows the stored records, so a job in `Ending` is still reported in its
-//! previous state. An invalid transition does not compile:
+//! `Queued → Begun → Ending → Ended → Removing → Forgotten`; a job that ends before any of its tasks
+//! has started skips `Begun`, and one whose body is stored again returns to `Ended`. Each transition
+//! consumes the value of the previous phase. The state reported to callers follows the stored records,
+//! so a job in `Ending` is still reported in its previous state. An invalid transition does not compile:
 //!
 //! ```compile_fail
-//! use jacinthhoist_core::job::JobLife;
-//! JobLife::open().forget();
+//! use jacinthhoist_core::{ClockTime, job::{JobLife, JobState}};
+//! JobLife::close(JobState::Completed, ClockTime::ZERO).forget();
 //! ```
 
 use crate::clock::ClockTime;
@@ -29,13 +29,20 @@
     begun: bool,
 }
 
-/// The end of the job is stored, and its body has not been removed from the store yet.
+/// The end of the job is stored, and a body that no removal covers may be in the store.
 #[derive(Clone, Copy, Debug)]
 pub struct Ended {
     state: JobState,
     at: ClockTime,
 }
 
+/// The removal of the body was sent, and the body was not stored again since then.
+#[derive(Clone, Copy, Debug)]
+pub struct Removing {
+    state: JobState,
+    at: ClockTime,
+}
+
 /// Only the end of the job is stored; its body has been removed.
 #[derive(Clone, Copy, Debug)]
 pub struct Forgotten {
@@ -93,12 +100,34 @@
         Self { phase }
     }
 
+    /// Records that the removal of the body is sent to the store.
+    ///
+    /// ```
+    /// use jacinthhoist_core::{ClockTime, job::{ClosedLife, JobLife, JobState}};
+    /// let ended = JobLife::close(JobState::Completed, ClockTime::ZERO);
+    /// let forgotten = ClosedLife::Forgotten(ended.remove().forget());
+    /// assert!(forgotten.is_expired(ClockTime::ZERO, ClockTime::from_millis(1)));
+    /// ```
+    pub fn remove(self) -> JobLife<Removing> {
+        let Ended { state, at } = self.phase;
+        let phase = Removing { state, at };
+        JobLife { phase }
+    }
+}
+
+impl JobLife<Removing> {
     /// Records that the body has been removed from the store.
     pub fn forget(self) -> JobLife<Forgotten> {
-        let Ended { state, at } = self.phase;
+        let Removing { state, at } = self.phase;
         let phase = Forgotten { state, at };
         JobLife { phase }
     }
+
+    /// Records that the body has been stored again, perhaps after the removal.
+    pub fn reinstate(self) -> JobLife<Ended> {
+        let Removing { state, at } = self.phase;
+        JobLife::close(state, at)
+    }
 }
 
 impl JobLife<Forgotten> {
@@ -167,8 +196,10 @@
 /// Life cycle of a job that has ended, in any phase.
 #[derive(Clone, Copy, Debug)]
 pub enum ClosedLife {
-    /// The body has not been removed from the store yet.
+    /// A body that no removal covers may be in the store.
     Ended(JobLife<Ended>),
+    /// The removal of the body was sent.
+    Removing(JobLife<Removing>),
     /// Only the end of the job is stored.
     Forgotten(JobLife<Forgotten>),
 }
@@ -178,22 +209,41 @@
     pub fn state(&self) -> JobState {
         match self {
             Self::Ended(life) => life.phase.state,
+            Self::Removing(life) => life.phase.state,
             Self::Forgotten(life) => life.phase.state,
         }
     }
 
-    /// Records that the body has been removed from the store.
+    /// Records that the removal of the body is sent to the store.
+    pub fn remove(self) -> Self {
+        match self {
+            Self::Ended(life) => Self::Removing(life.remove()),
+            other => other,
+        }
+    }
+
+    /// Records that a removal of the body is stored; it does not cover a body stored again since it was
+    /// sent.
     pub fn forget(self) -> Self {
         match self {
-            Self::Ended(life) => Self::Forgotten(life.forget()),
-            Self::Forgotten(life) => Self::Forgotten(life),
+            Self::Removing(life) => Self::Forgotten(life.forget()),
+            other => other,
+        }
+    }
+
+    /// Records that the body has been stored again.
+    pub fn reinstate(self) -> Self {
+        match self {
+            Self::Ended(life) => Self::Ended(life),
+            Self::Removing(life) => Self::Ended(life.reinstate()),
+            Self::Forgotten(life) => Self::Ended(life.reinstate()),
         }
     }
 
     /// True if the record of the job's end has been kept for `retention` and may be removed too.
     pub fn is_expired(&self, retention: ClockTime, now: ClockTime) -> bool {
         match self {
-            Self::Ended(_) => false,
+            Self::Ended(_) | Self::Removing(_) => false,
             Self::Forgotten(life) => now - life.phase.at > retention,
         }
     }
--- a/crates/core/src/job/scheduler/jobs.rs
+++ b/crates/core/src/job/scheduler/jobs.rs
@@ -270,9 +270,10 @@
     /// Registers an accepted job; idempotent.
     pub fn accept(&mut self, id: JobId, spec: Arc<JobSpec>) {
         if let Some(ended) = self.ended_jobs.get_mut(&id) {
-            // The body was stored again after the job had ended.
-            if let ClosedLife::Forgotten(life) = *ended {
-                *ended = ClosedLife::Ended(life.reinstate());
+            // The body was stored again after the job had ended. A removal that waits to be sent covers it;
+            // one that was sent may have been applied before.
+            if !matches!(ended, ClosedLife::Ended(_)) {
+                *ended = ended.reinstate();
                 self.pending_removals.push(id);
             }
             return;
@@ -317,12 +318,13 @@
     pub fn restore(&mut self, id: JobId, spec: Option<Arc<JobSpec>>, progress: &JobProgress) {
         let now = self.now;
         if let Some(state) = progress.ended {
-            let mut ended = ClosedLife::Ended(JobLife::close(state, now));
-            if spec.is_some() {
+            let ended = JobLife::close(state, now);
+            let ended = if spec.is_some() {
                 self.pending_removals.push(id);
+                ClosedLife::Ended(ended)
             } else {
-                ended = ended.forget();
-            }
+                ClosedLife::Forgotten(ended.remove().forget())
+            };
             self.ended_jobs.insert(id, ended);
             return;
         }
@@ -361,7 +363,7 @@
         }
     }
 
-    /// Records that the bodies of these jobs were removed from the store.
+    /// Records that the removal of the bodies of these jobs is stored.
     pub fn bodies_removed(&mut self, jobs: &[JobId]) {
         self.removal_in_flight = false;
         for id in jobs {
@@ -480,7 +482,12 @@
         if !self.pending_removals.is_empty() && !self.removal_in_flight {
             self.removal_in_flight = true;
             let count = self.pending_removals.len().min(MAX_REMOVAL_BATCH);
-            let jobs = self.pending_removals.drain(..count).collect();
+            let jobs: Vec<JobId> = self.pending_removals.drain(..count).collect();
+            for id in &jobs {
+                if let Some(ended) = self.ended_jobs.get_mut(id) {
+                    *ended = ended.remove();
+                }
+            }
             self.effects.push(Effect::RemoveBodies(jobs));
         }
         let (now, retention) = (self.now, self.limits.ended_retention);
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -1,6 +1,7 @@
 //! Tests of job scheduling: order of stored records and effects, takeovers, placement and priority.
 
 mod availability;
+mod bodies;
 mod causes;
 mod counts;
 mod crashes;
