Take back the loss of a start that its worker refused

The cause: a worker that falls silent before the reply to a start order is recorded as lost with that run. A later refusal released the run and left the loss, which then counted as a crash once the worker was known to have ended. An order is delivered once and not repeated, so after a refusal the run has never begun.

Any reply that says that the order was not carried out now takes the loss of its run back, also of an order that was not sent, as its authority had expired or its connection was dropped. A start that is withdrawn before it is sent was never recorded as lost.

The two new tests in crates/core/tests/jobs/causes.rs failed before: the task was given up after four refusals.

--- a/crates/core/src/job/crash.rs
+++ b/crates/core/src/job/crash.rs
@@ -250,7 +250,8 @@
         confirmed || self.losses.len() < count
     }
 
-    /// Drops the loss of a run that is in progress after all; returns true if it was recorded.
+    /// Drops the loss of a run that is in progress after all, or never began; returns true if it was
+    /// recorded.
     pub fn retract(&mut self, run: u32) -> bool {
         let count = self.losses.len();
         self.losses.retain(|loss| loss.lost().run != run);
--- a/crates/core/src/job/scheduler/crashes.rs
+++ b/crates/core/src/job/scheduler/crashes.rs
@@ -263,6 +263,23 @@
         }
     }
 
+    /// Takes back the loss of a run whose start order is known not to have been carried out.
+    pub(super) fn retract_loss(&mut self, key: TaskKey, run: u32) {
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        let Some(history) = job.crashes.get_mut(&key) else {
+            return;
+        };
+        if history.retract(run) {
+            if history.is_empty() {
+                job.crashes.remove(&key);
+            }
+            job.mark_changed();
+            self.outbox.mark_changed(key.job);
+        }
+    }
+
     /// Settles the losses of a worker that answers: it was only silent, or has restarted.
     pub(super) fn settle_losses(&mut self, id: &WorkerId, incarnation: Option<u64>) {
         let Some(worker) = self.workers.get(id) else {
--- a/crates/core/src/job/scheduler/orders.rs
+++ b/crates/core/src/job/scheduler/orders.rs
@@ -64,6 +64,8 @@
         }
         self.apply_start_reply(id, key, reply);
         if reply.is_refusal() {
+            // The worker may have fallen silent before the reply arrived.
+            self.retract_loss(key, run);
             self.drop_stray(id, key, run);
         }
         let Some(slot) = self.assigned_slot(id, key, run) else {
--- a/crates/core/tests/jobs/causes.rs
+++ b/crates/core/tests/jobs/causes.rs
@@ -2,7 +2,7 @@
 
 use std::ops::Range;
 
-use jacinthhoist_core::job::{AnyTask, JobId, JobState, StepSpec};
+use jacinthhoist_core::job::{AnyTask, JobId, JobState, StartReply, StepSpec};
 
 use crate::{
     availability::start_service,
@@ -327,3 +327,73 @@
     assert_ne!(harness.scheduler.state(JobId(1)), Some(JobState::Failed));
     assert_eq!(harness.starts.len(), 1);
 }
+
+/// Replies to start orders that were not carried out.
+const REFUSALS: [StartReply; 8] = [
+    StartReply::Unhealthy,
+    StartReply::Fenced,
+    StartReply::TooLate,
+    StartReply::Expired,
+    StartReply::Invalid,
+    StartReply::NoRoom,
+    StartReply::WrongLife,
+    StartReply::NoPermit,
+];
+
+/// Loses the worker of the only start order that waits for its reply, which arrives after the worker has
+/// fallen silent, or after the next one has answered if `is_late` is true.
+fn refuse_lost_start(
+    harness: &mut SchedulerHarness,
+    next: usize,
+    reply: StartReply,
+    is_late: bool,
+) {
+    harness.settle();
+    let starts = std::mem::take(&mut harness.starts);
+    assert_eq!(starts.len(), 1, "after {} refusals", next - 8);
+    let number = number_of(&starts[0].worker);
+    crash(harness, number);
+    if is_late {
+        harness.wait(3_000);
+        answer_at(harness, number, next);
+        harness.reply(&starts[0], reply);
+    } else {
+        harness.reply(&starts[0], reply);
+        harness.wait(3_000);
+        answer_at(harness, number, next);
+    }
+}
+
+/// Guards against an innocent job that is given up for losses at starts that its workers refused: the
+/// refusals arrived after the workers had fallen silent, and the losses stayed.
+#[test]
+fn a_start_that_is_refused_is_not_held_against_its_task() {
+    let cases = REFUSALS.map(|reply| [(reply, false), (reply, true)]);
+    for (reply, is_late) in cases.into_iter().flatten() {
+        let mut harness = SchedulerHarness::open(8);
+        harness.accept(1, vec![step(1)]);
+        for next in 8..14 {
+            refuse_lost_start(&mut harness, next, reply, is_late);
+        }
+        harness.settle();
+        let state = harness.scheduler.state(JobId(1));
+        assert_ne!(state, Some(JobState::Failed), "{reply:?}, late: {is_late}");
+        assert_eq!(harness.starts.len(), 1, "{reply:?}, late: {is_late}");
+        let stored = &harness.stored[&JobId(1)];
+        assert!(stored.crashes.is_empty(), "{reply:?}, late: {is_late}");
+    }
+}
+
+/// A refusal takes back the loss of its own run only.
+#[test]
+fn a_refused_start_leaves_the_earlier_losses_of_its_task() {
+    let mut harness = SchedulerHarness::open(8);
+    harness.accept(1, vec![step(1)]);
+    harness.settle();
+    let lost = harness.confirm().remove(0);
+    replace(&mut harness, number_of(&lost.worker), 8);
+    refuse_lost_start(&mut harness, 9, StartReply::Unhealthy, false);
+    harness.settle();
+    let history = &harness.stored[&JobId(1)].crashes[&lost.task];
+    assert_eq!(history.crashes(), 1);
+}
