Pass over steps that no worker can run, in the search for room and in demand

Cause: the search of a pool's queue ends after eight steps without room. Steps that need more than any worker has counted among these, and late jobs are ordered by age. They also counted as demand and backlog of their pool for as long as they waited.

Why it works: the limit counts only steps that may get room once others end. The rooms of the workers that take work (capacity without what lasting runs take, by label) are collected in each scheduling step after the first step without room, so a worker that comes later is seen at once. A gang has to fit as a whole. Demand, backlog and arrivals leave out steps that no known worker of the pool and no VM could run while empty; a VM without a worker counts for every label.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -14,6 +14,7 @@
 //! | `worker` | state of a worker as derived from its reports, and its eligibility for tasks |
 //! | `order` | priority order of jobs in a full pool |
 //! | `place` | assignment of tasks to workers |
+//! | `room` | largest tasks that the workers of a pool could run |
 //! | `resize` | reassignment of VMs between pools |
 //! | `wave` | progress of rolling VM maintenance |
 //! | `admit` | admission control and the retry delay of refused jobs |
@@ -34,6 +35,7 @@
 mod place;
 mod process;
 mod resize;
+mod room;
 mod scheduler;
 mod silence;
 mod spec;
@@ -57,6 +59,7 @@
 pub use place::{PlaceCandidates, PlaceRequest, choose_worker};
 pub use process::WorkerProcess;
 pub use resize::{IdleVm, PoolDemandView, ResizeMove, plan_resize};
+pub use room::{RoomIndex, fits_gang};
 pub use scheduler::{
     Batch, BatchRecord, Effect, Job, JobProgress, LossReason, PoolSummary, RenewalPlan, Scheduler,
     SchedulerDecision, SchedulerLimits, StepAdvice, TaskRecord, VmEntry, VmState, WorkerChange,
--- a/crates/core/src/job/charge.rs
+++ b/crates/core/src/job/charge.rs
@@ -35,6 +35,15 @@
             long_running: step.long_running,
         }
     }
+
+    /// Resources that are taken until the run is stopped.
+    pub(super) fn lasting_need(&self) -> Resources {
+        if self.long_running {
+            self.need
+        } else {
+            Resources::default()
+        }
+    }
 }
 
 /// The task of the run refers to it.
--- a/crates/core/src/job/scheduler/demand.rs
+++ b/crates/core/src/job/scheduler/demand.rs
@@ -2,10 +2,13 @@
 
 use std::collections::BTreeMap;
 
+use smallvec::SmallVec;
+
 use crate::{
     clock::ClockTime,
     job::{
         resize::{IdleVm, PoolDemandView},
+        room::RoomIndex,
         spec::{Resources, StepSpec},
         vm_order::AnyVmOrder,
         worker::Worker,
@@ -81,6 +84,25 @@
     }
 }
 
+/// Rooms that the workers of each pool have while they are empty.
+#[derive(Clone, Debug, Default)]
+pub(super) struct FleetRooms {
+    /// Rooms of the VMs, which may join any pool.
+    vms: RoomIndex,
+    /// Rooms of the workers of each pool.
+    pools: BTreeMap<PoolName, RoomIndex>,
+}
+
+impl FleetRooms {
+    /// Returns whether a pool may come to run a task of the step. Without a known worker or VM, any step
+    /// counts.
+    fn fits(&self, pool: &PoolName, step: &StepSpec) -> bool {
+        let workers = self.pools.get(pool);
+        let is_unknown = self.vms.is_empty() && workers.is_none();
+        is_unknown || self.vms.fits(step) || workers.is_some_and(|rooms| rooms.fits(step))
+    }
+}
+
 /// Work of a pool.
 #[derive(Clone, Copy, Debug, Default)]
 struct PoolLoad {
@@ -173,7 +195,9 @@
             return;
         }
         let mean = self.durations.mean(&job.spec.work).as_millis();
-        let cpu = saturating_sum(job.spec.steps.iter().map(step_cpu));
+        let (rooms, pool) = (&self.fleet.rooms, &job.terms.pool);
+        let steps = job.spec.steps.iter();
+        let cpu = saturating_sum(steps.filter(|step| rooms.fits(pool, step)).map(step_cpu));
         let rate = self
             .fleet
             .arrivals
@@ -260,7 +284,28 @@
         arriving.map_or(0, |rate| rate.cpu(self.now))
     }
 
-    /// Sums up the work of each pool.
+    /// Collects the rooms of all VMs and workers.
+    pub(super) fn fleet_rooms(&self) -> FleetRooms {
+        let mut rooms = FleetRooms::default();
+        // A worker that is only known from stored records has no address.
+        let is_listed = |worker: &&Worker| !worker.entry.address.is_empty();
+        for worker in self.workers.values().filter(is_listed) {
+            let entry = &worker.entry;
+            let pool = rooms.pools.entry(entry.pool.clone()).or_default();
+            pool.add(&entry.capacity, &entry.labels);
+        }
+        for vm in self.fleet.vms.values() {
+            let worker = vm.worker.as_ref().and_then(|id| self.workers.get(id));
+            match worker.filter(is_listed) {
+                Some(worker) => rooms.vms.add(&vm.capacity, &worker.entry.labels),
+                None => rooms.vms.add_unlabelled(&vm.capacity),
+            }
+        }
+        rooms
+    }
+
+    /// Sums up the work of each pool. Steps that it can never run are left out: their jobs wait, and neither
+    /// a VM nor the refusal of other jobs would help them.
     fn pool_loads(&self) -> BTreeMap<&PoolName, PoolLoad> {
         let mut pools: BTreeMap<&PoolName, PoolLoad> = BTreeMap::new();
         for (id, job) in &self.jobs {
@@ -277,11 +322,14 @@
             }
             let mean = self.durations.mean(&job.spec.work);
             let infeasible = job.urgency(mean, self.now).infeasible;
+            let steps = job.spec.steps.iter();
+            let fitting = steps.map(|step| self.fleet.rooms.fits(&job.terms.pool, step));
+            let fitting: SmallVec<[bool; 8]> = fitting.collect();
             for ((_, step, _), task) in job.tasks() {
                 let cpu = job.spec.steps[usize::from(step)].charged().cpu;
                 if task.placed().is_some() {
                     load.running = load.running.saturating_add(cpu);
-                } else if !task.is_terminal() {
+                } else if !task.is_terminal() && fitting[usize::from(step)] {
                     let work = cpu.saturating_mul(mean.as_millis());
                     load.waiting = load.waiting.saturating_add(work);
                     if !infeasible {
@@ -297,7 +345,8 @@
             } else {
                 &mut load.startable
             };
-            for key in job.startable(*id, self.now) {
+            let keys = job.startable(*id, self.now);
+            for key in keys.filter(|key| fitting[usize::from(key.step)]) {
                 startable.add(job.step(&key).charged().cpu, mean);
             }
         }
--- a/crates/core/src/job/scheduler/fleet.rs
+++ b/crates/core/src/job/scheduler/fleet.rs
@@ -15,7 +15,8 @@
 };
 
 use super::{
-    BatchRecord, Effect, Scheduler, SchedulerDecision, VmEntry, VmState, demand::ArrivalRate,
+    BatchRecord, Effect, Scheduler, SchedulerDecision, VmEntry, VmState,
+    demand::{ArrivalRate, FleetRooms},
 };
 
 /// Interval between two plans of the fleet.
@@ -44,6 +45,8 @@
     pub(super) refused: BTreeMap<VmName, ClockTime>,
     pub(super) base_sizes: BTreeMap<PoolName, usize>,
     pub(super) arrivals: BTreeMap<PoolName, ArrivalRate>,
+    /// Rooms of the VMs and workers at the time of the last plan.
+    pub(super) rooms: FleetRooms,
 }
 
 impl Fleet {
@@ -58,6 +61,7 @@
             refused: BTreeMap::new(),
             base_sizes: BTreeMap::new(),
             arrivals: BTreeMap::new(),
+            rooms: FleetRooms::default(),
         }
     }
 
@@ -170,6 +174,7 @@
             return;
         }
         self.fleet.planned_at = now;
+        self.fleet.rooms = self.fleet_rooms();
         self.repeat_orders();
         if !self.have_workers_reported() {
             return;
--- a/crates/core/src/job/scheduler/placing.rs
+++ b/crates/core/src/job/scheduler/placing.rs
@@ -9,7 +9,8 @@
         charge::RunCost,
         order::{QueuedJob, order_queue},
         place::{PlaceCandidates, PlaceRequest, choose_candidate, choose_worker, is_eligible},
-        spec::{JobId, StepKey, TaskKey},
+        room::{RoomIndex, fits_gang},
+        spec::{JobId, StepKey, StepSpec, TaskKey},
         task::AnyTask,
         worker::Worker,
     },
@@ -18,10 +19,47 @@
 
 use super::{Scheduler, SchedulerDecision};
 
-/// Number of steps without room after which the rest of a pool's queue is skipped. A smaller task
+/// Number of steps that wait for room after which the rest of a pool's queue is skipped. A smaller task
 /// further back may still fit; the limit keeps the search short.
 const MAX_UNPLACED_STEPS: usize = 8;
 
+/// Room that the workers of a pool have once all runs that end by themselves have ended.
+#[derive(Debug, Default)]
+struct FiniteRooms {
+    all: RoomIndex,
+    /// Rooms on workers without tasks that serve users.
+    best_effort: RoomIndex,
+}
+
+impl FiniteRooms {
+    fn collect<'a>(workers: impl Iterator<Item = &'a Worker>) -> Self {
+        let mut rooms = Self::default();
+        for worker in workers {
+            let (room, labels) = (worker.finite_room(), &worker.entry.labels);
+            rooms.all.add(&room, labels);
+            if worker.serving_runs == 0 {
+                rooms.best_effort.add(&room, labels);
+            }
+        }
+        rooms
+    }
+
+    fn fits(&self, step: &StepSpec) -> bool {
+        if step.best_effort {
+            self.best_effort.fits(step)
+        } else {
+            self.all.fits(step)
+        }
+    }
+}
+
+/// Search for room for the tasks of a pool.
+struct QueueSearch {
+    workers: PlaceCandidates,
+    /// Rooms of the workers, collected once a step has found none.
+    rooms: Option<FiniteRooms>,
+}
+
 impl Scheduler {
     /// Places waiting tasks on workers with room, pool by pool in order of urgency.
     pub(super) fn place_tasks(&mut self) {
@@ -41,17 +79,22 @@
         for (pool, mut queue) in queues {
             let (by_free_cpu, cpu) = pools.remove(&pool).unwrap_or_default();
             order_queue(&mut queue, cpu, self.now);
-            self.place_queue(&queue, &mut PlaceCandidates::new(by_free_cpu));
+            let workers = PlaceCandidates::new(by_free_cpu);
+            let rooms = None;
+            self.place_queue(&queue, &mut QueueSearch { workers, rooms });
         }
     }
 
-    fn place_queue(&mut self, queue: &[QueuedJob], workers: &mut PlaceCandidates) {
+    fn place_queue(&mut self, queue: &[QueuedJob], search: &mut QueueSearch) {
+        if search.workers.with_room(0).next().is_none() {
+            return;
+        }
         let mut unplaced_steps = 0;
         for QueuedJob { urgency, job, .. } in queue {
             if unplaced_steps >= MAX_UNPLACED_STEPS {
                 return;
             }
-            let unplaced = self.place_job(*job, workers);
+            let unplaced = self.place_job(*job, search);
             // A long-running task may need a scarce resource; it does not block the queue.
             unplaced_steps += if urgency.ends { unplaced } else { 0 };
         }
@@ -76,27 +119,37 @@
         queues
     }
 
-    /// Places startable tasks of a job; returns the number of steps that found no room.
-    fn place_job(&mut self, id: JobId, workers: &mut PlaceCandidates) -> usize {
+    /// Places startable tasks of a job; returns the number of steps that wait for room.
+    fn place_job(&mut self, id: JobId, search: &mut QueueSearch) -> usize {
         let Some(job) = self.jobs.get(&id) else {
             return 0;
         };
         let keys: SmallVec<[TaskKey; 16]> = job.startable(id, self.now).collect();
-        let (mut placed, mut full_steps) = (0, SmallVec::<[StepKey; 4]>::new());
+        let (mut placed, mut unplaced_steps) = (0, 0);
+        let mut full_steps = SmallVec::<[StepKey; 4]>::new();
         for key in &keys {
             let step = StepKey::from(*key);
             if full_steps.contains(&step) {
                 continue;
             }
+            let rooms = search.rooms.as_ref();
+            if rooms.is_some_and(|rooms| !self.may_find_room(key, rooms, &search.workers)) {
+                full_steps.push(step);
+                continue;
+            }
             let count = if self.is_gang(step) {
-                self.place_gang(step, workers)
+                self.place_gang(step, &search.workers)
             } else {
-                usize::from(self.place_task(*key, workers))
+                usize::from(self.place_task(*key, &mut search.workers))
             };
             placed += count;
             // A task that waits for its trial holds up no other.
             if count == 0 && !self.needs_trial(key) {
                 full_steps.push(step);
+                let rooms = search
+                    .rooms
+                    .get_or_insert_with(|| self.finite_rooms(&search.workers));
+                unplaced_steps += usize::from(self.may_find_room(key, rooms, &search.workers));
             }
         }
         if placed > 0 {
@@ -107,7 +160,30 @@
                 unplaced: keys.len() - placed,
             });
         }
-        full_steps.len()
+        unplaced_steps
+    }
+
+    fn finite_rooms(&self, workers: &PlaceCandidates) -> FiniteRooms {
+        let known = workers.with_room(0);
+        FiniteRooms::collect(known.filter_map(|id| self.workers.get(id)))
+    }
+
+    /// Returns whether the step of a task can get room when others end. One that cannot must not hold up
+    /// the tasks behind it.
+    fn may_find_room(&self, key: &TaskKey, rooms: &FiniteRooms, workers: &PlaceCandidates) -> bool {
+        let Some(step) = self.jobs.get(&key.job).map(|job| job.step(key)) else {
+            return false;
+        };
+        if !rooms.fits(step) || !step.gang {
+            return rooms.fits(step);
+        }
+        let known = workers.with_room(0).filter_map(|id| self.workers.get(id));
+        let label = |worker: &&Worker| {
+            step.requires
+                .as_ref()
+                .is_none_or(|label| worker.entry.labels.contains(label))
+        };
+        fits_gang(step, known.filter(label).map(Worker::finite_room))
     }
 
     fn place_task(&mut self, key: TaskKey, workers: &mut PlaceCandidates) -> bool {
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -174,6 +174,8 @@
     pub silent_since: Option<ClockTime>,
     /// Resources taken by the runs.
     pub used: Resources,
+    /// Part of these that runs take which last until they are stopped.
+    pub lasting: Resources,
     /// Runs that may be in progress on the worker, whether their tasks refer to them or not.
     pub charges: BTreeMap<(TaskKey, u32), AnyCharge>,
     /// Start orders without an answer whose lease has lapsed. They may be carried out once the worker has
@@ -217,6 +219,7 @@
             seen_at: None,
             silent_since: None,
             used: Resources::default(),
+            lasting: Resources::default(),
             charges: BTreeMap::new(),
             lapsed_starts: SmallVec::new(),
             unsettled_starts: SmallVec::new(),
@@ -368,6 +371,7 @@
                 self.serving_runs += u32::from(cost.serves);
                 self.best_effort_runs += u32::from(cost.best_effort);
                 self.finite_runs += u32::from(!cost.long_running);
+                self.lasting = self.lasting.plus(&cost.lasting_need());
             }
             None => self.unknown_runs += 1,
         }
@@ -385,6 +389,7 @@
                 self.serving_runs -= u32::from(cost.serves);
                 self.best_effort_runs -= u32::from(cost.best_effort);
                 self.finite_runs -= u32::from(!cost.long_running);
+                self.lasting = self.lasting.minus(&cost.lasting_need());
             }
             None => self.unknown_runs -= 1,
         }
@@ -485,6 +490,11 @@
         self.entry.capacity.cpu.saturating_sub(self.used.cpu)
     }
 
+    /// Resources that tasks can get once all runs that end by themselves have ended.
+    pub fn finite_room(&self) -> Resources {
+        self.entry.capacity.minus(&self.lasting)
+    }
+
     /// Runs that may be in progress on the worker.
     pub fn runs(&self) -> SmallVec<[(TaskKey, u32); 8]> {
         self.charges.keys().copied().collect()
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -8,6 +8,7 @@
 mod extremes;
 mod fleet;
 mod harness;
+mod impossible;
 mod leases;
 mod occupancy;
 mod placing;
