Try a worker after a failure beside the runs that began before it

Cause: a worker with a failure took no task while any run that ends by itself was in progress there, whether that run was the trial or had begun long before the failure.

Why it works: only the run that was placed after the failure is the trial, and a trial that has run for 2 s allows a further one, so that a long trial does not close the worker either. A success ends the trials and a second failure suspends the worker, as before.

Tests: a_worker_with_a_failure_is_tried_beside_tasks_that_began_before_it and a_long_trial_holds_up_no_further_one failed before.

--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -29,6 +29,8 @@
 const MAX_REPORT_AGE: ClockTime = ClockTime::from_millis(1_500);
 /// Suspension period of a worker, after which it is tried with a single task.
 const SUSPENSION: ClockTime = ClockTime::from_millis(4_000);
+/// Time after which a trial that goes on holds up no further one: twice the second that tasks usually last.
+const TRIAL_SPAN: ClockTime = ClockTime::from_millis(2_000);
 
 /// Availability of a worker for new tasks, as the worker reports it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -203,6 +205,8 @@
     /// Job whose tasks alone are placed on the worker, while they may crash it.
     pub reserved_for: Option<JobId>,
     consecutive_failures: u32,
+    /// Run of the newest task that ends by itself and was placed after a failure.
+    trial_run: Option<(TaskKey, u32)>,
     /// Consecutive start orders that were neither answered nor carried out in time.
     consecutive_unanswered: u32,
     suspended_until: ClockTime,
@@ -233,6 +237,7 @@
             cordoned: false,
             reserved_for: None,
             consecutive_failures: 0,
+            trial_run: None,
             consecutive_unanswered: 0,
             suspended_until: ClockTime::ZERO,
         }
@@ -240,10 +245,19 @@
 
     /// True if a task may be placed on the worker now.
     pub fn takes_work(&self, now: ClockTime) -> bool {
-        // Long-running tasks never succeed, so the worker would wait for them for good.
-        let on_probation = self.consecutive_failures > 0 && self.finite_runs > 0;
         let is_known = self.unknown_runs == 0 && !self.has_unsettled_starts();
-        self.is_in_service() && now >= self.suspended_until && !on_probation && is_known
+        self.is_in_service() && now >= self.suspended_until && !self.is_on_trial(now) && is_known
+    }
+
+    /// True while a task shows whether the worker still works after a failure. Runs from before the failure
+    /// and long-running tasks are no trial: their success may be far off, or never come.
+    fn is_on_trial(&self, now: ClockTime) -> bool {
+        let charge = self.trial_run.and_then(|run| self.charges.get(&run));
+        let is_new = |charge: &AnyCharge| {
+            let begun_at = charge.begun_at();
+            begun_at.is_none_or(|begun_at| now < begun_at + TRIAL_SPAN)
+        };
+        self.consecutive_failures > 0 && charge.is_some_and(is_new)
     }
 
     /// True if the worker counts towards its pool's capacity.
@@ -355,6 +369,9 @@
 
     /// Charges a run that is assigned to the worker.
     pub fn charge(&mut self, task: TaskKey, run: u32, cost: RunCost) {
+        if self.consecutive_failures > 0 && !cost.long_running {
+            self.trial_run = Some((task, run));
+        }
         self.insert(task, run, AnyCharge::Held(RunCharge::open(cost)));
     }
 
--- a/crates/core/tests/jobs/probation.rs
+++ b/crates/core/tests/jobs/probation.rs
@@ -1,6 +1,6 @@
 //! Workers on which a task has failed.
 
-use jacinthhoist_core::job::{EndedRun, RenewalReport, StepSpec, TaskEnd};
+use jacinthhoist_core::job::{EndedRun, JobId, RenewalReport, StepSpec, TaskEnd};
 
 use super::harness::{RunOrder, SchedulerHarness, long_running_step, step, worker};
 
@@ -71,3 +71,75 @@
     let finite = harness.confirm().into_iter();
     assert_eq!(finite.filter(|start| start.task.job.0 != 1).count(), 4);
 }
+
+/// One worker with a finite task that goes on, and another one that has failed beside it. Returns the run
+/// that goes on.
+fn with_failure_beside_a_long_task() -> (SchedulerHarness, RunOrder) {
+    let mut harness = SchedulerHarness::open(1);
+    harness.accept(1, vec![step(1)]);
+    harness.accept(2, vec![step(1)]);
+    harness.settle();
+    let starts = harness.confirm();
+    let (long, failed) = (starts[0].clone(), starts[1].clone());
+    assert_eq!((long.task.job, failed.task.job), (JobId(1), JobId(2)));
+    let running = std::slice::from_ref(&long);
+    report_end(&mut harness, running, &failed, 1, TaskEnd::Failed);
+    (harness, long)
+}
+
+/// Reports the end of a run beside others.
+fn report_end(
+    harness: &mut SchedulerHarness,
+    others: &[RunOrder],
+    ended: &RunOrder,
+    number: u64,
+    end: TaskEnd,
+) {
+    let ended = EndedRun {
+        number,
+        task: ended.task,
+        run: ended.run,
+        end,
+        checkpoint: None,
+    };
+    let report = RenewalReport {
+        ended: vec![ended],
+        ..SchedulerHarness::running(others, 10)
+    };
+    harness.report(0, report);
+    harness.settle();
+}
+
+/// Regression test (LOST): a worker took no task after a failure for as long as the tasks ran that had begun
+/// before it, so that one job which always fails closed a pool with nearly all of its CPU free.
+#[test]
+fn a_worker_with_a_failure_is_tried_beside_tasks_that_began_before_it() {
+    let (mut harness, long) = with_failure_beside_a_long_task();
+    for id in 3..=6 {
+        harness.accept(id, vec![step(1)]);
+    }
+    harness.settle();
+    let trial = harness.confirm();
+    assert_eq!(trial.len(), 1, "one trial at a time");
+    report_end(&mut harness, &[long], &trial[0], 2, TaskEnd::Done);
+    assert_eq!(harness.confirm().len(), 4);
+}
+
+/// Regression test (LOST): the same with a trial that is a long task itself, which holds up a further one for
+/// a short time only.
+#[test]
+fn a_long_trial_holds_up_no_further_one() {
+    let (mut harness, long) = with_failure_beside_a_long_task();
+    let first = harness.confirm();
+    assert_eq!(first.len(), 1);
+    harness.accept(3, vec![step(1)]);
+    let running = [long, first[0].clone()];
+    for percent in 10..14 {
+        harness.wait(600);
+        harness.report(0, SchedulerHarness::running(&running, percent));
+        harness.settle();
+    }
+    let second = harness.confirm();
+    assert_eq!(second.len(), 1);
+    assert_eq!(second[0].task.job, JobId(3));
+}
