Allow long tasks the time of several percents before they count as hung

Cause: progress is reported in whole percents. A percent of such a task takes 4 s, and a run without progress for 2.5 s counted as hung.

Why it works: a run that ends by itself is hung after four of its percents, but not before 2.5 s. The time of a percent is the largest of the estimate's, the one of the mean duration of the kind of work, and the longest that the run itself has taken after its first progress, which may be that of its checkpoint. Tasks of up to 62 s are stopped as fast as before, long-running ones too. The load is not used: nothing says what a hung run reports there. A run whose estimate is more than four times too low may still be stopped.

--- a/crates/core/src/job/scheduler/orders.rs
+++ b/crates/core/src/job/scheduler/orders.rs
@@ -7,16 +7,19 @@
     job::{
         charge::STOP_RETRY_DELAY,
         spec::TaskKey,
-        task::{AnyTask, FULL_PERCENT, StartOrderState},
+        task::{AnyTask, FULL_PERCENT, Running, StartOrderState, TaskRun},
         worker::{OrderReply, StartReply, WorkerState},
     },
     name::WorkerId,
 };
 
-use super::{Effect, Scheduler, SchedulerDecision};
+use super::{Effect, Job, Scheduler, SchedulerDecision};
 
 /// A run that its worker reports without progress for this long is stopped. Tasks last about a second.
 const HANG_TIMEOUT: ClockTime = ClockTime::from_millis(2_500);
+/// Number of percents that a long run must be behind its expected progress: callers' estimates are
+/// inaccurate, and the speed of a task varies with its neighbours.
+const MISSING_PERCENTS: u64 = 4;
 /// Interval between searches for runs to stop: short compared with the time allowed for a
 /// cancellation.
 const SWEEP_INTERVAL: ClockTime = ClockTime::from_millis(100);
@@ -143,6 +146,21 @@
         }
     }
 
+    /// Time without progress after which a run has hung. Progress is reported in whole percents, so a long
+    /// task needs more of it.
+    fn hang_timeout(&self, job: &Job, key: &TaskKey, task: &TaskRun<Running>) -> ClockTime {
+        let step = job.step(key);
+        // The progress of a long-running task is that of its start.
+        if step.long_running {
+            return HANG_TIMEOUT;
+        }
+        let duration = step.estimate.max(self.durations.mean(&job.spec.work));
+        let expected = duration.as_millis() / u64::from(FULL_PERCENT);
+        let slowest = task.phase.slowest_percent.as_millis().max(expected);
+        let missing = slowest.saturating_mul(MISSING_PERCENTS);
+        HANG_TIMEOUT.max(ClockTime::from_millis(missing))
+    }
+
     /// Orders a run to stop.
     pub(super) fn stop_task(&mut self, id: &WorkerId, key: TaskKey, run: u32) {
         let now = self.now;
@@ -195,7 +213,8 @@
                         let seen_at = worker.seen_at.unwrap_or_default();
                         let is_hung = task.phase.percent < FULL_PERCENT
                             && worker.silent_since.is_none()
-                            && seen_at > task.phase.progressed_at + HANG_TIMEOUT;
+                            && seen_at
+                                > task.phase.progressed_at + self.hang_timeout(job, key, task);
                         if is_hung {
                             hung.push(worker.id.clone());
                         }
--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -290,11 +290,8 @@
         if let AnyTask::Assigned(task) = &*slot {
             *slot = AnyTask::Running(task.clone().confirm(now));
         }
-        if let AnyTask::Running(task) = slot
-            && task.phase.percent != row.percent
-        {
-            task.phase.percent = row.percent;
-            task.phase.progressed_at = now;
+        if let AnyTask::Running(task) = slot {
+            task.record_progress(row.percent, now);
         }
     }
 
--- a/crates/core/src/job/task.rs
+++ b/crates/core/src/job/task.rs
@@ -112,6 +112,9 @@
     pub percent: u8,
     /// Time of the last change in progress.
     pub progressed_at: ClockTime,
+    /// Longest time that a percent has taken. The first change tells nothing, as a run may begin at the
+    /// progress of its checkpoint.
+    pub slowest_percent: ClockTime,
     /// Time by which a stop order of an earlier owner has ended the run; it is reported until then.
     pub settled_at: ClockTime,
 }
@@ -199,6 +202,7 @@
             since: begun_at,
             percent: 0,
             progressed_at: now,
+            slowest_percent: ClockTime::ZERO,
             settled_at: now + MAX_STOP_TIME,
         })
     }
@@ -236,6 +240,7 @@
             since: now,
             percent: 0,
             progressed_at: now,
+            slowest_percent: ClockTime::ZERO,
             settled_at,
         })
     }
@@ -248,6 +253,32 @@
 }
 
 impl TaskRun<Running> {
+    /// Records the progress that the worker reports.
+    ///
+    /// ```
+    /// use jacinthhoist_core::{ClockTime, WorkerId, job::TaskRun};
+    /// let ms = ClockTime::from_millis;
+    /// let assigned = TaskRun::new().assign(WorkerId::new("i-1"), ms(0));
+    /// let mut running = assigned.confirm(ms(100));
+    /// for (percent, now) in [(40, 300), (41, 4_300), (43, 11_300)] {
+    ///     running.record_progress(percent, ms(now));
+    /// }
+    /// assert_eq!(running.phase.slowest_percent, ms(4_000));
+    /// ```
+    pub fn record_progress(&mut self, percent: u8, now: ClockTime) {
+        let phase = &mut self.phase;
+        if phase.percent == percent {
+            return;
+        }
+        let gained = u64::from(percent.saturating_sub(phase.percent));
+        let elapsed = (now - phase.progressed_at).as_millis();
+        if let Some(per_percent) = elapsed.checked_div(gained).filter(|_| phase.percent > 0) {
+            let per_percent = ClockTime::from_millis(per_percent);
+            phase.slowest_percent = phase.slowest_percent.max(per_percent);
+        }
+        (phase.percent, phase.progressed_at) = (percent, now);
+    }
+
     /// Expected time until the run ends, from its progress so far; `None` before the first progress.
     ///
     /// ```
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -7,6 +7,7 @@
 mod ends;
 mod extremes;
 mod fleet;
+mod hangs;
 mod harness;
 mod impossible;
 mod leases;
