Record the runs on a fake worker with their times

A test could see how often a task was started and done, but not whether two of its runs were at work at once. Each worker now keeps its runs with their begin, their end and the time at which the end was acknowledged, over its restarts.

Ends are evaluated when a request arrives. A run whose own end lay after the lapse of the lease counted as done if no request had arrived between, and a start order extended a lease that had lapsed; the worker's runs now end when the lease does.

--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -14,7 +14,7 @@
 pub use gang::GangTable;
 pub use machines::MachineService;
 pub use policy::PolicyService;
-pub use pool_worker::{PoolWorker, WorkerFault};
+pub use pool_worker::{PoolWorker, RunRecord, WorkerFault};
 use store::{CALL_BYTES, RECORD_BYTES};
 pub use store::{KeyedLog, StoreEndpoint, StoreFault};
 
--- a/crates/fakes/src/platform/pool_worker.rs
+++ b/crates/fakes/src/platform/pool_worker.rs
@@ -5,8 +5,11 @@
 //! `lasts` runs until it is stopped and `crash=N` crashes the worker after N milliseconds. `gang=N,ms=M` runs for M milliseconds together with the
 //! other tasks of its step, once N of them are present. Any other payload runs for 30 ms.
 
+mod history;
 mod incarnation;
 
+pub use self::history::RunRecord;
+
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
@@ -55,6 +58,7 @@
 /// Handle of a running worker.
 pub struct PoolWorker {
     id: String,
+    address: SocketAddr,
     incarnation: Arc<Mutex<WorkerIncarnation>>,
     counts: Arc<Mutex<TaskCounts>>,
     fault: watch::Sender<WorkerFault>,
@@ -102,7 +106,8 @@
             crashes,
         };
         let server = context.clone().listen(loopback()).await?;
-        let (key, address, pool) = (id.to_owned(), server.address, pool.to_owned());
+        let address = server.address;
+        let (key, pool) = (id.to_owned(), pool.to_owned());
         let server_task = tokio::spawn(context.restart_after_crashes(server, crash_requests));
         let registered = incarnation.clone();
         let heartbeat_task = tokio::spawn(async move {
@@ -130,6 +135,7 @@
         });
         Ok(Self {
             id: id.to_owned(),
+            address,
             incarnation,
             counts,
             fault,
@@ -146,6 +152,11 @@
         &self.id
     }
 
+    /// Address under which the worker registers.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Sets the fault that applies from now on.
     pub fn set_fault(&self, fault: WorkerFault) {
         self.fault.send_replace(fault);
@@ -168,11 +179,22 @@
 
     /// Restarts under the same id, without its runs and their history.
     pub async fn restart(&self) {
-        let mut incarnation = self.incarnation.lock().await;
+        let (mut incarnation, mut counts) =
+            (self.incarnation.lock().await, self.counts.lock().await);
+        incarnation.finish_due(&mut counts);
+        counts.history.end_all("crashed");
         let gangs = incarnation.gangs.clone();
         *incarnation = WorkerIncarnation::new(incarnation.number + 1, gangs);
     }
 
+    /// All runs on this worker, in the order of their starts.
+    pub async fn history(&self) -> Vec<RunRecord> {
+        let (mut incarnation, mut counts) =
+            (self.incarnation.lock().await, self.counts.lock().await);
+        incarnation.finish_due(&mut counts);
+        counts.history.records()
+    }
+
     /// Number of starts of each task on this worker.
     pub async fn starts(&self) -> BTreeMap<String, u32> {
         self.counts.lock().await.starts.clone()
@@ -233,6 +255,7 @@
                     continue;
                 }
                 let (number, gangs) = (incarnation.number, incarnation.gangs.clone());
+                self.counts.lock().await.history.end_all("crashed");
                 *incarnation = WorkerIncarnation::new(number, gangs.clone());
                 incarnation.crashed = true;
                 (number, gangs)
@@ -255,6 +278,8 @@
     async fn start(&self, order: &WorkerOrder, fails: bool) -> Response<ResponseBody> {
         let (mut incarnation, mut counts) =
             (self.incarnation.lock().await, self.counts.lock().await);
+        // A lease that has lapsed is not extended by the order.
+        incarnation.finish_due(&mut counts);
         let started = incarnation.start(order, fails, &mut counts);
         if let Ok(Some(after)) = started {
             let crash = WorkerCrash {
@@ -305,7 +330,7 @@
             let (mut incarnation, mut counts) = (incarnation.lock().await, counts.lock().await);
             // A run that has ended by itself is no longer there to be stopped.
             incarnation.finish_due(&mut counts);
-            let stopped = incarnation.stop(&order);
+            let stopped = incarnation.stop(&order, &mut counts);
             order_response(&incarnation, stopped)
         }
         "/v1/hold" => hold(context.incarnation, context.counts, fault, order).await,
@@ -369,10 +394,7 @@
             }
             incarnation.finish_due(&mut counts);
             incarnation.extend(order.deadline_at_ms);
-            let ack_cursor = order.ack_cursor;
-            incarnation
-                .ended_rows
-                .retain(|row| row[0].as_u64().is_some_and(|end| end > ack_cursor));
+            incarnation.acknowledge(order.ack_cursor, &mut counts);
             if !incarnation.ended_rows.is_empty() || Instant::now() >= wait_until {
                 let garbled = fault == WorkerFault::GarbledReports;
                 return http::json(&incarnation.report(garbled));
--- a/crates/fakes/src/platform/pool_worker/incarnation.rs
+++ b/crates/fakes/src/platform/pool_worker/incarnation.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 use serde_json::{Value, json};
 
+use super::history::RunHistory;
 use crate::platform::gang::{GangMember, GangTable};
 
 /// Duration of a task whose payload sets none.
@@ -49,6 +50,12 @@
 }
 
 impl ActiveRun {
+    /// Time at which the run ends by itself; `None` if it does not, or if a gang determines it.
+    fn due_at(&self) -> Option<Instant> {
+        let duration = self.duration.filter(|_| self.gang.is_none())?;
+        Some(self.started_at + duration)
+    }
+
     /// Returns the end that the run has reached by itself.
     fn outcome(&self) -> Option<&'static str> {
         let duration = self.duration?;
@@ -99,6 +106,8 @@
     pub(super) starts: BTreeMap<String, u32>,
     /// Number of runs that ended as done, by task.
     pub(super) done: BTreeMap<String, u32>,
+    /// All runs with their times.
+    pub(super) history: RunHistory,
 }
 
 impl WorkerIncarnation {
@@ -131,28 +140,53 @@
     /// Ends the runs that are finished, and all runs once the lease has lapsed.
     pub(super) fn finish_due(&mut self, counts: &mut TaskCounts) {
         let now = self.clock_ms();
-        let lapsed = self.deadline.is_some_and(|deadline| now > deadline);
+        let lapse = self.deadline.filter(|deadline| now > *deadline);
+        let lapsed_at = lapse.map(|deadline| self.started_at + Duration::from_millis(deadline));
         let names: Vec<String> = self.runs.keys().cloned().collect();
         for name in names {
-            let outcome = match self.runs[&name].outcome() {
-                Some(outcome) => outcome,
-                None if lapsed => "lapsed",
-                None => continue,
+            let run = &self.runs[&name];
+            let due_at = run.due_at();
+            let (outcome, ended_at) = match (run.outcome(), lapsed_at) {
+                // No request may have arrived between the lapse and the time of the run's own end.
+                (Some(_), Some(lapsed_at)) if due_at.is_some_and(|at| at > lapsed_at) => {
+                    ("lapsed", lapsed_at)
+                }
+                (Some(outcome), _) => (outcome, due_at.unwrap_or_else(Instant::now)),
+                (None, Some(lapsed_at)) => ("lapsed", lapsed_at),
+                (None, None) => continue,
             };
             if outcome == "done" {
                 *counts.done.entry(name.clone()).or_default() += 1;
             }
-            self.end(&name, outcome);
+            self.end(&name, outcome, ended_at, &mut counts.history);
         }
     }
 
-    fn end(&mut self, name: &str, outcome: &str) {
+    /// Discards the ends up to a number.
+    pub(super) fn acknowledge(&mut self, ack_cursor: u64, counts: &mut TaskCounts) {
+        self.ended_rows.retain(|row| {
+            let is_kept = row[0].as_u64().is_some_and(|end| end > ack_cursor);
+            if !is_kept && let (Some(task), Some(run)) = (row[1].as_str(), row[2].as_u64()) {
+                counts.history.acknowledge(task, run);
+            }
+            is_kept
+        });
+    }
+
+    fn end(
+        &mut self,
+        name: &str,
+        outcome: &'static str,
+        ended_at: Instant,
+        history: &mut RunHistory,
+    ) {
         let Some(run) = self.runs.remove(name) else {
             return;
         };
         if let Some(gang) = &run.gang {
             gang.leave();
         }
+        history.end(name, run.number, outcome, ended_at);
         self.end_count += 1;
         self.finished_runs.insert(name.to_owned(), run.number);
         self.ended_rows
@@ -211,11 +245,21 @@
             fails: fails || order.task_spec == "fail",
         };
         *counts.starts.entry(order.task.clone()).or_default() += 1;
-        self.runs.insert(order.task.clone(), run);
+        counts.history.begin(&order.task, order.run, run.started_at);
+        if let Some(former) = self.runs.insert(order.task.clone(), run) {
+            let replaced_at = Instant::now();
+            counts
+                .history
+                .end(&order.task, former.number, "replaced", replaced_at);
+        }
         Ok(crashes_after.map(Duration::from_millis))
     }
 
-    pub(super) fn stop(&mut self, order: &WorkerOrder) -> Result<(), &'static str> {
+    pub(super) fn stop(
+        &mut self,
+        order: &WorkerOrder,
+        counts: &mut TaskCounts,
+    ) -> Result<(), &'static str> {
         self.check_token(order)?;
         let finished_run = self.finished_runs.entry(order.task.clone()).or_default();
         *finished_run = order.run.max(*finished_run);
@@ -224,7 +268,8 @@
             .get(&order.task)
             .is_some_and(|run| run.number <= order.run)
         {
-            self.end(&order.task, "stopped");
+            let stopped_at = Instant::now();
+            self.end(&order.task, "stopped", stopped_at, &mut counts.history);
         }
         Ok(())
     }
