--- /dev/null
+++ b/crates/experiments/tests/partition_soak/callers.rs
@@ -0,0 +1,163 @@
+//! Callers, which submit jobs over open connections and ask for their states.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::{
+    Method, StatusCode,
+    header::{HOST, HeaderValue},
+};
+use jacinthhoist_fakes::sample_job;
+use jacinthhoist_net::{HttpClient, HttpRequest, HttpResponse};
+use rand::{RngExt, rngs::StdRng};
+use serde_json::Value;
+use tokio::{
+    sync::Mutex,
+    time::{Instant, sleep},
+};
+
+use crate::installation::{MEMBERS, SoakInstallation};
+
+/// Timeout of a call: more than that of the route.
+const CALL_TIMEOUT: Duration = Duration::from_secs(4);
+/// Time after which a call is repeated.
+const RETRY_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval between the rounds that look for jobs that are not yet completed.
+const POLL_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Connection to a member, which is kept until a call fails.
+struct MemberConnection<'a> {
+    installation: &'a SoakInstallation,
+    member: usize,
+    client: HttpClient,
+}
+
+impl<'a> MemberConnection<'a> {
+    fn open(installation: &'a SoakInstallation, member: usize) -> Self {
+        Self {
+            installation,
+            member,
+            client: HttpClient::new(installation.front(member)),
+        }
+    }
+
+    /// Sends a request; without a response the next request goes to the next member.
+    async fn send(&mut self, method: Method, id: &str, body: Bytes) -> Option<HttpResponse> {
+        let host = HeaderValue::from_static("mould.example");
+        let request = HttpRequest::new(method, format!("/jobs/{id}"), body).header(HOST, host);
+        let response = self.client.send(request, CALL_TIMEOUT).await.ok();
+        if response.is_none() {
+            *self = Self::open(self.installation, (self.member + 1) % MEMBERS);
+        }
+        response
+    }
+
+    /// Status and state of a job.
+    async fn state(&mut self, id: &str) -> Option<(StatusCode, String)> {
+        let response = self.send(Method::GET, id, Bytes::new()).await?;
+        let body: Value = serde_json::from_slice(&response.bytes).unwrap_or_default();
+        let state = body["state"].as_str().unwrap_or_default().to_owned();
+        Some((response.status, state))
+    }
+}
+
+/// What callers were told.
+#[derive(Default)]
+pub(crate) struct CallerRecord {
+    /// Ids of accepted jobs.
+    pub(crate) accepted: Vec<String>,
+    /// Number of jobs that were refused, or whose acceptance stayed unknown.
+    pub(crate) others: usize,
+    pub(crate) violations: Vec<String>,
+}
+
+/// Submits jobs until a time.
+pub(crate) async fn submit_jobs(
+    installation: &SoakInstallation,
+    record: &Mutex<CallerRecord>,
+    number: usize,
+    mut rng: StdRng,
+    until: Instant,
+) {
+    let mut connection = MemberConnection::open(installation, number % MEMBERS);
+    while Instant::now() < until {
+        let id = format!("{:016x}", rng.random::<u64>());
+        let tasks = rng.random_range(2..=5);
+        let payload = format!("ms={}", rng.random_range(1_000..9_000));
+        let body = Bytes::from(sample_job(tasks, &payload).to_string());
+        let mut accepted = false;
+        while Instant::now() < until {
+            let response = connection.send(Method::POST, &id, body.clone()).await;
+            match response.map(|response| response.status) {
+                Some(StatusCode::OK) => {
+                    accepted = true;
+                    break;
+                }
+                // The job may have been accepted.
+                None | Some(StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT) => {
+                    sleep(RETRY_INTERVAL).await;
+                }
+                Some(_) => break,
+            }
+        }
+        let asked = {
+            let mut record = record.lock().await;
+            if accepted {
+                record.accepted.push(id);
+            } else {
+                record.others += 1;
+            }
+            let count = record.accepted.len();
+            (count > 0).then(|| record.accepted[rng.random_range(0..count)].clone())
+        };
+        if let Some(id) = asked
+            && let Some((status, state)) = connection.state(&id).await
+        {
+            check_state(record, &id, status, &state).await;
+        }
+        sleep(Duration::from_millis(rng.random_range(300..900))).await;
+    }
+}
+
+async fn check_state(record: &Mutex<CallerRecord>, id: &str, status: StatusCode, state: &str) {
+    let is_unknown = status == StatusCode::GONE || status == StatusCode::NOT_FOUND;
+    if is_unknown || state == "failed" || state == "cancelled" {
+        let violation = format!("accepted job {id} is answered with {status} {state}");
+        record.lock().await.violations.push(violation);
+    }
+}
+
+/// Waits until every accepted job is completed, and records those that are not by a time.
+pub(crate) async fn wait_completed(
+    installation: &SoakInstallation,
+    record: &Mutex<CallerRecord>,
+    until: Instant,
+) {
+    let mut open = record.lock().await.accepted.clone();
+    let mut connection = MemberConnection::open(installation, 0);
+    loop {
+        let mut rest = Vec::new();
+        for id in open {
+            match connection.state(&id).await {
+                Some((_, state)) if state == "completed" => {}
+                Some((status, state)) => {
+                    check_state(record, &id, status, &state).await;
+                    rest.push((id, format!("{status} {state}")));
+                }
+                None => rest.push((id, "no response".to_owned())),
+            }
+        }
+        if rest.is_empty() {
+            return;
+        }
+        if Instant::now() > until {
+            let rest = rest
+                .into_iter()
+                .map(|(id, state)| format!("accepted job {id} is not completed: {state}"));
+            record.lock().await.violations.extend(rest);
+            return;
+        }
+        sleep(POLL_INTERVAL).await;
+        open = rest.into_iter().map(|(id, _)| id).collect();
+    }
+}
--- /dev/null
+++ b/crates/experiments/tests/partition_soak/faults.rs
@@ -0,0 +1,163 @@
+//! Faults of a run, each kind in a sequence of its own, so that different kinds overlap.
+
+use std::time::Duration;
+
+use jacinthhoist_fakes::StoreFault;
+use rand::{RngExt, rngs::StdRng};
+use tokio::time::{Instant, sleep};
+
+use crate::{
+    installation::{MEMBERS, POOL, SoakInstallation, WORKERS},
+    network::{CutKind, NetworkNode},
+};
+
+/// Time after which the store drops the entry of a worker that is silent: three heartbeats.
+const ENTRY_LIFETIME: Duration = Duration::from_millis(300);
+
+async fn pause(rng: &mut StdRng, millis: std::ops::Range<u64>) {
+    sleep(Duration::from_millis(rng.random_range(millis))).await;
+}
+
+/// Prints a fault with its time, for the trace of a run.
+fn note(origin: Instant, text: &str) {
+    println!("  {:.3} {text}", origin.elapsed().as_secs_f64());
+}
+
+/// Separates the owner and some workers from everything else, one time after the other.
+pub(crate) async fn partition(
+    installation: &SoakInstallation,
+    mut rng: StdRng,
+    origin: Instant,
+    until: Instant,
+) {
+    loop {
+        pause(&mut rng, 1_000..3_000).await;
+        if Instant::now() >= until {
+            return;
+        }
+        let Some(owner) = installation.owner().await else {
+            continue;
+        };
+        let mut small = vec![NetworkNode::Member(owner)];
+        if rng.random_bool(0.3) {
+            small.push(NetworkNode::Member((owner + 1) % MEMBERS));
+        }
+        let first = rng.random_range(0..WORKERS);
+        let workers: Vec<usize> = (0..rng.random_range(1..=4))
+            .map(|offset| (first + offset) % WORKERS)
+            .collect();
+        small.extend(workers.iter().map(|index| NetworkNode::Worker(*index)));
+        let kind = match rng.random_range(0..10) {
+            0 => CutKind::Outbound,
+            1 => CutKind::Inbound,
+            _ => CutKind::Both,
+        };
+        let reset = rng.random_bool(0.2);
+        let lasts = Duration::from_millis(rng.random_range(2_000..9_000));
+        note(
+            origin,
+            &format!("partition for {lasts:?}, {kind:?}, reset {reset}: {small:?}"),
+        );
+        let cut = installation.network.cut(&small, kind, reset);
+        // The workers' entries cannot be renewed unless their messages arrive.
+        let entries_lapse = kind != CutKind::Inbound;
+        sleep(ENTRY_LIFETIME).await;
+        for index in workers.iter().filter(|_| entries_lapse) {
+            installation.platform.workers[*index].replace_entry(Some(b""));
+        }
+        sleep(lasts.saturating_sub(ENTRY_LIFETIME)).await;
+        drop(cut);
+        for index in workers {
+            installation.platform.workers[index].replace_entry(None);
+        }
+        note(origin, "partition over");
+    }
+}
+
+/// Has the store reject or not answer the calls of all members for some seconds.
+pub(crate) async fn store_outage(
+    installation: &SoakInstallation,
+    mut rng: StdRng,
+    origin: Instant,
+    until: Instant,
+) {
+    loop {
+        pause(&mut rng, 4_000..20_000).await;
+        if Instant::now() >= until {
+            return;
+        }
+        let lasts = rng.random_range(2_000..8_000);
+        let is_silent = rng.random_bool(0.5);
+        note(
+            origin,
+            &format!("store away for {lasts} ms, silent {is_silent}"),
+        );
+        let cut = is_silent.then(|| installation.network.isolate(NetworkNode::Store));
+        if !is_silent {
+            installation.platform.store.set_fault(StoreFault::Busy);
+        }
+        sleep(Duration::from_millis(lasts)).await;
+        installation.platform.store.set_fault(StoreFault::None);
+        drop(cut);
+        note(origin, "store back");
+    }
+}
+
+/// Ends members, orderly or at once, and starts them again under the same addresses.
+pub(crate) async fn member_end(
+    installation: &SoakInstallation,
+    mut rng: StdRng,
+    origin: Instant,
+    until: Instant,
+) {
+    loop {
+        pause(&mut rng, 4_000..14_000).await;
+        if Instant::now() >= until {
+            return;
+        }
+        let (index, orderly) = (rng.random_range(0..MEMBERS), rng.random_bool(0.5));
+        note(origin, &format!("entry-{index} ends, orderly {orderly}"));
+        installation.end(index, orderly).await;
+        pause(&mut rng, 200..3_000).await;
+        installation.start(index).await;
+        note(origin, &format!("entry-{index} started"));
+    }
+}
+
+/// Restarts workers, resets connections and changes the catalogue.
+pub(crate) async fn disturbance(
+    installation: &SoakInstallation,
+    mut rng: StdRng,
+    origin: Instant,
+    until: Instant,
+) {
+    let mut version = 1;
+    loop {
+        pause(&mut rng, 1_500..6_000).await;
+        if Instant::now() >= until {
+            return;
+        }
+        match rng.random_range(0..3) {
+            0 => {
+                let index = rng.random_range(0..WORKERS);
+                note(origin, &format!("worker {index} restarts"));
+                installation.platform.workers[index].restart().await;
+            }
+            1 => {
+                let index = rng.random_range(0..MEMBERS);
+                note(origin, &format!("connections of entry-{index} reset"));
+                installation.network.reset_member(index);
+            }
+            _ => {
+                version += 1;
+                note(origin, &format!("catalogue {version}"));
+                let pools: &[&str] = if version % 2 == 0 {
+                    &[POOL, "added"]
+                } else {
+                    &[POOL]
+                };
+                installation.platform.configure(version, pools);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/experiments/tests/partition_soak/main.rs
@@ -0,0 +1,122 @@
+//! Soak of real members around partitions: members on runtimes of their own, over TCP, against the
+//! stand-ins of the platform, with faults drawn from a seed.
+//!
+//! Environment: `JACINTHHOIST_SOAK_SEEDS` is the number of seeds, `JACINTHHOIST_SOAK_FROM` the first,
+//! `JACINTHHOIST_SOAK_SECS` the time with faults in each run, and `JACINTHHOIST_SOAK_LOGS` a folder for
+//! the members' log lines.
+
+mod callers;
+mod faults;
+mod installation;
+mod link;
+mod link_checks;
+mod member;
+mod network;
+mod verdict;
+
+use std::{
+    path::PathBuf,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use rand::{SeedableRng, rngs::StdRng};
+use tokio::{
+    sync::Mutex,
+    time::{Instant, sleep},
+};
+
+use callers::CallerRecord;
+use installation::SoakInstallation;
+
+/// Seeds of one run in CI.
+const SEEDS: u64 = 2;
+/// Time with faults in each run, in seconds; long enough for two partitions.
+const FAULT_SECS: u64 = 25;
+/// Time for jobs to be completed after the faults: several times a lease and the longest task.
+const QUIET_PERIOD: Duration = Duration::from_secs(45);
+/// Time after the last completion in which late starts are still seen.
+const SETTLE_PERIOD: Duration = Duration::from_secs(1);
+/// Number of callers.
+const CALLERS: usize = 3;
+/// Odd factor that separates the random sequences of neighbouring seeds.
+const SEED_FACTOR: u64 = 0x9E37_79B9_7F4A_7C15;
+
+fn variable(name: &str, default: u64) -> u64 {
+    let value = std::env::var(name).ok();
+    value.map_or(default, |text| {
+        text.parse().expect("the variable is a number")
+    })
+}
+
+/// Plays one seed; returns what broke a rule.
+async fn play(seed: u64, secs: u64) -> Vec<String> {
+    let logs = std::env::var_os("JACINTHHOIST_SOAK_LOGS").map(|folder| {
+        let folder = PathBuf::from(folder).join(seed.to_string());
+        std::fs::create_dir_all(&folder).expect("the folder of logs can be created");
+        folder
+    });
+    let installation = SoakInstallation::spawn(logs).await;
+    let record = Mutex::new(CallerRecord::default());
+    let origin = Instant::now();
+    let unix_ms = SystemTime::now().duration_since(UNIX_EPOCH);
+    let unix_ms = unix_ms.map_or(0, |time| time.as_millis());
+    println!("seed {seed} begins, 0 is {unix_ms} in the log lines");
+    let until = origin + Duration::from_secs(secs);
+    let rng = |part: u64| StdRng::seed_from_u64(seed.wrapping_mul(SEED_FACTOR).wrapping_add(part));
+    let caller = |number: usize| {
+        let rng = rng(100 + number as u64);
+        callers::submit_jobs(&installation, &record, number, rng, until)
+    };
+    tokio::join!(
+        futures::future::join_all((0..CALLERS).map(caller)),
+        faults::partition(&installation, rng(1), origin, until),
+        faults::store_outage(&installation, rng(2), origin, until),
+        faults::member_end(&installation, rng(3), origin, until),
+        faults::disturbance(&installation, rng(4), origin, until),
+    );
+    callers::wait_completed(&installation, &record, Instant::now() + QUIET_PERIOD).await;
+    sleep(SETTLE_PERIOD).await;
+    let mut runs = Vec::new();
+    for worker in &installation.platform.workers {
+        let history = worker.history().await;
+        runs.extend(history.into_iter().map(|run| (worker.id().to_owned(), run)));
+    }
+    installation.close().await;
+    let CallerRecord {
+        accepted,
+        others,
+        mut violations,
+    } = record.into_inner();
+    let (count, elapsed) = (runs.len(), origin.elapsed().as_secs_f64());
+    violations.extend(verdict::check_runs(runs, origin.into_std()));
+    println!(
+        "seed {seed}: {} jobs accepted, {others} not, {count} runs, {elapsed:.1} s, {} violations",
+        accepted.len(),
+        violations.len()
+    );
+    for violation in &violations {
+        println!("  {violation}");
+    }
+    violations
+}
+
+/// Guards against two runs of a task at once, lost jobs and repeated work around partitions: an owner
+/// that the store had replaced went on renewing leases that the next one took for lapsed (issue 43).
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn members_on_tcp_run_each_task_once_around_partitions() {
+    let first = variable("JACINTHHOIST_SOAK_FROM", 1);
+    let count = variable("JACINTHHOIST_SOAK_SEEDS", SEEDS);
+    let secs = variable("JACINTHHOIST_SOAK_SECS", FAULT_SECS);
+    let mut failed = Vec::new();
+    for seed in first..first + count {
+        let violations = play(seed, secs).await;
+        if !violations.is_empty() {
+            failed.push((seed, violations));
+        }
+    }
+    assert!(
+        failed.is_empty(),
+        "{} of {count} seeds broke a rule: {failed:#?}",
+        failed.len()
+    );
+}
--- /dev/null
+++ b/crates/experiments/tests/partition_soak/verdict.rs
@@ -0,0 +1,56 @@
+//! Rules that are checked over the runs that the workers saw.
+
+use std::{collections::BTreeMap, time::Instant};
+
+use jacinthhoist_fakes::RunRecord;
+
+/// Run with the worker that it was on.
+type WorkerRun = (String, RunRecord);
+
+/// Returns the violations of the rules that no task has two runs at once, and that none begins after
+/// an acknowledged end `done`. Times are relative to `origin`.
+pub(crate) fn check_runs(runs: Vec<WorkerRun>, origin: Instant) -> Vec<String> {
+    let mut by_task: BTreeMap<String, Vec<WorkerRun>> = BTreeMap::new();
+    for run in runs {
+        by_task.entry(run.1.task.clone()).or_default().push(run);
+    }
+    let mut violations = Vec::new();
+    for runs in by_task.values_mut() {
+        runs.sort_by_key(|(_, record)| record.began_at);
+        for (index, later) in runs.iter().enumerate() {
+            for earlier in &runs[..index] {
+                violations.extend(compare(earlier, later, origin));
+            }
+        }
+    }
+    violations
+}
+
+fn compare(earlier: &WorkerRun, later: &WorkerRun, origin: Instant) -> Option<String> {
+    let began_at = later.1.began_at;
+    let broken = match earlier.1.end {
+        Some((_, ended_at)) if ended_at <= began_at => {
+            let is_done = matches!(earlier.1.end, Some(("done", _)));
+            let acknowledged_at = earlier.1.acknowledged_at?;
+            if !is_done || began_at <= acknowledged_at {
+                return None;
+            }
+            "begun after done"
+        }
+        Some(_) | None => "TWICE",
+    };
+    let (earlier, later) = (describe(earlier, origin), describe(later, origin));
+    Some(format!("{broken}: {earlier}; {later}"))
+}
+
+fn describe((worker, record): &WorkerRun, origin: Instant) -> String {
+    let secs = |at: Instant| at.saturating_duration_since(origin).as_secs_f64();
+    let end = record.end.map_or("in progress".to_owned(), |(how, at)| {
+        format!("{how} at {:.3}", secs(at))
+    });
+    let RunRecord { task, run, .. } = record;
+    format!(
+        "{task} run {run} on {worker} from {:.3}, {end}",
+        secs(record.began_at)
+    )
+}
