--- a/crates/codec/tests/job.rs
+++ b/crates/codec/tests/job.rs
@@ -10,9 +10,9 @@
 use jacinthhoist_core::{
     ClockTime, PoolName, RackName, VmName, WorkName, WorkerId,
     job::{
-        BatchRecord, CrashHistory, Implication, JobId, JobProgress, JobSpec, JobState, JobTerms,
-        LoadReport, LostWorker, MemberRank, RepeatPlan, RunLoss, StepSpec, SuccessionRecord,
-        TaskKey, WaveProgress, WorkLoad,
+        BatchRecord, CrashHistory, FormerOwner, Implication, JobId, JobProgress, JobSpec, JobState,
+        JobTerms, LoadReport, LostWorker, MemberRank, RepeatPlan, RunLoss, StepSpec,
+        SuccessionRecord, TaskKey, WaveProgress, WorkLoad,
     },
 };
 
