Ask the fake store for the owner directly; play the bound on promises

names.rs found a wire name outside the adapter and the fakes, in the soak: the fake store now has a method for the owner. The test of the bound on leases expected a whole lease on promises 6 s after the store's last evidence, with the former bound of 20 s; it now plays three ages up to 12 s.

--- a/crates/core/tests/jobs/leases.rs
+++ b/crates/core/tests/jobs/leases.rs
@@ -176,12 +176,16 @@
     owner.now = confirmed.stored_at + longest + ms(10);
     owner.report(0, RenewalReport::default());
     assert_eq!(granted_span(&mut owner, &id), None);
-    // In an outage of the store for all members their promises count.
-    owner.scheduler.set_evidence(OwnershipEvidence {
-        promised_until: owner.now + ms(1_000),
-        ..confirmed
-    });
-    assert_eq!(granted_span(&mut owner, &id), Some(longest.as_millis()));
+    // In an outage of the store for all members their promises count, for 12 s.
+    for (age, expected) in [(5_900, 6_000), (7_000, 5_000), (11_000, 1_000)] {
+        owner.now = confirmed.stored_at + ms(age - 1);
+        owner.report(0, RenewalReport::default());
+        owner.scheduler.set_evidence(OwnershipEvidence {
+            promised_until: owner.now + ms(1_000),
+            ..confirmed
+        });
+        assert_eq!(granted_span(&mut owner, &id), Some(expected), "{age}");
+    }
 }
 
 fn former_owner(until: ClockTime) -> SmallVec<[FormerOwner; 2]> {
--- a/crates/experiments/tests/partition_soak/installation.rs
+++ b/crates/experiments/tests/partition_soak/installation.rs
@@ -7,11 +7,9 @@
     time::Duration,
 };
 
-use bytes::Bytes;
-use hyper::{Method, StatusCode};
-use jacinthhoist_experiments::schedule::{call, get, wait_for};
-use jacinthhoist_fakes::{FakePlatform, StoreEndpoint};
-use serde_json::Value;
+use hyper::StatusCode;
+use jacinthhoist_experiments::schedule::{get, wait_for};
+use jacinthhoist_fakes::FakePlatform;
 use tokio::{sync::Mutex, time::sleep};
 
 use crate::{
@@ -41,8 +39,6 @@
 pub(crate) struct SoakInstallation {
     pub(crate) platform: FakePlatform,
     pub(crate) network: SoakNetwork,
-    /// Address of the store without faults, for the test itself.
-    direct: StoreEndpoint,
     ports: Vec<[u16; 3]>,
     members: Vec<Mutex<Option<SoakMember>>>,
     nonce: AtomicU64,
@@ -70,10 +66,8 @@
         targets.extend(
             members.map(|(index, [_, _, peer])| (NetworkNode::Member(index), local(*peer))),
         );
-        let direct = platform.store.open_endpoint().await;
         let installation = Self {
             network: SoakNetwork::open(MEMBERS, &targets).expect("loopback has free ports"),
-            direct: direct.expect("loopback has free ports"),
             platform,
             ports,
             members: (0..MEMBERS).map(|_| Mutex::new(None)).collect(),
@@ -149,11 +143,7 @@
 
     /// Index of the member that the store names as the owner.
     pub(crate) async fn owner(&self) -> Option<usize> {
-        let path = "/v1/log-owners?group=jacinthhoist";
-        let answer = call(self.direct.address(), "", Method::GET, path, Bytes::new()).await?;
-        let body: Value = serde_json::from_slice(&answer.bytes).ok()?;
-        let rows = body["parts"].as_array()?;
-        let key = rows.iter().find(|row| row[1] == 0)?[2].as_str()?;
+        let key = self.platform.store.owner().await?;
         let name = key.split('|').next()?;
         name.strip_prefix("entry-")?.parse().ok()
     }
--- a/crates/fakes/src/platform/store.rs
+++ b/crates/fakes/src/platform/store.rs
@@ -216,6 +216,17 @@
         let _ = self.commands.send(StoreCommand::Compact(topic.to_owned()));
     }
 
+    /// Key of the member to which partition 0 belongs, without regard to faults.
+    pub async fn owner(&self) -> Option<String> {
+        let (reply, owners) = oneshot::channel();
+        // Cannot fail: the task that owns the state lives as long as the store.
+        let _ = self.commands.send(StoreCommand::Owners(reply));
+        let owners = owners.await.ok()?;
+        let rows = owners["parts"].as_array()?;
+        let row = rows.iter().find(|row| row[1] == 0)?;
+        row[2].as_str().map(str::to_owned)
+    }
+
     /// First page of the newest records of a topic, as keys and values.
     pub async fn newest(&self, topic: &str) -> Vec<(String, Vec<u8>)> {
         let (reply, reply_receiver) = oneshot::channel();
