--- a/crates/core/src/job/succession.rs
+++ b/crates/core/src/job/succession.rs
@@ -1,6 +1,6 @@
 //! Evidence on which an owner extends leases, and what the next owner assumes of it.
 //!
-//! The store replaces an owner that it has not heard from for a while, and the next owner waits one
+//! The store replaces an owner whose membership is not renewed for a while, and the next owner waits one
 //! lease for the workers that it cannot reach. An owner therefore extends no lease beyond one lease
 //! after its last evidence that no other member owns the pools. In an outage of the store for all
 //! members, their promises not to take over are such evidence. They count if they are those of all
--- a/crates/scheduler/src/membership.rs
+++ b/crates/scheduler/src/membership.rs
@@ -164,14 +164,14 @@
     platform: &P,
     shared: &MemberShared,
 ) -> Option<String> {
-    let heard = shared.owner_view.last_heartbeat();
+    let received = shared.owner_view.last_heartbeat();
     let owner = platform.owner().await;
     shared.record_call(Dependency::Membership, &owner);
     let Ok(owner) = owner else {
         shared.owner_view.record_lookup_failure();
         return None;
     };
-    shared.owner_view.record_owner(owner.as_deref(), heard);
+    shared.owner_view.record_owner(owner.as_deref(), received);
     owner
 }
 
--- a/crates/scheduler/src/owner_view.rs
+++ b/crates/scheduler/src/owner_view.rs
@@ -32,9 +32,9 @@
     /// Time at which this member's ownership last ended; zero for never.
     ownership_ended_at: AtomicU64,
     /// Last heartbeat that has arrived.
-    heartbeat: ArcSwapOption<HeardHeartbeat>,
+    heartbeat: ArcSwapOption<ReceivedHeartbeat>,
     /// Last heartbeat that had arrived before a look-up in which the store named its sender.
-    confirmed: ArcSwapOption<HeardHeartbeat>,
+    confirmed: ArcSwapOption<ReceivedHeartbeat>,
     /// True if the last look-up in the store failed.
     lookup_failed: AtomicBool,
     /// True while this member may take over.
@@ -47,7 +47,7 @@
 
 /// Heartbeat of an owner.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct HeardHeartbeat {
+pub(crate) struct ReceivedHeartbeat {
     owner: Arc<str>,
     /// Time on the owner's clock at which it was sent.
     sent_at: ClockTime,
@@ -112,11 +112,11 @@
             None => owner.into(),
         };
         self.heartbeat
-            .store(Some(Arc::new(HeardHeartbeat { owner, sent_at })));
+            .store(Some(Arc::new(ReceivedHeartbeat { owner, sent_at })));
     }
 
     /// Returns the last heartbeat that has arrived.
-    pub(crate) fn last_heartbeat(&self) -> Option<Arc<HeardHeartbeat>> {
+    pub(crate) fn last_heartbeat(&self) -> Option<Arc<ReceivedHeartbeat>> {
         self.heartbeat.load_full()
     }
 
@@ -163,14 +163,14 @@
         self.lookup_failed.store(true, Ordering::Relaxed);
     }
 
-    /// Records the owner that the store reports; `None` if there is none. `heard` is the last heartbeat
-    /// that had arrived before the store was asked.
-    pub(crate) fn record_owner(&self, key: Option<&str>, heard: Option<Arc<HeardHeartbeat>>) {
+    /// Records the owner that the store reports; `None` if there is none. `received` is the last
+    /// heartbeat that had arrived before the store was asked.
+    pub(crate) fn record_owner(&self, key: Option<&str>, received: Option<Arc<ReceivedHeartbeat>>) {
         self.lookup_failed.store(false, Ordering::Relaxed);
-        if let Some(heard) = heard
-            && key == Some(&*heard.owner)
+        if let Some(received) = received
+            && key == Some(&*received.owner)
         {
-            self.confirmed.store(Some(heard));
+            self.confirmed.store(Some(received));
         }
         let known = **self.recorded_owner.load();
         let recorded = match key {
