Log why the steps of a pool's queue wait, and which jobs its search left out

The pool line said how many jobs are queued, not why: a search that stops early and one that finds no room looked the same. No decision changes.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -15,6 +15,7 @@
 //! | `order` | priority order of jobs in a full pool |
 //! | `place` | assignment of tasks to workers |
 //! | `room` | largest tasks that the workers of a pool could run |
+//! | `wait` | reasons for which steps wait |
 //! | `resize` | reassignment of VMs between pools |
 //! | `wave` | progress of rolling VM maintenance |
 //! | `admit` | admission control and the retry delay of refused jobs |
@@ -45,6 +46,7 @@
 mod succession;
 mod task;
 mod vm_order;
+mod wait;
 mod wave;
 mod worker;
 
@@ -80,6 +82,7 @@
     AnyTask, Assigned, FailedRuns, Running, StartOrderState, Stopping, TaskEnd, TaskRun, Waiting,
 };
 pub use vm_order::{Accepted, AnyVmOrder, Sent, VmOrder, VmOrderRun};
+pub use wait::{WaitCounts, WaitReason};
 pub use wave::{Wave, WaveProgress, WaveRequest, WaveTable};
 pub use worker::{
     ActiveRun, EndedRun, OrderReply, RenewalReport, StartReply, Worker, WorkerEntry, WorkerState,
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -47,6 +47,7 @@
     stop::StopReason,
     succession::{FormerOwner, SuccessionLedger},
     task::TaskEnd,
+    wait::WaitCounts,
     wave::WaveTable,
     worker::{StartReply, Worker},
 };
@@ -440,6 +441,8 @@
     unrest: PoolUnrest,
     /// Workers that are reserved for trials.
     trial_workers: SmallVec<[WorkerId; 4]>,
+    /// Outcome of the last search of each pool's queue.
+    waits: BTreeMap<PoolName, WaitCounts>,
     outbox: batch::Outbox,
     effects: Vec<Effect>,
     ownership_confirmed: bool,
@@ -475,6 +478,7 @@
             recent_silences: RecentSilences::default(),
             unrest: PoolUnrest::default(),
             trial_workers: SmallVec::new(),
+            waits: BTreeMap::new(),
             outbox: batch::Outbox::default(),
             effects: Vec::new(),
             ownership_confirmed: true,
--- a/crates/core/src/job/scheduler/demand.rs
+++ b/crates/core/src/job/scheduler/demand.rs
@@ -11,6 +11,7 @@
         room::RoomIndex,
         spec::{Resources, StepSpec},
         vm_order::AnyVmOrder,
+        wait::WaitCounts,
         worker::Worker,
     },
     name::PoolName,
@@ -146,6 +147,8 @@
     pub queued: usize,
     /// Queued jobs that are not expected to meet their objective.
     pub infeasible: usize,
+    /// Outcome of the last search of its queue.
+    pub waits: WaitCounts,
 }
 
 /// Adds up numbers, and stops at the largest one.
@@ -182,6 +185,7 @@
                 running: loads.get(&view.pool).map_or(0, |load| load.running),
                 queued: queue.len(),
                 infeasible: infeasible.count(),
+                waits: self.waits.get(&view.pool).copied().unwrap_or_default(),
                 pool: view.pool,
             }
         };
--- a/crates/core/src/job/scheduler/placing.rs
+++ b/crates/core/src/job/scheduler/placing.rs
@@ -12,6 +12,7 @@
         room::{RoomIndex, fits_gang},
         spec::{JobId, StepKey, StepSpec, TaskKey},
         task::AnyTask,
+        wait::{WaitCounts, WaitReason},
         worker::Worker,
     },
     name::{PoolName, RackName, WorkerId},
@@ -58,12 +59,14 @@
     workers: PlaceCandidates,
     /// Rooms of the workers, collected once a step has found none.
     rooms: Option<FiniteRooms>,
+    waits: WaitCounts,
 }
 
 impl Scheduler {
     /// Places waiting tasks on workers with room, pool by pool in order of urgency.
     pub(super) fn place_tasks(&mut self) {
         let queues = self.pool_queues();
+        self.waits.clear();
         if queues.is_empty() {
             return;
         }
@@ -80,8 +83,13 @@
             let (by_free_cpu, cpu) = pools.remove(&pool).unwrap_or_default();
             order_queue(&mut queue, cpu, self.now);
             let workers = PlaceCandidates::new(by_free_cpu);
-            let rooms = None;
-            self.place_queue(&queue, &mut QueueSearch { workers, rooms });
+            let mut search = QueueSearch {
+                workers,
+                rooms: None,
+                waits: WaitCounts::default(),
+            };
+            self.place_queue(&queue, &mut search);
+            self.waits.insert(pool, search.waits);
         }
     }
 
@@ -90,8 +98,9 @@
             return;
         }
         let mut unplaced_steps = 0;
-        for QueuedJob { urgency, job, .. } in queue {
+        for (index, QueuedJob { urgency, job, .. }) in queue.iter().enumerate() {
             if unplaced_steps >= MAX_UNPLACED_STEPS {
+                search.waits.unsearched_jobs = (queue.len() - index) as u32;
                 return;
             }
             let unplaced = self.place_job(*job, search);
@@ -135,6 +144,7 @@
             let rooms = search.rooms.as_ref();
             if rooms.is_some_and(|rooms| !self.may_find_room(key, rooms, &search.workers)) {
                 full_steps.push(step);
+                search.waits.add(WaitReason::NoFit);
                 continue;
             }
             let count = if self.is_gang(step) {
@@ -149,7 +159,10 @@
                 let rooms = search
                     .rooms
                     .get_or_insert_with(|| self.finite_rooms(&search.workers));
-                unplaced_steps += usize::from(self.may_find_room(key, rooms, &search.workers));
+                let may_find_room = self.may_find_room(key, rooms, &search.workers);
+                unplaced_steps += usize::from(may_find_room);
+                let reason = self.wait_reason(key, may_find_room, &search.workers);
+                search.waits.add(reason);
             }
         }
         if placed > 0 {
@@ -163,6 +176,37 @@
         unplaced_steps
     }
 
+    /// Returns the reason for which a task found no worker.
+    fn wait_reason(
+        &self,
+        key: &TaskKey,
+        may_find_room: bool,
+        workers: &PlaceCandidates,
+    ) -> WaitReason {
+        let Some(job) = self.jobs.get(&key.job).filter(|_| may_find_room) else {
+            return WaitReason::NoFit;
+        };
+        let (step, need) = (job.step(key), job.step(key).charged());
+        let unlimited = StepSpec {
+            max_per_worker: 0,
+            ..step.clone()
+        };
+        let request = PlaceRequest {
+            task: *key,
+            step: &unlimited,
+            avoid: None,
+            preferred_rack: None,
+        };
+        let known = workers.with_room(need.cpu);
+        let mut known = known.filter_map(|id| self.workers.get(id));
+        let has_room = known.any(|worker| is_eligible(&request, worker, &need, self.now));
+        match (has_room && !step.gang, job.terms.advised) {
+            (false, _) => WaitReason::Room,
+            (true, true) => WaitReason::Permit,
+            (true, false) => WaitReason::StepLimit,
+        }
+    }
+
     fn finite_rooms(&self, workers: &PlaceCandidates) -> FiniteRooms {
         let known = workers.with_room(0);
         FiniteRooms::collect(known.filter_map(|id| self.workers.get(id)))
--- a/crates/scheduler/src/owner/decisions.rs
+++ b/crates/scheduler/src/owner/decisions.rs
@@ -2,7 +2,7 @@
 
 use jacinthhoist_core::{
     WorkerId,
-    job::{LossReason, PoolSummary, SchedulerDecision, TaskKey},
+    job::{LossReason, PoolSummary, SchedulerDecision, TaskKey, WaitReason},
 };
 use serde_json::{Value, json};
 
@@ -28,11 +28,18 @@
         running,
         queued,
         infeasible,
+        waits,
     } = summary;
+    let reasons = WaitReason::ALL.map(|reason| (reason.label().to_owned(), waits.steps(reason)));
+    let steps: serde_json::Map<String, Value> = reasons
+        .into_iter()
+        .map(|(label, count)| (label, count.into()))
+        .collect();
     let fields = json!({"pool": pool.as_str(), "cpu": capacity.cpu, "cpu_used": used.cpu,
         "mem_mb": capacity.mem_mb, "mem_mb_used": used.mem_mb, "demand_cpu": demand,
         "arriving_cpu": arriving, "running_cpu": running,
-        "queued": queued, "infeasible": infeasible});
+        "queued": queued, "infeasible": infeasible,
+        "waiting_steps": steps, "unsearched_jobs": waits.unsearched_jobs});
     log.write(EventKind::Pool, fields);
 }
 
