Search the whole queue of a pool, at a cost that what it remembers bounds

Callers saw: sound jobs were never started while most of a pool was free.

Cause: the search of a queue ended at eight steps without a worker, whatever they waited for.

Change: the whole queue is searched. A shape (need, label, kind, expected duration) for which no worker has room is not searched for again, nor is one that asks for more; steps that wait for reasons of their own job narrow the search for their shape to the workers with room. No reason is an exception, so there is none to forget. So that large tasks do not starve now, the first late step of a pool that has waited for 10 s has room kept on the worker where it is expected to be free first; others start there if they end before, or fit beside it.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -14,7 +14,9 @@
 //! | `worker` | state of a worker as derived from its reports, and its eligibility for tasks |
 //! | `order` | priority order of jobs in a full pool |
 //! | `place` | assignment of tasks to workers |
-//! | `room` | largest tasks that the workers of a pool could run |
+//! | `room` | steps that the workers of a pool could run |
+//! | `shape` | what a task asks of a worker, and the memory of a search for room |
+//! | `hold` | room that is kept for a step which waits for it |
 //! | `wait` | reasons for which steps wait |
 //! | `resize` | reassignment of VMs between pools |
 //! | `wave` | progress of rolling VM maintenance |
@@ -30,6 +32,7 @@
 mod catalogue;
 mod charge;
 mod crash;
+mod hold;
 mod lease;
 mod life;
 mod order;
@@ -39,6 +42,7 @@
 mod resize;
 mod room;
 mod scheduler;
+mod shape;
 mod silence;
 mod spec;
 mod step_pace;
@@ -55,6 +59,7 @@
 pub use catalogue::{AdvicePolicy, CallerLimits, JobCatalogue, JobPool, JobWork};
 pub use charge::{AnyCharge, Held, RunCharge, RunCost, Stray};
 pub use crash::{Confirmed, CrashHistory, Implication, LostWorker, RunLoss, Suspected};
+pub use hold::{ExpectedEnd, RoomHold};
 pub use lease::{HeldLease, LeaseBasis, UnknownLease, WorkerLease};
 pub use life::{Begun, ClosedLife, Ended, Ending, Forgotten, JobLife, OpenLife, Queued, Removing};
 pub use order::{DurationTable, JobUrgency, QueuedJob, order_queue};
@@ -64,11 +69,12 @@
 pub use place::{PlaceCandidates, PlaceRequest, choose_worker};
 pub use process::WorkerProcess;
 pub use resize::{IdleVm, PoolDemandView, ResizeMove, plan_resize};
-pub use room::{RoomIndex, fits_gang};
+pub use room::RoomIndex;
 pub use scheduler::{
     Batch, BatchRecord, Effect, Job, JobProgress, LossReason, PoolSummary, RenewalPlan, Scheduler,
     SchedulerDecision, SchedulerLimits, StepAdvice, TaskRecord, VmEntry, VmState, WorkerChange,
 };
+pub use shape::{SearchMemory, TaskShape};
 pub use silence::{ExcusedLosses, PoolUnrest, RecentSilences, SilenceCause};
 pub use spec::{
     JobError, JobId, JobSpec, JobState, JobTerms, RepeatPlan, Resources, StepKey, StepSpec, TaskKey,
--- a/crates/core/src/job/order.rs
+++ b/crates/core/src/job/order.rs
@@ -56,6 +56,12 @@
 /// Margin for the start of a step: storing it, and the order to the worker.
 const START_MARGIN: ClockTime = ClockTime::from_millis(150);
 
+/// Time after which work that has not started is expected to be done.
+pub(super) fn with_margin(work: ClockTime) -> ClockTime {
+    let margin = work.as_millis().saturating_mul(CHAIN_MARGIN_PERCENT) / 100;
+    work + ClockTime::from_millis(margin) + START_MARGIN
+}
+
 /// Part of a pool's capacity that becomes free for waiting work, in percent; running tasks hold the
 /// rest.
 const FREE_CPU_PERCENT: u64 = 50;
@@ -98,11 +104,9 @@
         is_new: bool,
         now: ClockTime,
     ) -> Self {
-        let margin = remaining.as_millis().saturating_mul(CHAIN_MARGIN_PERCENT) / 100;
-        let expected = remaining + ClockTime::from_millis(margin) + START_MARGIN;
         Self {
             ends: true,
-            infeasible: now + expected > deadline,
+            infeasible: now + with_margin(remaining) > deadline,
             priority,
             is_new,
             latest_start: deadline - remaining,
--- a/crates/core/src/job/place.rs
+++ b/crates/core/src/job/place.rs
@@ -26,6 +26,8 @@
     pub avoid: Option<&'a WorkerId>,
     /// Rack on which other tasks of the step run, for steps that run faster on one rack.
     pub preferred_rack: Option<&'a RackName>,
+    /// Expected duration of the task.
+    pub span: ClockTime,
 }
 
 impl PlaceRequest<'_> {
@@ -35,6 +37,27 @@
     }
 }
 
+/// Workers among which a task is placed.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum PlaceScope<'a> {
+    /// All workers of the pool that take tasks.
+    Pool(&'a PlaceCandidates),
+    /// Those that are known to have had room for the task.
+    Fitting(&'a [WorkerId]),
+}
+
+impl<'a> PlaceScope<'a> {
+    /// Iterates over the workers.
+    pub(super) fn ids(self) -> impl Iterator<Item = &'a WorkerId> {
+        let (pool, fitting) = match self {
+            Self::Pool(candidates) => (Some(candidates), &[][..]),
+            Self::Fitting(workers) => (None, workers),
+        };
+        let pool = pool.into_iter().flat_map(|pool| pool.with_room(0));
+        pool.chain(fitting)
+    }
+}
+
 /// Workers of a pool by free CPU, for the placement of many tasks in a row.
 ///
 /// Pattern: a surge starts more than a thousand tasks a second in a pool of hundreds of workers. A
@@ -67,6 +90,26 @@
         self.by_free_cpu[first..].iter().map(|(_, id)| id)
     }
 
+    /// Number of workers.
+    pub fn len(&self) -> usize {
+        self.by_free_cpu.len()
+    }
+
+    /// Returns whether there is no worker.
+    pub fn is_empty(&self) -> bool {
+        self.by_free_cpu.is_empty()
+    }
+
+    /// Iterates over all workers, the fullest first.
+    pub fn ids(&self) -> impl Iterator<Item = &WorkerId> {
+        self.with_room(0)
+    }
+
+    /// Iterates over all workers, the emptiest first.
+    pub fn emptiest(&self) -> impl Iterator<Item = &WorkerId> {
+        self.by_free_cpu.iter().rev().map(|(_, id)| id)
+    }
+
     /// Records that a task takes `cpu` of a worker that had `free`.
     pub fn take(&mut self, id: &WorkerId, free: u64, cpu: u64) {
         let entry = (free, id.clone());
@@ -117,6 +160,18 @@
     worker: &Worker,
     need: &Resources,
     now: ClockTime,
+) -> bool {
+    has_room(request, worker, need, now)
+        && is_below_step_limit(request, worker)
+        && !worker.has_run_of(request.task)
+}
+
+/// True if a worker has room for a task now, whatever other tasks of the step it runs.
+pub(super) fn has_room(
+    request: &PlaceRequest<'_>,
+    worker: &Worker,
+    need: &Resources,
+    now: ClockTime,
 ) -> bool {
     let step = request.step;
     let label = |wanted: &str| worker.entry.labels.iter().any(|label| &**label == wanted);
@@ -126,19 +181,20 @@
             .is_none_or(|job| job == request.task.job)
         && worker.entry.capacity.fits(&worker.used, need)
         && step.requires.as_deref().is_none_or(label)
-        && is_below_step_limit(request, worker)
-        && !worker.has_run_of(request.task)
         && !conflicts(step, worker)
+        && worker.room_hold.is_none_or(|hold| {
+            hold.step == request.task.into() || hold.admits(need, now + request.span)
+        })
 }
 
-fn is_below_step_limit(request: &PlaceRequest<'_>, worker: &Worker) -> bool {
+pub(super) fn is_below_step_limit(request: &PlaceRequest<'_>, worker: &Worker) -> bool {
     let limit = usize::from(request.step.max_per_worker);
     limit == 0 || worker.count_step_runs(request.task.into()) < limit
 }
 
 /// Best-effort tasks slow down tasks that serve users, so the two kinds are kept on different
 /// workers.
-fn conflicts(step: &StepSpec, worker: &Worker) -> bool {
+pub(super) fn conflicts(step: &StepSpec, worker: &Worker) -> bool {
     let serves = step.target > ClockTime::ZERO;
     (step.best_effort && worker.serving_runs > 0) || (serves && worker.best_effort_runs > 0)
 }
--- a/crates/core/src/job/room.rs
+++ b/crates/core/src/job/room.rs
@@ -1,11 +1,12 @@
-//! Largest tasks that the workers of a pool could run.
+//! Steps that the workers of a pool could run.
 //!
-//! Pattern: some callers ask for more than any worker has. Their jobs wait for good, so a search for
-//! room has to tell them from those that only wait for a full pool.
+//! Pattern: some callers ask for more than a worker, or a pool, has. Their jobs wait for good, so the
+//! search for room, the demand of a pool and the estimate behind refusals all have to tell them from
+//! those that only wait for a full pool. They ask [`RoomIndex::fits`].
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use smallvec::SmallVec;
+use smallvec::{SmallVec, smallvec};
 
 use super::spec::{Resources, StepSpec};
 
@@ -28,13 +29,28 @@
     }
 }
 
-/// Index of the largest rooms of workers by label.
+/// Rooms of a set of workers.
+#[derive(Clone, Debug, Default)]
+struct RoomGroup {
+    front: RoomFront,
+    /// Number of workers by room.
+    counts: BTreeMap<Resources, u64>,
+}
+
+impl RoomGroup {
+    fn add(&mut self, room: &Resources) {
+        self.front.add(room);
+        *self.counts.entry(*room).or_default() += 1;
+    }
+}
+
+/// Index of the rooms of workers by label.
 #[derive(Clone, Debug, Default)]
 pub struct RoomIndex {
-    all: RoomFront,
-    by_label: BTreeMap<Arc<str>, RoomFront>,
+    all: RoomGroup,
+    by_label: BTreeMap<Arc<str>, RoomGroup>,
     /// Rooms on VMs whose labels are unknown.
-    unlabelled: RoomFront,
+    unlabelled: RoomGroup,
 }
 
 impl RoomIndex {
@@ -57,11 +73,8 @@
         self.all.add(room);
         for label in labels {
             match self.by_label.get_mut(label) {
-                Some(front) => front.add(room),
-                None => {
-                    let front = self.by_label.entry(label.clone()).or_default();
-                    front.add(room);
-                }
+                Some(group) => group.add(room),
+                None => self.by_label.entry(label.clone()).or_default().add(room),
             }
         }
     }
@@ -74,46 +87,56 @@
 
     /// Returns whether no room has been added.
     pub fn is_empty(&self) -> bool {
-        self.all.largest.is_empty()
+        self.all.counts.is_empty()
     }
 
-    /// Returns whether some worker has the label and the room that a task of the step needs.
+    /// Returns whether the workers have the room and the label that a task of the step needs, or those
+    /// that a gang needs for all of its tasks at once.
+    ///
+    /// ```
+    /// use jacinthhoist_core::job::{Resources, RoomIndex, StepSpec};
+    /// let cpu = |cpu| Resources { cpu, ..Resources::default() };
+    /// let mut rooms = RoomIndex::default();
+    /// rooms.add(&cpu(16_000), &[]);
+    /// rooms.add(&cpu(8_000), &[]);
+    /// let gang = |count| StepSpec { count, need: cpu(6_000), gang: true, ..StepSpec::default() };
+    /// assert!(rooms.fits(&gang(3)) && !rooms.fits(&gang(4)));
+    /// ```
     pub fn fits(&self, step: &StepSpec) -> bool {
+        Self::fit_together(&[self], step)
+    }
+
+    /// Returns whether the workers of several indexes, which share none, could run the step.
+    pub(super) fn fit_together(indexes: &[&Self], step: &StepSpec) -> bool {
+        let label = step.requires.as_deref();
+        let groups = || indexes.iter().flat_map(|index| index.groups(label));
         let need = step.charged();
-        let Some(label) = &step.requires else {
-            return self.all.fits(&need);
-        };
-        let labelled = self.by_label.get(label);
-        labelled.is_some_and(|front| front.fits(&need)) || self.unlabelled.fits(&need)
+        if !groups().any(|group| group.front.fits(&need)) {
+            return false;
+        }
+        !step.gang || fits_gang(step, groups().flat_map(|group| &group.counts))
+    }
+
+    /// Rooms of the workers that have the label, or may have it.
+    fn groups(&self, label: Option<&str>) -> SmallVec<[&RoomGroup; 2]> {
+        match label {
+            None => smallvec![&self.all],
+            Some(label) => {
+                let labelled = self.by_label.get(label).into_iter();
+                labelled.chain([&self.unlabelled]).collect()
+            }
+        }
     }
 }
 
 /// Returns whether all tasks of a step could run at once on workers with these rooms.
-///
-/// ```
-/// use jacinthhoist_core::job::{Resources, StepSpec, fits_gang};
-/// let cpu = |cpu| Resources { cpu, ..Resources::default() };
-/// let gang = |count| StepSpec { count, need: cpu(6_000), ..StepSpec::default() };
-/// let rooms = [cpu(16_000), cpu(8_000)];
-/// assert!(fits_gang(&gang(3), rooms));
-/// assert!(!fits_gang(&gang(4), rooms));
-/// ```
-pub fn fits_gang(step: &StepSpec, rooms: impl IntoIterator<Item = Resources>) -> bool {
-    let need = step.charged();
-    let limit = match step.max_per_worker {
-        0 => u64::from(step.count),
-        limit => u64::from(limit),
-    };
+fn fits_gang<'a>(
+    step: &StepSpec,
+    rooms: impl IntoIterator<Item = (&'a Resources, &'a u64)>,
+) -> bool {
     let mut missing = u64::from(step.count);
-    for room in rooms {
-        let pairs = [
-            (room.cpu, need.cpu),
-            (room.mem_mb, need.mem_mb),
-            (room.gpu, need.gpu),
-        ];
-        let counts = pairs.map(|(room, need)| room.checked_div(need).unwrap_or(limit));
-        let count = counts.into_iter().fold(limit, u64::min);
-        missing = missing.saturating_sub(count);
+    for (room, workers) in rooms {
+        missing = missing.saturating_sub(task_slots(step, room).saturating_mul(*workers));
         if missing == 0 {
             return true;
         }
@@ -121,7 +144,23 @@
     false
 }
 
+/// Number of tasks of a step that fit into the room of one worker at once.
+pub(super) fn task_slots(step: &StepSpec, room: &Resources) -> u64 {
+    let need = step.charged();
+    let limit = match step.max_per_worker {
+        0 => u64::from(step.count),
+        limit => u64::from(limit),
+    };
+    let pairs = [
+        (room.cpu, need.cpu),
+        (room.mem_mb, need.mem_mb),
+        (room.gpu, need.gpu),
+    ];
+    let counts = pairs.map(|(room, need)| room.checked_div(need).unwrap_or(limit));
+    counts.into_iter().fold(limit, u64::min)
+}
+
 /// Returns whether a worker with this room can run a task with this need.
-fn covers(room: &Resources, need: &Resources) -> bool {
+pub(super) fn covers(room: &Resources, need: &Resources) -> bool {
     room.fits(&Resources::default(), need)
 }
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -10,6 +10,7 @@
 mod demand;
 mod fleet;
 mod gang;
+mod holds;
 mod jobs;
 mod leases;
 mod orders;
@@ -177,6 +178,15 @@
         /// Number of startable tasks for which no worker had room.
         unplaced: usize,
     },
+    /// Room is kept on a worker for a task, or for members of its gang.
+    RoomHeld {
+        /// Task that waits for room.
+        task: TaskKey,
+        /// Worker on which the room is kept.
+        worker: WorkerId,
+        /// Expected time until the room is free.
+        due_in: ClockTime,
+    },
     /// A run ended without completing its task.
     RunEnded {
         /// Task of the run.
@@ -441,6 +451,10 @@
     unrest: PoolUnrest,
     /// Workers that are reserved for trials.
     trial_workers: SmallVec<[WorkerId; 4]>,
+    /// Workers with room that is kept for a step.
+    held_workers: SmallVec<[WorkerId; 8]>,
+    /// Steps for which room is kept, by pool.
+    held_steps: BTreeMap<PoolName, StepKey>,
     /// Outcome of the last search of each pool's queue.
     waits: BTreeMap<PoolName, WaitCounts>,
     outbox: batch::Outbox,
@@ -478,6 +492,8 @@
             recent_silences: RecentSilences::default(),
             unrest: PoolUnrest::default(),
             trial_workers: SmallVec::new(),
+            held_workers: SmallVec::new(),
+            held_steps: BTreeMap::new(),
             waits: BTreeMap::new(),
             outbox: batch::Outbox::default(),
             effects: Vec::new(),
--- a/crates/core/src/job/scheduler/gang.rs
+++ b/crates/core/src/job/scheduler/gang.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     job::{
-        place::PlaceCandidates,
+        place::{PlaceCandidates, PlaceScope},
         spec::{StepKey, TaskKey},
         task::{AnyTask, TaskEnd},
     },
@@ -24,6 +24,13 @@
         indices.map(|index| key.task(index)).collect()
     }
 
+    /// Returns whether no member of the task's gang has a run, so that the gang may be placed.
+    pub(super) fn is_gang_complete(&self, key: &TaskKey) -> bool {
+        let members = self.members((*key).into());
+        let mut tasks = members.iter().filter_map(|member| self.task(member));
+        tasks.all(|task| matches!(task, AnyTask::Waiting(_)))
+    }
+
     /// Returns whether the task belongs to a gang of which some member has no run.
     pub(super) fn has_lost_members(&self, key: &TaskKey) -> bool {
         let waits = |other: &TaskKey| matches!(self.task(other), Some(AnyTask::Waiting(_)));
@@ -32,21 +39,13 @@
 }
 
 impl Scheduler {
-    pub(super) fn is_gang(&self, key: StepKey) -> bool {
-        let job = self.jobs.get(&key.job);
-        job.is_some_and(|job| job.spec.steps[usize::from(key.step)].gang)
-    }
-
-    /// Places a whole gang; returns its size, or 0 if some member finds no room.
+    /// Places a gang of which no member has a run; returns its size, or 0 if some member finds no room.
     pub(super) fn place_gang(&mut self, key: StepKey, workers: &PlaceCandidates) -> usize {
         let Some(job) = self.jobs.get(&key.job) else {
             return 0;
         };
         let members = job.members(key);
         let tasks = || members.iter().filter_map(|member| job.task(member));
-        if !tasks().all(|task| matches!(task, AnyTask::Waiting(_))) {
-            return 0;
-        }
         let last_run = tasks().map(AnyTask::run).max().unwrap_or(0);
         let run = last_run.saturating_add(1);
         let checkpoint = tasks().find_map(AnyTask::checkpoint).cloned();
@@ -79,7 +78,8 @@
         for member in members {
             let first = found.first().and_then(|id| self.workers.get(id));
             let preferred_rack = first.and_then(|worker| worker.entry.rack.clone());
-            let Some(worker) = self.find_worker(*member, workers, preferred_rack.as_ref()) else {
+            let scope = PlaceScope::Pool(workers);
+            let Some(worker) = self.find_worker(*member, scope, preferred_rack.as_ref()) else {
                 self.release_reserved(members, run, &found);
                 return None;
             };
--- a/crates/core/src/job/scheduler/permits.rs
+++ b/crates/core/src/job/scheduler/permits.rs
@@ -56,6 +56,26 @@
             .is_some()
     }
 
+    /// Iterates over the workers on which a run of the step may be placed now.
+    pub(super) fn permitted(
+        &self,
+        step: StepKey,
+        now: ClockTime,
+    ) -> impl Iterator<Item = &WorkerId> {
+        let verdicts = self.verdicts.get(&step).into_iter().flatten();
+        let is_valid = move |verdict: &PolicyVerdict| match verdict {
+            PolicyVerdict::Permit(_, until) => now + MIN_PERMIT_REMAINING < *until,
+            PolicyVerdict::Denied => false,
+        };
+        let valid = verdicts.filter(move |(_, verdict)| is_valid(verdict));
+        valid.map(|(worker, _)| worker)
+    }
+
+    /// Returns whether the service may be queried now.
+    pub(super) fn may_query(&self, now: ClockTime) -> bool {
+        self.in_flight.is_none() && now >= self.retry_at
+    }
+
     /// Returns the valid permit of a worker for a step.
     pub(super) fn find(
         &self,
@@ -77,7 +97,7 @@
         candidates: Vec<WorkerId>,
         now: ClockTime,
     ) -> Option<Effect> {
-        if self.in_flight.is_some() || now < self.retry_at {
+        if !self.may_query(now) {
             return None;
         }
         let known = self.verdicts.get(&step);
--- a/crates/core/src/job/scheduler/placing.rs
+++ b/crates/core/src/job/scheduler/placing.rs
@@ -1,15 +1,24 @@
 //! Placement of waiting tasks on workers.
+//!
+//! A search goes through the whole queue of a pool. What bounds its cost is what it remembers: a shape
+//! for which no worker has room is not searched for again, so a step that waits for whatever reason
+//! holds up no other.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, result};
 
 use smallvec::SmallVec;
 
 use crate::{
+    clock::ClockTime,
     job::{
         charge::RunCost,
-        order::{QueuedJob, order_queue},
-        place::{PlaceCandidates, PlaceRequest, choose_candidate, choose_worker, is_eligible},
-        room::{RoomIndex, fits_gang},
+        order::{JobUrgency, QueuedJob, order_queue, with_margin},
+        place::{
+            PlaceCandidates, PlaceRequest, PlaceScope, choose_candidate, choose_worker, has_room,
+            is_eligible,
+        },
+        room::RoomIndex,
+        shape::{SearchMemory, TaskShape},
         spec::{JobId, StepKey, StepSpec, TaskKey},
         task::AnyTask,
         wait::{WaitCounts, WaitReason},
@@ -18,11 +27,10 @@
     name::{PoolName, RackName, WorkerId},
 };
 
-use super::{Scheduler, SchedulerDecision};
+use super::{Job, Scheduler, SchedulerDecision, holds::HeldStep};
 
-/// Number of steps that wait for room after which the rest of a pool's queue is skipped. A smaller task
-/// further back may still fit; the limit keeps the search short.
-const MAX_UNPLACED_STEPS: usize = 8;
+/// Number of tasks that were placed, or the reason for which there are none.
+type Result<T, E = WaitReason> = result::Result<T, E>;
 
 /// Room that the workers of a pool have once all runs that end by themselves have ended.
 #[derive(Debug, Default)]
@@ -55,18 +63,39 @@
 }
 
 /// Search for room for the tasks of a pool.
-struct QueueSearch {
-    workers: PlaceCandidates,
+pub(super) struct QueueSearch {
+    pub(super) workers: PlaceCandidates,
     /// Rooms of the workers, collected once a step has found none.
     rooms: Option<FiniteRooms>,
+    memory: SearchMemory,
+    /// The same for tasks that need a trial, which may start on fewer workers.
+    trial_memory: SearchMemory,
+    /// Jobs for which workers or room are kept. They may find room where others find none.
+    favoured: SmallVec<[JobId; 8]>,
+    pub(super) held: HeldStep,
     waits: WaitCounts,
 }
 
+impl QueueSearch {
+    /// Records that room or a worker is kept for a job.
+    pub(super) fn favour(&mut self, job: JobId) {
+        self.favoured.push(job);
+    }
+
+    /// Returns whether the search has already found that a step has no room.
+    fn is_known_full(&self, step: &StepSpec, shape: &TaskShape, is_trial: bool) -> bool {
+        let is_unfit_gang = step.gang && self.memory.is_unfit_gang(step, shape);
+        let is_full = self.memory.is_full(shape) || is_unfit_gang;
+        is_full || is_trial && self.trial_memory.is_full(shape)
+    }
+}
+
 impl Scheduler {
     /// Places waiting tasks on workers with room, pool by pool in order of urgency.
     pub(super) fn place_tasks(&mut self) {
         let queues = self.pool_queues();
         self.waits.clear();
+        self.review_holds();
         if queues.is_empty() {
             return;
         }
@@ -82,31 +111,36 @@
         for (pool, mut queue) in queues {
             let (by_free_cpu, cpu) = pools.remove(&pool).unwrap_or_default();
             order_queue(&mut queue, cpu, self.now);
-            let workers = PlaceCandidates::new(by_free_cpu);
             let mut search = QueueSearch {
-                workers,
+                workers: PlaceCandidates::new(by_free_cpu),
                 rooms: None,
+                memory: SearchMemory::default(),
+                trial_memory: SearchMemory::default(),
+                favoured: self.favoured_jobs(),
+                held: HeldStep::open(self.held_steps.remove(&pool)),
                 waits: WaitCounts::default(),
             };
-            self.place_queue(&queue, &mut search);
+            if !search.workers.is_empty() {
+                for QueuedJob { job, urgency, .. } in &queue {
+                    self.place_job(*job, urgency, &mut search);
+                }
+            }
+            if let Some(step) = search.held.renewed() {
+                self.held_steps.insert(pool.clone(), step);
+            }
             self.waits.insert(pool, search.waits);
         }
     }
 
-    fn place_queue(&mut self, queue: &[QueuedJob], search: &mut QueueSearch) {
-        if search.workers.with_room(0).next().is_none() {
-            return;
-        }
-        let mut unplaced_steps = 0;
-        for (index, QueuedJob { urgency, job, .. }) in queue.iter().enumerate() {
-            if unplaced_steps >= MAX_UNPLACED_STEPS {
-                search.waits.unsearched_jobs = (queue.len() - index) as u32;
-                return;
-            }
-            let unplaced = self.place_job(*job, search);
-            // A long-running task may need a scarce resource; it does not block the queue.
-            unplaced_steps += if urgency.ends { unplaced } else { 0 };
-        }
+    /// Jobs for which a worker or room is kept.
+    fn favoured_jobs(&self) -> SmallVec<[JobId; 8]> {
+        let workers = self.trial_workers.iter().chain(&self.held_workers);
+        let workers = workers.filter_map(|id| self.workers.get(id));
+        let jobs = workers.flat_map(|worker| {
+            let held_for = worker.room_hold.map(|hold| hold.step.job);
+            worker.reserved_for.into_iter().chain(held_for)
+        });
+        jobs.collect()
     }
 
     /// Collects the jobs with startable tasks by pool.
@@ -128,41 +162,31 @@
         queues
     }
 
-    /// Places startable tasks of a job; returns the number of steps that wait for room.
-    fn place_job(&mut self, id: JobId, search: &mut QueueSearch) -> usize {
+    /// Places startable tasks of a job.
+    fn place_job(&mut self, id: JobId, urgency: &JobUrgency, search: &mut QueueSearch) {
         let Some(job) = self.jobs.get(&id) else {
-            return 0;
+            return;
         };
         let keys: SmallVec<[TaskKey; 16]> = job.startable(id, self.now).collect();
-        let (mut placed, mut unplaced_steps) = (0, 0);
+        let mut placed = 0;
         let mut full_steps = SmallVec::<[StepKey; 4]>::new();
         for key in &keys {
             let step = StepKey::from(*key);
             if full_steps.contains(&step) {
                 continue;
             }
-            let rooms = search.rooms.as_ref();
-            if rooms.is_some_and(|rooms| !self.may_find_room(key, rooms, &search.workers)) {
-                full_steps.push(step);
-                search.waits.add(WaitReason::NoFit);
-                continue;
-            }
-            let count = if self.is_gang(step) {
-                self.place_gang(step, &search.workers)
-            } else {
-                usize::from(self.place_task(*key, &mut search.workers))
-            };
-            placed += count;
-            // A task that waits for its trial holds up no other.
-            if count == 0 && !self.needs_trial(key) {
-                full_steps.push(step);
-                let rooms = search
-                    .rooms
-                    .get_or_insert_with(|| self.finite_rooms(&search.workers));
-                let may_find_room = self.may_find_room(key, rooms, &search.workers);
-                unplaced_steps += usize::from(may_find_room);
-                let reason = self.wait_reason(key, may_find_room, &search.workers);
-                search.waits.add(reason);
+            match self.place_step(*key, search) {
+                Ok(count) => placed += count,
+                Err(reason) => {
+                    search.waits.add(reason);
+                    // Other tasks of the step may need no trial.
+                    if reason != WaitReason::Trial {
+                        full_steps.push(step);
+                    }
+                    if reason == WaitReason::Room {
+                        self.hold_room(key, urgency, search);
+                    }
+                }
             }
         }
         if placed > 0 {
@@ -173,66 +197,134 @@
                 unplaced: keys.len() - placed,
             });
         }
-        unplaced_steps
     }
 
-    /// Returns the reason for which a task found no worker.
-    fn wait_reason(
-        &self,
+    /// Places a task, or the whole gang that it belongs to.
+    fn place_step(&mut self, key: TaskKey, search: &mut QueueSearch) -> Result<usize> {
+        let Some(job) = self.jobs.get(&key.job) else {
+            return Err(WaitReason::NoFit);
+        };
+        let step = job.step(&key);
+        let shape = TaskShape::of(step, self.expected_span(job, step));
+        let (is_gang, is_trial) = (step.gang, job.needs_trial(&key));
+        let is_favoured = search.favoured.contains(&key.job);
+        if !is_favoured && search.is_known_full(step, &shape, is_trial) {
+            return Err(self.full_reason(&key, search));
+        }
+        if is_gang && !job.is_gang_complete(&key) {
+            return Err(WaitReason::StepLimit);
+        }
+        let placed = if is_gang {
+            self.place_gang(key.into(), &search.workers)
+        } else {
+            usize::from(self.place_task(key, &shape, search))
+        };
+        if placed > 0 {
+            return Ok(placed);
+        }
+        Err(self.record_wait(&key, shape, search))
+    }
+
+    /// Remembers why a search for a task found no worker.
+    fn record_wait(
+        &mut self,
         key: &TaskKey,
-        may_find_room: bool,
-        workers: &PlaceCandidates,
+        shape: TaskShape,
+        search: &mut QueueSearch,
     ) -> WaitReason {
-        let Some(job) = self.jobs.get(&key.job).filter(|_| may_find_room) else {
+        let Some(job) = self.jobs.get(&key.job) else {
             return WaitReason::NoFit;
         };
-        let (step, need) = (job.step(key), job.step(key).charged());
-        let unlimited = StepSpec {
-            max_per_worker: 0,
-            ..step.clone()
+        let (step, advised) = (job.step(key), job.terms.advised);
+        if job.needs_trial(key) {
+            search.favoured.extend(self.trial_job(key.job));
+            // Gangs may reserve more workers than others.
+            if !step.gang {
+                search.trial_memory.record_full(shape);
+            }
+            return WaitReason::Trial;
+        }
+        let scope = match search.memory.fitting(&shape) {
+            Some(workers) => PlaceScope::Fitting(workers),
+            None => PlaceScope::Pool(&search.workers),
         };
-        let request = PlaceRequest {
-            task: *key,
-            step: &unlimited,
-            avoid: None,
-            preferred_rack: None,
+        let request = self.place_request(job, *key);
+        let need = step.charged();
+        let known = scope.ids().filter_map(|id| self.workers.get(id));
+        let fitting = known.filter(|worker| has_room(&request, worker, &need, self.now));
+        let fitting: Vec<WorkerId> = fitting.map(|worker| worker.id.clone()).collect();
+        let has_room = !fitting.is_empty();
+        if step.gang && has_room {
+            if !advised {
+                search.memory.record_unfit_gang(step, shape);
+            }
+        } else {
+            search.memory.record_fitting(shape, fitting);
+        }
+        match (has_room, step.gang, advised) {
+            (true, _, true) => WaitReason::Permit,
+            (true, false, false) => WaitReason::StepLimit,
+            (true, true, false) | (false, ..) => self.full_reason(key, search),
+        }
+    }
+
+    /// Returns whether a step without room waits for others to end, or in vain.
+    fn full_reason(&self, key: &TaskKey, search: &mut QueueSearch) -> WaitReason {
+        let Some(job) = self.jobs.get(&key.job) else {
+            return WaitReason::NoFit;
         };
-        let known = workers.with_room(need.cpu);
-        let mut known = known.filter_map(|id| self.workers.get(id));
-        let has_room = known.any(|worker| is_eligible(&request, worker, &need, self.now));
-        match (has_room && !step.gang, job.terms.advised) {
-            (false, _) => WaitReason::Room,
-            (true, true) => WaitReason::Permit,
-            (true, false) => WaitReason::StepLimit,
+        if job.needs_trial(key) {
+            return WaitReason::Trial;
+        }
+        let workers = &search.workers;
+        let known = || workers.with_room(0).filter_map(|id| self.workers.get(id));
+        let rooms = search
+            .rooms
+            .get_or_insert_with(|| FiniteRooms::collect(known()));
+        if rooms.fits(job.step(key)) {
+            WaitReason::Room
+        } else {
+            WaitReason::NoFit
         }
     }
 
-    fn finite_rooms(&self, workers: &PlaceCandidates) -> FiniteRooms {
-        let known = workers.with_room(0);
-        FiniteRooms::collect(known.filter_map(|id| self.workers.get(id)))
+    /// Returns the job if a worker is reserved for its trials.
+    fn trial_job(&self, id: JobId) -> Option<JobId> {
+        let mut workers = self.trial_workers.iter();
+        let is_reserved =
+            |id: &WorkerId| self.workers.get(id).and_then(|worker| worker.reserved_for);
+        workers
+            .any(|worker| is_reserved(worker) == Some(id))
+            .then_some(id)
     }
 
-    /// Returns whether the step of a task can get room when others end. One that cannot must not hold up
-    /// the tasks behind it.
-    fn may_find_room(&self, key: &TaskKey, rooms: &FiniteRooms, workers: &PlaceCandidates) -> bool {
-        let Some(step) = self.jobs.get(&key.job).map(|job| job.step(key)) else {
-            return false;
-        };
-        if !rooms.fits(step) || !step.gang {
-            return rooms.fits(step);
+    /// Expected duration of a task that has not started.
+    pub(super) fn expected_span(&self, job: &Job, step: &StepSpec) -> ClockTime {
+        if step.long_running {
+            return ClockTime::from_millis(u64::MAX);
+        }
+        with_margin(self.durations.mean(&job.spec.work).max(step.estimate))
+    }
+
+    pub(super) fn place_request<'a>(&self, job: &'a Job, task: TaskKey) -> PlaceRequest<'a> {
+        let avoided = job.avoided_workers.iter().find(|(key, _)| *key == task);
+        let step = job.step(&task);
+        PlaceRequest {
+            task,
+            step,
+            avoid: avoided.map(|(_, worker)| worker),
+            preferred_rack: None,
+            span: self.expected_span(job, step),
         }
-        let known = workers.with_room(0).filter_map(|id| self.workers.get(id));
-        let label = |worker: &&Worker| {
-            step.requires
-                .as_ref()
-                .is_none_or(|label| worker.entry.labels.contains(label))
-        };
-        fits_gang(step, known.filter(label).map(Worker::finite_room))
     }
 
-    fn place_task(&mut self, key: TaskKey, workers: &mut PlaceCandidates) -> bool {
+    fn place_task(&mut self, key: TaskKey, shape: &TaskShape, search: &mut QueueSearch) -> bool {
         let now = self.now;
-        let Some(id) = self.find_worker(key, workers, None) else {
+        let scope = match search.memory.fitting(shape) {
+            Some(workers) => PlaceScope::Fitting(workers),
+            None => PlaceScope::Pool(&search.workers),
+        };
+        let Some(id) = self.find_worker(key, scope, None) else {
             return false;
         };
         let job = self.jobs.get_mut(&key.job);
@@ -248,7 +340,7 @@
         let free = self.workers.get(&id).map_or(0, Worker::free_cpu);
         self.charge(&id, key, run);
         let left = self.workers.get(&id).map_or(0, Worker::free_cpu);
-        workers.take(&id, free, free - left);
+        search.workers.take(&id, free, free - left);
         self.outbox.queue_start(key, run);
         true
     }
@@ -258,36 +350,40 @@
     pub(super) fn find_worker(
         &mut self,
         key: TaskKey,
-        workers: &PlaceCandidates,
+        scope: PlaceScope<'_>,
         preferred_rack: Option<&RackName>,
     ) -> Option<WorkerId> {
         let now = self.now;
         let job = self.jobs.get(&key.job)?;
-        let avoided = job.avoided_workers.iter().find(|(task, _)| *task == key);
         let request = PlaceRequest {
-            task: key,
-            step: job.step(&key),
-            avoid: avoided.map(|(_, worker)| worker),
             preferred_rack,
+            ..self.place_request(job, key)
         };
         let (is_trial, advised) = (job.needs_trial(&key), job.terms.advised);
-        if !advised && !is_trial {
-            return choose_candidate(&request, workers, &self.workers, now);
-        }
-        let known = || workers.with_room(0).filter_map(|id| self.workers.get(id));
+        let known = || scope.ids().filter_map(|id| self.workers.get(id));
         let step = StepKey::from(key);
-        let is_permitted =
-            |worker: &&Worker| !advised || self.permits.allows(step, &worker.id, now);
         let found = if is_trial {
-            let trial = self.choose_trial_worker(&request, workers, is_permitted);
+            let is_permitted =
+                |worker: &&Worker| !advised || self.permits.allows(step, &worker.id, now);
+            let trial = self.choose_trial_worker(&request, scope, is_permitted);
             if let Some(trial) = trial {
                 return self.begin_trial(trial, key.job);
             }
             None
+        } else if advised {
+            let permitted = self.permits.permitted(step, now);
+            let permitted = permitted.filter_map(|id| self.workers.get(id));
+            let in_pool = permitted.filter(|worker| worker.entry.pool == job.terms.pool);
+            choose_worker(&request, in_pool, now)
         } else {
-            choose_worker(&request, known().filter(is_permitted), now)
+            match scope {
+                PlaceScope::Pool(workers) => {
+                    choose_candidate(&request, workers, &self.workers, now)
+                }
+                PlaceScope::Fitting(_) => choose_worker(&request, known(), now),
+            }
         };
-        if found.is_none() && advised {
+        if found.is_none() && advised && self.permits.may_query(now) {
             let need = request.step.charged();
             let candidates = known().filter(|worker| is_eligible(&request, worker, &need, now));
             let candidates = candidates.map(|worker| worker.id.clone()).collect();
@@ -303,8 +399,14 @@
             return;
         };
         let cost = RunCost::of(job.step(&key));
+        let ends_at = self.now + self.expected_span(job, job.step(&key));
         if let Some(worker) = self.workers.get_mut(id) {
             worker.charge(key, run, cost);
+            if let Some(hold) = &mut worker.room_hold
+                && hold.step != key.into()
+            {
+                hold.record_start(&cost.need, ends_at);
+            }
         }
     }
 }
--- a/crates/core/src/job/scheduler/waves.rs
+++ b/crates/core/src/job/scheduler/waves.rs
@@ -272,6 +272,7 @@
             step: job.step(key),
             avoid: None,
             preferred_rack: None,
+            span: self.expected_span(job, job.step(key)),
         };
         let workers = self.workers.values();
         let mut others =
--- a/crates/core/src/job/spec.rs
+++ b/crates/core/src/job/spec.rs
@@ -157,8 +157,8 @@
     }
 }
 
-/// Amounts of processor time, memory and accelerators.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+/// Amounts of processor time, memory and accelerators. The order serves as that of a key only.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Resources {
     /// Processor time, in thousandths of a core.
     #[serde(default, skip_serializing_if = "is_default")]
@@ -197,6 +197,15 @@
         }
     }
 
+    /// Multiplies the amounts and stops at the largest number.
+    pub fn times(&self, count: u64) -> Self {
+        Self {
+            cpu: self.cpu.saturating_mul(count),
+            mem_mb: self.mem_mb.saturating_mul(count),
+            gpu: self.gpu.saturating_mul(count),
+        }
+    }
+
     /// Adds `other` and stops at the largest number.
     pub fn plus(&self, other: &Self) -> Self {
         Self {
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -11,6 +11,7 @@
 
 use super::{
     charge::{AnyCharge, RunCharge, RunCost, Stray},
+    hold::RoomHold,
     lease::UnknownLease,
     process::WorkerProcess,
     spec::{JobId, Resources, StepKey, TaskKey},
@@ -204,6 +205,8 @@
     pub cordoned: bool,
     /// Job whose tasks alone are placed on the worker, while they may crash it.
     pub reserved_for: Option<JobId>,
+    /// Room that is kept for a step.
+    pub(super) room_hold: Option<RoomHold>,
     consecutive_failures: u32,
     /// Run of the newest task that ends by itself and was placed after a failure.
     trial_run: Option<(TaskKey, u32)>,
@@ -236,6 +239,7 @@
             expiry_stored: false,
             cordoned: false,
             reserved_for: None,
+            room_hold: None,
             consecutive_failures: 0,
             trial_run: None,
             consecutive_unanswered: 0,
@@ -507,6 +511,11 @@
         self.entry.capacity.cpu.saturating_sub(self.used.cpu)
     }
 
+    /// Resources that no run takes.
+    pub fn free(&self) -> Resources {
+        self.entry.capacity.minus(&self.used)
+    }
+
     /// Resources that tasks can get once all runs that end by themselves have ended.
     pub fn finite_room(&self) -> Resources {
         self.entry.capacity.minus(&self.lasting)
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -17,6 +17,7 @@
 mod probation;
 mod processes;
 mod strays;
+mod waiting;
 mod waves;
 
 use harness::{
--- a/crates/emulator/src/caller.rs
+++ b/crates/emulator/src/caller.rs
@@ -11,6 +11,7 @@
 use tokio::{task::JoinSet, time::sleep};
 
 use crate::{
+    demand::JobDemand,
     fleet::EmulatedFleet,
     history::{CallOutcome, FinalAnswer, JobHistory, JobShape},
     model::{MAX_FAILURES, objective, task_need},
@@ -87,9 +88,15 @@
         let job = JobId(rng.random());
         let fatal_arrivals = fleet.model.state().fatal_arrivals.clone();
         let mut fatal_tasks = fatal_arrivals.iter().filter(|_| !long_running);
+        let demand = if long_running {
+            JobDemand::Usual
+        } else {
+            JobDemand::draw(job, load)
+        };
+        let (tasks, cpu) = demand.size(load, &fleet.model);
         let payload = TaskPayload {
             mean_ms: mean,
-            cpu: load.cpu,
+            cpu,
             hopeless,
             fatal_task: fatal_tasks.find_map(|arrivals| arrivals.draw(load, rng)),
         };
@@ -98,17 +105,21 @@
             job,
             shape: JobShape {
                 pool: PoolName::new(&load.pool),
-                steps: vec![load.tasks.max(1); usize::from(steps)],
+                steps: vec![tasks; usize::from(steps)],
                 payload: payload.to_string().into(),
                 long_running,
                 speculative: load.speculative,
-                max_per_worker: load.max_per_worker,
+                max_per_worker: match demand {
+                    JobDemand::Spread => 1,
+                    _ => load.max_per_worker,
+                },
+                demand,
                 fatal_task: payload.fatal_task,
                 max_failures: u32::from(MAX_FAILURES),
                 may_miss: usize::from(MAX_MISSING_TASKS),
                 objective: objective(load.task_ms * u64::from(steps)),
             },
-            cpu: load.cpu,
+            cpu,
             will_cancel: !long_running && rng.random_bool(load.cancels),
             rng: StdRng::seed_from_u64(rng.random()),
         }
@@ -219,19 +230,22 @@
     }
 
     fn body(&self) -> JobBody {
-        let step = |(number, count): (u16, &u16)| StepSpec {
-            count: *count,
-            need: task_need(self.cpu),
-            after: number.checked_sub(1).into_iter().collect(),
-            long_running: self.shape.long_running,
-            speculative: self.shape.speculative,
-            max_per_worker: self.shape.max_per_worker,
-            may_miss: if self.shape.long_running {
-                MAX_MISSING_TASKS
-            } else {
-                0
-            },
-            ..StepSpec::default()
+        let step = |(number, count): (u16, &u16)| {
+            let usual = StepSpec {
+                count: *count,
+                need: task_need(self.cpu),
+                after: number.checked_sub(1).into_iter().collect(),
+                long_running: self.shape.long_running,
+                speculative: self.shape.speculative,
+                max_per_worker: self.shape.max_per_worker,
+                may_miss: if self.shape.long_running {
+                    MAX_MISSING_TASKS
+                } else {
+                    0
+                },
+                ..StepSpec::default()
+            };
+            self.shape.demand.apply(usual)
         };
         JobBody {
             payload: self.shape.payload.clone(),
--- a/crates/emulator/src/check.rs
+++ b/crates/emulator/src/check.rs
@@ -352,7 +352,8 @@
     }
     check_final_answer(history, id, job, findings);
     let must_be_done = accepted_at.is_some_and(|at| at + COMPLETION_ALLOWANCE < history.ended_at);
-    if !must_be_done || job.cancelled.is_some() || job.shape.fatal_task.is_some() {
+    let is_excused = job.shape.fatal_task.is_some() || job.shape.demand.is_in_vain();
+    if !must_be_done || job.cancelled.is_some() || is_excused {
         return;
     }
     let last = job
--- a/crates/emulator/src/history.rs
+++ b/crates/emulator/src/history.rs
@@ -11,7 +11,7 @@
 };
 use jacinthhoist_scheduler::ports::StartOrder;
 
-use crate::payload::FatalTask;
+use crate::{demand::JobDemand, payload::FatalTask};
 
 /// Requirements of a job.
 #[derive(Clone, Debug, PartialEq)]
@@ -28,6 +28,8 @@
     pub speculative: bool,
     /// Maximum number of tasks of a step on one worker; 0 if there is no limit.
     pub max_per_worker: u16,
+    /// What its tasks ask for.
+    pub demand: JobDemand,
     /// Task that crashes each worker that starts it.
     pub fatal_task: Option<FatalTask>,
     /// Number of failures of a task after which its job fails.
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -42,6 +42,7 @@
 mod caller;
 mod check;
 mod crash;
+mod demand;
 mod fault;
 mod fleet;
 mod history;
@@ -57,6 +58,7 @@
 mod worker;
 
 pub use check::{HistoryRule, RuleViolation, check};
+pub use demand::JobDemand;
 pub use fleet::{run_scenario, run_scenario_logged};
 pub use history::{
     CallOutcome, EmulationHistory, EndKind, FinalAnswer, JobHistory, JobShape, RunHistory,
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -82,6 +82,9 @@
     pub cancels: f64,
     /// Share of the jobs whose tasks always fail.
     pub hopeless: f64,
+    /// Share of the jobs that ask for a whole worker, for one each for many tasks, or for more than there
+    /// is.
+    pub unusual: f64,
     /// Priority class; 0 is the most urgent.
     pub priority: u8,
     /// True if a task may have several runs at once.
@@ -104,6 +107,7 @@
             lasting: 0,
             cancels: 0.0,
             hopeless: 0.0,
+            unusual: 0.0,
             priority: 0,
             speculative: false,
             max_per_worker: 0,
--- a/crates/scheduler/src/owner/decisions.rs
+++ b/crates/scheduler/src/owner/decisions.rs
@@ -90,6 +90,15 @@
             json!({"job": task.job.to_string(), "task": task.to_string(), "run": run,
                 "worker": worker.as_str(), "end": format!("{end:?}"), "failures": failures}),
         ),
+        SchedulerDecision::RoomHeld {
+            task,
+            worker,
+            due_in,
+        } => (
+            EventKind::RoomHeld,
+            json!({"job": task.job.to_string(), "task": task.to_string(),
+                "worker": worker.as_str(), "due_in_ms": due_in.as_millis()}),
+        ),
         SchedulerDecision::StartRefused {
             task,
             run,
