Leave steps that cannot fit together, or beside lasting runs, out of demand and backlog

Cause: the search knew that a gang cannot fit, and that lasting runs hold room for good; demand, backlog, arrivals and with them the estimate behind refusals asked another question, whether one task would fit an empty worker.

Change: RoomIndex::fits answers for tasks and gangs alike, and all of them ask it, with the room that is left beside lasting runs. A VM that holds lasting runs joins no other pool, so only its own pool counts its room. The demand of lasting jobs leaves out tasks that could never start.

--- a/crates/core/src/job/scheduler/demand.rs
+++ b/crates/core/src/job/scheduler/demand.rs
@@ -1,6 +1,6 @@
 //! Demand and capacity of each pool.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use smallvec::SmallVec;
 
@@ -14,7 +14,7 @@
         wait::WaitCounts,
         worker::Worker,
     },
-    name::PoolName,
+    name::{PoolName, WorkerId},
 };
 
 use super::{Job, Scheduler, VmEntry};
@@ -85,22 +85,23 @@
     }
 }
 
-/// Rooms that the workers of each pool have while they are empty.
+/// Rooms that pools have, or may come to have, once all runs that end by themselves have ended.
 #[derive(Clone, Debug, Default)]
 pub(super) struct FleetRooms {
-    /// Rooms of the VMs, which may join any pool.
-    vms: RoomIndex,
-    /// Rooms of the workers of each pool.
+    /// Rooms of the VMs that may join any pool: those without runs that last until they are stopped.
+    movable: RoomIndex,
+    /// Rooms of the other workers of each pool.
     pools: BTreeMap<PoolName, RoomIndex>,
 }
 
 impl FleetRooms {
-    /// Returns whether a pool may come to run a task of the step. Without a known worker or VM, any step
-    /// counts.
-    fn fits(&self, pool: &PoolName, step: &StepSpec) -> bool {
-        let workers = self.pools.get(pool);
-        let is_unknown = self.vms.is_empty() && workers.is_none();
-        is_unknown || self.vms.fits(step) || workers.is_some_and(|rooms| rooms.fits(step))
+    /// Returns whether a pool may come to run a task of the step, or its whole gang. Without a known worker
+    /// or VM, any step counts.
+    pub(super) fn fits(&self, pool: &PoolName, step: &StepSpec) -> bool {
+        let Some(fixed) = self.pools.get(pool) else {
+            return self.movable.is_empty() || self.movable.fits(step);
+        };
+        RoomIndex::fit_together(&[&self.movable, fixed], step)
     }
 }
 
@@ -293,18 +294,23 @@
         let mut rooms = FleetRooms::default();
         // A worker that is only known from stored records has no address.
         let is_listed = |worker: &&Worker| !worker.entry.address.is_empty();
-        for worker in self.workers.values().filter(is_listed) {
-            let entry = &worker.entry;
-            let pool = rooms.pools.entry(entry.pool.clone()).or_default();
-            pool.add(&entry.capacity, &entry.labels);
-        }
+        let mut movable_workers: BTreeSet<&WorkerId> = BTreeSet::new();
         for vm in self.fleet.vms.values() {
             let worker = vm.worker.as_ref().and_then(|id| self.workers.get(id));
             match worker.filter(is_listed) {
-                Some(worker) => rooms.vms.add(&vm.capacity, &worker.entry.labels),
-                None => rooms.vms.add_unlabelled(&vm.capacity),
+                Some(worker) if worker.lasting != Resources::default() => {}
+                Some(worker) => {
+                    movable_workers.insert(&worker.id);
+                    rooms.movable.add(&vm.capacity, &worker.entry.labels);
+                }
+                None => rooms.movable.add_unlabelled(&vm.capacity),
             }
         }
+        let workers = self.workers.values().filter(is_listed);
+        for worker in workers.filter(|worker| !movable_workers.contains(&worker.id)) {
+            let pool = rooms.pools.entry(worker.entry.pool.clone()).or_default();
+            pool.add(&worker.finite_room(), &worker.entry.labels);
+        }
         rooms
     }
 
@@ -316,8 +322,8 @@
             let load = pools.entry(&job.terms.pool).or_default();
             if job.spec.is_long_running() {
                 if job.life.goal().is_none() {
-                    let cpu = job.spec.steps.iter().map(step_cpu);
-                    load.long_running = saturating_sum(cpu.chain([load.long_running]));
+                    let lasting = self.lasting_cpu(job);
+                    load.long_running = load.long_running.saturating_add(lasting);
                 }
                 continue;
             }
@@ -357,6 +363,19 @@
         pools
     }
 
+    /// CPU that the tasks of a long-running job take or could take, in thousandths of a core.
+    fn lasting_cpu(&self, job: &Job) -> u64 {
+        let steps = job.spec.steps.iter();
+        let fitting = steps.map(|step| self.fleet.rooms.fits(&job.terms.pool, step));
+        let fitting: SmallVec<[bool; 8]> = fitting.collect();
+        let counted = job
+            .tasks()
+            .filter(|((_, step, _), task)| task.placed().is_some() || fitting[usize::from(*step)]);
+        saturating_sum(
+            counted.map(|((_, step, _), _)| job.spec.steps[usize::from(step)].charged().cpu),
+        )
+    }
+
     /// Estimates the time in which each pool works off its backlog: the smaller of the time on the
     /// pool's own current and arriving VMs, and the time for all backlogs on all VMs, since VMs
     /// follow the demand. Empty just after a takeover, while most workers have not reported.
--- a/crates/core/tests/jobs/impossible.rs
+++ b/crates/core/tests/jobs/impossible.rs
@@ -191,9 +191,6 @@
 #[test]
 fn steps_that_no_vm_could_run_are_no_demand() {
     for (missing, step_in_vain) in impossible_steps() {
-        if step_in_vain.gang {
-            continue;
-        }
         assert_eq!(
             demand_with(&step_in_vain, None),
             (0, 0),
@@ -202,6 +199,40 @@
     }
 }
 
+/// Regression test: the same with room that runs which last until they are stopped have taken for good; the
+/// jobs that waited for it counted as a backlog, and callers of others were refused.
+#[test]
+fn steps_that_wait_for_lasting_runs_are_no_demand() {
+    let lasting = StepSpec {
+        need: sized(1, 16_000, 100).need,
+        ..long_running_step(2, 0)
+    };
+    let mut harness = SchedulerHarness::open(2);
+    let vms = (0..2).map(|number| vm(number, "mould", VmState::Up));
+    harness
+        .scheduler
+        .vms_listed(vms.collect(), harness.now, harness.now);
+    harness.accept(1, vec![lasting]);
+    harness.settle();
+    let running = harness.confirm();
+    harness.report_all(&running, 2, 100);
+    harness.wait(200);
+    harness.settle();
+    let mould = PoolName::new("mould");
+    let lasting_cpu = |harness: &SchedulerHarness| {
+        let summaries = harness.scheduler.pool_summaries();
+        let summary = summaries.iter().find(|summary| summary.pool == mould);
+        summary.expect("the pool is listed").demand
+    };
+    assert_eq!(lasting_cpu(&harness), 32_000);
+    for id in 1..=WAITING_JOBS {
+        harness.accept(100 + id, vec![sized(1, 17_000, 100)]);
+    }
+    harness.settle();
+    let drain = harness.scheduler.load_report().drains[&mould];
+    assert_eq!((lasting_cpu(&harness), drain), (32_000, ms(0)));
+}
+
 /// Guards against a pool that gets no VM which could run its tasks: VMs of other pools may join it, and the
 /// labels of those without a worker are unknown.
 #[test]
