Judge an overload of the queue without the work that no worker can run

Callers saw: behind jobs that no worker can run, the newest job started before the most urgent one, although the pool could serve both in time. Change: the work of a queued job leaves out the steps that its pool cannot come to run, by the same question as demand and search.

--- a/crates/core/src/job/scheduler/jobs.rs
+++ b/crates/core/src/job/scheduler/jobs.rs
@@ -17,7 +17,7 @@
     name::WorkerId,
 };
 
-use super::{Effect, JobProgress, Scheduler, SchedulerDecision};
+use super::{Effect, JobProgress, Scheduler, SchedulerDecision, demand::FleetRooms};
 
 /// Bodies removed by one effect.
 const MAX_REMOVAL_BATCH: usize = 64;
@@ -200,13 +200,20 @@
         JobUrgency::for_deadline(self.terms.priority, deadline, remaining, is_new, now)
     }
 
-    /// CPU of the tasks that have no run and have not ended, in thousandths of a core.
-    pub(super) fn waiting_cpu(&self) -> u64 {
+    /// CPU of the tasks that have no run and have not ended, of steps that their pool may come to run, in
+    /// thousandths of a core.
+    pub(super) fn waiting_cpu(&self, rooms: &FleetRooms) -> u64 {
+        let steps = self.spec.steps.iter();
+        let cpu = steps.map(|step| {
+            let fits = rooms.fits(&self.terms.pool, step);
+            if fits { step.charged().cpu } else { 0 }
+        });
+        let cpu: SmallVec<[u64; 8]> = cpu.collect();
         let waiting = self
             .tasks()
             .filter(|(_, task)| matches!(task, AnyTask::Waiting(_)));
         waiting
-            .map(|((_, step, _), _)| self.spec.steps[usize::from(step)].charged().cpu)
+            .map(|((_, step, _), _)| cpu[usize::from(step)])
             .sum()
     }
 
--- a/crates/core/src/job/scheduler/placing.rs
+++ b/crates/core/src/job/scheduler/placing.rs
@@ -156,7 +156,7 @@
             queue.push(QueuedJob {
                 urgency: job.urgency(mean, now),
                 job: *id,
-                work: job.waiting_cpu() * mean.as_millis(),
+                work: job.waiting_cpu(&self.fleet.rooms) * mean.as_millis(),
             });
         }
         queues
--- a/crates/core/tests/jobs/impossible.rs
+++ b/crates/core/tests/jobs/impossible.rs
@@ -233,6 +233,26 @@
     assert_eq!((lasting_cpu(&harness), drain), (32_000, ms(0)));
 }
 
+/// Regression test: the work of jobs that no worker could run made the queue look overloaded until they were
+/// late, and the newest job came first instead of the most urgent one.
+#[test]
+fn jobs_that_no_worker_could_run_leave_the_order_as_it_is() {
+    let mut harness = SchedulerHarness::open(1);
+    harness.accept(1, vec![sized(1, 31_000, 100)]);
+    harness.settle();
+    let running = harness.confirm();
+    for id in 1..=WAITING_JOBS {
+        harness.accept(100 + id, vec![sized(1, 33_000, 100)]);
+    }
+    harness.accept(2, vec![step(1)]);
+    harness.wait(100);
+    harness.accept(3, vec![step(1)]);
+    harness.settle();
+    let started: Vec<JobId> = harness.starts.iter().map(|start| start.task.job).collect();
+    assert_eq!(started, [JobId(2)]);
+    assert_eq!(running.len(), 1);
+}
+
 /// Guards against a pool that gets no VM which could run its tasks: VMs of other pools may join it, and the
 /// labels of those without a worker are unknown.
 #[test]
