Pause a step whose starts are refused for want of room, and keep its workers in service

Cause: each refusal for want of room was held against the worker.

Change: the first refusal of a step's starts counts against the worker, as it may have less room than it reports. A second one, of an order sent after the first was known, points to the step: it pauses for 4 s, twice as long each time up to 60 s, and the worker stays in service. Each other step that the worker refuses still counts against the worker. A refusal of a worker that has fallen silent is no evidence against the step.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -14,6 +14,7 @@
 //! | `worker` | state of a worker as derived from its reports, and its eligibility for tasks |
 //! | `order` | priority order of jobs in a full pool |
 //! | `place` | assignment of tasks to workers |
+//! | `refusal` | refusals of start orders for want of room |
 //! | `room` | steps that the workers of a pool could run |
 //! | `shape` | what a task asks of a worker, and the memory of a search for room |
 //! | `hold` | room that is kept for a step which waits for it |
@@ -39,6 +40,7 @@
 mod ownership;
 mod place;
 mod process;
+mod refusal;
 mod resize;
 mod room;
 mod scheduler;
@@ -68,6 +70,7 @@
 };
 pub use place::{PlaceCandidates, PlaceRequest, choose_worker};
 pub use process::WorkerProcess;
+pub use refusal::StartRefusals;
 pub use resize::{IdleVm, PoolDemandView, ResizeMove, plan_resize};
 pub use room::RoomIndex;
 pub use scheduler::{
--- a/crates/core/src/job/scheduler/jobs.rs
+++ b/crates/core/src/job/scheduler/jobs.rs
@@ -11,7 +11,8 @@
         crash::CrashHistory,
         life::{ClosedLife, JobLife, OpenLife},
         order::JobUrgency,
-        spec::{JobId, JobSpec, JobState, JobTerms, StepSpec, TaskKey},
+        refusal::StartRefusals,
+        spec::{JobId, JobSpec, JobState, JobTerms, StepKey, StepSpec, TaskKey},
         task::{AnyTask, TaskRun},
     },
     name::WorkerId,
@@ -81,6 +82,8 @@
     has_startable: bool,
     /// Worker to avoid for a task: it failed there, or a start order was left unanswered.
     pub(super) avoided_workers: SmallVec<[(TaskKey, WorkerId); 2]>,
+    /// Steps whose start orders were refused for want of room.
+    refusals: BTreeMap<StepKey, StartRefusals>,
     /// Tasks whose runs were lost together with their workers.
     pub(super) crashes: BTreeMap<TaskKey, CrashHistory>,
     /// Time from which the loss of a run counts as evidence again, after workers have ended for other
@@ -100,9 +103,10 @@
         self.started
     }
 
-    /// Records that a worker has started a run.
-    pub(super) fn record_start(&mut self) {
+    /// Records that a worker has started a run of a task.
+    pub(super) fn record_start(&mut self, key: &TaskKey) {
         self.started = true;
+        self.refusals.remove(&StepKey::from(*key));
     }
 
     /// Returns whether the records of the tasks show that a run has started.
@@ -150,6 +154,24 @@
         (!self.step(key).long_running).then_some(self.terms.max_failures)
     }
 
+    /// Records that a start order of a task was refused for want of room; returns whether the worker may be
+    /// the cause.
+    pub(super) fn record_refusal(
+        &mut self,
+        key: &TaskKey,
+        ordered_at: ClockTime,
+        now: ClockTime,
+    ) -> bool {
+        let refusals = self.refusals.entry((*key).into()).or_default();
+        refusals.record(ordered_at, now)
+    }
+
+    /// Returns whether a task waits as start orders of its step were refused.
+    pub(super) fn is_paused(&self, key: &TaskKey, now: ClockTime) -> bool {
+        let refusals = self.refusals.get(&StepKey::from(*key));
+        refusals.is_some_and(|refusals| refusals.is_paused(now))
+    }
+
     /// Has the job reviewed in the next step.
     pub(super) fn mark_changed(&mut self) {
         self.changed = true;
@@ -177,7 +199,7 @@
                     step,
                     index,
                 });
-                keys.filter(move |key| !self.is_held(key, now))
+                keys.filter(move |key| !self.is_held(key, now) && !self.is_paused(key, now))
             })
         })
     }
@@ -234,10 +256,11 @@
         depths.into_iter().max().unwrap_or(0)
     }
 
-    /// Tasks of a repeated job, and those that wait until it is known whether they crash their
-    /// workers, become startable as time passes.
+    /// Tasks of a repeated job, those that wait until it is known whether they crash their workers, and
+    /// those of steps that pause become startable as time passes.
     fn needs_review(&self) -> bool {
-        self.changed || self.spec.repeat.is_some() || !self.crashes.is_empty()
+        let is_timed = self.spec.repeat.is_some() || !self.refusals.is_empty();
+        self.changed || is_timed || !self.crashes.is_empty()
     }
 
     /// Returns whether some task could start when the job was last reviewed.
@@ -403,6 +426,7 @@
             has_startable: false,
             avoided_workers: SmallVec::new(),
             crashes: BTreeMap::new(),
+            refusals: BTreeMap::new(),
             calm_from: ClockTime::ZERO,
             spec,
         }
--- a/crates/core/src/job/scheduler/orders.rs
+++ b/crates/core/src/job/scheduler/orders.rs
@@ -58,7 +58,7 @@
         self.now = now;
         if reply == StartReply::Started {
             if let Some(job) = self.jobs.get_mut(&key.job) {
-                job.record_start();
+                job.record_start(&key);
             }
             self.record_begin(key, run);
             if let Some(worker) = self.workers.get_mut(id) {
@@ -72,7 +72,7 @@
                 reply,
             });
         }
-        self.apply_start_reply(id, key, reply);
+        self.apply_start_reply(id, key, run, reply);
         if reply.is_refusal() {
             // The worker may have fallen silent before the reply arrived.
             self.retract_loss(key, run);
@@ -107,8 +107,11 @@
     }
 
     /// Updates the worker's health and permits from its reply to a start order.
-    fn apply_start_reply(&mut self, id: &WorkerId, key: TaskKey, reply: StartReply) {
+    fn apply_start_reply(&mut self, id: &WorkerId, key: TaskKey, run: u32, reply: StartReply) {
         let now = self.now;
+        if reply == StartReply::NoRoom && !self.may_be_short_of_room(id, key, run) {
+            return;
+        }
         if reply == StartReply::Unhealthy {
             self.record_worker_failure(id, true);
             return;
@@ -129,6 +132,27 @@
         }
     }
 
+    /// Records a start order that was refused for want of room; returns whether the worker may have less
+    /// room than it reports. A worker that has fallen silent meanwhile is no evidence against the step.
+    fn may_be_short_of_room(&mut self, id: &WorkerId, key: TaskKey, run: u32) -> bool {
+        let now = self.now;
+        if !self.workers.get(id).is_some_and(Worker::is_in_service) {
+            return true;
+        }
+        let ordered_at = match self.assigned_slot(id, key, run) {
+            Some(AnyTask::Assigned(task)) => task.phase.ordered_at,
+            _ => return true,
+        };
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return true;
+        };
+        let may_be_worker = job.record_refusal(&key, ordered_at, now);
+        if !may_be_worker {
+            job.set_avoided_worker(key, id.clone());
+        }
+        may_be_worker
+    }
+
     /// Handles the reply to a stop order.
     pub fn stop_replied(
         &mut self,
--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -190,7 +190,7 @@
         if job.task(&row.task).is_none() {
             return;
         }
-        job.record_start();
+        job.record_start(&row.task);
         let max_failures = job.max_failures(&row.task);
         let Some(slot) = job.task_mut(&row.task) else {
             return;
@@ -271,7 +271,7 @@
     fn apply_running(&mut self, id: &WorkerId, row: &ActiveRun, is_first: bool) {
         let now = self.now;
         if let Some(job) = self.jobs.get_mut(&row.task.job) {
-            job.record_start();
+            job.record_start(&row.task);
         }
         if self.assigned_slot(id, row.task, row.run).is_none() && !self.adopt_run(id, row, is_first)
         {
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -16,6 +16,7 @@
 mod placing;
 mod probation;
 mod processes;
+mod refusals;
 mod strays;
 mod waiting;
 mod waves;
