--- a/crates/emulator/src/caller.rs
+++ b/crates/emulator/src/caller.rs
@@ -70,7 +70,6 @@
     fleet: Arc<EmulatedFleet>,
     job: JobId,
     shape: JobShape,
-    cpu: u64,
     will_cancel: bool,
     rng: StdRng,
 }
@@ -113,13 +112,13 @@
                     JobDemand::Spread => 1,
                     _ => load.max_per_worker,
                 },
+                cpu,
                 demand,
                 fatal_task: payload.fatal_task,
                 max_failures: u32::from(MAX_FAILURES),
                 may_miss: usize::from(MAX_MISSING_TASKS),
                 objective: objective(load.task_ms * u64::from(steps)),
             },
-            cpu,
             will_cancel: !long_running && rng.random_bool(load.cancels),
             rng: StdRng::seed_from_u64(rng.random()),
         }
@@ -233,7 +232,7 @@
         let step = |(number, count): (u16, &u16)| {
             let usual = StepSpec {
                 count: *count,
-                need: task_need(self.cpu),
+                need: task_need(self.shape.cpu),
                 after: number.checked_sub(1).into_iter().collect(),
                 long_running: self.shape.long_running,
                 speculative: self.shape.speculative,
--- a/crates/emulator/src/check.rs
+++ b/crates/emulator/src/check.rs
@@ -2,6 +2,7 @@
 
 mod availability;
 mod crashes;
+mod waiting;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -15,6 +16,7 @@
 use self::{
     availability::{check_stops, check_vm_order},
     crashes::{check_starts_after_crashes, may_be_given_up},
+    waiting::check_waiting_job,
 };
 
 /// Time after the acknowledgement of a cancellation in which tasks may still start.
@@ -63,7 +65,7 @@
     Refused => "Rejected jobs never run.",
     Limit => "Workers stay within their capacity, and waves within their cap on VMs.",
     Mixed => "Reported states of jobs and waves match what happened.",
-    Lost => "An accepted job stays known, questions about it are answered, and it is eventually done, unless it fails, crashes its workers or is cancelled.",
+    Lost => "An accepted job stays known, questions about it are answered, it does not wait beside enough room, and it is eventually done, unless it fails, crashes its workers or is cancelled.",
     One => "A VM executes no order with an older fencing token than it has seen, nor one of an owner that was replaced long ago.",
     Drain => "A draining worker gets no new tasks.",
     Avail => "Orders to VMs and workers leave no more tasks of a step missing than it allows.",
@@ -351,6 +353,7 @@
         }
     }
     check_final_answer(history, id, job, findings);
+    check_waiting_job(history, id, job, runs, findings);
     let must_be_done = accepted_at.is_some_and(|at| at + COMPLETION_ALLOWANCE < history.ended_at);
     let is_excused = job.shape.fatal_task.is_some() || job.shape.demand.is_in_vain();
     if !must_be_done || job.cancelled.is_some() || is_excused {
--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -1,6 +1,7 @@
 //! Scheduler members under emulation: start, stop, kill and restart.
 
 use std::{
+    collections::BTreeMap,
     io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -9,7 +10,7 @@
 
 use jacinthhoist_codec::StoreLimits;
 use jacinthhoist_core::{
-    ClockTime, MemberName,
+    ClockTime, MemberName, PoolName,
     job::{MemberRank, SchedulerLimits},
 };
 use jacinthhoist_net::BootClock;
@@ -30,7 +31,7 @@
 
 use crate::{
     caller::run_load,
-    history::EmulationHistory,
+    history::{EmulationHistory, PoolSample, PoolUse},
     model::PlatformModel,
     network::{EmulatedPeers, Endpoint},
     outcome::{ScenarioOutcome, outcome},
@@ -47,6 +48,10 @@
 const STARTUP_TIME: Duration = Duration::from_secs(4);
 /// Time after the load phase in which accepted jobs must be done.
 const COMPLETION_TIME: Duration = Duration::from_secs(14);
+/// Time after the load phase from which on no job may wait beside room.
+const SETTLING_TIME: Duration = Duration::from_secs(4);
+/// Interval between samples of the use of the pools.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(250);
 /// Delay before a process that ended is started again.
 pub(crate) const RESTART_DELAY: Duration = Duration::from_millis(800);
 /// Time for which a member that shuts down continues to serve callers.
@@ -124,6 +129,7 @@
                 seed,
             ));
         }
+        tasks.spawn(fleet.clone().sample_pools());
         for fault in fleet.scenario.faults.clone() {
             tasks.spawn(fleet.clone().inject(fault));
         }
@@ -135,6 +141,29 @@
         fleet.stop_all().await
     }
 
+    /// Records the use of the pools from some time after the load phase to the end.
+    async fn sample_pools(self: Arc<Self>) {
+        sleep(Duration::from_secs(self.scenario.secs) + SETTLING_TIME).await;
+        while !self.has_ended() {
+            let at = self.model.clock.now();
+            let mut pools: BTreeMap<PoolName, PoolUse> = BTreeMap::new();
+            {
+                let mut state = self.model.state();
+                for worker in state.workers.values() {
+                    let Some((cpu, used)) = worker.cpu_use() else {
+                        continue;
+                    };
+                    let pool = pools.entry(worker.entry.pool.clone()).or_default();
+                    pool.cpu += cpu;
+                    pool.used_cpu += used;
+                    pool.free_cpu.push(cpu.saturating_sub(used));
+                }
+                state.history.pool_samples.push(PoolSample { at, pools });
+            }
+            sleep(SAMPLE_INTERVAL).await;
+        }
+    }
+
     /// Records the final state at the end of the run.
     fn record_final_state(&self) {
         let now = self.model.clock.now();
--- a/crates/emulator/src/history.rs
+++ b/crates/emulator/src/history.rs
@@ -28,6 +28,8 @@
     pub speculative: bool,
     /// Maximum number of tasks of a step on one worker; 0 if there is no limit.
     pub max_per_worker: u16,
+    /// CPU that a task uses, in thousandths of a core.
+    pub cpu: u64,
     /// What its tasks ask for.
     pub demand: JobDemand,
     /// Task that crashes each worker that starts it.
@@ -173,6 +175,26 @@
     pub completed_at: Option<ClockTime>,
 }
 
+/// Use of a pool at one moment.
+#[derive(Clone, Debug, Default)]
+pub struct PoolUse {
+    /// CPU of the workers that take tasks, in thousandths of a core.
+    pub cpu: u64,
+    /// Part of it that is in use.
+    pub used_cpu: u64,
+    /// CPU that is free on each worker.
+    pub free_cpu: Vec<u64>,
+}
+
+/// Use of all pools at one moment.
+#[derive(Clone, Debug)]
+pub struct PoolSample {
+    /// Time of the sample.
+    pub at: ClockTime,
+    /// Pools by name.
+    pub pools: BTreeMap<PoolName, PoolUse>,
+}
+
 /// Record of one run of a scenario.
 #[derive(Clone, Debug, Default)]
 pub struct EmulationHistory {
@@ -180,6 +202,8 @@
     pub jobs: BTreeMap<JobId, JobHistory>,
     /// Runs in the order in which they began.
     pub runs: Vec<RunHistory>,
+    /// Use of the pools at intervals from some time after the load phase on.
+    pub pool_samples: Vec<PoolSample>,
     /// VM orders in the order in which they were executed.
     pub vm_orders: Vec<VmOrderHistory>,
     /// Waves by number.
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -61,8 +61,8 @@
 pub use demand::JobDemand;
 pub use fleet::{run_scenario, run_scenario_logged};
 pub use history::{
-    CallOutcome, EmulationHistory, EndKind, FinalAnswer, JobHistory, JobShape, RunHistory,
-    StartConditions, VmOrderHistory, WaveHistory,
+    CallOutcome, EmulationHistory, EndKind, FinalAnswer, JobHistory, JobShape, PoolSample, PoolUse,
+    RunHistory, StartConditions, VmOrderHistory, WaveHistory,
 };
 pub use outcome::ScenarioOutcome;
 pub use payload::FatalTask;
--- a/crates/emulator/src/worker.rs
+++ b/crates/emulator/src/worker.rs
@@ -6,7 +6,7 @@
     ClockTime, VmName, WorkerId,
     job::{
         ActiveRun, EndedRun, OrderReply, RenewalReport, Resources, StartReply, StepKey, TaskEnd,
-        TaskKey, WorkerEntry,
+        TaskKey, WorkerEntry, WorkerState,
     },
 };
 use jacinthhoist_scheduler::ports::{RenewalOrder, StartOrder};
@@ -188,6 +188,20 @@
             .any(|ended_run| !self.reported.contains(&ended_run.number))
     }
 
+    /// Resources that the runs use.
+    fn used(&self) -> Resources {
+        let runs = self.running.values();
+        runs.fold(Resources::default(), |used, run| {
+            used.plus(&run.behaviour.need)
+        })
+    }
+
+    /// CPU of the worker and the part of it in use; `None` if it does not take tasks as usual.
+    pub(crate) fn cpu_use(&self) -> Option<(u64, u64)> {
+        let takes_tasks = self.mode == WorkerMode::Normal && self.entry.state == WorkerState::Ready;
+        takes_tasks.then(|| (self.capacity.cpu, self.used().cpu))
+    }
+
     /// Changes the capacity; runs in progress stay.
     pub(crate) fn set_capacity(&mut self, capacity: Resources, now: ClockTime) {
         let shrinks = !capacity.fits(&Resources::default(), &self.capacity);
@@ -317,10 +331,7 @@
         if self.lease_until <= self.worker_clock(now) {
             return StartReply::TooLate;
         }
-        let mut used = Resources::default();
-        for run in self.running.values() {
-            used = used.plus(&run.behaviour.need);
-        }
+        let used = self.used();
         if self.guarded && !self.capacity.fits(&used, &behaviour.need) {
             return StartReply::NoRoom;
         }
--- a/crates/emulator/tests/demands.rs
+++ b/crates/emulator/tests/demands.rs
@@ -5,15 +5,15 @@
 /// Usual jobs beside a few unusual ones, and beside long ones with more tasks than workers, each of which
 /// takes a worker of its own.
 const DAY: &str = r#"
-    secs = 24
+    secs = 26
     workers = 4
     spare = 0
     worker_cpu = 16000
     [[loads]]
     pool = "moulding"
     per_sec = 6.0
-    surge = 3.0
-    turn_secs = 12
+    surge = 5.0
+    turn_secs = 13
     steps = 1
     tasks = 4
     task_ms = 600
@@ -21,7 +21,7 @@
     unusual = 0.15
     [[loads]]
     pool = "moulding"
-    per_sec = 0.5
+    per_sec = 1.2
     steps = 1
     tasks = 5
     task_ms = 6000
@@ -30,7 +30,7 @@
     [[loads]]
     pool = "other"
     per_sec = 1.0
-    turn_secs = 12
+    turn_secs = 13
     steps = 1
     tasks = 1
     task_ms = 100
