--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -178,6 +178,15 @@
         /// Number of startable tasks for which no worker had room.
         unplaced: usize,
     },
+    /// A job waits for what no worker of its pool has, or does so no more.
+    JobWaits {
+        /// Job that waits.
+        job: JobId,
+        /// Step of the job, or the first of several.
+        step: StepKey,
+        /// True if no worker has the room or the label.
+        in_vain: bool,
+    },
     /// Room is kept on a worker for a task, or for members of its gang.
     RoomHeld {
         /// Task that waits for room.
--- a/crates/core/src/job/scheduler/jobs.rs
+++ b/crates/core/src/job/scheduler/jobs.rs
@@ -82,6 +82,8 @@
     has_startable: bool,
     /// Worker to avoid for a task: it failed there, or a start order was left unanswered.
     pub(super) avoided_workers: SmallVec<[(TaskKey, WorkerId); 2]>,
+    /// True if one of its steps waits for what no worker of the pool has.
+    pub(super) waits_in_vain: bool,
     /// Steps whose start orders were refused for want of room.
     refusals: BTreeMap<StepKey, StartRefusals>,
     /// Tasks whose runs were lost together with their workers.
@@ -426,6 +428,7 @@
             has_startable: false,
             avoided_workers: SmallVec::new(),
             crashes: BTreeMap::new(),
+            waits_in_vain: false,
             refusals: BTreeMap::new(),
             calm_from: ClockTime::ZERO,
             spec,
--- a/crates/core/src/job/scheduler/placing.rs
+++ b/crates/core/src/job/scheduler/placing.rs
@@ -4,7 +4,7 @@
 //! for which no worker has room is not searched for again, so a step that waits for whatever reason
 //! holds up no other.
 
-use std::{collections::BTreeMap, result};
+use std::{collections::BTreeMap, mem, result};
 
 use smallvec::SmallVec;
 
@@ -170,6 +170,7 @@
         let keys: SmallVec<[TaskKey; 16]> = job.startable(id, self.now).collect();
         let mut placed = 0;
         let mut full_steps = SmallVec::<[StepKey; 4]>::new();
+        let mut in_vain = None;
         for key in &keys {
             let step = StepKey::from(*key);
             if full_steps.contains(&step) {
@@ -179,6 +180,9 @@
                 Ok(count) => placed += count,
                 Err(reason) => {
                     search.waits.add(reason);
+                    if reason == WaitReason::NoFit {
+                        in_vain.get_or_insert(step);
+                    }
                     // Other tasks of the step may need no trial.
                     if reason != WaitReason::Trial {
                         full_steps.push(step);
@@ -189,6 +193,7 @@
                 }
             }
         }
+        self.record_vain_wait(id, keys.first().map(|key| (*key).into()), in_vain);
         if placed > 0 {
             self.outbox.mark_changed(id);
             self.log_decision(SchedulerDecision::Placed {
@@ -199,6 +204,22 @@
         }
     }
 
+    /// Logs that a job has begun or ceased to wait for what no worker has; `first` is its first step that
+    /// could start.
+    fn record_vain_wait(&mut self, id: JobId, first: Option<StepKey>, in_vain: Option<StepKey>) {
+        let Some((job, step)) = self.jobs.get_mut(&id).zip(in_vain.or(first)) else {
+            return;
+        };
+        let in_vain = in_vain.is_some();
+        if mem::replace(&mut job.waits_in_vain, in_vain) != in_vain {
+            self.log_decision(SchedulerDecision::JobWaits {
+                job: id,
+                step,
+                in_vain,
+            });
+        }
+    }
+
     /// Places a task, or the whole gang that it belongs to.
     fn place_step(&mut self, key: TaskKey, search: &mut QueueSearch) -> Result<usize> {
         let Some(job) = self.jobs.get(&key.job) else {
@@ -244,22 +265,26 @@
             }
             return WaitReason::Trial;
         }
-        let scope = match search.memory.fitting(&shape) {
-            Some(workers) => PlaceScope::Fitting(workers),
-            None => PlaceScope::Pool(&search.workers),
-        };
         let request = self.place_request(job, *key);
         let need = step.charged();
-        let known = scope.ids().filter_map(|id| self.workers.get(id));
-        let fitting = known.filter(|worker| has_room(&request, worker, &need, self.now));
-        let fitting: Vec<WorkerId> = fitting.map(|worker| worker.id.clone()).collect();
-        let has_room = !fitting.is_empty();
-        if step.gang && has_room {
-            if !advised {
-                search.memory.record_unfit_gang(step, shape);
+        let fits = |id: &&WorkerId| {
+            let worker = self.workers.get(*id);
+            worker.is_some_and(|worker| has_room(&request, worker, &need, self.now))
+        };
+        let has_room = match search.memory.fitting(&shape) {
+            Some(workers) => workers.iter().any(|id| fits(&id)),
+            None => {
+                let fitting = search.workers.ids().filter(fits);
+                let fitting: Vec<WorkerId> = fitting.cloned().collect();
+                let has_room = !fitting.is_empty();
+                search.memory.record_fitting(shape.clone(), fitting);
+                has_room
             }
-        } else {
-            search.memory.record_fitting(shape, fitting);
+        };
+        if !has_room {
+            search.memory.record_full(shape);
+        } else if step.gang && !advised {
+            search.memory.record_unfit_gang(step, shape);
         }
         match (has_room, step.gang, advised) {
             (true, _, true) => WaitReason::Permit,
--- a/crates/core/src/job/shape.rs
+++ b/crates/core/src/job/shape.rs
@@ -133,14 +133,9 @@
         })
     }
 
-    /// Records the workers with room for a shape; without any, the shape is full.
+    /// Records the workers with room for a shape.
     pub fn record_fitting(&mut self, shape: TaskShape, workers: Vec<WorkerId>) {
-        self.fitting.retain(|known| known.shape != shape);
-        if workers.is_empty() {
-            self.record_full(shape);
-        } else {
-            self.fitting.push(ShapeWorkers { shape, workers });
-        }
+        self.fitting.push(ShapeWorkers { shape, workers });
     }
 
     /// Returns the workers that had room for a shape, if they were recorded.
--- a/crates/core/tests/jobs/impossible.rs
+++ b/crates/core/tests/jobs/impossible.rs
@@ -2,7 +2,10 @@
 
 use jacinthhoist_core::{
     PoolName,
-    job::{JobId, RenewalReport, Resources, StepSpec, TaskEnd, VmEntry, VmState, WorkerEntry},
+    job::{
+        Effect, JobId, RenewalReport, Resources, SchedulerDecision, StepSpec, TaskEnd, VmEntry,
+        VmState, WorkerEntry,
+    },
 };
 
 use super::harness::{
@@ -75,6 +78,37 @@
     }
 }
 
+/// Guards on-call against a job that stays queued without a word: its wait is logged once, and once more when
+/// a worker that can run it has come.
+#[test]
+fn a_job_that_waits_in_vain_is_logged_when_that_changes() {
+    let mut harness = SchedulerHarness::open(1);
+    harness.accept(1, vec![sized(1, 33_000, 100)]);
+    let waits = |harness: &mut SchedulerHarness| -> Vec<bool> {
+        let mut changes = Vec::new();
+        for _ in 0..3 {
+            harness.wait(20);
+            for effect in harness.scheduler.step(harness.now) {
+                if let Effect::Log(SchedulerDecision::JobWaits { in_vain, .. }) = effect {
+                    changes.push(in_vain);
+                }
+            }
+        }
+        changes
+    };
+    assert_eq!(waits(&mut harness), [true]);
+    let large = WorkerEntry {
+        capacity: sized(1, 64_000, 131_072).need,
+        ..listed_entry(1)
+    };
+    let listed = [(worker(0), listed_entry(0)), (worker(1), large)];
+    harness
+        .scheduler
+        .workers_listed(listed.into_iter().collect(), harness.now);
+    harness.report(1, RenewalReport::default());
+    assert_eq!(waits(&mut harness), [false]);
+}
+
 /// Regression test (LOST): the same with room that runs which last until they are stopped have taken for
 /// good, and with best-effort tasks beside those that serve users on all workers.
 #[test]
--- a/crates/emulator/src/demand.rs
+++ b/crates/emulator/src/demand.rs
@@ -6,7 +6,7 @@
 use crate::{model::PlatformModel, scenario::ScenarioLoad};
 
 /// Distinguishes the draw from others that are seeded with a job's id.
-const DEMAND_SEED: u64 = 0x64_65_6d_61_6e_64;
+const DEMAND_SEED: u64 = 0x6465_6d61_6e64;
 
 /// What the tasks of a job ask for.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/scheduler/src/eventlog.rs
+++ b/crates/scheduler/src/eventlog.rs
@@ -64,6 +64,7 @@
     JobTaken => ("job_taken", "The owner has read a new job."),
     Placed => ("placed", "Tasks were assigned to workers."),
     RunEnded => ("run_ended", "A run ended without completing its task."),
+    JobWaits => ("job_waits", "A job waits for what no worker of its pool has, or does so no more."),
     RoomHeld => ("room_held", "Room on a worker is kept for a task that waits for it."),
     StartRefused => ("start_refused", "A start order did not start a run."),
     StartRepeated => ("start_repeated", "A start order without an answer is sent again."),
--- a/crates/scheduler/src/owner/decisions.rs
+++ b/crates/scheduler/src/owner/decisions.rs
@@ -90,6 +90,10 @@
             json!({"job": task.job.to_string(), "task": task.to_string(), "run": run,
                 "worker": worker.as_str(), "end": format!("{end:?}"), "failures": failures}),
         ),
+        SchedulerDecision::JobWaits { job, step, in_vain } => (
+            EventKind::JobWaits,
+            json!({"job": job.to_string(), "step": step.to_string(), "in_vain": in_vain}),
+        ),
         SchedulerDecision::RoomHeld {
             task,
             worker,
