Keep the expected durations of tasks out of the memory of a search

Found in the read-through: the shape of a task had its expected duration, which follows from the caller's estimate, so that each job had a shape of its own, and a full pool was searched for each one that was expected to be shorter than those before. The duration matters only on workers with room that is kept for another step. The shape now counts those on which the task may start as it ends before. The workers with room for a shape are looked for among those with enough free CPU.

--- a/crates/core/src/job/place.rs
+++ b/crates/core/src/job/place.rs
@@ -100,11 +100,6 @@
         self.by_free_cpu.is_empty()
     }
 
-    /// Iterates over all workers, the fullest first.
-    pub fn ids(&self) -> impl Iterator<Item = &WorkerId> {
-        self.with_room(0)
-    }
-
     /// Iterates over all workers, the emptiest first.
     pub fn emptiest(&self) -> impl Iterator<Item = &WorkerId> {
         self.by_free_cpu.iter().rev().map(|(_, id)| id)
--- a/crates/core/src/job/scheduler/holds.rs
+++ b/crates/core/src/job/scheduler/holds.rs
@@ -21,7 +21,7 @@
         task::AnyTask,
         worker::Worker,
     },
-    name::WorkerId,
+    name::{PoolName, WorkerId},
 };
 
 use super::{Scheduler, SchedulerDecision, placing::QueueSearch};
@@ -44,15 +44,15 @@
     step: Option<StepKey>,
     /// True if it still waits for room in this search.
     is_renewed: bool,
+    /// Times at which its room is expected to be free.
+    due_at: SmallVec<[ClockTime; 2]>,
 }
 
 impl HeldStep {
-    /// Creates the state of a search from the step for which the last one has kept room.
-    pub(super) fn open(step: Option<StepKey>) -> Self {
-        Self {
-            step,
-            is_renewed: false,
-        }
+    /// Number of workers on which a task of another step that ends by then may start.
+    pub(super) fn count_open(&self, ends_at: ClockTime) -> usize {
+        let open = self.due_at.iter().filter(|due_at| ends_at <= **due_at);
+        open.count()
     }
 
     /// Step for which the next search goes on to keep room.
@@ -62,6 +62,19 @@
 }
 
 impl Scheduler {
+    /// Creates the state of a search from the step of the pool for which the last one has kept room.
+    pub(super) fn held_step(&mut self, pool: &PoolName) -> HeldStep {
+        let step = self.held_steps.remove(pool);
+        let workers = self.held_workers.iter();
+        let holds = workers.filter_map(|id| self.workers.get(id)?.room_hold);
+        let own = holds.filter(|hold| Some(hold.step) == step);
+        HeldStep {
+            step,
+            is_renewed: false,
+            due_at: own.map(|hold| hold.due_at).collect(),
+        }
+    }
+
     /// Brings the expected times of the rooms that are kept up to date, and releases those of steps that do
     /// not wait any more and of workers that take no tasks.
     pub(super) fn review_holds(&mut self) {
@@ -131,8 +144,11 @@
         let Some((worker, hold)) = plan.first() else {
             return;
         };
-        search.held.step = Some(step);
-        search.held.is_renewed = true;
+        search.held = HeldStep {
+            step: Some(step),
+            is_renewed: true,
+            due_at: plan.iter().map(|(_, hold)| hold.due_at).collect(),
+        };
         if !is_held {
             search.favour(key.job);
             self.log_decision(SchedulerDecision::RoomHeld {
--- a/crates/core/src/job/scheduler/placing.rs
+++ b/crates/core/src/job/scheduler/placing.rs
@@ -117,7 +117,7 @@
                 memory: SearchMemory::default(),
                 trial_memory: SearchMemory::default(),
                 favoured: self.favoured_jobs(),
-                held: HeldStep::open(self.held_steps.remove(&pool)),
+                held: self.held_step(&pool),
                 waits: WaitCounts::default(),
             };
             if !search.workers.is_empty() {
@@ -226,12 +226,14 @@
             return Err(WaitReason::NoFit);
         };
         let step = job.step(&key);
-        let shape = TaskShape::of(step, self.expected_span(job, step));
+        let ends_at = self.now + self.expected_span(job, step);
+        let shape = TaskShape::of(step, search.held.count_open(ends_at));
         let (is_gang, is_trial) = (step.gang, job.needs_trial(&key));
         let is_favoured = search.favoured.contains(&key.job);
         if !is_favoured && search.is_known_full(step, &shape, is_trial) {
             return Err(self.full_reason(&key, search));
         }
+        // The other members have to stop first.
         if is_gang && !job.is_gang_complete(&key) {
             return Err(WaitReason::StepLimit);
         }
@@ -274,7 +276,7 @@
         let has_room = match search.memory.fitting(&shape) {
             Some(workers) => workers.iter().any(|id| fits(&id)),
             None => {
-                let fitting = search.workers.ids().filter(fits);
+                let fitting = search.workers.with_room(need.cpu).filter(fits);
                 let fitting: Vec<WorkerId> = fitting.cloned().collect();
                 let has_room = !fitting.is_empty();
                 search.memory.record_fitting(shape.clone(), fitting);
--- a/crates/core/src/job/shape.rs
+++ b/crates/core/src/job/shape.rs
@@ -23,38 +23,40 @@
     serves: bool,
     /// True if the task is best-effort.
     best_effort: bool,
-    /// Expected duration of the task.
-    span: ClockTime,
+    /// Number of workers with room that is kept for another step, but is due only after the task's end.
+    open_holds: usize,
 }
 
 impl TaskShape {
-    /// Returns the shape of the tasks of a step, which are expected to last for `span`.
-    pub fn of(step: &StepSpec, span: ClockTime) -> Self {
+    /// Returns the shape of the tasks of a step, which are expected to end before room is due that is kept
+    /// on `open_holds` workers. Their durations differ from job to job and matter for nothing else.
+    pub fn of(step: &StepSpec, open_holds: usize) -> Self {
         Self {
             need: step.charged(),
             requires: step.requires.clone(),
             serves: step.target > ClockTime::ZERO,
             best_effort: step.best_effort,
-            span,
+            open_holds,
         }
     }
 
     /// Returns whether each worker that could run a task of this shape could run one of the other.
     ///
     /// ```
-    /// use jacinthhoist_core::{ClockTime, job::{Resources, StepSpec, TaskShape}};
-    /// let shape = |cpu, millis| {
+    /// use jacinthhoist_core::job::{Resources, StepSpec, TaskShape};
+    /// let shape = |cpu, open_holds| {
     ///     let need = Resources { cpu, ..Resources::default() };
     ///     let step = StepSpec { need, ..StepSpec::default() };
-    ///     TaskShape::of(&step, ClockTime::from_millis(millis))
+    ///     TaskShape::of(&step, open_holds)
     /// };
-    /// assert!(shape(4_000, 900).asks_as_much_as(&shape(2_000, 900)));
-    /// assert!(!shape(4_000, 600).asks_as_much_as(&shape(2_000, 900)));
+    /// assert!(shape(4_000, 0).asks_as_much_as(&shape(2_000, 0)));
+    /// assert!(!shape(4_000, 1).asks_as_much_as(&shape(2_000, 0)));
     /// ```
     pub fn asks_as_much_as(&self, other: &Self) -> bool {
         let same_kind = self.serves == other.serves && self.best_effort == other.best_effort;
         let has_label = other.requires.is_none() || self.requires == other.requires;
-        same_kind && has_label && self.span >= other.span && covers(&self.need, &other.need)
+        let is_confined = self.open_holds <= other.open_holds;
+        same_kind && has_label && is_confined && covers(&self.need, &other.need)
     }
 }
 
@@ -86,12 +88,12 @@
     /// Records that no worker has room for a shape.
     ///
     /// ```
-    /// use jacinthhoist_core::{ClockTime, job::{Resources, SearchMemory, StepSpec, TaskShape}};
+    /// use jacinthhoist_core::job::{Resources, SearchMemory, StepSpec, TaskShape};
     /// let step = |cpu, count| {
     ///     let need = Resources { cpu, ..Resources::default() };
     ///     StepSpec { count, need, ..StepSpec::default() }
     /// };
-    /// let shape = |cpu| TaskShape::of(&step(cpu, 1), ClockTime::ZERO);
+    /// let shape = |cpu| TaskShape::of(&step(cpu, 1), 0);
     /// let mut memory = SearchMemory::default();
     /// memory.record_full(shape(4_000));
     /// assert!(memory.is_full(&shape(6_000)) && !memory.is_full(&shape(2_000)));
--- a/crates/experiments/examples/waiting.rs
+++ b/crates/experiments/examples/waiting.rs
@@ -91,18 +91,22 @@
     settle(&mut scheduler, &mut now);
     for number in 0..waiting_jobs {
         let shape = number % shapes;
+        let estimate = ClockTime::from_millis(500 + number);
         let waiting = match kind {
             WaitKind::Room => StepSpec {
                 count: 4,
+                estimate,
                 ..step(2_000 + shape)
             },
             WaitKind::NoFit => StepSpec {
                 count: 4,
+                estimate,
                 ..step(WORKER_CPU + 1 + shape)
             },
             WaitKind::StepLimit => StepSpec {
                 count: workers as u16 + 1,
                 max_per_worker: 1,
+                estimate,
                 ..step(10 + shape)
             },
         };
