Leave the idle time of workers as it is when a gang finds no room

Cause: each search charged the first members of a gang to workers and released them, and each release set the worker's idle time to zero, so no VM of a pool with a gang that waits in vain was ever idle for the 2 s after which it may serve late work elsewhere. Since the search visits the whole queue it tries each such gang.

Change: a charge that is withdrawn before its run was ordered leaves the idle time alone.

Test: a_gang_without_room_leaves_the_idle_time_of_workers_as_it_is failed before.

--- a/crates/core/src/job/scheduler/gang.rs
+++ b/crates/core/src/job/scheduler/gang.rs
@@ -90,10 +90,9 @@
     }
 
     fn release_reserved(&mut self, members: &[TaskKey], run: u32, workers: &[WorkerId]) {
-        let now = self.now;
         for (member, id) in members.iter().zip(workers) {
             if let Some(worker) = self.workers.get_mut(id) {
-                worker.discharge(member, run, now);
+                worker.withdraw_charge(member, run);
             }
         }
     }
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -419,6 +419,13 @@
         }
     }
 
+    /// Releases the capacity charged for a run that has not been ordered; a worker that was idle before has
+    /// been so all along.
+    pub(super) fn withdraw_charge(&mut self, task: &TaskKey, run: u32) {
+        let empty_since = self.empty_since;
+        self.discharge(task, run, empty_since);
+    }
+
     /// Records that a run is known to have begun.
     pub fn begin_run(&mut self, task: TaskKey, run: u32, now: ClockTime) {
         if let Some(charge) = self.charges.get_mut(&(task, run)) {
--- a/crates/core/tests/jobs/impossible.rs
+++ b/crates/core/tests/jobs/impossible.rs
@@ -78,6 +78,26 @@
     }
 }
 
+/// Regression test (LOST): each search charged the first members of a gang without room and released them, so that
+/// the VMs of its pool never counted as idle for long, and jobs of other pools waited for them.
+#[test]
+fn a_gang_without_room_leaves_the_idle_time_of_workers_as_it_is() {
+    let mut harness = SchedulerHarness::open(2);
+    let gang = StepSpec {
+        gang: true,
+        ..sized(5, 16_000, 100)
+    };
+    let idle_since = harness.now;
+    harness.accept(1, vec![gang]);
+    harness.wait(5_000);
+    harness.settle();
+    for number in 0..2 {
+        let worker = harness.scheduler.worker(&worker(number));
+        let empty_since = worker.map(|worker| worker.empty_since);
+        assert!(empty_since.is_some_and(|since| since <= idle_since));
+    }
+}
+
 /// Guards on-call against a job that stays queued without a word: its wait is logged once, and once more when
 /// a worker that can run it has come.
 #[test]
