Drop the count of unsearched jobs, which is always zero now, and ask once which steps of a job fit

Found in reading the whole change again. Demand, the demand of lasting jobs and the work of the queue each collected which steps of a job fit their pool: FleetRooms::fitting_steps serves all three. No behaviour changes.

--- a/crates/core/src/job/place.rs
+++ b/crates/core/src/job/place.rs
@@ -90,11 +90,6 @@
         self.by_free_cpu[first..].iter().map(|(_, id)| id)
     }
 
-    /// Number of workers.
-    pub fn len(&self) -> usize {
-        self.by_free_cpu.len()
-    }
-
     /// Returns whether there is no worker.
     pub fn is_empty(&self) -> bool {
         self.by_free_cpu.is_empty()
--- a/crates/core/src/job/scheduler/demand.rs
+++ b/crates/core/src/job/scheduler/demand.rs
@@ -97,12 +97,18 @@
 impl FleetRooms {
     /// Returns whether a pool may come to run a task of the step, or its whole gang. Without a known worker
     /// or VM, any step counts.
-    pub(super) fn fits(&self, pool: &PoolName, step: &StepSpec) -> bool {
+    fn fits(&self, pool: &PoolName, step: &StepSpec) -> bool {
         let Some(fixed) = self.pools.get(pool) else {
             return self.movable.is_empty() || self.movable.fits(step);
         };
         RoomIndex::fit_together(&[&self.movable, fixed], step)
     }
+
+    /// Returns for each step of a job whether its pool may come to run it.
+    pub(super) fn fitting_steps(&self, job: &Job) -> SmallVec<[bool; 8]> {
+        let steps = job.spec.steps.iter();
+        steps.map(|step| self.fits(&job.terms.pool, step)).collect()
+    }
 }
 
 /// Work of a pool.
@@ -332,9 +338,7 @@
             }
             let mean = self.durations.mean(&job.spec.work);
             let infeasible = job.urgency(mean, self.now).infeasible;
-            let steps = job.spec.steps.iter();
-            let fitting = steps.map(|step| self.fleet.rooms.fits(&job.terms.pool, step));
-            let fitting: SmallVec<[bool; 8]> = fitting.collect();
+            let fitting = self.fleet.rooms.fitting_steps(job);
             for ((_, step, _), task) in job.tasks() {
                 let cpu = job.spec.steps[usize::from(step)].charged().cpu;
                 if task.placed().is_some() {
@@ -365,9 +369,7 @@
 
     /// CPU that the tasks of a long-running job take or could take, in thousandths of a core.
     fn lasting_cpu(&self, job: &Job) -> u64 {
-        let steps = job.spec.steps.iter();
-        let fitting = steps.map(|step| self.fleet.rooms.fits(&job.terms.pool, step));
-        let fitting: SmallVec<[bool; 8]> = fitting.collect();
+        let fitting = self.fleet.rooms.fitting_steps(job);
         let counted = job
             .tasks()
             .filter(|((_, step, _), task)| task.placed().is_some() || fitting[usize::from(*step)]);
--- a/crates/core/src/job/scheduler/jobs.rs
+++ b/crates/core/src/job/scheduler/jobs.rs
@@ -227,17 +227,12 @@
     /// CPU of the tasks that have no run and have not ended, of steps that their pool may come to run, in
     /// thousandths of a core.
     pub(super) fn waiting_cpu(&self, rooms: &FleetRooms) -> u64 {
-        let steps = self.spec.steps.iter();
-        let cpu = steps.map(|step| {
-            let fits = rooms.fits(&self.terms.pool, step);
-            if fits { step.charged().cpu } else { 0 }
+        let fitting = rooms.fitting_steps(self);
+        let waiting = self.tasks().filter(|((_, step, _), task)| {
+            fitting[usize::from(*step)] && matches!(task, AnyTask::Waiting(_))
         });
-        let cpu: SmallVec<[u64; 8]> = cpu.collect();
-        let waiting = self
-            .tasks()
-            .filter(|(_, task)| matches!(task, AnyTask::Waiting(_)));
         waiting
-            .map(|((_, step, _), _)| cpu[usize::from(step)])
+            .map(|((_, step, _), _)| self.spec.steps[usize::from(step)].charged().cpu)
             .sum()
     }
 
--- a/crates/core/src/job/wait.rs
+++ b/crates/core/src/job/wait.rs
@@ -43,12 +43,10 @@
     }
 }
 
-/// Outcome of the last search of a pool's queue.
+/// Number of steps that waited in the last search of a pool's queue, by reason.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct WaitCounts {
     steps: [u32; WaitReason::ALL.len()],
-    /// Jobs that the search did not reach.
-    pub unsearched_jobs: u32,
 }
 
 impl WaitCounts {
--- a/crates/scheduler/src/owner/decisions.rs
+++ b/crates/scheduler/src/owner/decisions.rs
@@ -39,7 +39,7 @@
         "mem_mb": capacity.mem_mb, "mem_mb_used": used.mem_mb, "demand_cpu": demand,
         "arriving_cpu": arriving, "running_cpu": running,
         "queued": queued, "infeasible": infeasible,
-        "waiting_steps": steps, "unsearched_jobs": waits.unsearched_jobs});
+        "waiting_steps": steps});
     log.write(EventKind::Pool, fields);
 }
 
