Log each start order and the evidence behind each lost run, without a limit on their rate

start_sent names runs and workers of each stored batch; run_lost tells the process, the ages of the last report and of the run's beginning, the end of the lease and its origin; order_fenced names the worker that has seen a newer owner; all lines on an owner's decisions have its token. Kinds that start or release a task are not rate-limited; lines that the writer's queue drops are counted.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -74,8 +74,9 @@
 pub use resize::{IdleVm, PoolDemandView, ResizeMove, plan_resize};
 pub use room::RoomIndex;
 pub use scheduler::{
-    Batch, BatchRecord, Effect, Job, JobProgress, LossReason, PoolSummary, RenewalPlan, Scheduler,
-    SchedulerDecision, SchedulerLimits, StepAdvice, TaskRecord, VmEntry, VmState, WorkerChange,
+    Batch, BatchRecord, Effect, Job, JobProgress, LossEvidence, LossReason, PoolSummary,
+    RenewalPlan, Scheduler, SchedulerDecision, SchedulerLimits, StepAdvice, TaskRecord, VmEntry,
+    VmState, WorkerChange,
 };
 pub use shape::{SearchMemory, TaskShape};
 pub use silence::{ExcusedLosses, PoolUnrest, RecentSilences, SilenceCause};
--- a/crates/core/src/job/scheduler/batch.rs
+++ b/crates/core/src/job/scheduler/batch.rs
@@ -21,7 +21,7 @@
     name::{PoolName, WorkerId},
 };
 
-use super::{Effect, Job, Scheduler};
+use super::{Effect, Job, Scheduler, SchedulerDecision};
 
 /// Minimum time between two batches: long enough for the ends of one step to share a write, short
 /// compared with the shortest tasks.
@@ -29,6 +29,9 @@
 /// Maximum jobs of a batch. At about 200 bytes per job it is stored with one call.
 const MAX_BATCH_JOBS: usize = 400;
 
+/// Maximum number of start orders that one log line names.
+const MAX_LOGGED_STARTS: usize = 64;
+
 /// The task has no run.
 const PHASE_WAITING: u8 = 0;
 /// The task may be running on a worker.
@@ -386,8 +389,15 @@
         for (task, run) in &batch.starts {
             self.withdraw_unsafe(*task, *run);
         }
+        let mut runs = Vec::with_capacity(batch.starts.len());
         for (task, run) in batch.starts {
-            self.send_start(task, run);
+            if let Some(worker) = self.send_start(task, run) {
+                runs.push((task, run, worker));
+            }
+        }
+        for part in runs.chunks(MAX_LOGGED_STARTS) {
+            let runs = part.to_vec();
+            self.log_decision(SchedulerDecision::StartsSent { runs });
         }
     }
 
@@ -406,17 +416,16 @@
         }
     }
 
-    pub(super) fn send_start(&mut self, task: TaskKey, run: u32) {
+    /// Sends a start order unless the run is no longer wanted; returns its worker.
+    pub(super) fn send_start(&mut self, task: TaskKey, run: u32) -> Option<WorkerId> {
         let now = self.now;
         let span = self.grantable_lease(now);
-        let Some(job) = self.jobs.get_mut(&task.job) else {
-            return;
-        };
+        let job = self.jobs.get_mut(&task.job)?;
         let Some(AnyTask::Assigned(assigned)) = job.task_mut(&task) else {
-            return;
+            return None;
         };
         if assigned.run != run {
-            return;
+            return None;
         }
         assigned.phase.order = StartOrderState::Pending;
         let worker = assigned.phase.worker.clone();
@@ -426,7 +435,7 @@
             job.life.goal().is_some() || job.is_exhausted(&task) || job.has_lost_members(&task);
         if is_unwanted {
             self.withdraw_start(&worker, task, run);
-            return;
+            return None;
         }
         let start = Effect::Start {
             task,
@@ -438,9 +447,10 @@
                 .get_mut(&worker)
                 .and_then(|known| known.process.lease.extend(span, now)),
             permit: self.permits.find(task.into(), &worker, now),
-            worker,
+            worker: worker.clone(),
         };
         self.effects.push(start);
+        Some(worker)
     }
 
     /// Releases a run that was stored but is no longer wanted; its start order was never sent.
--- a/crates/core/src/job/scheduler/decision.rs
+++ b/crates/core/src/job/scheduler/decision.rs
@@ -82,6 +82,11 @@
         /// Reply of the worker.
         reply: StartReply,
     },
+    /// Start orders are sent.
+    StartsSent {
+        /// Runs to start, with their workers.
+        runs: Vec<(TaskKey, u32, WorkerId)>,
+    },
     /// A start order without an answer is sent again.
     StartRepeated {
         /// Task of the run.
@@ -101,6 +106,8 @@
         worker: WorkerId,
         /// Reason for the loss.
         reason: LossReason,
+        /// What was known of the run and its worker.
+        evidence: LossEvidence,
     },
     /// A run that was given up or ordered to stop is in progress, and its task has not been started again.
     RunAdopted {
@@ -223,6 +230,21 @@
     },
 }
 
+/// What an owner knew of a run and its worker when it gave the run up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LossEvidence {
+    /// Start time of the worker's process in its last report.
+    pub incarnation: Option<u64>,
+    /// Time since the last report was requested; `None` before the first.
+    pub report_age: Option<ClockTime>,
+    /// Time since the run was known to have begun; `None` if it was not.
+    pub begun_age: Option<ClockTime>,
+    /// Time by which the worker's lease has lapsed.
+    pub lease_until: ClockTime,
+    /// Origin of that time.
+    pub basis: LeaseBasis,
+}
+
 /// Reason why a run is considered lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LossReason {
--- a/crates/core/src/job/scheduler/orders.rs
+++ b/crates/core/src/job/scheduler/orders.rs
@@ -240,7 +240,9 @@
             return;
         }
         task.phase.ordered_at = now;
-        self.send_start(key, run);
+        if self.send_start(key, run).is_none() {
+            return;
+        }
         let Some(AnyTask::Assigned(task)) = self.assigned_slot(id, key, run) else {
             return;
         };
--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -16,7 +16,7 @@
     name::WorkerId,
 };
 
-use super::{LossReason, Scheduler, SchedulerDecision, WorkerChange};
+use super::{LossEvidence, LossReason, Scheduler, SchedulerDecision, WorkerChange};
 
 impl Scheduler {
     /// Updates the workers from a complete list; known workers that are not in it are marked as
@@ -359,17 +359,21 @@
         reason: LossReason,
     ) {
         let mut was_sent = true;
+        let evidence = self.loss_evidence(id, key, run);
         if let Some(slot) = self.assigned_slot(id, key, run) {
             was_sent = !matches!(slot, AnyTask::Assigned(task)
                 if task.phase.order == StartOrderState::Queued);
             *slot = slot.clone().released();
             self.outbox.mark_changed(key.job);
-            self.log_decision(SchedulerDecision::RunLost {
-                task: key,
-                run,
-                worker: id.clone(),
-                reason,
-            });
+            if let Some(evidence) = evidence {
+                self.log_decision(SchedulerDecision::RunLost {
+                    task: key,
+                    run,
+                    worker: id.clone(),
+                    reason,
+                    evidence,
+                });
+            }
         }
         match self.workers.get_mut(id) {
             // The run may still be in progress.
@@ -380,6 +384,21 @@
         }
     }
 
+    /// Returns what is known of a run and its worker, for the log.
+    fn loss_evidence(&self, id: &WorkerId, key: TaskKey, run: u32) -> Option<LossEvidence> {
+        let worker = self.workers.get(id)?;
+        let charge = worker.charges.get(&(key, run));
+        let begun_at = charge.and_then(|charge| charge.begun_at());
+        let lease = &worker.process.lease;
+        Some(LossEvidence {
+            incarnation: worker.process.incarnation,
+            report_age: worker.seen_at.map(|seen_at| self.now - seen_at),
+            begun_age: begun_at.map(|begun_at| self.now - begun_at),
+            lease_until: lease.latest_expiry(),
+            basis: lease.basis(),
+        })
+    }
+
     /// Releases all runs of a worker.
     pub(super) fn mark_all_runs_lost(&mut self, id: &WorkerId, reason: LossReason) {
         let Some(worker) = self.workers.get(id) else {
--- a/crates/scheduler/src/eventlog.rs
+++ b/crates/scheduler/src/eventlog.rs
@@ -1,8 +1,9 @@
 //! Structured log lines on standard output: JSON, rate-limited, non-blocking.
 //!
 //! Each kind of line has its own rate limit, so that a flood of one kind does not suppress the
-//! others. Suppressed lines are counted, and the next line of the kind reports their number. A
-//! separate thread writes the lines from a bounded queue, so a stalled reader blocks no caller.
+//! others. Suppressed lines are counted, and the next line of the kind reports their number. Kinds that
+//! tell why a task started or was released have no limit. A separate thread writes the lines from a
+//! bounded queue, so a stalled reader blocks no caller; lines that it drops are counted too.
 
 use std::{
     num::NonZeroUsize,
@@ -23,8 +24,8 @@
 
 use crate::error::{BindSnafu, Error, Result};
 
-/// Capacity of the writer's queue; about 100 KB of text.
-const QUEUE_LINES: NonZeroUsize = NonZeroUsize::new(512).unwrap();
+/// Capacity of the writer's queue; about 400 KB of text.
+const QUEUE_LINES: NonZeroUsize = NonZeroUsize::new(2_048).unwrap();
 /// Maximum lines of one kind per second; covers every request at twice the usual load.
 const LINES_PER_SEC: u64 = 100;
 /// Maximum length of a text in a line. Errors may quote what they could not decode, which has no
@@ -44,6 +45,21 @@
         impl EventKind {
             const ALL: &[Self] = &[$(Self::$variant),*];
 
+            /// Returns whether lines of the kind are never suppressed: they tell which run of a task was
+            /// ordered, and why the one before counts as over.
+            fn is_unlimited(self) -> bool {
+                matches!(
+                    self,
+                    Self::StartSent
+                        | Self::StartRepeated
+                        | Self::StartRefused
+                        | Self::OrderFenced
+                        | Self::RunLost
+                        | Self::RunEnded
+                        | Self::RunAdopted
+                )
+            }
+
             /// Returns the name of the kind in the line.
             pub fn as_str(self) -> &'static str {
                 match self {
@@ -66,9 +82,11 @@
     RunEnded => ("run_ended", "A run ended without completing its task."),
     JobWaits => ("job_waits", "A job waits for what no worker of its pool has, or does so no more."),
     RoomHeld => ("room_held", "Room on a worker is kept for a task that waits for it."),
+    StartSent => ("start_sent", "Start orders are sent, after their runs were stored."),
     StartRefused => ("start_refused", "A start order did not start a run."),
     StartRepeated => ("start_repeated", "A start order without an answer is sent again."),
     OrderExpired => ("order_expired", "An order was not sent, as its permission had run out."),
+    OrderFenced => ("order_fenced", "A worker has refused an order, as it has seen a newer owner."),
     RunLost => ("run_lost", "A run was lost and can no longer be active."),
     RunAdopted => ("run_adopted", "A run that was given up is in progress, and its task keeps it."),
     RunStray => ("run_stray", "A worker reports a run that belongs to no task."),
@@ -114,6 +132,8 @@
     clock: BootClock,
     limiters: Vec<LineLimiter>,
     logger: Arc<Logger>,
+    /// Number of lines that the writer's queue has dropped since the last line.
+    dropped: Arc<AtomicU64>,
 }
 
 impl EventLog {
@@ -133,16 +153,19 @@
             .capacity(QUEUE_LINES)
             .build_arc()
             .map_err(output_error)?;
+        let dropped = Arc::new(AtomicU64::new(0));
+        let counter = dropped.clone();
         let sink = AsyncPoolSink::builder()
             .sink(plain)
             .thread_pool(writer)
             .overflow_policy(OverflowPolicy::DropIncoming)
-            // A full queue drops lines. The rate limiters bound their number, and there is no
-            // other output to report them on.
-            .error_handler(|_| {})
+            // There is no other output to report a dropped line on; the next line tells the number.
+            .error_handler(move |_: spdlog::Error| {
+                counter.fetch_add(1, Ordering::Relaxed);
+            })
             .build_arc()
             .map_err(output_error)?;
-        let log = Self::with_sink(member, BootClock::start(), sink)?;
+        let log = Self::with_counter(member, BootClock::start(), sink, dropped)?;
         spdlog::set_default_logger(log.logger.clone());
         Ok(log)
     }
@@ -153,6 +176,15 @@
     ///
     /// Does not fail with a single sink.
     pub fn with_sink(member: &str, clock: BootClock, sink: Arc<dyn Sink>) -> Result<Arc<Self>> {
+        Self::with_counter(member, clock, sink, Arc::default())
+    }
+
+    fn with_counter(
+        member: &str,
+        clock: BootClock,
+        sink: Arc<dyn Sink>,
+        dropped: Arc<AtomicU64>,
+    ) -> Result<Arc<Self>> {
         let logger = Logger::builder().sink(sink).build().map_err(output_error)?;
         Ok(Arc::new(Self {
             member: member.into(),
@@ -162,13 +194,19 @@
                 .map(|_| LineLimiter::default())
                 .collect(),
             logger: Arc::new(logger),
+            dropped,
         }))
     }
 
     /// Writes a line of the given kind with additional fields.
     pub fn write(&self, kind: EventKind, fields: Value) {
         let now = self.clock.now().as_millis();
-        let Some(suppressed) = self.limiters[kind as usize].admit(now) else {
+        let admitted = if kind.is_unlimited() {
+            Some(0)
+        } else {
+            self.limiters[kind as usize].admit(now)
+        };
+        let Some(suppressed) = admitted else {
             return;
         };
         let mut line = Map::new();
@@ -182,6 +220,10 @@
         if suppressed > 0 {
             line.insert("left_out".to_owned(), suppressed.into());
         }
+        let dropped = self.dropped.swap(0, Ordering::Relaxed);
+        if dropped > 0 {
+            line.insert("dropped".to_owned(), dropped.into());
+        }
         spdlog::info!(logger: self.logger, "{}", Value::Object(line));
     }
 }
--- a/crates/scheduler/src/owner/decisions.rs
+++ b/crates/scheduler/src/owner/decisions.rs
@@ -1,7 +1,7 @@
 //! Log lines and metrics of the scheduler's decisions.
 
 use jacinthhoist_core::{
-    WorkerId,
+    ClockTime, WorkerId,
     job::{LossReason, PoolSummary, SchedulerDecision, TaskKey, WaitReason},
 };
 use serde_json::{Value, json};
@@ -11,10 +11,12 @@
     shared::MemberShared,
 };
 
-/// Counts and logs a decision.
-pub(super) fn log_decision(shared: &MemberShared, decision: SchedulerDecision) {
+/// Counts and logs a decision that an owner took under the given token.
+pub(super) fn log_decision(shared: &MemberShared, token: u64, decision: SchedulerDecision) {
     count(shared, &decision);
-    write(&shared.log, decision);
+    let (kind, mut fields) = line(decision);
+    fields["token"] = token.into();
+    shared.log.write(kind, fields);
 }
 
 /// Logs the load of a pool.
@@ -59,8 +61,9 @@
     }
 }
 
-fn write(log: &EventLog, decision: SchedulerDecision) {
-    let (kind, fields) = match decision {
+/// Returns the line for a decision.
+fn line(decision: SchedulerDecision) -> (EventKind, Value) {
+    match decision {
         SchedulerDecision::Accepted {
             job,
             work,
@@ -118,11 +121,26 @@
             run,
             worker,
             reason,
+            evidence,
         } => (
             EventKind::RunLost,
             json!({"job": task.job.to_string(), "task": task.to_string(), "run": run,
-                "worker": worker.as_str(), "reason": format!("{reason:?}")}),
-        ),
+                "worker": worker.as_str(), "reason": format!("{reason:?}"),
+                "incarnation": evidence.incarnation,
+                "report_age_ms": evidence.report_age.map(ClockTime::as_millis),
+                "begun_age_ms": evidence.begun_age.map(ClockTime::as_millis),
+                "lease_until_ms": evidence.lease_until.as_millis(),
+                "basis": format!("{:?}", evidence.basis)}),
+        ),
+        SchedulerDecision::StartsSent { runs } => {
+            let rows = runs.iter();
+            let rows =
+                rows.map(|(task, run, worker)| json!([task.to_string(), run, worker.as_str()]));
+            (
+                EventKind::StartSent,
+                json!({"runs": rows.collect::<Vec<_>>()}),
+            )
+        }
         SchedulerDecision::StartRepeated { task, run, worker } => {
             (EventKind::StartRepeated, run_fields(&task, run, &worker))
         }
@@ -221,8 +239,7 @@
             json!({"vm": vm.as_str(), "from": from.as_str(), "to": to.as_str(),
                 "demand_cpu": demand, "capacity_cpu": capacity, "outcome": "ordered"}),
         ),
-    };
-    log.write(kind, fields);
+    }
 }
 
 fn run_fields(task: &TaskKey, run: u32, worker: &WorkerId) -> Value {
--- a/crates/scheduler/src/owner/effects.rs
+++ b/crates/scheduler/src/owner/effects.rs
@@ -114,7 +114,7 @@
                 });
             }
             Effect::WaveStatus { wave, completed } => self.write_wave(wave, completed),
-            Effect::Log(decision) => log_decision(&self.shared, decision),
+            Effect::Log(decision) => log_decision(&self.shared, self.token, decision),
         }
     }
 
--- a/crates/scheduler/src/owner/workers.rs
+++ b/crates/scheduler/src/owner/workers.rs
@@ -264,6 +264,8 @@
         let report = match link.renew(self.order, self.authority).await {
             Ok(Some(report)) => Some(report),
             Ok(None) => {
+                event!(self.shared.log, OrderFenced, "worker": self.worker.as_str(),
+                    "order": "renewal", "token": self.authority.token);
                 // The engine may have stopped.
                 let _ = events.send(fenced);
                 return;
