--- a/crates/emulator/src/fault.rs
+++ b/crates/emulator/src/fault.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeMap, ops::Range, sync::Arc, time::Duration};
 
+use futures::future::join_all;
 use jacinthhoist_core::{
     ClockTime, PoolName, WorkerId,
     job::{Resources, VmState, WaveRequest, WorkerState},
@@ -26,6 +27,11 @@
 const RECOVERY_TIME: ClockTime = ClockTime::from_millis(4_000);
 /// Time from a worker's registration as draining to its end.
 const DRAIN_TIME: Duration = Duration::from_millis(4_000);
+/// Time for which a worker is cut off before it restarts: shorter than the time after which a renewal
+/// without an answer has failed, so that the owner need not notice.
+const HIDDEN_RESTART_DELAY: Duration = Duration::from_millis(300);
+/// Time for which a restarted worker can be reached before it is cut off again, in milliseconds.
+const REACHABLE_MS: Range<u64> = 1..500;
 /// Interval between two registrations of a worker.
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
 /// Capacity of a worker that has shrunk, in percent.
@@ -121,6 +127,10 @@
             }
             FaultKind::Partition => self.divide_network(&fault, span).await,
             FaultKind::CapacityShrink => self.shrink_capacity(&fault, span).await,
+            FaultKind::WorkerReborn => {
+                let workers = self.random_workers(fault.count).into_iter();
+                join_all(workers.map(|id| self.restart_behind_cut(id, span))).await;
+            }
         }
         let until = self.model.clock.now() + RECOVERY_TIME;
         self.model.state().history.fault_spans[span_index].1 = until;
@@ -299,6 +309,32 @@
         }
     }
 
+    /// Cuts a worker off, restarts it under its id meanwhile, and cuts it off for `span` a moment after it can
+    /// be reached again.
+    async fn restart_behind_cut(&self, id: WorkerId, span: Duration) {
+        let endpoint = Endpoint::Worker(id.clone());
+        let network = &self.model.network;
+        network.set_isolated(endpoint.clone(), true);
+        sleep(HIDDEN_RESTART_DELAY).await;
+        {
+            let now = self.model.clock.now();
+            let mut state = self.model.state();
+            let state = &mut *state;
+            if let Some(mut worker) = state.workers.remove(&id) {
+                worker.kill(now, &mut state.history);
+                let (vm, entry) = (worker.vm.clone(), worker.entry.clone());
+                self.model
+                    .start_incarnation(state, id.clone(), &vm, entry, now);
+            }
+        }
+        network.set_isolated(endpoint.clone(), false);
+        let reachable = self.model.state().rng.random_range(REACHABLE_MS);
+        sleep(Duration::from_millis(reachable)).await;
+        network.set_isolated(endpoint.clone(), true);
+        sleep(span).await;
+        network.set_isolated(endpoint, false);
+    }
+
     /// Registers workers as draining, then removes them for good.
     async fn drain_workers(&self, workers: &[WorkerId]) {
         for id in workers {
--- a/crates/emulator/src/model.rs
+++ b/crates/emulator/src/model.rs
@@ -247,21 +247,27 @@
         let deadline = Instant::now() + Duration::from_millis(order.wait.as_millis());
         let mut changed = self.changed.subscribe();
         let first = self.with_worker(id, |worker, now, history| {
-            worker.renew(order, token, now, history)
+            let incarnation = worker.entry.incarnation;
+            let report = worker.renew(order, token, now, history);
+            report.map(|_| incarnation)
         });
-        if first?.is_none() {
+        let Some(incarnation) = first? else {
             return Some(None);
-        }
+        };
         loop {
             changed.mark_unchanged();
             let polled = self.with_worker(id, |worker, now, history| {
+                // The connection has ended with the process.
+                if worker.entry.incarnation != incarnation {
+                    return None;
+                }
                 worker.end_due_runs(now, history);
                 if worker.has_unreported_end() || Instant::now() >= deadline {
-                    return Err(worker.report(now));
+                    return Some(Err(worker.report(now)));
                 }
-                Ok(worker.next_end())
+                Some(Ok(worker.next_end()))
             });
-            let next = match polled? {
+            let next = match polled?? {
                 Ok(next) => next,
                 Err(report) => return Some(Some(report)),
             };
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -222,6 +222,7 @@
     LateFatalTasks => "Some new jobs have a task that crashes each worker after a second or two.",
     CapacityShrink => "The capacity of some workers shrinks and grows again.",
     Partition => "Members, the owner first, and some workers are partitioned from all others and the store.",
+    WorkerReborn => "Workers restart under their ids behind a short cut, and are cut off again soon after it.",
 }
 
 impl EmulationScenario {
