Send a deadline only over a connection on which its process has identified itself

What callers saw: two runs of a task at once by order of one owner; the first neither stopped nor lapsed, done and noted (TWICE).

Cause: a deadline is a time on the clock of one process of a worker, but the order that carries it was addressed to the worker's id.

Change: start orders, and renewals with a deadline or an acknowledgement, name the process that they are for. The adapter sends them only over a connection on which that process has told its start time; a new connection is first asked for a report, which grants and discards nothing. A connection ends with the process that has accepted it, so the order cannot reach a later one. If another process answers, the start order is not sent (OtherProcess), a report is requested at once, and the task is placed elsewhere.

--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -106,6 +106,9 @@
         checkpoint: Option<Arc<str>>,
         /// Lease deadline on the worker's clock; the run stops then unless the lease is renewed.
         lease_until: Option<u64>,
+        /// Process by whose clock the deadline is; no other one may get the order. `None` if workers tell no
+        /// start times.
+        incarnation: Option<u64>,
         /// Permit issued by the policy service.
         permit: Option<Arc<str>>,
     },
--- a/crates/core/src/job/scheduler/batch.rs
+++ b/crates/core/src/job/scheduler/batch.rs
@@ -437,15 +437,19 @@
             self.withdraw_start(&worker, task, run);
             return None;
         }
+        let payload = job.spec.payload.clone();
+        let process = self
+            .workers
+            .get_mut(&worker)
+            .map(|known| &mut known.process);
+        let incarnation = process.as_ref().and_then(|process| process.incarnation);
         let start = Effect::Start {
             task,
             run,
-            payload: job.spec.payload.clone(),
+            payload,
             checkpoint,
-            lease_until: self
-                .workers
-                .get_mut(&worker)
-                .and_then(|known| known.process.lease.extend(span, now)),
+            lease_until: process.and_then(|process| process.lease.extend(span, now)),
+            incarnation,
             permit: self.permits.find(task.into(), &worker, now),
             worker: worker.clone(),
         };
--- a/crates/core/src/job/scheduler/leases.rs
+++ b/crates/core/src/job/scheduler/leases.rs
@@ -28,6 +28,9 @@
     /// expires at a known time, if its clock has not been read of late, or without recent evidence of
     /// the ownership.
     pub lease_until: Option<u64>,
+    /// Process that the acknowledgement and the deadline are for, if there is one of them; no other one may
+    /// get them. `None` if workers tell no start times.
+    pub incarnation: Option<u64>,
     /// True if the last report is recent, so that the next one may wait for an end.
     pub is_current: bool,
     /// True if reported ends are not stored yet; the worker would answer another request at once.
@@ -51,9 +54,12 @@
         let span = self.grantable_lease(now);
         let worker = self.workers.get_mut(id)?;
         let silent = worker.silent_since.is_some();
+        let (ack, lease_until) = (worker.acknowledge(now), worker.renew_lease(span, now));
+        let is_bound = ack > 0 || lease_until.is_some();
         Some(RenewalPlan {
-            ack: worker.acknowledge(now),
-            lease_until: worker.renew_lease(span, now),
+            ack,
+            lease_until,
+            incarnation: worker.process.incarnation.filter(|_| is_bound),
             is_current: worker.is_current(now),
             has_unstored_ends: worker.has_unstored_ends(),
             silent,
--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -58,8 +58,7 @@
             && entry.incarnation != worker.process.incarnation;
         worker.entry = entry;
         if is_new {
-            worker.process.is_doubted = true;
-            worker.awaits_report = true;
+            worker.doubt_process();
             self.log_worker_change(&id, WorkerChange::Doubted);
         }
         if starts_draining {
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -131,6 +131,8 @@
     Unhealthy,
     /// Another incarnation of the worker answered and ignored the order.
     WrongLife,
+    /// The order was not sent, as another process answers under the worker's id.
+    OtherProcess,
     /// The order was not sent, as the permission to send it had run out.
     Expired,
     /// No reply; the order may have been carried out or may still be.
@@ -335,6 +337,13 @@
         is_recent && self.silent_since.is_none() && !self.process.is_doubted
     }
 
+    /// Records that another process may have taken the place of the one that reported last; the next report
+    /// tells.
+    pub(super) fn doubt_process(&mut self) {
+        self.process.is_doubted = true;
+        self.awaits_report = true;
+    }
+
     /// Returns the highest number of an end that the worker may discard; 0 for none.
     pub(super) fn acknowledge(&mut self, now: ClockTime) -> u64 {
         if self.is_current(now) {
--- a/crates/emulator/src/model.rs
+++ b/crates/emulator/src/model.rs
@@ -244,6 +244,12 @@
         order: RenewalOrder,
         token: u64,
     ) -> Option<Option<RenewalReport>> {
+        // Another process than the order is for is only asked for its report.
+        let order = if self.is_process(id, order.incarnation) {
+            order
+        } else {
+            RenewalOrder::default()
+        };
         let deadline = Instant::now() + Duration::from_millis(order.wait.as_millis());
         let mut changed = self.changed.subscribe();
         let first = self.with_worker(id, |worker, now, history| {
@@ -295,6 +301,14 @@
         Some(action(workers.get_mut(id)?, now, history))
     }
 
+    /// Returns whether an order for the process that started at `incarnation` is for the present one of
+    /// the worker.
+    pub(crate) fn is_process(&self, id: &WorkerId, incarnation: Option<u64>) -> bool {
+        let state = self.state();
+        let present = state.workers.get(id).map(|worker| worker.entry.incarnation);
+        incarnation.is_none() || present.is_none_or(|present| present == incarnation)
+    }
+
     /// Failure mode and incarnation of a worker.
     fn mode_and_incarnation(&self, id: &WorkerId) -> Option<(WorkerMode, Option<u64>)> {
         let state = self.state();
--- a/crates/emulator/src/platform.rs
+++ b/crates/emulator/src/platform.rs
@@ -281,6 +281,9 @@
         let token = authority.token;
         let serve = async {
             let in_touch = self.model.network.is_in_touch(&self.member);
+            if !self.model.is_process(&self.worker, order.incarnation) {
+                return Some(Ok(StartReply::OtherProcess));
+            }
             let reply = self.model.start_run(&self.worker, order, token, in_touch);
             reply.map(Ok)
         };
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -128,12 +128,22 @@
 
     /// Sends a request and waits for the head of its response.
     async fn open(&mut self, request: HttpRequest, limit: Duration) -> Result<OpenResponse> {
-        let (address, expiry, part_limit) = (self.address, request.expiry, request.part_limit);
-        let request = self.build_request(request)?;
         let connection = match self.connection.take() {
             Some(connection) if !connection.sender.is_closed() => connection,
-            _ => connect_with_timeout(address).await?,
+            _ => connect_with_timeout(self.address).await?,
         };
+        self.open_on(connection, request, limit).await
+    }
+
+    /// Sends a request on an open connection and waits for the head of its response.
+    async fn open_on(
+        &self,
+        connection: HttpConnection,
+        request: HttpRequest,
+        limit: Duration,
+    ) -> Result<OpenResponse> {
+        let (address, expiry, part_limit) = (self.address, request.expiry, request.part_limit);
+        let request = self.build_request(request)?;
         let deadline = Instant::now() + limit;
         let head = exchange(address, connection, request, expiry);
         let (connection, response) = within(address, deadline, head).await?;
@@ -166,6 +176,61 @@
     }
 }
 
+/// One connection to a server, which is never replaced: it ends with the process that has accepted it, so that
+/// no request on it reaches a later process at the address.
+///
+/// ```no_run
+/// # async fn example() -> jacinthhoist_net::Result<()> {
+/// use std::time::Duration;
+/// use bytes::Bytes;
+/// use hyper::Method;
+/// use jacinthhoist_net::{HttpRequest, PinnedClient};
+/// let request = HttpRequest::new(Method::GET, "/v1/ready", Bytes::new());
+/// let limit = Duration::from_millis(250);
+/// let client = PinnedClient::open("127.0.0.1:7000".parse().unwrap()).await?;
+/// let (client, first) = client.send(request.clone(), limit).await?;
+/// let (_, second) = client.send(request, limit).await?;
+/// assert_eq!(first.status, second.status, "of the same process");
+/// # Ok(())
+/// # }
+/// ```
+#[derive(Debug)]
+pub struct PinnedClient {
+    client: HttpClient,
+    connection: HttpConnection,
+}
+
+impl PinnedClient {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// The connection could not be opened.
+    pub async fn open(address: SocketAddr) -> Result<Self> {
+        let connection = connect_with_timeout(address).await?;
+        let client = HttpClient::new(address);
+        Ok(Self { client, connection })
+    }
+
+    /// Returns whether the connection is not known to have ended.
+    pub fn is_open(&self) -> bool {
+        !self.connection.sender.is_closed()
+    }
+
+    /// Sends a request and reads the complete response, of any status, within a time limit. The
+    /// connection is closed if that fails.
+    ///
+    /// # Errors
+    ///
+    /// The category of the error tells whether the request may have had an effect.
+    pub async fn send(self, request: HttpRequest, limit: Duration) -> Result<(Self, HttpResponse)> {
+        let Self { client, connection } = self;
+        let open = client.open_on(connection, request, limit).await?;
+        let (connection, response) = open.read().await?;
+        Ok((Self { client, connection }, response))
+    }
+}
+
 /// Response whose body has not been read.
 struct OpenResponse {
     address: SocketAddr,
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -19,6 +19,6 @@
 mod error;
 mod stream;
 
-pub use client::{ClientPool, HttpClient, HttpRequest, HttpResponse, connect};
+pub use client::{ClientPool, HttpClient, HttpRequest, HttpResponse, PinnedClient, connect};
 pub use clock::{BootClock, RunClock, SendExpiry};
 pub use error::{Category, Error, ErrorKind, Result};
--- a/crates/scheduler/src/owner/effects.rs
+++ b/crates/scheduler/src/owner/effects.rs
@@ -80,6 +80,7 @@
                 payload,
                 checkpoint,
                 lease_until,
+                incarnation,
                 permit,
             } => {
                 let order = StartOrder {
@@ -88,6 +89,7 @@
                     payload,
                     checkpoint,
                     lease_until,
+                    incarnation,
                     permit,
                 };
                 workers.start(worker, order, authority.for_start());
--- a/crates/scheduler/src/owner/workers.rs
+++ b/crates/scheduler/src/owner/workers.rs
@@ -310,6 +310,7 @@
         StartReply::Invalid => "invalid",
         StartReply::Unhealthy => "unhealthy",
         StartReply::WrongLife => "wrong_life",
+        StartReply::OtherProcess => "other_process",
         StartReply::Expired => "expired",
         StartReply::Unknown => "unknown",
     };
@@ -335,6 +336,7 @@
     RenewalOrder {
         ack: plan.ack,
         lease_until: plan.lease_until,
+        incarnation: plan.incarnation,
         wait: if waits { RENEWAL_WAIT } else { ClockTime::ZERO },
     }
 }
--- a/crates/scheduler/src/ports.rs
+++ b/crates/scheduler/src/ports.rs
@@ -144,33 +144,42 @@
     pub checkpoint: Option<Arc<str>>,
     /// End of the lease on the worker's clock; the run must stop then unless the lease is renewed.
     pub lease_until: Option<u64>,
+    /// Start time of the process that may get the order; `None` for any.
+    pub incarnation: Option<u64>,
     /// Permit of the policy service.
     pub permit: Option<Arc<str>>,
 }
 
 /// Order to renew a worker's lease and report its runs.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct RenewalOrder {
     /// Highest number of a reported end that the worker may discard.
     pub ack: u64,
     /// New end of the lease on the worker's clock.
     pub lease_until: Option<u64>,
+    /// Start time of the process that may get the acknowledgement and the deadline; `None` for any.
+    pub incarnation: Option<u64>,
     /// Maximum time for which the worker waits for a run to end before it responds.
     pub wait: ClockTime,
 }
 
 /// Connection to a worker; orders carry the owner's fencing token, and are not sent once their
 /// permission has run out.
+///
+/// A worker may restart under its id, and its clock begins anew: a deadline on the clock of the process before
+/// is far ahead for the new one. An order for one process is sent only over a connection on which that
+/// process has told its start time, as the connection ends with the process.
 pub trait WorkerLink: Send + Sync + 'static {
     /// Renews the lease and returns the current and ended runs; `None` if the worker has seen a
-    /// higher token.
+    /// higher token. If another process answers than the order is for, its report is returned, and it
+    /// gets neither the acknowledgement nor the deadline.
     fn renew(
         &self,
         order: RenewalOrder,
         authority: OrderAuthority,
     ) -> impl Future<Output = Result<Option<RenewalReport>>> + Send;
 
-    /// Starts a run of a task.
+    /// Starts a run of a task; the order is not sent to another process than it is for.
     fn start(
         &self,
         order: StartOrder,
