Release a task only on typed evidence that its run is over

A task could return to waiting from several places, each with a check of its own beside it, or none: withdraw_start released runs by the word of its callers that no order had been sent, and a start that was refused with the fencing token of a later owner was released and placed again.

RunOver is evidence that a run is over. Only the functions of the module release make one, each from the facts it rests on: an end that the worker listed, an order that was not sent, a refusal, a lapsed lease, another process, another worker at the address, a whole report that was requested late enough, a copy. The moves back to Waiting consume it. LossReason is now its ground.

A refusal with a later token is no such evidence. It ends the ownership, for start and stop orders as for renewals (fence_reason), and is logged with worker and run (order_fenced). By reading, no fault was shown: the next append of that owner would have been refused.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -8,6 +8,7 @@
 //! | `spec` | job specifications and their validation |
 //! | `catalogue` | the operators' configuration of kinds of work and pools |
 //! | `task` | life cycle of one task's runs |
+//! | `release` | evidence on which a task is released from a run |
 //! | `life` | life cycle of a job |
 //! | `vm_order` | life cycle of an order on a VM |
 //! | `lease` | upper bound on the time for which a worker may run its tasks |
@@ -41,6 +42,7 @@
 mod place;
 mod process;
 mod refusal;
+mod release;
 mod resize;
 mod room;
 mod scheduler;
@@ -71,12 +73,13 @@
 pub use place::{PlaceCandidates, PlaceRequest, choose_worker};
 pub use process::WorkerProcess;
 pub use refusal::StartRefusals;
+pub use release::{ReleaseGround, RunOver};
 pub use resize::{IdleVm, PoolDemandView, ResizeMove, plan_resize};
 pub use room::RoomIndex;
 pub use scheduler::{
-    Batch, BatchRecord, Effect, Job, JobProgress, LossEvidence, LossReason, PoolSummary,
-    RenewalPlan, Scheduler, SchedulerDecision, SchedulerLimits, StepAdvice, TaskRecord, VmEntry,
-    VmState, WorkerChange,
+    Batch, BatchRecord, Effect, Job, JobProgress, LossEvidence, PoolSummary, RenewalPlan,
+    Scheduler, SchedulerDecision, SchedulerLimits, StepAdvice, TaskRecord, VmEntry, VmState,
+    WorkerChange,
 };
 pub use shape::{SearchMemory, TaskShape};
 pub use silence::{ExcusedLosses, PoolUnrest, RecentSilences, SilenceCause};
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -25,7 +25,7 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 pub use batch::{Batch, BatchRecord, JobProgress, TaskRecord};
-pub use decision::{LossEvidence, LossReason, SchedulerDecision, WorkerChange};
+pub use decision::{LossEvidence, SchedulerDecision, WorkerChange};
 pub use demand::PoolSummary;
 pub use jobs::Job;
 pub use leases::RenewalPlan;
--- a/crates/core/src/job/scheduler/batch.rs
+++ b/crates/core/src/job/scheduler/batch.rs
@@ -12,6 +12,7 @@
     clock::ClockTime,
     job::{
         crash::CrashHistory,
+        release::RunOver,
         spec::{JobId, JobState, TaskKey},
         succession::SuccessionRecord,
         task::{AnyTask, FailedRuns, StartOrderState, TaskRun},
@@ -427,9 +428,7 @@
         if assigned.run != run {
             return None;
         }
-        assigned.phase.order = StartOrderState::Pending;
         let worker = assigned.phase.worker.clone();
-        let checkpoint = assigned.checkpoint.clone();
         // A late report may have shown since the assignment that an earlier run failed.
         let is_unwanted =
             job.life.goal().is_some() || job.is_exhausted(&task) || job.has_lost_members(&task);
@@ -437,6 +436,11 @@
             self.withdraw_start(&worker, task, run);
             return None;
         }
+        let Some(AnyTask::Assigned(assigned)) = job.task_mut(&task) else {
+            return None;
+        };
+        assigned.phase.order = StartOrderState::Pending;
+        let checkpoint = assigned.checkpoint.clone();
         let payload = job.spec.payload.clone();
         let process = self
             .workers
@@ -457,11 +461,15 @@
         Some(worker)
     }
 
-    /// Releases a run that was stored but is no longer wanted; its start order was never sent.
+    /// Releases a run that was stored but is not to be started, if its start order was never sent.
     fn withdraw_start(&mut self, worker: &WorkerId, task: TaskKey, run: u32) {
-        if let Some(slot) = self.assigned_slot(worker, task, run) {
-            *slot = slot.clone().released();
-        }
+        let Some(slot) = self.assigned_slot(worker, task, run) else {
+            return;
+        };
+        let Some(over) = RunOver::not_sent(slot) else {
+            return;
+        };
+        *slot = slot.clone().released(over);
         self.discharge_run(worker, task, run);
         self.outbox.mark_changed(task.job);
     }
--- a/crates/core/src/job/scheduler/decision.rs
+++ b/crates/core/src/job/scheduler/decision.rs
@@ -9,6 +9,7 @@
     job::{
         crash::Implication,
         lease::LeaseBasis,
+        release::ReleaseGround,
         spec::{JobId, JobState, StepKey, TaskKey},
         stop::StopReason,
         task::TaskEnd,
@@ -104,8 +105,8 @@
         run: u32,
         /// Worker of the run.
         worker: WorkerId,
-        /// Reason for the loss.
-        reason: LossReason,
+        /// Ground on which the run counts as over.
+        ground: ReleaseGround,
         /// What was known of the run and its worker.
         evidence: LossEvidence,
     },
@@ -245,22 +246,6 @@
     pub basis: LeaseBasis,
 }
 
-/// Reason why a run is considered lost.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum LossReason {
-    /// The worker's lease has expired.
-    LeaseLapsed,
-    /// The worker has restarted.
-    WorkerRestarted,
-    /// A later worker answers at the worker's address.
-    WorkerReplaced,
-    /// The worker does not report the run.
-    NotThere,
-    /// The worker is silent and the task is speculative: a second copy may start while this one
-    /// still runs.
-    Copied,
-}
-
 /// A change in the state of a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WorkerChange {
--- a/crates/core/src/job/scheduler/leases.rs
+++ b/crates/core/src/job/scheduler/leases.rs
@@ -8,6 +8,7 @@
     clock::ClockTime,
     job::{
         lease::{UnknownLease, WorkerLease, latest_expiry},
+        release::RunOver,
         spec::{Resources, TaskKey},
         succession::{FormerOwner, OwnershipEvidence, SuccessionRecord},
         worker::{Worker, WorkerEntry, WorkerState},
@@ -15,9 +16,7 @@
     name::{DataCentre, PoolName, WorkerId},
 };
 
-use super::{
-    BatchRecord, LossReason, Scheduler, SchedulerDecision, WorkerChange, reports::worker_changed,
-};
+use super::{BatchRecord, Scheduler, SchedulerDecision, WorkerChange, reports::worker_changed};
 
 /// Parameters of the next lease renewal of a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -163,12 +162,13 @@
     pub(super) fn expire_leases(&mut self) {
         let now = self.now;
         let grace = self.limits.missing_grace;
-        let mut expired: SmallVec<[WorkerId; 4]> = smallvec![];
+        let mut expired: SmallVec<[(WorkerId, RunOver); 4]> = smallvec![];
         let mut gone: SmallVec<[WorkerId; 4]> = smallvec![];
         for worker in self.workers.values() {
-            let unreachable = worker.silent_since.is_some() || worker.seen_at.is_none();
-            if unreachable && !worker.is_empty() && now > worker.process.lease.latest_expiry() {
-                expired.push(worker.id.clone());
+            if !worker.is_empty()
+                && let Some(over) = RunOver::lapsed(worker, now)
+            {
+                expired.push((worker.id.clone(), over));
             }
             let unlisted = worker
                 .missing_since
@@ -177,7 +177,7 @@
                 gone.push(worker.id.clone());
             }
         }
-        for id in expired {
+        for (id, over) in expired {
             let runs = self.workers.get(&id).map(Worker::runs).unwrap_or_default();
             self.record_losses(&id, &runs);
             if let Some(worker) = self.workers.get_mut(&id) {
@@ -190,7 +190,7 @@
                 };
                 self.log_decision(lapsed);
             }
-            self.mark_all_runs_lost(&id, LossReason::LeaseLapsed);
+            self.mark_all_runs_lost(&id, over);
         }
         self.release_speculative();
         for id in gone {
@@ -207,18 +207,21 @@
     /// Lets speculative tasks, which may run twice at once, restart as soon as their worker is
     /// silent.
     pub(super) fn release_speculative(&mut self) {
-        let mut copies: SmallVec<[(WorkerId, TaskKey, u32); 8]> = smallvec![];
+        let mut copies: SmallVec<[(WorkerId, TaskKey, u32, RunOver); 8]> = smallvec![];
         let workers = self.workers.values();
         for worker in workers.filter(|worker| worker.silent_since.is_some()) {
             for ((key, run), charge) in &worker.charges {
                 let job = self.jobs.get(&key.job);
-                if !charge.is_stray() && job.is_some_and(|job| job.step(key).speculative) {
-                    copies.push((worker.id.clone(), *key, *run));
+                let is_speculative = job.is_some_and(|job| job.step(key).speculative);
+                if !charge.is_stray()
+                    && let Some(over) = RunOver::copied(worker, is_speculative)
+                {
+                    copies.push((worker.id.clone(), *key, *run, over));
                 }
             }
         }
-        for (id, key, run) in copies {
-            self.mark_run_lost(&id, key, run, LossReason::Copied);
+        for (id, key, run, over) in copies {
+            self.mark_run_lost(&id, key, run, over);
         }
     }
 
--- a/crates/core/src/job/scheduler/orders.rs
+++ b/crates/core/src/job/scheduler/orders.rs
@@ -6,6 +6,7 @@
     clock::ClockTime,
     job::{
         charge::STOP_RETRY_DELAY,
+        release::RunOver,
         spec::TaskKey,
         stop::StopReason,
         task::{AnyTask, FULL_PERCENT, Running, StartOrderState, TaskRun},
@@ -98,8 +99,10 @@
                 return;
             }
             _ => {
-                *slot = AnyTask::Waiting(task.release());
-                self.discharge_run(id, key, run);
+                if let Some(over) = RunOver::refused(reply, task.phase.order) {
+                    *slot = AnyTask::Waiting(task.release(over));
+                    self.discharge_run(id, key, run);
+                }
                 return;
             }
         };
--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -9,6 +9,7 @@
     job::{
         lease::UnknownLease,
         process::WorkerProcess,
+        release::{AbsentRun, ReleaseGround, RunOver},
         spec::TaskKey,
         task::{AnyTask, StartOrderState, TaskEnd},
         worker::{ActiveRun, EndedRun, RenewalReport, Worker, WorkerEntry, WorkerState},
@@ -16,7 +17,7 @@
     name::WorkerId,
 };
 
-use super::{LossEvidence, LossReason, Scheduler, SchedulerDecision, WorkerChange};
+use super::{LossEvidence, Scheduler, SchedulerDecision, WorkerChange};
 
 impl Scheduler {
     /// Updates the workers from a complete list; known workers that are not in it are marked as
@@ -94,14 +95,13 @@
             (Some(_), None) => None,
         };
         let settles_orders = worker.awaits_report;
-        let restarted = worker.process.incarnation.is_some()
-            && worker.process.incarnation != report.incarnation;
+        let restarted = RunOver::restarted(worker.process.incarnation, report.incarnation);
         // Responses may overtake each other, so this one may be of an earlier process.
-        if restarted && worker.seen_at.is_some_and(|seen_at| asked_at < seen_at) {
+        if restarted.is_some() && worker.seen_at.is_some_and(|seen_at| asked_at < seen_at) {
             return;
         }
-        if restarted {
-            self.replace_process(id, &report);
+        if let Some(over) = restarted {
+            self.replace_process(id, &report, over);
         }
         let Some(worker) = self.workers.get_mut(id) else {
             return;
@@ -117,7 +117,7 @@
         if change.is_some() || settles_orders {
             self.release_predecessors(id, asked_at);
         }
-        if change.is_some() || restarted {
+        if change.is_some() || restarted.is_some() {
             self.settle_losses(id, report.incarnation);
         }
         for row in &report.ended {
@@ -144,18 +144,16 @@
         let Some(successor) = self.workers.get(id) else {
             return;
         };
-        let address = &successor.entry.address;
-        let is_replaced = |worker: &&Worker| {
-            worker.id != *id
-                && worker.entry.address == *address
-                && worker.silent_since.is_some_and(|since| since <= asked_at)
-        };
-        let replaced = self.workers.values().filter(is_replaced);
-        let replaced: SmallVec<[WorkerId; 1]> = replaced.map(|worker| worker.id.clone()).collect();
-        for id in replaced {
+        let others = self.workers.values();
+        let replaced = others.filter_map(|worker| {
+            let over = RunOver::replaced(worker, successor, asked_at)?;
+            Some((worker.id.clone(), over))
+        });
+        let replaced: SmallVec<[(WorkerId, RunOver); 1]> = replaced.collect();
+        for (id, over) in replaced {
             self.log_worker_change(&id, WorkerChange::Replaced);
             self.confirm_losses(&id);
-            self.mark_all_runs_lost(&id, LossReason::WorkerReplaced);
+            self.mark_all_runs_lost(&id, over);
         }
     }
 
@@ -314,69 +312,43 @@
                 self.resolve_stray(id, key, run, asked_at);
                 continue;
             };
-            let verdict = match &*slot {
-                AnyTask::Assigned(task) => match task.phase.order {
-                    StartOrderState::Queued
-                    | StartOrderState::Pending
-                    | StartOrderState::Repeated => UnreportedRun::Wait,
-                    StartOrderState::Inherited => UnreportedRun::Lost,
-                    StartOrderState::Unsure(since) if asked_at >= since => UnreportedRun::Unsure,
-                    StartOrderState::Outdated(since) if asked_at >= since => UnreportedRun::Stop,
-                    StartOrderState::Unsure(_) | StartOrderState::Outdated(_) => {
-                        UnreportedRun::AskAgain
-                    }
-                },
-                AnyTask::Running(task) if asked_at > task.phase.since => UnreportedRun::Lost,
-                AnyTask::Stopping(task) => match task.phase.acked_at {
-                    Some(acked_at) if asked_at >= acked_at => UnreportedRun::Lost,
-                    Some(_) => UnreportedRun::AskAgain,
-                    None => UnreportedRun::Wait,
-                },
-                _ => UnreportedRun::Wait,
-            };
-            match verdict {
-                UnreportedRun::Wait => {}
-                UnreportedRun::AskAgain => self.request_report(id),
-                UnreportedRun::Unsure if self.must_repeat_start(id, key) => {
+            match AbsentRun::of(slot, asked_at) {
+                AbsentRun::Wait => {}
+                AbsentRun::AskAgain => self.request_report(id),
+                AbsentRun::Unsure if self.must_repeat_start(id, key) => {
                     self.repeat_start(id, key, run);
                 }
-                UnreportedRun::Unsure | UnreportedRun::Stop => {
+                AbsentRun::Unsure | AbsentRun::Stop => {
                     self.stop_unanswered(id, key, run);
                 }
-                UnreportedRun::Lost => self.mark_run_lost(id, key, run, LossReason::NotThere),
+                AbsentRun::Over(over) => self.mark_run_lost(id, key, run, over),
             }
         }
     }
 
-    /// Releases a run that can no longer be executing, or that a copy may run beside; its task waits
-    /// again.
-    pub(super) fn mark_run_lost(
-        &mut self,
-        id: &WorkerId,
-        key: TaskKey,
-        run: u32,
-        reason: LossReason,
-    ) {
+    /// Releases a task from a run that did not complete it; the task waits again.
+    pub(super) fn mark_run_lost(&mut self, id: &WorkerId, key: TaskKey, run: u32, over: RunOver) {
+        let ground = over.ground();
         let mut was_sent = true;
         let evidence = self.loss_evidence(id, key, run);
         if let Some(slot) = self.assigned_slot(id, key, run) {
             was_sent = !matches!(slot, AnyTask::Assigned(task)
                 if task.phase.order == StartOrderState::Queued);
-            *slot = slot.clone().released();
+            *slot = slot.clone().released(over);
             self.outbox.mark_changed(key.job);
             if let Some(evidence) = evidence {
                 self.log_decision(SchedulerDecision::RunLost {
                     task: key,
                     run,
                     worker: id.clone(),
-                    reason,
+                    ground,
                     evidence,
                 });
             }
         }
         match self.workers.get_mut(id) {
             // The run may still be in progress.
-            Some(worker) if reason == LossReason::Copied && was_sent => {
+            Some(worker) if ground == ReleaseGround::Copied && was_sent => {
                 worker.give_up_run(key, run);
             }
             _ => self.discharge_run(id, key, run),
@@ -399,12 +371,12 @@
     }
 
     /// Releases all runs of a worker.
-    pub(super) fn mark_all_runs_lost(&mut self, id: &WorkerId, reason: LossReason) {
+    pub(super) fn mark_all_runs_lost(&mut self, id: &WorkerId, over: RunOver) {
         let Some(worker) = self.workers.get(id) else {
             return;
         };
         for (key, run) in worker.runs() {
-            self.mark_run_lost(id, key, run, reason);
+            self.mark_run_lost(id, key, run, over);
         }
     }
 
@@ -417,7 +389,7 @@
 
     /// Replaces the process of a worker that restarted under the same id: it has lost its earlier
     /// runs. Starts that reached the new process, or whose reply is pending, are kept.
-    fn replace_process(&mut self, id: &WorkerId, report: &RenewalReport) {
+    fn replace_process(&mut self, id: &WorkerId, report: &RenewalReport, over: RunOver) {
         let cause = self.silence_cause(id);
         let Some(worker) = self.workers.get(id) else {
             return;
@@ -448,7 +420,7 @@
             if self.may_begin_after_restart(id, key, run) {
                 self.stop_again(id, key, run);
             } else {
-                self.mark_run_lost(id, key, run, LossReason::WorkerRestarted);
+                self.mark_run_lost(id, key, run, over);
             }
         }
     }
@@ -491,17 +463,3 @@
         change,
     }
 }
-
-/// Action for a run that its worker does not report.
-enum UnreportedRun {
-    /// The order or its reply may be in transit.
-    Wait,
-    /// The report was requested too early to decide.
-    AskAgain,
-    /// The run may start late unless it is stopped; its start order may be repeated.
-    Unsure,
-    /// The run may start late unless it is stopped.
-    Stop,
-    /// The run can no longer be executing.
-    Lost,
-}
--- a/crates/core/src/job/task.rs
+++ b/crates/core/src/job/task.rs
@@ -12,7 +12,7 @@
 
 use crate::{clock::ClockTime, name::WorkerId};
 
-use super::stop::StopReason;
+use super::{release::RunOver, stop::StopReason};
 
 /// Progress of a run that is complete, or in full operation.
 pub(super) const FULL_PERCENT: u8 = 100;
@@ -165,8 +165,8 @@
         }
     }
 
-    /// Returns the task to `Waiting` once its run cannot be in progress anywhere.
-    pub fn release(self) -> TaskRun<Waiting> {
+    /// Returns the task to `Waiting` on evidence that its run is over.
+    pub fn release(self, _over: RunOver) -> TaskRun<Waiting> {
         self.with_phase(Waiting(()))
     }
 }
@@ -209,14 +209,7 @@
     /// Returns the last run to the task, which its worker reports as in progress; it is known to have
     /// begun by `begun_at`.
     pub fn resume(self, worker: WorkerId, begun_at: ClockTime, now: ClockTime) -> TaskRun<Running> {
-        self.with_phase(Running {
-            worker,
-            since: begun_at,
-            percent: 0,
-            progressed_at: now,
-            slowest_percent: ClockTime::ZERO,
-            settled_at: now + MAX_STOP_TIME,
-        })
+        self.with_phase(Running::resumed(worker, begun_at, now))
     }
 
     /// Adopts a run that an earlier owner recorded for a worker.
@@ -322,7 +315,7 @@
     /// Keeps a run that has begun although it was ordered to stop before it could.
     pub fn keep(self, now: ClockTime) -> TaskRun<Running> {
         let worker = self.phase.worker.clone();
-        self.release().resume(worker, now, now)
+        self.with_phase(Running::resumed(worker, now, now))
     }
 
     /// Records that the run has been ordered to stop in a new process, which knows of no earlier order.
@@ -332,6 +325,20 @@
     }
 }
 
+impl Running {
+    /// A run that may have been ordered to stop before.
+    fn resumed(worker: WorkerId, begun_at: ClockTime, now: ClockTime) -> Self {
+        Self {
+            worker,
+            since: begun_at,
+            percent: 0,
+            progressed_at: now,
+            slowest_percent: ClockTime::ZERO,
+            settled_at: now + MAX_STOP_TIME,
+        }
+    }
+}
+
 impl Stopping {
     fn ordered(worker: WorkerId, reason: StopReason, now: ClockTime) -> Self {
         Self {
@@ -464,12 +471,12 @@
         *slot = Some(checkpoint);
     }
 
-    /// Returns the task to `Waiting` once its run cannot be in progress anywhere.
-    pub fn released(self) -> Self {
+    /// Returns the task to `Waiting` on evidence that its run is over.
+    pub fn released(self, over: RunOver) -> Self {
         match self {
-            Self::Assigned(task) => Self::Waiting(task.release()),
-            Self::Running(task) => Self::Waiting(task.release()),
-            Self::Stopping(task) => Self::Waiting(task.release()),
+            Self::Assigned(task) => Self::Waiting(task.release(over)),
+            Self::Running(task) => Self::Waiting(task.release(over)),
+            Self::Stopping(task) => Self::Waiting(task.release(over)),
             other => other,
         }
     }
@@ -506,7 +513,7 @@
                 Self::Waiting(TaskRun::restore(run, failed_runs, checkpoint))
             }
             TaskEnd::Stopped | TaskEnd::Lapsed | TaskEnd::Broken | TaskEnd::Alone => {
-                self.released()
+                self.released(RunOver::ended(end))
             }
         }
     }
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -115,6 +115,24 @@
     },
 }
 
+impl OwnerEvent {
+    /// Returns the reason for which the ownership has ended if the event shows that there is a later owner.
+    fn fence_reason(&self) -> Option<&'static str> {
+        match self {
+            Self::Fenced(reason) => Some(reason),
+            Self::Started {
+                reply: StartReply::Fenced,
+                ..
+            }
+            | Self::Stopped {
+                reply: OrderReply::Fenced,
+                ..
+            } => Some("a worker has seen a newer owner"),
+            _ => None,
+        }
+    }
+}
+
 /// Task that runs the owner pipe while this member owns the pools.
 pub(crate) struct OwnerTask<P> {
     pub(crate) platform: Arc<P>,
--- a/crates/scheduler/src/owner/authority.rs
+++ b/crates/scheduler/src/owner/authority.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    /// Fencing token of the ownership.
+    pub(super) fn token(&self) -> u64 {
+        self.token
+    }
+
     /// Records that the group confirmed the ownership in answer to a call sent at `asked_at`.
     pub(super) fn record_confirmation(&mut self, asked_at: ClockTime) {
         self.confirmed_at = asked_at;
--- a/crates/scheduler/src/owner/decisions.rs
+++ b/crates/scheduler/src/owner/decisions.rs
@@ -2,7 +2,7 @@
 
 use jacinthhoist_core::{
     ClockTime, WorkerId,
-    job::{LossReason, PoolSummary, SchedulerDecision, TaskKey, WaitReason},
+    job::{PoolSummary, ReleaseGround, SchedulerDecision, TaskKey, WaitReason},
 };
 use serde_json::{Value, json};
 
@@ -50,12 +50,15 @@
         SchedulerDecision::Finished { after, .. } => {
             shared.meter.job_time.record(after.as_secs_f64());
         }
-        SchedulerDecision::RunLost { reason, .. } => shared.meter.count_lost_run(match reason {
-            LossReason::LeaseLapsed => "lease_lapsed",
-            LossReason::WorkerRestarted => "worker_restarted",
-            LossReason::WorkerReplaced => "worker_replaced",
-            LossReason::NotThere => "not_there",
-            LossReason::Copied => "copied",
+        SchedulerDecision::RunLost { ground, .. } => shared.meter.count_lost_run(match ground {
+            ReleaseGround::Ended => "ended",
+            ReleaseGround::NotSent => "not_sent",
+            ReleaseGround::Refused => "refused",
+            ReleaseGround::LeaseLapsed => "lease_lapsed",
+            ReleaseGround::WorkerRestarted => "worker_restarted",
+            ReleaseGround::WorkerReplaced => "worker_replaced",
+            ReleaseGround::NotThere => "not_there",
+            ReleaseGround::Copied => "copied",
         }),
         _ => {}
     }
@@ -120,12 +123,12 @@
             task,
             run,
             worker,
-            reason,
+            ground,
             evidence,
         } => (
             EventKind::RunLost,
             json!({"job": task.job.to_string(), "task": task.to_string(), "run": run,
-                "worker": worker.as_str(), "reason": format!("{reason:?}"),
+                "worker": worker.as_str(), "reason": format!("{ground:?}"),
                 "incarnation": evidence.incarnation,
                 "report_age_ms": evidence.report_age.map(ClockTime::as_millis),
                 "begun_age_ms": evidence.begun_age.map(ClockTime::as_millis),
--- a/crates/scheduler/src/owner/engine.rs
+++ b/crates/scheduler/src/owner/engine.rs
@@ -153,10 +153,12 @@
             }
             let mut fenced = None;
             for event in events.drain(..) {
-                if let OwnerEvent::Fenced(reason) = event {
-                    fenced = Some(reason);
-                } else {
-                    self.apply(event);
+                match event.fence_reason() {
+                    Some(reason) => {
+                        self.log_fence(&event);
+                        fenced = Some(reason);
+                    }
+                    None => self.apply(event),
                 }
             }
             if let Some(reason) = fenced {
@@ -168,6 +170,21 @@
         }
     }
 
+    /// Logs the order to a run that was refused, as its worker has seen a newer owner.
+    fn log_fence(&self, event: &OwnerEvent) {
+        let (worker, task, run, order) = match event {
+            OwnerEvent::Started {
+                worker, task, run, ..
+            } => (worker, task, run, "start"),
+            OwnerEvent::Stopped {
+                worker, task, run, ..
+            } => (worker, task, run, "stop"),
+            _ => return,
+        };
+        event!(self.shared.log, OrderFenced, "worker": worker.as_str(), "order": order,
+            "task": task.to_string(), "run": run, "token": self.authority.token());
+    }
+
     fn end_reason(&self) -> Option<&'static str> {
         if self.shared.is_stopping() {
             return Some("the member is stopping");
