Keep a run that began after the first report of a restarted worker was requested

What callers saw: two runs of one task at once (TWICE), both ordered by one owner; the first ends done and is noted, without a stop or a lapse.

Cause: a worker restarts under its id while it is idle (its report is up to 3 s old). The next start and the renewal that follows it leave together. If the worker takes the renewal first and its answer comes last, the start is known to have been carried out, and then the first report of the new process does not name it. replace_process released every run that this report does not name, without asking when it was requested, so the run counted as one of the earlier process (run_lost, WorkerRestarted) and its task was started again.

Fix: a run of which it became known only after the request that it has begun is not judged by that report; the next one, requested later, tells. One that was ordered to stop is stopped again, as the new process may not know.

The test failed before: the second start was sent at once.

--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -102,7 +102,7 @@
             return;
         }
         if restarted {
-            self.replace_process(id, &report);
+            self.replace_process(id, &report, asked_at);
         }
         let Some(worker) = self.workers.get_mut(id) else {
             return;
@@ -398,8 +398,8 @@
     }
 
     /// Replaces the process of a worker that restarted under the same id: it has lost its earlier
-    /// runs. Starts that reached the new process, or whose reply is pending, are kept.
-    fn replace_process(&mut self, id: &WorkerId, report: &RenewalReport) {
+    /// runs. Starts that may have reached the new process, or whose reply is pending, are kept.
+    fn replace_process(&mut self, id: &WorkerId, report: &RenewalReport, asked_at: ClockTime) {
         let cause = self.silence_cause(id);
         let Some(worker) = self.workers.get(id) else {
             return;
@@ -422,10 +422,21 @@
         if report.has_more_ends {
             lost.clear();
         }
+        // A run that is known to have begun since the report was requested may be one of the new process,
+        // which knows of no stop.
+        let (late, lost): (SmallVec<[_; 8]>, SmallVec<[_; 8]>) = lost
+            .into_iter()
+            .partition(|(key, run)| self.may_have_begun_since(id, *key, *run, asked_at));
         // The runs were lost with the earlier process.
         self.record_losses(id, &lost);
         self.record_silence(id, cause);
         self.forget_process(id, report.incarnation);
+        for (key, run) in late {
+            let slot = self.assigned_slot(id, key, run);
+            if !matches!(slot, Some(AnyTask::Running(_))) {
+                self.stop_again(id, key, run);
+            }
+        }
         for (key, run) in lost {
             if self.may_begin_after_restart(id, key, run) {
                 self.stop_again(id, key, run);
--- a/crates/core/src/job/scheduler/strays.rs
+++ b/crates/core/src/job/scheduler/strays.rs
@@ -167,6 +167,20 @@
         charge.is_some_and(|charge| charge.begun_at().is_none()) && !is_inherited
     }
 
+    /// Returns whether it became known only after a report was requested that a run has begun.
+    pub(super) fn may_have_begun_since(
+        &self,
+        id: &WorkerId,
+        key: TaskKey,
+        run: u32,
+        asked_at: ClockTime,
+    ) -> bool {
+        let worker = self.workers.get(id);
+        let charge = worker.and_then(|worker| worker.charges.get(&(key, run)));
+        let begun_at = charge.and_then(AnyCharge::begun_at);
+        begun_at.is_some_and(|begun_at| begun_at > asked_at)
+    }
+
     /// Stops a run in the new process of a restarted worker.
     pub(super) fn stop_again(&mut self, id: &WorkerId, key: TaskKey, run: u32) {
         let (reason, now) = (StopReason::Restarted, self.now);
--- a/crates/core/tests/jobs/processes.rs
+++ b/crates/core/tests/jobs/processes.rs
@@ -1,7 +1,7 @@
 //! Tests of workers that restart under their ids without notice.
 
 use crate::harness::{SchedulerHarness, key, listed_entry, ms, number_of, step, worker};
-use jacinthhoist_core::job::{RenewalReport, SchedulerLimits, TaskEnd, WorkerEntry};
+use jacinthhoist_core::job::{RenewalReport, SchedulerLimits, StartReply, TaskEnd, WorkerEntry};
 
 const WORKERS: usize = 2;
 
@@ -95,3 +95,33 @@
     owner.settle();
     assert!(owner.task(key(1, 0, 0)).placed().is_some());
 }
+
+/// Guards against two runs of a task: a worker had restarted, its new process answered a start at once, and
+/// its first report, requested before that, did not name the run, which was taken for one of the earlier process.
+#[test]
+fn a_run_that_began_after_the_first_report_of_a_process_was_requested_is_kept() {
+    let mut owner = SchedulerHarness::open(WORKERS);
+    owner.accept(1, vec![step(1)]);
+    owner.settle();
+    let start = owner.starts.remove(0);
+    let asked_at = owner.now;
+    owner.wait(5);
+    owner.reply(&start, StartReply::Started);
+    owner.wait(1);
+    let report = RenewalReport {
+        clock: 20,
+        ..restarted_report()
+    };
+    owner
+        .scheduler
+        .report(&start.worker, report, asked_at, owner.now);
+    owner.settle();
+    assert_eq!(owner.starts.len(), 0, "the run may be in progress");
+    let task = owner.task(start.task);
+    assert_eq!(task.placed(), Some((&start.worker, start.run)));
+    // A report that was requested later tells.
+    let number = number_of(&start.worker);
+    owner.report(number, restarted_report());
+    owner.settle();
+    assert_eq!(owner.starts.len(), 1);
+}
