Play random interleavings around the owners' scheduler in virtual time

The real Scheduler with renewals, probes and orders as owner/workers.rs sends them, model workers after the workers' protocol (leases on their own clocks, up to 2% slow, longest lease 10 s, ends listed until acknowledged, fencing, restarts, replacement, drains), a network that delays, loses, refuses and reorders calls one way or the other, slow batches and outages of the store, suspended owners, and takeovers while the calls of the former owner are in flight. Checked after each event: TWICE, ORDER, LIMIT, ROUTE; at the end of a quiet time every job has ended.

Whether an order may reach a later process than it was sent to, and whether a deadline goes only to the process whose clock it is on, are terms of a schedule.

--- /dev/null
+++ b/crates/core/tests/job_interleavings/setting.rs
@@ -0,0 +1,160 @@
+//! Limits, catalogue and jobs of the schedules.
+
+use std::sync::Arc;
+
+use jacinthhoist_core::{
+    ClockTime, DataCentre, PoolName, WorkName,
+    job::{
+        CallerLimits, JobCatalogue, JobPool, JobSpec, JobTerms, JobWork, OrderReply, Resources,
+        SchedulerLimits, StartReply, StepSpec, WorkerEntry, WorkerState,
+    },
+};
+use rand::{RngExt, rngs::StdRng};
+
+use crate::{
+    engine::{CallOutcome, WorkerCall},
+    worker::LONGEST_LEASE_MS,
+    world::address_of,
+};
+
+/// Processor capacity of a worker, in thousandths of a core.
+pub(crate) const CAPACITY_CPU: u64 = 4_000;
+
+const POOL: &str = "mould";
+
+fn ms(millis: u64) -> ClockTime {
+    ClockTime::from_millis(millis)
+}
+
+pub(crate) fn limits() -> SchedulerLimits {
+    SchedulerLimits {
+        max_lease: ms(3_500),
+        longest_lease: ms(LONGEST_LEASE_MS),
+        missing_grace: ms(2_000),
+        ..SchedulerLimits::example()
+    }
+}
+
+pub(crate) fn catalogue(guarded: bool) -> Arc<JobCatalogue> {
+    Arc::new(JobCatalogue {
+        version: 1,
+        works: vec![JobWork {
+            name: WorkName::new(POOL),
+            host: "mould.example".to_owned(),
+            path_prefix: "/".to_owned(),
+            pool: PoolName::new(POOL),
+            priority: 0,
+            max_failures: 2,
+            stretch: 1.6,
+            objective: ms(600),
+            timeout: ms(3_000),
+            advice: None,
+        }],
+        pools: vec![JobPool {
+            name: PoolName::new(POOL),
+            spare: false,
+            guarded,
+            max_connections: 64,
+        }],
+        limits: CallerLimits {
+            head_bytes: 16_384,
+            body_bytes: 262_144,
+            head: ms(3_000),
+            idle: ms(15_000),
+        },
+    })
+}
+
+/// Start time of a process that begins at `began_at`, as it says in its reports.
+pub(crate) fn incarnation(began_at: u64) -> u64 {
+    1_700_000_000_000 + began_at
+}
+
+pub(crate) fn entry(address: usize, began_at: u64, is_draining: bool) -> WorkerEntry {
+    WorkerEntry {
+        pool: PoolName::new(POOL),
+        address: address_of(address),
+        data_centre: DataCentre::new("dc-1"),
+        state: if is_draining {
+            WorkerState::Draining
+        } else {
+            WorkerState::Ready
+        },
+        capacity: Resources {
+            cpu: CAPACITY_CPU,
+            mem_mb: 100_000,
+            gpu: 0,
+        },
+        labels: ["a".into(), "r-1".into()].into_iter().collect(),
+        rack: None,
+        incarnation: Some(incarnation(began_at)),
+    }
+}
+
+/// Draws a job.
+pub(crate) fn job(random: &mut StdRng, now: u64) -> Arc<JobSpec> {
+    let count = random.random_range(1..3);
+    let mut steps = Vec::new();
+    if random.random_bool(0.12) {
+        steps.push(StepSpec {
+            count: random.random_range(1..4),
+            need: Resources {
+                cpu: 1_000,
+                mem_mb: 100,
+                gpu: 0,
+            },
+            max_per_worker: 1,
+            long_running: true,
+            may_miss: 1,
+            ..StepSpec::default()
+        });
+        return spec(steps, now);
+    }
+    for number in 0..count {
+        let gang = random.random_bool(0.15);
+        let cpu = if gang {
+            500
+        } else {
+            [500, 1_000, 2_500][random.random_range(0..3)]
+        };
+        steps.push(StepSpec {
+            count: random.random_range(1..5),
+            need: Resources {
+                cpu,
+                mem_mb: 100,
+                gpu: 0,
+            },
+            after: (0..number).collect(),
+            max_per_worker: if gang {
+                0
+            } else {
+                [0, 0, 0, 1, 2][random.random_range(0..5)]
+            },
+            speculative: random.random_bool(0.1),
+            gang,
+            checkpoints: random.random_bool(0.3),
+            ..StepSpec::default()
+        });
+    }
+    spec(steps, now)
+}
+
+fn spec(steps: Vec<StepSpec>, now: u64) -> Arc<JobSpec> {
+    Arc::new(JobSpec {
+        work: WorkName::new(POOL),
+        terms: JobTerms::example(POOL),
+        received_at: ms(now),
+        payload: "x".into(),
+        steps,
+        repeat: None,
+    })
+}
+
+/// Outcome of a call without an answer.
+pub(crate) fn unanswered(call: &WorkerCall) -> CallOutcome {
+    match call {
+        WorkerCall::Renew { .. } => CallOutcome::NoReport,
+        WorkerCall::Start { .. } => CallOutcome::Started(StartReply::Unknown),
+        WorkerCall::Stop { .. } => CallOutcome::Stopped(OrderReply::Unknown),
+    }
+}
--- /dev/null
+++ b/crates/core/tests/job_interleavings/store.rs
@@ -0,0 +1,142 @@
+//! Store of the owners: batches, takeovers and accepted jobs.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use jacinthhoist_core::{
+    ClockTime, WorkerId,
+    job::{Batch, BatchRecord, JobId, JobProgress, JobSpec, Scheduler, WorkerEntry},
+};
+use rand::RngExt;
+
+use crate::{
+    engine::{Engine, EngineEvent},
+    setting,
+    world::{Event, MEMBERS, World},
+};
+
+#[derive(Default)]
+pub(crate) struct Store {
+    pub(crate) accepted: BTreeMap<JobId, Arc<JobSpec>>,
+    pub(crate) progress: BTreeMap<JobId, JobProgress>,
+    pub(crate) expiries: BTreeMap<WorkerId, ClockTime>,
+    pub(crate) entries: BTreeMap<WorkerId, (WorkerEntry, u64)>,
+    /// Token of the newest owner, and the member that has it.
+    pub(crate) token: u64,
+    pub(crate) owner: usize,
+    pub(crate) down_until: u64,
+}
+
+impl World {
+    pub(crate) fn apply_batch(&mut self, number: usize, batch: Batch, asked_at: u64) {
+        let (member, token) = (self.engines[number].member, self.engines[number].token);
+        let blocked_until = self.store_cut_until[member].max(self.store.down_until);
+        if blocked_until > self.now {
+            let delay = blocked_until - self.now + self.between(0, 200);
+            self.after(delay, Event::Apply(number, batch, asked_at));
+            return;
+        }
+        if token < self.store.token {
+            self.after(2, Event::Deliver(number, EngineEvent::StoreFenced));
+            return;
+        }
+        for record in &batch.records {
+            match record {
+                BatchRecord::Progress(id, progress) => {
+                    self.store.progress.insert(*id, progress.clone());
+                }
+                BatchRecord::LeaseExpiry(id, Some(at)) => {
+                    self.store.expiries.insert(id.clone(), *at);
+                }
+                BatchRecord::LeaseExpiry(id, None) => {
+                    self.store.expiries.remove(id);
+                }
+                _ => {}
+            }
+        }
+        // An answer that is lost is obtained by repeating the append.
+        let slow = if self.chance(self.trouble) { 900 } else { 8 };
+        let delay = self.between(1, slow);
+        let stored = EngineEvent::Stored {
+            number: batch.number,
+            asked_at,
+        };
+        self.after(delay, Event::Deliver(number, stored));
+    }
+
+    pub(crate) fn join(&mut self, number: usize) {
+        let engine = &self.engines[number];
+        if engine.has_ended {
+            return;
+        }
+        let (member, token, asked_at) = (engine.member, engine.token, self.now);
+        if self.store_cut_until[member].max(self.store.down_until) <= self.now {
+            let event = if self.store.token == token {
+                EngineEvent::Confirmed { asked_at }
+            } else {
+                EngineEvent::StoreFenced
+            };
+            let delay = self.between(2, 30);
+            self.after(delay, Event::Deliver(number, event));
+        }
+        self.after(200, Event::Join(number));
+    }
+
+    pub(crate) fn take_over(&mut self) {
+        self.store.token += 1;
+        self.store.owner = (self.store.owner + 1) % MEMBERS;
+        let (member, token) = (self.store.owner, self.store.token);
+        self.store_cut_until[member] = 0;
+        self.log(|| format!("member {member} takes over with token {token}"));
+        let delay = self.between(5, 400);
+        self.after(delay, Event::Open(member, token));
+    }
+
+    pub(crate) fn open_engine(&mut self, member: usize, token: u64) {
+        if token != self.store.token {
+            return;
+        }
+        let now = ClockTime::from_millis(self.now);
+        let mut scheduler =
+            Scheduler::open(setting::limits(), setting::catalogue(self.guarded), now);
+        for (id, spec) in &self.store.accepted {
+            let progress = self.store.progress.get(id).cloned().unwrap_or_default();
+            scheduler.restore(*id, Some(spec.clone()), &progress);
+        }
+        for (id, expiry) in &self.store.expiries {
+            scheduler.restore_lease_expiry(id, *expiry);
+        }
+        let listed = self.store.entries.iter();
+        let listed = listed.map(|(id, (entry, _))| (id.clone(), entry.clone()));
+        scheduler.workers_listed(listed.collect(), now);
+        let engine = Engine::open(member, token, scheduler, self.now);
+        self.engines.push(engine);
+        let number = self.engines.len() - 1;
+        self.after(0, Event::Step(number));
+        self.after(100, Event::Join(number));
+    }
+
+    pub(crate) fn submit(&mut self, job: u64) {
+        let id = JobId(job);
+        let spec = setting::job(&mut self.random, self.now);
+        let span = [300, 900, 2_500, 7_000][self.random.random_range(0..4)];
+        self.spans.insert(id, span);
+        self.checks.add_job(id, spec.clone());
+        self.store.accepted.insert(id, spec.clone());
+        for number in 0..self.engines.len() {
+            let delay = self.between(2, 60);
+            let accepted = EngineEvent::Accepted(id, spec.clone());
+            self.after(delay, Event::Deliver(number, accepted));
+        }
+    }
+
+    pub(crate) fn cancel(&mut self) {
+        let jobs = self.store.accepted.iter();
+        let lasting = jobs.filter(|(_, spec)| spec.steps.iter().any(|step| step.long_running));
+        let lasting: Vec<JobId> = lasting.map(|(id, _)| *id).collect();
+        for id in lasting {
+            for number in 0..self.engines.len() {
+                self.deliver(number, EngineEvent::Cancelled(id));
+            }
+        }
+    }
+}
