Start a gang that is larger than a pool whose workers have all failed a task

What callers saw: a gang of more members than its pool has workers never starts after each worker has failed one start (LOST). If the gang waits for a trial because of a crash, workers are reserved for it for good, and no other job of the pool starts either.

Cause: a worker that has failed takes one task until that succeeds. reserve_gang charges the members one by one, and each worker counted its first member as the trial that keeps the others off.

Fix: the members of a gang start together, so they are one trial.

--- a/crates/core/src/job/place.rs
+++ b/crates/core/src/job/place.rs
@@ -165,7 +165,7 @@
 ) -> bool {
     let step = request.step;
     let label = |wanted: &str| worker.entry.labels.iter().any(|label| &**label == wanted);
-    worker.takes_work(now)
+    worker.takes_task(request.task.into(), step.gang, now)
         && worker
             .reserved_for
             .is_none_or(|job| job == request.task.job)
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -249,8 +249,20 @@
 
     /// True if a task may be placed on the worker now.
     pub fn takes_work(&self, now: ClockTime) -> bool {
+        self.takes_runs(now) && !self.is_on_trial(now)
+    }
+
+    /// True if a task of the step may be placed on the worker now. The members of a gang start together, so
+    /// they are one trial.
+    pub(super) fn takes_task(&self, step: StepKey, is_gang: bool, now: ClockTime) -> bool {
+        let trial_step = self.trial_run.map(|(task, _)| StepKey::from(task));
+        let is_own_trial = is_gang && trial_step == Some(step);
+        self.takes_runs(now) && (is_own_trial || !self.is_on_trial(now))
+    }
+
+    fn takes_runs(&self, now: ClockTime) -> bool {
         let is_known = self.unknown_runs == 0 && !self.has_unsettled_starts();
-        self.is_in_service() && now >= self.suspended_until && !self.is_on_trial(now) && is_known
+        self.is_in_service() && now >= self.suspended_until && is_known
     }
 
     /// True while a task shows whether the worker still works after a failure. Runs from before the failure
--- a/crates/core/tests/jobs/probation.rs
+++ b/crates/core/tests/jobs/probation.rs
@@ -1,6 +1,6 @@
 //! Workers on which a task has failed.
 
-use jacinthhoist_core::job::{EndedRun, JobId, RenewalReport, StepSpec, TaskEnd};
+use jacinthhoist_core::job::{EndedRun, JobId, RenewalReport, StartReply, StepSpec, TaskEnd};
 
 use super::harness::{RunOrder, SchedulerHarness, long_running_step, step, worker};
 
@@ -143,3 +143,27 @@
     assert_eq!(second.len(), 1);
     assert_eq!(second[0].task.job, JobId(3));
 }
+
+/// Guards against a gang that waits for good, and with it all jobs behind a worker that is reserved for it: each
+/// worker had failed a task and took one member as its trial, so that larger gangs found no room.
+#[test]
+fn a_gang_that_is_larger_than_its_pool_starts_on_workers_that_have_failed() {
+    let mut owner = SchedulerHarness::open(2);
+    let spread = StepSpec {
+        max_per_worker: 1,
+        ..step(2)
+    };
+    owner.accept(1, vec![spread]);
+    owner.settle();
+    for start in std::mem::take(&mut owner.starts) {
+        owner.reply(&start, StartReply::Unhealthy);
+    }
+    owner.scheduler.cancel(JobId(1));
+    let gang = StepSpec {
+        gang: true,
+        ..step(3)
+    };
+    owner.accept(2, vec![gang]);
+    owner.settle();
+    assert_eq!(owner.starts.len(), 3);
+}
