--- a/crates/core/tests/job_interleavings/engine.rs
+++ b/crates/core/tests/job_interleavings/engine.rs
@@ -114,6 +114,8 @@
 pub(crate) struct Engine {
     pub(crate) member: usize,
     pub(crate) token: u64,
+    /// Advance of the member's clock.
+    pub(crate) skew: u64,
     pub(crate) scheduler: Scheduler,
     pub(crate) has_ended: bool,
     /// Time until which the process is suspended.
@@ -130,10 +132,18 @@
 }
 
 impl Engine {
-    pub(crate) fn open(member: usize, token: u64, scheduler: Scheduler, now: u64) -> Self {
+    /// Opens an owner at a time of the world.
+    pub(crate) fn open(
+        member: usize,
+        token: u64,
+        scheduler: Scheduler,
+        skew: u64,
+        now: u64,
+    ) -> Self {
         Self {
             member,
             token,
+            skew,
             scheduler,
             has_ended: false,
             suspended_until: 0,
@@ -143,7 +153,7 @@
             connections: BTreeMap::new(),
             synced_version: None,
             searched_at: 0,
-            confirmed_at: now,
+            confirmed_at: now + skew,
             appended_at: 0,
         }
     }
@@ -153,7 +163,8 @@
     }
 
     /// Applies what has arrived, takes a scheduling step and returns what is to be done.
-    pub(crate) fn step(&mut self, now: u64) -> Vec<EngineAction> {
+    pub(crate) fn step(&mut self, world_now: u64) -> Vec<EngineAction> {
+        let now = world_now + self.skew;
         let mut actions = Vec::new();
         for event in std::mem::take(&mut self.inbox) {
             self.apply(event, now, &mut actions);
--- a/crates/core/tests/job_interleavings/store.rs
+++ b/crates/core/tests/job_interleavings/store.rs
@@ -68,7 +68,8 @@
         if engine.has_ended {
             return;
         }
-        let (member, token, asked_at) = (engine.member, engine.token, self.now);
+        let (member, token) = (engine.member, engine.token);
+        let asked_at = self.now + engine.skew;
         if self.store_cut_until[member].max(self.store.down_until) <= self.now {
             let event = if self.store.token == token {
                 EngineEvent::Confirmed { asked_at }
@@ -95,7 +96,8 @@
         if token != self.store.token {
             return;
         }
-        let now = ClockTime::from_millis(self.now);
+        let skew = self.skews[member];
+        let now = ClockTime::from_millis(self.now + skew);
         let mut scheduler =
             Scheduler::open(setting::limits(), setting::catalogue(self.guarded), now);
         for (id, spec) in &self.store.accepted {
@@ -108,7 +110,7 @@
         let listed = self.store.entries.iter();
         let listed = listed.map(|(id, (entry, _))| (id.clone(), entry.clone()));
         scheduler.workers_listed(listed.collect(), now);
-        let engine = Engine::open(member, token, scheduler, self.now);
+        let engine = Engine::open(member, token, scheduler, skew, self.now);
         self.engines.push(engine);
         let number = self.engines.len() - 1;
         self.after(0, Event::Step(number));
--- a/crates/core/tests/job_interleavings/world.rs
+++ b/crates/core/tests/job_interleavings/world.rs
@@ -38,6 +38,8 @@
 const TROUBLE_MS: u64 = 14_000;
 const QUIET_MS: u64 = 150_000;
 pub(crate) const MEMBERS: usize = 2;
+/// Longest difference between the clocks of two members.
+const MAX_SKEW_MS: u64 = 2_500;
 
 /// Link between a member and an address.
 #[derive(Clone, Copy, Debug, Default)]
@@ -93,6 +95,8 @@
     pub(crate) calls: Vec<OpenCall>,
     pub(crate) cuts: Vec<Vec<Cut>>,
     pub(crate) store_cut_until: Vec<u64>,
+    /// Advance of each member's clock.
+    pub(crate) skews: Vec<u64>,
     pub(crate) store: Store,
     pub(crate) guarded: bool,
     /// Part of the calls that go wrong, in thousandths.
@@ -122,6 +126,9 @@
             calls: Vec::new(),
             cuts: vec![vec![Cut::default(); addresses]; MEMBERS],
             store_cut_until: vec![0; MEMBERS],
+            skews: (0..MEMBERS)
+                .map(|_| random.random_range(0..MAX_SKEW_MS))
+                .collect(),
             store: Store::default(),
             guarded: random.random_bool(0.5),
             trouble: [0, 5, 20, 60][random.random_range(0..4)],
@@ -303,7 +310,8 @@
                     self.log(|| format!("owner {token} stores batch {}", batch.number));
                     let slow = if self.chance(self.trouble) { 1_500 } else { 12 };
                     let delay = self.between(2, slow);
-                    self.after(delay, Event::Apply(number, batch, now));
+                    let asked_at = now + self.engines[number].skew;
+                    self.after(delay, Event::Apply(number, batch, asked_at));
                 }
                 EngineAction::Log(line) => self.log(|| format!("owner {token}: {line}")),
             }
