--- a/crates/core/src/job/process.rs
+++ b/crates/core/src/job/process.rs
@@ -41,6 +41,11 @@
         }
     }
 
+    /// Returns whether a report is of another process than the last one.
+    pub(super) fn is_other(&self, reported: Option<u64>) -> bool {
+        self.incarnation.is_some() && self.incarnation != reported
+    }
+
     /// Records a report of the process.
     pub(super) fn record_report(
         &mut self,
--- a/crates/core/src/job/release.rs
+++ b/crates/core/src/job/release.rs
@@ -6,6 +6,8 @@
 use crate::clock::ClockTime;
 
 use super::{
+    charge::AnyCharge,
+    spec::TaskKey,
     task::{AnyTask, StartOrderState, TaskEnd},
     worker::{StartReply, Worker},
 };
@@ -78,9 +80,18 @@
         (is_unreachable && has_lapsed).then_some(Self(ReleaseGround::LeaseLapsed))
     }
 
-    /// Evidence from a report of another process than the one before, which holds none of its runs.
-    pub(super) fn restarted(known: Option<u64>, reported: Option<u64>) -> Option<Self> {
-        (known.is_some() && known != reported).then_some(Self(ReleaseGround::WorkerRestarted))
+    /// Evidence from a report of another process than the last one, requested at `asked_at`, which does not name
+    /// the run. If the run is known to have begun only since then, it may be one of that process.
+    pub(super) fn restarted(
+        worker: &Worker,
+        run: (TaskKey, u32),
+        reported: Option<u64>,
+        asked_at: ClockTime,
+    ) -> Option<Self> {
+        let begun_at = worker.charges.get(&run).and_then(AnyCharge::begun_at);
+        let is_judged = begun_at.is_none_or(|begun_at| asked_at > begun_at);
+        let over = Self(ReleaseGround::WorkerRestarted);
+        (worker.process.is_other(reported) && is_judged).then_some(over)
     }
 
     /// Evidence from the answer of another worker, requested at `asked_at`: an address belongs to one process
--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -95,13 +95,13 @@
             (Some(_), None) => None,
         };
         let settles_orders = worker.awaits_report;
-        let restarted = RunOver::restarted(worker.process.incarnation, report.incarnation);
+        let restarted = worker.process.is_other(report.incarnation);
         // Responses may overtake each other, so this one may be of an earlier process.
-        if restarted.is_some() && worker.seen_at.is_some_and(|seen_at| asked_at < seen_at) {
+        if restarted && worker.seen_at.is_some_and(|seen_at| asked_at < seen_at) {
             return;
         }
-        if let Some(over) = restarted {
-            self.replace_process(id, &report, over);
+        if restarted {
+            self.replace_process(id, &report, asked_at);
         }
         let Some(worker) = self.workers.get_mut(id) else {
             return;
@@ -117,7 +117,7 @@
         if change.is_some() || settles_orders {
             self.release_predecessors(id, asked_at);
         }
-        if change.is_some() || restarted.is_some() {
+        if change.is_some() || restarted {
             self.settle_losses(id, report.incarnation);
         }
         for row in &report.ended {
@@ -388,8 +388,8 @@
     }
 
     /// Replaces the process of a worker that restarted under the same id: it has lost its earlier
-    /// runs. Starts that reached the new process, or whose reply is pending, are kept.
-    fn replace_process(&mut self, id: &WorkerId, report: &RenewalReport, over: RunOver) {
+    /// runs. Starts that may have reached the new process, or whose reply is pending, are kept.
+    fn replace_process(&mut self, id: &WorkerId, report: &RenewalReport, asked_at: ClockTime) {
         let cause = self.silence_cause(id);
         let Some(worker) = self.workers.get(id) else {
             return;
@@ -412,11 +412,31 @@
         if report.has_more_ends {
             lost.clear();
         }
+        // A run that is known to have begun since the report was requested may be one of the new process,
+        // which knows of no stop.
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let mut late: SmallVec<[(TaskKey, u32); 8]> = SmallVec::new();
+        let mut ended: SmallVec<[(TaskKey, u32, RunOver); 8]> = SmallVec::new();
+        for (key, run) in &lost {
+            match RunOver::restarted(worker, (*key, *run), report.incarnation, asked_at) {
+                Some(over) => ended.push((*key, *run, over)),
+                None => late.push((*key, *run)),
+            }
+        }
+        lost.retain(|run| !late.contains(run));
         // The runs were lost with the earlier process.
         self.record_losses(id, &lost);
         self.record_silence(id, cause);
         self.forget_process(id, report.incarnation);
-        for (key, run) in lost {
+        for (key, run) in late {
+            let slot = self.assigned_slot(id, key, run);
+            if !matches!(slot, Some(AnyTask::Running(_))) {
+                self.stop_again(id, key, run);
+            }
+        }
+        for (key, run, over) in ended {
             if self.may_begin_after_restart(id, key, run) {
                 self.stop_again(id, key, run);
             } else {
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -453,6 +453,8 @@
     harness.accept(1, vec![step(2)]);
     harness.settle();
     let starts = harness.confirm();
+    // Within one millisecond it is not known whether a report was requested before or after.
+    harness.wait(1);
     let restarted = RenewalReport {
         incarnation: Some(2),
         ..SchedulerHarness::running(&starts[..1], 0)
