--- a/crates/experiments/src/lib.rs
+++ b/crates/experiments/src/lib.rs
@@ -17,6 +17,7 @@
 mod raw;
 mod report;
 pub mod schedule;
+pub mod soak;
 
 pub use caller::{CallerConnection, CallerError, CallerResponse, WorkCaller};
 pub use fleet::{FleetPlan, LocalFleet};
--- a/crates/experiments/tests/partition_soak/callers.rs
+++ b/crates/experiments/src/soak/callers.rs
@@ -1,6 +1,6 @@
 //! Callers, which submit jobs over open connections and ask for their states.
 
-use std::time::Duration;
+use std::{net::SocketAddr, ops::Range, time::Duration};
 
 use bytes::Bytes;
 use hyper::{
@@ -16,10 +16,8 @@
     time::{Instant, sleep},
 };
 
-use crate::installation::{MEMBERS, SoakInstallation};
-
-/// Timeout of a call: more than that of the route.
-const CALL_TIMEOUT: Duration = Duration::from_secs(4);
+/// Timeout of a call of those who wait for the ends of jobs: more than that of the route.
+const WAIT_CALL_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time after which a call is repeated.
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval between the rounds that look for jobs that are not yet completed.
@@ -27,17 +25,19 @@
 
 /// Connection to a member, which is kept until a call fails.
 struct MemberConnection<'a> {
-    installation: &'a SoakInstallation,
+    fronts: &'a [SocketAddr],
     member: usize,
     client: HttpClient,
+    timeout: Duration,
 }
 
 impl<'a> MemberConnection<'a> {
-    fn open(installation: &'a SoakInstallation, member: usize) -> Self {
+    fn open(fronts: &'a [SocketAddr], member: usize, timeout: Duration) -> Self {
         Self {
-            installation,
+            fronts,
             member,
-            client: HttpClient::new(installation.front(member)),
+            client: HttpClient::new(fronts[member]),
+            timeout,
         }
     }
 
@@ -45,9 +45,13 @@
     async fn send(&mut self, method: Method, id: &str, body: Bytes) -> Option<HttpResponse> {
         let host = HeaderValue::from_static("mould.example");
         let request = HttpRequest::new(method, format!("/jobs/{id}"), body).header(HOST, host);
-        let response = self.client.send(request, CALL_TIMEOUT).await.ok();
+        let response = self.client.send(request, self.timeout).await.ok();
         if response.is_none() {
-            *self = Self::open(self.installation, (self.member + 1) % MEMBERS);
+            *self = Self::open(
+                self.fronts,
+                (self.member + 1) % self.fronts.len(),
+                self.timeout,
+            );
         }
         response
     }
@@ -61,29 +65,42 @@
     }
 }
 
+/// Jobs that a caller submits; they have a step of two to five tasks.
+#[derive(Clone, Debug)]
+pub struct CallerLoad {
+    /// Durations of the tasks of a job, in milliseconds.
+    pub task_ms: Range<u64>,
+    /// Time between two jobs, in milliseconds.
+    pub pause_ms: Range<u64>,
+    /// Timeout of a call: more than that of the route. After it the caller goes to another member.
+    pub call_timeout: Duration,
+}
+
 /// What callers were told.
-#[derive(Default)]
-pub(crate) struct CallerRecord {
+#[derive(Debug, Default)]
+pub struct CallerRecord {
     /// Ids of accepted jobs.
-    pub(crate) accepted: Vec<String>,
+    pub accepted: Vec<String>,
     /// Number of jobs that were refused, or whose acceptance stayed unknown.
-    pub(crate) others: usize,
-    pub(crate) violations: Vec<String>,
+    pub others: usize,
+    /// Rules that were broken.
+    pub violations: Vec<String>,
 }
 
 /// Submits jobs until a time.
-pub(crate) async fn submit_jobs(
-    installation: &SoakInstallation,
+pub async fn submit_jobs(
+    fronts: &[SocketAddr],
+    load: &CallerLoad,
     record: &Mutex<CallerRecord>,
     number: usize,
     mut rng: StdRng,
     until: Instant,
 ) {
-    let mut connection = MemberConnection::open(installation, number % MEMBERS);
+    let mut connection = MemberConnection::open(fronts, number % fronts.len(), load.call_timeout);
     while Instant::now() < until {
         let id = format!("{:016x}", rng.random::<u64>());
         let tasks = rng.random_range(2..=5);
-        let payload = format!("ms={}", rng.random_range(1_000..9_000));
+        let payload = format!("ms={}", rng.random_range(load.task_ms.clone()));
         let body = Bytes::from(sample_job(tasks, &payload).to_string());
         let mut accepted = false;
         while Instant::now() < until {
@@ -115,7 +132,10 @@
         {
             check_state(record, &id, status, &state).await;
         }
-        sleep(Duration::from_millis(rng.random_range(300..900))).await;
+        sleep(Duration::from_millis(
+            rng.random_range(load.pause_ms.clone()),
+        ))
+        .await;
     }
 }
 
@@ -128,13 +148,9 @@
 }
 
 /// Waits until every accepted job is completed, and records those that are not by a time.
-pub(crate) async fn wait_completed(
-    installation: &SoakInstallation,
-    record: &Mutex<CallerRecord>,
-    until: Instant,
-) {
+pub async fn wait_completed(fronts: &[SocketAddr], record: &Mutex<CallerRecord>, until: Instant) {
     let mut open = record.lock().await.accepted.clone();
-    let mut connection = MemberConnection::open(installation, 0);
+    let mut connection = MemberConnection::open(fronts, 0, WAIT_CALL_TIMEOUT);
     loop {
         let mut rest = Vec::new();
         for id in open {
--- a/crates/experiments/tests/partition_soak/link.rs
+++ b/crates/experiments/src/soak/link.rs
@@ -3,6 +3,10 @@
 use std::{
     io,
     net::{Ipv4Addr, SocketAddr},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -28,7 +32,7 @@
 
 /// LinkDirection in which a link holds back bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum LinkDirection {
+pub enum LinkDirection {
     /// From the caller to the target.
     Forward,
     /// From the target to the caller.
@@ -42,6 +46,8 @@
     backward_holds: u32,
     target_down: bool,
     resets: u64,
+    /// Connections with a lower number are silent: their bytes are held back, those of others pass.
+    silent_below: u64,
 }
 
 impl LinkState {
@@ -52,6 +58,11 @@
         }
     }
 
+    /// Returns `true` if the bytes of a connection are held back.
+    fn holds(&self, direction: LinkDirection, connection: u64) -> bool {
+        connection < self.silent_below || self.is_held(direction)
+    }
+
     /// Returns `true` if no connection can be opened, as its first packets are lost.
     fn is_cut(&self) -> bool {
         self.is_held(LinkDirection::Forward) || self.is_held(LinkDirection::Backward)
@@ -59,12 +70,13 @@
 }
 
 /// Running proxy.
-pub(crate) struct LoopbackLink {
+pub struct LoopbackLink {
     /// Address that the target is reached at.
-    pub(crate) address: SocketAddr,
+    pub address: SocketAddr,
     /// Address of the target.
-    pub(crate) target: SocketAddr,
+    pub target: SocketAddr,
     state: watch::Sender<LinkState>,
+    accepted: Arc<AtomicU64>,
     task: JoinHandle<()>,
 }
 
@@ -76,21 +88,27 @@
 
 impl LoopbackLink {
     /// Opens a link to a target.
-    pub(crate) fn open(target: SocketAddr) -> io::Result<Self> {
+    ///
+    /// # Errors
+    ///
+    /// No loopback address can be bound.
+    pub fn open(target: SocketAddr) -> io::Result<Self> {
         let listener = listen(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
         let address = listener.local_addr()?;
         let (state, receiver) = watch::channel(LinkState::default());
-        let task = tokio::spawn(serve(listener, target, receiver));
+        let accepted = Arc::new(AtomicU64::new(0));
+        let task = tokio::spawn(serve(listener, target, receiver, accepted.clone()));
         Ok(Self {
             address,
             target,
             state,
+            accepted,
             task,
         })
     }
 
     /// Holds back the bytes of one direction; new connections time out.
-    pub(crate) fn hold(&self, direction: LinkDirection) {
+    pub fn hold(&self, direction: LinkDirection) {
         self.state.send_modify(|state| match direction {
             LinkDirection::Forward => state.forward_holds += 1,
             LinkDirection::Backward => state.backward_holds += 1,
@@ -98,20 +116,33 @@
     }
 
     /// Ends one [`LoopbackLink::hold`].
-    pub(crate) fn release(&self, direction: LinkDirection) {
+    pub fn release(&self, direction: LinkDirection) {
         self.state.send_modify(|state| match direction {
             LinkDirection::Forward => state.forward_holds -= 1,
             LinkDirection::Backward => state.backward_holds -= 1,
         });
     }
 
+    /// Holds back the bytes of the connections that are open, until [`LoopbackLink::end_silence`];
+    /// new ones work.
+    pub fn silence_open(&self) {
+        let accepted = self.accepted.load(Ordering::Relaxed);
+        self.state
+            .send_modify(|state| state.silent_below = accepted);
+    }
+
+    /// Delivers what [`LoopbackLink::silence_open`] has held back.
+    pub fn end_silence(&self) {
+        self.state.send_modify(|state| state.silent_below = 0);
+    }
+
     /// Resets the open connections.
-    pub(crate) fn reset(&self) {
+    pub fn reset(&self) {
         self.state.send_modify(|state| state.resets += 1);
     }
 
     /// Tells whether the target's process has ended: connections are refused, unless they are held.
-    pub(crate) fn set_target_down(&self, down: bool) {
+    pub fn set_target_down(&self, down: bool) {
         self.state.send_modify(|state| state.target_down = down);
     }
 }
@@ -123,7 +154,12 @@
     socket.listen(BACKLOG)
 }
 
-async fn serve(listener: TcpListener, target: SocketAddr, mut state: watch::Receiver<LinkState>) {
+async fn serve(
+    listener: TcpListener,
+    target: SocketAddr,
+    mut state: watch::Receiver<LinkState>,
+    accepted_count: Arc<AtomicU64>,
+) {
     let Ok(address) = listener.local_addr() else {
         return;
     };
@@ -158,7 +194,8 @@
         tokio::select! {
             accepted = open.accept() => {
                 if let Ok((stream, _)) = accepted {
-                    tokio::spawn(relay(stream, target, state.clone()));
+                    let number = accepted_count.fetch_add(1, Ordering::Relaxed);
+                    tokio::spawn(relay(stream, target, number, state.clone()));
                 }
             }
             changed = state.changed() => if changed.is_err() {
@@ -177,7 +214,12 @@
 }
 
 /// Passes on the bytes of one connection in both directions.
-async fn relay(mut near: TcpStream, target: SocketAddr, mut state: watch::Receiver<LinkState>) {
+async fn relay(
+    mut near: TcpStream,
+    target: SocketAddr,
+    number: u64,
+    mut state: watch::Receiver<LinkState>,
+) {
     let resets = state.borrow().resets;
     let far = TcpStream::connect(target).await;
     let Ok(mut far) = far else {
@@ -196,12 +238,14 @@
             near_reader,
             far_writer,
             LinkDirection::Forward,
+            number,
             state.clone(),
         );
         let backward = pump(
             far_reader,
             near_writer,
             LinkDirection::Backward,
+            number,
             state.clone(),
         );
         let both = async { tokio::join!(forward, backward) };
@@ -223,12 +267,13 @@
     mut reader: ReadHalf<'_>,
     mut writer: WriteHalf<'_>,
     direction: LinkDirection,
+    number: u64,
     mut state: watch::Receiver<LinkState>,
 ) {
     let mut part = vec![0; PART_BYTES];
     loop {
         let count = reader.read(&mut part).await;
-        let open = state.wait_for(|state| !state.is_held(direction));
+        let open = state.wait_for(|state| !state.holds(direction, number));
         if open.await.is_err() {
             return;
         }
--- a/crates/experiments/tests/partition_soak/verdict.rs
+++ b/crates/experiments/src/soak/verdict.rs
@@ -9,7 +9,7 @@
 
 /// Returns the violations of the rules that no task has two runs at once, and that none begins after
 /// an acknowledged end `done`. Times are relative to `origin`.
-pub(crate) fn check_runs(runs: Vec<WorkerRun>, origin: Instant) -> Vec<String> {
+pub fn check_runs(runs: Vec<WorkerRun>, origin: Instant) -> Vec<String> {
     let mut by_task: BTreeMap<String, Vec<WorkerRun>> = BTreeMap::new();
     for run in runs {
         by_task.entry(run.1.task.clone()).or_default().push(run);
@@ -48,9 +48,17 @@
     let end = record.end.map_or("in progress".to_owned(), |(how, at)| {
         format!("{how} at {:.3}", secs(at))
     });
-    let RunRecord { task, run, .. } = record;
+    let RunRecord {
+        task,
+        run,
+        token,
+        process,
+        granted,
+        ..
+    } = record;
+    let lease = granted.map_or(0.0, |granted| granted.as_secs_f64());
     format!(
-        "{task} run {run} on {worker} from {:.3}, {end}",
+        "{task} run {run} on {worker} (process {process}) by token {token}, with a lease of {lease:.3} s, from {:.3}, {end}",
         secs(record.began_at)
     )
 }
--- a/crates/experiments/tests/partition_soak/faults.rs
+++ b/crates/experiments/tests/partition_soak/faults.rs
@@ -140,8 +140,11 @@
         match rng.random_range(0..3) {
             0 => {
                 let index = rng.random_range(0..WORKERS);
-                note(origin, &format!("worker {index} restarts"));
-                installation.platform.workers[index].restart().await;
+                let down = Duration::from_millis(rng.random_range(0..500));
+                note(origin, &format!("worker {index} restarts after {down:?}"));
+                installation.platform.workers[index]
+                    .restart_process(down)
+                    .await;
             }
             1 => {
                 let index = rng.random_range(0..MEMBERS);
--- a/crates/experiments/tests/partition_soak/installation.rs
+++ b/crates/experiments/tests/partition_soak/installation.rs
@@ -21,6 +21,9 @@
 pub(crate) const MEMBERS: usize = 4;
 /// Number of workers.
 pub(crate) const WORKERS: usize = 6;
+/// Longest lease that workers grant: longer than the one that owners ask for, so that a lease that is
+/// too long shows.
+const LONGEST_LEASE: Duration = Duration::from_secs(10);
 /// Pool of the workers.
 pub(crate) const POOL: &str = "mould";
 /// First port of the members: below those that the system gives to outgoing connections, so that none
@@ -50,7 +53,8 @@
     /// Starts all members and waits until they are ready.
     pub(crate) async fn spawn(logs: Option<PathBuf>) -> Self {
         let platform = FakePlatform::spawn(&[POOL], WORKERS).await;
-        let platform = platform.expect("loopback has free ports");
+        let mut platform = platform.expect("loopback has free ports");
+        platform.set_longest_lease(LONGEST_LEASE).await;
         platform.configure(1, &[POOL]);
         let ports: Vec<[u16; 3]> = (0..MEMBERS)
             .map(|_| [free_port(), free_port(), free_port()])
--- a/crates/experiments/tests/partition_soak/link_checks.rs
+++ b/crates/experiments/tests/partition_soak/link_checks.rs
@@ -8,7 +8,7 @@
     time::timeout,
 };
 
-use crate::link::{LinkDirection, LoopbackLink};
+use jacinthhoist_experiments::soak::{LinkDirection, LoopbackLink};
 
 /// Time in which bytes arrive on loopback.
 const ARRIVAL: Duration = Duration::from_secs(5);
--- a/crates/experiments/tests/partition_soak/main.rs
+++ b/crates/experiments/tests/partition_soak/main.rs
@@ -5,14 +5,11 @@
 //! `JACINTHHOIST_SOAK_SECS` the time with faults in each run, and `JACINTHHOIST_SOAK_LOGS` a folder for
 //! the members' log lines.
 
-mod callers;
 mod faults;
 mod installation;
-mod link;
 mod link_checks;
 mod member;
 mod network;
-mod verdict;
 
 use std::{
     path::PathBuf,
@@ -25,8 +22,8 @@
     time::{Instant, sleep},
 };
 
-use callers::CallerRecord;
-use installation::SoakInstallation;
+use installation::{MEMBERS, SoakInstallation};
+use jacinthhoist_experiments::soak::{self, CallerLoad, CallerRecord};
 
 /// Seeds of one run in CI.
 const SEEDS: u64 = 2;
@@ -63,9 +60,17 @@
     println!("seed {seed} begins, 0 is {unix_ms} in the log lines");
     let until = origin + Duration::from_secs(secs);
     let rng = |part: u64| StdRng::seed_from_u64(seed.wrapping_mul(SEED_FACTOR).wrapping_add(part));
+    let fronts: Vec<_> = (0..MEMBERS)
+        .map(|index| installation.front(index))
+        .collect();
+    let load = CallerLoad {
+        task_ms: 1_000..9_000,
+        pause_ms: 300..900,
+        call_timeout: Duration::from_secs(4),
+    };
     let caller = |number: usize| {
         let rng = rng(100 + number as u64);
-        callers::submit_jobs(&installation, &record, number, rng, until)
+        soak::submit_jobs(&fronts, &load, &record, number, rng, until)
     };
     tokio::join!(
         futures::future::join_all((0..CALLERS).map(caller)),
@@ -74,7 +79,7 @@
         faults::member_end(&installation, rng(3), origin, until),
         faults::disturbance(&installation, rng(4), origin, until),
     );
-    callers::wait_completed(&installation, &record, Instant::now() + QUIET_PERIOD).await;
+    soak::wait_completed(&fronts, &record, Instant::now() + QUIET_PERIOD).await;
     sleep(SETTLE_PERIOD).await;
     let mut runs = Vec::new();
     for worker in &installation.platform.workers {
@@ -88,7 +93,7 @@
         mut violations,
     } = record.into_inner();
     let (count, elapsed) = (runs.len(), origin.elapsed().as_secs_f64());
-    violations.extend(verdict::check_runs(runs, origin.into_std()));
+    violations.extend(soak::check_runs(runs, origin.into_std()));
     println!(
         "seed {seed}: {} jobs accepted, {others} not, {count} runs, {elapsed:.1} s, {} violations",
         accepted.len(),
--- a/crates/experiments/tests/partition_soak/network.rs
+++ b/crates/experiments/tests/partition_soak/network.rs
@@ -2,10 +2,9 @@
 
 use std::{collections::BTreeMap, io, net::SocketAddr, sync::Arc};
 
-use crate::{
-    link::{LinkDirection, LoopbackLink},
-    member::LinkAddresses,
-};
+use jacinthhoist_experiments::soak::{LinkDirection, LoopbackLink};
+
+use crate::member::LinkAddresses;
 
 /// Process that members call, or a member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/fakes/src/http.rs
+++ b/crates/fakes/src/http.rs
@@ -29,6 +29,15 @@
     task: JoinHandle<()>,
 }
 
+impl FakeServer {
+    /// Stops the server; its connections are closed when this returns.
+    pub(crate) async fn close(mut self) {
+        self.task.abort();
+        // The result tells that the task was aborted.
+        let _ = (&mut self.task).await;
+    }
+}
+
 impl Drop for FakeServer {
     fn drop(&mut self) {
         self.task.abort();
--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -14,6 +14,7 @@
 pub use gang::GangTable;
 pub use machines::MachineService;
 pub use policy::PolicyService;
+use pool_worker::DEFAULT_LONGEST_LEASE;
 pub use pool_worker::{PoolWorker, RunRecord, WorkerFault};
 use store::{CALL_BYTES, RECORD_BYTES};
 pub use store::{KeyedLog, StoreEndpoint, StoreFault};
@@ -35,6 +36,7 @@
     pub policy: PolicyService,
     /// Workers of all pools.
     pub workers: Vec<PoolWorker>,
+    longest_lease: Duration,
 }
 
 impl FakePlatform {
@@ -63,9 +65,18 @@
             machines,
             policy,
             workers,
+            longest_lease: DEFAULT_LONGEST_LEASE,
         })
     }
 
+    /// Sets the longest lease that the workers grant and that settings files state from now on.
+    pub async fn set_longest_lease(&mut self, longest: Duration) {
+        self.longest_lease = longest;
+        for worker in &self.workers {
+            worker.set_longest_lease(longest).await;
+        }
+    }
+
     /// Writes the operators' configuration: one route for each pool, with the pool's name.
     pub fn configure(&self, version: u64, pools: &[&str]) {
         self.write_config(
@@ -103,11 +114,12 @@
         let peer_end = peer.saturating_add(1);
         let machines = self.machines.address();
         let policy = self.policy.address();
+        let hold_max_ms = self.longest_lease.as_millis();
         format!(
             "node_name = \"{name}\"\nip = \"127.0.0.1\"\nzone = \"dc-1\"\nport_range = [{peer}, {peer_end}]\n\
              unknown_field = true\nadvice = \"{policy}\"\n\
              [listen]\nfront = \"127.0.0.1:{front}\"\nready = \"127.0.0.1:{ready}\"\n\
-             [bounds]\nhold_max_ms = 3000\nmove_s = 0.2\nupkeep_s = 0.2\nstatus_s = 120\ngrace_s = 6\n\
+             [bounds]\nhold_max_ms = {hold_max_ms}\nmove_s = 0.2\nupkeep_s = 0.2\nstatus_s = 120\ngrace_s = 6\n\
              [platform]\naddress = \"{store}\"\nttl_min_ms = 1000\n\
              record_bytes = {RECORD_BYTES}\ncall_bytes = {CALL_BYTES}\n\
              [cloud_api]\naddress = \"{machines}\"\n"
--- a/crates/fakes/src/platform/pool_worker.rs
+++ b/crates/fakes/src/platform/pool_worker.rs
@@ -21,15 +21,19 @@
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use serde_json::json;
 use tokio::{
-    sync::{Mutex, mpsc, watch},
+    sync::{Mutex, mpsc, oneshot, watch},
     task::JoinHandle,
     time::sleep,
 };
 
 use self::incarnation::{TaskCounts, WorkerIncarnation, WorkerOrder};
-use super::{KeyedLog, gang::GangTable, loopback, policy};
+use super::{KeyedLog, gang::GangTable, loopback, policy, store::WORKERS_TOPIC};
 use crate::http::{self, FakeServer, ResponseBody};
 
+/// Longest lease that a worker grants unless [`PoolWorker::set_longest_lease`] sets another one.
+pub(super) const DEFAULT_LONGEST_LEASE: Duration = Duration::from_millis(3_000);
+/// Interval between attempts to listen again on the address of an earlier process.
+const BIND_INTERVAL: Duration = Duration::from_millis(5);
 /// Delay of starts under [`WorkerFault::Late`].
 const LATE_START_DELAY: Duration = Duration::from_millis(1_200);
 /// Time from a crash to the start of the next process.
@@ -66,6 +70,8 @@
     state: watch::Sender<&'static str>,
     /// Bytes that replace the entry.
     raw_entry: watch::Sender<Option<Vec<u8>>>,
+    views: watch::Sender<Vec<WorkerView>>,
+    process_ends: mpsc::UnboundedSender<ProcessEnd>,
     server_task: JoinHandle<()>,
     heartbeat_task: JoinHandle<()>,
 }
@@ -90,25 +96,27 @@
         gangs: GangTable,
         heartbeat: Duration,
     ) -> std::io::Result<Self> {
-        let incarnation = Arc::new(Mutex::new(WorkerIncarnation::new(1, gangs)));
+        let first = WorkerIncarnation::new(1, DEFAULT_LONGEST_LEASE, gangs);
+        let incarnation = Arc::new(Mutex::new(first));
         let counts = Arc::new(Mutex::new(TaskCounts::default()));
         let (fault, fault_receiver) = watch::channel(WorkerFault::None);
         let (tickets_required, ticket_switch) = watch::channel(false);
         let (state, state_receiver) = watch::channel("ready");
         let (raw_entry, raw_receiver) = watch::channel(None::<Vec<u8>>);
-        let (crashes, crash_requests) = mpsc::unbounded_channel();
+        let (process_ends, process_end_requests) = mpsc::unbounded_channel();
+        let (views, view_receiver) = watch::channel(Vec::<WorkerView>::new());
         let context = RequestContext {
             incarnation: incarnation.clone(),
             counts: counts.clone(),
             fault: fault_receiver,
             target: id.into(),
             requires_ticket: ticket_switch,
-            crashes,
+            process_ends: process_ends.clone(),
         };
         let server = context.clone().listen(loopback()).await?;
         let address = server.address;
         let (key, pool) = (id.to_owned(), pool.to_owned());
-        let server_task = tokio::spawn(context.restart_after_crashes(server, crash_requests));
+        let server_task = tokio::spawn(context.restart_processes(server, process_end_requests));
         let registered = incarnation.clone();
         let heartbeat_task = tokio::spawn(async move {
             let mut seq = 0u64;
@@ -123,13 +131,21 @@
                     sleep(heartbeat).await;
                     continue;
                 }
-                let entry = json!({"service": pool, "address": address.to_string(), "zone": "dc-1",
+                let mut entry = json!({"service": pool, "address": address.to_string(), "zone": "dc-1",
                     "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0, "born": number,
                     "capacity": {"cpu": 32_000, "mem_mb": 131_072, "gpu": 0},
                     "labels": ["a", "r-1"], "seq": seq});
-                let bytes = raw_receiver.borrow().clone();
-                let bytes = bytes.unwrap_or_else(|| entry.to_string().into_bytes());
-                store.put_bytes("keyed.servers", &key, &bytes);
+                let raw = raw_receiver.borrow().clone();
+                let mut put = |topic: &str, address: SocketAddr| {
+                    entry["address"] = json!(address.to_string());
+                    let bytes = raw.clone();
+                    let bytes = bytes.unwrap_or_else(|| entry.to_string().into_bytes());
+                    store.put_bytes(topic, &key, &bytes);
+                };
+                put(WORKERS_TOPIC, address);
+                for view in view_receiver.borrow().iter() {
+                    put(&view.topic, view.address);
+                }
                 sleep(heartbeat).await;
             }
         });
@@ -142,6 +158,8 @@
             tickets_required,
             state,
             raw_entry,
+            views,
+            process_ends,
             server_task,
             heartbeat_task,
         })
@@ -177,14 +195,37 @@
         self.raw_entry.send_replace(bytes.map(<[u8]>::to_vec));
     }
 
-    /// Restarts under the same id, without its runs and their history.
+    /// Registers in one more topic, with the address at which the readers of that topic reach it.
+    pub fn register_in(&self, topic: &str, address: SocketAddr) {
+        let topic = topic.to_owned();
+        self.views
+            .send_modify(|views| views.push(WorkerView { topic, address }));
+    }
+
+    /// Sets the longest lease that the worker grants from now on.
+    pub async fn set_longest_lease(&self, longest: Duration) {
+        self.incarnation.lock().await.longest_lease = longest;
+    }
+
+    /// Ends the process with its runs and its connections, and starts the next one after `down`,
+    /// under the same id and at the same address. Returns once that one listens.
+    pub async fn restart_process(&self, down: Duration) {
+        let (done, restarted) = oneshot::channel();
+        let end = ProcessEnd::Restart { down, done };
+        // Fails if the worker is being dropped.
+        if self.process_ends.send(end).is_ok() {
+            let _ = restarted.await;
+        }
+    }
+
+    /// Restarts under the same id, without its runs and their history. The connections stay open, as
+    /// those of a process that hands them over.
     pub async fn restart(&self) {
         let (mut incarnation, mut counts) =
             (self.incarnation.lock().await, self.counts.lock().await);
         incarnation.finish_due(&mut counts);
         counts.history.end_all("crashed");
-        let gangs = incarnation.gangs.clone();
-        *incarnation = WorkerIncarnation::new(incarnation.number + 1, gangs);
+        *incarnation = incarnation.next();
     }
 
     /// All runs on this worker, in the order of their starts.
@@ -225,14 +266,29 @@
     fault: watch::Receiver<WorkerFault>,
     target: Arc<str>,
     requires_ticket: watch::Receiver<bool>,
-    crashes: mpsc::UnboundedSender<WorkerCrash>,
+    process_ends: mpsc::UnboundedSender<ProcessEnd>,
 }
 
-/// Crash that a task causes.
-struct WorkerCrash {
-    /// Number of the worker's incarnation.
-    incarnation: u64,
-    task: String,
+/// Topic in which a worker registers besides that of all workers, and its address there.
+struct WorkerView {
+    topic: String,
+    address: SocketAddr,
+}
+
+/// Why a process of a worker ends.
+enum ProcessEnd {
+    /// A task crashes it.
+    Crash {
+        /// Number of the worker's incarnation.
+        incarnation: u64,
+        task: String,
+    },
+    /// It is to be restarted.
+    Restart {
+        /// Time until the next process listens.
+        down: Duration,
+        done: oneshot::Sender<()>,
+    },
 }
 
 impl RequestContext {
@@ -240,37 +296,58 @@
         http::spawn(address, move |_, request| serve(self.clone(), request)).await
     }
 
-    /// Ends the process at each crash, with its connections, and starts the next one on the same
-    /// address.
-    async fn restart_after_crashes(
+    /// Ends the process at each crash or restart, with its connections, and starts the next one on
+    /// the same address.
+    async fn restart_processes(
         self,
         mut server: FakeServer,
-        mut crash_requests: mpsc::UnboundedReceiver<WorkerCrash>,
+        mut ends: mpsc::UnboundedReceiver<ProcessEnd>,
     ) {
-        while let Some(crash) = crash_requests.recv().await {
-            let (number, gangs) = {
-                let mut incarnation = self.incarnation.lock().await;
-                let is_current = incarnation.number == crash.incarnation;
-                if !is_current || !incarnation.runs.contains_key(&crash.task) {
-                    continue;
+        while let Some(end) = ends.recv().await {
+            let (down, done) = match end {
+                ProcessEnd::Crash { incarnation, task } => {
+                    let current = self.incarnation.lock().await;
+                    if current.number != incarnation || !current.runs.contains_key(&task) {
+                        continue;
+                    }
+                    (CRASH_RESTART_DELAY, None)
                 }
-                let (number, gangs) = (incarnation.number, incarnation.gangs.clone());
-                self.counts.lock().await.history.end_all("crashed");
-                *incarnation = WorkerIncarnation::new(number, gangs.clone());
+                ProcessEnd::Restart { down, done } => (down, Some(done)),
+            };
+            let next = {
+                let mut incarnation = self.incarnation.lock().await;
+                let mut counts = self.counts.lock().await;
+                incarnation.finish_due(&mut counts);
+                counts.history.end_all("crashed");
+                let next = incarnation.next();
+                let ended = WorkerIncarnation::new(
+                    incarnation.number,
+                    next.longest_lease,
+                    next.gangs.clone(),
+                );
+                *incarnation = ended;
                 incarnation.crashed = true;
-                (number, gangs)
+                next
             };
             let address = server.address;
-            drop(server);
-            sleep(CRASH_RESTART_DELAY).await;
-            *self.incarnation.lock().await = WorkerIncarnation::new(number + 1, gangs);
+            server.close().await;
+            sleep(down).await;
+            {
+                // Its clock begins now.
+                let mut incarnation = self.incarnation.lock().await;
+                *incarnation = WorkerIncarnation::new(next.number, next.longest_lease, next.gangs);
+            }
             server = loop {
                 match self.clone().listen(address).await {
                     Ok(server) => break server,
                     // The former listener may not be closed yet.
-                    Err(_) => sleep(CRASH_RESTART_DELAY).await,
+                    Err(_) => sleep(BIND_INTERVAL).await,
                 }
             };
+            if let Some(done) = done {
+                // The caller may not wait for it.
+                let _ = done.send(());
+            }
         }
     }
 
@@ -282,15 +359,15 @@
         incarnation.finish_due(&mut counts);
         let started = incarnation.start(order, fails, &mut counts);
         if let Ok(Some(after)) = started {
-            let crash = WorkerCrash {
+            let crash = ProcessEnd::Crash {
                 incarnation: incarnation.number,
                 task: order.task.clone(),
             };
-            let crashes = self.crashes.clone();
+            let process_ends = self.process_ends.clone();
             tokio::spawn(async move {
                 sleep(after).await;
                 // The worker may have been dropped.
-                let _ = crashes.send(crash);
+                let _ = process_ends.send(crash);
             });
         }
         order_response(&incarnation, started.map(|_| ()))
@@ -386,6 +463,7 @@
     order: WorkerOrder,
 ) -> Response<ResponseBody> {
     let wait_until = Instant::now() + Duration::from_millis(order.wait_ms.min(2_000));
+    let mut deadline = order.deadline_at_ms;
     loop {
         {
             let (mut incarnation, mut counts) = (incarnation.lock().await, counts.lock().await);
@@ -393,7 +471,8 @@
                 return order_response(&incarnation, Err(reason));
             }
             incarnation.finish_due(&mut counts);
-            incarnation.extend(order.deadline_at_ms);
+            // A renewal extends the lease once, when it arrives.
+            incarnation.extend(deadline.take());
             incarnation.acknowledge(order.ack_cursor, &mut counts);
             if !incarnation.ended_rows.is_empty() || Instant::now() >= wait_until {
                 let garbled = fault == WorkerFault::GarbledReports;
--- a/crates/fakes/src/platform/pool_worker/history.rs
+++ b/crates/fakes/src/platform/pool_worker/history.rs
@@ -1,6 +1,6 @@
 //! Record of the runs on a fake worker, which outlives its restarts.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Run of a task on a worker.
 #[derive(Clone, Debug)]
@@ -9,6 +9,12 @@
     pub task: String,
     /// Number of the run.
     pub run: u64,
+    /// Fencing token of the start order.
+    pub token: u64,
+    /// Number of the worker's process, counted from 1.
+    pub process: u64,
+    /// Time from the start to the end of the lease that was then in force.
+    pub granted: Option<Duration>,
     /// Time of the start.
     pub began_at: Instant,
     /// How and when the run ended; `None` while it is in progress. Besides the ends that the worker
@@ -25,14 +31,8 @@
 }
 
 impl RunHistory {
-    pub(super) fn begin(&mut self, task: &str, run: u64, began_at: Instant) {
-        self.records.push(RunRecord {
-            task: task.to_owned(),
-            run,
-            began_at,
-            end: None,
-            acknowledged_at: None,
-        });
+    pub(super) fn begin(&mut self, record: RunRecord) {
+        self.records.push(record);
     }
 
     pub(super) fn end(&mut self, task: &str, run: u64, how: &'static str, ended_at: Instant) {
--- a/crates/fakes/src/platform/pool_worker/incarnation.rs
+++ b/crates/fakes/src/platform/pool_worker/incarnation.rs
@@ -8,13 +8,11 @@
 use serde::Deserialize;
 use serde_json::{Value, json};
 
-use super::history::RunHistory;
+use super::history::{RunHistory, RunRecord};
 use crate::platform::gang::{GangMember, GangTable};
 
 /// Duration of a task whose payload sets none.
 const DEFAULT_TASK_TIME: Duration = Duration::from_millis(30);
-/// Longest lease that a worker grants.
-const MAX_LEASE_MS: u64 = 3_000;
 /// Maximum number of ended runs in one report.
 const MAX_ENDED_ROWS: usize = 500;
 
@@ -87,6 +85,8 @@
     pub(super) number: u64,
     newest_token: u64,
     deadline: Option<u64>,
+    /// Longest lease that the worker grants.
+    pub(super) longest_lease: Duration,
     pub(super) runs: BTreeMap<String, ActiveRun>,
     /// Highest run number of each task that has ended or been stopped on this worker.
     finished_runs: BTreeMap<String, u64>,
@@ -111,12 +111,13 @@
 }
 
 impl WorkerIncarnation {
-    pub(super) fn new(number: u64, gangs: GangTable) -> Self {
+    pub(super) fn new(number: u64, longest_lease: Duration, gangs: GangTable) -> Self {
         Self {
             started_at: Instant::now(),
             number,
             newest_token: 0,
             deadline: None,
+            longest_lease,
             runs: BTreeMap::new(),
             finished_runs: BTreeMap::new(),
             ended_rows: Vec::new(),
@@ -127,12 +128,17 @@
         }
     }
 
+    /// The process that follows this one.
+    pub(super) fn next(&self) -> Self {
+        Self::new(self.number + 1, self.longest_lease, self.gangs.clone())
+    }
+
     pub(super) fn clock_ms(&self) -> u64 {
         self.started_at.elapsed().as_millis() as u64
     }
 
     pub(super) fn extend(&mut self, deadline: Option<u64>) {
-        let latest_ms = self.clock_ms() + MAX_LEASE_MS;
+        let latest_ms = self.clock_ms() + self.longest_lease.as_millis() as u64;
         let requested = deadline.map(|at| at.min(latest_ms));
         self.deadline = self.deadline.max(requested);
     }
@@ -245,7 +251,18 @@
             fails: fails || order.task_spec == "fail",
         };
         *counts.starts.entry(order.task.clone()).or_default() += 1;
-        counts.history.begin(&order.task, order.run, run.started_at);
+        counts.history.begin(RunRecord {
+            task: order.task.clone(),
+            run: order.run,
+            token: order.fencing_token,
+            process: self.number,
+            granted: self
+                .deadline
+                .map(|at| Duration::from_millis(at.saturating_sub(self.clock_ms()))),
+            began_at: run.started_at,
+            end: None,
+            acknowledged_at: None,
+        });
         if let Some(former) = self.runs.insert(order.task.clone(), run) {
             let replaced_at = Instant::now();
             counts
--- a/crates/fakes/src/platform/store.rs
+++ b/crates/fakes/src/platform/store.rs
@@ -1,23 +1,21 @@
 //! Fake of the platform's log, with keyed topics and one consumer group.
 
+mod group;
 mod query;
+mod reply;
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    net::SocketAddr,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use base64::{Engine, engine::general_purpose::STANDARD};
 use bytes::{BufMut, Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
-use serde::Deserialize;
 use serde_json::{Value, json};
 use tokio::sync::{mpsc, oneshot, watch};
 
+use group::{ConsumerGroup, JoinRequest, LeaveRequest};
 use query::QueryParameters;
+use reply::{conflict, is_within_limits, with_odd_items};
 
 use super::{
     loopback,
@@ -25,14 +23,14 @@
 };
 use crate::http::{self, FakeServer, ResponseBody};
 
+/// Topic of the workers' entries.
+pub(super) const WORKERS_TOPIC: &str = "keyed.servers";
 /// Records in one page of the newest; few, so that tests read several pages.
 const PAGE_RECORDS: usize = 50;
 /// Maximum size of a record: smaller than the platform's, so that few tasks reach it.
 pub(super) const RECORD_BYTES: usize = 16_384;
 /// Maximum total size of the records of a call.
 pub(super) const CALL_BYTES: usize = 65_536;
-/// Number of partitions of a topic.
-const PARTITIONS: u32 = 16;
 /// Delay of every response under [`StoreFault::Slow`].
 const SLOW_DELAY: Duration = Duration::from_millis(250);
 /// Delay of a page of the newest records under [`StoreFault::SlowPages`].
@@ -95,35 +93,19 @@
         reply: oneshot::Sender<Value>,
     },
     Owners(oneshot::Sender<Value>),
+    /// Assigns all partitions to the member whose key begins with this name.
+    Assign {
+        member: String,
+        reply: oneshot::Sender<bool>,
+    },
     Compact(String),
 }
 
-#[derive(Debug, Deserialize)]
-struct JoinRequest {
-    member: String,
-    topics: Vec<String>,
-    ttl_ms: u64,
-}
-
-#[derive(Debug, Deserialize)]
-struct LeaveRequest {
-    member: String,
-}
-
-/// Member of the consumer group.
-struct GroupMember {
-    expires_at: Instant,
-}
-
 /// State of the store, owned by one task.
 #[derive(Default)]
 struct StoreState {
     topics: HashMap<String, KeyedTopic>,
-    members: BTreeMap<String, GroupMember>,
-    /// Owner of each partition.
-    owners: BTreeMap<u32, String>,
-    group_topic: String,
-    generation: u64,
+    group: ConsumerGroup,
 }
 
 /// Handle of a running store; clones refer to the same store.
@@ -164,7 +146,7 @@
         let (changed, _) = watch::channel(0u64);
         tokio::spawn(run_store(receiver, changed.clone()));
         Ok(Self {
-            endpoint: Arc::new(open_endpoint(&commands, &changed).await?),
+            endpoint: Arc::new(open_endpoint(&commands, &changed, None).await?),
             commands,
             changed,
         })
@@ -176,7 +158,27 @@
     ///
     /// No loopback address can be bound.
     pub async fn open_endpoint(&self) -> std::io::Result<StoreEndpoint> {
-        open_endpoint(&self.commands, &self.changed).await
+        open_endpoint(&self.commands, &self.changed, None).await
+    }
+
+    /// Opens one more address of the store, whose users find in `workers_topic` what others find in
+    /// the topic of the workers' entries, see [`PoolWorker::register_in`](super::PoolWorker::register_in).
+    ///
+    /// # Errors
+    ///
+    /// No loopback address can be bound.
+    pub async fn open_view(&self, workers_topic: &str) -> std::io::Result<StoreEndpoint> {
+        open_endpoint(&self.commands, &self.changed, Some(workers_topic.into())).await
+    }
+
+    /// Assigns all partitions at once to the member of this name, as the platform does at times
+    /// without any request. Returns `false` if it is not in the group.
+    pub async fn assign_all(&self, name: &str) -> bool {
+        let (reply, assigned) = oneshot::channel();
+        let member = format!("{name}|");
+        // Cannot fail: the task that owns the state lives as long as the store.
+        let _ = self.commands.send(StoreCommand::Assign { member, reply });
+        assigned.await.unwrap_or(false)
     }
 
     /// Address that the store listens on.
@@ -246,15 +248,39 @@
     }
 }
 
+/// What a request to an address of the store is served with.
+struct StoreAccess {
+    commands: mpsc::UnboundedSender<StoreCommand>,
+    changed: watch::Receiver<u64>,
+    /// Topic in the place of that of the workers' entries.
+    workers_topic: Option<Arc<str>>,
+}
+
+impl StoreAccess {
+    /// Topic that a request reads.
+    fn topic(&self, query: &QueryParameters) -> String {
+        let topic = query.text("topic");
+        match &self.workers_topic {
+            Some(view) if topic == WORKERS_TOPIC => view.to_string(),
+            _ => topic,
+        }
+    }
+}
+
 async fn open_endpoint(
     commands: &mpsc::UnboundedSender<StoreCommand>,
     changed: &watch::Sender<u64>,
+    workers_topic: Option<Arc<str>>,
 ) -> std::io::Result<StoreEndpoint> {
     let (fault, fault_receiver) = watch::channel(StoreFault::None);
     let (commands, changed) = (commands.clone(), changed.clone());
     let server = http::spawn(loopback(), move |_, request| {
-        let fault = *fault_receiver.borrow();
-        serve(commands.clone(), changed.subscribe(), fault, request)
+        let access = StoreAccess {
+            commands: commands.clone(),
+            changed: changed.subscribe(),
+            workers_topic: workers_topic.clone(),
+        };
+        serve(access, *fault_receiver.borrow(), request)
     });
     Ok(StoreEndpoint {
         server: server.await?,
@@ -296,21 +322,17 @@
                 let _ = reply.send(state.newest(&topic, &after));
             }
             StoreCommand::Join { join, reply } => {
-                let _ = reply.send(state.join(&join));
+                let _ = reply.send(state.group.join(&join));
             }
             StoreCommand::Leave { member, reply } => {
-                state.members.remove(&member);
-                state.rebalance();
+                state.group.leave(&member);
                 let _ = reply.send(json!({}));
             }
             StoreCommand::Owners(reply) => {
-                state.expire();
-                let topic = state.group_topic.clone();
-                let rows = state
-                    .owners
-                    .iter()
-                    .map(|(partition, member)| json!([topic, partition, member, 0]));
-                let _ = reply.send(json!({"parts": rows.collect::<Vec<_>>()}));
+                let _ = reply.send(state.group.rows());
+            }
+            StoreCommand::Assign { member, reply } => {
+                let _ = reply.send(state.group.assign_all(&member));
             }
             StoreCommand::Compact(topic) => state.topic(&topic).compact(),
         }
@@ -329,67 +351,10 @@
         let items: Vec<Value> = rows.iter().map(item).collect();
         json!({"items": items, "has_more": has_more, "end": topic.end()})
     }
-
-    fn join(&mut self, join: &JoinRequest) -> Value {
-        self.expire();
-        self.group_topic = join.topics.first().cloned().unwrap_or_default();
-        let ttl = Duration::from_millis(join.ttl_ms);
-        let expires_at = Instant::now() + ttl;
-        let member = GroupMember { expires_at };
-        if self.members.insert(join.member.clone(), member).is_none() {
-            self.rebalance();
-        }
-        let owned = self
-            .owners
-            .iter()
-            .filter(|(_, owner)| **owner == join.member);
-        let topic = &self.group_topic;
-        let parts: Vec<Value> = owned
-            .map(|(partition, _)| json!([topic, partition, 0]))
-            .collect();
-        json!({"generation": self.generation, "parts": parts})
-    }
-
-    /// Removes the members that have not renewed their membership in time.
-    fn expire(&mut self) {
-        let now = Instant::now();
-        let before = self.members.len();
-        self.members.retain(|_, member| member.expires_at > now);
-        if self.members.len() != before {
-            self.rebalance();
-        }
-    }
-
-    /// Assigns the partitions evenly. A partition keeps its owner unless that owner has left or
-    /// already has its share.
-    fn rebalance(&mut self) {
-        self.generation += 1;
-        let names: Vec<String> = self.members.keys().cloned().collect();
-        if names.is_empty() {
-            self.owners.clear();
-            return;
-        }
-        let max_share = (PARTITIONS as usize).div_ceil(names.len());
-        let mut shares: HashMap<String, usize> = HashMap::new();
-        for partition in 0..PARTITIONS {
-            let current = self.owners.get(&partition).filter(|owner| {
-                names.contains(owner) && shares.get(*owner).copied().unwrap_or(0) < max_share
-            });
-            let least_loaded = names
-                .iter()
-                .min_by_key(|name| shares.get(*name).copied().unwrap_or(0));
-            let Some(owner) = current.or(least_loaded).cloned() else {
-                return;
-            };
-            *shares.entry(owner.clone()).or_default() += 1;
-            self.owners.insert(partition, owner);
-        }
-    }
 }
 
 async fn serve(
-    commands: mpsc::UnboundedSender<StoreCommand>,
-    changed: watch::Receiver<u64>,
+    access: StoreAccess,
     fault: StoreFault,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
@@ -411,11 +376,11 @@
     if is_write && fault == StoreFault::Late {
         tokio::spawn(async move {
             tokio::time::sleep(LATE_WRITE_DELAY).await;
-            route(commands, changed, fault, request).await;
+            route(access, fault, request).await;
         });
         return std::future::pending().await;
     }
-    let response = route(commands, changed, fault, request).await;
+    let response = route(access, fault, request).await;
     if is_write && fault == StoreFault::LoseReplies {
         return std::future::pending().await;
     }
@@ -426,8 +391,7 @@
 }
 
 async fn route(
-    commands: mpsc::UnboundedSender<StoreCommand>,
-    changed: watch::Receiver<u64>,
+    access: StoreAccess,
     fault: StoreFault,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
@@ -438,11 +402,11 @@
     };
     let body = body.to_bytes();
     let response = match (head.method, head.uri.path()) {
-        (Method::POST, "/v1/log-append") => append(&commands, &query, body).await,
-        (Method::GET, "/v1/log-read") => read(&commands, changed, &query).await,
+        (Method::POST, "/v1/log-append") => append(&access.commands, &query, body).await,
+        (Method::GET, "/v1/log-read") => read(access, &query).await,
         (Method::GET, "/v1/log-newest") => {
-            let (topic, after) = (query.text("topic"), query.text("depends_on"));
-            execute(&commands, |reply| StoreCommand::Newest {
+            let (topic, after) = (access.topic(&query), query.text("depends_on"));
+            execute(&access.commands, |reply| StoreCommand::Newest {
                 topic,
                 after,
                 reply,
@@ -451,20 +415,21 @@
             .map(|page| http::json(&with_odd_items(page, fault)))
         }
         (Method::POST, "/v1/log-join") => match serde_json::from_slice(&body) {
-            Ok(join) => execute(&commands, |reply| StoreCommand::Join { join, reply })
+            Ok(join) => execute(&access.commands, |reply| StoreCommand::Join { join, reply })
                 .await
                 .map(|joined| http::json(&joined)),
             Err(_) => Some(http::status(StatusCode::BAD_REQUEST)),
         },
         (Method::POST, "/v1/log-leave") => match serde_json::from_slice::<LeaveRequest>(&body) {
-            Ok(LeaveRequest { member }) => {
-                execute(&commands, |reply| StoreCommand::Leave { member, reply })
-                    .await
-                    .map(|left| http::json(&left))
-            }
+            Ok(LeaveRequest { member }) => execute(&access.commands, |reply| StoreCommand::Leave {
+                member,
+                reply,
+            })
+            .await
+            .map(|left| http::json(&left)),
             Err(_) => Some(http::status(StatusCode::BAD_REQUEST)),
         },
-        (Method::GET, "/v1/log-owners") => execute(&commands, StoreCommand::Owners)
+        (Method::GET, "/v1/log-owners") => execute(&access.commands, StoreCommand::Owners)
             .await
             .map(|owners| http::json(&owners)),
         _ => Some(http::status(StatusCode::NOT_FOUND)),
@@ -472,19 +437,6 @@
     response.unwrap_or_else(|| http::status(StatusCode::INTERNAL_SERVER_ERROR))
 }
 
-/// Adds odd items to a page under [`StoreFault::OddItems`].
-fn with_odd_items(mut page: Value, fault: StoreFault) -> Value {
-    if fault == StoreFault::OddItems
-        && let Some(items) = page["items"].as_array_mut()
-    {
-        items.insert(0, json!({"key": "i-odd", "value": "no base64"}));
-        items.insert(0, json!({"key": 7, "value": {"state": "ready"}}));
-        items.insert(0, json!({"value": "e30="}));
-        items.insert(0, json!({"key": "i-null", "value": null}));
-    }
-    page
-}
-
 async fn execute<T>(
     commands: &mpsc::UnboundedSender<StoreCommand>,
     command: impl FnOnce(oneshot::Sender<T>) -> StoreCommand,
@@ -519,36 +471,18 @@
     })
 }
 
-/// Returns whether each record, and the call as a whole, is within the size limits.
-fn is_within_limits(body: &[u8]) -> bool {
-    let mut rest = body;
-    while let Some((length, records)) = rest.split_first_chunk() {
-        let length = u32::from_be_bytes(*length) as usize;
-        if length > RECORD_BYTES || length > records.len() {
-            return false;
-        }
-        rest = &records[length..];
-    }
-    body.len() <= CALL_BYTES
-}
-
-fn conflict(reason: &str) -> Response<ResponseBody> {
-    let mut response = http::json(&json!({"reason": reason}));
-    *response.status_mut() = StatusCode::CONFLICT;
-    response
-}
-
-async fn read(
-    commands: &mpsc::UnboundedSender<StoreCommand>,
-    mut changed: watch::Receiver<u64>,
-    query: &QueryParameters,
-) -> Option<Response<ResponseBody>> {
+async fn read(mut access: StoreAccess, query: &QueryParameters) -> Option<Response<ResponseBody>> {
     let from = query.number("from");
     let wait_until = tokio::time::Instant::now() + Duration::from_millis(query.number("wait_ms"));
     loop {
-        changed.mark_unchanged();
-        let topic = query.text("topic");
-        let page = execute(commands, |reply| StoreCommand::Read { topic, from, reply }).await?;
+        access.changed.mark_unchanged();
+        let topic = access.topic(query);
+        let page = execute(&access.commands, |reply| StoreCommand::Read {
+            topic,
+            from,
+            reply,
+        })
+        .await?;
         match page {
             Ok((body, end)) => {
                 if end > from || tokio::time::Instant::now() >= wait_until {
@@ -562,6 +496,6 @@
             }
         }
         // Ends with the next append to any topic or at the end of the wait.
-        let _ = tokio::time::timeout_at(wait_until, changed.changed()).await;
+        let _ = tokio::time::timeout_at(wait_until, access.changed.changed()).await;
     }
 }
--- /dev/null
+++ b/crates/jacinthhoistd/tests/process_soak/cuts.rs
@@ -0,0 +1,67 @@
+//! Cuts between the owner and single workers, many of them right after a restart of the worker.
+
+use rand::{RngExt, seq::index};
+use tokio::time::sleep;
+
+use crate::{
+    faults::FaultSequence,
+    installation::{LinkCut, WORKERS},
+};
+
+/// What happens before a cut.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CutPrelude {
+    Nothing,
+    /// The first worker restarts.
+    Restart,
+    /// The open connections to the first worker fall silent, so that its restart is not seen on them,
+    /// and it restarts.
+    SilentRestart,
+}
+
+impl FaultSequence<'_> {
+    /// Cuts the path between the owner and some workers, one time after the other.
+    pub(crate) async fn cut_workers(mut self) {
+        while self.next(300..2_500).await {
+            let installation = self.installation;
+            let owner = self.draw_member(0.9).await;
+            let count = self.rng.random_range(1..=3);
+            let workers = index::sample(&mut self.rng, WORKERS, count).into_vec();
+            let everyone = self.rng.random_bool(0.25);
+            let prelude = match self.rng.random_range(0..10) {
+                0..4 => CutPrelude::Nothing,
+                4..7 => CutPrelude::Restart,
+                _ => CutPrelude::SilentRestart,
+            };
+            let (kind, reset) = (self.draw_kind(), self.rng.random_bool(0.2));
+            let (down, until_cut) = (self.draw_time(0..300), self.draw_time(0..1_600));
+            let lasts = self.draw_time(4_000..9_000);
+            installation.note(&format!(
+                "{prelude:?} {down:?}, in {until_cut:?} entry-{owner} (everyone {everyone}) cut from \
+                 workers {workers:?} for {lasts:?}, {kind:?}, reset {reset}"
+            ));
+            let first = installation.worker_link(owner, workers[0]);
+            if prelude == CutPrelude::SilentRestart {
+                first.silence_open();
+            }
+            if prelude != CutPrelude::Nothing {
+                installation.platform.workers[workers[0]]
+                    .restart_process(down)
+                    .await;
+                sleep(until_cut).await;
+            }
+            let members = (0..installation.members()).filter(|member| everyone || *member == owner);
+            let links = members.flat_map(|member| {
+                let workers = workers.iter();
+                workers.map(move |worker| installation.worker_link(member, *worker))
+            });
+            let cut = LinkCut::begin(links.collect(), kind, reset);
+            sleep(lasts).await;
+            drop(cut);
+            if prelude == CutPrelude::SilentRestart {
+                first.end_silence();
+            }
+            installation.note(&format!("cut of {workers:?} over"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/jacinthhoistd/tests/process_soak/main.rs
@@ -0,0 +1,139 @@
+//! Soak of member processes: the daemon's binary behind loopback proxies, against the stand-ins of the
+//! platform, with faults drawn from a seed.
+//!
+//! Environment: `JACINTHHOIST_SOAK_SEEDS` is the number of seeds, `JACINTHHOIST_SOAK_FROM` the first,
+//! `JACINTHHOIST_SOAK_SECS` the time with faults in each run, and `JACINTHHOIST_SOAK_LOGS` a folder for
+//! the members' log lines, which are otherwise kept only if a rule was broken.
+
+mod cuts;
+mod faults;
+mod installation;
+mod process;
+mod stand_in_checks;
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use jacinthhoist_experiments::soak::{self, CallerLoad, CallerRecord};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use tokio::{
+    sync::Mutex,
+    time::{Instant, sleep},
+};
+
+use faults::FaultSequence;
+use installation::ProcessInstallation;
+use process::RunFolder;
+
+/// Seeds of one run in CI.
+const SEEDS: u64 = 1;
+/// Time with faults in each run, in seconds.
+const FAULT_SECS: u64 = 20;
+/// Time for jobs to be completed after the faults: several times a lease and the longest task.
+const QUIET_PERIOD: Duration = Duration::from_secs(60);
+/// Time after the last completion in which late starts are still seen.
+const SETTLE_PERIOD: Duration = Duration::from_secs(1);
+/// Number of callers.
+const CALLERS: usize = 4;
+/// Odd factor that separates the random sequences of neighbouring seeds.
+const SEED_FACTOR: u64 = 0x9E37_79B9_7F4A_7C15;
+
+fn variable(name: &str, default: u64) -> u64 {
+    let value = std::env::var(name).ok();
+    value.map_or(default, |text| {
+        text.parse().expect("the variable is a number")
+    })
+}
+
+/// Jobs of the callers. A call lasts longer than a suspension, so that a connection is used until the
+/// process is gone.
+fn load() -> CallerLoad {
+    CallerLoad {
+        task_ms: 500..8_000,
+        pause_ms: 150..500,
+        call_timeout: Duration::from_secs(8),
+    }
+}
+
+/// Plays one seed; returns what broke a rule.
+async fn play(seed: u64, secs: u64) -> Vec<String> {
+    let folder = RunFolder::open(seed).expect("the folder of logs can be created");
+    let rng = |part: u64| StdRng::seed_from_u64(seed.wrapping_mul(SEED_FACTOR).wrapping_add(part));
+    let members = rng(0).random_range(4..=6);
+    let mut installation = ProcessInstallation::spawn(members, &folder.path).await;
+    let origin = Instant::now();
+    installation.begin(origin);
+    let unix_ms = SystemTime::now().duration_since(UNIX_EPOCH);
+    let unix_ms = unix_ms.map_or(0, |time| time.as_millis());
+    println!("seed {seed} begins with {members} members, 0 is {unix_ms} in the log lines");
+    let until = origin + Duration::from_secs(secs);
+    let (fronts, load, record) = (installation.fronts(), load(), Mutex::default());
+    let caller = |number: usize| {
+        let rng = rng(100 + number as u64);
+        soak::submit_jobs(&fronts, &load, &record, number, rng, until)
+    };
+    let sequence = |part: u64| FaultSequence {
+        installation: &installation,
+        rng: rng(part),
+        until,
+    };
+    tokio::join!(
+        futures::future::join_all((0..CALLERS).map(caller)),
+        sequence(1).suspend_members(),
+        sequence(2).suspend_members(),
+        sequence(3).end_members(),
+        sequence(4).reassign(),
+        sequence(5).disturb_store(),
+        sequence(6).disturb_network(),
+        sequence(7).cut_workers(),
+        sequence(8).cut_workers(),
+    );
+    soak::wait_completed(&fronts, &record, Instant::now() + QUIET_PERIOD).await;
+    sleep(SETTLE_PERIOD).await;
+    let mut runs = Vec::new();
+    for worker in &installation.platform.workers {
+        let history = worker.history().await;
+        runs.extend(history.into_iter().map(|run| (worker.id().to_owned(), run)));
+    }
+    installation.close().await;
+    let CallerRecord {
+        accepted,
+        others,
+        mut violations,
+    } = record.into_inner();
+    let (count, elapsed) = (runs.len(), origin.elapsed().as_secs_f64());
+    violations.extend(soak::check_runs(runs, origin.into_std()));
+    println!(
+        "seed {seed}: {} jobs accepted, {others} not, {count} runs, {elapsed:.1} s, {} violations",
+        accepted.len(),
+        violations.len()
+    );
+    for violation in &violations {
+        println!("  {violation}");
+    }
+    if !violations.is_empty() {
+        println!("  log lines: {}", folder.path.display());
+    }
+    folder.close(violations.is_empty());
+    violations
+}
+
+/// Guards against two runs of a task at once while members are suspended and ended, the store moves
+/// the pools away and back, and workers restart and are cut off from their owner (issue 49).
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn member_processes_run_each_task_once_around_faults() {
+    let first = variable("JACINTHHOIST_SOAK_FROM", 1);
+    let count = variable("JACINTHHOIST_SOAK_SEEDS", SEEDS);
+    let secs = variable("JACINTHHOIST_SOAK_SECS", FAULT_SECS);
+    let mut failed = Vec::new();
+    for seed in first..first + count {
+        let violations = play(seed, secs).await;
+        if !violations.is_empty() {
+            failed.push((seed, violations));
+        }
+    }
+    assert!(
+        failed.is_empty(),
+        "{} of {count} seeds broke a rule: {failed:#?}",
+        failed.len()
+    );
+}
