--- a/crates/jacinthhoistd/tests/process_soak/cuts.rs
+++ b/crates/jacinthhoistd/tests/process_soak/cuts.rs
@@ -26,7 +26,12 @@
             let installation = self.installation;
             let owner = self.draw_member(0.9).await;
             let count = self.rng.random_range(1..=3);
-            let workers = index::sample(&mut self.rng, WORKERS, count).into_vec();
+            let mut workers = index::sample(&mut self.rng, WORKERS, count).into_vec();
+            if self.rng.random_bool(0.6) {
+                let busiest = installation.newest_start().await;
+                workers.retain(|worker| *worker != busiest);
+                workers.insert(0, busiest);
+            }
             let everyone = self.rng.random_bool(0.25);
             let prelude = match self.rng.random_range(0..10) {
                 0..4 => CutPrelude::Nothing,
--- a/crates/jacinthhoistd/tests/process_soak/installation.rs
+++ b/crates/jacinthhoistd/tests/process_soak/installation.rs
@@ -189,6 +189,16 @@
         name.strip_prefix("entry-")?.parse().ok()
     }
 
+    /// Worker that a run began on last, which is likely to get the next one.
+    pub(crate) async fn newest_start(&self) -> usize {
+        let mut newest = (None, 0);
+        for (index, worker) in self.platform.workers.iter().enumerate() {
+            let began_at = worker.history().await.last().map(|run| run.began_at);
+            newest = newest.max((began_at, index));
+        }
+        newest.1
+    }
+
     /// Assigns the pools to a member; returns `false` if the store does not count it as present.
     pub(crate) async fn assign(&self, member: usize) -> bool {
         let name = member_name(member);
--- a/crates/jacinthhoistd/tests/process_soak/main.rs
+++ b/crates/jacinthhoistd/tests/process_soak/main.rs
@@ -3,7 +3,8 @@
 //!
 //! Environment: `JACINTHHOIST_SOAK_SEEDS` is the number of seeds, `JACINTHHOIST_SOAK_FROM` the first,
 //! `JACINTHHOIST_SOAK_SECS` the time with faults in each run, and `JACINTHHOIST_SOAK_LOGS` a folder for
-//! the members' log lines, which are otherwise kept only if a rule was broken.
+//! the members' log lines, which are otherwise kept only if a rule was broken. `JACINTHHOIST_SOAK_DAEMON`
+//! names a daemon of another build.
 
 mod cuts;
 mod faults;
@@ -34,6 +35,8 @@
 const SETTLE_PERIOD: Duration = Duration::from_secs(1);
 /// Number of callers.
 const CALLERS: usize = 4;
+/// First of the sequences that each seed plays: the cuts of workers.
+const ALWAYS_PLAYED: u64 = 7;
 /// Odd factor that separates the random sequences of neighbouring seeds.
 const SEED_FACTOR: u64 = 0x9E37_79B9_7F4A_7C15;
 
@@ -71,10 +74,15 @@
         let rng = rng(100 + number as u64);
         soak::submit_jobs(&fronts, &load, &record, number, rng, until)
     };
+    // Some seeds are without some kinds of faults, so that the others meet longer ownerships.
     let sequence = |part: u64| FaultSequence {
         installation: &installation,
         rng: rng(part),
-        until,
+        until: if part < ALWAYS_PLAYED && rng(50 + part).random_bool(0.35) {
+            origin
+        } else {
+            until
+        },
     };
     tokio::join!(
         futures::future::join_all((0..CALLERS).map(caller)),
--- a/crates/jacinthhoistd/tests/process_soak/process.rs
+++ b/crates/jacinthhoistd/tests/process_soak/process.rs
@@ -13,6 +13,7 @@
     time::timeout,
 };
 
+/// Daemon of this build; `JACINTHHOIST_SOAK_DAEMON` names another one, to compare builds.
 const DAEMON: &str = env!("CARGO_BIN_EXE_jacinthhoistd");
 
 /// Signal to a member.
@@ -46,7 +47,8 @@
     /// Starts the daemon with a settings file; its output is appended to `log`.
     pub(crate) fn spawn(settings: &Path, log: &Path, number: u64) -> io::Result<Self> {
         let open = || File::options().create(true).append(true).open(log);
-        let child = Command::new(DAEMON)
+        let daemon = std::env::var_os("JACINTHHOIST_SOAK_DAEMON").unwrap_or_else(|| DAEMON.into());
+        let child = Command::new(daemon)
             .args(["schedule", "--settings"])
             .arg(settings)
             .stdin(Stdio::null())
