--- a/crates/jacinthhoistd/tests/process_soak/main.rs
+++ b/crates/jacinthhoistd/tests/process_soak/main.rs
@@ -29,6 +29,8 @@
 const SEEDS: u64 = 1;
 /// Time with faults in each run, in seconds.
 const FAULT_SECS: u64 = 20;
+/// Longest lease that owners ask for, and some time for the clocks.
+const OWNERS_LEASE: Duration = Duration::from_millis(3_700);
 /// Time for jobs to be completed after the faults: several times a lease and the longest task.
 const QUIET_PERIOD: Duration = Duration::from_secs(60);
 /// Time after the last completion in which late starts are still seen.
@@ -109,9 +111,14 @@
         mut violations,
     } = record.into_inner();
     let (count, elapsed) = (runs.len(), origin.elapsed().as_secs_f64());
+    let long_leases = runs
+        .iter()
+        .filter(|(_, run)| run.granted > Some(OWNERS_LEASE));
+    let long_leases = long_leases.count();
     violations.extend(soak::check_runs(runs, origin.into_std()));
     println!(
-        "seed {seed}: {} jobs accepted, {others} not, {count} runs, {elapsed:.1} s, {} violations",
+        "seed {seed}: {} jobs accepted, {others} not, {count} runs, {long_leases} begun under a lease longer \
+         than owners ask for, {elapsed:.1} s, {} violations",
         accepted.len(),
         violations.len()
     );
