--- a/crates/emulator/src/model.rs
+++ b/crates/emulator/src/model.rs
@@ -244,24 +244,36 @@
         order: RenewalOrder,
         token: u64,
     ) -> Option<Option<RenewalReport>> {
+        // Another process than the order is for is only asked for its report.
+        let order = if self.is_process(id, order.incarnation) {
+            order
+        } else {
+            RenewalOrder::default()
+        };
         let deadline = Instant::now() + Duration::from_millis(order.wait.as_millis());
         let mut changed = self.changed.subscribe();
         let first = self.with_worker(id, |worker, now, history| {
-            worker.renew(order, token, now, history)
+            let incarnation = worker.entry.incarnation;
+            let report = worker.renew(order, token, now, history);
+            report.map(|_| incarnation)
         });
-        if first?.is_none() {
+        let Some(incarnation) = first? else {
             return Some(None);
-        }
+        };
         loop {
             changed.mark_unchanged();
             let polled = self.with_worker(id, |worker, now, history| {
+                // The connection has ended with the process.
+                if worker.entry.incarnation != incarnation {
+                    return None;
+                }
                 worker.end_due_runs(now, history);
                 if worker.has_unreported_end() || Instant::now() >= deadline {
-                    return Err(worker.report(now));
+                    return Some(Err(worker.report(now)));
                 }
-                Ok(worker.next_end())
+                Some(Ok(worker.next_end()))
             });
-            let next = match polled? {
+            let next = match polled?? {
                 Ok(next) => next,
                 Err(report) => return Some(Some(report)),
             };
@@ -289,6 +301,14 @@
         Some(action(workers.get_mut(id)?, now, history))
     }
 
+    /// Returns whether an order for the process that started at `incarnation` is for the present one of
+    /// the worker.
+    pub(crate) fn is_process(&self, id: &WorkerId, incarnation: Option<u64>) -> bool {
+        let state = self.state();
+        let present = state.workers.get(id).map(|worker| worker.entry.incarnation);
+        incarnation.is_none() || present.is_none_or(|present| present == incarnation)
+    }
+
     /// Failure mode and incarnation of a worker.
     fn mode_and_incarnation(&self, id: &WorkerId) -> Option<(WorkerMode, Option<u64>)> {
         let state = self.state();
