--- a/crates/experiments/src/soak/link.rs
+++ b/crates/experiments/src/soak/link.rs
@@ -5,7 +5,7 @@
     net::{Ipv4Addr, SocketAddr},
     sync::{
         Arc,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -48,6 +48,8 @@
     resets: u64,
     /// Connections with a lower number are silent: their bytes are held back, those of others pass.
     silent_below: u64,
+    /// Of these, only those on which a response is awaited.
+    only_awaiting: bool,
 }
 
 impl LinkState {
@@ -59,8 +61,10 @@
     }
 
     /// Returns `true` if the bytes of a connection are held back.
-    fn holds(&self, direction: LinkDirection, connection: u64) -> bool {
-        connection < self.silent_below || self.is_held(direction)
+    fn holds(&self, direction: LinkDirection, connection: &RelayedConnection) -> bool {
+        let is_silent = connection.number < self.silent_below
+            && (!self.only_awaiting || connection.is_awaiting.load(Ordering::Relaxed));
+        is_silent || self.is_held(direction)
     }
 
     /// Returns `true` if no connection can be opened, as its first packets are lost.
@@ -69,6 +73,13 @@
     }
 }
 
+/// Connection that passes through a link.
+struct RelayedConnection {
+    number: u64,
+    /// Set while the last bytes on it were those of a request.
+    is_awaiting: AtomicBool,
+}
+
 /// Running proxy.
 pub struct LoopbackLink {
     /// Address that the target is reached at.
@@ -126,12 +137,23 @@
     /// Holds back the bytes of the connections that are open, until [`LoopbackLink::end_silence`];
     /// new ones work.
     pub fn silence_open(&self) {
+        self.silence(false);
+    }
+
+    /// Like [`LoopbackLink::silence_open`], but only for connections on which a response is awaited.
+    pub fn silence_awaiting(&self) {
+        self.silence(true);
+    }
+
+    fn silence(&self, only_awaiting: bool) {
         let accepted = self.accepted.load(Ordering::Relaxed);
-        self.state
-            .send_modify(|state| state.silent_below = accepted);
+        self.state.send_modify(|state| {
+            state.silent_below = accepted;
+            state.only_awaiting = only_awaiting;
+        });
     }
 
-    /// Delivers what [`LoopbackLink::silence_open`] has held back.
+    /// Delivers what a silence has held back.
     pub fn end_silence(&self) {
         self.state.send_modify(|state| state.silent_below = 0);
     }
@@ -221,6 +243,10 @@
     mut state: watch::Receiver<LinkState>,
 ) {
     let resets = state.borrow().resets;
+    let connection = RelayedConnection {
+        number,
+        is_awaiting: AtomicBool::new(false),
+    };
     let far = TcpStream::connect(target).await;
     let Ok(mut far) = far else {
         // The connection is reset, as by a host whose process has ended. If that fails it is closed.
@@ -238,14 +264,14 @@
             near_reader,
             far_writer,
             LinkDirection::Forward,
-            number,
+            &connection,
             state.clone(),
         );
         let backward = pump(
             far_reader,
             near_writer,
             LinkDirection::Backward,
-            number,
+            &connection,
             state.clone(),
         );
         let both = async { tokio::join!(forward, backward) };
@@ -267,18 +293,20 @@
     mut reader: ReadHalf<'_>,
     mut writer: WriteHalf<'_>,
     direction: LinkDirection,
-    number: u64,
+    connection: &RelayedConnection,
     mut state: watch::Receiver<LinkState>,
 ) {
     let mut part = vec![0; PART_BYTES];
     loop {
         let count = reader.read(&mut part).await;
-        let open = state.wait_for(|state| !state.holds(direction, number));
+        let open = state.wait_for(|state| !state.holds(direction, connection));
         if open.await.is_err() {
             return;
         }
         match count {
             Ok(count) if count > 0 => {
+                let is_request = direction == LinkDirection::Forward;
+                connection.is_awaiting.store(is_request, Ordering::Relaxed);
                 if writer.write_all(&part[..count]).await.is_err() {
                     return;
                 }
--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -46,6 +46,20 @@
     ///
     /// An address cannot be bound.
     pub async fn spawn(pools: &[&str], workers_per_pool: usize) -> std::io::Result<Self> {
+        Self::spawn_beating(pools, workers_per_pool, HEARTBEAT_INTERVAL).await
+    }
+
+    /// Starts an installation whose workers renew their entries at this interval; a worker that has
+    /// restarted is registered at the next heartbeat.
+    ///
+    /// # Errors
+    ///
+    /// An address cannot be bound.
+    pub async fn spawn_beating(
+        pools: &[&str],
+        workers_per_pool: usize,
+        heartbeat: Duration,
+    ) -> std::io::Result<Self> {
         let store = KeyedLog::spawn().await?;
         let machines = MachineService::spawn().await?;
         let policy = PolicyService::spawn().await?;
@@ -53,8 +67,7 @@
         for pool in pools {
             for number in 0..workers_per_pool {
                 let id = format!("i-{pool}-{number}");
-                let worker =
-                    PoolWorker::spawn(&id, pool, store.clone(), gangs.clone(), HEARTBEAT_INTERVAL);
+                let worker = PoolWorker::spawn(&id, pool, store.clone(), gangs.clone(), heartbeat);
                 let worker = worker.await?;
                 machines.add(&format!("m-{pool}-{number}"), pool, &id);
                 workers.push(worker);
--- a/crates/jacinthhoistd/tests/process_soak/cuts.rs
+++ b/crates/jacinthhoistd/tests/process_soak/cuts.rs
@@ -17,6 +17,8 @@
     /// The open connections to the first worker fall silent, so that its restart is not seen on them,
     /// and it restarts.
     SilentRestart,
+    /// The same with those on which a response is awaited: the renewal.
+    UnseenRestart,
 }
 
 impl FaultSequence<'_> {
@@ -34,9 +36,10 @@
             }
             let everyone = self.rng.random_bool(0.25);
             let prelude = match self.rng.random_range(0..10) {
-                0..4 => CutPrelude::Nothing,
-                4..7 => CutPrelude::Restart,
-                _ => CutPrelude::SilentRestart,
+                0..3 => CutPrelude::Nothing,
+                3..5 => CutPrelude::Restart,
+                5..7 => CutPrelude::SilentRestart,
+                _ => CutPrelude::UnseenRestart,
             };
             let (kind, reset) = (self.draw_kind(), self.rng.random_bool(0.2));
             let (down, until_cut) = (self.draw_time(0..300), self.draw_time(0..1_600));
@@ -46,8 +49,10 @@
                  workers {workers:?} for {lasts:?}, {kind:?}, reset {reset}"
             ));
             let first = installation.worker_link(owner, workers[0]);
-            if prelude == CutPrelude::SilentRestart {
-                first.silence_open();
+            match prelude {
+                CutPrelude::SilentRestart => first.silence_open(),
+                CutPrelude::UnseenRestart => first.silence_awaiting(),
+                CutPrelude::Nothing | CutPrelude::Restart => {}
             }
             if prelude != CutPrelude::Nothing {
                 installation.platform.workers[workers[0]]
@@ -63,7 +68,10 @@
             let cut = LinkCut::begin(links.collect(), kind, reset);
             sleep(lasts).await;
             drop(cut);
-            if prelude == CutPrelude::SilentRestart {
+            if matches!(
+                prelude,
+                CutPrelude::SilentRestart | CutPrelude::UnseenRestart
+            ) {
                 first.end_silence();
             }
             installation.note(&format!("cut of {workers:?} over"));
--- a/crates/jacinthhoistd/tests/process_soak/installation.rs
+++ b/crates/jacinthhoistd/tests/process_soak/installation.rs
@@ -27,6 +27,8 @@
 /// Longest lease that workers grant: longer than the one that owners ask for, so that a lease that is
 /// too long shows.
 pub(crate) const LONGEST_LEASE: Duration = Duration::from_secs(10);
+/// Interval at which workers renew their entries, as the platform's pages state it.
+const HEARTBEAT: Duration = Duration::from_millis(1_500);
 /// Time from the termination signal to the kill of a member.
 const STOP_GRACE: Duration = Duration::from_secs(6);
 /// Ports of a member for callers, readiness checks and other members, on an address of its own.
@@ -109,7 +111,7 @@
 impl<'a> ProcessInstallation<'a> {
     /// Starts all members and waits until they are ready.
     pub(crate) async fn spawn(members: usize, folder: &'a Path) -> Self {
-        let platform = FakePlatform::spawn(&[POOL], WORKERS).await;
+        let platform = FakePlatform::spawn_beating(&[POOL], WORKERS, HEARTBEAT).await;
         let mut platform = platform.expect("loopback has free ports");
         platform.set_longest_lease(LONGEST_LEASE).await;
         platform.configure(1, &[POOL]);
