--- a/crates/jacinthhoistd/tests/process_soak/cuts.rs
+++ b/crates/jacinthhoistd/tests/process_soak/cuts.rs
@@ -1,11 +1,13 @@
 //! Cuts between the owner and single workers, many of them right after a restart of the worker.
 
+use std::time::Duration;
+
 use rand::{RngExt, seq::index};
 use tokio::time::sleep;
 
 use crate::{
     faults::FaultSequence,
-    installation::{LinkCut, WORKERS},
+    installation::{CutKind, LinkCut, WORKERS},
 };
 
 /// What happens before a cut.
@@ -37,15 +39,25 @@
             let everyone = self.rng.random_bool(0.25);
             let prelude = match self.rng.random_range(0..10) {
                 0..3 => CutPrelude::Nothing,
-                3..5 => CutPrelude::Restart,
-                5..7 => CutPrelude::SilentRestart,
+                3 => CutPrelude::Restart,
+                4 | 5 => CutPrelude::SilentRestart,
                 _ => CutPrelude::UnseenRestart,
             };
-            let (kind, reset) = (self.draw_kind(), self.rng.random_bool(0.2));
+            let (mut kind, reset) = (self.draw_kind(), self.rng.random_bool(0.2));
+            if prelude == CutPrelude::UnseenRestart {
+                kind = CutKind::Both;
+            }
             let (down, until_cut) = (self.draw_time(0..300), self.draw_time(0..1_600));
+            let down = if self.rng.random_bool(0.5) {
+                Duration::ZERO
+            } else {
+                down
+            };
             let lasts = self.draw_time(4_000..9_000);
+            // A cut right after the first start, before its process has reported.
+            let at_start = self.rng.random_bool(0.8);
             installation.note(&format!(
-                "{prelude:?} {down:?}, in {until_cut:?} entry-{owner} (everyone {everyone}) cut from \
+                "{prelude:?} {down:?}, in {until_cut:?} (at a start {at_start}) entry-{owner} (everyone {everyone}) cut from \
                  workers {workers:?} for {lasts:?}, {kind:?}, reset {reset}"
             ));
             let first = installation.worker_link(owner, workers[0]);
@@ -58,7 +70,11 @@
                 installation.platform.workers[workers[0]]
                     .restart_process(down)
                     .await;
-                sleep(until_cut).await;
+                if at_start {
+                    installation.await_start(workers[0], until_cut).await;
+                } else {
+                    sleep(until_cut).await;
+                }
             }
             let members = (0..installation.members()).filter(|member| everyone || *member == owner);
             let links = members.flat_map(|member| {
--- a/crates/jacinthhoistd/tests/process_soak/faults.rs
+++ b/crates/jacinthhoistd/tests/process_soak/faults.rs
@@ -16,6 +16,8 @@
     pub(crate) installation: &'a ProcessInstallation<'a>,
     pub(crate) rng: StdRng,
     pub(crate) until: Instant,
+    /// Factor of the times between the faults.
+    pub(crate) pace: u32,
 }
 
 impl FaultSequence<'_> {
@@ -30,7 +32,8 @@
 
     /// Waits for the time of the next fault; returns `false` if there is none.
     pub(crate) async fn next(&mut self, millis: Range<u64>) -> bool {
-        self.pause(millis).await;
+        let time = self.draw_time(millis) * self.pace;
+        sleep(time).await;
         Instant::now() < self.until
     }
 
--- a/crates/jacinthhoistd/tests/process_soak/installation.rs
+++ b/crates/jacinthhoistd/tests/process_soak/installation.rs
@@ -33,6 +33,8 @@
 const STOP_GRACE: Duration = Duration::from_secs(6);
 /// Ports of a member for callers, readiness checks and other members, on an address of its own.
 const MEMBER_PORTS: [u16; 3] = [12_001, 12_002, 12_010];
+/// Interval at which a start is looked for.
+const START_POLL: Duration = Duration::from_millis(2);
 /// Attempts to start a member.
 const START_ATTEMPTS: u32 = 20;
 /// Time in which a process that cannot start ends.
@@ -201,6 +203,15 @@
         newest.1
     }
 
+    /// Waits until the worker's process has begun a run, for at most this time.
+    pub(crate) async fn await_start(&self, worker: usize, limit: Duration) {
+        let worker = &self.platform.workers[worker];
+        let until = Instant::now() + limit;
+        while Instant::now() < until && worker.running().await.is_empty() {
+            sleep(START_POLL).await;
+        }
+    }
+
     /// Assigns the pools to a member; returns `false` if the store does not count it as present.
     pub(crate) async fn assign(&self, member: usize) -> bool {
         let name = member_name(member);
--- a/crates/jacinthhoistd/tests/process_soak/main.rs
+++ b/crates/jacinthhoistd/tests/process_soak/main.rs
@@ -76,15 +76,21 @@
         let rng = rng(100 + number as u64);
         soak::submit_jobs(&fronts, &load, &record, number, rng, until)
     };
-    // Some seeds are without some kinds of faults, so that the others meet longer ownerships.
-    let sequence = |part: u64| FaultSequence {
-        installation: &installation,
-        rng: rng(part),
-        until: if part < ALWAYS_PLAYED && rng(50 + part).random_bool(0.35) {
-            origin
-        } else {
-            until
-        },
+    // Some seeds have no or few faults of some kinds, so that the others meet longer ownerships.
+    let sequence = |part: u64| {
+        let is_optional = part < ALWAYS_PLAYED;
+        let mut choice = rng(50 + part);
+        let is_left_out = is_optional && choice.random_bool(0.35);
+        FaultSequence {
+            installation: &installation,
+            rng: rng(part),
+            until: if is_left_out { origin } else { until },
+            pace: if is_optional {
+                choice.random_range(1..=4)
+            } else {
+                1
+            },
+        }
     };
     tokio::join!(
         futures::future::join_all((0..CALLERS).map(caller)),
