--- a/crates/jacinthhoistd/tests/process_soak/cuts.rs
+++ b/crates/jacinthhoistd/tests/process_soak/cuts.rs
@@ -10,6 +10,9 @@
     installation::{CutKind, LinkCut, WORKERS},
 };
 
+/// Time for which a restart may stay unseen: that after which a silent renewal is noticed.
+const UNSEEN_LIMIT: Duration = Duration::from_millis(700);
+
 /// What happens before a cut.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum CutPrelude {
@@ -93,4 +96,31 @@
             installation.note(&format!("cut of {workers:?} over"));
         }
     }
+
+    /// Restarts the worker that gets the starts, unseen by its owner, and cuts it off right after the
+    /// first start of the new process.
+    pub(crate) async fn restart_unseen(mut self) {
+        while self.next(200..1_200).await {
+            let installation = self.installation;
+            let Some(owner) = installation.owner().await else {
+                continue;
+            };
+            let worker = installation.newest_start().await;
+            let link = installation.worker_link(owner, worker);
+            link.silence_awaiting();
+            installation.platform.workers[worker]
+                .restart_process(Duration::ZERO)
+                .await;
+            if installation.await_start(worker, UNSEEN_LIMIT).await {
+                let lasts = self.draw_time(4_000..7_000);
+                installation.note(&format!(
+                    "entry-{owner} cut from worker {worker} after an unseen restart, {lasts:?}"
+                ));
+                let cut = LinkCut::begin(vec![link], CutKind::Both, false);
+                sleep(lasts).await;
+                drop(cut);
+            }
+            link.end_silence();
+        }
+    }
 }
--- a/crates/jacinthhoistd/tests/process_soak/installation.rs
+++ b/crates/jacinthhoistd/tests/process_soak/installation.rs
@@ -35,6 +35,10 @@
 const MEMBER_PORTS: [u16; 3] = [12_001, 12_002, 12_010];
 /// Interval at which a start is looked for.
 const START_POLL: Duration = Duration::from_millis(2);
+/// Addresses of one installation.
+const HOSTS: u8 = 8;
+/// Number of such ranges.
+const INSTALLATIONS: u64 = 31;
 /// Attempts to start a member.
 const START_ATTEMPTS: u32 = 20;
 /// Time in which a process that cannot start ends.
@@ -118,8 +122,9 @@
         platform.set_longest_lease(LONGEST_LEASE).await;
         platform.configure(1, &[POOL]);
         let mut sites = Vec::new();
+        let first_host = next_hosts();
         for index in 0..members {
-            sites.push(open_site(&platform, index).await);
+            sites.push(open_site(&platform, index, first_host).await);
         }
         let installation = Self {
             platform,
@@ -203,13 +208,18 @@
         newest.1
     }
 
-    /// Waits until the worker's process has begun a run, for at most this time.
-    pub(crate) async fn await_start(&self, worker: usize, limit: Duration) {
+    /// Waits until the worker's process has begun a run, for at most this time; returns `true` if it
+    /// has.
+    pub(crate) async fn await_start(&self, worker: usize, limit: Duration) -> bool {
         let worker = &self.platform.workers[worker];
         let until = Instant::now() + limit;
-        while Instant::now() < until && worker.running().await.is_empty() {
+        while worker.running().await.is_empty() {
+            if Instant::now() >= until {
+                return false;
+            }
             sleep(START_POLL).await;
         }
+        true
     }
 
     /// Assigns the pools to a member; returns `false` if the store does not count it as present.
@@ -299,7 +309,7 @@
 }
 
 /// Opens the links of a member and registers the workers with their addresses for it.
-async fn open_site(platform: &FakePlatform, index: usize) -> MemberSite {
+async fn open_site(platform: &FakePlatform, index: usize, first_host: u8) -> MemberSite {
     let topic = format!("keyed.servers.{index}");
     let store = platform.store.open_view(&topic).await;
     let store = store.expect("loopback has free ports");
@@ -310,7 +320,7 @@
         link
     });
     MemberSite {
-        address: member_address(index),
+        address: member_address(first_host + index as u8),
         store,
         store_link,
         worker_links: links.collect(),
@@ -318,9 +328,16 @@
     }
 }
 
-/// Loopback address of a member in this process, so that soaks that run at once, and the fixed port of
-/// the metrics, do not meet.
-fn member_address(index: usize) -> IpAddr {
+/// First of the hosts of an installation; those of installations at the same time do not meet.
+fn next_hosts() -> u8 {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed) % INSTALLATIONS;
+    1 + HOSTS * number as u8
+}
+
+/// Loopback address of a member, in a range of this process: the port of the metrics is the same for
+/// all members.
+fn member_address(host: u8) -> IpAddr {
     let [high, low] = ((std::process::id() % 50_000) as u16).to_be_bytes();
-    Ipv4Addr::new(127, 32 + high, low, 1 + index as u8).into()
+    Ipv4Addr::new(127, 32 + high, low, host).into()
 }
--- a/crates/jacinthhoistd/tests/process_soak/main.rs
+++ b/crates/jacinthhoistd/tests/process_soak/main.rs
@@ -59,9 +59,27 @@
     }
 }
 
+/// Faults that a run draws from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum FaultProfile {
+    /// All kinds.
+    Mixed,
+    /// Restarts of workers that their owner does not see, each with a cut after the first start.
+    UnseenRestarts,
+}
+
+impl FaultProfile {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Mixed => "mixed",
+            Self::UnseenRestarts => "unseen",
+        }
+    }
+}
+
 /// Plays one seed; returns what broke a rule.
-async fn play(seed: u64, secs: u64) -> Vec<String> {
-    let folder = RunFolder::open(seed).expect("the folder of logs can be created");
+async fn play(profile: FaultProfile, seed: u64, secs: u64) -> Vec<String> {
+    let folder = RunFolder::open(profile.name(), seed).expect("the folder of logs can be created");
     let rng = |part: u64| StdRng::seed_from_u64(seed.wrapping_mul(SEED_FACTOR).wrapping_add(part));
     let members = rng(0).random_range(4..=6);
     let mut installation = ProcessInstallation::spawn(members, &folder.path).await;
@@ -69,7 +87,10 @@
     installation.begin(origin);
     let unix_ms = SystemTime::now().duration_since(UNIX_EPOCH);
     let unix_ms = unix_ms.map_or(0, |time| time.as_millis());
-    println!("seed {seed} begins with {members} members, 0 is {unix_ms} in the log lines");
+    println!(
+        "seed {seed} begins, {}, with {members} members, 0 is {unix_ms} in the log lines",
+        profile.name()
+    );
     let until = origin + Duration::from_secs(secs);
     let (fronts, load, record) = (installation.fronts(), load(), Mutex::default());
     let caller = |number: usize| {
@@ -92,17 +113,29 @@
             },
         }
     };
-    tokio::join!(
-        futures::future::join_all((0..CALLERS).map(caller)),
-        sequence(1).suspend_members(),
-        sequence(2).suspend_members(),
-        sequence(3).end_members(),
-        sequence(4).reassign(),
-        sequence(5).disturb_store(),
-        sequence(6).disturb_network(),
-        sequence(7).cut_workers(),
-        sequence(8).cut_workers(),
-    );
+    let callers = futures::future::join_all((0..CALLERS).map(caller));
+    match profile {
+        FaultProfile::Mixed => {
+            tokio::join!(
+                callers,
+                sequence(1).suspend_members(),
+                sequence(2).suspend_members(),
+                sequence(3).end_members(),
+                sequence(4).reassign(),
+                sequence(5).disturb_store(),
+                sequence(6).disturb_network(),
+                sequence(7).cut_workers(),
+                sequence(8).cut_workers(),
+            );
+        }
+        FaultProfile::UnseenRestarts => {
+            tokio::join!(
+                callers,
+                sequence(9).restart_unseen(),
+                sequence(10).restart_unseen(),
+            );
+        }
+    }
     soak::wait_completed(&fronts, &record, Instant::now() + QUIET_PERIOD).await;
     sleep(SETTLE_PERIOD).await;
     let mut runs = Vec::new();
@@ -138,16 +171,14 @@
     violations
 }
 
-/// Guards against two runs of a task at once while members are suspended and ended, the store moves
-/// the pools away and back, and workers restart and are cut off from their owner (issue 49).
-#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-async fn member_processes_run_each_task_once_around_faults() {
+/// Plays the seeds that the environment names, or `count` of `secs` seconds.
+async fn play_seeds(profile: FaultProfile, count: u64, secs: u64) {
     let first = variable("JACINTHHOIST_SOAK_FROM", 1);
-    let count = variable("JACINTHHOIST_SOAK_SEEDS", SEEDS);
-    let secs = variable("JACINTHHOIST_SOAK_SECS", FAULT_SECS);
+    let count = variable("JACINTHHOIST_SOAK_SEEDS", count);
+    let secs = variable("JACINTHHOIST_SOAK_SECS", secs);
     let mut failed = Vec::new();
     for seed in first..first + count {
-        let violations = play(seed, secs).await;
+        let violations = play(profile, seed, secs).await;
         if !violations.is_empty() {
             failed.push((seed, violations));
         }
@@ -158,3 +189,17 @@
         failed.len()
     );
 }
+
+/// Guards against two runs of a task at once while members are suspended and ended, the store moves
+/// the pools away and back, and workers restart and are cut off from their owner (issue 49).
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn member_processes_run_each_task_once_around_faults() {
+    play_seeds(FaultProfile::Mixed, SEEDS, FAULT_SECS).await;
+}
+
+/// Guards against a start order with a deadline on the clock of an earlier process: the new one granted
+/// itself the longest lease, and was cut off before its owner learned of it (issue 49).
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn workers_that_restart_unseen_hold_no_lease_longer_than_their_owner_reckons_with() {
+    play_seeds(FaultProfile::UnseenRestarts, SEEDS, FAULT_SECS).await;
+}
--- a/crates/jacinthhoistd/tests/process_soak/process.rs
+++ b/crates/jacinthhoistd/tests/process_soak/process.rs
@@ -94,15 +94,15 @@
 }
 
 impl RunFolder {
-    /// Opens the folder of a seed.
-    pub(crate) fn open(seed: u64) -> io::Result<Self> {
+    /// Opens the folder of a seed of some faults.
+    pub(crate) fn open(profile: &str, seed: u64) -> io::Result<Self> {
         let chosen = std::env::var_os("JACINTHHOIST_SOAK_LOGS").map(PathBuf::from);
         let is_kept = chosen.is_some();
         let parent = chosen.unwrap_or_else(|| {
             let name = format!("process-soak-{}", std::process::id());
             PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name)
         });
-        let path = parent.join(seed.to_string());
+        let path = parent.join(format!("{profile}-{seed}"));
         std::fs::create_dir_all(&path)?;
         Ok(Self { path, is_kept })
     }
