--- a/crates/experiments/src/soak/verdict.rs
+++ b/crates/experiments/src/soak/verdict.rs
@@ -39,11 +39,15 @@
         }
         Some(_) | None => "TWICE",
     };
-    let (earlier, later) = (describe(earlier, origin), describe(later, origin));
+    let (earlier, later) = (
+        describe_run(&earlier.0, &earlier.1, origin),
+        describe_run(&later.0, &later.1, origin),
+    );
     Some(format!("{broken}: {earlier}; {later}"))
 }
 
-fn describe((worker, record): &WorkerRun, origin: Instant) -> String {
+/// Line that tells a run with its times relative to `origin`.
+pub fn describe_run(worker: &str, record: &RunRecord, origin: Instant) -> String {
     let secs = |at: Instant| at.saturating_duration_since(origin).as_secs_f64();
     let end = record.end.map_or("in progress".to_owned(), |(how, at)| {
         format!("{how} at {:.3}", secs(at))
