Deny a job only after a read of accepted jobs that was asked after the question

Cause: an owner whose reads of the store are cut off took its last read of accepted jobs, up to 1.5 s old, for proof that there is no job with the id. The last read was besides taken for as recent as its answer.

Change: a question about a job that the owner does not know waits for a read that is asked after it, without a wait at the store. Questions and reads are ordered by number, as the clock does not tell the order within a millisecond. Reads that wait do not count: they have missed records for a second. An owner that has read the stream in order since its takeover knows all jobs, whoever owns the pools by now. A list of the newest records (takeover, or records deleted before they were read) leaves out jobs that a later owner has completed and removed, so nothing is denied before evidence of the ownership that is younger than the list.

The rule of the emulator that a job is not denied after its acceptance holds without the grace of 3 s and in fault spans too now.

--- a/crates/emulator/src/caller.rs
+++ b/crates/emulator/src/caller.rs
@@ -71,6 +71,7 @@
     job: JobId,
     shape: JobShape,
     will_cancel: bool,
+    asks_at_once: bool,
     rng: StdRng,
 }
 
@@ -120,6 +121,7 @@
                 objective: objective(load.task_ms * u64::from(steps)),
             },
             will_cancel: !long_running && rng.random_bool(load.cancels),
+            asks_at_once: load.asks_at_once,
             rng: StdRng::seed_from_u64(rng.random()),
         }
     }
@@ -142,6 +144,10 @@
         if !self.submit().await {
             return;
         }
+        if self.asks_at_once {
+            let reply = self.call(CallerAction::Show).await;
+            self.record_state(reply);
+        }
         if self.will_cancel {
             sleep(CANCEL_DELAY).await;
             self.cancel().await;
--- a/crates/emulator/src/check.rs
+++ b/crates/emulator/src/check.rs
@@ -21,8 +21,6 @@
 
 /// Time after the acknowledgement of a cancellation in which tasks may still start.
 const CANCEL_GRACE: ClockTime = ClockTime::from_millis(3_000);
-/// Time after its acceptance in which a member may not yet know a job.
-const VISIBILITY_GRACE: ClockTime = ClockTime::from_millis(3_000);
 /// Time after a worker is registered as draining in which it may still get tasks.
 const DRAIN_GRACE: ClockTime = ClockTime::from_millis(2_000);
 /// Time after a shrinkage of a worker's capacity in which tasks that would have fitted before may
@@ -339,10 +337,9 @@
                     format!("{id}: reported as cancelled, but no caller cancelled it"),
                 );
             }
-            None if job.cancelled.is_none()
-                && accepted_at.is_some_and(|since| *at > since + VISIBILITY_GRACE)
-                && !history.is_in_fault_span(*at) =>
-            {
+            // Callers ask once they have heard of the acceptance. A member that does not know of it may
+            // say so, but not that there is no such job.
+            None if job.cancelled.is_none() && accepted_at.is_some_and(|since| *at >= since) => {
                 findings.add(
                     HistoryRule::Lost,
                     *at,
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -91,6 +91,8 @@
     pub speculative: bool,
     /// Maximum number of tasks of a step on one worker; 0 if there is no limit.
     pub max_per_worker: u16,
+    /// True if callers ask for the state of a job as soon as it is accepted.
+    pub asks_at_once: bool,
 }
 
 impl Default for ScenarioLoad {
@@ -111,6 +113,7 @@
             priority: 0,
             speculative: false,
             max_per_worker: 0,
+            asks_at_once: false,
         }
     }
 }
--- a/crates/emulator/tests/partition.rs
+++ b/crates/emulator/tests/partition.rs
@@ -4,7 +4,9 @@
 use std::ops::RangeInclusive;
 
 use jacinthhoist_core::job::TaskEnd;
-use jacinthhoist_emulator::{EmulationScenario, EndKind, ScenarioOutcome, check, run_scenario};
+use jacinthhoist_emulator::{
+    CallOutcome, EmulationScenario, EndKind, ScenarioOutcome, check, run_scenario,
+};
 
 const SCENARIO: &str = r#"
     secs = 24
@@ -116,3 +118,40 @@
         assert!(successor.is_some(), "seed {seed}");
     }
 }
+
+/// Returns the answers "no such job" about jobs that had been accepted by then.
+fn find_denied_jobs(outcome: &ScenarioOutcome) -> Vec<String> {
+    let mut denied = Vec::new();
+    for (id, job) in &outcome.history.jobs {
+        let mut attempts = job.attempts.iter();
+        let accepted = attempts.find(|(_, outcome)| *outcome == CallOutcome::Accepted);
+        let Some((accepted_at, _)) = accepted else {
+            continue;
+        };
+        let mut states = job.reported_states.iter();
+        if let Some((at, _)) = states.find(|(_, state)| state.is_none()) {
+            denied.push(format!("{id}, accepted at {accepted_at}: denied at {at}"));
+        }
+    }
+    denied
+}
+
+/// Guards against an accepted job that is answered with "no such job" (LOST): an owner that was cut off
+/// from the store took a read of before the acceptance by another member for proof that there is none.
+#[test]
+fn an_owner_that_is_cut_off_denies_no_job_that_another_member_has_accepted() {
+    let busy = SCENARIO.replace("secs = 24", "secs = 12");
+    let busy = busy.replace("per_sec = 1.2", "per_sec = 25.0");
+    let busy = busy.replace("tasks = 4", "tasks = 1\n    asks_at_once = true");
+    let busy = busy.replace("6000", "300");
+    for (kind, count) in [("partition", 1), ("partition", 2), ("owner_store_cut", 1)] {
+        let fault = format!("kind = \"{kind}\"\nat = 4.0\nfor_s = 5.0\ncount = {count}\n");
+        let scenario = EmulationScenario::parse(&format!("{busy}[[faults]]\n{fault}"));
+        let scenario = scenario.expect("the scenario is valid");
+        for seed in 1..=4 {
+            let outcome = run_scenario(&scenario, seed);
+            let expected: [String; 0] = [];
+            assert_eq!(find_denied_jobs(&outcome), expected, "seed {seed}, {fault}");
+        }
+    }
+}
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -7,6 +7,7 @@
 mod decisions;
 mod effects;
 mod engine;
+mod questions;
 mod sources;
 mod takeover;
 mod workers;
@@ -36,6 +37,7 @@
 pub(crate) use takeover::decode_accepted_records;
 
 use engine::OwnerEngine;
+use questions::QuestionNumber;
 
 /// Number of takeovers of one process within a generation that receive distinct tokens; a process
 /// that needs more is faulty.
@@ -43,6 +45,17 @@
 /// Interval between checks of the ownership.
 const OWNERSHIP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Way in which accepted records were read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AcceptedRead {
+    /// All records from an offset on; the store waited for new ones.
+    Tail,
+    /// The newest record of each key.
+    List,
+    /// All records from an offset on without a wait, which covers the questions up to this number.
+    OnDemand(QuestionNumber),
+}
+
 /// Event for the owner pipe.
 #[derive(Debug)]
 pub(crate) enum OwnerEvent {
@@ -52,6 +65,7 @@
         /// Time before which all accepted records are known with these; `None` if more are known to
         /// follow.
         read_at: Option<ClockTime>,
+        read: AcceptedRead,
     },
     /// Accepted records forwarded by the member that stored them, ahead of the stream read.
     Forwarded(Vec<AcceptedRecord>),
@@ -115,6 +129,13 @@
     },
 }
 
+impl OwnerEvent {
+    /// Returns `true` for accepted records after which no more were stored when they were read.
+    fn is_complete_read(&self) -> bool {
+        matches!(self, Self::Accepted { read_at, .. } if read_at.is_some())
+    }
+}
+
 /// Task that runs the owner pipe while this member owns the pools.
 pub(crate) struct OwnerTask<P> {
     pub(crate) platform: Arc<P>,
--- a/crates/scheduler/src/owner/engine.rs
+++ b/crates/scheduler/src/owner/engine.rs
@@ -5,7 +5,7 @@
 use jacinthhoist_codec::{AcceptedRecord, JobReply, OwnerHeartbeat};
 use jacinthhoist_core::{
     ClockTime,
-    job::{JobCatalogue, JobId, OrderReply, Scheduler, StepPace, SuccessionRecord},
+    job::{JobCatalogue, OrderReply, Scheduler, StepPace, SuccessionRecord},
 };
 use smallvec::SmallVec;
 use tokio::{
@@ -20,11 +20,12 @@
 };
 
 use super::{
-    OwnerEvent, OwnerTask,
+    AcceptedRead, OwnerEvent, OwnerTask,
     authority::{FollowerEvidence, MAX_AUTHORITY_AGE, OwnerAuthority},
     decisions::log_pool,
     effects::EffectRunner,
-    sources::{follow_workers, tail_accepted},
+    questions::{OpenQuestions, ReadDemand},
+    sources::{AcceptedReader, follow_workers},
     takeover::load_state,
     workers::{WorkerConnections, count_start_reply},
 };
@@ -46,8 +47,6 @@
 /// Time after a takeover at which most other members have opened their links; they look for the owner
 /// every 100 ms.
 const SUCCESSION_DELAY: ClockTime = ClockTime::from_millis(300);
-/// Maximum age of the last read of accepted jobs at which the owner may report a job as missing.
-const MAX_TAIL_AGE: ClockTime = ClockTime::from_millis(1_500);
 
 /// Owner pipe under one fencing token.
 pub(super) struct OwnerEngine<P: Platform> {
@@ -62,6 +61,7 @@
     catalogue: Arc<JobCatalogue>,
     pace: StepPace,
     tail_read_at: ClockTime,
+    questions: OpenQuestions,
     heartbeat_at: ClockTime,
     vms_listed_at: ClockTime,
     pools_logged_at: ClockTime,
@@ -83,13 +83,16 @@
         let loaded = load_state(&*platform, &shared, owner.limits, token).await?;
         let (sender, events) = mpsc::unbounded_channel();
         let mut sources = JoinSet::new();
-        let next = loaded.accepted_next;
-        sources.spawn(tail_accepted(
-            platform.clone(),
-            shared.clone(),
-            sender.clone(),
-            next,
-        ));
+        let demand = Arc::new(ReadDemand::default());
+        let reader = AcceptedReader {
+            platform: platform.clone(),
+            shared: shared.clone(),
+            events: sender.clone(),
+            demand: demand.clone(),
+            next: Arc::new(loaded.accepted_next.into()),
+        };
+        sources.spawn(reader.clone().tail());
+        sources.spawn(reader.read_on_demand());
         let next = loaded.workers_next;
         sources.spawn(follow_workers(
             platform.clone(),
@@ -119,6 +122,7 @@
             catalogue: catalogue.ok_or("the catalogue is not known")?,
             pace: StepPace::default(),
             tail_read_at: loaded.accepted_read_at,
+            questions: OpenQuestions::open(demand, shared.clock.now()),
             heartbeat_at: ClockTime::ZERO,
             vms_listed_at: ClockTime::ZERO,
             pools_logged_at: ClockTime::ZERO,
@@ -201,6 +205,7 @@
             self.authority.record_confirmation(ownership.confirmed_at);
         }
         self.authority.record_followers(self.follower_evidence());
+        self.settle_questions(now);
         self.scheduler.set_evidence(self.authority.evidence());
         self.update_succession(now);
         let is_confirmed = self.authority.is_confirmed(now);
@@ -326,9 +331,20 @@
         let now = self.shared.clock.now();
         let scheduler = &mut self.scheduler;
         match event {
-            OwnerEvent::Accepted { records, read_at } => {
+            OwnerEvent::Accepted {
+                records,
+                read_at,
+                read,
+            } => {
                 self.tail_read_at = read_at.unwrap_or(self.tail_read_at);
                 apply_accepted(scheduler, records);
+                match read {
+                    AcceptedRead::OnDemand(number) if read_at.is_some() => {
+                        self.questions.record_read(number);
+                    }
+                    AcceptedRead::List => self.questions.record_list(now),
+                    AcceptedRead::OnDemand(_) | AcceptedRead::Tail => {}
+                }
             }
             OwnerEvent::Forwarded(records) => apply_accepted(scheduler, records),
             OwnerEvent::WorkersListed(listed) => scheduler.workers_listed(listed, now),
@@ -384,26 +400,21 @@
             OwnerEvent::Vms { vms, asked_at } => scheduler.vms_listed(vms, asked_at, now),
             OwnerEvent::VmOrdered { vm, reply } => scheduler.vm_order_replied(&vm, reply, now),
             OwnerEvent::Fenced(_) => {}
-            OwnerEvent::Query { job, reply } => {
-                // The sender of the query may no longer be waiting.
-                let _ = reply.send(self.answer(job, now));
-            }
+            OwnerEvent::Query { job, reply } => match scheduler.state(job) {
+                Some(state) => {
+                    // The sender of the query may no longer be waiting.
+                    let _ = reply.send(JobReply::Known(state));
+                }
+                None => self.questions.put(job, reply, now),
+            },
         }
     }
 
-    /// Answers a query for a job. A job is reported as missing only if the last read of accepted
-    /// jobs and the last confirmation of the ownership are recent.
-    fn answer(&self, job: JobId, now: ClockTime) -> JobReply {
-        if let Some(state) = self.scheduler.state(job) {
-            return JobReply::Known(state);
-        }
-        let fresh = now < self.tail_read_at + MAX_TAIL_AGE;
-        let owns = now < self.ownership.borrow().confirmed_at + MAX_TAIL_AGE;
-        if fresh && owns {
-            JobReply::Missing
-        } else {
-            JobReply::Unsure
-        }
+    /// Answers the questions that have waited for a read of accepted jobs.
+    fn settle_questions(&mut self, now: ClockTime) {
+        let owned_at = self.authority.evidence().stored_at;
+        let find = |job| self.scheduler.state(job).map(JobReply::Known);
+        self.questions.settle(owned_at, now, find);
     }
 }
 
--- a/crates/scheduler/src/owner/sources.rs
+++ b/crates/scheduler/src/owner/sources.rs
@@ -1,6 +1,13 @@
 //! Event sources of the owner: reads of accepted jobs and worker entries.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 use jacinthhoist_codec::KeyedRecord;
 use jacinthhoist_core::{ClockTime, WorkerId, job::WorkerEntry};
@@ -14,7 +21,11 @@
     shared::MemberShared,
 };
 
-use super::{OwnerEvent, takeover::decode_accepted_records};
+use super::{
+    AcceptedRead, OwnerEvent,
+    questions::{QuestionNumber, ReadDemand},
+    takeover::decode_accepted_records,
+};
 
 /// Maximum wait of one read of accepted records; bounds the delay of new jobs on a connection that
 /// has gone silent.
@@ -24,53 +35,124 @@
 const WORKERS_READ_INTERVAL: Duration = Duration::from_millis(500);
 /// Delay after a failed read.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Interval between reads on demand: a hundredth of the reads that the users' platform allows, and a delay
+/// that callers do not notice.
+const DEMAND_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Sends accepted records from an offset on. If records were deleted before they were read, the
-/// newest record of each key is sent.
-pub(super) async fn tail_accepted<P: Platform>(
-    platform: Arc<P>,
-    shared: Arc<MemberShared>,
-    events: mpsc::UnboundedSender<OwnerEvent>,
-    mut next: u64,
-) {
-    let mut trimmed = false;
-    loop {
-        let asked_at = shared.clock.now();
-        let read = if trimmed {
-            let records = read_all_accepted(&*platform, &mut next).await;
-            records.map(|records| (records, Some(asked_at)))
-        } else {
-            let page = platform.read(StoreStream::Accepted, next, TAIL_WAIT).await;
-            page.map(|page| {
-                next = page.next;
-                let is_complete = page.next >= page.end;
-                (page.items, is_complete.then(|| shared.clock.now()))
-            })
-        };
-        shared.record_call(Dependency::AcceptedJobs, &read);
-        match read {
-            Ok((records, read_at)) => {
-                trimmed = false;
-                shared.record_store_answer();
-                let records = decode_accepted_records(&shared, &records);
-                let accepted = OwnerEvent::Accepted { records, read_at };
-                if events.send(accepted).is_err() {
-                    return;
+/// Reader of accepted records. The tail waits at the store for new records; beside it a read without a
+/// wait is made for questions about jobs that the owner does not know.
+pub(super) struct AcceptedReader<P> {
+    pub(super) platform: Arc<P>,
+    pub(super) shared: Arc<MemberShared>,
+    pub(super) events: mpsc::UnboundedSender<OwnerEvent>,
+    pub(super) demand: Arc<ReadDemand>,
+    /// Offset of the first record that the tail has not sent.
+    pub(super) next: Arc<AtomicU64>,
+}
+
+impl<P> Clone for AcceptedReader<P> {
+    fn clone(&self) -> Self {
+        Self {
+            platform: self.platform.clone(),
+            shared: self.shared.clone(),
+            events: self.events.clone(),
+            demand: self.demand.clone(),
+            next: self.next.clone(),
+        }
+    }
+}
+
+impl<P: Platform> AcceptedReader<P> {
+    /// Sends accepted records in stream order. If records were deleted before they were read, the newest
+    /// record of each key is sent.
+    pub(super) async fn tail(self) {
+        let mut is_trimmed = false;
+        loop {
+            let read = if is_trimmed {
+                self.list().await
+            } else {
+                let from = self.next.load(Ordering::Acquire);
+                self.read(from, TAIL_WAIT, AcceptedRead::Tail).await
+            };
+            self.shared.record_call(Dependency::AcceptedJobs, &read);
+            match read {
+                Ok((accepted, next)) => {
+                    is_trimmed = false;
+                    self.shared.record_store_answer();
+                    if self.events.send(accepted).is_err() {
+                        return;
+                    }
+                    // A read on demand from there on follows these records.
+                    self.next.store(next, Ordering::Release);
+                }
+                Err(error) => {
+                    is_trimmed = error.category() == Category::Trimmed;
+                    sleep(RETRY_DELAY).await;
                 }
             }
-            Err(error) => {
-                trimmed = error.category() == Category::Trimmed;
+        }
+    }
+
+    /// Reads at once while there are questions that no such read covers. What a read without a wait does
+    /// not show was not stored when it was asked; reads that wait have missed records for a second.
+    pub(super) async fn read_on_demand(self) {
+        let (mut next, mut covered) = (0, QuestionNumber::default());
+        loop {
+            let number = self.demand.after(covered).await;
+            // The tail may have read on meanwhile.
+            let from = self.next.load(Ordering::Acquire).max(next);
+            let kind = AcceptedRead::OnDemand(number);
+            let read = self.read(from, ClockTime::ZERO, kind).await;
+            self.shared.record_call(Dependency::AcceptedJobs, &read);
+            let Ok((accepted, read_next)) = read else {
+                // If records were deleted, the tail lists them.
                 sleep(RETRY_DELAY).await;
+                continue;
+            };
+            self.shared.record_store_answer();
+            next = read_next;
+            if accepted.is_complete_read() {
+                covered = number;
             }
+            if self.events.send(accepted).is_err() {
+                return;
+            }
+            sleep(DEMAND_INTERVAL).await;
         }
     }
-}
 
-async fn read_all_accepted<P: Platform>(platform: &P, next: &mut u64) -> Result<Vec<KeyedRecord>> {
-    let mut records = Vec::new();
-    let stream = StoreStream::Accepted;
-    *next = read_newest(platform, stream, |page| records.extend(page)).await?;
-    Ok(records)
+    /// Reads records from an offset on; returns them and the offset after them.
+    async fn read(
+        &self,
+        from: u64,
+        wait: ClockTime,
+        read: AcceptedRead,
+    ) -> Result<(OwnerEvent, u64)> {
+        let page = self
+            .platform
+            .read(StoreStream::Accepted, from, wait)
+            .await?;
+        let is_complete = page.next >= page.end;
+        let accepted = OwnerEvent::Accepted {
+            records: decode_accepted_records(&self.shared, &page.items),
+            read_at: is_complete.then(|| self.shared.clock.now()),
+            read,
+        };
+        Ok((accepted, page.next))
+    }
+
+    /// Reads the newest record of each key; returns them and the offset at which reads go on.
+    async fn list(&self) -> Result<(OwnerEvent, u64)> {
+        let asked_at = self.shared.clock.now();
+        let (mut records, stream) = (Vec::new(), StoreStream::Accepted);
+        let next = read_newest(&*self.platform, stream, |page| records.extend(page)).await?;
+        let accepted = OwnerEvent::Accepted {
+            records: decode_accepted_records(&self.shared, &records),
+            read_at: Some(asked_at),
+            read: AcceptedRead::List,
+        };
+        Ok((accepted, next))
+    }
 }
 
 /// Reads the newest record of each key, page by page. The pages are not a consistent snapshot: the
