Play in the emulator that the store assigns the pools away and back, unnoticed by the members

Joins are late (30%, 20 to 400 ms) or lost (15%) while appends pass, and a share of the joins finds the pools with the member that asks. The former owner reaches only the workers that are busy and some others, the rest of the members only the others.

--- a/crates/emulator/src/fault.rs
+++ b/crates/emulator/src/fault.rs
@@ -37,7 +37,7 @@
 
 impl EmulatedFleet {
     /// Indexes of all members, the owner first; a member key begins with the member's name and `|`.
-    fn owner_first(&self) -> Vec<usize> {
+    pub(crate) fn owner_first(&self) -> Vec<usize> {
         let now = self.model.clock.now();
         let owner = self.model.store.owner(now).unwrap_or_default();
         let is_owner = |index: &usize| owner.starts_with(&format!("entry-{index}|"));
@@ -120,6 +120,7 @@
                 self.submit_fatal_tasks(&fault, span).await;
             }
             FaultKind::Partition => self.divide_network(&fault, span).await,
+            FaultKind::OwnershipFlap => self.flap_ownership(&fault, span).await,
             FaultKind::CapacityShrink => self.shrink_capacity(&fault, span).await,
         }
         let until = self.model.clock.now() + RECOVERY_TIME;
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -36,6 +36,7 @@
 //! | `question` | questions for all accepted jobs at the end of a run |
 //! | `fleet` | start, stop and restart of members |
 //! | `fault` | fault injection |
+//! | `flap` | the fault in which the pools change hands without the members' leave |
 //! | `outcome` | service figures of a run |
 //! | `history`, `check` | record of a run, and the rules that it is checked against |
 
@@ -44,6 +45,7 @@
 mod crash;
 mod demand;
 mod fault;
+mod flap;
 mod fleet;
 mod history;
 mod model;
--- a/crates/emulator/src/platform.rs
+++ b/crates/emulator/src/platform.rs
@@ -152,7 +152,12 @@
     ) -> Result<Membership> {
         let serve = async {
             let now = self.model.clock.now();
-            Some(Ok(self.model.store.join(member, lifetime, now)))
+            let delay = self.model.store.join_delay(member)?;
+            let membership = self.model.store.join(member, lifetime, now);
+            if !delay.is_zero() {
+                sleep(delay).await;
+            }
+            Some(Ok(membership))
         };
         self.store_call("join", WAIT_MARGIN, serve).await
     }
--- a/crates/emulator/src/store.rs
+++ b/crates/emulator/src/store.rs
@@ -1,5 +1,7 @@
 //! Emulated store: keyed topics, producer epochs and group membership.
 
+mod group;
+
 use std::{
     collections::BTreeMap,
     sync::{Mutex, MutexGuard, PoisonError},
@@ -20,6 +22,10 @@
 
 use crate::network::Endpoint;
 
+use group::MemberGroup;
+
+pub(crate) use group::OwnershipFlap;
+
 /// Maximum number of records on a page of newest records.
 const MAX_PAGE_RECORDS: usize = 200;
 /// Usual latency of an answer.
@@ -116,18 +122,6 @@
     }
 }
 
-#[derive(Debug, Default)]
-struct MemberGroup {
-    /// Times at which the memberships expire, by member key.
-    members: BTreeMap<String, ClockTime>,
-    owner: Option<String>,
-    generation: u64,
-    /// Time at which the pools were assigned to the last owner.
-    owned_since: ClockTime,
-    /// Member keys of the successive owners of the pools.
-    owners: Vec<String>,
-}
-
 #[derive(Debug)]
 struct StoreState {
     mode: StoreMode,
@@ -351,33 +345,35 @@
         }
     }
 
+    /// Sets how joins are answered while the pools change hands; `None` ends that.
+    pub(crate) fn set_flap(&self, flap: Option<OwnershipFlap>) {
+        self.state().group.flap = flap;
+    }
+
+    /// Returns the delay of the answer to a join; `None` if the join does not arrive.
+    pub(crate) fn join_delay(&self, member: &str) -> Option<Duration> {
+        let mut state = self.state();
+        let StoreState { group, rng, .. } = &mut *state;
+        group.join_delay(member, rng)
+    }
+
     pub(crate) fn join(&self, member: &str, lifetime: ClockTime, now: ClockTime) -> Membership {
         let mut state = self.state();
-        state.expire(now);
-        let deadline = now + lifetime;
-        let group = &mut state.group;
-        if group.members.insert(member.to_owned(), deadline).is_none() {
-            state.assign_owner(now);
-        }
-        let group = &state.group;
-        Membership {
-            generation: group.generation,
-            owns: group.owner.as_deref() == Some(member),
-        }
+        let StoreState { group, rng, .. } = &mut *state;
+        group.join(member, lifetime, now, rng)
     }
 
     pub(crate) fn leave(&self, member: &str, now: ClockTime) {
         let mut state = self.state();
-        state.expire(now);
-        if state.group.members.remove(member).is_some() {
-            state.assign_owner(now);
-        }
+        let StoreState { group, rng, .. } = &mut *state;
+        group.leave(member, now, rng);
     }
 
     pub(crate) fn owner(&self, now: ClockTime) -> Option<String> {
         let mut state = self.state();
-        state.expire(now);
-        state.group.owner.clone()
+        let StoreState { group, rng, .. } = &mut *state;
+        group.expire(now, rng);
+        group.owner.clone()
     }
 
     /// Member keys of the successive owners of the pools.
@@ -387,7 +383,9 @@
 
     /// Assigns the pools to a random member without a change of membership.
     pub(crate) fn reassign_owner(&self, now: ClockTime) {
-        self.state().assign_owner(now);
+        let mut state = self.state();
+        let StoreState { group, rng, .. } = &mut *state;
+        group.assign_owner(now, rng);
     }
 
     /// Returns how long the pools have belonged to a member other than the given one.
@@ -400,36 +398,6 @@
     }
 }
 
-impl StoreState {
-    /// Removes the members that did not renew their membership in time.
-    fn expire(&mut self, now: ClockTime) {
-        let before = self.group.members.len();
-        self.group.members.retain(|_, deadline| *deadline > now);
-        if self.group.members.len() < before {
-            self.assign_owner(now);
-        }
-    }
-
-    /// Assigns the pools to a random member in a new generation; any change of the group may move
-    /// them.
-    fn assign_owner(&mut self, now: ClockTime) {
-        let group = &mut self.group;
-        group.generation += 1;
-        let count = group.members.len();
-        group.owner = (count > 0).then(|| {
-            let index = self.rng.random_range(0..count);
-            let name = group.members.keys().nth(index);
-            name.cloned().unwrap_or_default()
-        });
-        if let Some(owner) = &group.owner
-            && group.owners.last() != Some(owner)
-        {
-            group.owners.push(owner.clone());
-            group.owned_since = now;
-        }
-    }
-}
-
 fn stream_index(stream: StoreStream) -> usize {
     match stream {
         StoreStream::Accepted => 0,
