Bind the evidence of an ownership to its token

Cause: the group names members, not tokens. PoolOwnership keeps owned_since as long as each answered join says "owns", so an owner that lost the pools and got them back between two answers went on with its old engine, and the answers of the second ownership, and followers' look-ups that name its key, counted as evidence for it. It extended leases that the owner in between, which had fenced the store and waited one lease, took for lapsed.

Rule: evidence belongs to one token. - A change of the group's generation since the last proof makes the group's confirmations void until the store has accepted an append under this token that was sent after the change was known (OwnershipProof, core). Any append serves; an idle owner stores its succession record again. The group changes its generation only when candidates come and go, so that this is one record per change. A new engine for each change would cost a takeover each time that a candidate joins. - A takeover fences the store, and then has the group confirm the ownership in answer to a call sent later, before leases of unknown workers begin to be counted. The call runs beside the reads. So a confirmation of the former owner either precedes it, or has another generation, and the append that would prove it is refused. - Followers' confirmations count no more: look-ups carry neither token nor generation. Their promises count as before. - Orders on VMs, stops, starts, the age in heartbeats and "missing" in answers to callers stand on the same proof.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -25,6 +25,7 @@
 //! | `append_pace` | repetition of appends to a store that may be slow |
 //! | `crash`, `silence` | attribution of worker crashes to the tasks that cause them |
 //! | `ownership` | candidacy of members for ownership of the pools |
+//! | `proof` | proof that the group's confirmations belong to the ownership under one token |
 //! | `succession` | evidence behind leases, and what the next owner assumes of it |
 //! | `step_pace` | time between the owner's scheduling steps |
 
@@ -40,6 +41,7 @@
 mod ownership;
 mod place;
 mod process;
+mod proof;
 mod refusal;
 mod resize;
 mod room;
@@ -70,6 +72,7 @@
 };
 pub use place::{PlaceCandidates, PlaceRequest, choose_worker};
 pub use process::WorkerProcess;
+pub use proof::OwnershipProof;
 pub use refusal::StartRefusals;
 pub use resize::{IdleVm, PoolDemandView, ResizeMove, plan_resize};
 pub use room::RoomIndex;
--- a/crates/core/src/job/scheduler/batch.rs
+++ b/crates/core/src/job/scheduler/batch.rs
@@ -251,6 +251,11 @@
         self.expiries.insert(worker.clone(), expiry);
     }
 
+    /// Returns whether nothing is being stored or waits for it.
+    pub(super) fn is_idle(&self) -> bool {
+        self.in_flight.is_none() && self.is_empty()
+    }
+
     fn is_empty(&self) -> bool {
         self.changed.is_empty() && self.records.is_empty() && self.expiries.is_empty()
     }
--- a/crates/core/src/job/scheduler/leases.rs
+++ b/crates/core/src/job/scheduler/leases.rs
@@ -103,6 +103,16 @@
         }
     }
 
+    /// Stores the succession record again unless something is being stored anyway, so that the store
+    /// accepts or refuses an append of this owner.
+    pub fn request_append(&mut self) {
+        if let Some(record) = self.succession.stored()
+            && self.outbox.is_idle()
+        {
+            self.outbox.push(BatchRecord::Succession(record.clone()));
+        }
+    }
+
     /// Returns the members whose promises are needed in place of the store's confirmation; `None` if
     /// promises do not count yet.
     pub fn successors(&self) -> Option<impl Iterator<Item = &Arc<str>>> {
--- a/crates/core/src/job/succession.rs
+++ b/crates/core/src/job/succession.rs
@@ -40,7 +40,7 @@
 /// ```
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct OwnershipEvidence {
-    /// Time at which the store last confirmed the ownership, to this member or to a follower.
+    /// Time as of which the store last showed that no later owner had taken over.
     pub stored_at: ClockTime,
     /// Time before which no member on the succession record takes over; zero without their promises.
     pub promised_until: ClockTime,
@@ -142,6 +142,11 @@
         }
     }
 
+    /// Returns the record that is stored; `None` before the first.
+    pub fn stored(&self) -> Option<&SuccessionRecord> {
+        self.stored.as_ref()
+    }
+
     /// Returns the members that may take over and assume one lease only, so that the promises of all of
     /// them are needed; `None` before the first record of this owner has been stored.
     ///
--- a/crates/scheduler/src/owner/authority.rs
+++ b/crates/scheduler/src/owner/authority.rs
@@ -1,9 +1,12 @@
 //! Permissions of the owner to send orders, each with the time at which it runs out.
 
-use jacinthhoist_core::{ClockTime, job::OwnershipEvidence};
+use jacinthhoist_core::{
+    ClockTime,
+    job::{OwnershipEvidence, OwnershipProof},
+};
 use jacinthhoist_net::{BootClock, SendExpiry};
 
-use crate::ports::OrderAuthority;
+use crate::{membership::PoolOwnership, ports::OrderAuthority};
 
 /// Shortest time after which the store may reassign the pools of a silent owner; no order is sent
 /// later than this after the evidence or the decision behind it.
@@ -17,72 +20,72 @@
 pub(super) struct OwnerAuthority {
     clock: BootClock,
     token: u64,
-    /// Time at which the last answered join call was sent.
-    confirmed_at: ClockTime,
-    /// Time at which the last append that the store accepted was first sent.
-    appended_at: ClockTime,
-    /// Evidence of the other members.
-    followers: FollowerEvidence,
-}
-
-/// Evidence of the other members that the owner has not been replaced.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct FollowerEvidence {
-    /// Time as of which the store last named the owner in answer to a follower.
-    pub(super) confirmed_at: ClockTime,
+    /// What the store has told this owner.
+    proof: OwnershipProof,
     /// Time before which no member takes over; zero without the promises of all of them.
-    pub(super) promised_until: ClockTime,
+    promised_until: ClockTime,
 }
 
 impl OwnerAuthority {
-    pub(super) fn open(clock: BootClock, token: u64) -> Self {
+    pub(super) fn open(clock: BootClock, token: u64, proof: OwnershipProof) -> Self {
         Self {
             clock,
             token,
-            confirmed_at: ClockTime::ZERO,
-            appended_at: ClockTime::ZERO,
-            followers: FollowerEvidence::default(),
+            proof,
+            promised_until: ClockTime::ZERO,
         }
     }
 
-    /// Records that the group confirmed the ownership in answer to a call sent at `asked_at`.
-    pub(super) fn record_confirmation(&mut self, asked_at: ClockTime) {
-        self.confirmed_at = asked_at;
+    /// Records what the group last answered if it confirmed the ownership.
+    pub(super) fn record_confirmation(&mut self, ownership: PoolOwnership, now: ClockTime) {
+        if ownership.owned_since.is_some() {
+            self.proof
+                .record_confirmation(ownership.generation, ownership.confirmed_at, now);
+        }
+    }
+
+    /// Returns whether an append that is sent now would prove confirmations that do not count yet.
+    pub(super) fn needs_append(&self, now: ClockTime) -> bool {
+        self.proof.needs_append(now)
+    }
+
+    /// Time of the last proven confirmation of the group.
+    pub(super) fn confirmed_at(&self) -> ClockTime {
+        self.proof.confirmed_at()
     }
 
     /// Records that the store accepted an append first sent at `asked_at`: no later owner had
     /// fenced this one off by then.
     pub(super) fn record_append(&mut self, asked_at: ClockTime) {
-        self.appended_at = self.appended_at.max(asked_at);
+        self.proof.record_append(asked_at);
     }
 
-    /// Records the present evidence of the other members.
-    pub(super) fn record_followers(&mut self, followers: FollowerEvidence) {
-        self.followers = followers;
+    /// Records the time before which no member takes over by the promises of all of them.
+    pub(super) fn record_promises(&mut self, until: ClockTime) {
+        self.promised_until = until;
     }
 
     /// Returns whether the group's confirmation is recent enough for orders on VMs.
     pub(super) fn is_confirmed(&self, now: ClockTime) -> bool {
-        now < self.confirmed_at + MAX_AUTHORITY_AGE
+        now < self.proof.confirmed_at() + MAX_AUTHORITY_AGE
     }
 
     /// Evidence that no other member owns the pools.
     pub(super) fn evidence(&self) -> OwnershipEvidence {
-        let own = self.confirmed_at.max(self.appended_at);
         OwnershipEvidence {
-            stored_at: own.max(self.followers.confirmed_at),
-            promised_until: self.followers.promised_until,
+            stored_at: self.proof.stored_at(),
+            promised_until: self.promised_until,
         }
     }
 
     /// Permission for an order on a VM, which may be accepted although another member owns the pools.
     pub(super) fn for_vm(&self) -> OrderAuthority {
-        self.since(self.confirmed_at)
+        self.since(self.proof.confirmed_at())
     }
 
     /// Permission for a start order.
     pub(super) fn for_start(&self) -> OrderAuthority {
-        self.since(self.confirmed_at.max(self.appended_at))
+        self.since(self.proof.stored_at())
     }
 
     /// Permission for a renewal decided now. It begins and ends no run, and the evidence bounds the lease
--- a/crates/scheduler/src/owner/engine.rs
+++ b/crates/scheduler/src/owner/engine.rs
@@ -21,7 +21,7 @@
 
 use super::{
     OwnerEvent, OwnerTask,
-    authority::{FollowerEvidence, MAX_AUTHORITY_AGE, OwnerAuthority},
+    authority::{MAX_AUTHORITY_AGE, OwnerAuthority},
     decisions::log_pool,
     effects::EffectRunner,
     sources::{follow_workers, tail_accepted},
@@ -80,7 +80,7 @@
     /// Returns the reason for which this member cannot own the pools.
     pub(super) async fn take_over(owner: &OwnerTask<P>, token: u64) -> Result<Self, &'static str> {
         let (platform, shared) = (owner.platform.clone(), owner.shared.clone());
-        let loaded = load_state(&*platform, &shared, owner.limits, token).await?;
+        let loaded = load_state(owner, token).await?;
         let (sender, events) = mpsc::unbounded_channel();
         let mut sources = JoinSet::new();
         let next = loaded.accepted_next;
@@ -112,7 +112,7 @@
                 token,
                 loaded.stored_parts,
             ),
-            authority: OwnerAuthority::open(shared.clock, token),
+            authority: OwnerAuthority::open(shared.clock, token, loaded.proof),
             events,
             ownership: owner.ownership.clone(),
             waves,
@@ -197,10 +197,11 @@
     fn step(&mut self) {
         let now = self.shared.clock.now();
         let ownership = *self.ownership.borrow();
-        if ownership.owned_since.is_some() {
-            self.authority.record_confirmation(ownership.confirmed_at);
+        self.authority.record_confirmation(ownership, now);
+        if self.authority.needs_append(now) {
+            self.scheduler.request_append();
         }
-        self.authority.record_followers(self.follower_evidence());
+        self.authority.record_promises(self.promised_until());
         self.scheduler.set_evidence(self.authority.evidence());
         self.update_succession(now);
         let is_confirmed = self.authority.is_confirmed(now);
@@ -222,15 +223,12 @@
         self.log_leases(now);
     }
 
-    /// Returns the evidence of the other members; promises count once it is stored whose are needed.
-    fn follower_evidence(&self) -> FollowerEvidence {
+    /// Returns the time before which no member takes over by the promises of the others, which count once
+    /// it is stored whose are needed.
+    fn promised_until(&self) -> ClockTime {
         let standings = &self.shared.standings;
         let successors = self.scheduler.successors();
-        FollowerEvidence {
-            confirmed_at: standings.confirmed_at(),
-            promised_until: successors
-                .map_or(ClockTime::ZERO, |members| standings.promised_until(members)),
-        }
+        successors.map_or(ClockTime::ZERO, |members| standings.promised_until(members))
     }
 
     /// Notes which former owners extend leases no more: those that follow this member, or in whose place
@@ -303,7 +301,7 @@
         let heartbeat = Arc::new(OwnerHeartbeat {
             loads: self.scheduler.load_report(),
             read_age: now - self.tail_read_at,
-            place_age: now - self.ownership.borrow().confirmed_at,
+            place_age: now - self.authority.confirmed_at(),
             sent_at: now,
         });
         self.shared.set_heartbeat(Arc::clone(&heartbeat));
@@ -392,13 +390,13 @@
     }
 
     /// Answers a query for a job. A job is reported as missing only if the last read of accepted
-    /// jobs and the last confirmation of the ownership are recent.
+    /// jobs and the last proven confirmation of the ownership are recent.
     fn answer(&self, job: JobId, now: ClockTime) -> JobReply {
         if let Some(state) = self.scheduler.state(job) {
             return JobReply::Known(state);
         }
         let fresh = now < self.tail_read_at + MAX_TAIL_AGE;
-        let owns = now < self.ownership.borrow().confirmed_at + MAX_TAIL_AGE;
+        let owns = now < self.authority.confirmed_at() + MAX_TAIL_AGE;
         if fresh && owns {
             JobReply::Missing
         } else {
--- a/crates/scheduler/src/owner/takeover.rs
+++ b/crates/scheduler/src/owner/takeover.rs
@@ -6,8 +6,8 @@
 use jacinthhoist_core::{
     ClockTime,
     job::{
-        BatchRecord, FormerOwner, JobCatalogue, JobId, JobProgress, JobSpec, Scheduler,
-        SchedulerLimits, SuccessionRecord,
+        BatchRecord, FormerOwner, JobCatalogue, JobId, JobProgress, JobSpec, OwnershipProof,
+        Scheduler, SchedulerLimits, SuccessionRecord,
     },
 };
 use serde_json::json;
@@ -20,17 +20,24 @@
     error::{Category, Error, Result},
     eventlog::event,
     member::MemberIdentity,
+    membership::PoolOwnership,
     ports::{AppendSequence, Platform, StoreStream},
     shared::MemberShared,
 };
 
-use super::sources::{read_newest, read_workers, workers_by_id};
+use super::{
+    OwnerTask,
+    sources::{read_newest, read_workers, workers_by_id},
+};
 
 /// Producer name shared by successive owners.
 pub(super) const OWNER_PRODUCER: &str = "owner";
 /// Delay after a failed attempt to load the state.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Resolution of the clock.
+const CLOCK_STEP: Duration = Duration::from_millis(1);
+
 /// State loaded in a takeover.
 pub(super) struct LoadedState {
     pub(super) scheduler: Scheduler,
@@ -42,6 +49,8 @@
     pub(super) workers_next: u64,
     /// Number of parts that are stored of the progress of large jobs.
     pub(super) stored_parts: BTreeMap<JobId, u32>,
+    /// Proof of the ownership.
+    pub(super) proof: OwnershipProof,
 }
 
 /// Stored records read in a takeover.
@@ -56,19 +65,19 @@
     accepted_next: u64,
 }
 
-/// Fences off earlier owners and loads the stored state; retries until both have succeeded.
+/// Fences off earlier owners, has the group confirm the ownership and loads the stored state; retries
+/// until all have succeeded.
 ///
 /// # Errors
 ///
 /// Fails if another member has taken over.
 pub(super) async fn load_state<P: Platform>(
-    platform: &P,
-    shared: &MemberShared,
-    limits: SchedulerLimits,
+    owner: &OwnerTask<P>,
     token: u64,
 ) -> Result<LoadedState, &'static str> {
+    let shared = &*owner.shared;
     loop {
-        match try_load(platform, shared, limits, token).await {
+        match try_load(owner, token).await {
             Ok(Some(loaded)) => return Ok(loaded),
             Ok(None) => {}
             Err(error) if error.category() == Category::Fenced => {
@@ -83,12 +92,9 @@
     }
 }
 
-async fn try_load<P: Platform>(
-    platform: &P,
-    shared: &MemberShared,
-    limits: SchedulerLimits,
-    token: u64,
-) -> Result<Option<LoadedState>> {
+async fn try_load<P: Platform>(owner: &OwnerTask<P>, token: u64) -> Result<Option<LoadedState>> {
+    let (platform, shared) = (&*owner.platform, &*owner.shared);
+    let generation = owner.ownership.borrow().generation;
     let Some(catalogue) = shared.catalogue.load_full() else {
         return Ok(None);
     };
@@ -107,6 +113,10 @@
         records: &[],
     };
     fence.send(None).await.map_err(|failure| failure.error)?;
+    let fenced_at = shared.clock.now();
+    // The confirmation is asked for in a later millisecond.
+    sleep(CLOCK_STEP).await;
+    let confirmed = confirm_ownership(owner, fenced_at);
     let mut records = StoredRecords::default();
     read_progress(platform, shared, &mut records).await?;
     let accepted_read_at = shared.clock.now();
@@ -115,7 +125,9 @@
     let workers_next = page.next;
     let accepted_next = records.accepted_next;
     let stored_parts = std::mem::take(&mut records.stored_parts);
-    let mut scheduler = restore(records, shared, limits, catalogue);
+    // Before the leases of unknown workers begin to be counted.
+    confirmed.await;
+    let mut scheduler = restore(records, shared, owner.limits, catalogue);
     let now = shared.clock.now();
     scheduler.workers_listed(workers_by_id(shared, page.items), now);
     let formers = scheduler.former_owners().iter();
@@ -132,9 +144,28 @@
         accepted_read_at,
         workers_next,
         stored_parts,
+        proof: OwnershipProof::open(generation, started_at),
     }))
 }
 
+/// Waits until the group has confirmed the ownership in answer to a call sent after `fenced_at`. An owner
+/// whose fence was delayed may have lost the pools to the one before it meanwhile.
+fn confirm_ownership<P: Platform>(
+    owner: &OwnerTask<P>,
+    fenced_at: ClockTime,
+) -> impl Future<Output = ()> {
+    owner.shared.owner_view.request_confirmation();
+    let mut ownership = owner.ownership.clone();
+    async move {
+        let is_confirmed =
+            |known: &PoolOwnership| known.owned_since.is_some() && known.confirmed_at > fenced_at;
+        // Without the membership task the ownership ends, and this wait with it.
+        if ownership.wait_for(is_confirmed).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
 async fn read_progress<P: Platform>(
     platform: &P,
     shared: &MemberShared,
--- a/crates/scheduler/src/owner_view.rs
+++ b/crates/scheduler/src/owner_view.rs
@@ -88,6 +88,11 @@
         self.changed.notified().await;
     }
 
+    /// Has the membership task ask the store at once for a confirmation of the ownership.
+    pub(crate) fn request_confirmation(&self) {
+        self.changed.notify_one();
+    }
+
     fn record_time(&self, time: &AtomicU64) {
         time.store(self.clock.now().as_millis(), Ordering::Relaxed);
         self.changed.notify_one();
--- a/crates/scheduler/src/peer/standing.rs
+++ b/crates/scheduler/src/peer/standing.rs
@@ -39,8 +39,6 @@
     standing: MemberStanding,
     /// Time at which its last link was opened.
     linked_at: ClockTime,
-    /// Time of the last heartbeat for which the store had named the owner.
-    confirmed_at: ClockTime,
     /// Time of the last heartbeat that the member has answered with a promise.
     promised_at: ClockTime,
 }
@@ -73,7 +71,6 @@
             let record = records.entry(key.clone()).or_insert(MemberRecord {
                 standing: MemberStanding::Following(0),
                 linked_at: now,
-                confirmed_at: ClockTime::ZERO,
                 promised_at: ClockTime::ZERO,
             });
             record.linked_at = now;
@@ -132,11 +129,13 @@
     ) {
         self.change(|records| {
             if let Some(record) = records.get_mut(key) {
-                let at = match evidence {
-                    StandingEvidence::Confirmed => &mut record.confirmed_at,
-                    StandingEvidence::Promised => &mut record.promised_at,
-                };
-                *at = sent_at.max(*at);
+                match evidence {
+                    // The store names members, not tokens: a later owner may have been there since.
+                    StandingEvidence::Confirmed => {}
+                    StandingEvidence::Promised => {
+                        record.promised_at = sent_at.max(record.promised_at);
+                    }
+                }
             }
         });
     }
@@ -152,13 +151,6 @@
         present.map(|(key, _)| key.clone()).collect()
     }
 
-    /// Returns the time as of which the store last named this member as the owner in answer to a follower.
-    pub(crate) fn confirmed_at(&self) -> ClockTime {
-        let records = self.records.load();
-        let confirmed = records.values().map(|record| record.confirmed_at);
-        confirmed.max().unwrap_or_default()
-    }
-
     /// Returns the time before which none of the given members takes over; zero if one of them has made
     /// no promise.
     pub(crate) fn promised_until<'a>(
