End an ownership at once when a worker refuses a start or a stop for a later owner

Only a refused renewal ended the engine, at an idle worker up to 3 s later. A start refused with "fence" released its run, whose task was placed again; a stop refused so was repeated.

The engine now looks for such a refusal among all that has arrived, of renewals, starts, stops, orders on VMs and appends alike, before it decides on anything else, and ends; the order, task and worker are logged. The scheduler releases no run for it either (its start counts as one with an unknown outcome).

--- a/crates/core/src/job/scheduler/orders.rs
+++ b/crates/core/src/job/scheduler/orders.rs
@@ -91,7 +91,8 @@
         let is_repeat = task.phase.order == StartOrderState::Repeated;
         task.phase.order = match reply {
             StartReply::OldRun => StartOrderState::Outdated(now),
-            StartReply::Unknown => StartOrderState::Unsure(now),
+            // A later owner decides about the run.
+            StartReply::Unknown | StartReply::Fenced => StartOrderState::Unsure(now),
             StartReply::Expired if is_repeat => StartOrderState::Unsure(now),
             _ if is_repeat => {
                 self.stop_unanswered(id, key, run);
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -16,6 +16,7 @@
 mod placing;
 mod probation;
 mod processes;
+mod proof;
 mod refusals;
 mod strays;
 mod waiting;
--- a/crates/core/tests/jobs/refusals.rs
+++ b/crates/core/tests/jobs/refusals.rs
@@ -102,3 +102,19 @@
     harness.settle();
     assert_eq!(harness.confirm().len(), 3);
 }
+
+/// Guards against a task that an owner places again although a worker has just told it of a later owner: the
+/// run belongs to that one (issue 49).
+#[test]
+fn a_start_that_is_refused_for_a_later_owner_releases_no_run() {
+    let mut harness = SchedulerHarness::open(WORKERS);
+    harness.accept(1, vec![step(1)]);
+    harness.settle();
+    let starts = std::mem::take(&mut harness.starts);
+    assert_eq!(starts.len(), 1);
+    harness.reply(&starts[0], StartReply::Fenced);
+    for _ in 0..5 {
+        harness.settle();
+        assert!(harness.starts.is_empty());
+    }
+}
--- a/crates/emulator/src/fault.rs
+++ b/crates/emulator/src/fault.rs
@@ -121,6 +121,11 @@
             }
             FaultKind::Partition => self.divide_network(&fault, span).await,
             FaultKind::OwnershipFlap => self.flap_ownership(&fault, span).await,
+            FaultKind::WorkersAhead => {
+                let mut state = self.model.state();
+                let idle = state.workers.values_mut().filter(|worker| worker.is_idle());
+                idle.for_each(EmulatedWorker::meet_later_owner);
+            }
             FaultKind::CapacityShrink => self.shrink_capacity(&fault, span).await,
         }
         let until = self.model.clock.now() + RECOVERY_TIME;
--- a/crates/emulator/src/history.rs
+++ b/crates/emulator/src/history.rs
@@ -13,6 +13,9 @@
 
 use crate::{demand::JobDemand, payload::FatalTask};
 
+/// Time after which the answer to an order has been read, and orders sent before it have arrived.
+const FENCE_NOTICE: ClockTime = ClockTime::from_millis(60);
+
 /// Requirements of a job.
 #[derive(Clone, Debug, PartialEq)]
 pub struct JobShape {
@@ -220,6 +223,10 @@
     pub final_vms: BTreeSet<VmName>,
     /// End of the run.
     pub ended_at: ClockTime,
+    /// Number of orders to workers that owners sent after the answer that told them of a later one.
+    pub orders_after_fence: usize,
+    /// Time at which an order under a token was first refused for a later owner, other than a renewal.
+    refused_at: BTreeMap<u64, ClockTime>,
     /// Index in `runs` of each run on each worker.
     run_indexes: BTreeMap<(TaskKey, u32, WorkerId), usize>,
 }
@@ -237,6 +244,19 @@
         self.is_in_fault_span(at) || spans.any(|(from, until)| *from <= at && at <= *until)
     }
 
+    /// Records an order to a worker under a token.
+    pub(crate) fn record_order(&mut self, token: u64, now: ClockTime) {
+        let refused_at = self.refused_at.get(&token);
+        if refused_at.is_some_and(|at| now > *at + FENCE_NOTICE) {
+            self.orders_after_fence += 1;
+        }
+    }
+
+    /// Records that an order was refused for a later owner.
+    pub(crate) fn record_fence(&mut self, token: u64, now: ClockTime) {
+        self.refused_at.entry(token).or_insert(now);
+    }
+
     /// Records the start of a run.
     pub fn record_start(
         &mut self,
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -223,6 +223,7 @@
     CapacityShrink => "The capacity of some workers shrinks and grows again.",
     Partition => "Members, the owner first, and some workers are partitioned from all others and the store.",
     OwnershipFlap => "The store assigns the pools to another member and back, again and again, while joins are late or lost, and the former owner and the others each reach only some of the workers.",
+    WorkersAhead => "The idle workers have seen the token of a later owner.",
 }
 
 impl EmulationScenario {
--- a/crates/emulator/src/worker.rs
+++ b/crates/emulator/src/worker.rs
@@ -196,6 +196,15 @@
         })
     }
 
+    pub(crate) fn is_idle(&self) -> bool {
+        self.running.is_empty()
+    }
+
+    /// Has the worker receive an order of a later owner, of which the store knows nothing.
+    pub(crate) fn meet_later_owner(&mut self) {
+        self.token += 1;
+    }
+
     /// CPU of the worker and the part of it in use; `None` if it does not take tasks as usual.
     pub(crate) fn cpu_use(&self) -> Option<(u64, u64)> {
         let takes_tasks = self.mode == WorkerMode::Normal && self.entry.state == WorkerState::Ready;
@@ -316,7 +325,9 @@
     ) -> StartReply {
         let now = conditions.at;
         self.end_due_runs(now, history);
+        history.record_order(token, now);
         if token < self.token {
+            history.record_fence(token, now);
             return StartReply::Fenced;
         }
         self.token = token;
@@ -379,7 +390,9 @@
         history: &mut EmulationHistory,
     ) -> OrderReply {
         self.end_due_runs(now, history);
+        history.record_order(token, now);
         if token < self.token {
+            history.record_fence(token, now);
             return OrderReply::Fenced;
         }
         self.token = token;
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -115,6 +115,28 @@
     },
 }
 
+impl OwnerEvent {
+    /// Returns the reason for the log if the event shows that a later owner has taken over.
+    fn fence(&self) -> Option<&'static str> {
+        match self {
+            Self::Fenced(reason) => Some(reason),
+            Self::Started {
+                reply: StartReply::Fenced,
+                ..
+            }
+            | Self::Stopped {
+                reply: OrderReply::Fenced,
+                ..
+            } => Some("a worker has seen a newer owner"),
+            Self::VmOrdered {
+                reply: OrderReply::Fenced,
+                ..
+            } => Some("a VM has seen a newer owner"),
+            _ => None,
+        }
+    }
+}
+
 /// Task that runs the owner pipe while this member owns the pools.
 pub(crate) struct OwnerTask<P> {
     pub(crate) platform: Arc<P>,
--- a/crates/scheduler/src/owner/effects.rs
+++ b/crates/scheduler/src/owner/effects.rs
@@ -246,12 +246,8 @@
         self.calls.spawn(async move {
             let reply = call.await;
             event!(shared.log, Vm, "vm": vm.as_str(), "order": order, "outcome": format!("{reply:?}"));
-            let event = match reply {
-                OrderReply::Fenced => OwnerEvent::Fenced("a VM has seen a newer owner"),
-                reply => OwnerEvent::VmOrdered { vm, reply },
-            };
             // The engine may have stopped.
-            let _ = events.send(event);
+            let _ = events.send(OwnerEvent::VmOrdered { vm, reply });
         });
     }
 
--- a/crates/scheduler/src/owner/engine.rs
+++ b/crates/scheduler/src/owner/engine.rs
@@ -5,7 +5,7 @@
 use jacinthhoist_codec::{AcceptedRecord, JobReply, OwnerHeartbeat};
 use jacinthhoist_core::{
     ClockTime,
-    job::{JobCatalogue, JobId, OrderReply, Scheduler, StepPace, SuccessionRecord},
+    job::{JobCatalogue, JobId, OrderReply, Scheduler, StartReply, StepPace, SuccessionRecord},
 };
 use smallvec::SmallVec;
 use tokio::{
@@ -151,23 +151,42 @@
             if let Some(reason) = self.end_reason() {
                 break reason;
             }
-            let mut fenced = None;
-            for event in events.drain(..) {
-                if let OwnerEvent::Fenced(reason) = event {
-                    fenced = Some(reason);
-                } else {
-                    self.apply(event);
-                }
-            }
-            if let Some(reason) = fenced {
+            if let Some(reason) = self.find_fence(&events) {
                 break reason;
             }
+            for event in events.drain(..) {
+                self.apply(event);
+            }
             self.apply_operator_records();
             self.step();
             self.pace.record(began_at, self.shared.clock.now());
         }
     }
 
+    /// Returns the reason for which the ownership ends if an event shows that a later owner has taken over.
+    /// Nothing else that has arrived is decided on then.
+    fn find_fence(&self, events: &[OwnerEvent]) -> Option<&'static str> {
+        let (event, reason) = events
+            .iter()
+            .find_map(|event| Some((event, event.fence()?)))?;
+        match event {
+            OwnerEvent::Started {
+                worker, task, run, ..
+            } => {
+                count_start_reply(&self.shared.meter, StartReply::Fenced);
+                event!(self.shared.log, Ownership, "outcome": "refused with fence",
+                    "order": "start", "worker": worker.as_str(), "task": task.to_string(),
+                    "run": run);
+            }
+            OwnerEvent::Stopped {
+                worker, task, run, ..
+            } => event!(self.shared.log, Ownership, "outcome": "refused with fence",
+                "order": "stop", "worker": worker.as_str(), "task": task.to_string(), "run": run),
+            _ => {}
+        }
+        Some(reason)
+    }
+
     fn end_reason(&self) -> Option<&'static str> {
         if self.shared.is_stopping() {
             return Some("the member is stopping");
