--- a/crates/emulator/src/fault.rs
+++ b/crates/emulator/src/fault.rs
@@ -43,7 +43,7 @@
 
 impl EmulatedFleet {
     /// Indexes of all members, the owner first; a member key begins with the member's name and `|`.
-    fn owner_first(&self) -> Vec<usize> {
+    pub(crate) fn owner_first(&self) -> Vec<usize> {
         let now = self.model.clock.now();
         let owner = self.model.store.owner(now).unwrap_or_default();
         let is_owner = |index: &usize| owner.starts_with(&format!("entry-{index}|"));
@@ -126,6 +126,12 @@
                 self.submit_fatal_tasks(&fault, span).await;
             }
             FaultKind::Partition => self.divide_network(&fault, span).await,
+            FaultKind::OwnershipFlap => self.flap_ownership(&fault, span).await,
+            FaultKind::WorkersAhead => {
+                let mut state = self.model.state();
+                let idle = state.workers.values_mut().filter(|worker| worker.is_idle());
+                idle.for_each(EmulatedWorker::meet_later_owner);
+            }
             FaultKind::CapacityShrink => self.shrink_capacity(&fault, span).await,
             FaultKind::WorkerReborn => {
                 let workers = self.random_workers(fault.count).into_iter();
