Look for a job's reserved workers behind another job that asks for the same

What callers saw: all workers of a small pool are idle and reserved for one job, which is not started, for minutes; no other job of the pool starts either (LOST).

Cause: a search of a queue remembers, by what a task asks for, which workers have room. A job that comes first, asks for the same and finds all workers reserved for another one records that none has room. That the other job is looked for although its shape is known to be full was there; that it is looked for among the remembered workers was not noticed. Jobs that are late come behind ones that are not, so the job with the reservation is often the later one.

Fix: a job for which a worker or room is kept is looked for on all workers of its pool. The test failed before: no start.

--- a/crates/core/src/job/scheduler/placing.rs
+++ b/crates/core/src/job/scheduler/placing.rs
@@ -347,9 +347,11 @@
 
     fn place_task(&mut self, key: TaskKey, shape: &TaskShape, search: &mut QueueSearch) -> bool {
         let now = self.now;
+        // A worker that is kept for this job has no room for the one whose search is remembered.
+        let is_favoured = search.favoured.contains(&key.job);
         let scope = match search.memory.fitting(shape) {
-            Some(workers) => PlaceScope::Fitting(workers),
-            None => PlaceScope::Pool(&search.workers),
+            Some(workers) if !is_favoured => PlaceScope::Fitting(workers),
+            _ => PlaceScope::Pool(&search.workers),
         };
         let Some(id) = self.find_worker(key, scope, None) else {
             return false;
--- a/crates/core/tests/jobs/waiting.rs
+++ b/crates/core/tests/jobs/waiting.rs
@@ -2,10 +2,10 @@
 
 use jacinthhoist_core::{
     WorkerId,
-    job::{JobId, Resources, StepSpec, TaskEnd},
+    job::{JobId, RenewalReport, Resources, StepSpec, TaskEnd},
 };
 
-use super::harness::{RunOrder, SchedulerHarness, long_running_step, ms, step};
+use super::harness::{RunOrder, SchedulerHarness, long_running_step, ms, step, worker};
 
 /// Number of jobs that wait: more than any bound on the steps without room may allow.
 const WAITING_JOBS: u64 = 12;
@@ -186,3 +186,32 @@
     pass_time(&mut harness, &running, 1, 1_000, 100);
     assert_eq!(started_jobs(&harness.starts), [JobId(3); 31]);
 }
+
+/// Guards against workers that are reserved for good (LOST): a job that came first and asked for the same recorded
+/// that no worker had room for it, and the job for which they were reserved was looked for among those.
+#[test]
+fn a_reserved_worker_is_found_behind_a_job_that_asks_for_the_same() {
+    let mut owner = SchedulerHarness::open(1);
+    owner.accept(1, vec![sized(1, 20)]);
+    owner.settle();
+    owner.confirm();
+    // Its run is lost at its start, and another one is starting there when it is tried again.
+    owner.accept(2, vec![step(1)]);
+    owner.settle();
+    let restarted = |report: RenewalReport| RenewalReport {
+        incarnation: Some(2),
+        ..report
+    };
+    owner.report(0, restarted(RenewalReport::default()));
+    owner.settle();
+    let second = owner.confirm();
+    assert_eq!(started_jobs(&second), [JobId(2)]);
+    let known = owner.scheduler.worker(&worker(0)).unwrap();
+    assert_eq!(known.reserved_for, Some(JobId(1)));
+    // A job that can still be in time comes before the one that cannot.
+    owner.wait(6_000);
+    owner.accept(3, vec![sized(1, 20)]);
+    owner.report(0, restarted(SchedulerHarness::running(&second, 10)));
+    owner.settle();
+    assert_eq!(started_jobs(&owner.starts), [JobId(1)]);
+}
