Search all workers of a pool for a job for which some are kept

Cause: a search remembers the workers that had room for a shape, and looks for later tasks of the shape among these only. A worker that is kept for a job has no room for the steps before it in the queue, so the job's own search did not see it: it chose another worker whose runs had to outlive their starts first, and had that one kept as well, until all were kept and none was left to be seen. The same holds for room that is kept (`room_hold`).

Change: a job for which workers or room are kept is searched for among all workers of its pool, as it is already exempt from what the search has found to be full.

Evidence: the new test failed before (no trial), and passes.

--- a/crates/core/src/job/scheduler/placing.rs
+++ b/crates/core/src/job/scheduler/placing.rs
@@ -347,9 +347,11 @@
 
     fn place_task(&mut self, key: TaskKey, shape: &TaskShape, search: &mut QueueSearch) -> bool {
         let now = self.now;
+        // Workers that are kept for a job fit none of the steps before it.
+        let is_favoured = search.favoured.contains(&key.job);
         let scope = match search.memory.fitting(shape) {
-            Some(workers) => PlaceScope::Fitting(workers),
-            None => PlaceScope::Pool(&search.workers),
+            Some(workers) if !is_favoured => PlaceScope::Fitting(workers),
+            _ => PlaceScope::Pool(&search.workers),
         };
         let Some(id) = self.find_worker(key, scope, None) else {
             return false;
--- a/crates/core/tests/jobs/crashes.rs
+++ b/crates/core/tests/jobs/crashes.rs
@@ -448,3 +448,31 @@
     assert!(second.iter().all(|start| start.task.job != job));
     assert_eq!(second.len(), 2);
 }
+
+/// Guards against a pool that stands still: the search for a trial took the workers that had room for a step
+/// before it for all there were. The worker that was kept for the trial was not among them, so that it never
+/// began, and one worker after the other was kept for it.
+#[test]
+fn a_trial_begins_on_the_worker_that_is_kept_for_it() {
+    let mut harness = SchedulerHarness::open(1);
+    let spread = StepSpec {
+        max_per_worker: 1,
+        ..step(2)
+    };
+    harness.accept(1, vec![spread]);
+    harness.settle();
+    let first = harness.confirm();
+    assert_eq!(first.len(), 1, "the other task waits for the limit");
+    outlive_starts(&mut harness, 0, &first);
+    harness.accept(2, vec![step(1)]);
+    harness.settle();
+    let suspect = harness.confirm().remove(0);
+    replace(&mut harness, 0, 1);
+    let starting = harness.confirm();
+    assert_eq!(starting.len(), 1);
+    assert_eq!(starting[0].task.job, JobId(1), "the trial waits for it");
+    outlive_starts(&mut harness, 1, &starting);
+    let trials = harness.confirm();
+    let tasks: Vec<_> = trials.iter().map(|start| start.task).collect();
+    assert_eq!(tasks, [suspect.task]);
+}
