--- a/crates/scheduler/src/owner/takeover.rs
+++ b/crates/scheduler/src/owner/takeover.rs
@@ -114,19 +114,20 @@
     };
     fence.send(None).await.map_err(|failure| failure.error)?;
     let fenced_at = shared.clock.now();
-    // The confirmation is asked for in a later millisecond.
-    sleep(CLOCK_STEP).await;
-    let confirmed = confirm_ownership(owner, fenced_at);
-    let mut records = StoredRecords::default();
-    read_progress(platform, shared, &mut records).await?;
-    let accepted_read_at = shared.clock.now();
-    read_accepted(platform, shared, &mut records).await?;
-    let page = read_workers(platform, shared).await?;
+    let read = async {
+        let mut records = StoredRecords::default();
+        read_progress(platform, shared, &mut records).await?;
+        let accepted_read_at = shared.clock.now();
+        read_accepted(platform, shared, &mut records).await?;
+        let page = read_workers(platform, shared).await?;
+        Ok::<_, Error>((records, accepted_read_at, page))
+    };
+    // Both, before the leases of unknown workers begin to be counted.
+    let (read, ()) = tokio::join!(read, confirm_ownership(owner, fenced_at));
+    let (mut records, accepted_read_at, page) = read?;
     let workers_next = page.next;
     let accepted_next = records.accepted_next;
     let stored_parts = std::mem::take(&mut records.stored_parts);
-    // Before the leases of unknown workers begin to be counted.
-    confirmed.await;
     let mut scheduler = restore(records, shared, owner.limits, catalogue);
     let now = shared.clock.now();
     scheduler.workers_listed(workers_by_id(shared, page.items), now);
@@ -150,19 +151,15 @@
 
 /// Waits until the group has confirmed the ownership in answer to a call sent after `fenced_at`. An owner
 /// whose fence was delayed may have lost the pools to the one before it meanwhile.
-fn confirm_ownership<P: Platform>(
-    owner: &OwnerTask<P>,
-    fenced_at: ClockTime,
-) -> impl Future<Output = ()> {
-    owner.shared.owner_view.request_confirmation();
+async fn confirm_ownership<P: Platform>(owner: &OwnerTask<P>, fenced_at: ClockTime) {
     let mut ownership = owner.ownership.clone();
-    async move {
-        let is_confirmed =
-            |known: &PoolOwnership| known.owned_since.is_some() && known.confirmed_at > fenced_at;
-        // Without the membership task the ownership ends, and this wait with it.
-        if ownership.wait_for(is_confirmed).await.is_err() {
-            std::future::pending::<()>().await;
-        }
+    sleep(CLOCK_STEP).await;
+    owner.shared.owner_view.request_confirmation();
+    let is_confirmed =
+        |known: &PoolOwnership| known.owned_since.is_some() && known.confirmed_at > fenced_at;
+    // Without the membership task the ownership ends, and this wait with it.
+    if ownership.wait_for(is_confirmed).await.is_err() {
+        std::future::pending::<()>().await;
     }
 }
 
