--- a/crates/jacinthhoistd/tests/process_soak/cuts.rs
+++ b/crates/jacinthhoistd/tests/process_soak/cuts.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use rand::{RngExt, seq::index};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::{
     faults::FaultSequence,
@@ -13,6 +13,8 @@
 /// Time for which a restart may stay unseen: that after which a silent renewal is noticed.
 const UNSEEN_LIMIT: Duration = Duration::from_millis(700);
 
+/// Age of a process whose deadlines are far ahead of the clock of the next one.
+const OLD_CLOCK: Duration = Duration::from_millis(6_500);
 /// Time in which the other starts of a job arrive.
 const START_TIME: Duration = Duration::from_millis(40);
 
@@ -103,15 +105,17 @@
     /// Restarts the worker that gets the starts, unseen by its owner, and cuts it off right after the
     /// first starts of the new process. Each sequence has the workers of one half, even or odd.
     pub(crate) async fn restart_unseen(mut self, half: usize) {
-        while self.next(200..1_200).await {
+        let mut started_at = [Instant::now(); WORKERS];
+        while self.next(100..400).await {
             let installation = self.installation;
             let Some(owner) = installation.owner().await else {
                 continue;
             };
             let worker = installation.newest_start().await;
-            if worker % 2 != half {
+            if worker % 2 != half || started_at[worker].elapsed() < OLD_CLOCK {
                 continue;
             }
+            started_at[worker] = Instant::now();
             let link = installation.worker_link(owner, worker);
             link.silence_awaiting();
             installation.platform.workers[worker]
@@ -119,7 +123,7 @@
                 .await;
             if installation.await_start(worker, UNSEEN_LIMIT).await {
                 sleep(START_TIME).await;
-                let lasts = self.draw_time(4_500..7_000);
+                let lasts = self.draw_time(6_000..8_000);
                 installation.note(&format!(
                     "entry-{owner} cut from worker {worker} after an unseen restart, {lasts:?}"
                 ));
--- a/crates/jacinthhoistd/tests/process_soak/main.rs
+++ b/crates/jacinthhoistd/tests/process_soak/main.rs
@@ -55,7 +55,7 @@
     let (task_ms, pause_ms) = match profile {
         FaultProfile::Mixed => (500..8_000, 150..500),
         // Runs that outlast their leases show if there is room for the next ones.
-        FaultProfile::UnseenRestarts => (4_500..8_000, 500..1_200),
+        FaultProfile::UnseenRestarts => (7_000..9_000, 700..1_500),
     };
     CallerLoad {
         task_ms,
