--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -130,8 +130,8 @@
 }
 
 impl OwnerEvent {
-    /// Returns the reason for which the ownership has ended if the event shows that there is a later owner.
-    fn fence_reason(&self) -> Option<&'static str> {
+    /// Returns the reason for the log if the event shows that a later owner has taken over.
+    fn fence(&self) -> Option<&'static str> {
         match self {
             Self::Fenced(reason) => Some(reason),
             Self::Started {
@@ -142,6 +142,10 @@
                 reply: OrderReply::Fenced,
                 ..
             } => Some("a worker has seen a newer owner"),
+            Self::VmOrdered {
+                reply: OrderReply::Fenced,
+                ..
+            } => Some("a VM has seen a newer owner"),
             _ => None,
         }
     }
--- a/crates/scheduler/src/owner/engine.rs
+++ b/crates/scheduler/src/owner/engine.rs
@@ -5,7 +5,7 @@
 use jacinthhoist_codec::{AcceptedRecord, JobReply, OwnerHeartbeat};
 use jacinthhoist_core::{
     ClockTime,
-    job::{JobCatalogue, OrderReply, Scheduler, StepPace, SuccessionRecord},
+    job::{JobCatalogue, OrderReply, Scheduler, StartReply, StepPace, SuccessionRecord},
 };
 use smallvec::SmallVec;
 use tokio::{
@@ -21,7 +21,7 @@
 
 use super::{
     AcceptedRead, OwnerEvent, OwnerTask,
-    authority::{FollowerEvidence, MAX_AUTHORITY_AGE, OwnerAuthority},
+    authority::{MAX_AUTHORITY_AGE, OwnerAuthority},
     decisions::log_pool,
     effects::EffectRunner,
     questions::{OpenQuestions, ReadDemand},
@@ -80,7 +80,7 @@
     /// Returns the reason for which this member cannot own the pools.
     pub(super) async fn take_over(owner: &OwnerTask<P>, token: u64) -> Result<Self, &'static str> {
         let (platform, shared) = (owner.platform.clone(), owner.shared.clone());
-        let loaded = load_state(&*platform, &shared, owner.limits, token).await?;
+        let loaded = load_state(owner, token).await?;
         let (sender, events) = mpsc::unbounded_channel();
         let mut sources = JoinSet::new();
         let demand = Arc::new(ReadDemand::default());
@@ -115,7 +115,7 @@
                 token,
                 loaded.stored_parts,
             ),
-            authority: OwnerAuthority::open(shared.clock, token),
+            authority: OwnerAuthority::open(shared.clock, token, loaded.proof),
             events,
             ownership: owner.ownership.clone(),
             waves,
@@ -155,38 +155,39 @@
             if let Some(reason) = self.end_reason() {
                 break reason;
             }
-            let mut fenced = None;
-            for event in events.drain(..) {
-                match event.fence_reason() {
-                    Some(reason) => {
-                        self.log_fence(&event);
-                        fenced = Some(reason);
-                    }
-                    None => self.apply(event),
-                }
-            }
-            if let Some(reason) = fenced {
+            if let Some(reason) = self.find_fence(&events) {
                 break reason;
             }
+            for event in events.drain(..) {
+                self.apply(event);
+            }
             self.apply_operator_records();
             self.step();
             self.pace.record(began_at, self.shared.clock.now());
         }
     }
 
-    /// Logs the order to a run that was refused, as its worker has seen a newer owner.
-    fn log_fence(&self, event: &OwnerEvent) {
+    /// Returns the reason for which the ownership ends if an event shows that a later owner has taken over.
+    /// Nothing else that has arrived is decided on then.
+    fn find_fence(&self, events: &[OwnerEvent]) -> Option<&'static str> {
+        let (event, reason) = events
+            .iter()
+            .find_map(|event| Some((event, event.fence()?)))?;
         let (worker, task, run, order) = match event {
             OwnerEvent::Started {
                 worker, task, run, ..
-            } => (worker, task, run, "start"),
+            } => {
+                count_start_reply(&self.shared.meter, StartReply::Fenced);
+                (worker, task, run, "start")
+            }
             OwnerEvent::Stopped {
                 worker, task, run, ..
             } => (worker, task, run, "stop"),
-            _ => return,
+            _ => return Some(reason),
         };
         event!(self.shared.log, OrderFenced, "worker": worker.as_str(), "order": order,
             "task": task.to_string(), "run": run, "token": self.authority.token());
+        Some(reason)
     }
 
     fn end_reason(&self) -> Option<&'static str> {
@@ -218,10 +219,11 @@
     fn step(&mut self) {
         let now = self.shared.clock.now();
         let ownership = *self.ownership.borrow();
-        if ownership.owned_since.is_some() {
-            self.authority.record_confirmation(ownership.confirmed_at);
+        self.authority.record_confirmation(ownership, now);
+        if self.authority.needs_append(now) {
+            self.scheduler.request_append();
         }
-        self.authority.record_followers(self.follower_evidence());
+        self.authority.record_promises(self.promised_until());
         self.settle_questions(now);
         self.scheduler.set_evidence(self.authority.evidence());
         self.update_succession(now);
@@ -244,15 +246,12 @@
         self.log_leases(now);
     }
 
-    /// Returns the evidence of the other members; promises count once it is stored whose are needed.
-    fn follower_evidence(&self) -> FollowerEvidence {
+    /// Returns the time before which no member takes over by the promises of the others, which count once
+    /// it is stored whose are needed.
+    fn promised_until(&self) -> ClockTime {
         let standings = &self.shared.standings;
         let successors = self.scheduler.successors();
-        FollowerEvidence {
-            confirmed_at: standings.confirmed_at(),
-            promised_until: successors
-                .map_or(ClockTime::ZERO, |members| standings.promised_until(members)),
-        }
+        successors.map_or(ClockTime::ZERO, |members| standings.promised_until(members))
     }
 
     /// Notes which former owners extend leases no more: those that follow this member, or in whose place
@@ -325,7 +324,7 @@
         let heartbeat = Arc::new(OwnerHeartbeat {
             loads: self.scheduler.load_report(),
             read_age: now - self.tail_read_at,
-            place_age: now - self.ownership.borrow().confirmed_at,
+            place_age: now - self.authority.confirmed_at(),
             sent_at: now,
         });
         self.shared.set_heartbeat(Arc::clone(&heartbeat));
