--- a/crates/fakes/src/platform/store.rs
+++ b/crates/fakes/src/platform/store.rs
@@ -161,6 +161,11 @@
         open_endpoint(&self.commands, &self.changed, None).await
     }
 
+    /// Name of the topic in which a member finds the workers' entries with addresses of its own.
+    pub fn view_topic(member: usize) -> String {
+        format!("{WORKERS_TOPIC}.{member}")
+    }
+
     /// Opens one more address of the store, whose users find in `workers_topic` what others find in
     /// the topic of the workers' entries, see [`PoolWorker::register_in`](super::PoolWorker::register_in).
     ///
--- a/crates/jacinthhoistd/tests/process_soak/installation.rs
+++ b/crates/jacinthhoistd/tests/process_soak/installation.rs
@@ -12,7 +12,7 @@
     schedule::{get, wait_for},
     soak::{LinkDirection, LoopbackLink},
 };
-use jacinthhoist_fakes::{FakePlatform, StoreEndpoint};
+use jacinthhoist_fakes::{FakePlatform, KeyedLog, StoreEndpoint};
 use tokio::{
     sync::Mutex,
     time::{Instant, sleep},
@@ -310,7 +310,7 @@
 
 /// Opens the links of a member and registers the workers with their addresses for it.
 async fn open_site(platform: &FakePlatform, index: usize, first_host: u8) -> MemberSite {
-    let topic = format!("keyed.servers.{index}");
+    let topic = KeyedLog::view_topic(index);
     let store = platform.store.open_view(&topic).await;
     let store = store.expect("loopback has free ports");
     let store_link = LoopbackLink::open(store.address()).expect("loopback has free ports");
--- a/crates/jacinthhoistd/tests/process_soak/main.rs
+++ b/crates/jacinthhoistd/tests/process_soak/main.rs
@@ -10,7 +10,6 @@
 mod faults;
 mod installation;
 mod process;
-mod stand_in_checks;
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
