Count a succession record that is stored once more as itself

Found by the review, by reading; introduced with the append that proves an ownership. request_append stored the record past the ledger, so that its completion counted for a record that had replaced it meanwhile and was not stored: promises of a member that the store still named were not asked for, and leases were extended without them (TWICE, with a cut that begins within one append).

The ledger writes the stored record once more itself, and no other one while that is under way. a_record_that_is_stored_once_more_counts_as_itself fails without the change (one member instead of two).

--- a/crates/core/src/job/scheduler/leases.rs
+++ b/crates/core/src/job/scheduler/leases.rs
@@ -111,10 +111,10 @@
     /// Stores the succession record again unless something is being stored anyway, so that the store
     /// accepts or refuses an append of this owner.
     pub fn request_append(&mut self) {
-        if let Some(record) = self.succession.stored()
-            && self.outbox.is_idle()
+        if self.outbox.is_idle()
+            && let Some(record) = self.succession.rewrite()
         {
-            self.outbox.push(BatchRecord::Succession(record.clone()));
+            self.outbox.push(BatchRecord::Succession(record));
         }
     }
 
--- a/crates/core/src/job/succession.rs
+++ b/crates/core/src/job/succession.rs
@@ -142,9 +142,24 @@
         }
     }
 
-    /// Returns the record that is stored; `None` before the first.
-    pub fn stored(&self) -> Option<&SuccessionRecord> {
-        self.stored.as_ref()
+    /// Returns the stored record, to be stored once more; `None` before the first, and while one is being stored.
+    ///
+    /// ```
+    /// use jacinthhoist_core::job::{SuccessionLedger, SuccessionRecord};
+    /// let mut ledger = SuccessionLedger::default();
+    /// assert!(ledger.rewrite().is_none());
+    /// ledger.replace(SuccessionRecord::default());
+    /// ledger.record_stored();
+    /// assert!(ledger.rewrite().is_some());
+    /// let changed = SuccessionRecord { owner: "entry-1".into(), ..SuccessionRecord::default() };
+    /// assert!(ledger.replace(changed).is_none(), "the former one is being stored");
+    /// ```
+    pub fn rewrite(&mut self) -> Option<SuccessionRecord> {
+        if self.written.is_some() {
+            return None;
+        }
+        let stored = self.stored.clone()?;
+        Some(self.written.insert(stored).clone())
     }
 
     /// Returns the members that may take over and assume one lease only, so that the promises of all of
