--- a/crates/core/src/job/scheduler/orders.rs
+++ b/crates/core/src/job/scheduler/orders.rs
@@ -120,6 +120,11 @@
             self.record_worker_failure(id, true);
             return;
         }
+        if reply == StartReply::NoAnswer {
+            self.avoid_worker(id, key);
+            self.request_report(id);
+            return;
+        }
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -130,6 +135,7 @@
             StartReply::OtherProcess => worker.doubt_process(),
             StartReply::NoPermit => self.permits.revoke(key.into(), id),
             StartReply::Unhealthy
+            | StartReply::NoAnswer
             | StartReply::Fenced
             | StartReply::TooLate
             | StartReply::Expired
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -133,6 +133,8 @@
     WrongLife,
     /// The order was not sent, as another process answers under the worker's id.
     OtherProcess,
+    /// The order was not sent, as the worker did not answer which process it is.
+    NoAnswer,
     /// The order was not sent, as the permission to send it had run out.
     Expired,
     /// No reply; the order may have been carried out or may still be.
--- a/crates/core/tests/jobs/causes.rs
+++ b/crates/core/tests/jobs/causes.rs
@@ -329,8 +329,10 @@
 }
 
 /// Replies to start orders that were not carried out.
-const REFUSALS: [StartReply; 8] = [
+const REFUSALS: [StartReply; 10] = [
     StartReply::Unhealthy,
+    StartReply::OtherProcess,
+    StartReply::NoAnswer,
     StartReply::Fenced,
     StartReply::TooLate,
     StartReply::Expired,
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -207,6 +207,8 @@
         (StartReply::NoRoom, true),
         (StartReply::TooLate, true),
         (StartReply::Unhealthy, true),
+        (StartReply::OtherProcess, true),
+        (StartReply::NoAnswer, true),
         (StartReply::WrongLife, true),
         (StartReply::Invalid, true),
         (StartReply::Unknown, false),
--- a/crates/scheduler/src/owner/workers.rs
+++ b/crates/scheduler/src/owner/workers.rs
@@ -311,6 +311,7 @@
         StartReply::Unhealthy => "unhealthy",
         StartReply::WrongLife => "wrong_life",
         StartReply::OtherProcess => "other_process",
+        StartReply::NoAnswer => "no_answer",
         StartReply::Expired => "expired",
         StartReply::Unknown => "unknown",
     };
