Wait for the longest lease where a later process may carry out an unanswered start

The platform's pages allow a call without an answer to be executed seconds later; that this reaches a later process is not shown.

Cause: the worker's entry had named a later process 3 s before the owner's own lease lapsed, and the lapse was reckoned on the clock of the earlier one. What a doubted process may hold is not known.

Change: while the entry of a silent worker names another process than its last report, and a start has no answer, its runs lapse after the longest lease that workers accept, counted from the last deadline that was sent. Workers that restart under new ids are not concerned.

an_unanswered_start_is_waited_for_while_a_later_process_may_carry_it_out failed before; without the restart the lease is as before.

--- a/crates/core/src/job/lease.rs
+++ b/crates/core/src/job/lease.rs
@@ -190,6 +190,17 @@
         }
     }
 
+    /// Latest time at which a lease expires that another process than the one whose clock has been read took
+    /// from the last deadline sent to it; zero if none was sent.
+    pub fn longest_expiry(&self, longest_lease: ClockTime) -> ClockTime {
+        match self {
+            Self::Held(lease) if lease.deadline.is_some() => {
+                latest_expiry(lease.granted_at, longest_lease)
+            }
+            Self::Unknown(_) | Self::Held(_) => ClockTime::ZERO,
+        }
+    }
+
     /// Returns the end of the lease on the local clock if this member has granted it.
     pub fn granted_until(&self) -> Option<ClockTime> {
         match self {
--- a/crates/core/src/job/release.rs
+++ b/crates/core/src/job/release.rs
@@ -73,10 +73,15 @@
         (is_refusal && is_first).then_some(Self(ReleaseGround::Refused))
     }
 
-    /// Evidence from the lease of a worker that cannot be reached.
-    pub(super) fn lapsed(worker: &Worker, now: ClockTime) -> Option<Self> {
+    /// Evidence from the lease of a worker that cannot be reached. `longest_lease` is the longest one that
+    /// workers accept.
+    pub(super) fn lapsed(
+        worker: &Worker,
+        longest_lease: ClockTime,
+        now: ClockTime,
+    ) -> Option<Self> {
         let is_unreachable = worker.silent_since.is_some() || worker.seen_at.is_none();
-        let has_lapsed = now > worker.process.lease.latest_expiry();
+        let has_lapsed = now > worker.latest_lapse(longest_lease);
         (is_unreachable && has_lapsed).then_some(Self(ReleaseGround::LeaseLapsed))
     }
 
--- a/crates/core/src/job/scheduler/leases.rs
+++ b/crates/core/src/job/scheduler/leases.rs
@@ -172,11 +172,12 @@
     pub(super) fn expire_leases(&mut self) {
         let now = self.now;
         let grace = self.limits.missing_grace;
+        let longest_lease = self.limits.longest_lease;
         let mut expired: SmallVec<[(WorkerId, RunOver); 4]> = smallvec![];
         let mut gone: SmallVec<[WorkerId; 4]> = smallvec![];
         for worker in self.workers.values() {
             if !worker.is_empty()
-                && let Some(over) = RunOver::lapsed(worker, now)
+                && let Some(over) = RunOver::lapsed(worker, longest_lease, now)
             {
                 expired.push((worker.id.clone(), over));
             }
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -358,6 +358,19 @@
         self.awaits_report = true;
     }
 
+    /// Latest time at which the runs have lapsed. A start order without an answer may be carried out late, by a
+    /// later process if there is one, and its deadline is on the clock of the process before.
+    pub(super) fn latest_lapse(&self, longest_lease: ClockTime) -> ClockTime {
+        let lease = &self.process.lease;
+        let is_unanswered = |charge: &AnyCharge| charge.begun_at().is_none();
+        if self.process.is_doubted && self.charges.values().any(is_unanswered) {
+            return lease
+                .latest_expiry()
+                .max(lease.longest_expiry(longest_lease));
+        }
+        lease.latest_expiry()
+    }
+
     /// Returns the highest number of an end that the worker may discard; 0 for none.
     pub(super) fn acknowledge(&mut self, now: ClockTime) -> u64 {
         if self.is_current(now) {
--- a/crates/core/tests/jobs/processes.rs
+++ b/crates/core/tests/jobs/processes.rs
@@ -125,3 +125,39 @@
     owner.settle();
     assert_eq!(owner.starts.len(), 1);
 }
+
+/// Guards against two runs of a task: a start order got no answer, the worker's entry named a later process, which
+/// carried the order out late and took its deadline for the longest lease that workers accept.
+#[test]
+fn an_unanswered_start_is_waited_for_while_a_later_process_may_carry_it_out() {
+    let limits = SchedulerLimits::example();
+    for has_restarted in [false, true] {
+        let mut owner = SchedulerHarness::open(WORKERS);
+        owner.accept(1, vec![step(1)]);
+        owner.settle();
+        let start = owner.starts.remove(0);
+        let (chosen, other) = (number_of(&start.worker), 1 - number_of(&start.worker));
+        let sent_at = owner.now;
+        owner.reply(&start, StartReply::Unknown);
+        owner.scheduler.renewal_failed(&start.worker, owner.now);
+        if has_restarted {
+            let entry = WorkerEntry {
+                incarnation: Some(2),
+                ..listed_entry(chosen)
+            };
+            let now = owner.now;
+            owner
+                .scheduler
+                .worker_listed(start.worker.clone(), entry, now);
+        }
+        owner.now = sent_at + limits.max_lease + ms(500);
+        owner.report(other, RenewalReport::default());
+        owner.settle();
+        let started = owner.starts.len();
+        assert_eq!(started, usize::from(!has_restarted), "after one lease");
+        owner.now = sent_at + limits.longest_lease + ms(500);
+        owner.report(other, RenewalReport::default());
+        owner.settle();
+        assert_eq!(owner.starts.len(), 1, "after the longest lease");
+    }
+}
