--- a/crates/core/src/job/release.rs
+++ b/crates/core/src/job/release.rs
@@ -1,14 +1,14 @@
 //! Evidence on which a task is released from a run, so that it may start again.
 //!
-//! A [`RunOver`] is made only by the functions of this module, each of which checks the facts behind it. The
-//! moves of a task back to `Waiting` consume one, so nothing else releases a task.
+//! A [`RunOver`] is made only by the functions of this module, each from the facts it rests on, and a task with a
+//! run is released only with one. What was stored of a task by an earlier owner is taken as it is.
 
 use crate::clock::ClockTime;
 
 use super::{
     charge::AnyCharge,
     spec::TaskKey,
-    task::{AnyTask, StartOrderState, TaskEnd},
+    task::{AnyTask, StartOrderState},
     worker::{StartReply, Worker},
 };
 
@@ -45,7 +45,7 @@
     }
 
     /// Evidence from the end that the worker has listed.
-    pub(super) fn ended(_end: TaskEnd) -> Self {
+    pub(super) fn ended() -> Self {
         Self(ReleaseGround::Ended)
     }
 
--- a/crates/core/src/job/task.rs
+++ b/crates/core/src/job/task.rs
@@ -509,11 +509,12 @@
                 if max_failures.is_some_and(|limit| failed_runs.count() >= limit) {
                     return Self::Exhausted { run, failed_runs };
                 }
-                let checkpoint = self.checkpoint().cloned();
-                Self::Waiting(TaskRun::restore(run, failed_runs, checkpoint))
+                let mut released = self.released(RunOver::ended());
+                released.record_failed_run(run);
+                released
             }
             TaskEnd::Stopped | TaskEnd::Lapsed | TaskEnd::Broken | TaskEnd::Alone => {
-                self.released(RunOver::ended(end))
+                self.released(RunOver::ended())
             }
         }
     }
