--- a/crates/fakes/src/platform/pool_worker.rs
+++ b/crates/fakes/src/platform/pool_worker.rs
@@ -355,6 +355,11 @@
     async fn start(&self, order: &WorkerOrder, fails: bool) -> Response<ResponseBody> {
         let (mut incarnation, mut counts) =
             (self.incarnation.lock().await, self.counts.lock().await);
+        // The process has ended, and its connections are about to be closed.
+        if incarnation.crashed {
+            drop((incarnation, counts));
+            return std::future::pending().await;
+        }
         // A lease that has lapsed is not extended by the order.
         incarnation.finish_due(&mut counts);
         let started = incarnation.start(order, fails, &mut counts);
@@ -405,6 +410,10 @@
                 ..
             } = context;
             let (mut incarnation, mut counts) = (incarnation.lock().await, counts.lock().await);
+            if incarnation.crashed {
+                drop((incarnation, counts));
+                return std::future::pending().await;
+            }
             // A run that has ended by itself is no longer there to be stopped.
             incarnation.finish_due(&mut counts);
             let stopped = incarnation.stop(&order, &mut counts);
@@ -467,6 +476,10 @@
     loop {
         {
             let (mut incarnation, mut counts) = (incarnation.lock().await, counts.lock().await);
+            if incarnation.crashed {
+                drop((incarnation, counts));
+                return std::future::pending().await;
+            }
             if let Err(reason) = incarnation.check_token(&order) {
                 return order_response(&incarnation, Err(reason));
             }
