--- a/crates/core/src/job/lease.rs
+++ b/crates/core/src/job/lease.rs
@@ -190,8 +190,8 @@
         }
     }
 
-    /// Latest time at which a lease expires that another process than the one whose clock has been read took
-    /// from the last deadline sent to it; zero if none was sent.
+    /// Latest expiry of a lease that a later process may have taken from the last deadline sent, which is on the
+    /// clock of the process before; zero if none was sent.
     pub fn longest_expiry(&self, longest_lease: ClockTime) -> ClockTime {
         match self {
             Self::Held(lease) if lease.deadline.is_some() => {
--- a/crates/core/src/job/scheduler/placing.rs
+++ b/crates/core/src/job/scheduler/placing.rs
@@ -347,7 +347,7 @@
 
     fn place_task(&mut self, key: TaskKey, shape: &TaskShape, search: &mut QueueSearch) -> bool {
         let now = self.now;
-        // A worker that is kept for this job has no room for the one whose search is remembered.
+        // A worker that is kept for this job had no room for the job of the remembered search.
         let is_favoured = search.favoured.contains(&key.job);
         let scope = match search.memory.fitting(shape) {
             Some(workers) if !is_favoured => PlaceScope::Fitting(workers),
--- a/crates/emulator/src/check.rs
+++ b/crates/emulator/src/check.rs
@@ -337,7 +337,7 @@
                     format!("{id}: reported as cancelled, but no caller cancelled it"),
                 );
             }
-            // Callers ask once they have heard of the acceptance. A member that does not know of it may
+            // Callers ask once they know of the acceptance. A member that does not know of it may
             // say so, but not that there is no such job.
             None if job.cancelled.is_none() && accepted_at.is_some_and(|since| *at >= since) => {
                 findings.add(
