--- a/crates/emulator/tests/restarts.rs
+++ b/crates/emulator/tests/restarts.rs
@@ -5,7 +5,7 @@
 
 /// Tasks are longer than the lease that the owner grants, and begin all the time.
 const SCENARIO: &str = r#"
-    secs = 24
+    secs = 32
     members = 3
     workers = 9
     spare = 0
@@ -16,7 +16,7 @@
     task_ms = 5000
 "#;
 
-fn check_days(scenario: &str, seeds: std::ops::RangeInclusive<u64>) {
+fn check_days(scenario: &str, seeds: &[u64]) {
     let mut text = scenario.to_owned();
     for at in [6.0, 14.0, 22.0] {
         let fault = "kind = \"worker_reborn\"\nfor_s = 6.0\ncount = 6";
@@ -25,7 +25,7 @@
     let scenario = EmulationScenario::parse(&text).expect("the scenario is valid");
     let mut broken = Vec::new();
     for seed in seeds {
-        let outcome = run_scenario(&scenario, seed);
+        let outcome = run_scenario(&scenario, *seed);
         let violations = check(&outcome.history);
         if !violations.is_empty() {
             broken.push((seed, violations));
@@ -38,5 +38,7 @@
 /// worker's earlier process gave the new one a longer lease than the owner waited for (issue 49).
 #[test]
 fn a_restarted_worker_holds_no_lease_longer_than_its_owner_reckons_with() {
-    check_days(SCENARIO, 1..=12);
+    // Tasks ran twice with each of these seeds.
+    let seeds = [13, 16, 17, 36, 37, 41, 43, 46, 67, 84, 116];
+    check_days(SCENARIO, &seeds);
 }
