Log the time by which a lease counted as lapsed, not the one of the owner's own grant

Since the runs of a worker whose entry names a later process lapse after the longest lease if a start has no answer, but run_lost and the worker line Lapsed named the end of the owner's own lease: a trace would have shown a release that the decision did not rest on. Both lines take the bound from Worker::latest_lapse, as the decision does.

No decision changes.

--- a/crates/core/src/job/release.rs
+++ b/crates/core/src/job/release.rs
@@ -81,8 +81,8 @@
         now: ClockTime,
     ) -> Option<Self> {
         let is_unreachable = worker.silent_since.is_some() || worker.seen_at.is_none();
-        let has_lapsed = now > worker.latest_lapse(longest_lease);
-        (is_unreachable && has_lapsed).then_some(Self(ReleaseGround::LeaseLapsed))
+        let has_lapsed = is_unreachable && now > worker.latest_lapse(longest_lease);
+        has_lapsed.then_some(Self(ReleaseGround::LeaseLapsed))
     }
 
     /// Evidence from a report of another process than the last one, requested at `asked_at`, which does not name
--- a/crates/core/src/job/scheduler/leases.rs
+++ b/crates/core/src/job/scheduler/leases.rs
@@ -193,11 +193,10 @@
             self.record_losses(&id, &runs);
             if let Some(worker) = self.workers.get_mut(&id) {
                 worker.lapse();
-                let lease = worker.process.lease;
                 let lapsed = SchedulerDecision::LeaseLapsed {
                     worker: id.clone(),
-                    lease_until: lease.latest_expiry(),
-                    basis: lease.basis(),
+                    lease_until: worker.latest_lapse(longest_lease),
+                    basis: worker.process.lease.basis(),
                 };
                 self.log_decision(lapsed);
             }
--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -7,6 +7,7 @@
 use crate::{
     clock::ClockTime,
     job::{
+        charge::AnyCharge,
         lease::UnknownLease,
         process::WorkerProcess,
         release::{AbsentRun, ReleaseGround, RunOver},
@@ -359,14 +360,13 @@
     fn loss_evidence(&self, id: &WorkerId, key: TaskKey, run: u32) -> Option<LossEvidence> {
         let worker = self.workers.get(id)?;
         let charge = worker.charges.get(&(key, run));
-        let begun_at = charge.and_then(|charge| charge.begun_at());
-        let lease = &worker.process.lease;
+        let begun_at = charge.and_then(AnyCharge::begun_at);
         Some(LossEvidence {
             incarnation: worker.process.incarnation,
             report_age: worker.seen_at.map(|seen_at| self.now - seen_at),
             begun_age: begun_at.map(|begun_at| self.now - begun_at),
-            lease_until: lease.latest_expiry(),
-            basis: lease.basis(),
+            lease_until: worker.latest_lapse(self.limits.longest_lease),
+            basis: worker.process.lease.basis(),
         })
     }
 
