Draw the seeds of both soaks in one place

Last read of the change: the soak of processes had the environment variables, the factor between seeds and the random sequences of partition_soak written again.

--- a/crates/experiments/tests/partition_soak/main.rs
+++ b/crates/experiments/tests/partition_soak/main.rs
@@ -16,14 +16,13 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use rand::{SeedableRng, rngs::StdRng};
 use tokio::{
     sync::Mutex,
     time::{Instant, sleep},
 };
 
 use installation::{MEMBERS, SoakInstallation};
-use jacinthhoist_experiments::soak::{self, CallerLoad, CallerRecord};
+use jacinthhoist_experiments::soak::{self, CallerLoad, CallerRecord, SoakPlan};
 
 /// Seeds of one run in CI.
 const SEEDS: u64 = 2;
@@ -35,15 +34,6 @@
 const SETTLE_PERIOD: Duration = Duration::from_secs(1);
 /// Number of callers.
 const CALLERS: usize = 3;
-/// Odd factor that separates the random sequences of neighbouring seeds.
-const SEED_FACTOR: u64 = 0x9E37_79B9_7F4A_7C15;
-
-fn variable(name: &str, default: u64) -> u64 {
-    let value = std::env::var(name).ok();
-    value.map_or(default, |text| {
-        text.parse().expect("the variable is a number")
-    })
-}
 
 /// Plays one seed; returns what broke a rule.
 async fn play(seed: u64, secs: u64) -> Vec<String> {
@@ -59,7 +49,7 @@
     let unix_ms = unix_ms.map_or(0, |time| time.as_millis());
     println!("seed {seed} begins, 0 is {unix_ms} in the log lines");
     let until = origin + Duration::from_secs(secs);
-    let rng = |part: u64| StdRng::seed_from_u64(seed.wrapping_mul(SEED_FACTOR).wrapping_add(part));
+    let rng = |part: u64| soak::random_sequence(seed, part);
     let fronts: Vec<_> = (0..MEMBERS)
         .map(|index| installation.front(index))
         .collect();
@@ -109,11 +99,10 @@
 /// that the store had replaced went on renewing leases that the next one took for lapsed (issue 43).
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn members_on_tcp_run_each_task_once_around_partitions() {
-    let first = variable("JACINTHHOIST_SOAK_FROM", 1);
-    let count = variable("JACINTHHOIST_SOAK_SEEDS", SEEDS);
-    let secs = variable("JACINTHHOIST_SOAK_SECS", FAULT_SECS);
+    let SoakPlan { seeds, secs } = SoakPlan::from_environment(SEEDS, FAULT_SECS);
+    let count = seeds.clone().count();
     let mut failed = Vec::new();
-    for seed in first..first + count {
+    for seed in seeds {
         let violations = play(seed, secs).await;
         if !violations.is_empty() {
             failed.push((seed, violations));
--- a/crates/jacinthhoistd/tests/process_soak/main.rs
+++ b/crates/jacinthhoistd/tests/process_soak/main.rs
@@ -13,8 +13,8 @@
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use jacinthhoist_experiments::soak::{self, CallerLoad, CallerRecord};
-use rand::{RngExt, SeedableRng, rngs::StdRng};
+use jacinthhoist_experiments::soak::{self, CallerLoad, CallerRecord, SoakPlan};
+use rand::RngExt;
 use tokio::{
     sync::Mutex,
     time::{Instant, sleep},
@@ -38,15 +38,6 @@
 const CALLERS: usize = 4;
 /// First of the sequences that each seed plays: the cuts of workers.
 const ALWAYS_PLAYED: u64 = 7;
-/// Odd factor that separates the random sequences of neighbouring seeds.
-const SEED_FACTOR: u64 = 0x9E37_79B9_7F4A_7C15;
-
-fn variable(name: &str, default: u64) -> u64 {
-    let value = std::env::var(name).ok();
-    value.map_or(default, |text| {
-        text.parse().expect("the variable is a number")
-    })
-}
 
 /// Jobs of the callers. A call lasts longer than a suspension, so that a connection is used until the
 /// process is gone.
@@ -84,7 +75,7 @@
 /// Plays one seed; returns what broke a rule.
 async fn play(profile: FaultProfile, seed: u64, secs: u64) -> Vec<String> {
     let folder = RunFolder::open(profile.name(), seed).expect("the folder of logs can be created");
-    let rng = |part: u64| StdRng::seed_from_u64(seed.wrapping_mul(SEED_FACTOR).wrapping_add(part));
+    let rng = |part: u64| soak::random_sequence(seed, part);
     let members = rng(0).random_range(4..=6);
     let mut installation = ProcessInstallation::spawn(members, &folder.path).await;
     let origin = Instant::now();
@@ -183,11 +174,10 @@
 
 /// Plays the seeds that the environment names, or `count` of `secs` seconds.
 async fn play_seeds(profile: FaultProfile, count: u64, secs: u64) {
-    let first = variable("JACINTHHOIST_SOAK_FROM", 1);
-    let count = variable("JACINTHHOIST_SOAK_SEEDS", count);
-    let secs = variable("JACINTHHOIST_SOAK_SECS", secs);
+    let SoakPlan { seeds, secs } = SoakPlan::from_environment(count, secs);
+    let count = seeds.clone().count();
     let mut failed = Vec::new();
-    for seed in first..first + count {
+    for seed in seeds {
         let violations = play(profile, seed, secs).await;
         if !violations.is_empty() {
             failed.push((seed, violations));
