--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -182,6 +182,13 @@
             steps: steps.clone(),
             record: record.clone(),
         });
+        let ticker = worker.clone();
+        thread::spawn(move || {
+            loop {
+                ticker.state.lock().unwrap().tick(&ticker.record);
+                thread::sleep(Duration::from_millis(20));
+            }
+        });
         let reporter = worker.clone();
         thread::spawn(move || {
             loop {
