--- a/review/standin-2/cloud.rs
+++ b/review/standin-2/cloud.rs
@@ -177,7 +177,7 @@
             if let Some(machine) = cloud.machines.lock().unwrap().get_mut(&name) {
                 machine.state = "up";
             }
-            let _ = worker.come_back(&id);
+            let _ = worker.come_back(&id, "a", Duration::ZERO);
         });
         (200, table(&[]))
     }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -38,7 +38,7 @@
     record.write(&format!("case {name}, {}", if trouble { "with the disruption" } else { "without it" }));
     let case: fn(&mut System, bool) -> bool = match name.as_str() {
         "fill" => fill,
-        "crash" => crash,
+        "kind" => kind,
         "upkeep" => upkeep,
         other => {
             eprintln!("no case `{other}`");
@@ -102,37 +102,30 @@
     longest > Duration::from_secs(6 + 4 + 3)
 }
 
-/// Two workers crash, one after the other, each while it begins the same work unit, and are back 1.5 s later.
-fn crash(system: &mut System, trouble: bool) -> bool {
+/// A worker crashes and starts again under its id as another kind, while work units that require the first kind wait.
+fn kind(system: &mut System, trouble: bool) -> bool {
     let id = "c333333333333333";
-    if !system.submit(QUICK, id, &[step(1, 1_800, 3_600, Some(2_000), &[])]) {
+    let worker = system.workers[0].clone();
+    // All workers are of kind `a`; more work units than they can run at once.
+    let required = step(240, 8_000, 3_600, Some(500), &[("requires", text("a"))]);
+    if !system.submit(QUICK, id, &[required]) {
         fail_to_run("the submission was not accepted");
     }
-    let task = format!("{id}.0.0.0");
-    let ages: &[u64] = if trouble { &[600, 200] } else { &[] };
-    for due in ages {
-        let is_due = |system: &System| {
-            system.find_run(&task).is_some_and(|(_, age)| age > Duration::from_millis(*due))
-        };
-        if !system.wait(Duration::from_secs(20), is_due) {
-            fail_to_run("the work unit did not start");
-        }
-        if let Some((worker, _)) = system.find_run(&task) {
-            worker.go_down("crashes");
-            let down = worker.clone();
-            thread::spawn(move || {
-                thread::sleep(Duration::from_millis(1_500));
-                let _ = down.come_back(&down.id());
-            });
+    thread::sleep(Duration::from_millis(800));
+    if trouble {
+        worker.go_down("crashes");
+        thread::sleep(Duration::from_millis(1_000));
+        // Its first entry comes a third of `heartbeat_ms` after its start.
+        if worker.come_back(&worker.id(), "b", Duration::from_millis(500)).is_err() {
+            fail_to_run("the worker could not start again");
         }
     }
-    let mut shown = String::new();
-    system.wait(Duration::from_secs(40), |system| {
-        shown = system.state(QUICK, id);
-        shown == "completed" || shown == "failed"
-    });
-    system.record.write(&format!("GET    {QUICK}{id}: {shown}"));
-    shown != "completed"
+    let is_done = |system: &System| system.state(QUICK, id) == "completed";
+    system.wait(Duration::from_secs(30), is_done);
+    let misplaced = worker.misplaced();
+    system.record.write(&format!("GET    {QUICK}{id}: {}", system.state(QUICK, id)));
+    system.record.write(&format!("{misplaced} starts on a worker without the label in `requires`"));
+    misplaced > 0
 }
 
 /// The answer to an order for an upkeep is lost, its sender is killed, and the order is carried out late.
--- a/review/standin-2/system.rs
+++ b/review/standin-2/system.rs
@@ -407,6 +407,8 @@
         fills: wire.flag("fills"),
         serves: wire.number("target_ms").unwrap_or(0) > 0,
         work_ms,
+        // The stand-ins have the kinds `a` and `b`; only `a` is ever required.
+        requires: wire.get("requires").map(|_| "a"),
     };
     (known, wire)
 }
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -27,6 +27,8 @@
     pub mem_mb: u64,
     pub fills: bool,
     pub serves: bool,
+    /// Kind of worker that the step requires.
+    pub requires: Option<&'static str>,
     /// `None` for a work unit that lasts.
     pub work_ms: Option<u64>,
 }
@@ -55,6 +57,12 @@
     is_draining: bool,
     is_up: bool,
     seq: u64,
+    /// Time of the first entry of this boot.
+    registers_at: Instant,
+    /// Kind of this boot, one of its labels.
+    kind: &'static str,
+    /// Starts of work units whose step requires another kind.
+    misplaced: usize,
 }
 
 #[derive(Clone)]
@@ -81,7 +89,7 @@
 }
 
 impl State {
-    fn open(id: &str) -> State {
+    fn open(id: &str, kind: &'static str) -> State {
         State {
             id: id.to_owned(),
             boot: Instant::now(),
@@ -95,6 +103,9 @@
             is_draining: false,
             is_up: true,
             seq: 0,
+            registers_at: Instant::now(),
+            kind,
+            misplaced: 0,
         }
     }
 
@@ -171,7 +182,7 @@
         steps: &Steps,
         record: &Record,
     ) -> std::io::Result<Arc<Worker>> {
-        let state = Arc::new(Mutex::new(State::open(id)));
+        let state = Arc::new(Mutex::new(State::open(id, "a")));
         let server = serve(&format!("{ip}:0"), &state, steps, &place, record)?;
         let worker = Arc::new(Worker {
             place,
@@ -217,7 +228,7 @@
 
     fn register(&self) {
         let mut state = self.state.lock().unwrap();
-        if !state.is_up {
+        if !state.is_up || Instant::now() < state.registers_at {
             return;
         }
         state.seq += 1;
@@ -235,7 +246,7 @@
             ("state", text(if state.is_draining { "draining" } else { "ready" })),
             ("cold_left_ms", number(0)),
             ("capacity", capacity),
-            ("labels", Json::List(vec![text("a"), text(&self.place.rack)])),
+            ("labels", Json::List(vec![text(state.kind), text(&self.place.rack)])),
             ("clock_ms", number(state.clock_ms())),
             ("born", number(state.born)),
             ("seq", number(state.seq)),
@@ -280,14 +291,24 @@
         self.record.write(&format!("worker {} {why}", state.id));
     }
 
-    /// Boots again at the same address.
-    pub fn come_back(&self, id: &str) -> std::io::Result<()> {
-        *self.state.lock().unwrap() = State::open(id);
+    /// Boots again at the same address, under an id and as a kind, and writes its entry after `delay`.
+    pub fn come_back(&self, id: &str, kind: &'static str, delay: Duration) -> std::io::Result<()> {
+        {
+            let mut state = self.state.lock().unwrap();
+            *state = State::open(id, kind);
+            state.registers_at = Instant::now() + delay;
+        }
         *self.server.lock().unwrap() = Some(self.bind()?);
-        self.record.write(&format!("worker {id} is up at {}", self.address));
+        self.record.write(&format!("worker {id} is up as kind {kind} at {}", self.address));
+        thread::sleep(delay);
         self.register();
         Ok(())
     }
+
+    /// Number of starts in this boot whose step requires another kind.
+    pub fn misplaced(&self) -> usize {
+        self.state.lock().unwrap().misplaced
+    }
 }
 
 fn serve(
@@ -378,6 +399,10 @@
                 return state.refused("room");
             }
             record.write(&format!("start  {task} run {run} on {} (fence {fence})", state.id));
+            if let Some(kind) = step.requires.filter(|kind| *kind != state.kind) {
+                state.misplaced += 1;
+                record.write(&format!("       it requires kind {kind}, the worker is of kind {}", state.kind));
+            }
             state.runs.insert(task, Run { number: run, began: Instant::now(), step });
             state.told(200, &[])
         }
