Place tasks only by the entry of the process that reports

One of seven workers crashed and started again under its id as another kind; the owner sent it 4 to 8 tasks that it must not run. In the same way a smaller process that does not guard its capacity would have been overloaded, and one that had gone to another pool been given this pool's tasks.

Cause: what is known of a worker comes from two sources, its entry in the store (pool, capacity, labels, draining) and its reports (runs, lease, ends). Each names the process that it is of. A restart that a report shows replaces what came from reports, and nothing asked whose entry it was: until the next reading of the store, the labels of the ended process counted for the new one. That an entry may also come before the first report of its process, or an earlier one after it, was open in the same way, and so was a takeover: the first report to the next owner may be of a later process than the entry that it has read.

Why this works: a worker takes tasks only while its entry and its last report name the same process. That is a comparison of two known values at each placement (gangs, trials, room that is kept, permits all pass it), not an event that could be missed, so it holds whichever comes first and for an owner that has just taken over. Both sides without a start time, as from workers that tell none, are the same process as before. The cost: a restarted worker gets no tasks until its entry is read, which the users' workers write every 1.5 s.

Four existing tests let a worker restart and expected tasks on it by the entry of its earlier process, which is the fault. They list the entry of the new process now; what they check is unchanged. New line `Registered` when tasks are placed on such a worker again.

--- a/crates/core/src/job/scheduler/decision.rs
+++ b/crates/core/src/job/scheduler/decision.rs
@@ -259,6 +259,8 @@
     Answering,
     /// The worker's entry names another process than its last report.
     Doubted,
+    /// The entry of the process that reported last has been read; tasks may be placed by it.
+    Registered,
     /// The worker listed only a part of its ends, so that runs it did not name stay as they are.
     EndsCut,
     /// The worker has started to drain.
--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -58,11 +58,16 @@
             && entry.incarnation != worker.entry.incarnation
             && worker.process.incarnation.is_some()
             && entry.incarnation != worker.process.incarnation;
+        let was_registered = worker.is_registered();
         worker.entry = entry;
+        let registers = worker.seen_at.is_some() && !was_registered && worker.is_registered();
         if is_new {
             worker.doubt_process();
             self.log_worker_change(&id, WorkerChange::Doubted);
         }
+        if registers {
+            self.log_worker_change(&id, WorkerChange::Registered);
+        }
         if starts_draining {
             self.log_worker_change(&id, WorkerChange::Draining);
         }
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -266,7 +266,14 @@
 
     fn takes_runs(&self, now: ClockTime) -> bool {
         let is_known = self.unknown_runs == 0 && !self.has_unsettled_starts();
-        self.is_in_service() && now >= self.suspended_until && is_known
+        let is_sound = self.is_in_service() && now >= self.suspended_until;
+        is_sound && is_known && self.is_registered()
+    }
+
+    /// True if the process that reported last is the one that has written the entry. Otherwise the pool,
+    /// capacity and labels of the present process are unknown.
+    pub(super) fn is_registered(&self) -> bool {
+        self.entry.incarnation == self.process.incarnation
     }
 
     /// True while a task shows whether the worker still works after a failure. Runs from before the failure
--- a/crates/core/tests/jobs/harness.rs
+++ b/crates/core/tests/jobs/harness.rs
@@ -301,6 +301,16 @@
         self.scheduler.report(&id, report, asked_at, self.now);
     }
 
+    /// Lists the entry that a process of a worker has written.
+    pub(crate) fn register(&mut self, number: usize, incarnation: u64) {
+        let entry = WorkerEntry {
+            incarnation: Some(incarnation),
+            ..listed_entry(number)
+        };
+        self.scheduler
+            .worker_listed(worker(number), entry, self.now);
+    }
+
     /// Builds a report of running tasks.
     pub(crate) fn running(starts: &[RunOrder], percent: u8) -> RenewalReport {
         let row = |start: &RunOrder| ActiveRun {
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -463,6 +463,7 @@
         ..SchedulerHarness::running(&starts[..1], 0)
     };
     harness.report(0, restarted);
+    harness.register(0, 2);
     harness.settle();
     // One task is already running in the new incarnation; the other one is started again.
     assert_eq!(harness.starts.len(), 1);
--- a/crates/core/tests/jobs/occupancy.rs
+++ b/crates/core/tests/jobs/occupancy.rs
@@ -194,6 +194,7 @@
         ..RenewalReport::default()
     };
     harness.report(0, restarted.clone());
+    harness.register(0, 2);
     harness.settle();
     assert!(harness.starts.is_empty(), "the start may still take effect");
     assert_eq!(harness.stops, std::slice::from_ref(&start));
--- a/crates/core/tests/jobs/processes.rs
+++ b/crates/core/tests/jobs/processes.rs
@@ -1,7 +1,10 @@
 //! Tests of workers that restart under their ids without notice.
 
 use crate::harness::{SchedulerHarness, key, listed_entry, ms, number_of, step, worker};
-use jacinthhoist_core::job::{RenewalReport, SchedulerLimits, StartReply, TaskEnd, WorkerEntry};
+use jacinthhoist_core::{
+    PoolName,
+    job::{RenewalReport, Resources, SchedulerLimits, StartReply, StepSpec, TaskEnd, WorkerEntry},
+};
 
 const WORKERS: usize = 2;
 
@@ -161,3 +164,97 @@
         assert_eq!(owner.starts.len(), 1, "after the longest lease");
     }
 }
+
+/// Entry of worker 0 written by one of its processes, which has this label.
+fn labelled_entry(incarnation: u64, label: &str) -> WorkerEntry {
+    WorkerEntry {
+        labels: [label.into(), "r-1".into()].into_iter().collect(),
+        incarnation: Some(incarnation),
+        ..listed_entry(0)
+    }
+}
+
+/// Step whose workers must have the label `a`.
+fn labelled_step(count: u16) -> StepSpec {
+    StepSpec {
+        requires: Some("a".into()),
+        ..step(count)
+    }
+}
+
+fn list(owner: &mut SchedulerHarness, entry: WorkerEntry) {
+    let now = owner.now;
+    owner.scheduler.worker_listed(worker(0), entry, now);
+}
+
+/// Guards against tasks on a worker that cannot run them: a worker had restarted, and was given tasks by the
+/// label, the capacity or the pool in the entry of its earlier process (review/10).
+#[test]
+fn a_restarted_worker_gets_no_tasks_by_the_entry_of_its_earlier_process() {
+    let small = Resources {
+        cpu: 1_500,
+        ..listed_entry(0).capacity
+    };
+    let shrunk = WorkerEntry {
+        capacity: small,
+        ..labelled_entry(2, "a")
+    };
+    let moved = WorkerEntry {
+        pool: PoolName::new("melt"),
+        ..labelled_entry(2, "a")
+    };
+    let cases = [
+        (labelled_entry(2, "a"), 4),
+        (labelled_entry(2, "b"), 0),
+        (shrunk, 1),
+        (moved, 0),
+    ];
+    for (entry, placed) in cases {
+        let mut owner = SchedulerHarness::open(1);
+        owner.report(0, restarted_report());
+        owner.accept(1, vec![labelled_step(4)]);
+        owner.settle();
+        assert_eq!(owner.starts.len(), 0, "the entry is of another process");
+        list(&mut owner, entry.clone());
+        owner.settle();
+        assert_eq!(owner.starts.len(), placed, "{entry:?}");
+    }
+}
+
+/// Guards against tasks by labels that are not those of the worker's process: its entry is read before the first
+/// report of the later process, or that of the earlier process after it (review/10).
+#[test]
+fn a_worker_gets_no_tasks_while_its_entry_and_its_reports_name_different_processes() {
+    let mut owner = SchedulerHarness::open(1);
+    list(&mut owner, labelled_entry(1, "b"));
+    owner.accept(1, vec![labelled_step(1)]);
+    list(&mut owner, labelled_entry(2, "a"));
+    owner.settle();
+    assert_eq!(owner.starts.len(), 0, "the entry came early");
+    owner.report(0, RenewalReport::default());
+    owner.settle();
+    assert_eq!(owner.starts.len(), 0, "the earlier process reports still");
+    owner.report(0, restarted_report());
+    list(&mut owner, labelled_entry(1, "a"));
+    owner.settle();
+    assert_eq!(owner.starts.len(), 0, "an earlier entry came late");
+    list(&mut owner, labelled_entry(2, "a"));
+    owner.report(0, restarted_report());
+    owner.settle();
+    assert_eq!(owner.starts.len(), 1);
+}
+
+/// Guards against tasks by the entry of an earlier process around a takeover: the first report that an owner gets
+/// is of a later process than the entry that it has read (review/10).
+#[test]
+fn a_new_owner_places_no_tasks_by_the_entry_of_an_earlier_process() {
+    let owner = SchedulerHarness::open(1);
+    let mut next = owner.take_over(&[], 1);
+    next.report(0, restarted_report());
+    next.accept(1, vec![labelled_step(1)]);
+    next.settle();
+    assert_eq!(next.starts.len(), 0);
+    list(&mut next, labelled_entry(2, "a"));
+    next.settle();
+    assert_eq!(next.starts.len(), 1);
+}
--- a/crates/core/tests/jobs/strays.rs
+++ b/crates/core/tests/jobs/strays.rs
@@ -48,6 +48,7 @@
             ..RenewalReport::default()
         };
         harness.report(number, restarted);
+        harness.register(number, 2);
     }
     harness.accept(1, vec![step(1)]);
     harness.settle();
--- a/crates/core/tests/jobs/waiting.rs
+++ b/crates/core/tests/jobs/waiting.rs
@@ -203,6 +203,7 @@
         ..report
     };
     owner.report(0, restarted(RenewalReport::default()));
+    owner.register(0, 2);
     owner.settle();
     let second = owner.confirm();
     assert_eq!(started_jobs(&second), [JobId(2)]);
