Start a run only at the process that it was placed on

Cause: a run is stored before its start order is sent, and an order without an answer may be repeated. Both sends named the process that answered under the worker's id at that moment, not the one that the run had been placed on by its entry. A restart in between, whose entry and first report come while a batch is being stored, sent the order to a process that may be of another kind.

Not seen on real processes: the restart has to fall into the storing of a batch.

Why this works: an assigned task keeps its `RunTarget`, worker and process. A queued order is withdrawn if another process reports by then, before any member of its gang is sent; a repetition needs the same process, and is otherwise ordered to stop like any order without an answer. The order names the process of its target, and the adapter sends it to no other one, so that even an order decided before the restart is known stays away.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -73,7 +73,7 @@
     MemberCapacity, MemberRank, OwnerSnapshot, RecordedOwner, UnknownRank, candidacy_at,
 };
 pub use place::{PlaceCandidates, PlaceRequest, choose_worker};
-pub use process::WorkerProcess;
+pub use process::{RunTarget, WorkerProcess};
 pub use proof::OwnershipProof;
 pub use refusal::StartRefusals;
 pub use release::{ReleaseGround, RunOver};
--- a/crates/core/src/job/process.rs
+++ b/crates/core/src/job/process.rs
@@ -1,12 +1,38 @@
 //! What is known of one process of a worker.
 
-use crate::clock::ClockTime;
+use crate::{clock::ClockTime, name::WorkerId};
 
 use super::{
     lease::{UnknownLease, WorkerLease},
     worker::RenewalReport,
 };
 
+/// Process of a worker on which a run is placed. Whether the run may be there was decided by what that process
+/// had registered, which tells nothing of a later one under the same id.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunTarget {
+    /// Worker id.
+    pub worker: WorkerId,
+    /// Start time of the process; none if workers tell none, or if an earlier owner placed the run.
+    pub incarnation: Option<u64>,
+}
+
+impl RunTarget {
+    /// Creates the target from a worker and the start time of its process.
+    ///
+    /// ```
+    /// use jacinthhoist_core::{WorkerId, job::RunTarget};
+    /// let target = RunTarget::new(WorkerId::new("i-1"), Some(1_785_551_668_754));
+    /// assert_eq!(target.worker, WorkerId::new("i-1"));
+    /// ```
+    pub fn new(worker: WorkerId, incarnation: Option<u64>) -> Self {
+        Self {
+            worker,
+            incarnation,
+        }
+    }
+}
+
 /// What the owner knows of one process of a worker. It is replaced as a whole once another process
 /// answers under the worker's id: clock, lease and the numbers of ends begin anew.
 #[derive(Clone, Debug)]
--- a/crates/core/src/job/scheduler/batch.rs
+++ b/crates/core/src/job/scheduler/batch.rs
@@ -12,12 +12,12 @@
     clock::ClockTime,
     job::{
         crash::CrashHistory,
+        process::RunTarget,
         release::RunOver,
         spec::{JobId, JobState, TaskKey},
         succession::SuccessionRecord,
         task::{AnyTask, FailedRuns, StartOrderState, TaskRun},
         wave::WaveProgress,
-        worker::Worker,
     },
     name::{PoolName, WorkerId},
 };
@@ -408,17 +408,19 @@
     }
 
     /// Withdraws a start order that was not sent if its worker has fallen silent, where it might be
-    /// carried out late, or if it would extend a lease whose expiry is stored.
+    /// carried out late, if it would extend a lease whose expiry is stored, or if the worker has restarted
+    /// since the run was placed.
     fn withdraw_unsafe(&mut self, task: TaskKey, run: u32) {
         let job = self.jobs.get(&task.job);
         let Some(AnyTask::Assigned(assigned)) = job.and_then(|job| job.task(&task)) else {
             return;
         };
-        let worker = assigned.phase.worker.clone();
-        let known = self.workers.get(&worker);
-        let is_extendable = known.is_some_and(Worker::is_extendable);
-        if assigned.run == run && !is_extendable {
-            self.withdraw_start(&worker, task, run);
+        let target = assigned.phase.target.clone();
+        let known = self.workers.get(&target.worker);
+        let may_start =
+            known.is_some_and(|known| known.is_extendable() && known.run_target() == target);
+        if assigned.run == run && !may_start {
+            self.withdraw_start(&target.worker, task, run);
         }
     }
 
@@ -433,7 +435,10 @@
         if assigned.run != run {
             return None;
         }
-        let worker = assigned.phase.worker.clone();
+        let RunTarget {
+            worker,
+            incarnation,
+        } = assigned.phase.target.clone();
         // A late report may have shown since the assignment that an earlier run failed.
         let is_unwanted =
             job.life.goal().is_some() || job.is_exhausted(&task) || job.has_lost_members(&task);
@@ -447,17 +452,13 @@
         assigned.phase.order = StartOrderState::Pending;
         let checkpoint = assigned.checkpoint.clone();
         let payload = job.spec.payload.clone();
-        let process = self
-            .workers
-            .get_mut(&worker)
-            .map(|known| &mut known.process);
-        let incarnation = process.as_ref().and_then(|process| process.incarnation);
+        let known = self.workers.get_mut(&worker);
         let start = Effect::Start {
             task,
             run,
             payload,
             checkpoint,
-            lease_until: process.and_then(|process| process.lease.extend(span, now)),
+            lease_until: known.and_then(|known| known.process.lease.extend(span, now)),
             incarnation,
             permit: self.permits.find(task.into(), &worker, now),
             worker: worker.clone(),
--- a/crates/core/src/job/scheduler/gang.rs
+++ b/crates/core/src/job/scheduler/gang.rs
@@ -11,6 +11,7 @@
         place::{PlaceCandidates, PlaceScope},
         spec::{StepKey, TaskKey},
         task::{AnyTask, TaskEnd},
+        worker::Worker,
     },
     name::WorkerId,
 };
@@ -54,12 +55,14 @@
         };
         let now = self.now;
         for (member, worker) in members.iter().zip(reserved) {
+            let target = self.workers.get(&worker).map(Worker::run_target);
             let job = self.jobs.get_mut(&key.job);
-            let Some(slot) = job.and_then(|job| job.task_mut(member)) else {
+            let slot = job.and_then(|job| job.task_mut(member));
+            let Some((slot, target)) = slot.zip(target) else {
                 continue;
             };
             if let AnyTask::Waiting(task) = slot.clone() {
-                let task = task.assign_gang(worker, run, checkpoint.clone(), now);
+                let task = task.assign_gang(target, run, checkpoint.clone(), now);
                 *slot = AnyTask::Assigned(task);
                 self.outbox.queue_start(*member, run);
             }
--- a/crates/core/src/job/scheduler/orders.rs
+++ b/crates/core/src/job/scheduler/orders.rs
@@ -231,11 +231,13 @@
         let is_alone = !step.gang && !step.speculative;
         let is_in_time = self.now <= task.phase.since + START_PATIENCE;
         let may_start = worker.entry.state == WorkerState::Ready && worker.missing_since.is_none();
+        let is_same_process = worker.run_target() == task.phase.target;
         step.long_running
             && is_wanted
             && is_alone
             && is_in_time
             && may_start
+            && is_same_process
             && !self.can_stop_one(job, &key)
     }
 
--- a/crates/core/src/job/scheduler/placing.rs
+++ b/crates/core/src/job/scheduler/placing.rs
@@ -356,6 +356,9 @@
         let Some(id) = self.find_worker(key, scope, None) else {
             return false;
         };
+        let Some(target) = self.workers.get(&id).map(Worker::run_target) else {
+            return false;
+        };
         let job = self.jobs.get_mut(&key.job);
         let Some(slot) = job.and_then(|job| job.task_mut(&key)) else {
             return false;
@@ -363,7 +366,7 @@
         let AnyTask::Waiting(task) = slot.clone() else {
             return false;
         };
-        let assigned = task.assign(id.clone(), now);
+        let assigned = task.assign(target, now);
         let run = assigned.run;
         *slot = AnyTask::Assigned(assigned);
         let free = self.workers.get(&id).map_or(0, Worker::free_cpu);
--- a/crates/core/src/job/task.rs
+++ b/crates/core/src/job/task.rs
@@ -12,7 +12,7 @@
 
 use crate::{clock::ClockTime, name::WorkerId};
 
-use super::{release::RunOver, stop::StopReason};
+use super::{process::RunTarget, release::RunOver, stop::StopReason};
 
 /// Progress of a run that is complete, or in full operation.
 pub(super) const FULL_PERCENT: u8 = 100;
@@ -82,8 +82,8 @@
 /// A run is recorded for a worker; it is not known whether it has started there.
 #[derive(Clone, Debug)]
 pub struct Assigned {
-    /// Worker of the run.
-    pub worker: WorkerId,
+    /// Process on which the run was placed; no other one may get its start order.
+    pub target: RunTarget,
     /// Time of the assignment.
     pub since: ClockTime,
     /// Time at which the start order was last repeated; that of the assignment before.
@@ -187,23 +187,23 @@
         }
     }
 
-    /// Assigns the next run to a worker.
-    pub fn assign(self, worker: WorkerId, now: ClockTime) -> TaskRun<Assigned> {
+    /// Assigns the next run to a process of a worker.
+    pub fn assign(self, target: RunTarget, now: ClockTime) -> TaskRun<Assigned> {
         let (run, checkpoint) = (self.run.saturating_add(1), self.checkpoint.clone());
-        self.assign_gang(worker, run, checkpoint, now)
+        self.assign_gang(target, run, checkpoint, now)
     }
 
     /// Assigns a run of the gang, whose members share one run number and checkpoint.
     pub fn assign_gang(
         mut self,
-        worker: WorkerId,
+        target: RunTarget,
         run: u32,
         checkpoint: Option<Arc<str>>,
         now: ClockTime,
     ) -> TaskRun<Assigned> {
         self.run = run;
         self.checkpoint = checkpoint;
-        self.place(worker, StartOrderState::Queued, now)
+        self.place(target, StartOrderState::Queued, now)
     }
 
     /// Returns the last run to the task, which its worker reports as in progress; it is known to have
@@ -214,12 +214,14 @@
 
     /// Adopts a run that an earlier owner recorded for a worker.
     pub fn adopt(self, worker: WorkerId, now: ClockTime) -> TaskRun<Assigned> {
-        self.place(worker, StartOrderState::Inherited, now)
+        // The start order was sent by that owner, if at all.
+        let target = RunTarget::new(worker, None);
+        self.place(target, StartOrderState::Inherited, now)
     }
 
-    fn place(self, worker: WorkerId, order: StartOrderState, now: ClockTime) -> TaskRun<Assigned> {
+    fn place(self, target: RunTarget, order: StartOrderState, now: ClockTime) -> TaskRun<Assigned> {
         self.with_phase(Assigned {
-            worker,
+            target,
             since: now,
             ordered_at: now,
             order,
@@ -236,7 +238,7 @@
 impl TaskRun<Assigned> {
     /// Records that the worker runs the task.
     pub fn confirm(self, now: ClockTime) -> TaskRun<Running> {
-        let worker = self.phase.worker.clone();
+        let worker = self.phase.target.worker.clone();
         let settled_at = match self.phase.order {
             StartOrderState::Inherited => now + MAX_STOP_TIME,
             _ => ClockTime::ZERO,
@@ -253,7 +255,7 @@
 
     /// Records that the run has been ordered to stop.
     pub fn stop(self, reason: StopReason, now: ClockTime) -> TaskRun<Stopping> {
-        let worker = self.phase.worker.clone();
+        let worker = self.phase.target.worker.clone();
         self.with_phase(Stopping::ordered(worker, reason, now))
     }
 }
@@ -262,9 +264,10 @@
     /// Records the progress that the worker reports.
     ///
     /// ```
-    /// use jacinthhoist_core::{ClockTime, WorkerId, job::TaskRun};
+    /// use jacinthhoist_core::{ClockTime, WorkerId, job::{RunTarget, TaskRun}};
     /// let ms = ClockTime::from_millis;
-    /// let assigned = TaskRun::new().assign(WorkerId::new("i-1"), ms(0));
+    /// let target = RunTarget::new(WorkerId::new("i-1"), None);
+    /// let assigned = TaskRun::new().assign(target, ms(0));
     /// let mut running = assigned.confirm(ms(100));
     /// for (percent, now) in [(40, 300), (41, 4_300), (43, 11_300)] {
     ///     running.record_progress(percent, ms(now));
@@ -288,9 +291,10 @@
     /// Expected time until the run ends, from its progress so far; `None` before the first progress.
     ///
     /// ```
-    /// use jacinthhoist_core::{ClockTime, WorkerId, job::TaskRun};
+    /// use jacinthhoist_core::{ClockTime, WorkerId, job::{RunTarget, TaskRun}};
     /// let ms = ClockTime::from_millis;
-    /// let assigned = TaskRun::new().assign(WorkerId::new("i-1"), ms(0));
+    /// let target = RunTarget::new(WorkerId::new("i-1"), None);
+    /// let assigned = TaskRun::new().assign(target, ms(0));
     /// let mut running = assigned.confirm(ms(100));
     /// assert_eq!(running.expected_remaining(), None);
     /// (running.phase.percent, running.phase.progressed_at) = (25, ms(2_100));
@@ -396,7 +400,7 @@
     /// Worker that may be running the task, with the run number.
     pub fn placed(&self) -> Option<(&WorkerId, u32)> {
         match self {
-            Self::Assigned(task) => Some((&task.phase.worker, task.run)),
+            Self::Assigned(task) => Some((&task.phase.target.worker, task.run)),
             Self::Running(task) => Some((&task.phase.worker, task.run)),
             Self::Stopping(task) => Some((&task.phase.worker, task.run)),
             Self::Waiting(_) | Self::Done { .. } | Self::Exhausted { .. } => None,
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -13,7 +13,7 @@
     charge::{AnyCharge, RunCharge, RunCost, Stray},
     hold::RoomHold,
     lease::UnknownLease,
-    process::WorkerProcess,
+    process::{RunTarget, WorkerProcess},
     spec::{JobId, Resources, StepKey, TaskKey},
     task::TaskEnd,
 };
@@ -276,6 +276,11 @@
         self.entry.incarnation == self.process.incarnation
     }
 
+    /// Process on which a run is placed now.
+    pub(super) fn run_target(&self) -> RunTarget {
+        RunTarget::new(self.id.clone(), self.process.incarnation)
+    }
+
     /// True while a task shows whether the worker still works after a failure. Runs from before the failure
     /// and long-running tasks are no trial: their success may be far off, or never come.
     fn is_on_trial(&self, now: ClockTime) -> bool {
--- a/crates/core/tests/jobs/processes.rs
+++ b/crates/core/tests/jobs/processes.rs
@@ -1,6 +1,8 @@
 //! Tests of workers that restart under their ids without notice.
 
-use crate::harness::{SchedulerHarness, key, listed_entry, ms, number_of, step, worker};
+use crate::harness::{
+    SchedulerHarness, key, listed_entry, long_running_step, ms, number_of, step, worker,
+};
 use jacinthhoist_core::{
     PoolName,
     job::{RenewalReport, Resources, SchedulerLimits, StartReply, StepSpec, TaskEnd, WorkerEntry},
@@ -258,3 +260,61 @@
     next.settle();
     assert_eq!(next.starts.len(), 1);
 }
+
+/// Guards against a start on a worker that has become another while the run was being stored: the order was
+/// sent to the process at hand, whatever process the run had been placed on.
+#[test]
+fn a_run_that_was_placed_before_a_restart_is_not_started_after_it() {
+    let gang = StepSpec {
+        gang: true,
+        ..labelled_step(2)
+    };
+    for step in [labelled_step(2), gang] {
+        let mut owner = SchedulerHarness::open(1);
+        owner.accept(1, vec![step]);
+        owner.wait(20);
+        owner.step();
+        list(&mut owner, labelled_entry(2, "b"));
+        owner.report(0, restarted_report());
+        owner.settle();
+        assert_eq!(owner.starts.len(), 0);
+        list(&mut owner, labelled_entry(2, "a"));
+        owner.settle();
+        let runs: Vec<u32> = owner.starts.iter().map(|start| start.run).collect();
+        assert_eq!(runs, [2, 2]);
+    }
+}
+
+/// Guards against the same with start orders that got no answer and are repeated, as too many tasks of their
+/// step are away to stop one of them.
+#[test]
+fn a_start_is_not_repeated_to_a_later_process() {
+    for has_restarted in [false, true] {
+        let mut owner = SchedulerHarness::open(1);
+        let lasting = StepSpec {
+            requires: Some("a".into()),
+            max_per_worker: 0,
+            ..long_running_step(2, 1)
+        };
+        owner.accept(1, vec![lasting]);
+        owner.settle();
+        let starts = std::mem::take(&mut owner.starts);
+        assert_eq!(starts.len(), 2);
+        let report = if has_restarted {
+            list(&mut owner, labelled_entry(2, "b"));
+            restarted_report()
+        } else {
+            RenewalReport::default()
+        };
+        owner.report(0, report.clone());
+        for start in &starts {
+            owner.reply(start, StartReply::Unknown);
+        }
+        owner.wait(400);
+        owner.report(0, report);
+        let (repeated, stopped) = if has_restarted { (0, 2) } else { (2, 0) };
+        owner.settle();
+        assert_eq!(owner.starts.len(), repeated);
+        assert_eq!(owner.stops.len(), stopped);
+    }
+}
