Explore restarts of workers as another kind or a smaller one

The explorer of interleavings restarted workers under their ids, but all had one label and one capacity, and its calls to a worker were bound to the process that the owner knew when a call left, not to the one that the order named.

Now a test lets each process draw its label and capacity and register up to a heartbeat late, lets steps require the label, and checks what begins where (ROUTE for the label, LIMIT by the capacity of the process). One process can run everything, so that LOST is still checked. The calls carry the process that the order names. The other tests draw the same schedules as before.

--- a/crates/core/tests/job_interleavings/checks.rs
+++ b/crates/core/tests/job_interleavings/checks.rs
@@ -7,7 +7,7 @@
 
 use jacinthhoist_core::job::{JobId, JobSpec, StepSpec, TaskEnd, TaskKey};
 
-use crate::{setting::CAPACITY_CPU, worker::WorkerNote};
+use crate::worker::{WorkerNote, WorkerShape};
 
 /// Run that has completed its task.
 #[derive(Clone, Copy, Debug)]
@@ -45,7 +45,7 @@
     /// Checks what a process has done; `live` are the runs in progress now.
     pub(crate) fn record(
         &mut self,
-        uid: u64,
+        (uid, shape): (u64, WorkerShape),
         note: &WorkerNote,
         live: &[(u64, TaskKey, u32)],
         guarded: bool,
@@ -55,7 +55,7 @@
         match note {
             WorkerNote::Began(task, run) => {
                 self.starts += 1;
-                self.check_start(uid, *task, *run, live, guarded, at);
+                self.check_start((uid, shape), *task, *run, live, guarded, at);
             }
             WorkerNote::Ended(task, run, TaskEnd::Done) => {
                 let count = self.step(task).count;
@@ -98,7 +98,7 @@
 
     fn check_start(
         &mut self,
-        uid: u64,
+        (uid, shape): (u64, WorkerShape),
         task: TaskKey,
         run: u32,
         live: &[(u64, TaskKey, u32)],
@@ -126,9 +126,15 @@
         }
         let here = live.iter().filter(|other| other.0 == uid);
         let used: u64 = here.clone().map(|other| self.cpu(&other.1)).sum();
-        if used > CAPACITY_CPU && !guarded {
+        if used > shape.cpu && !guarded {
             self.fail(format!("LIMIT at {at}: {used} in process {uid}"));
         }
+        if step.requires.is_some_and(|label| *label != *shape.label) {
+            self.fail(format!(
+                "ROUTE at {at}: {task} began in process {uid}, which has label {}",
+                shape.label
+            ));
+        }
         let is_same = |other: &TaskKey| (other.job, other.step) == (task.job, task.step);
         let same = here.filter(|other| is_same(&other.1)).count();
         if step.max_per_worker > 0 && same > usize::from(step.max_per_worker) {
--- a/crates/core/tests/job_interleavings/engine.rs
+++ b/crates/core/tests/job_interleavings/engine.rs
@@ -30,6 +30,8 @@
     Renew {
         ack: u64,
         lease_until: Option<u64>,
+        /// Process that the call is for; no other one may get it.
+        incarnation: Option<u64>,
         wait: u64,
         asked_at: u64,
         probe: bool,
@@ -38,6 +40,7 @@
         task: TaskKey,
         run: u32,
         lease_until: Option<u64>,
+        incarnation: Option<u64>,
         expires_at: u64,
     },
     Stop {
@@ -299,12 +302,14 @@
                 task,
                 run,
                 lease_until,
+                incarnation,
                 ..
             } => {
                 let call = WorkerCall::Start {
                     task,
                     run,
                     lease_until,
+                    incarnation,
                     expires_at,
                 };
                 self.order(worker, call, now, actions);
@@ -418,6 +423,7 @@
                 call: WorkerCall::Renew {
                     ack: plan.ack,
                     lease_until: plan.lease_until,
+                    incarnation: plan.incarnation,
                     wait: if waits { RENEWAL_WAIT_MS } else { 0 },
                     asked_at: now,
                     probe,
--- a/crates/core/tests/job_interleavings/main.rs
+++ b/crates/core/tests/job_interleavings/main.rs
@@ -16,6 +16,10 @@
 /// Seeds with a deadline on the clock of an earlier process, and with an order that outlives its process.
 const UNBOUND_SEED: u64 = 14_337;
 const LATE_SEED: u64 = 122;
+/// Seeds with tasks on a restarted worker that may not run them: placed by the entry of its earlier process, and
+/// placed before the restart.
+const ENTRY_SEEDS: [u64; 4] = [12, 61, 113, 285];
+const PLACED_SEEDS: [u64; 4] = [244, 507, 944, 1_145];
 
 fn number_from(name: &str, default: u64) -> u64 {
     let value = std::env::var(name).ok();
@@ -33,10 +37,15 @@
     };
     let from = number_from("JACINTHHOIST_SEEDS_FROM", 1);
     let count = number_from("JACINTHHOIST_SEEDS", SCHEDULES);
+    explore_seeds(terms, from..from + count);
+}
+
+fn explore_seeds(terms: Terms, seeds: impl IntoIterator<Item = u64>) {
     let mut broken = Vec::new();
-    let mut starts = 0;
-    for seed in from..from + count {
-        let is_traced = is_set("JACINTHHOIST_TRACE");
+    let (mut count, mut starts) = (0, 0);
+    for seed in seeds {
+        count += 1;
+        let is_traced = std::env::var_os("JACINTHHOIST_TRACE").is_some();
         let mut world = World::new(seed, terms, is_traced);
         let result = world.play();
         for line in world.trace.iter().flatten() {
@@ -47,7 +56,7 @@
             broken.push(format!("seed {seed}: {rule}"));
         }
     }
-    println!("{count} schedules from {from}, {starts} starts");
+    println!("{count} schedules, {starts} starts");
     assert!(
         broken.is_empty(),
         "{} broken:\n{}",
@@ -88,6 +97,22 @@
     });
 }
 
+/// Workers restart with other labels and less room, and their entries come before or after their first reports. No
+/// task begins on a worker that its step or its room rules out.
+#[test]
+fn tasks_begin_only_on_workers_that_may_run_them_around_restarts() {
+    let terms = Terms {
+        restarts: true,
+        removals: true,
+        takeovers: true,
+        bound_deadlines: true,
+        differing_shapes: true,
+        ..Terms::default()
+    };
+    explore(terms);
+    explore_seeds(terms, ENTRY_SEEDS.into_iter().chain(PLACED_SEEDS));
+}
+
 /// The schedules find what an order to an earlier process does where nothing keeps it from a later one.
 #[test]
 fn orders_to_earlier_processes_are_detected() {
@@ -96,7 +121,7 @@
         removals: true,
         takeovers: true,
         bound_deadlines: true,
-        outlives_process: false,
+        ..Terms::default()
     };
     let unbound = Terms {
         bound_deadlines: false,
--- a/crates/core/tests/job_interleavings/network.rs
+++ b/crates/core/tests/job_interleavings/network.rs
@@ -42,17 +42,13 @@
         let token = self.engines[engine].token;
         let mut refused = process.is_none();
         if self.terms.bound_deadlines {
-            let known = self.engines[engine].scheduler.worker(&worker);
-            let known = known.and_then(|known| known.process.incarnation);
-            let is_known = known.is_some() && known == begun_at.map(setting::incarnation);
-            let is_bound = match &call {
-                WorkerCall::Renew {
-                    ack, lease_until, ..
-                } => *ack > 0 || lease_until.is_some(),
-                WorkerCall::Start { lease_until, .. } => lease_until.is_some(),
-                WorkerCall::Stop { .. } => false,
+            let intended = match &call {
+                WorkerCall::Renew { incarnation, .. } | WorkerCall::Start { incarnation, .. } => {
+                    *incarnation
+                }
+                WorkerCall::Stop { .. } => None,
             };
-            refused |= is_bound && !is_known;
+            refused |= intended.is_some() && intended != begun_at.map(setting::incarnation);
         }
         let number = self.calls.len() as u64;
         self.log(|| format!("owner {token} -> {worker} ({sent_to:?}) #{number}: {call:?}"));
--- a/crates/core/tests/job_interleavings/setting.rs
+++ b/crates/core/tests/job_interleavings/setting.rs
@@ -13,12 +13,16 @@
 
 use crate::{
     engine::{CallOutcome, WorkerCall},
-    worker::LONGEST_LEASE_MS,
+    worker::{LONGEST_LEASE_MS, WorkerProcess, WorkerShape},
     world::address_of,
 };
 
 /// Processor capacity of a worker, in thousandths of a core.
-pub(crate) const CAPACITY_CPU: u64 = 4_000;
+const CAPACITY_CPU: u64 = 4_000;
+/// Capacity of a small worker, on which any task has room.
+const SMALL_CPU: u64 = 2_500;
+/// Part of the steps that require a label where workers differ.
+const LABELLED_SHARE: f64 = 0.4;
 
 const POOL: &str = "mould";
 
@@ -70,29 +74,55 @@
     1_700_000_000_000 + began_at
 }
 
-pub(crate) fn entry(address: usize, began_at: u64, is_draining: bool) -> WorkerEntry {
+/// Shape of all workers where they do not differ.
+pub(crate) fn usual_shape() -> WorkerShape {
+    WorkerShape {
+        label: "a",
+        cpu: CAPACITY_CPU,
+    }
+}
+
+/// Draws the shape of a process.
+pub(crate) fn draw_shape(random: &mut StdRng) -> WorkerShape {
+    WorkerShape {
+        label: ["a", "b"][random.random_range(0..2)],
+        cpu: [CAPACITY_CPU, SMALL_CPU][random.random_range(0..2)],
+    }
+}
+
+/// Lets some steps of a job run only on workers with a label.
+pub(crate) fn require_labels(spec: &mut JobSpec, random: &mut StdRng) {
+    for step in &mut spec.steps {
+        let is_labelled = random.random_bool(LABELLED_SHARE);
+        step.requires = is_labelled.then(|| usual_shape().label.into());
+    }
+}
+
+pub(crate) fn entry(address: usize, process: &WorkerProcess) -> WorkerEntry {
     WorkerEntry {
         pool: PoolName::new(POOL),
         address: address_of(address),
         data_centre: DataCentre::new("dc-1"),
-        state: if is_draining {
+        state: if process.is_draining {
             WorkerState::Draining
         } else {
             WorkerState::Ready
         },
         capacity: Resources {
-            cpu: CAPACITY_CPU,
+            cpu: process.shape.cpu,
             mem_mb: 100_000,
             gpu: 0,
         },
-        labels: ["a".into(), "r-1".into()].into_iter().collect(),
+        labels: [process.shape.label.into(), "r-1".into()]
+            .into_iter()
+            .collect(),
         rack: None,
-        incarnation: Some(incarnation(began_at)),
+        incarnation: Some(incarnation(process.began_at)),
     }
 }
 
 /// Draws a job.
-pub(crate) fn job(random: &mut StdRng, now: u64) -> Arc<JobSpec> {
+pub(crate) fn job(random: &mut StdRng, now: u64) -> JobSpec {
     let count = random.random_range(1..3);
     let mut steps = Vec::new();
     if random.random_bool(0.12) {
@@ -139,15 +169,15 @@
     spec(steps, now)
 }
 
-fn spec(steps: Vec<StepSpec>, now: u64) -> Arc<JobSpec> {
-    Arc::new(JobSpec {
+fn spec(steps: Vec<StepSpec>, now: u64) -> JobSpec {
+    JobSpec {
         work: WorkName::new(POOL),
         terms: JobTerms::example(POOL),
         received_at: ms(now),
         payload: "x".into(),
         steps,
         repeat: None,
-    })
+    }
 }
 
 /// Outcome of a call without an answer.
--- a/crates/core/tests/job_interleavings/store.rs
+++ b/crates/core/tests/job_interleavings/store.rs
@@ -119,7 +119,11 @@
 
     pub(crate) fn submit(&mut self, job: u64) {
         let id = JobId(job);
-        let spec = setting::job(&mut self.random, self.now);
+        let mut spec = setting::job(&mut self.random, self.now);
+        if self.terms.differing_shapes {
+            setting::require_labels(&mut spec, &mut self.random);
+        }
+        let spec = Arc::new(spec);
         let span = [300, 900, 2_500, 7_000][self.random.random_range(0..4)];
         self.spans.insert(id, span);
         self.checks.add_job(id, spec.clone());
--- a/crates/core/tests/job_interleavings/worker.rs
+++ b/crates/core/tests/job_interleavings/worker.rs
@@ -39,6 +39,14 @@
     until: u64,
 }
 
+/// What a process registers of itself.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct WorkerShape {
+    pub(crate) label: &'static str,
+    /// Processor capacity, in thousandths of a core.
+    pub(crate) cpu: u64,
+}
+
 /// One process of a worker.
 #[derive(Debug)]
 pub(crate) struct WorkerProcess {
@@ -46,6 +54,7 @@
     pub(crate) uid: u64,
     pub(crate) id: WorkerId,
     pub(crate) began_at: u64,
+    pub(crate) shape: WorkerShape,
     pub(crate) is_draining: bool,
     /// Rate of the worker's clock in thousandths.
     rate: u64,
@@ -62,11 +71,12 @@
 }
 
 impl WorkerProcess {
-    pub(crate) fn spawn(uid: u64, id: WorkerId, rate: u64, now: u64) -> Self {
+    pub(crate) fn spawn(uid: u64, id: WorkerId, shape: WorkerShape, rate: u64, now: u64) -> Self {
         Self {
             uid,
             id,
             began_at: now,
+            shape,
             is_draining: false,
             rate,
             fence: 0,
--- a/crates/core/tests/job_interleavings/world.rs
+++ b/crates/core/tests/job_interleavings/world.rs
@@ -14,7 +14,7 @@
 use crate::{
     checks::RunChecks,
     engine::{CallOutcome, Engine, EngineAction, EngineEvent, WorkerCall},
-    setting::{self, CAPACITY_CPU},
+    setting,
     store::Store,
     worker::WorkerProcess,
 };
@@ -32,11 +32,16 @@
     pub(crate) bound_deadlines: bool,
     /// A call on its way may reach a later process at the address.
     pub(crate) outlives_process: bool,
+    /// Each process draws its label and capacity, and registers late. The one at the first address can run all.
+    pub(crate) differing_shapes: bool,
 }
 
 pub(crate) const START_MS: u64 = 1_000_000;
 const TROUBLE_MS: u64 = 14_000;
 const QUIET_MS: u64 = 150_000;
+/// Longest time from the start of a process to its first entry, and where workers differ: one heartbeat.
+const ENTRY_DELAY_MS: u64 = 300;
+const LATE_ENTRY_DELAY_MS: u64 = 1_500;
 pub(crate) const MEMBERS: usize = 2;
 /// Longest difference between the clocks of two members.
 const MAX_SKEW_MS: u64 = 2_500;
@@ -322,8 +327,18 @@
         self.last_uid += 1;
         let (uid, rate) = (self.last_uid, self.between(980, 1_000));
         self.log(|| format!("process {uid} of {id} begins"));
-        self.hosts[address] = Some(WorkerProcess::spawn(uid, id, rate, self.now));
-        let delay = self.between(5, 300);
+        let differs = self.terms.differing_shapes && address > 0;
+        let shape = if differs {
+            setting::draw_shape(&mut self.random)
+        } else {
+            setting::usual_shape()
+        };
+        self.hosts[address] = Some(WorkerProcess::spawn(uid, id, shape, rate, self.now));
+        let delay = if self.terms.differing_shapes {
+            self.between(5, LATE_ENTRY_DELAY_MS)
+        } else {
+            self.between(5, ENTRY_DELAY_MS)
+        };
         self.after(delay, Event::WriteEntry(address, uid));
     }
 
@@ -332,7 +347,7 @@
         let Some(process) = host.filter(|process| process.uid == uid) else {
             return;
         };
-        let entry = setting::entry(address, process.began_at, process.is_draining);
+        let entry = setting::entry(address, process);
         let id = process.id.clone();
         self.store.entries.insert(id.clone(), (entry.clone(), uid));
         self.tell_entry(EngineEvent::Listed(id, entry));
@@ -369,14 +384,15 @@
                 continue;
             };
             let notes = std::mem::take(&mut process.notes);
-            let (uid, id) = (process.uid, process.id.clone());
+            let (uid, id, shape) = (process.uid, process.id.clone(), process.shape);
             for note in notes {
                 self.log(|| format!("{id} ({uid}): {note:?}"));
                 let others = self.hosts.iter().flatten();
                 let live: Vec<(u64, TaskKey, u32)> = others
                     .flat_map(|host| host.runs().map(|(task, run)| (host.uid, task, run)))
                     .collect();
-                self.checks.record(uid, &note, &live, self.guarded, now);
+                self.checks
+                    .record((uid, shape), &note, &live, self.guarded, now);
             }
         }
         let Some(process) = &mut self.hosts[address] else {
@@ -411,6 +427,6 @@
         };
         let runs: BTreeSet<(TaskKey, u32)> = process.runs().collect();
         let used = runs.iter().map(|(task, _)| self.checks.cpu(task));
-        used.sum::<u64>() + self.checks.cpu(&task) <= CAPACITY_CPU
+        used.sum::<u64>() + self.checks.cpu(&task) <= process.shape.cpu
     }
 }
