Drop the permits of a worker that has restarted

What callers would see: work units of queues with advice start later after a restart of a worker, and starts are refused for want of a ticket. A ticket is valid "during this life of the worker".

Cause: permits are kept by worker id. After a restart the owner went on placing tasks with the permits of the earlier process until the worker refused each of them, step by step; a permit that was granted while the worker restarted was taken for one of the new process.

Why this works: permits go with the process, where a report replaces it, and so do those of a query on its way; the service is then asked again about that worker alone.

--- a/crates/core/src/job/scheduler/permits.rs
+++ b/crates/core/src/job/scheduler/permits.rs
@@ -123,7 +123,7 @@
             return;
         };
         let Some(StepAdvice {
-            permitted,
+            mut permitted,
             valid_for,
         }) = answer
         else {
@@ -131,6 +131,7 @@
             return;
         };
         let verdicts = self.verdicts.entry(query.step).or_default();
+        permitted.retain(|(worker, _)| query.workers.contains(worker));
         let denied = query.workers.into_iter();
         verdicts.extend(denied.map(|worker| (worker, PolicyVerdict::Denied)));
         let until = query.asked_at + valid_for;
@@ -140,6 +141,19 @@
         );
     }
 
+    /// Drops the permits of a worker that has restarted: each is for one process. A permit that is on its way may
+    /// be for the earlier one. What is denied stays so.
+    pub(super) fn drop_process(&mut self, worker: &WorkerId) {
+        for verdicts in self.verdicts.values_mut() {
+            if matches!(verdicts.get(worker), Some(PolicyVerdict::Permit(..))) {
+                verdicts.remove(worker);
+            }
+        }
+        if let Some(query) = &mut self.in_flight {
+            query.workers.retain(|queried| queried != worker);
+        }
+    }
+
     /// Drops a permit that the worker rejected.
     pub(super) fn revoke(&mut self, step: StepKey, worker: &WorkerId) {
         if let Some(verdicts) = self.verdicts.get_mut(&step) {
--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -463,6 +463,7 @@
             lease = UnknownLease::of_restarted(now, limits.longest_lease);
         }
         worker.process = WorkerProcess::unseen(lease);
+        self.permits.drop_process(id);
         self.log_decision(SchedulerDecision::ProcessReplaced {
             worker: id.clone(),
             incarnation,
--- a/crates/core/tests/jobs/placing.rs
+++ b/crates/core/tests/jobs/placing.rs
@@ -4,7 +4,10 @@
 
 use jacinthhoist_core::{
     WorkerId,
-    job::{Effect, JobId, JobState, Resources, StartReply, StepAdvice, StepSpec, TaskEnd},
+    job::{
+        Effect, JobId, JobState, RenewalReport, Resources, StartReply, StepAdvice, StepSpec,
+        TaskEnd,
+    },
 };
 
 use super::harness::{RunOrder, SchedulerHarness, ms, spec, step, worker};
@@ -230,3 +233,40 @@
     harness.settle();
     assert_eq!(queried_workers(&mut harness).len(), 1);
 }
+
+/// Guards against start orders that are refused: a permit holds for one process of a worker, and was kept beyond it,
+/// also if it was granted while the worker restarted.
+#[test]
+fn permits_end_with_the_process_that_they_are_for() {
+    for granted_late in [false, true] {
+        let mut harness = SchedulerHarness::open(1);
+        accept_advised(&mut harness, 1, 1);
+        harness.settle();
+        assert_eq!(queried_workers(&mut harness), [worker(0)]);
+        let grant = |harness: &mut SchedulerHarness| {
+            let now = harness.now;
+            harness.scheduler.advice_received(Some(permit(0)), now);
+            harness.settle();
+        };
+        if !granted_late {
+            grant(&mut harness);
+            assert_eq!(harness.confirm().len(), 1);
+            harness.wait(1);
+        }
+        let restarted = RenewalReport {
+            incarnation: Some(2),
+            ..RenewalReport::default()
+        };
+        harness.report(0, restarted);
+        harness.register(0, 2);
+        if granted_late {
+            grant(&mut harness);
+        } else {
+            harness.settle();
+        }
+        assert!(harness.starts.is_empty(), "{:?}", harness.starts);
+        assert_eq!(queried_workers(&mut harness), [worker(0)]);
+        grant(&mut harness);
+        assert_eq!(harness.starts.len(), 1);
+    }
+}
