Keep the doubt in a process until a report requested after it

Cause: an entry of a later process puts the process that reported last in doubt, and while it is, a start without an answer is waited for until the longest lease that workers accept. Any report took the doubt back, also one that the earlier process had been asked for before; the owner then waited for its own, shorter lease only. What a report says was read as being of the time of its arrival.

Evidence: a_report_from_before_the_entry_of_a_later_process_does_not_count_as_one_of_it failed before: the task was started elsewhere after 4 s instead of 10.5 s. Not seen on real processes.

Why this works: the doubt has a time, and ends with a report that was requested later, or with the process.

--- a/crates/core/src/job/process.rs
+++ b/crates/core/src/job/process.rs
@@ -49,8 +49,8 @@
     end_discarded: u64,
     /// Last acknowledgement of ends, with the time at which it was sent.
     ack_sent: (u64, ClockTime),
-    /// True if the worker's entry names another process than the last report.
-    pub is_doubted: bool,
+    /// Time since which another process may have taken the place of this one.
+    doubted_since: Option<ClockTime>,
 }
 
 impl WorkerProcess {
@@ -63,7 +63,7 @@
             end_stored: 0,
             end_discarded: 0,
             ack_sent: (0, ClockTime::ZERO),
-            is_doubted: false,
+            doubted_since: None,
         }
     }
 
@@ -72,6 +72,16 @@
         self.incarnation.is_some() && self.incarnation != reported
     }
 
+    /// Records that another process may have taken the place of this one.
+    pub(super) fn doubt(&mut self, now: ClockTime) {
+        self.doubted_since = Some(now);
+    }
+
+    /// True while another process may have taken the place of this one.
+    pub(super) fn is_doubted(&self) -> bool {
+        self.doubted_since.is_some()
+    }
+
     /// Records a report of the process.
     pub(super) fn record_report(
         &mut self,
@@ -81,7 +91,8 @@
     ) {
         self.incarnation = report.incarnation;
         self.lease.read(report.clock, now);
-        self.is_doubted = false;
+        // A report that was requested no later than the doubt arose tells nothing of a later process.
+        self.doubted_since = self.doubted_since.filter(|since| asked_at <= *since);
         let (ack, sent_at) = self.ack_sent;
         if asked_at >= sent_at {
             self.end_discarded = self.end_discarded.max(ack);
--- a/crates/core/src/job/scheduler/orders.rs
+++ b/crates/core/src/job/scheduler/orders.rs
@@ -132,7 +132,7 @@
             StartReply::Started => worker.record_reply(),
             StartReply::Unknown | StartReply::OldRun => worker.awaits_report = true,
             StartReply::NoRoom | StartReply::WrongLife => worker.suspend(now),
-            StartReply::OtherProcess => worker.doubt_process(),
+            StartReply::OtherProcess => worker.doubt_process(now),
             StartReply::NoPermit => self.permits.revoke(key.into(), id),
             StartReply::Unhealthy
             | StartReply::NoAnswer
--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -62,7 +62,7 @@
         worker.entry = entry;
         let registers = worker.seen_at.is_some() && !was_registered && worker.is_registered();
         if is_new {
-            worker.doubt_process();
+            worker.doubt_process(now);
             self.log_worker_change(&id, WorkerChange::Doubted);
         }
         if registers {
@@ -310,7 +310,7 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        worker.awaits_report = false;
+        worker.awaits_report = worker.process.is_doubted();
         let mut unreported = worker.runs();
         unreported.retain(|run| !reported.contains(run));
         for (key, run) in unreported {
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -360,13 +360,13 @@
         let is_recent = self
             .seen_at
             .is_some_and(|seen_at| now <= seen_at + MAX_REPORT_AGE);
-        is_recent && self.silent_since.is_none() && !self.process.is_doubted
+        is_recent && self.silent_since.is_none() && !self.process.is_doubted()
     }
 
     /// Records that another process may have taken the place of the one that reported last; the next report
     /// tells.
-    pub(super) fn doubt_process(&mut self) {
-        self.process.is_doubted = true;
+    pub(super) fn doubt_process(&mut self, now: ClockTime) {
+        self.process.doubt(now);
         self.awaits_report = true;
     }
 
@@ -375,7 +375,7 @@
     pub(super) fn latest_lapse(&self, longest_lease: ClockTime) -> ClockTime {
         let lease = &self.process.lease;
         let is_unanswered = |charge: &AnyCharge| charge.begun_at().is_none();
-        if self.process.is_doubted && self.charges.values().any(is_unanswered) {
+        if self.process.is_doubted() && self.charges.values().any(is_unanswered) {
             return lease
                 .latest_expiry()
                 .max(lease.longest_expiry(longest_lease));
--- a/crates/core/tests/jobs/processes.rs
+++ b/crates/core/tests/jobs/processes.rs
@@ -318,3 +318,41 @@
         assert_eq!(owner.stops.len(), stopped);
     }
 }
+
+/// Guards against two runs of a task as above, where a report of the earlier process was on its way when the entry of
+/// the later one was read, and took back the doubt.
+#[test]
+fn a_report_from_before_the_entry_of_a_later_process_does_not_count_as_one_of_it() {
+    let limits = SchedulerLimits::example();
+    let mut owner = SchedulerHarness::open(WORKERS);
+    owner.accept(1, vec![step(1)]);
+    owner.settle();
+    let start = owner.starts.remove(0);
+    let (chosen, other) = (number_of(&start.worker), 1 - number_of(&start.worker));
+    let sent_at = owner.now;
+    let asked_at = owner.now;
+    owner.wait(5);
+    owner.register(chosen, 2);
+    let report = RenewalReport {
+        clock: owner.now.as_millis(),
+        incarnation: Some(1),
+        ..RenewalReport::default()
+    };
+    owner
+        .scheduler
+        .report(&start.worker, report, asked_at, owner.now);
+    owner.reply(&start, StartReply::Unknown);
+    owner.scheduler.renewal_failed(&start.worker, owner.now);
+    owner.now = sent_at + limits.max_lease + ms(500);
+    owner.report(other, RenewalReport::default());
+    owner.settle();
+    assert_eq!(
+        owner.starts.len(),
+        0,
+        "the later process may hold a longer lease"
+    );
+    owner.now = sent_at + limits.longest_lease + ms(500);
+    owner.report(other, RenewalReport::default());
+    owner.settle();
+    assert_eq!(owner.starts.len(), 1);
+}
