Soak members beside workers that restart with another label

The soak of member processes restarted workers under their ids, but every process had the same label, so no start could be on a wrong one.

In the mixed profile every other worker now has the label `a` in each second process only, half of the jobs require it, and a start on a process without the label is a violation (ROUTE). The stand-in's payload `needs=LABEL,` records what a task requires.

--- a/crates/experiments/src/soak/callers.rs
+++ b/crates/experiments/src/soak/callers.rs
@@ -7,7 +7,7 @@
     Method, StatusCode,
     header::{HOST, HeaderValue},
 };
-use jacinthhoist_fakes::sample_job;
+use jacinthhoist_fakes::{labelled_job, sample_job};
 use jacinthhoist_net::{HttpClient, HttpRequest, HttpResponse};
 use rand::{RngExt, rngs::StdRng};
 use serde_json::Value;
@@ -72,6 +72,8 @@
     pub task_ms: Range<u64>,
     /// Time between two jobs, in milliseconds.
     pub pause_ms: Range<u64>,
+    /// Label that every other job requires.
+    pub label: Option<&'static str>,
     /// Timeout of a call: more than that of the route. After it the caller goes to another member.
     pub call_timeout: Duration,
 }
@@ -98,10 +100,15 @@
 ) {
     let mut connection = MemberConnection::open(fronts, number % fronts.len(), load.call_timeout);
     while Instant::now() < until {
-        let id = format!("{:016x}", rng.random::<u64>());
+        let job_number = rng.random::<u64>();
+        let id = format!("{job_number:016x}");
         let tasks = rng.random_range(2..=5);
         let payload = format!("ms={}", rng.random_range(load.task_ms.clone()));
-        let body = Bytes::from(sample_job(tasks, &payload).to_string());
+        let job = match load.label.filter(|_| job_number.is_multiple_of(2)) {
+            Some(label) => labelled_job(tasks, &payload, label),
+            None => sample_job(tasks, &payload),
+        };
+        let body = Bytes::from(job.to_string());
         let mut accepted = false;
         while Instant::now() < until {
             let response = connection.send(Method::POST, &id, body.clone()).await;
--- a/crates/experiments/src/soak/verdict.rs
+++ b/crates/experiments/src/soak/verdict.rs
@@ -7,14 +7,22 @@
 /// Run with the worker that it was on.
 type WorkerRun = (String, RunRecord);
 
-/// Returns the violations of the rules that no task has two runs at once, and that none begins after
-/// an acknowledged end `done`. Times are relative to `origin`.
+/// Returns the violations of the rules that no task has two runs at once, that none begins after
+/// an acknowledged end `done`, and that none begins on a worker without the label that it requires. Times are relative
+/// to `origin`.
 pub fn check_runs(runs: Vec<WorkerRun>, origin: Instant) -> Vec<String> {
     let mut by_task: BTreeMap<String, Vec<WorkerRun>> = BTreeMap::new();
     for run in runs {
         by_task.entry(run.1.task.clone()).or_default().push(run);
     }
     let mut violations = Vec::new();
+    for (worker, record) in by_task.values().flatten() {
+        let required = record.required.as_deref();
+        if required.is_some_and(|required| required != record.label) {
+            let run = describe_run(worker, record, origin);
+            violations.push(format!("ROUTE: {run} has label {}", record.label));
+        }
+    }
     for runs in by_task.values_mut() {
         runs.sort_by_key(|(_, record)| record.began_at);
         for (index, later) in runs.iter().enumerate() {
--- a/crates/experiments/tests/partition_soak/main.rs
+++ b/crates/experiments/tests/partition_soak/main.rs
@@ -56,6 +56,7 @@
     let load = CallerLoad {
         task_ms: 1_000..9_000,
         pause_ms: 300..900,
+        label: None,
         call_timeout: Duration::from_secs(4),
     };
     let caller = |number: usize| {
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -12,7 +12,7 @@
 pub use log::LogService;
 pub use platform::{
     FakePlatform, GangTable, KeyedLog, MachineService, PolicyService, PoolWorker, RunRecord,
-    StoreEndpoint, StoreFault, WorkerFault, long_running_job, sample_job,
+    StoreEndpoint, StoreFault, WorkerFault, labelled_job, long_running_job, sample_job,
 };
 pub use upstream::{LeaseEnds, UpstreamFault, UpstreamVm};
 pub use vms::{VmEntry, VmList};
--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -145,6 +145,13 @@
     json!({"task_spec": payload, "steps": [{"count": count, "cpu": 1_000, "mem_mb": 100}]})
 }
 
+/// Job like [`sample_job`] whose tasks run only on workers with a label.
+pub fn labelled_job(count: u16, payload: &str, label: &str) -> Value {
+    let mut job = sample_job(count, &format!("needs={label},{payload}"));
+    job["steps"][0]["requires"] = json!(label);
+    job
+}
+
 /// Job whose tasks run until it is cancelled.
 pub fn long_running_job(count: u16) -> Value {
     let step = json!({"count": count, "cpu": 2_000, "long_running": true, "may_miss": 1});
--- a/crates/fakes/src/platform/pool_worker.rs
+++ b/crates/fakes/src/platform/pool_worker.rs
@@ -3,7 +3,8 @@
 //!
 //! The payload of a task sets its behaviour: `ms=N` runs for N milliseconds, `fail` fails at once,
 //! `lasts` runs until it is stopped and `crash=N` crashes the worker after N milliseconds. `gang=N,ms=M` runs for M milliseconds together with the
-//! other tasks of its step, once N of them are present. Any other payload runs for 30 ms.
+//! other tasks of its step, once N of them are present. Any other payload runs for 30 ms. `needs=LABEL,` before
+//! any of them names the label that the task requires, for the record of its run.
 
 mod history;
 mod incarnation;
@@ -21,9 +22,9 @@
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use serde_json::json;
 use tokio::{
-    sync::{Mutex, mpsc, oneshot, watch},
+    sync::{Mutex, Notify, mpsc, oneshot, watch},
     task::JoinHandle,
-    time::sleep,
+    time::{sleep, timeout},
 };
 
 use self::incarnation::{TaskCounts, WorkerIncarnation, WorkerOrder};
@@ -68,6 +69,7 @@
     fault: watch::Sender<WorkerFault>,
     tickets_required: watch::Sender<bool>,
     state: watch::Sender<&'static str>,
+    registers_at_start: watch::Sender<bool>,
     /// Bytes that replace the entry.
     raw_entry: watch::Sender<Option<Vec<u8>>>,
     views: watch::Sender<Vec<WorkerView>>,
@@ -102,6 +104,8 @@
         let (fault, fault_receiver) = watch::channel(WorkerFault::None);
         let (tickets_required, ticket_switch) = watch::channel(false);
         let (state, state_receiver) = watch::channel("ready");
+        let (registers_at_start, register_switch) = watch::channel(false);
+        let process_started = Arc::new(Notify::new());
         let (raw_entry, raw_receiver) = watch::channel(None::<Vec<u8>>);
         let (process_ends, process_end_requests) = mpsc::unbounded_channel();
         let (views, view_receiver) = watch::channel(Vec::<WorkerView>::new());
@@ -112,6 +116,7 @@
             target: id.into(),
             requires_ticket: ticket_switch,
             process_ends: process_ends.clone(),
+            process_started: process_started.clone(),
         };
         let server = context.clone().listen(loopback()).await?;
         let address = server.address;
@@ -123,18 +128,18 @@
             loop {
                 seq += 1;
                 let state = *state_receiver.borrow();
-                let (number, crashed) = {
+                let (number, label, crashed) = {
                     let incarnation = registered.lock().await;
-                    (incarnation.number, incarnation.crashed)
+                    (incarnation.number, incarnation.label(), incarnation.crashed)
                 };
                 if crashed {
-                    sleep(heartbeat).await;
+                    next_beat(heartbeat, &process_started, &register_switch).await;
                     continue;
                 }
                 let mut entry = json!({"service": pool, "address": address.to_string(), "zone": "dc-1",
                     "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0, "born": number,
                     "capacity": {"cpu": 32_000, "mem_mb": 131_072, "gpu": 0},
-                    "labels": ["a", "r-1"], "seq": seq});
+                    "labels": [label, "r-1"], "seq": seq});
                 let raw = raw_receiver.borrow().clone();
                 let mut put = |topic: &str, address: SocketAddr| {
                     entry["address"] = json!(address.to_string());
@@ -146,7 +151,7 @@
                 for view in view_receiver.borrow().iter() {
                     put(&view.topic, view.address);
                 }
-                sleep(heartbeat).await;
+                next_beat(heartbeat, &process_started, &register_switch).await;
             }
         });
         Ok(Self {
@@ -157,6 +162,7 @@
             fault,
             tickets_required,
             state,
+            registers_at_start,
             raw_entry,
             views,
             process_ends,
@@ -190,6 +196,16 @@
         self.state.send_replace("draining");
     }
 
+    /// From now on registers at the start of each process, not only at the next heartbeat.
+    pub fn register_at_start(&self) {
+        self.registers_at_start.send_replace(true);
+    }
+
+    /// Sets the labels that the processes of the worker have by turns, beside that of its rack.
+    pub async fn set_labels(&self, labels: &'static [&'static str]) {
+        self.incarnation.lock().await.labels = labels;
+    }
+
     /// Registers with these bytes in place of its entry from now on; `None` for the entry again.
     pub fn replace_entry(&self, bytes: Option<&[u8]>) {
         self.raw_entry.send_replace(bytes.map(<[u8]>::to_vec));
@@ -267,6 +283,23 @@
     target: Arc<str>,
     requires_ticket: watch::Receiver<bool>,
     process_ends: mpsc::UnboundedSender<ProcessEnd>,
+    process_started: Arc<Notify>,
+}
+
+/// Waits for the next heartbeat, or for the start of a process if that one registers at its start.
+async fn next_beat(
+    heartbeat: Duration,
+    process_started: &Notify,
+    registers_at_start: &watch::Receiver<bool>,
+) {
+    let start = async {
+        process_started.notified().await;
+        if !*registers_at_start.borrow() {
+            std::future::pending::<()>().await;
+        }
+    };
+    // Elapses at the heartbeat.
+    let _ = timeout(heartbeat, start).await;
 }
 
 /// Topic in which a worker registers besides that of all workers, and its address there.
@@ -320,11 +353,7 @@
                 incarnation.finish_due(&mut counts);
                 counts.history.end_all("crashed");
                 let next = incarnation.next();
-                let ended = WorkerIncarnation::new(
-                    incarnation.number,
-                    next.longest_lease,
-                    next.gangs.clone(),
-                );
+                let ended = incarnation.with_number(incarnation.number);
                 *incarnation = ended;
                 incarnation.crashed = true;
                 next
@@ -335,7 +364,7 @@
             {
                 // Its clock begins now.
                 let mut incarnation = self.incarnation.lock().await;
-                *incarnation = WorkerIncarnation::new(next.number, next.longest_lease, next.gangs);
+                *incarnation = next.with_number(next.number);
             }
             server = loop {
                 match self.clone().listen(address).await {
@@ -344,6 +373,7 @@
                     Err(_) => sleep(BIND_INTERVAL).await,
                 }
             };
+            self.process_started.notify_one();
             if let Some(done) = done {
                 // The caller may not wait for it.
                 let _ = done.send(());
--- a/crates/fakes/src/platform/pool_worker/history.rs
+++ b/crates/fakes/src/platform/pool_worker/history.rs
@@ -13,6 +13,10 @@
     pub token: u64,
     /// Number of the worker's process, counted from 1.
     pub process: u64,
+    /// Label of that process.
+    pub label: &'static str,
+    /// Label that the task requires.
+    pub required: Option<String>,
     /// Time from the start to the end of the lease that was then in force.
     pub granted: Option<Duration>,
     /// Time of the start.
--- a/crates/fakes/src/platform/pool_worker/incarnation.rs
+++ b/crates/fakes/src/platform/pool_worker/incarnation.rs
@@ -66,6 +66,17 @@
     }
 }
 
+/// Splits the label that a task requires from its payload.
+fn split_required(payload: &str) -> (Option<&str>, &str) {
+    let parts = payload
+        .strip_prefix("needs=")
+        .and_then(|rest| rest.split_once(','));
+    match parts {
+        Some((label, rest)) => (Some(label), rest),
+        None => (None, payload),
+    }
+}
+
 /// Parses the payload of a gang task: the number of its tasks, and what each of them does.
 fn split_gang(payload: &str) -> (Option<usize>, &str) {
     let parts = payload
@@ -98,6 +109,8 @@
     /// Ticket that starts must carry, if tickets are required.
     pub(super) ticket: Option<String>,
     pub(super) gangs: GangTable,
+    /// Labels of the worker's processes by turns.
+    pub(super) labels: &'static [&'static str],
     /// True once the process has crashed.
     pub(super) crashed: bool,
 }
@@ -128,13 +141,27 @@
             lapsed_end: 0,
             ticket: None,
             gangs,
+            labels: &["a"],
             crashed: false,
         }
     }
 
     /// The process that follows this one.
     pub(super) fn next(&self) -> Self {
-        Self::new(self.number + 1, self.longest_lease, self.gangs.clone())
+        self.with_number(self.number + 1)
+    }
+
+    /// A process that begins now, with the settings of this one.
+    pub(super) fn with_number(&self, number: u64) -> Self {
+        Self {
+            labels: self.labels,
+            ..Self::new(number, self.longest_lease, self.gangs.clone())
+        }
+    }
+
+    /// Label of the process.
+    pub(super) fn label(&self) -> &'static str {
+        self.labels[(self.number - 1) as usize % self.labels.len()]
     }
 
     pub(super) fn clock_ms(&self) -> u64 {
@@ -245,7 +272,8 @@
         {
             return Err("ticket");
         }
-        let (gang_size, payload) = split_gang(&order.task_spec);
+        let (required, payload) = split_required(&order.task_spec);
+        let (gang_size, payload) = split_gang(payload);
         let crashes_after = payload.strip_prefix("crash=");
         let crashes_after = crashes_after.and_then(|number| number.parse().ok());
         let duration = match payload {
@@ -272,6 +300,8 @@
             run: order.run,
             token: order.fencing_token,
             process: self.number,
+            label: self.label(),
+            required: required.map(str::to_owned),
             granted: self
                 .deadline
                 .map(|at| Duration::from_millis(at.saturating_sub(self.clock_ms()))),
--- a/crates/jacinthhoistd/tests/process_soak/main.rs
+++ b/crates/jacinthhoistd/tests/process_soak/main.rs
@@ -36,6 +36,9 @@
 const SETTLE_PERIOD: Duration = Duration::from_secs(1);
 /// Number of callers.
 const CALLERS: usize = 4;
+/// Label that half of the jobs require; every other worker has it only in each second process.
+const LABEL: &str = "a";
+const OTHER_LABEL: &str = "b";
 /// First of the sequences that each seed plays: the cuts of workers.
 const ALWAYS_PLAYED: u64 = 7;
 
@@ -50,6 +53,7 @@
     CallerLoad {
         task_ms,
         pause_ms,
+        label: (profile == FaultProfile::Mixed).then_some(LABEL),
         call_timeout: Duration::from_secs(8),
     }
 }
@@ -80,6 +84,16 @@
     let mut installation = ProcessInstallation::spawn(members, &folder.path).await;
     let origin = Instant::now();
     installation.begin(origin);
+    for (number, worker) in installation.platform.workers.iter().enumerate() {
+        match profile {
+            FaultProfile::Mixed if number % 2 == 1 => {
+                worker.set_labels(&[LABEL, OTHER_LABEL]).await;
+            }
+            FaultProfile::Mixed => {}
+            // Starts reach the new process before its owner's next regular renewal.
+            FaultProfile::UnseenRestarts => worker.register_at_start(),
+        }
+    }
     let unix_ms = SystemTime::now().duration_since(UNIX_EPOCH);
     let unix_ms = unix_ms.map_or(0, |time| time.as_millis());
     println!(
