Store an order for maintenance before it is sent, and count it until it cannot be carried out

The order for one upkeep got no answer, its sender was killed, the next owner took another machine down, and the first order was carried out 3.3 s later.

Cause: nothing remembered an order without a reply for as long as it may be carried out. Only begun maintenance was stored, after the reply, so a later owner knew nothing of it; and in one owner the refusal of a repetition counted as the end of the attempt before.

Why this works: the wave's stored progress names the VMs that may have been ordered, before any order leaves. A later owner counts them against the cap, empties them and orders them first; from then on the platform refuses the earlier order for its lower token. 13 s after the takeover none can be carried out any more, by what the platform states, so a VM that stays down does not hold up the wave for good. A refusal ends an order only if no attempt without a reply is left. Members of earlier releases ignore the new field. Records of a wave are written once a batch, so the second one for each VM costs little.

--- a/crates/codec/tests/hostile.rs
+++ b/crates/codec/tests/hostile.rs
@@ -183,6 +183,7 @@
     let wave = WaveProgress {
         begun: [VmName::new("m-1")].into_iter().collect(),
         completed: true,
+        ordered: [VmName::new("m-2")].into_iter().collect(),
     };
     let ended = JobProgress {
         ended: Some(JobState::Failed),
--- a/crates/codec/tests/job.rs
+++ b/crates/codec/tests/job.rs
@@ -97,6 +97,7 @@
     let wave = WaveProgress {
         begun: [VmName::new("m-1")].into_iter().collect(),
         completed: true,
+        ordered: [VmName::new("m-2")].into_iter().collect(),
     };
     let base_sizes = BTreeMap::from([(PoolName::new("melt-shop"), 12)]);
     let worker = WorkerId::new("i-7f3a");
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -97,7 +97,7 @@
 pub use task::{
     AnyTask, Assigned, FailedRuns, Running, StartOrderState, Stopping, TaskEnd, TaskRun, Waiting,
 };
-pub use vm_order::{Accepted, AnyVmOrder, Sent, VmOrder, VmOrderRun};
+pub use vm_order::{Accepted, AnyVmOrder, Queued as QueuedOrder, Sent, VmOrder, VmOrderRun};
 pub use wait::{WaitCounts, WaitReason};
 pub use wave::{Wave, WaveProgress, WaveRequest, WaveTable};
 pub use worker::{
--- a/crates/core/src/job/scheduler/batch.rs
+++ b/crates/core/src/job/scheduler/batch.rs
@@ -19,7 +19,7 @@
         task::{AnyTask, FailedRuns, StartOrderState, TaskRun},
         wave::WaveProgress,
     },
-    name::{PoolName, WorkerId},
+    name::{PoolName, VmName, WorkerId},
 };
 
 use super::{Effect, Job, Scheduler, SchedulerDecision};
@@ -194,6 +194,8 @@
 #[derive(Debug, Default)]
 struct BatchInFlight {
     starts: Vec<(TaskKey, u32)>,
+    /// VMs whose maintenance is ordered once the batch is stored.
+    maintenances: Vec<VmName>,
     ends: Vec<(JobId, JobState)>,
     begun: Vec<JobId>,
     /// Workers with their incarnation and the number of the last end that the batch stores.
@@ -209,8 +211,12 @@
 pub(super) struct Outbox {
     changed: BTreeSet<JobId>,
     starts: Vec<(TaskKey, u32)>,
+    /// VMs whose maintenance is ordered once the records are stored.
+    maintenances: Vec<VmName>,
     ends: BTreeMap<JobId, JobState>,
     records: Vec<BatchRecord>,
+    /// Progress of waves that has changed.
+    waves: BTreeMap<u64, WaveProgress>,
     /// Lease expiries to store or, if `None`, to clear.
     expiries: BTreeMap<WorkerId, Option<ClockTime>>,
     in_flight: Option<BatchInFlight>,
@@ -229,6 +235,11 @@
         self.starts.push((task, run));
     }
 
+    /// Queues an order on a VM, which must not be sent before the records are stored.
+    pub(super) fn queue_maintenance(&mut self, vm: VmName) {
+        self.maintenances.push(vm);
+    }
+
     /// Records the end of a job; returns true the first time.
     pub(super) fn record_end(&mut self, job: JobId, state: JobState) -> bool {
         let in_flight = self.in_flight.as_ref();
@@ -249,6 +260,11 @@
         self.records.push(record);
     }
 
+    /// Stores the progress of a wave with the next batch, which holds only the last change of each wave.
+    pub(super) fn set_wave(&mut self, number: u64, progress: WaveProgress) {
+        self.waves.insert(number, progress);
+    }
+
     /// Stores or clears the lease expiry of a worker with the next batch, which holds only the last
     /// change of each worker.
     pub(super) fn set_expiry(&mut self, worker: &WorkerId, expiry: Option<ClockTime>) {
@@ -261,7 +277,10 @@
     }
 
     fn is_empty(&self) -> bool {
-        self.changed.is_empty() && self.records.is_empty() && self.expiries.is_empty()
+        self.changed.is_empty()
+            && self.records.is_empty()
+            && self.waves.is_empty()
+            && self.expiries.is_empty()
     }
 }
 
@@ -285,6 +304,9 @@
     fn take_batch(&mut self) -> Batch {
         let mut in_flight = BatchInFlight::default();
         let mut records = std::mem::take(&mut self.outbox.records);
+        let waves = std::mem::take(&mut self.outbox.waves).into_iter();
+        records.extend(waves.map(|(number, progress)| BatchRecord::Wave(number, progress)));
+        in_flight.maintenances = std::mem::take(&mut self.outbox.maintenances);
         for (worker, expiry) in std::mem::take(&mut self.outbox.expiries) {
             if expiry.is_none() {
                 in_flight.expiry_cleared.push(worker.clone());
@@ -391,6 +413,9 @@
         for (id, state) in batch.ends {
             self.close_job(id, state);
         }
+        for vm in batch.maintenances {
+            self.send_queued_order(&vm);
+        }
         // First, so that no member of a gang is started without the others.
         for (task, run) in &batch.starts {
             self.withdraw_unsafe(*task, *run);
--- a/crates/core/src/job/scheduler/fleet.rs
+++ b/crates/core/src/job/scheduler/fleet.rs
@@ -156,17 +156,40 @@
                 }
             }
             // The order may have been carried out; it is repeated.
-            OrderReply::Unknown => {}
+            OrderReply::Unknown => {
+                if let AnyVmOrder::Sent(sent) = &*pending {
+                    *pending = AnyVmOrder::Sent(sent.clone().lose_reply(now));
+                }
+            }
             OrderReply::Refused | OrderReply::Expired | OrderReply::Fenced => {
-                self.fleet.pending.remove(vm);
-                self.fleet
-                    .refused
-                    .insert(vm.clone(), now + ORDER_RETRY_DELAY);
-                self.set_cordon(vm, false);
+                let AnyVmOrder::Sent(sent) = &*pending else {
+                    return;
+                };
+                match sent.clone().refuse(now) {
+                    // An earlier attempt may be carried out; this one is repeated.
+                    Some(sent) => *pending = AnyVmOrder::Sent(sent),
+                    None => self.drop_order(vm, false),
+                }
             }
         }
     }
 
+    /// Drops an order that is not carried out; `is_in_doubt` is true if one of an earlier owner may be.
+    fn drop_order(&mut self, vm: &VmName, is_in_doubt: bool) {
+        let Some(dropped) = self.fleet.pending.remove(vm) else {
+            return;
+        };
+        self.fleet
+            .refused
+            .insert(vm.clone(), self.now + ORDER_RETRY_DELAY);
+        self.set_cordon(vm, false);
+        if let VmOrder::Maintain(wave) = *dropped.order()
+            && !is_in_doubt
+        {
+            self.maintenance_dropped(vm, wave);
+        }
+    }
+
     /// Repeats pending orders, advances maintenance waves and resizes pools.
     pub(super) fn plan_fleet(&mut self) {
         let now = self.now;
@@ -210,8 +233,9 @@
         }
     }
 
-    pub(super) fn order_vm(&mut self, vm: &VmName, order: VmOrder) {
-        let sent = VmOrderRun::send(order.clone(), self.now);
+    fn order_move(&mut self, vm: &VmName, to: PoolName) {
+        let order = VmOrder::Move(to);
+        let sent = VmOrderRun::send_now(order.clone(), self.now);
         self.fleet
             .pending
             .insert(vm.clone(), AnyVmOrder::Sent(sent));
@@ -219,6 +243,39 @@
         self.send_order(vm.clone(), order);
     }
 
+    /// Queues an order that is sent once it is stored that it may have been. An order of an earlier owner may be
+    /// carried out until `doubt_until`.
+    pub(super) fn queue_maintenance(&mut self, vm: &VmName, wave: u64, doubt_until: ClockTime) {
+        let queued = VmOrderRun::queue(VmOrder::Maintain(wave), doubt_until);
+        self.fleet
+            .pending
+            .insert(vm.clone(), AnyVmOrder::Queued(queued));
+        self.set_cordon(vm, true);
+        self.outbox.queue_maintenance(vm.clone());
+    }
+
+    /// Sends a queued order, unless a run has come to light on the VM, or the VM may not be ordered about any more.
+    pub(super) fn send_queued_order(&mut self, vm: &VmName) {
+        let now = self.now;
+        let Some(AnyVmOrder::Queued(queued)) = self.fleet.pending.get(vm) else {
+            return;
+        };
+        let queued = queued.clone();
+        let entry = self.fleet.vms.get(vm);
+        let is_up = entry.is_some_and(|entry| entry.state == VmState::Up);
+        let worker = self.fleet.current_worker(vm);
+        let worker = worker.and_then(|id| self.workers.get(id));
+        let is_empty = worker.is_none_or(|worker| worker.is_empty() && !worker.is_unseen(now));
+        if !(self.ownership_confirmed && is_up && is_empty) {
+            self.drop_order(vm, queued.is_in_doubt(now));
+            return;
+        }
+        let sent = AnyVmOrder::Sent(queued.send(now));
+        let order = sent.order().clone();
+        self.fleet.pending.insert(vm.clone(), sent);
+        self.send_order(vm.clone(), order);
+    }
+
     fn send_order(&mut self, vm: VmName, order: VmOrder) {
         self.effects.push(match order {
             VmOrder::Move(to) => Effect::Move { vm, to },
@@ -250,7 +307,7 @@
                 demand,
                 capacity,
             });
-            self.order_vm(&planned.vm, VmOrder::Move(planned.to));
+            self.order_move(&planned.vm, planned.to);
         }
     }
 }
--- a/crates/core/src/job/scheduler/waves.rs
+++ b/crates/core/src/job/scheduler/waves.rs
@@ -10,14 +10,14 @@
         spec::TaskKey,
         stop::StopReason,
         task::{AnyTask, FULL_PERCENT},
-        vm_order::VmOrder,
+        vm_order::{MAX_ORDER_DELAY, VmOrder},
         wave::{WaveProgress, WaveRequest},
         worker::Worker,
     },
     name::{VmName, WorkerId},
 };
 
-use super::{BatchRecord, Effect, Job, Scheduler, SchedulerDecision, VmState};
+use super::{Effect, Job, Scheduler, SchedulerDecision, VmState};
 
 /// Longest time by which the VM list may lag behind an order. The platform's list lags by less than
 /// a second.
@@ -66,8 +66,69 @@
             return;
         };
         wave.progress.begun.insert(vm.clone());
-        let progress = wave.progress.clone();
-        self.outbox.push(BatchRecord::Wave(number, progress));
+        wave.progress.ordered.remove(vm);
+        self.store_wave(number);
+    }
+
+    /// Records that no order on a VM is carried out any more.
+    pub(super) fn maintenance_dropped(&mut self, vm: &VmName, number: u64) {
+        let wave = self.waves.waves.get_mut(&number);
+        if wave.is_some_and(|wave| wave.progress.ordered.remove(vm)) {
+            self.store_wave(number);
+        }
+    }
+
+    fn store_wave(&mut self, number: u64) {
+        if let Some(wave) = self.waves.waves.get(&number) {
+            self.outbox.set_wave(number, wave.progress.clone());
+        }
+    }
+
+    /// Orders a VM into maintenance once it is stored that it may have been ordered.
+    fn order_maintenance(&mut self, vm: &VmName, number: u64) {
+        let Some(wave) = self.waves.waves.get_mut(&number) else {
+            return;
+        };
+        let is_first = wave.progress.ordered.insert(vm.clone());
+        let doubt_until = if is_first {
+            ClockTime::ZERO
+        } else {
+            self.inherited_until()
+        };
+        self.store_wave(number);
+        self.queue_maintenance(vm, number, doubt_until);
+    }
+
+    /// Time until which the order of an earlier owner may be carried out.
+    fn inherited_until(&self) -> ClockTime {
+        self.fleet.opened_at + MAX_ORDER_DELAY
+    }
+
+    /// Returns the VMs of a wave that an earlier owner may have ordered into maintenance, and on which this owner
+    /// has no order yet.
+    fn inherited_orders(&self, number: u64) -> SmallVec<[VmName; 4]> {
+        let wave = self.waves.waves.get(&number);
+        let ordered = wave.iter().flat_map(|wave| &wave.progress.ordered);
+        let is_pending = |vm: &VmName| self.fleet.pending.contains_key(vm);
+        let is_listed = |vm: &VmName| self.fleet.vms.contains_key(vm);
+        ordered
+            .filter(|vm| !is_pending(vm) && is_listed(vm))
+            .cloned()
+            .collect()
+    }
+
+    /// Empties the VMs that an earlier owner may have ordered into maintenance, so that they are ordered
+    /// again before others: the platform refuses the earlier order from then on.
+    fn take_over_orders(&mut self, number: u64) {
+        for vm in self.inherited_orders(number) {
+            let entry = self.fleet.vms.get(&vm);
+            let is_up = entry.is_some_and(|entry| entry.state == VmState::Up);
+            if self.now > self.inherited_until() {
+                self.maintenance_dropped(&vm, number);
+            } else if is_up && self.fleet.evacuating.insert(vm.clone()) {
+                self.set_cordon(&vm, true);
+            }
+        }
     }
 
     pub(super) fn advance_waves(&mut self) {
@@ -90,6 +151,11 @@
             return;
         }
         let cap = wave.request.cap.max(1);
+        self.take_over_orders(number);
+        let Some(wave) = self.waves.waves.get(&number) else {
+            return;
+        };
+        let inherited = self.inherited_orders(number);
         let remaining: Vec<VmName> = wave
             .remaining(|vm| self.fleet.vms.contains_key(vm))
             .cloned()
@@ -128,10 +194,12 @@
                 // VMs that are off or evacuated carry no load that could suffer.
                 let is_due = evacuating || is_off || out_of_service < max_for_idle;
                 let may_order = vm.state == VmState::Up && self.fleet.may_order(&name, now);
-                if may_order && is_due && free_slots > 0 {
-                    free_slots -= 1;
+                // It counts as down already.
+                let is_inherited = inherited.contains(&name);
+                if may_order && is_due && (is_inherited || free_slots > 0) {
+                    free_slots -= usize::from(!is_inherited);
                     out_of_service += usize::from(!evacuating && !is_off);
-                    self.order_vm(&name, VmOrder::Maintain(number));
+                    self.order_maintenance(&name, number);
                 }
             } else if let Some(worker) = worker
                 && !evacuating
@@ -180,7 +248,8 @@
             let entry = self.fleet.vms.get(vm);
             entry.is_some_and(|entry| entry.state == VmState::InMaintenance)
         };
-        vms.filter(|vm| ordered(vm) || listed(vm))
+        let inherited = self.inherited_orders(number);
+        vms.filter(|vm| ordered(vm) || listed(vm) || inherited.contains(vm))
             .cloned()
             .collect()
     }
@@ -335,8 +404,7 @@
             return;
         };
         wave.progress.completed = true;
-        let progress = wave.progress.clone();
-        self.outbox.push(BatchRecord::Wave(number, progress));
+        self.store_wave(number);
         self.effects.push(Effect::WaveStatus {
             wave: number,
             completed: true,
--- a/crates/core/src/job/wave.rs
+++ b/crates/core/src/job/wave.rs
@@ -36,6 +36,10 @@
     pub begun: BTreeSet<VmName>,
     /// True once operators have been notified that the wave is complete.
     pub completed: bool,
+    /// VMs that may have been ordered into maintenance and are not known to have begun it. An order without a
+    /// reply may be carried out late, also after its sender has ended.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub ordered: BTreeSet<VmName>,
 }
 
 /// A wave in progress.
--- a/crates/core/tests/jobs/harness.rs
+++ b/crates/core/tests/jobs/harness.rs
@@ -8,7 +8,7 @@
         ActiveRun, AnyTask, Batch, BatchRecord, CallerLimits, Effect, EndedRun, JobCatalogue,
         JobId, JobPool, JobProgress, JobSpec, JobTerms, JobWork, RenewalReport, Resources,
         Scheduler, SchedulerLimits, StartReply, StepSpec, TaskEnd, TaskKey, VmEntry, VmState,
-        WorkerEntry, WorkerState,
+        WaveProgress, WorkerEntry, WorkerState,
     },
 };
 
@@ -32,6 +32,7 @@
     /// Progress records in the store.
     pub(crate) stored: BTreeMap<JobId, JobProgress>,
     pub(crate) lease_expiries: BTreeMap<WorkerId, ClockTime>,
+    pub(crate) stored_waves: BTreeMap<u64, WaveProgress>,
     end_numbers: BTreeMap<WorkerId, u64>,
 }
 
@@ -187,6 +188,7 @@
             body_removals: Vec::new(),
             stored: BTreeMap::new(),
             lease_expiries: BTreeMap::new(),
+            stored_waves: BTreeMap::new(),
             end_numbers: BTreeMap::new(),
         }
     }
@@ -206,8 +208,12 @@
         for (id, expiry) in &self.lease_expiries {
             next.scheduler.restore_lease_expiry(id, *expiry);
         }
+        for (number, progress) in &self.stored_waves {
+            next.scheduler.restore_wave(*number, progress.clone());
+        }
         next.stored = self.stored.clone();
         next.lease_expiries = self.lease_expiries.clone();
+        next.stored_waves = self.stored_waves.clone();
         next.list_workers(workers);
         next.step();
         next
@@ -251,6 +257,9 @@
                     BatchRecord::LeaseExpiry(id, None) => {
                         self.lease_expiries.remove(id);
                     }
+                    BatchRecord::Wave(number, progress) => {
+                        self.stored_waves.insert(*number, progress.clone());
+                    }
                     _ => {}
                 }
             }
--- a/crates/core/tests/jobs/waves.rs
+++ b/crates/core/tests/jobs/waves.rs
@@ -5,7 +5,7 @@
 use jacinthhoist_core::{
     ClockTime, VmName, WorkerId,
     job::{
-        Effect, OrderReply, RenewalReport, StepSpec, TaskEnd, TaskKey, VmEntry, VmState,
+        Effect, JobId, OrderReply, RenewalReport, StepSpec, TaskEnd, TaskKey, VmEntry, VmState,
         WaveRequest, WorkerEntry, WorkerState,
     },
 };
@@ -51,6 +51,8 @@
     harness.step();
     harness.wait(150);
     harness.step();
+    // Orders are sent once they are stored.
+    harness.store();
 }
 
 /// Requests a wave over a fleet of 16 workers, whose 512 cores run `tasks` tasks of one core each, and
@@ -514,3 +516,107 @@
     list_vms_after(&mut harness, &[VmState::Up], 500);
     assert!(maintained(&harness).contains(&VmName::new("m-0")));
 }
+
+/// Owner of four VMs that has ordered the first one of a wave with a cap of one into maintenance, without a reply.
+fn order_without_reply() -> SchedulerHarness {
+    let mut owner = SchedulerHarness::open(4);
+    let request = wave(&[0, 1, 2, 3], 1);
+    owner.scheduler.request_wave(request, owner.now);
+    list_vms_after(&mut owner, &[VmState::Up; 4], 2_000);
+    assert_eq!(maintained(&owner), [VmName::new("m-0")]);
+    owner
+}
+
+/// Creates the next owner, which knows the wave and whose workers have reported.
+fn take_over_wave(owner: &SchedulerHarness) -> SchedulerHarness {
+    let mut next = owner.take_over(&[], 4);
+    let request = wave(&[0, 1, 2, 3], 1);
+    next.scheduler.request_wave(request, next.now);
+    next.report_all(&[], 4, 0);
+    next
+}
+
+/// Guards against more VMs in maintenance than the cap allows: the order of an owner that had ended was carried out late,
+/// after the next owner, which knew nothing of it, had ordered another VM (review/9).
+#[test]
+fn an_order_of_an_earlier_owner_without_a_reply_counts_against_the_cap() {
+    let mut next = take_over_wave(&order_without_reply());
+    next.accept(1, vec![step(1)]);
+    next.settle();
+    let start = next.confirm().remove(0);
+    assert_eq!(start.worker, worker(0));
+    next.report_all(std::slice::from_ref(&start), 4, 10);
+    list_vms_after(&mut next, &[VmState::Up; 4], 2_000);
+    assert!(maintained(&next).is_empty(), "{:?}", maintained(&next));
+    assert_eq!(cordoned(&next), [worker(0)]);
+    next.end(&start, TaskEnd::Done);
+    list_vms_after(&mut next, &[VmState::Up; 4], 100);
+    assert_eq!(maintained(&next), [VmName::new("m-0")]);
+}
+
+/// Guards against a wave that waits for good for a VM that an earlier owner may have ordered.
+#[test]
+fn an_order_of_an_earlier_owner_does_not_hold_up_a_wave_for_good() {
+    let mut next = take_over_wave(&order_without_reply());
+    let mut states = [VmState::Up; 4];
+    states[0] = VmState::Down;
+    list_vms_after(&mut next, &states, 2_000);
+    assert!(maintained(&next).is_empty());
+    list_vms_after(&mut next, &states, 14_000);
+    assert_eq!(maintained(&next), [VmName::new("m-1")]);
+}
+
+/// Guards against the same with one owner: the repetition of an order without a reply was refused, and the order
+/// counted as one that is not carried out.
+#[test]
+fn the_refusal_of_a_repeated_order_does_not_end_the_one_before() {
+    let mut owner = order_without_reply();
+    let name = VmName::new("m-0");
+    let reply = |owner: &mut SchedulerHarness, reply: OrderReply| {
+        let now = owner.now;
+        owner.scheduler.vm_order_replied(&name, reply, now);
+    };
+    reply(&mut owner, OrderReply::Unknown);
+    owner.orders.clear();
+    let mut states = [VmState::Up; 4];
+    states[0] = VmState::Down;
+    list_vms_after(&mut owner, &states, 700);
+    assert_eq!(maintained(&owner), std::slice::from_ref(&name));
+    reply(&mut owner, OrderReply::Refused);
+    list_vms_after(&mut owner, &states, 700);
+    let other = VmName::new("m-1");
+    assert!(!maintained(&owner).contains(&other));
+    // By then the first order cannot be carried out any more.
+    owner.wait(14_000);
+    reply(&mut owner, OrderReply::Refused);
+    list_vms_after(&mut owner, &states, 700);
+    assert!(maintained(&owner).contains(&other));
+}
+
+/// Guards against an order that leaves before it is stored, so that a later owner would not know of it.
+#[test]
+fn no_vm_is_ordered_before_that_is_stored() {
+    let mut owner = SchedulerHarness::open(2);
+    owner.scheduler.request_wave(wave(&[0, 1], 2), owner.now);
+    owner.wait(2_000);
+    let vms = vec![vm(0, "mould", VmState::Up), vm(1, "mould", VmState::Up)];
+    let now = owner.now;
+    owner.scheduler.vms_listed(vms, now, now);
+    owner.wait(150);
+    owner.step();
+    assert!(maintained(&owner).is_empty());
+    // A run that comes to light meanwhile is not ended.
+    let run = RunOrder {
+        worker: worker(0),
+        task: TaskKey {
+            job: JobId(9),
+            occurrence: 0,
+            step: 0,
+            index: 0,
+        },
+        run: 1,
+    };
+    owner.report(0, SchedulerHarness::running(&[run], 10));
+    owner.store();
+    assert_eq!(maintained(&owner), [VmName::new("m-1")]);
+}
