--- a/crates/core/src/job/vm_order.rs
+++ b/crates/core/src/job/vm_order.rs
@@ -6,7 +6,8 @@
 
 use crate::{clock::ClockTime, name::PoolName};
 
-/// Longest time after which an order that got no reply may be carried out: the platform's, and that of a call.
+/// Longest time after which an order without a reply may be carried out: 12 s by the platform's rules, and the
+/// time limit of a call.
 pub(super) const MAX_ORDER_DELAY: ClockTime = ClockTime::from_millis(12_000 + 1_000);
 
 /// Order on a VM.
