Say in each test comment which failure it guards against; share the late report of the tests

Three comments said "the same" or "as above" of a test that is not their neighbour, so that they did not tell which failure they guard against. And the new test of a report that was requested earlier repeated a block that stood in three other places: the harness has `report_asked_at` now, which `report` calls as well.

--- a/crates/core/tests/jobs/crashes.rs
+++ b/crates/core/tests/jobs/crashes.rs
@@ -60,13 +60,10 @@
         let asked_at = if later { harness.now } else { asked_at };
         harness.wait(100);
         let report = RenewalReport {
-            clock: harness.now.as_millis(),
             incarnation: Some(2),
             ..RenewalReport::default()
         };
-        harness
-            .scheduler
-            .report(&worker(1), report, asked_at, harness.now);
+        harness.report_asked_at(1, report, asked_at);
         harness.settle();
         assert!(harness.starts.is_empty(), "{silent} {same_address} {later}");
     }
--- a/crates/core/tests/jobs/harness.rs
+++ b/crates/core/tests/jobs/harness.rs
@@ -299,15 +299,25 @@
     }
 
     pub(crate) fn report(&mut self, number: usize, report: RenewalReport) {
-        let id = worker(number);
         let asked_at = self.now;
         self.wait(1);
+        self.report_asked_at(number, report, asked_at);
+    }
+
+    /// Sends a report that was requested at a time and arrives now.
+    pub(crate) fn report_asked_at(
+        &mut self,
+        number: usize,
+        report: RenewalReport,
+        asked_at: ClockTime,
+    ) {
         let report = RenewalReport {
             clock: self.now.as_millis(),
             incarnation: report.incarnation.or(Some(1)),
             ..report
         };
-        self.scheduler.report(&id, report, asked_at, self.now);
+        self.scheduler
+            .report(&worker(number), report, asked_at, self.now);
     }
 
     /// Lists the entry that a process of a worker has written.
--- a/crates/core/tests/jobs/processes.rs
+++ b/crates/core/tests/jobs/processes.rs
@@ -285,8 +285,8 @@
     }
 }
 
-/// Guards against the same with start orders that got no answer and are repeated, as too many tasks of their
-/// step are away to stop one of them.
+/// Guards against a start on a worker that has become another since an order without an answer: it was repeated to the
+/// process at hand, as too many tasks of its step were away to stop one of them.
 #[test]
 fn a_start_is_not_repeated_to_a_later_process() {
     for has_restarted in [false, true] {
@@ -319,8 +319,8 @@
     }
 }
 
-/// Guards against two runs of a task as above, where a report of the earlier process was on its way when the entry of
-/// the later one was read, and took back the doubt.
+/// Guards against two runs of a task: a report of the earlier process, on its way when the entry of the later one was
+/// read, took back the doubt, and a start without an answer was waited for no longer than the owner's own lease.
 #[test]
 fn a_report_from_before_the_entry_of_a_later_process_does_not_count_as_one_of_it() {
     let limits = SchedulerLimits::example();
@@ -330,17 +330,9 @@
     let start = owner.starts.remove(0);
     let (chosen, other) = (number_of(&start.worker), 1 - number_of(&start.worker));
     let sent_at = owner.now;
-    let asked_at = owner.now;
     owner.wait(5);
     owner.register(chosen, 2);
-    let report = RenewalReport {
-        clock: owner.now.as_millis(),
-        incarnation: Some(1),
-        ..RenewalReport::default()
-    };
-    owner
-        .scheduler
-        .report(&start.worker, report, asked_at, owner.now);
+    owner.report_asked_at(chosen, RenewalReport::default(), sent_at);
     owner.reply(&start, StartReply::Unknown);
     owner.scheduler.renewal_failed(&start.worker, owner.now);
     owner.now = sent_at + limits.max_lease + ms(500);
--- a/crates/core/tests/jobs/strays.rs
+++ b/crates/core/tests/jobs/strays.rs
@@ -8,7 +8,9 @@
     },
 };
 
-use crate::harness::{RunOrder, SchedulerHarness, entry, key, ms, spec, step, vm, worker};
+use crate::harness::{
+    RunOrder, SchedulerHarness, entry, key, ms, number_of, spec, step, vm, worker,
+};
 
 fn fall_silent(harness: &mut SchedulerHarness, number: usize) {
     harness
@@ -54,14 +56,7 @@
     harness.settle();
     let start = harness.confirm().remove(0);
     harness.wait(100);
-    let late = RenewalReport {
-        clock: harness.now.as_millis(),
-        incarnation: Some(1),
-        ..RenewalReport::default()
-    };
-    harness
-        .scheduler
-        .report(&start.worker, late, asked_at, harness.now);
+    harness.report_asked_at(number_of(&start.worker), RenewalReport::default(), asked_at);
     harness.settle();
     assert!(harness.starts.is_empty(), "{:?}", harness.starts);
     let task = harness.task(start.task);
@@ -99,14 +94,7 @@
         .scheduler
         .stop_replied(&worker(0), start.task, start.run, reply, harness.now);
     harness.wait(10);
-    let early = RenewalReport {
-        clock: harness.now.as_millis(),
-        incarnation: Some(1),
-        ..RenewalReport::default()
-    };
-    harness
-        .scheduler
-        .report(&worker(0), early, asked_at, harness.now);
+    harness.report_asked_at(0, RenewalReport::default(), asked_at);
     assert!(harness.scheduler.needs_report(&worker(0)));
 }
 
--- a/crates/core/tests/jobs/waves.rs
+++ b/crates/core/tests/jobs/waves.rs
@@ -566,8 +566,8 @@
     assert_eq!(maintained(&next), [VmName::new("m-1")]);
 }
 
-/// Guards against the same with one owner: the repetition of an order without a reply was refused, and the order
-/// counted as one that is not carried out.
+/// Guards against more VMs in maintenance than the cap allows: the repetition of an order without a reply was refused, and
+/// the order counted as one that is not carried out, although its first attempt still could be.
 #[test]
 fn the_refusal_of_a_repeated_order_does_not_end_the_one_before() {
     let mut owner = order_without_reply();
