Compare a stored time only with the clock that it is on

A worker is cut off and goes on; a later owner releases its runs while its lease is in force and starts them elsewhere.

Cause: an owner stores the time by which the lease of a silent worker has ended on its own clock, and the next owner compared that time with its clock, plus 2.5 s. A process counts on from the wall clock that it reads at its start, so two processes that start while the clocks of their machines are off differ for as long as they live. The times until which former owners extend leases (`succession`) were compared in the same way.

Change: a stored time (`StoredTime`) names the process on whose clock it is, and how long after its storing it is reached. A member knows what the clock of an owner shows from the owner's heartbeats: it showed at least the time in the last message when that arrived (`ClockReadings`). So a time on that clock has a latest local time, which errs by the transit of one message and the difference in rate. A member that has never followed the owner counts the whole rest from its own read of the record. An owner that does not extend the lease adds its own clock to the record, so that the rest does not begin anew with each owner. No margin for the difference of clocks is left, and no rule depends on one.

Why it works: both bounds hold whatever the clocks show. A heartbeat arrives after it is sent, and a record is read after it was stored. Takeovers wait less than before: a follower waits for the end of the lease instead of 2.5 s more, any other member at most one lease, as for a worker without a record.

Earlier releases read the first item of a lease expiry as before, and their records count as times on no clock. An owner that could not read the record would extend the lease without removing it.

--- a/crates/codec/src/cbor.rs
+++ b/crates/codec/src/cbor.rs
@@ -26,6 +26,12 @@
     ciborium::from_reader(bytes).map_err(|error| error.to_string())
 }
 
+/// Splits a sequence of items after the first one.
+pub(crate) fn split_first(bytes: &[u8]) -> Result<(&[u8], &[u8])> {
+    let rest = ItemWalk::new(bytes).check()?;
+    Ok(bytes.split_at(bytes.len() - rest.len()))
+}
+
 /// Number of items that an open item still contains.
 #[derive(Clone, Copy)]
 enum OpenItem {
@@ -51,8 +57,8 @@
     }
 
     /// Checks that the item is complete, that its nesting is bounded and that bytes back each
-    /// declared length.
-    fn check(mut self) -> Result<()> {
+    /// declared length. Returns the bytes after it.
+    fn check(mut self) -> Result<&'a [u8]> {
         loop {
             let first = self.byte()?;
             // The upper three bits are the type of the item.
@@ -75,7 +81,7 @@
                 }
             }
             if self.depth == 0 {
-                return Ok(());
+                return Ok(self.rest);
             }
         }
     }
--- a/crates/codec/src/job.rs
+++ b/crates/codec/src/job.rs
@@ -2,10 +2,12 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
+use ciborium::tag::{Captured, Required};
 use jacinthhoist_core::{
     ClockTime, PoolName, WorkerId,
     job::{
-        BatchRecord, JobId, JobProgress, JobSpec, JobState, LoadReport, MemberRank, WaveProgress,
+        BatchRecord, JobId, JobProgress, JobSpec, JobState, LoadReport, MemberRank, StoredTime,
+        WaveProgress,
     },
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -31,6 +33,8 @@
 const PART_SEPARATOR: char = '.';
 /// Prefix of the key of the time by which a worker's lease has certainly expired.
 const PREFIX_LEASE_EXPIRY: char = 'l';
+/// Tag of a time that a [`StoredTime`] follows.
+const STORED_TIME_TAG: u64 = 1_000;
 /// Prefix of the key of a maintenance wave's progress.
 const PREFIX_WAVE: char = 'w';
 
@@ -128,7 +132,7 @@
             (format!("{PREFIX_WAVE}{number}"), to_cbor(progress)?)
         }
         BatchRecord::LeaseExpiry(worker, at) => {
-            let value = at.map_or_else(|| Ok(Vec::new()), |at| to_cbor(&at))?;
+            let value = at.as_ref().map_or_else(|| Ok(Vec::new()), encode_expiry)?;
             (format!("{PREFIX_LEASE_EXPIRY}{worker}"), value)
         }
         BatchRecord::BaseSizes(base_sizes) => (KEY_BASE_SIZES.to_owned(), to_cbor(base_sizes)?),
@@ -158,7 +162,7 @@
             Ok(BatchRecord::Progress(parse_id(id)?, progress))
         }
         PREFIX_LEASE_EXPIRY => {
-            let at = (!record.value.is_empty()).then(|| from_cbor(&record.value));
+            let at = (!record.value.is_empty()).then(|| decode_expiry(&record.value));
             Ok(BatchRecord::LeaseExpiry(WorkerId::new(id), at.transpose()?))
         }
         PREFIX_WAVE => {
@@ -171,6 +175,26 @@
     }
 }
 
+/// Encodes a lease expiry as two items. Earlier releases read the first one only, the time on the clock of the
+/// member that stores it, and write it without the tag. They must be able to read it: an owner that
+/// does not know of the record extends the lease without removing it.
+fn encode_expiry(expiry: &StoredTime) -> Result<Vec<u8>> {
+    let mark = expiry.last_mark().unwrap_or_default();
+    let mut value = to_cbor(&Required::<_, STORED_TIME_TAG>(mark))?;
+    value.extend(to_cbor(expiry)?);
+    Ok(value)
+}
+
+/// Decodes a lease expiry. The record of an earlier release does not say on which clock it is.
+fn decode_expiry(value: &[u8]) -> Result<StoredTime> {
+    let (mark, rest) = cbor::split_first(value).map_err(invalid)?;
+    match from_cbor::<Captured<ClockTime>>(mark)? {
+        Captured(None, _) => Ok(StoredTime::unbounded()),
+        Captured(Some(STORED_TIME_TAG), _) => from_cbor(rest),
+        Captured(Some(tag), _) => Err(invalid(format!("unknown tag {tag} of a lease expiry"))),
+    }
+}
+
 pub(crate) fn progress_key(id: JobId) -> String {
     format!("{PREFIX_PROGRESS}{id}")
 }
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -28,6 +28,7 @@
 //! | `ownership` | candidacy of members for ownership of the pools |
 //! | `proof` | proof that the group's confirmations belong to the ownership under one token |
 //! | `succession` | evidence behind leases, and what the next owner assumes of it |
+//! | `stored_time` | times that one member stores and another one reads |
 //! | `step_pace` | time between the owner's scheduling steps |
 
 mod admit;
@@ -53,6 +54,7 @@
 mod spec;
 mod step_pace;
 mod stop;
+mod stored_time;
 mod succession;
 mod task;
 mod vm_order;
@@ -91,6 +93,7 @@
 };
 pub use step_pace::StepPace;
 pub use stop::StopReason;
+pub use stored_time::{ClockReadings, StoredTime};
 pub use succession::{
     FormerOwner, OwnershipEvidence, PROMISE_SPAN, SuccessionLedger, SuccessionRecord, promise_end,
 };
--- a/crates/core/src/job/lease.rs
+++ b/crates/core/src/job/lease.rs
@@ -8,15 +8,11 @@
 
 /// Maximum advance of the local clock, in thousandths of the advance of a worker's clock. By the
 /// workers' protocol a worker's clock may be 2% slow; the local clock is assumed to be at most 1%
-/// fast.
+/// fast, and other members' clocks to differ from it by less in rate.
 const CLOCK_DRIFT_PERMILLE: u64 = 1_031;
 /// Delay with which a worker may end the tasks of an expired lease.
 const EXPIRY_MARGIN: ClockTime = ClockTime::from_millis(100);
 
-/// Maximum difference between the wall clocks of two members, added to times stored by another
-/// member so that they are never early. It is not part of the times that are stored again.
-const MAX_CLOCK_SKEW: ClockTime = ClockTime::from_millis(2_500);
-
 /// Lease of a worker whose clock has not been read; another member may have just renewed it.
 #[derive(Clone, Copy, Debug)]
 pub struct UnknownLease {
@@ -24,7 +20,7 @@
     pub since: ClockTime,
     /// Longest lease that another member, or an order to an earlier process, may have granted.
     pub max_span: ClockTime,
-    /// Expiry time stored by an earlier owner, on that owner's clock.
+    /// Local time by which the expiry stored by an earlier owner has been reached.
     pub stored_expiry: Option<ClockTime>,
     /// Time until which earlier owners may have extended the lease beyond that span.
     pub former_until: ClockTime,
@@ -33,13 +29,6 @@
 impl UnknownLease {
     /// Latest time at which a lease granted by another member expires.
     pub fn latest_expiry(&self) -> ClockTime {
-        let latest = self.longest_expiry();
-        self.stored_expiry
-            .map_or(latest, |expiry| latest.min(skewed_expiry(expiry)))
-    }
-
-    /// Time by which the lease has expired on the clock of at least one member.
-    pub fn storable_expiry(&self) -> ClockTime {
         let latest = self.longest_expiry();
         self.stored_expiry
             .map_or(latest, |expiry| latest.min(expiry))
@@ -113,11 +102,6 @@
         self.granted_expiry().max(self.earlier.latest_expiry())
     }
 
-    /// Time by which the lease has expired on the clock of at least one member, unless it is extended.
-    pub fn storable_expiry(&self) -> ClockTime {
-        self.granted_expiry().max(self.earlier.storable_expiry())
-    }
-
     /// Latest time at which the deadline sent by this member is reached; zero before the first.
     fn granted_expiry(&self) -> ClockTime {
         self.deadline.map_or(ClockTime::ZERO, |deadline| {
@@ -217,15 +201,6 @@
             Self::Unknown(_) => LeaseBasis::Assumed,
         }
     }
-
-    /// Expiry to be stored for later owners: each of the leases that count has expired by then on the
-    /// clock of the member that granted or bounded it. A later owner adds the skew of the clocks, once.
-    pub fn storable_expiry(&self) -> ClockTime {
-        match self {
-            Self::Unknown(lease) => lease.storable_expiry(),
-            Self::Held(lease) => lease.storable_expiry(),
-        }
-    }
 }
 
 /// Latest time on the local clock at which a lease expires that was granted for `span` at `since` or
@@ -234,12 +209,8 @@
     since + with_clock_drift(span) + EXPIRY_MARGIN
 }
 
-/// Time at which an expiry stored by another member has passed on its clock too.
-pub(super) fn skewed_expiry(stored: ClockTime) -> ClockTime {
-    stored + MAX_CLOCK_SKEW
-}
-
-fn with_clock_drift(span: ClockTime) -> ClockTime {
+/// Longest time on the local clock that a span on another clock may take.
+pub(super) fn with_clock_drift(span: ClockTime) -> ClockTime {
     let permille = span.as_millis().saturating_mul(CLOCK_DRIFT_PERMILLE);
     ClockTime::from_millis(permille / 1_000).max(span)
 }
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -45,6 +45,7 @@
     order::DurationTable,
     silence::{PoolUnrest, RecentSilences},
     spec::{JobId, JobState, Resources, StepKey, TaskKey},
+    stored_time::ClockReadings,
     succession::{FormerOwner, SuccessionLedger},
     wait::WaitCounts,
     wave::WaveTable,
@@ -226,6 +227,8 @@
     /// Former owners that may still extend leases on promises.
     former_owners: SmallVec<[FormerOwner; 2]>,
     succession: SuccessionLedger,
+    /// Clocks that this member can compare with its own.
+    readings: ClockReadings,
     /// Time of the last search for runs to stop.
     last_sweep_at: ClockTime,
     now: ClockTime,
@@ -262,6 +265,7 @@
             leases_until: ClockTime::from_millis(u64::MAX),
             former_owners: SmallVec::new(),
             succession: SuccessionLedger::default(),
+            readings: ClockReadings::default(),
             last_sweep_at: ClockTime::ZERO,
             now,
         }
--- a/crates/core/src/job/scheduler/batch.rs
+++ b/crates/core/src/job/scheduler/batch.rs
@@ -15,6 +15,7 @@
         process::RunTarget,
         release::RunOver,
         spec::{JobId, JobState, TaskKey},
+        stored_time::StoredTime,
         succession::SuccessionRecord,
         task::{AnyTask, FailedRuns, StartOrderState, TaskRun},
         wave::WaveProgress,
@@ -171,9 +172,8 @@
     Remove(JobId),
     /// Progress of a maintenance wave.
     Wave(u64, WaveProgress),
-    /// Time on the owner's clock by which the lease of a worker has certainly expired; `None`
-    /// clears the record.
-    LeaseExpiry(WorkerId, Option<ClockTime>),
+    /// Time by which the lease of a worker has certainly expired; `None` clears the record.
+    LeaseExpiry(WorkerId, Option<StoredTime>),
     /// Number of VMs of each pool outside surges.
     BaseSizes(BTreeMap<PoolName, usize>),
     /// Members whose promises the owner uses.
@@ -218,7 +218,7 @@
     /// Progress of waves that has changed.
     waves: BTreeMap<u64, WaveProgress>,
     /// Lease expiries to store or, if `None`, to clear.
-    expiries: BTreeMap<WorkerId, Option<ClockTime>>,
+    expiries: BTreeMap<WorkerId, Option<StoredTime>>,
     in_flight: Option<BatchInFlight>,
     last_number: u64,
     flushed_at: ClockTime,
@@ -267,7 +267,7 @@
 
     /// Stores or clears the lease expiry of a worker with the next batch, which holds only the last
     /// change of each worker.
-    pub(super) fn set_expiry(&mut self, worker: &WorkerId, expiry: Option<ClockTime>) {
+    pub(super) fn set_expiry(&mut self, worker: &WorkerId, expiry: Option<StoredTime>) {
         self.expiries.insert(worker.clone(), expiry);
     }
 
@@ -402,7 +402,7 @@
         for id in batch.expiry_cleared {
             let worker = self.workers.get_mut(&id);
             if let Some(worker) = worker.filter(|worker| worker.silent_since.is_none()) {
-                worker.expiry_stored = false;
+                worker.stored_expiry = None;
             }
         }
         for id in batch.begun {
--- a/crates/core/src/job/scheduler/leases.rs
+++ b/crates/core/src/job/scheduler/leases.rs
@@ -10,6 +10,7 @@
         lease::{UnknownLease, WorkerLease, latest_expiry},
         release::RunOver,
         spec::{Resources, TaskKey},
+        stored_time::{ClockReadings, StoredTime},
         succession::{FormerOwner, OwnershipEvidence, SuccessionRecord},
         worker::{Worker, WorkerEntry, WorkerState},
     },
@@ -39,12 +40,18 @@
 }
 
 impl Scheduler {
+    /// Sets the clocks that this member can compare with its own, before anything is restored.
+    pub fn set_readings(&mut self, readings: ClockReadings) {
+        self.readings = readings;
+    }
+
     /// Restores the stored time by which a worker's lease has expired.
-    pub fn restore_lease_expiry(&mut self, id: &WorkerId, at: ClockTime) {
+    pub fn restore_lease_expiry(&mut self, id: &WorkerId, expiry: StoredTime) {
+        let reached_at = self.readings.reached_at(&expiry, self.now);
         let worker = self.worker_or_stub(id);
-        worker.expiry_stored = true;
+        worker.stored_expiry = Some(expiry);
         if let WorkerLease::Unknown(lease) = &mut worker.process.lease {
-            lease.stored_expiry = Some(at);
+            lease.stored_expiry = Some(reached_at);
         }
     }
 
@@ -138,8 +145,14 @@
             worker.silent_since = Some(now);
             // A record that is already there may be about to be cleared.
             if !worker.is_empty() {
-                worker.expiry_stored = true;
-                let expiry = worker.process.lease.storable_expiry();
+                let at = worker.process.lease.latest_expiry();
+                let own = self.readings.own();
+                // No lease has been extended while the record was there, so its clocks count as well.
+                let expiry = match worker.stored_expiry.take() {
+                    Some(stored) => stored.also_on(own, at, now),
+                    None => StoredTime::new(own, at, now),
+                };
+                worker.stored_expiry = Some(expiry.clone());
                 self.outbox.set_expiry(id, Some(expiry));
             }
             self.log_worker_change(id, WorkerChange::Silent);
@@ -206,7 +219,7 @@
         for id in gone {
             if let Some(worker) = self.workers.remove(&id) {
                 self.worker_list_version += 1;
-                if worker.expiry_stored {
+                if worker.stored_expiry.is_some() {
                     self.outbox.set_expiry(&id, None);
                 }
                 self.log_decision(worker_changed(&worker, WorkerChange::Gone));
--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -114,7 +114,7 @@
         };
         worker.charge_lapsed_starts();
         worker.record_report(&report, asked_at, now);
-        if worker.expiry_stored {
+        if worker.stored_expiry.is_some() {
             self.outbox.set_expiry(id, None);
         }
         if let Some(change) = change {
--- a/crates/core/src/job/succession.rs
+++ b/crates/core/src/job/succession.rs
@@ -14,7 +14,10 @@
 
 use crate::clock::ClockTime;
 
-use super::lease::{latest_expiry, skewed_expiry};
+use super::{
+    lease::latest_expiry,
+    stored_time::{ClockReadings, StoredTime},
+};
 
 /// Longest time from the store's last evidence to the end of a lease that is extended on promises;
 /// longer than the outages of the store that work in progress must survive, 9 s.
@@ -71,8 +74,42 @@
 pub struct FormerOwner {
     /// Key of the owner.
     pub key: Arc<str>,
-    /// Time by which its last lease has lapsed.
+    /// Time by which its last lease has lapsed, on the clock of the owner that lists it.
     pub until: ClockTime,
+    /// The same for other members; none in the records of earlier releases.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub lapse: Option<StoredTime>,
+}
+
+impl FormerOwner {
+    /// Creates a former owner whose last lease has lapsed at `until` on the local clock, which shows `now`.
+    ///
+    /// ```
+    /// use jacinthhoist_core::{ClockTime, job::{ClockReadings, FormerOwner}};
+    /// let (readings, now) = (ClockReadings::open("entry-2".into()), ClockTime::from_secs(100));
+    /// let until = ClockTime::from_secs(112);
+    /// let former = FormerOwner::new("entry-1".into(), until, &readings, now);
+    /// assert_eq!(readings.reached_at(&former.lapse.unwrap(), now), until);
+    /// ```
+    pub fn new(key: Arc<str>, until: ClockTime, readings: &ClockReadings, now: ClockTime) -> Self {
+        Self {
+            key,
+            until,
+            lapse: Some(StoredTime::new(readings.own(), until, now)),
+        }
+    }
+
+    /// Converts a former owner from the record of another owner, read at `read_at` or before.
+    fn on_clock_of(&self, readings: &ClockReadings, read_at: ClockTime) -> Self {
+        let longest = || StoredTime::within(latest_expiry(ClockTime::ZERO, MAX_PROMISED_SPAN));
+        let lapse = self.lapse.clone().unwrap_or_else(longest);
+        let until = readings.reached_at(&lapse, read_at);
+        Self {
+            key: self.key.clone(),
+            until,
+            lapse: Some(lapse.also_on(readings.own(), until, read_at)),
+        }
+    }
 }
 
 /// Stored list of the members whose promises an owner uses in place of the store's confirmation.
@@ -82,37 +119,39 @@
     pub owner: Arc<str>,
     /// Keys of the members, in order.
     pub members: SmallVec<[Arc<str>; 8]>,
-    /// Owners before it, by its clock.
+    /// Owners before it.
     pub formers: SmallVec<[FormerOwner; 2]>,
 }
 
 impl SuccessionRecord {
-    /// Returns the owners up to this record's one that may still extend leases on promises, for a member
-    /// that takes over now. Others extend none that run for longer than one lease from now on.
+    /// Returns the owners up to this record's one that may still extend leases on promises, for the member
+    /// with these readings, which takes over now. Others extend none that run for longer than one lease from now on.
     ///
     /// ```
-    /// use jacinthhoist_core::{ClockTime, job::SuccessionRecord};
+    /// use jacinthhoist_core::{ClockTime, job::{ClockReadings, SuccessionRecord}};
     /// let record = SuccessionRecord {
     ///     owner: "entry-1".into(),
     ///     members: ["entry-2".into()].into_iter().collect(),
     ///     ..SuccessionRecord::default()
     /// };
     /// let now = ClockTime::from_secs(100);
-    /// assert!(record.former_owners("entry-2", now).is_empty());
-    /// assert!(record.former_owners("entry-3", now)[0].until > now);
+    /// let readings = ClockReadings::open("entry-2".into());
+    /// assert!(record.former_owners(&readings, now).is_empty());
+    /// let readings = ClockReadings::open("entry-3".into());
+    /// assert!(record.former_owners(&readings, now)[0].until > now);
     /// ```
-    pub fn former_owners(&self, successor: &str, now: ClockTime) -> SmallVec<[FormerOwner; 2]> {
-        let earlier = self.formers.iter().map(|former| FormerOwner {
-            until: skewed_expiry(former.until),
-            ..former.clone()
-        });
+    pub fn former_owners(
+        &self,
+        readings: &ClockReadings,
+        now: ClockTime,
+    ) -> SmallVec<[FormerOwner; 2]> {
+        let successor = readings.own();
+        let earlier = self.formers.iter();
+        let earlier = earlier.map(|former| former.on_clock_of(readings, now));
         let mut formers: SmallVec<_> = earlier.filter(|former| former.until > now).collect();
-        let is_listed = self.members.iter().any(|member| **member == *successor);
-        if !is_listed && *self.owner != *successor {
-            formers.push(FormerOwner {
-                key: self.owner.clone(),
-                until: latest_expiry(now, MAX_PROMISED_SPAN),
-            });
+        if !self.members.contains(successor) && self.owner != *successor {
+            let until = latest_expiry(now, MAX_PROMISED_SPAN);
+            formers.push(FormerOwner::new(self.owner.clone(), until, readings, now));
         }
         formers
     }
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -15,6 +15,7 @@
     lease::UnknownLease,
     process::{RunTarget, WorkerProcess},
     spec::{JobId, Resources, StepKey, TaskKey},
+    stored_time::StoredTime,
     task::TaskEnd,
 };
 
@@ -202,9 +203,9 @@
     unknown_runs: u32,
     /// True if the next report will show the outcome of an order.
     pub awaits_report: bool,
-    /// True if the expiry time of the worker's lease is stored. The lease is not renewed until that
-    /// record has been removed, since a later owner would rely on it.
-    pub expiry_stored: bool,
+    /// Stored expiry of the worker's lease, if there is one. The lease is not renewed until that record has
+    /// been removed, since a later owner would rely on it.
+    pub stored_expiry: Option<StoredTime>,
     /// True if no tasks are placed on the worker because its VM is about to leave the pool.
     pub cordoned: bool,
     /// Job whose tasks alone are placed on the worker, while they may crash it.
@@ -240,7 +241,7 @@
             finite_runs: 0,
             unknown_runs: 0,
             awaits_report: false,
-            expiry_stored: false,
+            stored_expiry: None,
             cordoned: false,
             reserved_for: None,
             room_hold: None,
@@ -409,7 +410,7 @@
     /// True if the lease may be extended: the worker answers, later owners rely on no stored expiry, and no
     /// order from before its lapse can take effect.
     pub fn is_extendable(&self) -> bool {
-        self.silent_since.is_none() && !self.expiry_stored && !self.has_unsettled_starts()
+        self.silent_since.is_none() && self.stored_expiry.is_none() && !self.has_unsettled_starts()
     }
 
     fn has_unsettled_starts(&self) -> bool {
--- a/crates/core/tests/job_interleavings/engine.rs
+++ b/crates/core/tests/job_interleavings/engine.rs
@@ -117,8 +117,10 @@
 pub(crate) struct Engine {
     pub(crate) member: usize,
     pub(crate) token: u64,
-    /// Advance of the member's clock.
+    /// Advance of the clock of the member's process.
     pub(crate) skew: u64,
+    /// Time of the world at which the owner last took a step, and sent a heartbeat.
+    pub(crate) stepped_at: u64,
     pub(crate) scheduler: Scheduler,
     pub(crate) has_ended: bool,
     /// Time until which the process is suspended.
@@ -147,6 +149,7 @@
             member,
             token,
             skew,
+            stepped_at: now,
             scheduler,
             has_ended: false,
             suspended_until: 0,
@@ -167,6 +170,7 @@
 
     /// Applies what has arrived, takes a scheduling step and returns what is to be done.
     pub(crate) fn step(&mut self, world_now: u64) -> Vec<EngineAction> {
+        self.stepped_at = world_now;
         let now = world_now + self.skew;
         let mut actions = Vec::new();
         for event in std::mem::take(&mut self.inbox) {
--- a/crates/emulator/src/fault.rs
+++ b/crates/emulator/src/fault.rs
@@ -132,6 +132,16 @@
                 let idle = state.workers.values_mut().filter(|worker| worker.is_idle());
                 idle.for_each(EmulatedWorker::meet_later_owner);
             }
+            FaultKind::ClockStep => {
+                let members: Vec<usize> = (0..self.member_count()).collect();
+                let members: Vec<usize> = {
+                    let rng = &mut self.model.state().rng;
+                    members.sample(rng, fault.count).copied().collect()
+                };
+                self.step_clocks(&members, fault.step_ms);
+                sleep(span).await;
+                self.step_clocks(&members, -fault.step_ms);
+            }
             FaultKind::CapacityShrink => self.shrink_capacity(&fault, span).await,
             FaultKind::WorkerReborn => {
                 let workers = self.random_workers(fault.count).into_iter();
--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -65,6 +65,8 @@
 #[derive(Default)]
 struct MemberSlot {
     incarnation: u64,
+    /// Milliseconds by which the wall clock of the member's machine is ahead.
+    clock_offset: i64,
     running: Option<(SchedulerMember<EmulatedPlatform>, CallerPipe)>,
     /// Dropped when the current process ends, which cancels calls in progress.
     exit_signal: Option<watch::Sender<()>>,
@@ -238,10 +240,10 @@
 
     /// Starts a new process of a member.
     pub(crate) async fn start(&self, index: usize) {
-        let incarnation = {
-            let mut slots = self.slots();
-            slots[index].incarnation += 1;
-            slots[index].incarnation
+        let (incarnation, clock_offset) = {
+            let slot = &mut self.slots()[index];
+            slot.incarnation += 1;
+            (slot.incarnation, slot.clock_offset)
         };
         self.model
             .network
@@ -256,7 +258,8 @@
             identity: MemberIdentity {
                 name: MemberName::new(&name),
                 peer_address: SocketAddr::from(([10, 0, 0, index as u8], PEER_PORT)),
-                nonce: incarnation,
+                // Read from the wall clock, it need not rise.
+                nonce: incarnation.wrapping_add_signed(clock_offset),
                 rank,
             },
             limits: SchedulerLimits {
@@ -268,7 +271,9 @@
             },
             store_limits: StoreLimits::example(),
         };
-        let clock = self.model.clock;
+        let now = self.model.clock.now().as_millis();
+        let now = ClockTime::from_millis(now.saturating_add_signed(clock_offset));
+        let clock = BootClock::on_runtime(now);
         let log = EventLog::with_sink(&name, clock, log_sink(self.prints_logs));
         let platform = Arc::new(EmulatedPlatform {
             model: self.model.clone(),
@@ -288,6 +293,14 @@
         slots[index].exit_signal = Some(exit_signal);
     }
 
+    /// Steps the wall clocks of some members' machines. Processes read them when they start.
+    pub(crate) fn step_clocks(&self, members: &[usize], step_ms: i64) {
+        let mut slots = self.slots();
+        for index in members {
+            slots[*index].clock_offset += step_ms;
+        }
+    }
+
     /// Kills a member's process.
     pub(crate) async fn kill(&self, index: usize) {
         let running = {
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -16,6 +16,9 @@
     source: toml::de::Error,
 }
 
+/// Largest random step of a wall clock, far beyond any lease.
+const MAX_STEP_MS: i64 = 60_000;
+
 /// Scenario of an emulation: sizes, loads and faults.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -159,6 +162,9 @@
     /// Pool whose jobs are affected; by default those of all pools.
     #[serde(default)]
     pub pool: Option<String>,
+    /// Step of the wall clocks, in milliseconds; negative if they are set back.
+    #[serde(default = "default_step")]
+    pub step_ms: i64,
 }
 
 fn default_duration() -> f64 {
@@ -174,6 +180,10 @@
     0.05
 }
 
+fn default_step() -> i64 {
+    2_000
+}
+
 /// One of three data centres.
 fn default_worker_share() -> f64 {
     0.34
@@ -228,6 +238,7 @@
     WorkerReborn => "Workers restart under their ids behind a short cut, and are cut off again soon after it.",
     OwnershipFlap => "The store assigns the pools to another member and back, again and again, while joins are late or lost, and the former owner and the others each reach only some of the workers.",
     WorkersAhead => "The idle workers have seen the token of a later owner.",
+    ClockStep => "The wall clocks of random members are off; steps that overlap add up.",
 }
 
 impl EmulationScenario {
@@ -268,6 +279,10 @@
                 share: default_share(),
                 worker_share: default_worker_share(),
                 pool: None,
+                step_ms: match kind {
+                    FaultKind::ClockStep => rng.random_range(-MAX_STEP_MS..MAX_STEP_MS),
+                    _ => default_step(),
+                },
             });
         }
         self
--- /dev/null
+++ b/crates/emulator/tests/clocks.rs
@@ -0,0 +1,65 @@
+//! Pattern: processes that start while the wall clocks of their machines are off. Each counts on from what it
+//! read, so the clocks of two members may differ by any amount.
+
+use jacinthhoist_emulator::{EmulationScenario, check, run_scenario};
+
+/// Long tasks on workers that are cut off, while the owner changes every few seconds.
+const SCENARIO: &str = r#"
+    secs = 24
+    members = 6
+    workers = 9
+    spare = 0
+    [[loads]]
+    per_sec = 1.2
+    steps = 1
+    tasks = 4
+    task_ms = 6000
+"#;
+
+/// Faults of a day: the members are restarted in turn while `steps` are in force, then workers and the owner
+/// are cut off by turns.
+fn day(steps: &[(i64, f64)]) -> String {
+    let mut faults = String::new();
+    let mut add = |kind: &str, at: f64, rest: &str| {
+        faults += &format!("[[faults]]\nkind = \"{kind}\"\nat = {at:.1}\n{rest}\n");
+    };
+    for (number, (step_ms, for_s)) in steps.iter().enumerate() {
+        let rest = format!("for_s = {for_s:.1}\ncount = 2\nstep_ms = {step_ms}");
+        add("clock_step", 0.1 + 0.1 * number as f64, &rest);
+    }
+    add("member_stop", 1.0, "count = 6");
+    for number in 0..6 {
+        let at = 8.0 + 3.0 * f64::from(number);
+        add("worker_dark", at, "for_s = 4.0\ncount = 3");
+        add("owner_store_cut", at + 1.0, "for_s = 4.0");
+    }
+    faults
+}
+
+fn check_days(steps: &[(i64, f64)], seeds: &[u64]) {
+    let scenario = EmulationScenario::parse(&format!("{SCENARIO}{}", day(steps)));
+    let scenario = scenario.expect("the scenario is valid");
+    let mut broken = Vec::new();
+    for seed in seeds {
+        let violations = check(&run_scenario(&scenario, *seed).history);
+        if !violations.is_empty() {
+            broken.push((seed, violations));
+        }
+    }
+    assert!(broken.is_empty(), "{steps:?}: {broken:?}");
+}
+
+/// Guards against two runs of a task at once (issue 58): an owner trusted the lease expiry that a member with a
+/// clock far behind its own had stored, and released the runs before their lease ended.
+#[test]
+fn a_stored_lease_expiry_is_not_taken_for_reached_by_a_clock_that_is_ahead() {
+    let pairs = [(-2_000, 10.0), (2_000, 10.0), (-2_000, 10.0), (2_000, 10.0)];
+    check_days(&pairs, &[1, 2, 3, 4, 5, 6]);
+}
+
+/// Guards against the same with steps that last all day, and with steps far beyond any lease.
+#[test]
+fn no_bound_on_the_difference_of_clocks_is_assumed() {
+    check_days(&[(-9_000, 60.0), (9_000, 60.0)], &[1, 2, 3, 4]);
+    check_days(&[(-3_600_000, 60.0), (86_400_000, 12.0)], &[1, 2, 3, 4]);
+}
--- a/crates/scheduler/src/owner/takeover.rs
+++ b/crates/scheduler/src/owner/takeover.rs
@@ -6,8 +6,8 @@
 use jacinthhoist_core::{
     ClockTime,
     job::{
-        BatchRecord, FormerOwner, JobCatalogue, JobId, JobProgress, JobSpec, OwnershipProof,
-        Scheduler, SchedulerLimits, SuccessionRecord,
+        BatchRecord, ClockReadings, FormerOwner, JobCatalogue, JobId, JobProgress, JobSpec,
+        OwnershipProof, Scheduler, SchedulerLimits, SuccessionRecord,
     },
 };
 use serde_json::json;
@@ -216,11 +216,13 @@
 fn former_owners(
     identity: &MemberIdentity,
     record: &SuccessionRecord,
+    readings: &ClockReadings,
     now: ClockTime,
 ) -> SmallVec<[FormerOwner; 2]> {
-    let key = identity.member_key();
-    let mut formers = record.former_owners(&key, now);
-    formers.retain(|former| *former.key != *key && !identity.is_earlier_incarnation(&former.key));
+    let mut formers = record.former_owners(readings, now);
+    formers.retain(|former| {
+        former.key != *readings.own() && !identity.is_earlier_incarnation(&former.key)
+    });
     formers
 }
 
@@ -232,8 +234,11 @@
 ) -> Scheduler {
     let now = shared.clock.now();
     let mut scheduler = Scheduler::open(limits, catalogue, now);
+    let readings = shared.clock_readings.load();
+    scheduler.set_readings(ClockReadings::clone(&readings));
     if let Some(record) = &records.succession {
-        scheduler.restore_former_owners(former_owners(&shared.identity, record, now));
+        let formers = former_owners(&shared.identity, record, &readings, now);
+        scheduler.restore_former_owners(formers);
     }
     for id in records.cancels {
         scheduler.cancel(id);
@@ -245,9 +250,9 @@
             }
             BatchRecord::Remove(_) => {}
             BatchRecord::Wave(number, progress) => scheduler.restore_wave(number, progress),
-            BatchRecord::LeaseExpiry(worker, at) => {
-                if let Some(at) = at {
-                    scheduler.restore_lease_expiry(&worker, at);
+            BatchRecord::LeaseExpiry(worker, expiry) => {
+                if let Some(expiry) = expiry {
+                    scheduler.restore_lease_expiry(&worker, expiry);
                 }
             }
             BatchRecord::BaseSizes(standing) => scheduler.restore_base_sizes(standing),
--- a/crates/scheduler/src/peer/query.rs
+++ b/crates/scheduler/src/peer/query.rs
@@ -45,6 +45,13 @@
     stores: BTreeMap<u64, StoreRequest>,
 }
 
+/// What an owner says of itself.
+enum OwnerNotice {
+    /// Key of its process.
+    Identity(Arc<str>),
+    Heartbeat(Arc<OwnerHeartbeat>),
+}
+
 /// Query for the state of a job.
 pub(crate) struct JobQuery {
     pub(crate) job: JobId,
@@ -194,6 +201,8 @@
             }
         }
         let mut heartbeat_deadline = Instant::now() + HEARTBEAT_TIMEOUT;
+        // The process at the address may be a later one than the process that is looked for.
+        let mut process = None;
         loop {
             tokio::select! {
                 () = sleep_until(heartbeat_deadline) => return,
@@ -203,7 +212,14 @@
                     };
                     // Only heartbeats extend the timeout: a member whose owner pipe has ended may
                     // still send answers.
-                    if let Some(heartbeat) = self.handle_frame(&message, open) {
+                    let notice = self.handle_frame(&message, open);
+                    if let Some(OwnerNotice::Identity(key)) = &notice {
+                        process = Some(key.clone());
+                    }
+                    if let Some(OwnerNotice::Heartbeat(heartbeat)) = notice {
+                        if let Some(process) = &process {
+                            self.shared.record_clock(process, heartbeat.sent_at);
+                        }
                         heartbeat_deadline = Instant::now() + HEARTBEAT_TIMEOUT;
                         // The store may have assigned the pools to another member in the meantime.
                         if self.shared.owner_view.is_superseded(owner) {
@@ -273,8 +289,8 @@
         Some(JobFrame::Standing { sent_at, evidence })
     }
 
-    /// Handles a frame; returns a heartbeat.
-    fn handle_frame(&self, message: &Message, open: &mut OpenCalls) -> Option<Arc<OwnerHeartbeat>> {
+    /// Handles a frame; returns what the owner says of itself.
+    fn handle_frame(&self, message: &Message, open: &mut OpenCalls) -> Option<OwnerNotice> {
         let Message::Binary(bytes) = message else {
             return None;
         };
@@ -293,15 +309,15 @@
             Ok(JobFrame::Loads(heartbeat)) => {
                 let heartbeat = Arc::new(heartbeat);
                 self.shared.set_heartbeat(heartbeat.clone());
-                return Some(heartbeat);
+                return Some(OwnerNotice::Heartbeat(heartbeat));
             }
+            Ok(JobFrame::Identify(key)) => return Some(OwnerNotice::Identity(key)),
             Ok(JobFrame::Follow) => self.shared.owner_view.record_designation(),
             Ok(
                 JobFrame::Ask { .. }
                 | JobFrame::Offer(_)
                 | JobFrame::Stored(_)
                 | JobFrame::Store { .. }
-                | JobFrame::Identify(_)
                 | JobFrame::Standing { .. },
             ) => {}
             Err(error) => event!(self.shared.log, Unreadable, "key": "peer frame",
--- a/crates/scheduler/src/shared.rs
+++ b/crates/scheduler/src/shared.rs
@@ -9,7 +9,7 @@
 use jacinthhoist_codec::{OwnerHeartbeat, StoreLimits};
 use jacinthhoist_core::{
     ClockTime, WorkName,
-    job::{AppendPace, JobCatalogue, WorkLoad},
+    job::{AppendPace, ClockReadings, JobCatalogue, WorkLoad},
 };
 use jacinthhoist_net::BootClock;
 use tokio::sync::mpsc;
@@ -54,6 +54,8 @@
     pub(crate) followers: FollowerRegistry,
     /// Evidence of the other members that this one has not been replaced as the owner.
     pub(crate) standings: FollowerStandings,
+    /// Clocks of other members, as far as their messages have told them.
+    pub(crate) clock_readings: ArcSwap<ClockReadings>,
     /// Latency that the store's appends have shown.
     pub(crate) append_pace: ArcSwap<AppendPace>,
     store_answered_at: AtomicU64,
@@ -69,6 +71,9 @@
     ) -> Arc<Self> {
         Arc::new(Self {
             owner_view: OwnerView::open(identity.clone(), clock),
+            clock_readings: ArcSwap::from_pointee(ClockReadings::open(
+                identity.member_key().into(),
+            )),
             identity,
             store_limits,
             clock,
@@ -89,6 +94,16 @@
         })
     }
 
+    /// Records the time that a member's clock showed when it sent a message that has just arrived.
+    pub(crate) fn record_clock(&self, member: &Arc<str>, shown: ClockTime) {
+        let now = self.clock.now();
+        self.clock_readings.rcu(|readings| {
+            let mut readings = ClockReadings::clone(readings);
+            readings.record(member, shown, now);
+            readings
+        });
+    }
+
     /// Replaces the heartbeat by a newer one of the owner.
     pub(crate) fn set_heartbeat(&self, heartbeat: Arc<OwnerHeartbeat>) {
         let now = self.clock.now();
