Order the processes of a member by when they were seen alive

What callers saw: in an outage of the store for all members every run ends after one lease, though no member takes over. It takes a member that has restarted after its clock was set back.

Cause: the number in a member's key is the wall-clock time of its start, and an owner took the process with the larger number at an address for the later one. If the clock has been set back between the two, the present process counts as the ended one, and the promise of the ended one is waited for in vain.

Change: an address belongs to one process at a time, and each of two processes is known to have been alive at some time on the owner's clock: when its link was accepted, before it sent its key, or when it answered a call that was sent to the address. The one that was alive later is the later one. A former owner, alive before the takeover, has ended once another process at its address opens a link after that. No number of another member is compared any more.

Why it works: both times are on one clock, and the lives of two processes at one address do not overlap.

--- a/crates/emulator/tests/clocks.rs
+++ b/crates/emulator/tests/clocks.rs
@@ -1,7 +1,8 @@
 //! Pattern: processes that start while the wall clocks of their machines are off. Each counts on from what it
 //! read, so the clocks of two members may differ by any amount.
 
-use jacinthhoist_emulator::{EmulationScenario, check, run_scenario};
+use jacinthhoist_core::job::TaskEnd;
+use jacinthhoist_emulator::{EmulationScenario, EndKind, check, run_scenario};
 
 /// Long tasks on workers that are cut off, while the owner changes every few seconds.
 const SCENARIO: &str = r#"
@@ -63,3 +64,27 @@
     check_days(&[(-9_000, 60.0), (9_000, 60.0)], &[1, 2, 3, 4]);
     check_days(&[(-3_600_000, 60.0), (86_400_000, 12.0)], &[1, 2, 3, 4]);
 }
+
+/// Guards against the end of runs in an outage of the store: the process that took the place of another one had the
+/// smaller number, as its clock had been set back, so that the owner waited for the promise of the ended one.
+#[test]
+fn a_process_whose_clock_was_set_back_is_known_to_have_replaced_the_one_before() {
+    let faults = [
+        "kind = \"clock_step\"\nat = 0.1\nfor_s = 4.0\ncount = 6\nstep_ms = 60_000",
+        "kind = \"member_kill_all\"\nat = 0.5",
+        "kind = \"member_kill\"\nat = 7.0\ncount = 2",
+        "kind = \"store_silent\"\nat = 8.8\nfor_s = 9.0",
+    ];
+    let faults = faults
+        .map(|fault| format!("[[faults]]\n{fault}\n"))
+        .concat();
+    let scenario = EmulationScenario::parse(&format!("{SCENARIO}{faults}"));
+    let scenario = scenario.expect("the scenario is valid");
+    for seed in 1..=3 {
+        let outcome = run_scenario(&scenario, seed);
+        assert_eq!(check(&outcome.history), [], "seed {seed}");
+        let ends = outcome.history.runs.iter().filter_map(|run| run.ended);
+        let lapsed = ends.filter(|(_, end)| *end == EndKind::Reported(TaskEnd::Lapsed));
+        assert_eq!(lapsed.count(), 0, "seed {seed}");
+    }
+}
--- a/crates/scheduler/src/member.rs
+++ b/crates/scheduler/src/member.rs
@@ -43,7 +43,7 @@
     pub name: MemberName,
     /// Address at which its peers reach it.
     pub peer_address: SocketAddr,
-    /// Distinguishes incarnations of the same name.
+    /// Distinguishes incarnations of the same name; that of a later one may be smaller.
     pub nonce: u64,
     /// Precedence among members for owning the pools.
     pub rank: MemberRank,
@@ -97,11 +97,6 @@
     key.split(KEY_SEPARATOR).nth(1)?.parse().ok()
 }
 
-/// Returns the number in a member key that rises with the processes of a member.
-pub(crate) fn process_nonce(key: &str) -> Option<u64> {
-    key.split(KEY_SEPARATOR).nth(2)?.parse().ok()
-}
-
 /// Settings of a member.
 #[derive(Clone, Debug)]
 pub struct SchedulerSettings {
--- a/crates/scheduler/src/peer/absence.rs
+++ b/crates/scheduler/src/peer/absence.rs
@@ -27,11 +27,12 @@
 }
 
 /// Looks for a process at the address of a member. It has ended if the address refuses connections, or
-/// if a later process answers there.
+/// if another process answers there.
 async fn look_for<N: PeerNetwork>(peers: &N, shared: &MemberShared, key: &Arc<str>) {
     let Some(address) = peer_address(key) else {
         return;
     };
+    let asked_at = shared.clock.now();
     let connected = timeout(ANSWER_TIMEOUT, peers.connect(address)).await;
     let reason = match connected {
         Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
@@ -51,10 +52,10 @@
             let Ok(Some(JobFrame::Identify(other))) = identity.await else {
                 return;
             };
-            if !shared.standings.record_process(&other, key) {
+            if !shared.standings.record_process(&other, key, asked_at) {
                 return;
             }
-            "a later process answers in its place"
+            "another process answers in its place"
         }
         // It may be alive but unreachable.
         Ok(Err(_)) | Err(_) => return,
--- a/crates/scheduler/src/peer/serve.rs
+++ b/crates/scheduler/src/peer/serve.rs
@@ -78,6 +78,7 @@
     stream: S,
     appends: mpsc::UnboundedSender<StoreRequest>,
 ) {
+    let accepted_at = shared.clock.now();
     let Ok(Ok(mut socket)) = timeout(HANDSHAKE_TIMEOUT, accept_async(stream)).await else {
         return;
     };
@@ -97,12 +98,13 @@
                         Some(FollowerNotice::Candidate(rank)) => {
                             // Without a key it is of an earlier release, and makes no promises.
                             member.get_or_insert_with(|| {
-                                LinkedMember::open(shared.clone(), shared.standings.unknown_key())
+                                let key = shared.standings.unknown_key();
+                                LinkedMember::open(shared.clone(), key, accepted_at)
                             });
                             designation = Some(shared.followers.add(rank));
                         }
                         Some(FollowerNotice::Identity(key)) => {
-                            member = Some(LinkedMember::open(shared.clone(), key));
+                            member = Some(LinkedMember::open(shared.clone(), key, accepted_at));
                         }
                         Some(FollowerNotice::Standing { sent_at, evidence }) => {
                             if let Some(member) = &member {
@@ -154,8 +156,8 @@
 }
 
 impl LinkedMember {
-    fn open(shared: Arc<MemberShared>, key: Arc<str>) -> Self {
-        shared.standings.link_opened(&key, shared.clock.now());
+    fn open(shared: Arc<MemberShared>, key: Arc<str>, accepted_at: ClockTime) -> Self {
+        shared.standings.link_opened(&key, accepted_at);
         Self { shared, key }
     }
 }
--- a/crates/scheduler/src/peer/standing.rs
+++ b/crates/scheduler/src/peer/standing.rs
@@ -1,4 +1,7 @@
 //! Evidence of the other members that an owner has not been replaced.
+//!
+//! Which of two processes at one address came later is told by when each was seen alive, by the local clock. The
+//! numbers in their keys come from wall clocks, which may have been set back between them.
 
 use std::{
     collections::BTreeMap,
@@ -13,7 +16,7 @@
 use jacinthhoist_core::{ClockTime, job::promise_end};
 use smallvec::SmallVec;
 
-use crate::member::{peer_address, process_nonce};
+use crate::member::peer_address;
 
 /// Time after the end of its link for which a member counts as one that may take over; longer than a
 /// link takes to be reopened.
@@ -37,7 +40,7 @@
 #[derive(Clone, Copy, Debug)]
 struct MemberRecord {
     standing: MemberStanding,
-    /// Time at which its last link was opened.
+    /// Time at which its last link was accepted: it sent its key after that.
     linked_at: ClockTime,
     /// Time of the last heartbeat that the member has answered with a promise.
     promised_at: ClockTime,
@@ -59,21 +62,24 @@
         format!("unknown {number}").into()
     }
 
-    /// Records a new link of a member; earlier processes at its address have ended.
-    pub(super) fn link_opened(&self, key: &Arc<str>, now: ClockTime) {
+    /// Records a new link of a member, accepted at `accepted_at`; earlier processes at its address have ended.
+    pub(super) fn link_opened(&self, key: &Arc<str>, accepted_at: ClockTime) {
         self.change(|records| {
             records.retain(|_, record| {
                 matches!(record.standing, MemberStanding::Following(_))
-                    || now < record.linked_at + RETENTION
+                    || accepted_at < record.linked_at + RETENTION
+            });
+            end_predecessors(records, key, accepted_at);
+            let mut others = records.iter();
+            let is_outdated = others.any(|(other, record)| {
+                is_other_process(other, key) && record.linked_at > accepted_at
             });
-            end_predecessors(records, key);
-            let is_outdated = records.keys().any(|other| is_later_process(other, key));
             let record = records.entry(key.clone()).or_insert(MemberRecord {
                 standing: MemberStanding::Following(0),
-                linked_at: now,
+                linked_at: accepted_at,
                 promised_at: ClockTime::ZERO,
             });
-            record.linked_at = now;
+            record.linked_at = accepted_at.max(record.linked_at);
             record.standing = match record.standing {
                 _ if is_outdated => MemberStanding::Ended,
                 MemberStanding::Following(links) => MemberStanding::Following(links + 1),
@@ -82,11 +88,16 @@
         });
     }
 
-    /// Records the process that answers at the address of an absent member; returns whether the member
-    /// has ended.
-    pub(super) fn record_process(&self, key: &Arc<str>, absent: &Arc<str>) -> bool {
-        self.change(|records| end_predecessors(records, key));
-        is_later_process(key, absent)
+    /// Records the process that has answered at the address of an absent member, asked at `asked_at`; returns
+    /// whether the member has ended.
+    pub(super) fn record_process(
+        &self,
+        key: &Arc<str>,
+        absent: &Arc<str>,
+        asked_at: ClockTime,
+    ) -> bool {
+        self.change(|records| end_predecessors(records, key, asked_at));
+        is_other_process(key, absent)
     }
 
     /// Records that the process of a member has ended.
@@ -177,11 +188,12 @@
         record.is_some_and(|record| record.linked_at >= since)
     }
 
-    /// Returns whether a later process of a member has opened a link at `since` or later.
+    /// Returns whether a process that was alive before `since` has ended: another one at its address has opened a
+    /// link since then.
     pub(crate) fn has_ended(&self, key: &str, since: ClockTime) -> bool {
         let records = self.records.load();
         let mut later = records.iter();
-        later.any(|(other, record)| record.linked_at >= since && is_later_process(other, key))
+        later.any(|(other, record)| record.linked_at >= since && is_other_process(other, key))
     }
 
     fn change(&self, change: impl Fn(&mut BTreeMap<Arc<str>, MemberRecord>)) {
@@ -193,15 +205,21 @@
     }
 }
 
-/// Returns whether a key is that of a later process at the address in another key.
-fn is_later_process(key: &str, other: &str) -> bool {
+/// Returns whether two keys are those of different processes at one address, which belongs to one process at a
+/// time.
+fn is_other_process(key: &str, other: &str) -> bool {
     let address = peer_address(key);
-    address.is_some() && address == peer_address(other) && process_nonce(key) > process_nonce(other)
+    key != other && address.is_some() && address == peer_address(other)
 }
 
-fn end_predecessors(records: &mut BTreeMap<Arc<str>, MemberRecord>, key: &str) {
+/// Ends the processes at the address of a process that was alive at `alive_at` and that were last seen before.
+fn end_predecessors(
+    records: &mut BTreeMap<Arc<str>, MemberRecord>,
+    key: &str,
+    alive_at: ClockTime,
+) {
     for (other, record) in records.iter_mut() {
-        if is_later_process(key, other) {
+        if is_other_process(key, other) && record.linked_at < alive_at {
             record.standing = MemberStanding::Ended;
         }
     }
