Start repeated jobs by what the members' wall clocks show together

What callers saw: tasks of a repeated job start before their time (ORDER), or long after it.

If that clock was off then, the owner is off by as much for as long as it lives, also after the clock has been set right, and each new owner in another way.

Change: while a job waits for a time of day, the owner asks its followers for theirs with a heartbeat a second, and goes by the middle one of theirs and its own (`WallReading::agreed`), each read from the wall clock at that moment. Until answers are in, for a second after a takeover at most, no occurrence begins. An occurrence that was due remains due. The objective of a repeated job counts from the same time. Followers of an earlier release do not answer, and owners of one do not ask.

Why it works: the middle of an odd number of clocks lies between two sound ones, or is one, while fewer than half of them are off. Of an even number it is the one behind.

Repeated jobs in the emulator and a check of their times (ORDER) are new.

--- a/crates/codec/src/job.rs
+++ b/crates/codec/src/job.rs
@@ -264,6 +264,9 @@
     /// Time on the owner's clock at which the heartbeat was sent.
     #[serde(default)]
     pub sent_at: ClockTime,
+    /// True if followers are to answer with the time of day.
+    #[serde(default)]
+    pub asks_wall_time: bool,
 }
 
 /// Evidence of a follower that its owner has not been replaced.
@@ -325,6 +328,8 @@
         /// Evidence as of that time.
         evidence: StandingEvidence,
     },
+    /// Time of day by a follower's wall clock, in answer to a heartbeat.
+    WallTime(ClockTime),
 }
 
 /// Encodes a frame.
--- a/crates/codec/tests/hostile.rs
+++ b/crates/codec/tests/hostile.rs
@@ -293,6 +293,7 @@
             sent_at: ClockTime::from_secs(9),
             evidence: StandingEvidence::Confirmed,
         },
+        JobFrame::WallTime(ClockTime::from_secs(9)),
     ];
     for frame in frames {
         let bytes = encode_job_frame(&frame).unwrap();
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -29,6 +29,7 @@
 //! | `proof` | proof that the group's confirmations belong to the ownership under one token |
 //! | `succession` | evidence behind leases, and what the next owner assumes of it |
 //! | `stored_time` | times that one member stores and another one reads |
+//! | `wall_time` | time of day as the members' wall clocks show it |
 //! | `step_pace` | time between the owner's scheduling steps |
 
 mod admit;
@@ -59,6 +60,7 @@
 mod task;
 mod vm_order;
 mod wait;
+mod wall_time;
 mod wave;
 mod worker;
 
@@ -102,6 +104,7 @@
 };
 pub use vm_order::{Accepted, AnyVmOrder, Queued as QueuedOrder, Sent, VmOrder, VmOrderRun};
 pub use wait::{WaitCounts, WaitReason};
+pub use wall_time::WallReading;
 pub use wave::{Wave, WaveProgress, WaveRequest, WaveTable};
 pub use worker::{
     ActiveRun, EndedRun, OrderReply, RenewalReport, StartReply, Worker, WorkerEntry, WorkerState,
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -48,6 +48,7 @@
     stored_time::ClockReadings,
     succession::{FormerOwner, SuccessionLedger},
     wait::WaitCounts,
+    wall_time::WallReading,
     wave::WaveTable,
     worker::Worker,
 };
@@ -229,6 +230,10 @@
     succession: SuccessionLedger,
     /// Clocks that this member can compare with its own.
     readings: ClockReadings,
+    /// What the members' wall clocks show; none while that is not known.
+    wall_reading: Option<WallReading>,
+    /// True if a job has an occurrence whose time has not come.
+    awaits_wall_time: bool,
     /// Time of the last search for runs to stop.
     last_sweep_at: ClockTime,
     now: ClockTime,
@@ -266,6 +271,8 @@
             former_owners: SmallVec::new(),
             succession: SuccessionLedger::default(),
             readings: ClockReadings::default(),
+            wall_reading: Some(WallReading::default()),
+            awaits_wall_time: false,
             last_sweep_at: ClockTime::ZERO,
             now,
         }
@@ -283,6 +290,17 @@
         self.ownership_confirmed = ownership_confirmed;
     }
 
+    /// Sets what the members' wall clocks show. Until it is known no occurrence of a repeated job begins. The
+    /// local clock is taken for a wall clock if none is ever set.
+    pub fn set_wall_reading(&mut self, reading: Option<WallReading>) {
+        self.wall_reading = reading;
+    }
+
+    /// Returns whether some job waits for a time of day.
+    pub fn awaits_wall_time(&self) -> bool {
+        self.awaits_wall_time
+    }
+
     /// Makes all decisions that follow from the events so far and returns their effects.
     pub fn step(&mut self, now: ClockTime) -> Vec<Effect> {
         self.now = now;
--- a/crates/core/src/job/scheduler/jobs.rs
+++ b/crates/core/src/job/scheduler/jobs.rs
@@ -14,6 +14,7 @@
         refusal::StartRefusals,
         spec::{JobId, JobSpec, JobState, JobTerms, StepKey, StepSpec, TaskKey},
         task::{AnyTask, TaskRun},
+        wall_time::WallReading,
     },
     name::WorkerId,
 };
@@ -30,8 +31,10 @@
 /// One repetition of a job's steps.
 #[derive(Clone, Debug)]
 pub struct Occurrence {
-    /// Earliest start time.
+    /// Earliest start, by the time of day.
     pub due: ClockTime,
+    /// True once that time has been reached.
+    is_due: bool,
     /// Tasks by step.
     pub steps: Vec<Vec<AnyTask>>,
 }
@@ -44,6 +47,7 @@
         };
         Self {
             due,
+            is_due: due == ClockTime::ZERO,
             steps: spec.steps.iter().map(tasks).collect(),
         }
     }
@@ -74,6 +78,8 @@
     pub life: OpenLife,
     /// Terms currently in force.
     pub terms: JobTerms,
+    /// Local time from which the objective counts: that of the receipt, or of the first occurrence.
+    starts_at: ClockTime,
     /// True if a run of some task is known to have started.
     started: bool,
     /// True if a task or the life cycle has changed since the job was last reviewed.
@@ -174,6 +180,19 @@
         refusals.is_some_and(|refusals| refusals.is_paused(now))
     }
 
+    /// Marks the occurrences whose time has been reached; an occurrence remains due if the wall clocks are set
+    /// back after that. Returns whether there are others.
+    fn release_occurrences(&mut self, reading: Option<WallReading>, now: ClockTime) -> bool {
+        if let (Some(repeat), Some(reading)) = (self.spec.repeat, reading) {
+            self.starts_at = reading.local_time(repeat.start_at);
+            let wall = reading.wall_time(now);
+            for occurrence in &mut self.occurrences {
+                occurrence.is_due |= occurrence.due <= wall;
+            }
+        }
+        !self.occurrences.iter().all(|occurrence| occurrence.is_due)
+    }
+
     /// Has the job reviewed in the next step.
     pub(super) fn mark_changed(&mut self) {
         self.changed = true;
@@ -188,7 +207,7 @@
     pub fn startable(&self, id: JobId, now: ClockTime) -> impl Iterator<Item = TaskKey> {
         let is_ending = self.life.goal().is_some();
         let occurrences = (0u32..).zip(&self.occurrences);
-        let due = occurrences.filter(move |(_, occurrence)| !is_ending && occurrence.due <= now);
+        let due = occurrences.filter(move |(_, occurrence)| !is_ending && occurrence.is_due);
         due.flat_map(move |(number, occurrence)| {
             let steps = (0u16..).zip(&self.spec.steps);
             let ready = steps.filter(|(_, spec)| occurrence.is_step_ready(spec));
@@ -214,11 +233,7 @@
         }
         let chain = self.spec.chain_len() * mean.as_millis();
         let stretched = ClockTime::from_millis((chain as f64 * self.terms.stretch) as u64);
-        let start_at = match self.spec.repeat {
-            Some(repeat) => repeat.start_at,
-            None => self.spec.received_at,
-        };
-        let deadline = start_at + stretched + self.terms.objective;
+        let deadline = self.starts_at + stretched + self.terms.objective;
         let remaining = ClockTime::from_millis(self.remaining_chain_len() * mean.as_millis());
         let is_new = self.tasks().all(|(_, task)| task.run() == 0);
         JobUrgency::for_deadline(self.terms.priority, deadline, remaining, is_new, now)
@@ -418,6 +433,7 @@
             occurrences: occurrences.collect(),
             life: OpenLife::Queued(JobLife::open()),
             terms,
+            starts_at: spec.received_at,
             started: false,
             changed: true,
             has_startable: false,
@@ -434,12 +450,14 @@
     /// cancelled ones that have no runs left, and finds those with tasks that could start.
     pub(super) fn conclude_jobs(&mut self) {
         let now = self.now;
+        self.awaits_wall_time = false;
         let mut concluded: SmallVec<[(JobId, JobState); 8]> = SmallVec::new();
         for (id, job) in &mut self.jobs {
             if !job.needs_review() {
                 continue;
             }
             job.changed = false;
+            self.awaits_wall_time |= job.release_occurrences(self.wall_reading, now);
             if job.life.goal().is_none() {
                 let fatal = job.give_up_fatal_tasks();
                 let has_failed = job.has_failed();
--- a/crates/emulator/src/caller.rs
+++ b/crates/emulator/src/caller.rs
@@ -4,7 +4,7 @@
 
 use jacinthhoist_core::{
     ClockTime, PoolName,
-    job::{JobId, JobState, StepSpec},
+    job::{JobId, JobState, RepeatPlan, StepSpec},
 };
 use jacinthhoist_scheduler::{CallerAction, CallerReply, CallerRequest, JobBody};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -119,6 +119,14 @@
                 max_failures: u32::from(MAX_FAILURES),
                 may_miss: usize::from(MAX_MISSING_TASKS),
                 objective: objective(load.task_ms * u64::from(steps)),
+                repeat: (load.repeats > 0).then(|| {
+                    let interval = ClockTime::from_millis(load.interval_ms);
+                    RepeatPlan {
+                        times: load.repeats,
+                        start_at: fleet.model.clock.now() + interval,
+                        interval,
+                    }
+                }),
             },
             will_cancel: !long_running && rng.random_bool(load.cancels),
             asks_at_once: load.asks_at_once,
@@ -255,7 +263,7 @@
         JobBody {
             payload: self.shape.payload.clone(),
             steps: (0u16..).zip(&self.shape.steps).map(step).collect(),
-            repeat: None,
+            repeat: self.shape.repeat,
         }
     }
 }
--- a/crates/emulator/src/check.rs
+++ b/crates/emulator/src/check.rs
@@ -26,6 +26,8 @@
 /// Time after a shrinkage of a worker's capacity in which tasks that would have fitted before may
 /// still start: the contact time and a heartbeat.
 const CAPACITY_GRACE: ClockTime = ClockTime::from_millis(4_000 + 1_500);
+/// Time before its time of day at which a job may start.
+const MAX_EARLY: ClockTime = ClockTime::from_millis(250);
 /// Time for which orders of a replaced owner are still executed: an owner's confirmation is valid
 /// for 900 ms, and an order is in transit for some more.
 const MAX_REPLACED_AGE: ClockTime = ClockTime::from_millis(1_000);
@@ -56,7 +58,7 @@
 
 rules! {
     Twice => "A task has one active run at a time, and none begins after an acknowledged success.",
-    Order => "A step starts only after the steps that it depends on are done.",
+    Order => "A step starts only after the steps that it depends on are done, and not before its time.",
     Route => "Tasks run only on workers of their job's pool, and no more of a step on one worker than it allows.",
     Budget => "A task is not run again once its acknowledged failures reach the limit, nor more than twice once it has crashed three workers.",
     Unasked => "Only jobs that callers sent are started, and no tasks after cancellation.",
@@ -259,6 +261,17 @@
     runs: &RunsByTask<'_>,
     findings: &mut RuleFindings,
 ) {
+    if let Some(repeat) = job.shape.repeat {
+        let delay_ms = repeat.interval.as_millis() * u64::from(run.task.occurrence);
+        let due = repeat.start_at + ClockTime::from_millis(delay_ms);
+        if run.began_at + MAX_EARLY < due {
+            let detail = format!(
+                "{}: started at {}, before its time {due}",
+                run.task, run.began_at
+            );
+            findings.add(HistoryRule::Order, run.began_at, detail);
+        }
+    }
     let Some(previous_step) = run.task.step.checked_sub(1) else {
         return;
     };
@@ -285,13 +298,16 @@
 }
 
 fn job_tasks(id: JobId, job: &JobHistory) -> impl Iterator<Item = TaskKey> {
-    let steps = (0u16..).zip(job.shape.steps.iter());
-    steps.flat_map(move |(step, count)| {
-        (0..*count).map(move |index| TaskKey {
-            job: id,
-            occurrence: 0,
-            step,
-            index,
+    let times = job.shape.repeat.map_or(1, |repeat| repeat.times);
+    (0..times).flat_map(move |occurrence| {
+        let steps = (0u16..).zip(job.shape.steps.iter());
+        steps.flat_map(move |(step, count)| {
+            (0..*count).map(move |index| TaskKey {
+                job: id,
+                occurrence,
+                step,
+                index,
+            })
         })
     })
 }
--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -4,7 +4,10 @@
     collections::BTreeMap,
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicI64, Ordering},
+    },
     time::Duration,
 };
 
@@ -13,7 +16,7 @@
     ClockTime, MemberName, PoolName,
     job::{MemberRank, SchedulerLimits},
 };
-use jacinthhoist_net::BootClock;
+use jacinthhoist_net::{BootClock, WallClock};
 use jacinthhoist_scheduler::{
     CallerPipe, CallerReply, CallerRequest, EventLog, MemberIdentity, SchedulerMember,
     SchedulerSettings,
@@ -66,7 +69,7 @@
 struct MemberSlot {
     incarnation: u64,
     /// Milliseconds by which the wall clock of the member's machine is ahead.
-    clock_offset: i64,
+    clock_offset: Arc<AtomicI64>,
     running: Option<(SchedulerMember<EmulatedPlatform>, CallerPipe)>,
     /// Dropped when the current process ends, which cancels calls in progress.
     exit_signal: Option<watch::Sender<()>>,
@@ -243,7 +246,7 @@
         let (incarnation, clock_offset) = {
             let slot = &mut self.slots()[index];
             slot.incarnation += 1;
-            (slot.incarnation, slot.clock_offset)
+            (slot.incarnation, slot.clock_offset.clone())
         };
         self.model
             .network
@@ -259,7 +262,7 @@
                 name: MemberName::new(&name),
                 peer_address: SocketAddr::from(([10, 0, 0, index as u8], PEER_PORT)),
                 // Read from the wall clock, it need not rise.
-                nonce: incarnation.wrapping_add_signed(clock_offset),
+                nonce: incarnation.wrapping_add_signed(clock_offset.load(Ordering::Relaxed)),
                 rank,
             },
             limits: SchedulerLimits {
@@ -271,9 +274,11 @@
             },
             store_limits: StoreLimits::example(),
         };
-        let now = self.model.clock.now().as_millis();
-        let now = ClockTime::from_millis(now.saturating_add_signed(clock_offset));
-        let clock = BootClock::on_runtime(now);
+        let wall = WallClock::Shifted {
+            clock: self.model.clock,
+            ahead_ms: clock_offset,
+        };
+        let clock = BootClock::on_runtime(wall.now());
         let log = EventLog::with_sink(&name, clock, log_sink(self.prints_logs));
         let platform = Arc::new(EmulatedPlatform {
             model: self.model.clone(),
@@ -284,7 +289,7 @@
             member: index,
         };
         let log = log.expect("a log on one sink can be opened");
-        let member = SchedulerMember::spawn_on(platform, peers, clock, settings, log).await;
+        let member = SchedulerMember::spawn_on(platform, peers, (clock, wall), settings, log).await;
         let member = member.expect("emulated addresses are free");
         let pipe = member.callers();
         let (exit_signal, _) = watch::channel(());
@@ -295,9 +300,10 @@
 
     /// Steps the wall clocks of some members' machines. Processes read them when they start.
     pub(crate) fn step_clocks(&self, members: &[usize], step_ms: i64) {
-        let mut slots = self.slots();
+        let slots = self.slots();
         for index in members {
-            slots[*index].clock_offset += step_ms;
+            let offset = &slots[*index].clock_offset;
+            offset.fetch_add(step_ms, Ordering::Relaxed);
         }
     }
 
--- a/crates/emulator/src/history.rs
+++ b/crates/emulator/src/history.rs
@@ -7,7 +7,7 @@
 
 use jacinthhoist_core::{
     ClockTime, PoolName, VmName, WorkerId,
-    job::{JobId, JobState, TaskEnd, TaskKey},
+    job::{JobId, JobState, RepeatPlan, TaskEnd, TaskKey},
 };
 use jacinthhoist_scheduler::ports::StartOrder;
 
@@ -43,6 +43,8 @@
     pub may_miss: usize,
     /// Time after the first attempt by which the job should be done.
     pub objective: ClockTime,
+    /// Times of day at which the job runs; none for one that runs once and at once.
+    pub repeat: Option<RepeatPlan>,
 }
 
 /// Outcome of an attempt to submit a job.
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -96,6 +96,11 @@
     pub max_per_worker: u16,
     /// True if callers ask for the state of a job as soon as it is accepted.
     pub asks_at_once: bool,
+    /// Number of times that each job runs, the first time an interval after its submission; 0 for jobs that run
+    /// once and at once.
+    pub repeats: u32,
+    /// Interval between two of these times, in milliseconds.
+    pub interval_ms: u64,
 }
 
 impl Default for ScenarioLoad {
@@ -117,6 +122,8 @@
             speculative: false,
             max_per_worker: 0,
             asks_at_once: false,
+            repeats: 0,
+            interval_ms: 2_000,
         }
     }
 }
--- a/crates/emulator/tests/clocks.rs
+++ b/crates/emulator/tests/clocks.rs
@@ -88,3 +88,61 @@
         assert_eq!(lapsed.count(), 0, "seed {seed}");
     }
 }
+
+/// Jobs that run three times, at times of day.
+const REPEATED_JOBS: &str = r#"
+    secs = 20
+    members = 5
+    workers = 4
+    [[loads]]
+    per_sec = 2.0
+    steps = 2
+    tasks = 2
+    task_ms = 300
+    repeats = 3
+"#;
+
+/// Guards against tasks that start before their time, or long after it: the owner went by the wall clock that its
+/// process had read when it started, though the clock of its machine was off then.
+#[test]
+fn jobs_start_at_their_time_while_fewer_than_half_of_the_wall_clocks_are_off() {
+    for step_ms in [-9_000, 9_000, 3_600_000] {
+        for for_s in [4.0, 60.0] {
+            let step = format!("for_s = {for_s:.1}\ncount = 2\nstep_ms = {step_ms}");
+            let faults = [
+                &format!("kind = \"clock_step\"\nat = 0.1\n{step}"),
+                "kind = \"member_stop\"\nat = 0.5\ncount = 5",
+                "kind = \"member_kill\"\nat = 12.0",
+                "kind = \"member_kill\"\nat = 15.0",
+            ];
+            let faults = faults
+                .map(|fault| format!("[[faults]]\n{fault}\n"))
+                .concat();
+            let scenario = EmulationScenario::parse(&format!("{REPEATED_JOBS}{faults}"));
+            let scenario = scenario.expect("the scenario is valid");
+            for seed in 1..=4 {
+                let outcome = run_scenario(&scenario, seed);
+                let at = format!("{step_ms} ms for {for_s} s, seed {seed}");
+                assert_eq!(check(&outcome.history), [], "{at}");
+                let runs = &outcome.history.runs;
+                assert!(runs.iter().any(|run| run.task.occurrence == 2), "{at}");
+                for run in runs {
+                    let repeat = outcome.history.jobs[&run.task.job].shape.repeat;
+                    let repeat = repeat.expect("the job is repeated");
+                    let times = u64::from(run.task.occurrence);
+                    let due = repeat.start_at.as_millis() + repeat.interval.as_millis() * times;
+                    let late_ms = run.began_at.as_millis().saturating_sub(due);
+                    assert!(
+                        late_ms < MAX_LATE_MS,
+                        "{at}: {} is {late_ms} ms late",
+                        run.task
+                    );
+                }
+            }
+        }
+    }
+}
+
+/// Longest delay of a run that the faults of the test explain: a takeover, the first round of questions for the
+/// time, and the runs that are repeated or wait for others.
+const MAX_LATE_MS: u64 = 6_000;
--- a/crates/experiments/tests/partition_soak/faults.rs
+++ b/crates/experiments/tests/partition_soak/faults.rs
@@ -14,6 +14,9 @@
 /// Time after which the store drops the entry of a worker that is silent: three heartbeats.
 const ENTRY_LIFETIME: Duration = Duration::from_millis(300);
 
+/// Largest step of a wall clock, far beyond any lease.
+const MAX_STEP_MS: i64 = 60_000;
+
 async fn pause(rng: &mut StdRng, millis: std::ops::Range<u64>) {
     sleep(Duration::from_millis(rng.random_range(millis))).await;
 }
@@ -124,6 +127,36 @@
     }
 }
 
+/// Steps the wall clocks of members and sets them back, some only after the end.
+pub(crate) async fn clock_step(
+    installation: &SoakInstallation,
+    mut rng: StdRng,
+    origin: Instant,
+    until: Instant,
+) {
+    loop {
+        pause(&mut rng, 0..4_000).await;
+        if Instant::now() >= until {
+            return;
+        }
+        let (index, step_ms) = (
+            rng.random_range(0..MEMBERS),
+            rng.random_range(-MAX_STEP_MS..MAX_STEP_MS),
+        );
+        note(origin, &format!("clock of entry-{index} by {step_ms} ms"));
+        installation.step_clock(index, step_ms);
+        if rng.random_bool(0.3) {
+            continue;
+        }
+        pause(&mut rng, 2_000..15_000).await;
+        note(
+            origin,
+            &format!("clock of entry-{index} back by {step_ms} ms"),
+        );
+        installation.step_clock(index, -step_ms);
+    }
+}
+
 /// Restarts workers, resets connections and changes the catalogue.
 pub(crate) async fn disturbance(
     installation: &SoakInstallation,
--- a/crates/experiments/tests/partition_soak/installation.rs
+++ b/crates/experiments/tests/partition_soak/installation.rs
@@ -3,13 +3,17 @@
 use std::{
     net::SocketAddr,
     path::PathBuf,
-    sync::atomic::{AtomicU16, AtomicU64, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicI64, AtomicU16, Ordering},
+    },
     time::Duration,
 };
 
 use hyper::StatusCode;
 use jacinthhoist_experiments::schedule::{get, wait_for};
 use jacinthhoist_fakes::FakePlatform;
+use jacinthhoist_net::{BootClock, WallClock};
 use tokio::{sync::Mutex, time::sleep};
 
 use crate::{
@@ -44,7 +48,8 @@
     pub(crate) network: SoakNetwork,
     ports: Vec<[u16; 3]>,
     members: Vec<Mutex<Option<SoakMember>>>,
-    nonce: AtomicU64,
+    /// Milliseconds by which the wall clock of each member's machine is ahead.
+    clock_offsets: Vec<Arc<AtomicI64>>,
     /// Folder of the members' log lines.
     logs: Option<PathBuf>,
 }
@@ -75,7 +80,7 @@
             platform,
             ports,
             members: (0..MEMBERS).map(|_| Mutex::new(None)).collect(),
-            nonce: AtomicU64::new(1),
+            clock_offsets: (0..MEMBERS).map(|_| Arc::default()).collect(),
             logs,
         };
         for index in 0..MEMBERS {
@@ -96,6 +101,11 @@
         local(self.ports[member][0])
     }
 
+    /// Steps the wall clock of a member's machine, which a process reads when it starts.
+    pub(crate) fn step_clock(&self, index: usize, step_ms: i64) {
+        self.clock_offsets[index].fetch_add(step_ms, Ordering::Relaxed);
+    }
+
     /// Starts a member that is down.
     pub(crate) async fn start(&self, index: usize) {
         let name = format!("entry-{index}");
@@ -109,9 +119,12 @@
             .map(|folder| folder.join(format!("{name}.log")));
         let mut last_error = None;
         for _ in 0..START_ATTEMPTS {
-            let nonce = self.nonce.fetch_add(1, Ordering::Relaxed);
+            let wall = WallClock::Shifted {
+                clock: BootClock::start(),
+                ahead_ms: self.clock_offsets[index].clone(),
+            };
             let links = self.network.addresses(index);
-            match SoakMember::spawn(&settings, nonce, links, log.as_deref()).await {
+            match SoakMember::spawn(&settings, wall, links, log.as_deref()).await {
                 Ok(member) => {
                     *self.members[index].lock().await = Some(member);
                     self.network.set_member_down(index, false);
--- a/crates/experiments/tests/partition_soak/main.rs
+++ b/crates/experiments/tests/partition_soak/main.rs
@@ -69,6 +69,9 @@
         faults::store_outage(&installation, rng(2), origin, until),
         faults::member_end(&installation, rng(3), origin, until),
         faults::disturbance(&installation, rng(4), origin, until),
+        // Two, so that their steps overlap.
+        faults::clock_step(&installation, rng(5), origin, until),
+        faults::clock_step(&installation, rng(6), origin, until),
     );
     soak::wait_completed(&fronts, &record, Instant::now() + QUIET_PERIOD).await;
     sleep(SETTLE_PERIOD).await;
@@ -97,7 +100,8 @@
 }
 
 /// Guards against two runs of a task at once, lost jobs and repeated work around partitions: an owner
-/// that the store had replaced went on renewing leases that the next one took for lapsed (issue 43).
+/// that the store had replaced went on renewing leases that the next one took for lapsed (issue 43), and times stored
+/// by processes whose clocks were off were compared with other clocks (issue 58).
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn members_on_tcp_run_each_task_once_around_partitions() {
     let SoakPlan { seeds, secs } = SoakPlan::from_environment(SEEDS, FAULT_SECS);
--- a/crates/experiments/tests/partition_soak/member.rs
+++ b/crates/experiments/tests/partition_soak/member.rs
@@ -7,7 +7,7 @@
     ClockTime, PoolName, VmName, WorkerId,
     job::{OrderReply, StepAdvice, StepKey},
 };
-use jacinthhoist_net::BootClock;
+use jacinthhoist_net::{BootClock, WallClock};
 use jacinthhoist_platform::{CallerServer, HttpPlatform, NodeSettings};
 use jacinthhoist_scheduler::{
     EventLog, Result, SchedulerMember, TcpPeers,
@@ -144,10 +144,11 @@
 }
 
 impl SoakMember {
-    /// Starts a member from the text of its settings file; its log lines are appended to `log`.
+    /// Starts a member from the text of its settings file, on a machine with this wall clock; its log lines, by the
+    /// real time, are appended to `log`.
     pub(crate) async fn spawn(
         settings: &str,
-        nonce: u64,
+        wall: WallClock,
         links: LinkAddresses,
         log: Option<&Path>,
     ) -> std::result::Result<Self, Box<dyn std::error::Error + Send + Sync>> {
@@ -167,9 +168,9 @@
                 platform: HttpPlatform::open(&settings),
                 links: links.clone(),
             });
-            let (peers, clock) = (LinkedPeers(links), BootClock::start());
-            let scheduler = settings.scheduler_settings(nonce);
-            let member = SchedulerMember::spawn_on(platform, peers, clock, scheduler, log).await?;
+            let scheduler = settings.scheduler_settings(wall.now().as_millis());
+            let (peers, clocks) = (LinkedPeers(links), (BootClock::start_at(wall.now()), wall));
+            let member = SchedulerMember::spawn_on(platform, peers, clocks, scheduler, log).await?;
             let listen = &settings.listen;
             let metrics = SocketAddr::from(([127, 0, 0, 1], 0));
             let server =
--- a/crates/net/src/clock.rs
+++ b/crates/net/src/clock.rs
@@ -1,7 +1,13 @@
 //! Clocks that never run backwards: one follows the runtime's timers, and one also counts the time
 //! during which the machine is suspended.
 
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicI64, Ordering},
+    },
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
 
 use jacinthhoist_core::ClockTime;
 use rustix::time::{ClockId, clock_gettime};
@@ -83,8 +89,20 @@
 impl BootClock {
     /// Starts the clock at the wall-clock time.
     pub fn start() -> Self {
+        Self::start_at(wall_clock_time())
+    }
+
+    /// Starts the clock at a given time.
+    ///
+    /// ```
+    /// use jacinthhoist_core::ClockTime;
+    /// use jacinthhoist_net::BootClock;
+    /// let clock = BootClock::start_at(ClockTime::from_secs(5));
+    /// assert!(clock.now() >= ClockTime::from_secs(5));
+    /// ```
+    pub fn start_at(wall: ClockTime) -> Self {
         Self(ClockSource::Boot {
-            wall: wall_clock_time(),
+            wall,
             start: millis_since_boot(),
         })
     }
@@ -118,6 +136,47 @@
     }
 }
 
+/// Time of day as the machine's wall clock shows it, which may be set at any time.
+///
+/// ```
+/// use std::sync::{Arc, atomic::{AtomicI64, Ordering}};
+/// use jacinthhoist_core::ClockTime;
+/// use jacinthhoist_net::{BootClock, WallClock};
+/// assert!(WallClock::System.now() > ClockTime::ZERO);
+/// let ahead_ms = Arc::new(AtomicI64::new(0));
+/// let wall = WallClock::Shifted { clock: BootClock::start(), ahead_ms: ahead_ms.clone() };
+/// let before = wall.now();
+/// ahead_ms.store(5_000, Ordering::Relaxed);
+/// assert!(wall.now() >= before + ClockTime::from_secs(5));
+/// ```
+#[derive(Clone, Debug)]
+pub enum WallClock {
+    /// Wall clock of the operating system.
+    System,
+    /// Clock that is ahead of another one by a number of milliseconds, which an emulator sets.
+    Shifted {
+        /// The other clock.
+        clock: BootClock,
+        /// Number of milliseconds; negative if it is behind.
+        ahead_ms: Arc<AtomicI64>,
+    },
+}
+
+impl WallClock {
+    /// Returns the current time of day.
+    pub fn now(&self) -> ClockTime {
+        match self {
+            Self::System => wall_clock_time(),
+            Self::Shifted { clock, ahead_ms } => {
+                let millis = clock.now().as_millis();
+                ClockTime::from_millis(
+                    millis.saturating_add_signed(ahead_ms.load(Ordering::Relaxed)),
+                )
+            }
+        }
+    }
+}
+
 /// Time after which a request must not be sent any more.
 ///
 /// ```
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -20,5 +20,5 @@
 mod stream;
 
 pub use client::{ClientPool, HttpClient, HttpRequest, HttpResponse, PinnedClient, connect};
-pub use clock::{BootClock, RunClock, SendExpiry};
+pub use clock::{BootClock, RunClock, SendExpiry, WallClock};
 pub use error::{Category, Error, ErrorKind, Result};
--- a/crates/scheduler/src/member.rs
+++ b/crates/scheduler/src/member.rs
@@ -11,7 +11,7 @@
     ClockTime, MemberName,
     job::{MemberRank, SchedulerLimits},
 };
-use jacinthhoist_net::BootClock;
+use jacinthhoist_net::{BootClock, WallClock};
 use tokio::{
     sync::{mpsc, watch},
     task::JoinSet,
@@ -128,10 +128,11 @@
         settings: SchedulerSettings,
         log: Arc<EventLog>,
     ) -> Result<Self> {
-        Self::spawn_on(platform, TcpPeers, BootClock::start(), settings, log).await
+        let clocks = (BootClock::start(), WallClock::System);
+        Self::spawn_on(platform, TcpPeers, clocks, settings, log).await
     }
 
-    /// Starts a member with the given peer network and clock, such as those of an emulator.
+    /// Starts a member with the given peer network and clocks, such as those of an emulator.
     ///
     /// # Errors
     ///
@@ -139,12 +140,12 @@
     pub async fn spawn_on<N: PeerNetwork>(
         platform: Arc<P>,
         peers: N,
-        clock: BootClock,
+        (clock, wall): (BootClock, WallClock),
         settings: SchedulerSettings,
         log: Arc<EventLog>,
     ) -> Result<Self> {
         let address = settings.identity.peer_address;
-        let shared = MemberShared::open(settings.identity, settings.store_limits, clock, log);
+        let shared = MemberShared::open(settings.identity, settings.store_limits, clock, wall, log);
         let peers = Arc::new(peers);
         event!(shared.log, Start, "version": env!("CARGO_PKG_VERSION"),
             "key": shared.identity.member_key());
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -10,6 +10,7 @@
 mod questions;
 mod sources;
 mod takeover;
+mod wall_times;
 mod workers;
 
 use std::{collections::BTreeMap, panic::AssertUnwindSafe, sync::Arc, time::Duration};
--- a/crates/scheduler/src/owner/engine.rs
+++ b/crates/scheduler/src/owner/engine.rs
@@ -27,6 +27,7 @@
     questions::{OpenQuestions, ReadDemand},
     sources::{AcceptedReader, follow_workers},
     takeover::load_state,
+    wall_times::WallTimes,
     workers::{WorkerConnections, count_start_reply},
 };
 
@@ -67,6 +68,7 @@
     pools_logged_at: ClockTime,
     leases_logged_at: ClockTime,
     member_key: Arc<str>,
+    wall_times: WallTimes,
     taken_over_at: ClockTime,
     /// Aborted when the engine is dropped.
     _sources: JoinSet<()>,
@@ -127,6 +129,7 @@
             vms_listed_at: ClockTime::ZERO,
             pools_logged_at: ClockTime::ZERO,
             leases_logged_at: ClockTime::ZERO,
+            wall_times: WallTimes::open(shared.clock.now()),
             member_key: shared.identity.member_key().into(),
             taken_over_at: shared.clock.now(),
             _sources: sources,
@@ -227,6 +230,8 @@
         self.settle_questions(now);
         self.scheduler.set_evidence(self.authority.evidence());
         self.update_succession(now);
+        let wall_reading = self.wall_times.read(&self.shared, &self.scheduler, now);
+        self.scheduler.set_wall_reading(wall_reading);
         let is_confirmed = self.authority.is_confirmed(now);
         self.scheduler.set_ownership_confirmed(is_confirmed);
         let effects = self.scheduler.step(now);
@@ -321,11 +326,13 @@
         self.heartbeat_at = now;
         let open = self.scheduler.open_jobs();
         self.shared.meter.open_jobs.set(open as f64);
+        let asks_wall_time = self.wall_times.is_due(now);
         let heartbeat = Arc::new(OwnerHeartbeat {
             loads: self.scheduler.load_report(),
             read_age: now - self.tail_read_at,
             place_age: now - self.authority.confirmed_at(),
             sent_at: now,
+            asks_wall_time,
         });
         self.shared.set_heartbeat(Arc::clone(&heartbeat));
         self.shared.heartbeats.publish(heartbeat);
--- a/crates/scheduler/src/peer/query.rs
+++ b/crates/scheduler/src/peer/query.rs
@@ -231,6 +231,11 @@
                         {
                             return;
                         }
+                        if heartbeat.asks_wall_time
+                            && !send(&mut socket, &JobFrame::WallTime(self.shared.wall.now())).await
+                        {
+                            return;
+                        }
                         if !std::mem::replace(found, true) {
                             event!(self.shared.log, Dependency, "name": "owner", "lost": false,
                                 "owner": owner);
@@ -318,7 +323,8 @@
                 | JobFrame::Offer(_)
                 | JobFrame::Stored(_)
                 | JobFrame::Store { .. }
-                | JobFrame::Standing { .. },
+                | JobFrame::Standing { .. }
+                | JobFrame::WallTime(_),
             ) => {}
             Err(error) => event!(self.shared.log, Unreadable, "key": "peer frame",
                 "reason": error.to_string()),
--- a/crates/scheduler/src/peer/serve.rs
+++ b/crates/scheduler/src/peer/serve.rs
@@ -9,7 +9,7 @@
 };
 use jacinthhoist_core::{
     ClockTime,
-    job::{JobId, MemberRank},
+    job::{JobId, MemberRank, WallReading},
 };
 use tokio::{
     sync::{mpsc, oneshot},
@@ -111,6 +111,13 @@
                                 shared.standings.record_answer(&member.key, sent_at, evidence);
                             }
                         }
+                        Some(FollowerNotice::WallTime(wall)) => {
+                            if let Some(member) = &member {
+                                let local = shared.clock.now();
+                                let reading = WallReading { local, wall };
+                                shared.standings.record_wall_time(&member.key, reading);
+                            }
+                        }
                         None => {}
                     }
                     continue;
@@ -147,6 +154,8 @@
         sent_at: ClockTime,
         evidence: StandingEvidence,
     },
+    /// Time of day by its wall clock.
+    WallTime(ClockTime),
 }
 
 /// Member at the other end of a link; dropped when the link ends.
@@ -211,6 +220,7 @@
         Ok(JobFrame::Standing { sent_at, evidence }) => {
             return Some(FollowerNotice::Standing { sent_at, evidence });
         }
+        Ok(JobFrame::WallTime(wall)) => return Some(FollowerNotice::WallTime(wall)),
         Ok(JobFrame::Stored(records)) => forward_records(shared, &records),
         Ok(JobFrame::Store { id, record }) => {
             let (request, outcome) = StoreRequest::new(record);
--- a/crates/scheduler/src/peer/standing.rs
+++ b/crates/scheduler/src/peer/standing.rs
@@ -13,7 +13,10 @@
 
 use arc_swap::ArcSwap;
 use jacinthhoist_codec::StandingEvidence;
-use jacinthhoist_core::{ClockTime, job::promise_end};
+use jacinthhoist_core::{
+    ClockTime,
+    job::{WallReading, promise_end},
+};
 use smallvec::SmallVec;
 
 use crate::member::peer_address;
@@ -44,6 +47,8 @@
     linked_at: ClockTime,
     /// Time of the last heartbeat that the member has answered with a promise.
     promised_at: ClockTime,
+    /// What its wall clock last showed.
+    wall_reading: Option<WallReading>,
 }
 
 /// Members that have identified themselves to this one, by key, and what they have answered. Readers
@@ -78,6 +83,7 @@
                 standing: MemberStanding::Following(0),
                 linked_at: accepted_at,
                 promised_at: ClockTime::ZERO,
+                wall_reading: None,
             });
             record.linked_at = accepted_at.max(record.linked_at);
             record.standing = match record.standing {
@@ -151,6 +157,27 @@
         });
     }
 
+    /// Records what the wall clock of a member shows.
+    pub(super) fn record_wall_time(&self, key: &Arc<str>, reading: WallReading) {
+        self.change(|records| {
+            if let Some(record) = records.get_mut(key) {
+                record.wall_reading = Some(reading);
+            }
+        });
+    }
+
+    /// Returns what the wall clocks of the followers have shown since `since`; `None` for one that has not answered.
+    pub(crate) fn wall_readings(&self, since: ClockTime) -> SmallVec<[Option<WallReading>; 8]> {
+        let records = self.records.load();
+        let following = records
+            .values()
+            .filter(|record| matches!(record.standing, MemberStanding::Following(_)));
+        let is_recent = |reading: &WallReading| reading.local >= since;
+        following
+            .map(|record| record.wall_reading.filter(is_recent))
+            .collect()
+    }
+
     /// Returns the members that may take over, in order.
     pub(crate) fn successors(&self, now: ClockTime) -> SmallVec<[Arc<str>; 8]> {
         let records = self.records.load();
--- a/crates/scheduler/src/shared.rs
+++ b/crates/scheduler/src/shared.rs
@@ -11,7 +11,7 @@
     ClockTime, WorkName,
     job::{AppendPace, ClockReadings, JobCatalogue, WorkLoad},
 };
-use jacinthhoist_net::BootClock;
+use jacinthhoist_net::{BootClock, WallClock};
 use tokio::sync::mpsc;
 
 use crate::{
@@ -34,6 +34,7 @@
     pub(crate) identity: MemberIdentity,
     pub(crate) store_limits: StoreLimits,
     pub(crate) clock: BootClock,
+    pub(crate) wall: WallClock,
     pub(crate) log: Arc<EventLog>,
     pub(crate) meter: JobMeter,
     dependencies: DependencyStatus,
@@ -67,6 +68,7 @@
         identity: MemberIdentity,
         store_limits: StoreLimits,
         clock: BootClock,
+        wall: WallClock,
         log: Arc<EventLog>,
     ) -> Arc<Self> {
         Arc::new(Self {
@@ -77,6 +79,7 @@
             identity,
             store_limits,
             clock,
+            wall,
             log,
             meter: JobMeter::open(),
             dependencies: DependencyStatus::open(),
