Name the clock on which a job was received

What callers saw: while wall clocks are off, fewer jobs are served in time.

Cause: the member that accepts a job stores the time of its receipt on its own clock, and the owner compared it with another one. Jobs of a member whose clock is behind look late, so that they are served last and no VM is moved for them; those of a member whose clock is ahead look as if they had time. A later owner has the same with all jobs that it restores.

Change: the time of the receipt is on the clock of the owner, which its followers know from its heartbeats, and names that clock (`JobSpec::received_on`). A later owner converts it by what it knows of the clock. Only the order of jobs and the demand for VMs rest on it: where the clock is not known it counts as the local one, but not as a time to come.

--- a/crates/codec/tests/hostile.rs
+++ b/crates/codec/tests/hostile.rs
@@ -167,6 +167,7 @@
         work: WorkName::new("melt-plan"),
         terms: JobTerms::example("melt-shop"),
         received_at: ClockTime::from_millis(17),
+        received_on: Some("entry-1|10.0.0.1:7060|1|regular".into()),
         payload: Arc::from("text"),
         steps: vec![first, step],
         repeat: Some(RepeatPlan {
--- a/crates/core/src/job/scheduler/jobs.rs
+++ b/crates/core/src/job/scheduler/jobs.rs
@@ -229,7 +229,7 @@
     /// kind.
     pub(super) fn urgency(&self, mean: ClockTime, now: ClockTime) -> JobUrgency {
         if self.spec.is_long_running() {
-            return JobUrgency::long_running(self.terms.priority, self.spec.received_at);
+            return JobUrgency::long_running(self.terms.priority, self.starts_at);
         }
         let chain = self.spec.chain_len() * mean.as_millis();
         let stretched = ClockTime::from_millis((chain as f64 * self.terms.stretch) as u64);
@@ -415,6 +415,14 @@
         }
     }
 
+    /// Local time at which a job was received. If its clock is not known, that clock is taken to agree with the local
+    /// one: only the order of jobs rests on it.
+    fn received_at(&self, spec: &JobSpec) -> ClockTime {
+        let clock = spec.received_on.as_ref();
+        let known = clock.and_then(|clock| self.readings.estimate(clock, spec.received_at));
+        known.unwrap_or(spec.received_at.min(self.now))
+    }
+
     /// Creates a job under the terms of the catalogue, or under the terms of its acceptance if the
     /// catalogue no longer lists its kind of work.
     fn open_job(&self, spec: Arc<JobSpec>) -> Job {
@@ -433,7 +441,7 @@
             occurrences: occurrences.collect(),
             life: OpenLife::Queued(JobLife::open()),
             terms,
-            starts_at: spec.received_at,
+            starts_at: self.received_at(&spec),
             started: false,
             changed: true,
             has_startable: false,
@@ -488,7 +496,7 @@
                 continue;
             };
             if self.outbox.record_end(id, state) {
-                let after = now - job.spec.received_at;
+                let after = now - job.starts_at;
                 let mean = self.durations.mean(&job.spec.work);
                 let urgency = job.urgency(mean, now);
                 let millis = |at: ClockTime| i64::try_from(at.as_millis()).unwrap_or(i64::MAX);
--- a/crates/core/src/job/spec.rs
+++ b/crates/core/src/job/spec.rs
@@ -354,8 +354,11 @@
     pub work: WorkName,
     /// Terms at acceptance.
     pub terms: JobTerms,
-    /// Wall-clock time at which the first attempt of the request arrived.
+    /// Time at which the first attempt of the request arrived.
     pub received_at: ClockTime,
+    /// Key of the process on whose clock that is; none in the records of earlier releases.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub received_on: Option<Arc<str>>,
     /// Payload passed to each task.
     pub payload: Arc<str>,
     /// Steps in order.
@@ -378,6 +381,7 @@
     ///     work: WorkName::new("pattern-check"),
     ///     terms: JobTerms::example("moulding-desk"),
     ///     received_at: ClockTime::ZERO,
+    ///     received_on: None,
     ///     payload: "drain cover 4".into(),
     ///     steps: vec![StepSpec { count: 0, ..StepSpec::default() }],
     ///     repeat: None,
--- a/crates/core/src/job/stored_time.rs
+++ b/crates/core/src/job/stored_time.rs
@@ -115,6 +115,16 @@
 }
 
 impl ClockReading {
+    /// Time on the other clock at a local time, as far as the transit of the message lets it be known.
+    fn remote_time(self, local: ClockTime) -> ClockTime {
+        self.shown + (local - self.seen_at) - (self.seen_at - local)
+    }
+
+    /// Local time at a time on the other clock, as far as the transit of the message lets it be known.
+    fn estimate(self, at: ClockTime) -> ClockTime {
+        self.seen_at + (at - self.shown) - (self.shown - at)
+    }
+
     /// Latest local time at which the other clock shows `at`.
     fn local_time(self, at: ClockTime) -> ClockTime {
         self.seen_at + with_clock_drift(at - self.shown)
@@ -126,6 +136,8 @@
 pub struct ClockReadings {
     own: Arc<str>,
     others: BTreeMap<Arc<str>, ClockReading>,
+    /// Process whose message arrived last.
+    last: Option<Arc<str>>,
 }
 
 impl ClockReadings {
@@ -134,6 +146,7 @@
         Self {
             own,
             others: BTreeMap::new(),
+            last: None,
         }
     }
 
@@ -156,6 +169,41 @@
         if known.is_none_or(|known| shown >= known.shown && now <= known.local_time(shown)) {
             self.others.insert(clock.clone(), reading);
         }
+        self.last = Some(clock.clone());
+    }
+
+    /// Returns a local time on the clock of the process whose message arrived last, with the key of that process:
+    /// other members have received its messages too. On the own clock if there was none.
+    ///
+    /// ```
+    /// use jacinthhoist_core::{ClockTime, job::ClockReadings};
+    /// let ms = ClockTime::from_millis;
+    /// let mut readings = ClockReadings::open("entry-2".into());
+    /// assert_eq!(readings.on_last_clock(ms(50)), ("entry-2".into(), ms(50)));
+    /// readings.record(&"entry-1".into(), ms(9_000), ms(40));
+    /// assert_eq!(readings.on_last_clock(ms(50)), ("entry-1".into(), ms(9_010)));
+    /// assert_eq!(readings.estimate("entry-1", ms(9_020)), Some(ms(60)));
+    /// assert_eq!(readings.estimate("entry-3", ms(9_020)), None);
+    /// ```
+    pub fn on_last_clock(&self, local: ClockTime) -> (Arc<str>, ClockTime) {
+        let reading = self
+            .last
+            .as_ref()
+            .and_then(|key| self.others.get_key_value(key));
+        match reading {
+            Some((key, reading)) => (key.clone(), reading.remote_time(local)),
+            None => (self.own.clone(), local),
+        }
+    }
+
+    /// Estimates the local time at a time on the clock of another process; `None` if that is not known. It may be
+    /// early, so nothing that must not be early may rest on it.
+    pub fn estimate(&self, clock: &str, at: ClockTime) -> Option<ClockTime> {
+        if *self.own == *clock {
+            return Some(at);
+        }
+        let reading = self.others.get(clock)?;
+        Some(reading.estimate(at))
     }
 
     /// Latest local time at which a time is reached that was read from the store at `read_at` or before.
--- a/crates/core/tests/job_interleavings/setting.rs
+++ b/crates/core/tests/job_interleavings/setting.rs
@@ -174,6 +174,7 @@
         work: WorkName::new(POOL),
         terms: JobTerms::example(POOL),
         received_at: ms(now),
+        received_on: None,
         payload: "x".into(),
         steps,
         repeat: None,
--- a/crates/core/tests/jobs/harness.rs
+++ b/crates/core/tests/jobs/harness.rs
@@ -122,6 +122,7 @@
         work: WorkName::new("mould"),
         terms: JobTerms::example("mould"),
         received_at: now,
+        received_on: None,
         payload: "x".into(),
         steps,
         repeat: None,
--- a/crates/emulator/tests/clocks.rs
+++ b/crates/emulator/tests/clocks.rs
@@ -146,3 +146,34 @@
 /// Longest delay of a run that the faults of the test explain: a takeover, the first round of questions for the
 /// time, and the runs that are repeated or wait for others.
 const MAX_LATE_MS: u64 = 6_000;
+
+/// Share of the jobs that are served in time on a day on which the members start again while two of their wall
+/// clocks are off.
+fn served_with_step(step_ms: i64) -> f64 {
+    let foundry = include_str!("../examples/days/foundry.toml");
+    let step =
+        format!("kind = \"clock_step\"\nat = 0.0\nfor_s = 60.0\ncount = 2\nstep_ms = {step_ms}");
+    let faults = [&*step, "kind = \"member_kill_all\"\nat = 0.3"];
+    let faults = faults
+        .map(|fault| format!("[[faults]]\n{fault}\n"))
+        .concat();
+    let scenario = EmulationScenario::parse(&format!("{foundry}\n{faults}"));
+    let scenario = scenario.expect("the scenario is valid");
+    let seeds = [1, 2, 6];
+    let served = seeds.map(|seed| run_scenario(&scenario, seed).served);
+    served.iter().sum::<f64>() / seeds.len() as f64
+}
+
+/// Guards against jobs that are served last, and no VMs being moved for them, as they look late: the member that
+/// accepted them had another clock than the owner, which compared the times of their receipt with its own.
+#[test]
+fn jobs_are_served_as_well_while_wall_clocks_are_off() {
+    let served = served_with_step(0);
+    for step_ms in [-60_000, 60_000] {
+        let with_step = served_with_step(step_ms);
+        assert!(
+            with_step > served - 0.05,
+            "{step_ms}: {with_step}, {served}"
+        );
+    }
+}
--- a/crates/experiments/examples/schedule.rs
+++ b/crates/experiments/examples/schedule.rs
@@ -161,6 +161,7 @@
             work: WorkName::new(&format!("work-{pool}")),
             terms: JobTerms::example(&format!("pool-{pool}")),
             received_at: self.now,
+            received_on: None,
             payload: "x".into(),
             steps: vec![step],
             repeat: None,
--- a/crates/experiments/examples/waiting.rs
+++ b/crates/experiments/examples/waiting.rs
@@ -154,6 +154,7 @@
         work: WorkName::new(POOL),
         terms: JobTerms::example(POOL),
         received_at: now,
+        received_on: None,
         payload: "x".into(),
         steps: vec![step],
         repeat: None,
--- a/crates/scheduler/src/caller.rs
+++ b/crates/scheduler/src/caller.rs
@@ -317,10 +317,12 @@
         let catalogue = &call.phase.catalogue;
         let work = catalogue.work(&call.phase.work);
         let work = work.ok_or(CallerReply::NoSuchWork)?;
+        let (received_on, received_at) = self.shared.on_owner_clock(call.received_at);
         let spec = JobSpec {
             work: work.name.clone(),
             terms: JobTerms::of(work),
-            received_at: call.received_at,
+            received_at,
+            received_on: Some(received_on),
             payload: body.payload,
             steps: body.steps,
             repeat: body.repeat,
--- a/crates/scheduler/src/shared.rs
+++ b/crates/scheduler/src/shared.rs
@@ -107,6 +107,15 @@
         });
     }
 
+    /// Returns a time of this member on the clock of the owner, if it knows one, with the key of that process.
+    pub(crate) fn on_owner_clock(&self, at: ClockTime) -> (Arc<str>, ClockTime) {
+        let readings = self.clock_readings.load();
+        if self.owner_inbox.load().is_some() {
+            return (readings.own().clone(), at);
+        }
+        readings.on_last_clock(at)
+    }
+
     /// Replaces the heartbeat by a newer one of the owner.
     pub(crate) fn set_heartbeat(&self, heartbeat: Arc<OwnerHeartbeat>) {
         let now = self.clock.now();
