Drop the clocks of a stored lease expiry when its worker restarts

Found by reading once more. An owner that stores the expiry of a silent worker's lease again adds its own clock to those of the record. If the worker had restarted meanwhile, and fell silent before the record was removed, these clocks told the end of the earlier process's lease; the present one may have another, longer one, so that a later owner who knows one of them would start the runs a second time (TWICE).

Now nothing of the record counts any more from the restart on, though it is known to be there until it is removed.

--- a/crates/core/src/job/scheduler/leases.rs
+++ b/crates/core/src/job/scheduler/leases.rs
@@ -147,7 +147,7 @@
             if !worker.is_empty() {
                 let at = worker.process.lease.latest_expiry();
                 let own = self.readings.own();
-                // No lease has been extended while the record was there, so its clocks count as well.
+                // The lease has not been extended while the record was there, so its clocks count as well.
                 let expiry = match worker.stored_expiry.take() {
                     Some(stored) => stored.also_on(own, at, now),
                     None => StoredTime::new(own, at, now),
--- a/crates/core/src/job/scheduler/reports.rs
+++ b/crates/core/src/job/scheduler/reports.rs
@@ -12,6 +12,7 @@
         process::WorkerProcess,
         release::{AbsentRun, ReleaseGround, RunOver},
         spec::TaskKey,
+        stored_time::StoredTime,
         task::{AnyTask, StartOrderState, TaskEnd},
         worker::{ActiveRun, EndedRun, RenewalReport, Worker, WorkerEntry, WorkerState},
     },
@@ -463,6 +464,9 @@
             lease = UnknownLease::of_restarted(now, limits.longest_lease);
         }
         worker.process = WorkerProcess::unseen(lease);
+        // The record is still there, but it is about the lease of the process before.
+        let stored = worker.stored_expiry.take();
+        worker.stored_expiry = stored.map(|_| StoredTime::unbounded());
         self.permits.drop_process(id);
         self.log_decision(SchedulerDecision::ProcessReplaced {
             worker: id.clone(),
--- a/crates/core/src/job/succession.rs
+++ b/crates/core/src/job/succession.rs
@@ -99,8 +99,8 @@
         }
     }
 
-    /// Converts a former owner from the record of another owner, read at `read_at` or before.
-    fn on_clock_of(&self, readings: &ClockReadings, read_at: ClockTime) -> Self {
+    /// Converts a former owner from the record of another owner for the member that has read it at `read_at` or before.
+    fn read_by(&self, readings: &ClockReadings, read_at: ClockTime) -> Self {
         let longest = || StoredTime::within(latest_expiry(ClockTime::ZERO, MAX_PROMISED_SPAN));
         let lapse = self.lapse.clone().unwrap_or_else(longest);
         let until = readings.reached_at(&lapse, read_at);
@@ -147,7 +147,7 @@
     ) -> SmallVec<[FormerOwner; 2]> {
         let successor = readings.own();
         let earlier = self.formers.iter();
-        let earlier = earlier.map(|former| former.on_clock_of(readings, now));
+        let earlier = earlier.map(|former| former.read_by(readings, now));
         let mut formers: SmallVec<_> = earlier.filter(|former| former.until > now).collect();
         if !self.members.contains(successor) && self.owner != *successor {
             let until = latest_expiry(now, MAX_PROMISED_SPAN);
--- a/crates/core/tests/jobs/clocks.rs
+++ b/crates/core/tests/jobs/clocks.rs
@@ -64,21 +64,24 @@
         owner.report_all(std::slice::from_ref(&start), WORKERS, 100);
         let plan = owner.scheduler.plan_renewal(&start.worker, owner.now);
         assert!(plan.unwrap().lease_until.is_some());
-        let worker = owner
-            .scheduler
-            .workers()
-            .find(|worker| worker.id == start.worker);
-        let expiry = worker.unwrap().process.lease.latest_expiry();
-        owner.scheduler.renewal_failed(&start.worker, owner.now);
-        owner.settle();
-        Self {
+        let mut chain = Self {
             owner,
             key,
             ahead: 0,
             jobs: [(JobId(1), spec)],
             start,
-            expiry,
-        }
+            expiry: ClockTime::ZERO,
+        };
+        chain.expiry = chain.latest_expiry();
+        chain.fall_silent();
+        chain
+    }
+
+    /// Time on the owner's clock by which the lease of the worker has expired.
+    fn latest_expiry(&self) -> ClockTime {
+        let mut workers = self.owner.scheduler.workers();
+        let worker = workers.find(|worker| worker.id == self.start.worker);
+        worker.expect("it is known").process.lease.latest_expiry()
     }
 
     /// Time on the first clock.
@@ -177,6 +180,39 @@
     }
 }
 
+/// Guards against two runs of a task at once: a worker restarted while the expiry of its earlier process was stored. The
+/// lease of the present one is another, but the clocks of that record were added to its own.
+#[test]
+fn the_stored_expiry_of_an_earlier_process_is_not_that_of_a_later_one() {
+    for ahead in DIFFERENCES {
+        let mut chain = ClockChain::open();
+        let mut readings = ClockReadings::open("entry-2".into());
+        let arrived_at = shifted(chain.now() + TRANSIT, ahead);
+        readings.record(&chain.key, chain.owner.now, arrived_at);
+        chain.owner.wait(500);
+        chain.take_over("entry-1", -ahead, true);
+        let number = number_of(&chain.start.worker);
+        let starts = std::slice::from_ref(&chain.start);
+        for incarnation in [1, 2] {
+            let report = RenewalReport {
+                incarnation: Some(incarnation),
+                ..SchedulerHarness::running(starts, 100)
+            };
+            chain.owner.wait(10);
+            chain.owner.report(number, report);
+        }
+        let expiry = shifted(chain.latest_expiry(), ahead);
+        assert!(expiry > chain.expiry, "the later process has another lease");
+        chain.fall_silent();
+        let now = shifted(chain.now() + TRANSIT, ahead);
+        chain.owner = chain
+            .owner
+            .take_over_on(readings, now, &chain.jobs, WORKERS);
+        chain.ahead = ahead;
+        assert!(chain.restarted_at() > expiry, "{ahead}");
+    }
+}
+
 /// Guards against two runs of a task at once: a third owner compared the time until which the first one may extend
 /// leases on promises with its own clock.
 #[test]
