--- a/crates/scheduler/src/owner/wall_times.rs
+++ b/crates/scheduler/src/owner/wall_times.rs
@@ -7,7 +7,7 @@
 
 use crate::shared::MemberShared;
 
-/// Interval between two rounds of questions; the rates of clocks differ by 1 ms a second at most.
+/// Interval between two rounds of questions; a wall clock that is set counts from the next round on.
 const ROUND_INTERVAL: ClockTime = ClockTime::from_millis(1_000);
 /// Age up to which an answer counts: three rounds.
 const MAX_READING_AGE: ClockTime = ClockTime::from_millis(3_000);
