Use one type for what another clock showed

The reading of another process's clock and that of a wall clock converted times by the same formula in two types. `ClockReading` serves both now, and the bound that a stored time needs is a function beside the type that uses it. The tests of clocks share the steps that three of them repeated; their assertions are unchanged.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -29,13 +29,14 @@
 //! | `proof` | proof that the group's confirmations belong to the ownership under one token |
 //! | `succession` | evidence behind leases, and what the next owner assumes of it |
 //! | `stored_time` | times that one member stores and another one reads |
-//! | `wall_time` | time of day as the members' wall clocks show it |
+//! | `clock_reading` | what other clocks showed |
 //! | `step_pace` | time between the owner's scheduling steps |
 
 mod admit;
 mod append_pace;
 mod catalogue;
 mod charge;
+mod clock_reading;
 mod crash;
 mod hold;
 mod lease;
@@ -60,7 +61,6 @@
 mod task;
 mod vm_order;
 mod wait;
-mod wall_time;
 mod wave;
 mod worker;
 
@@ -68,6 +68,7 @@
 pub use append_pace::{AppendPace, refusal_delay};
 pub use catalogue::{AdvicePolicy, CallerLimits, JobCatalogue, JobPool, JobWork};
 pub use charge::{AnyCharge, Held, RunCharge, RunCost, Stray};
+pub use clock_reading::ClockReading;
 pub use crash::{Confirmed, CrashHistory, Implication, LostWorker, RunLoss, Suspected};
 pub use hold::{ExpectedEnd, RoomHold};
 pub use lease::{HeldLease, LeaseBasis, UnknownLease, WorkerLease};
@@ -104,7 +105,6 @@
 };
 pub use vm_order::{Accepted, AnyVmOrder, Queued as QueuedOrder, Sent, VmOrder, VmOrderRun};
 pub use wait::{WaitCounts, WaitReason};
-pub use wall_time::WallReading;
 pub use wave::{Wave, WaveProgress, WaveRequest, WaveTable};
 pub use worker::{
     ActiveRun, EndedRun, OrderReply, RenewalReport, StartReply, Worker, WorkerEntry, WorkerState,
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -41,6 +41,7 @@
 use super::{
     admit::{LoadReport, WorkLoad},
     catalogue::{JobCatalogue, JobWork},
+    clock_reading::ClockReading,
     life::ClosedLife,
     order::DurationTable,
     silence::{PoolUnrest, RecentSilences},
@@ -48,7 +49,6 @@
     stored_time::ClockReadings,
     succession::{FormerOwner, SuccessionLedger},
     wait::WaitCounts,
-    wall_time::WallReading,
     wave::WaveTable,
     worker::Worker,
 };
@@ -231,7 +231,7 @@
     /// Clocks that this member can compare with its own.
     readings: ClockReadings,
     /// What the members' wall clocks show; none while that is not known.
-    wall_reading: Option<WallReading>,
+    wall_reading: Option<ClockReading>,
     /// True if a job has an occurrence whose time has not come.
     awaits_wall_time: bool,
     /// Time of the last search for runs to stop.
@@ -271,7 +271,7 @@
             former_owners: SmallVec::new(),
             succession: SuccessionLedger::default(),
             readings: ClockReadings::default(),
-            wall_reading: Some(WallReading::default()),
+            wall_reading: Some(ClockReading::default()),
             awaits_wall_time: false,
             last_sweep_at: ClockTime::ZERO,
             now,
@@ -292,7 +292,7 @@
 
     /// Sets what the members' wall clocks show. Until it is known no occurrence of a repeated job begins. The
     /// local clock is taken for a wall clock if none is ever set.
-    pub fn set_wall_reading(&mut self, reading: Option<WallReading>) {
+    pub fn set_wall_reading(&mut self, reading: Option<ClockReading>) {
         self.wall_reading = reading;
     }
 
--- a/crates/core/src/job/scheduler/jobs.rs
+++ b/crates/core/src/job/scheduler/jobs.rs
@@ -8,13 +8,13 @@
     clock::ClockTime,
     job::{
         charge::RunCost,
+        clock_reading::ClockReading,
         crash::CrashHistory,
         life::{ClosedLife, JobLife, OpenLife},
         order::JobUrgency,
         refusal::StartRefusals,
         spec::{JobId, JobSpec, JobState, JobTerms, StepKey, StepSpec, TaskKey},
         task::{AnyTask, TaskRun},
-        wall_time::WallReading,
     },
     name::WorkerId,
 };
@@ -182,10 +182,10 @@
 
     /// Marks the occurrences whose time has been reached; an occurrence remains due if the wall clocks are set
     /// back after that. Returns whether there are others.
-    fn release_occurrences(&mut self, reading: Option<WallReading>, now: ClockTime) -> bool {
+    fn release_occurrences(&mut self, reading: Option<ClockReading>, now: ClockTime) -> bool {
         if let (Some(repeat), Some(reading)) = (self.spec.repeat, reading) {
             self.starts_at = reading.local_time(repeat.start_at);
-            let wall = reading.wall_time(now);
+            let wall = reading.shown_time(now);
             for occurrence in &mut self.occurrences {
                 occurrence.is_due |= occurrence.due <= wall;
             }
--- a/crates/core/src/job/stored_time.rs
+++ b/crates/core/src/job/stored_time.rs
@@ -12,7 +12,7 @@
 
 use crate::clock::ClockTime;
 
-use super::lease::with_clock_drift;
+use super::{clock_reading::ClockReading, lease::with_clock_drift};
 
 /// Largest number of clocks on which a time is stored. Members that take over in turn have followed one
 /// of the last owners.
@@ -107,30 +107,6 @@
     }
 }
 
-/// What the clock of another process showed at some time on the local clock, or before it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct ClockReading {
-    shown: ClockTime,
-    seen_at: ClockTime,
-}
-
-impl ClockReading {
-    /// Time on the other clock at a local time, as far as the transit of the message lets it be known.
-    fn remote_time(self, local: ClockTime) -> ClockTime {
-        self.shown + (local - self.seen_at) - (self.seen_at - local)
-    }
-
-    /// Local time at a time on the other clock, as far as the transit of the message lets it be known.
-    fn estimate(self, at: ClockTime) -> ClockTime {
-        self.seen_at + (at - self.shown) - (self.shown - at)
-    }
-
-    /// Latest local time at which the other clock shows `at`.
-    fn local_time(self, at: ClockTime) -> ClockTime {
-        self.seen_at + with_clock_drift(at - self.shown)
-    }
-}
-
 /// Clocks that a member can compare with its own: those of the processes that have told it their times.
 #[derive(Clone, Debug)]
 pub struct ClockReadings {
@@ -159,20 +135,17 @@
     /// that was shortest on its way is kept.
     pub fn record(&mut self, clock: &Arc<str>, shown: ClockTime, now: ClockTime) {
         self.others
-            .retain(|_, reading| now < reading.seen_at + READING_RETENTION);
-        let reading = ClockReading {
-            shown,
-            seen_at: now,
-        };
+            .retain(|_, reading| now < reading.local + READING_RETENTION);
+        let reading = ClockReading { local: now, shown };
         let known = self.others.get(clock);
         // The clock of a process never runs backwards: an older message tells nothing.
-        if known.is_none_or(|known| shown >= known.shown && now <= known.local_time(shown)) {
+        if known.is_none_or(|known| shown >= known.shown && now <= latest_time(*known, shown)) {
             self.others.insert(clock.clone(), reading);
         }
         self.last = Some(clock.clone());
     }
 
-    /// Returns a local time on the clock of the process whose message arrived last, with the key of that process:
+    /// Converts a local time to the clock of the process whose message arrived last, and returns it with the key of that process:
     /// other members have received its messages too. On the own clock if there was none.
     ///
     /// ```
@@ -191,7 +164,7 @@
             .as_ref()
             .and_then(|key| self.others.get_key_value(key));
         match reading {
-            Some((key, reading)) => (key.clone(), reading.remote_time(local)),
+            Some((key, reading)) => (key.clone(), reading.shown_time(local)),
             None => (self.own.clone(), local),
         }
     }
@@ -203,7 +176,7 @@
             return Some(at);
         }
         let reading = self.others.get(clock)?;
-        Some(reading.estimate(at))
+        Some(reading.local_time(at))
     }
 
     /// Latest local time at which a time is reached that was read from the store at `read_at` or before.
@@ -214,12 +187,18 @@
                 return Some(mark.at);
             }
             let reading = self.others.get(&mark.clock)?;
-            Some(reading.local_time(mark.at))
+            Some(latest_time(*reading, mark.at))
         });
         marks.fold(by_rest, ClockTime::min)
     }
 }
 
+/// Latest local time at which the clock of another process shows `at`, of which the reading is no later than what it
+/// showed.
+fn latest_time(reading: ClockReading, at: ClockTime) -> ClockTime {
+    reading.local + with_clock_drift(at - reading.shown)
+}
+
 impl Default for ClockReadings {
     fn default() -> Self {
         Self::open("".into())
--- a/crates/core/tests/jobs/clocks.rs
+++ b/crates/core/tests/jobs/clocks.rs
@@ -89,16 +89,19 @@
         shifted(self.owner.now, -self.ahead)
     }
 
-    /// Another member takes over. It has received a heartbeat of the present owner if it follows it.
-    fn take_over(&mut self, key: &str, ahead: i64, follows: bool) {
+    /// What another member knows of clocks after a heartbeat of the present owner.
+    fn follow(&self, key: &str, ahead: i64) -> ClockReadings {
         let mut readings = ClockReadings::open(key.into());
-        if follows {
-            let arrived_at = shifted(self.now() + TRANSIT, ahead);
-            readings.record(&self.key, self.owner.now, arrived_at);
-        }
+        let arrived_at = shifted(self.now() + TRANSIT, ahead);
+        readings.record(&self.key, self.owner.now, arrived_at);
+        readings
+    }
+
+    /// The member with these readings takes over.
+    fn take_over(&mut self, readings: ClockReadings, ahead: i64) {
         let now = shifted(self.now() + TRANSIT, ahead);
+        self.key = readings.own().clone();
         self.owner = self.owner.take_over_on(readings, now, &self.jobs, WORKERS);
-        self.key = key.into();
         self.ahead = ahead;
     }
 
@@ -132,7 +135,7 @@
     for ahead in DIFFERENCES {
         let mut chain = ClockChain::open();
         chain.owner.wait(1_000);
-        chain.take_over("entry-1", ahead, true);
+        chain.take_over(chain.follow("entry-1", ahead), ahead);
         let restarted_at = chain.restarted_at();
         assert!(restarted_at > chain.expiry, "{ahead}");
         // One step of the test, and the difference in rate that clocks may have.
@@ -147,7 +150,7 @@
         let mut chain = ClockChain::open();
         let rest = chain.expiry - chain.now();
         chain.owner.wait(1_000);
-        chain.take_over("entry-1", ahead, false);
+        chain.take_over(ClockReadings::open("entry-1".into()), ahead);
         let taken_over_at = chain.now();
         let restarted_at = chain.restarted_at();
         assert!(restarted_at > chain.expiry, "{ahead}");
@@ -161,19 +164,13 @@
 fn a_time_stored_by_an_owner_before_the_last_one_is_known_by_its_clock() {
     for ahead in DIFFERENCES {
         let mut chain = ClockChain::open();
-        let mut readings = ClockReadings::open("entry-3".into());
-        let arrived_at = shifted(chain.now() + TRANSIT, ahead);
-        readings.record(&chain.key, chain.owner.now, arrived_at);
+        let readings = chain.follow("entry-3", ahead);
         for (key, own_ahead) in [("entry-1", -ahead), ("entry-2", ahead / 2)] {
             chain.owner.wait(1_200);
-            chain.take_over(key, own_ahead, true);
+            chain.take_over(chain.follow(key, own_ahead), own_ahead);
             chain.fall_silent();
         }
-        let now = shifted(chain.now() + TRANSIT, ahead);
-        chain.owner = chain
-            .owner
-            .take_over_on(readings, now, &chain.jobs, WORKERS);
-        chain.ahead = ahead;
+        chain.take_over(readings, ahead);
         let restarted_at = chain.restarted_at();
         assert!(restarted_at > chain.expiry, "{ahead}");
         assert!(restarted_at < chain.expiry + ms(600), "{ahead}");
@@ -186,11 +183,9 @@
 fn the_stored_expiry_of_an_earlier_process_is_not_that_of_a_later_one() {
     for ahead in DIFFERENCES {
         let mut chain = ClockChain::open();
-        let mut readings = ClockReadings::open("entry-2".into());
-        let arrived_at = shifted(chain.now() + TRANSIT, ahead);
-        readings.record(&chain.key, chain.owner.now, arrived_at);
+        let readings = chain.follow("entry-2", ahead);
         chain.owner.wait(500);
-        chain.take_over("entry-1", -ahead, true);
+        chain.take_over(chain.follow("entry-1", -ahead), -ahead);
         let number = number_of(&chain.start.worker);
         let starts = std::slice::from_ref(&chain.start);
         for incarnation in [1, 2] {
@@ -204,11 +199,7 @@
         let expiry = shifted(chain.latest_expiry(), ahead);
         assert!(expiry > chain.expiry, "the later process has another lease");
         chain.fall_silent();
-        let now = shifted(chain.now() + TRANSIT, ahead);
-        chain.owner = chain
-            .owner
-            .take_over_on(readings, now, &chain.jobs, WORKERS);
-        chain.ahead = ahead;
+        chain.take_over(readings, ahead);
         assert!(chain.restarted_at() > expiry, "{ahead}");
     }
 }
--- a/crates/scheduler/src/owner/wall_times.rs
+++ b/crates/scheduler/src/owner/wall_times.rs
@@ -2,7 +2,7 @@
 
 use jacinthhoist_core::{
     ClockTime,
-    job::{Scheduler, WallReading},
+    job::{ClockReading, Scheduler},
 };
 
 use crate::shared::MemberShared;
@@ -39,7 +39,7 @@
         shared: &MemberShared,
         scheduler: &Scheduler,
         now: ClockTime,
-    ) -> Option<WallReading> {
+    ) -> Option<ClockReading> {
         if !scheduler.awaits_wall_time() {
             self.begun_at = None;
             return None;
@@ -51,11 +51,11 @@
         if is_alone_yet || (!is_complete && now < begun_at + FIRST_ROUND) {
             return None;
         }
-        let own = WallReading {
+        let own = ClockReading {
             local: now,
-            wall: shared.wall.now(),
+            shown: shared.wall.now(),
         };
-        WallReading::agreed(others.into_iter().flatten().chain([own]), now)
+        ClockReading::agreed(others.into_iter().flatten().chain([own]), now)
     }
 
     /// Returns whether the next heartbeat is to ask the followers; it counts as sent.
--- a/crates/scheduler/src/peer/serve.rs
+++ b/crates/scheduler/src/peer/serve.rs
@@ -9,7 +9,7 @@
 };
 use jacinthhoist_core::{
     ClockTime,
-    job::{JobId, MemberRank, WallReading},
+    job::{ClockReading, JobId, MemberRank},
 };
 use tokio::{
     sync::{mpsc, oneshot},
@@ -113,8 +113,10 @@
                         }
                         Some(FollowerNotice::WallTime(wall)) => {
                             if let Some(member) = &member {
-                                let local = shared.clock.now();
-                                let reading = WallReading { local, wall };
+                                let reading = ClockReading {
+                                    local: shared.clock.now(),
+                                    shown: wall,
+                                };
                                 shared.standings.record_wall_time(&member.key, reading);
                             }
                         }
--- a/crates/scheduler/src/peer/standing.rs
+++ b/crates/scheduler/src/peer/standing.rs
@@ -1,7 +1,7 @@
 //! Evidence of the other members that an owner has not been replaced.
 //!
-//! Which of two processes at one address came later is told by when each was seen alive, by the local clock. The
-//! numbers in their keys come from wall clocks, which may have been set back between them.
+//! The later one of two processes at one address is the one that was seen alive later, on the local clock. The numbers
+//! in their keys come from wall clocks, which may have been set back between them.
 
 use std::{
     collections::BTreeMap,
@@ -15,7 +15,7 @@
 use jacinthhoist_codec::StandingEvidence;
 use jacinthhoist_core::{
     ClockTime,
-    job::{WallReading, promise_end},
+    job::{ClockReading, promise_end},
 };
 use smallvec::SmallVec;
 
@@ -48,7 +48,7 @@
     /// Time of the last heartbeat that the member has answered with a promise.
     promised_at: ClockTime,
     /// What its wall clock last showed.
-    wall_reading: Option<WallReading>,
+    wall_reading: Option<ClockReading>,
 }
 
 /// Members that have identified themselves to this one, by key, and what they have answered. Readers
@@ -158,7 +158,7 @@
     }
 
     /// Records what the wall clock of a member shows.
-    pub(super) fn record_wall_time(&self, key: &Arc<str>, reading: WallReading) {
+    pub(super) fn record_wall_time(&self, key: &Arc<str>, reading: ClockReading) {
         self.change(|records| {
             if let Some(record) = records.get_mut(key) {
                 record.wall_reading = Some(reading);
@@ -167,12 +167,12 @@
     }
 
     /// Returns what the wall clocks of the followers have shown since `since`; `None` for one that has not answered.
-    pub(crate) fn wall_readings(&self, since: ClockTime) -> SmallVec<[Option<WallReading>; 8]> {
+    pub(crate) fn wall_readings(&self, since: ClockTime) -> SmallVec<[Option<ClockReading>; 8]> {
         let records = self.records.load();
         let following = records
             .values()
             .filter(|record| matches!(record.standing, MemberStanding::Following(_)));
-        let is_recent = |reading: &WallReading| reading.local >= since;
+        let is_recent = |reading: &ClockReading| reading.local >= since;
         following
             .map(|record| record.wall_reading.filter(is_recent))
             .collect()
