Compute the start of a repetition in one place

`RepeatPlan::last_start` and `open_job` each multiplied the interval by a number, and the new check of the emulator and its test did so again. `RepeatPlan::start_of` serves all four. `open_job` multiplies as the check of a job does now, without an overflow; no accepted job has one. Three tests of clocks built the text of a scenario with faults by the same lines; `with_faults` does it. Assertions and bounds are unchanged.

No change of behaviour.

--- a/crates/core/src/job/scheduler/jobs.rs
+++ b/crates/core/src/job/scheduler/jobs.rs
@@ -428,12 +428,9 @@
     fn open_job(&self, spec: Arc<JobSpec>) -> Job {
         let work = self.catalogue.work(&spec.work);
         let terms = work.map_or_else(|| spec.terms.clone(), JobTerms::of);
-        let due = |number: u32| match spec.repeat {
-            Some(repeat) => {
-                let delay_ms = repeat.interval.as_millis() * u64::from(number);
-                repeat.start_at + ClockTime::from_millis(delay_ms)
-            }
-            None => ClockTime::ZERO,
+        let due = |number: u32| {
+            let repeat = spec.repeat;
+            repeat.map_or(ClockTime::ZERO, |repeat| repeat.start_of(number))
         };
         let times = spec.repeat.map_or(1, |repeat| repeat.times.max(1));
         let occurrences = (0..times).map(|number| Occurrence::new(&spec, due(number)));
--- a/crates/core/src/job/spec.rs
+++ b/crates/core/src/job/spec.rs
@@ -293,11 +293,23 @@
 }
 
 impl RepeatPlan {
+    /// Start time of a repetition, counted from 0, or the largest time if that overflows.
+    ///
+    /// ```
+    /// use jacinthhoist_core::{ClockTime, job::RepeatPlan};
+    /// let secs = ClockTime::from_secs;
+    /// let plan = RepeatPlan { times: 3, start_at: secs(10), interval: secs(2) };
+    /// assert_eq!(plan.start_of(2), secs(14));
+    /// ```
+    pub fn start_of(&self, repetition: u32) -> ClockTime {
+        let span = self.interval.as_millis();
+        let span = span.saturating_mul(u64::from(repetition));
+        self.start_at + ClockTime::from_millis(span)
+    }
+
     /// Start time of the last repetition, or the largest time if that overflows.
     fn last_start(&self) -> ClockTime {
-        let intervals = u64::from(self.times.saturating_sub(1));
-        let span = self.interval.as_millis().saturating_mul(intervals);
-        self.start_at + ClockTime::from_millis(span)
+        self.start_of(self.times.saturating_sub(1))
     }
 }
 
--- a/crates/core/src/job/stored_time.rs
+++ b/crates/core/src/job/stored_time.rs
@@ -145,8 +145,8 @@
         self.last = Some(clock.clone());
     }
 
-    /// Converts a local time to the clock of the process whose message arrived last, and returns it with the key of that process:
-    /// other members have received its messages too. On the own clock if there was none.
+    /// Converts a local time to the clock of the process whose message arrived last, and returns it with the key of
+    /// that process: other members have received its messages too. On the own clock if there was none.
     ///
     /// ```
     /// use jacinthhoist_core::{ClockTime, job::ClockReadings};
--- a/crates/emulator/src/check.rs
+++ b/crates/emulator/src/check.rs
@@ -262,8 +262,7 @@
     findings: &mut RuleFindings,
 ) {
     if let Some(repeat) = job.shape.repeat {
-        let delay_ms = repeat.interval.as_millis() * u64::from(run.task.occurrence);
-        let due = repeat.start_at + ClockTime::from_millis(delay_ms);
+        let due = repeat.start_of(run.task.occurrence);
         if run.began_at + MAX_EARLY < due {
             let detail = format!(
                 "{}: started at {}, before its time {due}",
--- a/crates/emulator/tests/clocks.rs
+++ b/crates/emulator/tests/clocks.rs
@@ -17,6 +17,15 @@
     task_ms = 6000
 "#;
 
+/// Adds faults to the text of a scenario.
+fn with_faults(scenario: &str, faults: &[&str]) -> EmulationScenario {
+    let faults = faults
+        .iter()
+        .map(|fault| format!("\n[[faults]]\n{fault}\n"));
+    let text = scenario.to_owned() + &faults.collect::<String>();
+    EmulationScenario::parse(&text).expect("the scenario is valid")
+}
+
 /// Faults of a day: the members are restarted in turn while `steps` are in force, then workers and the owner
 /// are cut off by turns.
 fn day(steps: &[(i64, f64)]) -> String {
@@ -75,11 +84,7 @@
         "kind = \"member_kill\"\nat = 7.0\ncount = 2",
         "kind = \"store_silent\"\nat = 8.8\nfor_s = 9.0",
     ];
-    let faults = faults
-        .map(|fault| format!("[[faults]]\n{fault}\n"))
-        .concat();
-    let scenario = EmulationScenario::parse(&format!("{SCENARIO}{faults}"));
-    let scenario = scenario.expect("the scenario is valid");
+    let scenario = with_faults(SCENARIO, &faults);
     for seed in 1..=3 {
         let outcome = run_scenario(&scenario, seed);
         assert_eq!(check(&outcome.history), [], "seed {seed}");
@@ -115,11 +120,7 @@
                 "kind = \"member_kill\"\nat = 12.0",
                 "kind = \"member_kill\"\nat = 15.0",
             ];
-            let faults = faults
-                .map(|fault| format!("[[faults]]\n{fault}\n"))
-                .concat();
-            let scenario = EmulationScenario::parse(&format!("{REPEATED_JOBS}{faults}"));
-            let scenario = scenario.expect("the scenario is valid");
+            let scenario = with_faults(REPEATED_JOBS, &faults);
             for seed in 1..=4 {
                 let outcome = run_scenario(&scenario, seed);
                 let at = format!("{step_ms} ms for {for_s} s, seed {seed}");
@@ -129,9 +130,8 @@
                 for run in runs {
                     let repeat = outcome.history.jobs[&run.task.job].shape.repeat;
                     let repeat = repeat.expect("the job is repeated");
-                    let times = u64::from(run.task.occurrence);
-                    let due = repeat.start_at.as_millis() + repeat.interval.as_millis() * times;
-                    let late_ms = run.began_at.as_millis().saturating_sub(due);
+                    let due = repeat.start_of(run.task.occurrence);
+                    let late_ms = (run.began_at - due).as_millis();
                     assert!(
                         late_ms < MAX_LATE_MS,
                         "{at}: {} is {late_ms} ms late",
@@ -154,11 +154,7 @@
     let step =
         format!("kind = \"clock_step\"\nat = 0.0\nfor_s = 60.0\ncount = 2\nstep_ms = {step_ms}");
     let faults = [&*step, "kind = \"member_kill_all\"\nat = 0.3"];
-    let faults = faults
-        .map(|fault| format!("[[faults]]\n{fault}\n"))
-        .concat();
-    let scenario = EmulationScenario::parse(&format!("{foundry}\n{faults}"));
-    let scenario = scenario.expect("the scenario is valid");
+    let scenario = with_faults(foundry, &faults);
     let seeds = [1, 2, 6];
     let served = seeds.map(|seed| run_scenario(&scenario, seed).served);
     served.iter().sum::<f64>() / seeds.len() as f64
