--- a/crates/codec/src/job.rs
+++ b/crates/codec/src/job.rs
@@ -4,7 +4,7 @@
 
 use ciborium::tag::{Captured, Required};
 use jacinthhoist_core::{
-    ClockTime, PoolName, WorkerId,
+    ClockTime, PoolName, TenantName, WorkerId,
     job::{
         BatchRecord, JobId, JobProgress, JobSpec, JobState, LoadReport, MemberRank, StoredTime,
         WaveProgress,
@@ -25,6 +25,8 @@
 const PREFIX_JOB: char = 'j';
 /// Prefix of the key of a cancellation.
 const PREFIX_CANCEL: char = 'c';
+/// Value of a cancellation without a tenant.
+const NO_TENANT: [u8; 1] = [1];
 /// Prefix of the key of a job's progress.
 const PREFIX_PROGRESS: char = 'p';
 /// Prefix of the key of a part of a job's progress.
@@ -53,8 +55,8 @@
 pub enum AcceptedRecord {
     /// The job was accepted.
     Job(JobId, JobSpec),
-    /// The job was cancelled.
-    Cancel(JobId),
+    /// The job was cancelled by a caller of the given tenant.
+    Cancel(JobId, Option<TenantName>),
     /// The body or the cancellation of an ended job was removed.
     Removed,
 }
@@ -71,12 +73,16 @@
     })
 }
 
-/// Encodes the record of a cancellation.
-pub fn encode_cancel(id: JobId) -> KeyedRecord {
-    KeyedRecord {
+/// Encodes the record of a cancellation by a caller of the given tenant.
+///
+/// # Errors
+///
+/// The name cannot be represented in CBOR; a name always can.
+pub fn encode_cancel(id: JobId, tenant: Option<&TenantName>) -> Result<KeyedRecord> {
+    Ok(KeyedRecord {
         key: format!("{PREFIX_CANCEL}{id}"),
-        value: vec![1],
-    }
+        value: tenant.map_or_else(|| Ok(NO_TENANT.to_vec()), to_cbor)?,
+    })
 }
 
 /// Encodes the records that remove the body and the cancellation of an ended job.
@@ -104,7 +110,11 @@
             spec.check().map_err(|error| invalid(error.to_string()))?;
             Ok(AcceptedRecord::Job(id, spec))
         }
-        PREFIX_CANCEL => Ok(AcceptedRecord::Cancel(parse_id(id)?)),
+        PREFIX_CANCEL => {
+            let has_tenant = record.value != NO_TENANT;
+            let tenant = has_tenant.then(|| from_cbor(&record.value));
+            Ok(AcceptedRecord::Cancel(parse_id(id)?, tenant.transpose()?))
+        }
         _ => unknown_key(&record.key),
     }
 }
@@ -289,6 +299,9 @@
         id: u64,
         /// Id of the job.
         job: JobId,
+        /// Tenant of the caller.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        tenant: Option<TenantName>,
     },
     /// Reply of the owner.
     Answer {
--- a/crates/codec/tests/hostile.rs
+++ b/crates/codec/tests/hostile.rs
@@ -10,7 +10,7 @@
     encode_frame, encode_job, encode_job_frame, encode_progress,
 };
 use jacinthhoist_core::{
-    ClockTime, MemberName, Offset, PoolName, VmName, WorkName, WorkerId,
+    ClockTime, MemberName, Offset, PoolName, TenantName, VmName, WorkName, WorkerId,
     job::{
         BatchRecord, FormerOwner, JobId, JobProgress, JobSpec, JobState, JobTerms, LoadReport,
         RepeatPlan, StepSpec, StoredTime, SuccessionRecord, WaveProgress, WorkLoad,
@@ -164,6 +164,7 @@
         ..StepSpec::default()
     };
     JobSpec {
+        tenant: None,
         work: WorkName::new("melt-plan"),
         terms: JobTerms::example("melt-shop"),
         received_at: ClockTime::from_millis(17),
@@ -280,6 +281,8 @@
     let record = encode_job(JobId(5), &spec()).unwrap();
     let heartbeat = OwnerHeartbeat {
         loads: LoadReport {
+            contracted_drains: BTreeMap::from([(PoolName::new("melt"), ClockTime::from_secs(1))]),
+            surplus_waits: BTreeMap::from([(TenantName::new("labs"), ClockTime::from_secs(2))]),
             drains: BTreeMap::from([(PoolName::new("melt-shop"), ClockTime::from_secs(3))]),
             works: BTreeMap::from([(WorkName::new("melt-plan"), WorkLoad::default())]),
         },
--- a/crates/codec/tests/job.rs
+++ b/crates/codec/tests/job.rs
@@ -8,7 +8,7 @@
     encode_job_frame, encode_progress, encode_removal,
 };
 use jacinthhoist_core::{
-    ClockTime, PoolName, RackName, VmName, WorkName, WorkerId,
+    ClockTime, PoolName, RackName, TenantName, VmName, WorkName, WorkerId,
     job::{
         BatchRecord, ClockReadings, CrashHistory, FormerOwner, Implication, JobId, JobProgress,
         JobSpec, JobState, JobTerms, LoadReport, LostWorker, MemberRank, RepeatPlan, RunLoss,
@@ -35,6 +35,7 @@
         ..StepSpec::default()
     };
     JobSpec {
+        tenant: None,
         work: WorkName::new("melt-plan"),
         terms: JobTerms::example("melt-shop"),
         received_at: ClockTime::from_millis(17),
@@ -59,8 +60,13 @@
         AcceptedRecord::Job(id, spec())
     );
     assert_eq!(
-        decode_accepted(&encode_cancel(id)).unwrap(),
-        AcceptedRecord::Cancel(id)
+        decode_accepted(&encode_cancel(id, None).unwrap()).unwrap(),
+        AcceptedRecord::Cancel(id, None)
+    );
+    let labs = TenantName::new("labs");
+    assert_eq!(
+        decode_accepted(&encode_cancel(id, Some(&labs)).unwrap()).unwrap(),
+        AcceptedRecord::Cancel(id, Some(labs))
     );
     for record in encode_removal(id) {
         assert_eq!(decode_accepted(&record).unwrap(), AcceptedRecord::Removed);
@@ -189,6 +195,7 @@
 fn frames_round_trip() {
     let cases = [
         JobFrame::Ask {
+            tenant: Some(TenantName::new("labs")),
             id: 4,
             job: JobId(9),
         },
@@ -198,6 +205,11 @@
         },
         JobFrame::Loads(OwnerHeartbeat {
             loads: LoadReport {
+                contracted_drains: BTreeMap::from([(
+                    PoolName::new("melt"),
+                    ClockTime::from_secs(1),
+                )]),
+                surplus_waits: BTreeMap::from([(TenantName::new("labs"), ClockTime::from_secs(2))]),
                 drains: BTreeMap::from([(PoolName::new("melt-shop"), ClockTime::from_millis(700))]),
                 works: BTreeMap::from([(WorkName::new("melt-plan"), WorkLoad::default())]),
             },
@@ -214,10 +226,10 @@
         JobFrame::WallTime(ClockTime::from_secs(9)),
         JobFrame::Offer(MemberRank::Reserve),
         JobFrame::Follow,
-        JobFrame::Stored(vec![encode_cancel(JobId(7))]),
+        JobFrame::Stored(vec![encode_cancel(JobId(7), None).unwrap()]),
         JobFrame::Store {
             id: 5,
-            record: encode_cancel(JobId(7)),
+            record: encode_cancel(JobId(7), None).unwrap(),
         },
         JobFrame::StoreReply {
             id: 5,
@@ -269,7 +281,10 @@
         encode_progress(&BatchRecord::Progress(JobId(7), JobProgress::default()))
             .unwrap()
             .value,
-        encode_job_frame(&JobFrame::Stored(vec![encode_cancel(JobId(7))])).unwrap(),
+        encode_job_frame(&JobFrame::Stored(vec![
+            encode_cancel(JobId(7), None).unwrap(),
+        ]))
+        .unwrap(),
     ];
     let mutated = (
         proptest::sample::select(valid.to_vec()),
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -22,6 +22,10 @@
 //! | `wait` | reasons for which steps wait |
 //! | `resize` | reassignment of VMs between pools |
 //! | `wave` | progress of rolling VM maintenance |
+//! | `tenant` | tenants, their keys and what they have contracted |
+//! | `tenant_account` | what each tenant sends and has running |
+//! | `share` | shares of tenants in a full pool |
+//! | `catalogue_proof` | proof that a catalogue is recent enough for keys to count |
 //! | `admit` | admission control and the retry delay of refused jobs |
 //! | `append_pace` | repetition of appends to a store that may be slow |
 //! | `crash`, `silence` | attribution of worker crashes to the tasks that cause them |
@@ -35,6 +39,7 @@
 mod admit;
 mod append_pace;
 mod catalogue;
+mod catalogue_proof;
 mod charge;
 mod clock_reading;
 mod crash;
@@ -52,6 +57,7 @@
 mod room;
 mod scheduler;
 mod shape;
+mod share;
 mod silence;
 mod spec;
 mod step_pace;
@@ -59,14 +65,19 @@
 mod stored_time;
 mod succession;
 mod task;
+mod tenant;
+mod tenant_account;
 mod vm_order;
 mod wait;
 mod wave;
 mod worker;
 
-pub use admit::{JobRefusal, LoadReport, WorkLoad, admit_job, outage_retry};
+pub use admit::{
+    JobRefusal, LoadReport, TenantLoad, WorkLoad, admit_job, admit_tenant_job, outage_retry,
+};
 pub use append_pace::{AppendPace, refusal_delay};
 pub use catalogue::{AdvicePolicy, CallerLimits, JobCatalogue, JobPool, JobWork};
+pub use catalogue_proof::{CatalogueProof, RevocationSpan};
 pub use charge::{AnyCharge, Held, RunCharge, RunCost, Stray};
 pub use clock_reading::ClockReading;
 pub use crash::{Confirmed, CrashHistory, Implication, LostWorker, RunLoss, Suspected};
@@ -90,6 +101,7 @@
     WorkerChange,
 };
 pub use shape::{SearchMemory, TaskShape};
+pub use share::PoolShares;
 pub use silence::{ExcusedLosses, PoolUnrest, RecentSilences, SilenceCause};
 pub use spec::{
     JobError, JobId, JobSpec, JobState, JobTerms, RepeatPlan, Resources, StepKey, StepSpec, TaskKey,
@@ -103,6 +115,8 @@
 pub use task::{
     AnyTask, Assigned, FailedRuns, Running, StartOrderState, Stopping, TaskEnd, TaskRun, Waiting,
 };
+pub use tenant::{KeyHash, KeyRefusal, TenantError, TenantLimit, TenantTable, TenantTerms};
+pub use tenant_account::{TenantAccount, TenantAccounts, TenantSlot};
 pub use vm_order::{Accepted, AnyVmOrder, Queued as QueuedOrder, Sent, VmOrder, VmOrderRun};
 pub use wait::{WaitCounts, WaitReason};
 pub use wave::{Wave, WaveProgress, WaveRequest, WaveTable};
--- a/crates/core/src/job/admit.rs
+++ b/crates/core/src/job/admit.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     clock::ClockTime,
-    name::{PoolName, WorkName},
+    name::{PoolName, TenantName, WorkName},
 };
 
 use super::order::DEFAULT_DURATION;
@@ -34,6 +34,15 @@
     pub task: ClockTime,
 }
 
+/// Load of a pool as far as it concerns a tenant.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TenantLoad {
+    /// Time in which the pool drains the backlog of jobs that are no surplus.
+    pub contracted_drain: ClockTime,
+    /// Time until the tenant is within its rate again, if it is beyond it.
+    pub surplus_wait: Option<ClockTime>,
+}
+
 /// Load of all kinds of work. A catalogue may list hundreds of them, of which a few have jobs, and the
 /// owner sends this report to every member several times a second: it names only those that have
 /// waiting jobs or a known duration.
@@ -43,9 +52,27 @@
     pub drains: BTreeMap<PoolName, ClockTime>,
     /// Load of the kinds of work that differ from an idle one of their pool.
     pub works: BTreeMap<WorkName, WorkLoad>,
+    /// Time in which each pool drains the backlog of jobs that are no surplus; empty without tenants.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub contracted_drains: BTreeMap<PoolName, ClockTime>,
+    /// Tenants that are beyond their rate, with the time until they are within it again.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub surplus_waits: BTreeMap<TenantName, ClockTime>,
 }
 
 impl LoadReport {
+    /// Returns the load that concerns a tenant's jobs in a pool.
+    pub fn tenant_load(&self, tenant: &TenantName, pool: &PoolName) -> TenantLoad {
+        TenantLoad {
+            contracted_drain: self
+                .contracted_drains
+                .get(pool)
+                .copied()
+                .unwrap_or_default(),
+            surplus_wait: self.surplus_waits.get(tenant).copied(),
+        }
+    }
+
     /// Returns the load of a kind of work, whose jobs run in the given pool.
     ///
     /// ```
@@ -95,6 +122,47 @@
     Err(JobRefusal { retry_after })
 }
 
+/// Decides whether to accept a job of a tenant under the current load of its pool. One that is within its rate
+/// waits for other such jobs only; surplus is accepted while the whole backlog leaves it in time.
+///
+/// Pattern: a surge of one tenant, or of all beyond what they have contracted, in a pool that is full.
+///
+/// ```
+/// use jacinthhoist_core::{ClockTime, job::{TenantLoad, WorkLoad, admit_tenant_job}};
+/// let ms = ClockTime::from_millis;
+/// let load = WorkLoad { drain: ms(9_000), waiting: 40, task: ms(800) };
+/// let within = TenantLoad { contracted_drain: ms(3_000), surplus_wait: None };
+/// assert!(admit_tenant_job(&load, &within, ms(2_000)).is_ok());
+/// let beyond = TenantLoad { surplus_wait: Some(ms(8_500)), ..within };
+/// let refusal = admit_tenant_job(&load, &beyond, ms(2_000)).unwrap_err();
+/// assert_eq!(refusal.retry_after, ms(7_000));
+/// ```
+///
+/// # Errors
+///
+/// The refusal, with the delay after which the job would be accepted and in time.
+pub fn admit_tenant_job(
+    load: &WorkLoad,
+    tenant: &TenantLoad,
+    objective: ClockTime,
+) -> Result<(), JobRefusal> {
+    let contracted = WorkLoad {
+        drain: tenant.contracted_drain,
+        ..*load
+    };
+    let Some(surplus_wait) = tenant.surplus_wait else {
+        return admit_job(&contracted, objective);
+    };
+    if load.drain <= objective {
+        return Ok(());
+    }
+    let until_timely = load.drain - objective;
+    // It is within its rate by then, and waits for jobs that are no surplus only.
+    let until_contracted = surplus_wait.max(tenant.contracted_drain - objective);
+    let retry_after = until_timely.min(until_contracted).max(MIN_RETRY);
+    Err(JobRefusal { retry_after })
+}
+
 /// Retry delay of a caller refused because the store or the owner is unavailable.
 ///
 /// Callers make only a few attempts and the end of an outage is unknown, so the delay grows with
--- a/crates/core/src/job/catalogue.rs
+++ b/crates/core/src/job/catalogue.rs
@@ -2,9 +2,11 @@
 
 use crate::{
     clock::ClockTime,
-    name::{PoolName, WorkName},
+    name::{PoolName, TenantName, WorkName},
 };
 
+use super::tenant::{KeyHash, KeyRefusal, TenantTable};
+
 /// Expected latency and permit validity of the policy service that selects workers for a step.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AdvicePolicy {
@@ -40,6 +42,8 @@
     pub timeout: ClockTime,
     /// Policy service that must permit the workers of a job, if any.
     pub advice: Option<AdvicePolicy>,
+    /// True if calls need no key.
+    pub public: bool,
 }
 
 /// A pool of VMs.
@@ -79,6 +83,8 @@
     pub pools: Vec<JobPool>,
     /// Limits on callers' requests.
     pub limits: CallerLimits,
+    /// Tenants that may submit jobs; none if calls need no keys.
+    pub tenants: Option<TenantTable>,
 }
 
 impl JobCatalogue {
@@ -103,6 +109,32 @@
         Some((best, &path[best.path_prefix.len()..]))
     }
 
+    /// Returns the tenant on whose behalf a call for a kind of work is made; `None` if it needs no key.
+    ///
+    /// # Errors
+    ///
+    /// The reason for which the call is not permitted.
+    pub fn authorize(
+        &self,
+        work: &JobWork,
+        key: Option<&KeyHash>,
+    ) -> Result<Option<TenantName>, KeyRefusal> {
+        match &self.tenants {
+            Some(tenants) if !work.public => {
+                let tenant = tenants.authenticate(key)?;
+                Ok(Some(tenant.name.clone()))
+            }
+            _ => Ok(None),
+        }
+    }
+
+    /// Notes which keys this version has withdrawn of an earlier one's.
+    pub fn record_withdrawn_keys(&mut self, earlier: Option<&TenantTable>) {
+        if let (Some(tenants), Some(earlier)) = (&mut self.tenants, earlier) {
+            tenants.record_withdrawn(earlier, self.version);
+        }
+    }
+
     /// Looks up a kind of work by name.
     pub fn work(&self, name: &WorkName) -> Option<&JobWork> {
         self.works.iter().find(|work| work.name == *name)
--- a/crates/core/src/job/charge.rs
+++ b/crates/core/src/job/charge.rs
@@ -7,7 +7,10 @@
 
 use crate::clock::ClockTime;
 
-use super::spec::{Resources, StepSpec};
+use super::{
+    spec::{Resources, StepSpec},
+    tenant_account::TenantSlot,
+};
 
 /// Time after which a stop order is repeated: twice the time that a stop may take.
 pub(super) const STOP_RETRY_DELAY: ClockTime = ClockTime::from_millis(800);
@@ -17,6 +20,11 @@
 pub struct RunCost {
     /// Resources taken.
     pub need: Resources,
+    /// Resources that count for the tenant. A best-effort task takes no processor time that others need, but
+    /// uses it.
+    pub usage: Resources,
+    /// Tenant of the job.
+    pub tenant: Option<TenantSlot>,
     /// True if the task serves its own users.
     pub serves: bool,
     /// True if the task is best-effort and only uses idle processor time.
@@ -26,10 +34,12 @@
 }
 
 impl RunCost {
-    /// Computes the cost of a run of a step.
-    pub fn of(step: &StepSpec) -> Self {
+    /// Computes the cost of a run of a tenant's step.
+    pub fn of(step: &StepSpec, tenant: Option<TenantSlot>) -> Self {
         Self {
             need: step.charged(),
+            usage: step.need,
+            tenant,
             serves: step.target > ClockTime::ZERO,
             best_effort: step.best_effort,
             long_running: step.long_running,
@@ -167,7 +177,7 @@
     /// ```
     /// use jacinthhoist_core::{ClockTime, job::{RunCharge, RunCost, StepSpec}};
     /// let ms = ClockTime::from_millis;
-    /// let mut stray = RunCharge::open(RunCost::of(&StepSpec::default())).give_up();
+    /// let mut stray = RunCharge::open(RunCost::of(&StepSpec::default(), None)).give_up();
     /// assert!(!stray.is_gone(ms(900)));
     /// assert!(stray.order_stop(ms(100)) && !stray.order_stop(ms(200)));
     /// stray.stop_acked(ms(300));
--- a/crates/core/src/job/order.rs
+++ b/crates/core/src/job/order.rs
@@ -10,7 +10,11 @@
 
 use crate::{clock::ClockTime, name::WorkName};
 
-use super::spec::JobId;
+use super::{
+    share::PoolShares,
+    spec::{JobId, Resources},
+    tenant_account::TenantSlot,
+};
 
 /// Weight of the newest observation in the moving mean, which converges within about ten tasks.
 const NEWEST_WEIGHT_PERCENT: u64 = 10;
@@ -72,6 +76,8 @@
     /// False for long-running jobs, which are scheduled first, as they lose service time while they
     /// wait.
     pub ends: bool,
+    /// True for a new job that its tenant has sent beyond its rate. It is served from idle room only.
+    pub is_surplus: bool,
     /// True if the job can no longer be expected to meet its deadline.
     pub infeasible: bool,
     /// Priority class; 0 is the most urgent.
@@ -106,6 +112,7 @@
     ) -> Self {
         Self {
             ends: true,
+            is_surplus: false,
             infeasible: now + with_margin(remaining) > deadline,
             priority,
             is_new,
@@ -117,6 +124,7 @@
     pub fn long_running(priority: u8, received_at: ClockTime) -> Self {
         Self {
             ends: false,
+            is_surplus: false,
             infeasible: false,
             priority,
             is_new: false,
@@ -124,6 +132,15 @@
         }
     }
 
+    /// Returns the key of a job that may be surplus. What has begun is not any more: to leave it would waste
+    /// what has been done.
+    pub fn with_surplus(self, is_surplus: bool) -> Self {
+        Self {
+            is_surplus: is_surplus && self.is_new,
+            ..self
+        }
+    }
+
     /// Returns true for a job that the order within an overload concerns.
     fn is_new_and_feasible(&self) -> bool {
         self.ends && self.is_new && !self.infeasible
@@ -139,51 +156,71 @@
     pub job: JobId,
     /// Work of its tasks that have not started, in thousandths of core-milliseconds.
     pub work: u64,
+    /// What these tasks take at once.
+    pub need: Resources,
+    /// Tenant of the job.
+    pub tenant: Option<TenantSlot>,
 }
 
-/// Sorts the queue of a pool with a capacity of `cpu` thousandths of a core.
+/// Sorts the queue of a pool with a capacity of `cpu` thousandths of a core, of which its tenants have the given
+/// shares.
 ///
 /// ```
-/// use jacinthhoist_core::{ClockTime, job::{JobId, JobUrgency, QueuedJob, order_queue}};
+/// use jacinthhoist_core::{
+///     ClockTime,
+///     job::{JobId, JobUrgency, PoolShares, QueuedJob, Resources, order_queue},
+/// };
 /// let ms = ClockTime::from_millis;
 /// let job = |id, deadline| QueuedJob {
 ///     urgency: JobUrgency::for_deadline(0, ms(deadline), ms(500), true, ms(0)),
 ///     job: JobId(id),
 ///     work: 1_000_000,
+///     need: Resources::default(),
+///     tenant: None,
 /// };
 /// let mut queue = vec![job(1, 3_000), job(2, 2_000), job(3, 2_500)];
 /// let first = |queue: &mut Vec<QueuedJob>, cpu| {
-///     order_queue(queue, cpu, ms(0));
+///     order_queue(queue, cpu, &mut PoolShares::default(), ms(0));
 ///     queue[0].job
 /// };
 /// assert_eq!(first(&mut queue, 2_000), JobId(2));
 /// assert_eq!(first(&mut queue, 900), JobId(1));
 /// ```
-pub fn order_queue(queue: &mut [QueuedJob], cpu: u64, now: ClockTime) {
+pub fn order_queue(queue: &mut [QueuedJob], cpu: u64, shares: &mut PoolShares, now: ClockTime) {
     queue.sort_unstable_by_key(|queued| (queued.urgency, queued.job));
-    if !is_overloaded(queue, cpu, now) {
+    let Some(first_late) = find_overload(queue, cpu, now) else {
         return;
-    }
+    };
+    // Surplus jobs come last, so an overload that they alone cause concerns no other.
+    let is_surplus_only = queue[first_late].urgency.is_surplus;
     let is_new = |queued: &QueuedJob| queued.urgency.is_new_and_feasible();
     for new_jobs in queue.chunk_by_mut(|one, other| {
-        is_new(one) && is_new(other) && one.urgency.priority == other.urgency.priority
+        let class = |queued: &QueuedJob| (queued.urgency.is_surplus, queued.urgency.priority);
+        is_new(one) && is_new(other) && class(one) == class(other)
     }) {
+        if is_surplus_only && !new_jobs[0].urgency.is_surplus {
+            continue;
+        }
         new_jobs.sort_unstable_by_key(|queued| (Reverse(queued.urgency.latest_start), queued.job));
+        if !shares.is_empty() && is_new(&new_jobs[0]) {
+            shares.order(new_jobs);
+        }
     }
 }
 
-/// Returns true if some feasible job of a sorted queue cannot start in time behind those before it.
-fn is_overloaded(queue: &[QueuedJob], cpu: u64, now: ClockTime) -> bool {
-    let feasible = queue.iter().filter(|queued| !queued.urgency.infeasible);
+/// Finds the first feasible job of a sorted queue that cannot start in time behind those before it.
+fn find_overload(queue: &[QueuedJob], cpu: u64, now: ClockTime) -> Option<usize> {
+    let feasible = queue.iter().enumerate();
+    let feasible = feasible.filter(|(_, queued)| !queued.urgency.infeasible);
     let mut work_before = 0;
-    for queued in feasible.filter(|queued| queued.urgency.ends) {
+    for (position, queued) in feasible.filter(|(_, queued)| queued.urgency.ends) {
         let laxity = queued.urgency.latest_start - now;
         let carried = cpu.saturating_mul(laxity.as_millis());
         let carried = carried.saturating_mul(FREE_CPU_PERCENT) / 100;
         if work_before > carried {
-            return true;
+            return Some(position);
         }
         work_before = queued.work.saturating_add(work_before);
     }
-    false
+    None
 }
--- a/crates/core/src/job/resize.rs
+++ b/crates/core/src/job/resize.rs
@@ -43,6 +43,8 @@
     pub late_demand: u64,
     /// Work that has not started, in thousandths of a core-millisecond.
     pub waiting: u64,
+    /// Part of it that is no surplus of a tenant.
+    pub contracted_waiting: u64,
     /// Demand of long-running tasks, in thousandths of a core.
     pub long_running: u64,
     /// Present and incoming capacity, in thousandths of a core.
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -35,7 +35,7 @@
 
 use crate::{
     clock::ClockTime,
-    name::{PoolName, RackName, VmName, WorkName, WorkerId},
+    name::{PoolName, RackName, TenantName, VmName, WorkName, WorkerId},
 };
 
 use super::{
@@ -48,6 +48,7 @@
     spec::{JobId, JobState, Resources, StepKey, TaskKey},
     stored_time::ClockReadings,
     succession::{FormerOwner, SuccessionLedger},
+    tenant_account::{TenantAccount, TenantAccounts},
     wait::WaitCounts,
     wave::WaveTable,
     worker::Worker,
@@ -195,8 +196,10 @@
     catalogue: Arc<JobCatalogue>,
     jobs: BTreeMap<JobId, Job>,
     ended_jobs: BTreeMap<JobId, ClosedLife>,
-    /// Cancellations that arrived before their jobs, with the time of arrival.
-    early_cancels: BTreeMap<JobId, ClockTime>,
+    /// Tenants of ended jobs.
+    ended_tenants: BTreeMap<JobId, TenantName>,
+    /// Cancellations that arrived before their jobs, with the tenant that sent them and the time of arrival.
+    early_cancels: BTreeMap<JobId, (Option<TenantName>, ClockTime)>,
     pending_removals: Vec<JobId>,
     /// True while job bodies are being removed. Only one removal runs at a time, so that its writes
     /// stay in order.
@@ -218,6 +221,7 @@
     held_workers: SmallVec<[WorkerId; 8]>,
     /// Steps for which room is kept, by pool.
     held_steps: BTreeMap<PoolName, StepKey>,
+    tenants: TenantAccounts,
     /// Outcome of the last search of each pool's queue.
     waits: BTreeMap<PoolName, WaitCounts>,
     outbox: batch::Outbox,
@@ -243,11 +247,16 @@
     /// Creates the state of a member that has just become the owner. Stored records must be
     /// restored before the first worker report.
     pub fn open(limits: SchedulerLimits, catalogue: Arc<JobCatalogue>, now: ClockTime) -> Self {
+        let mut tenants = TenantAccounts::default();
+        if let Some(table) = &catalogue.tenants {
+            tenants.set_terms(table);
+        }
         Self {
             limits,
             catalogue,
             jobs: BTreeMap::new(),
             ended_jobs: BTreeMap::new(),
+            ended_tenants: BTreeMap::new(),
             early_cancels: BTreeMap::new(),
             pending_removals: Vec::new(),
             removal_in_flight: false,
@@ -263,6 +272,7 @@
             trial_workers: SmallVec::new(),
             held_workers: SmallVec::new(),
             held_steps: BTreeMap::new(),
+            tenants,
             waits: BTreeMap::new(),
             outbox: batch::Outbox::default(),
             effects: Vec::new(),
@@ -280,6 +290,9 @@
 
     /// Replaces the catalogue. Jobs whose kind of work was removed continue in their last pool.
     pub fn set_catalogue(&mut self, catalogue: Arc<JobCatalogue>) {
+        if let Some(table) = &catalogue.tenants {
+            self.tenants.set_terms(table);
+        }
         self.catalogue = catalogue;
     }
 
@@ -320,6 +333,22 @@
         open.or_else(|| self.ended_jobs.get(&job).map(ClosedLife::state))
     }
 
+    /// Returns whether a caller of the given tenant may see a job: one of its own, or one that was submitted
+    /// without a key.
+    pub fn is_visible(&self, job: JobId, tenant: Option<&TenantName>) -> bool {
+        let open = self
+            .jobs
+            .get(&job)
+            .and_then(|open| open.spec.tenant.as_ref());
+        let owner = open.or_else(|| self.ended_tenants.get(&job));
+        owner.is_none() || owner == tenant
+    }
+
+    /// Returns the accounts of the tenants.
+    pub fn tenants(&self) -> impl Iterator<Item = &TenantAccount> {
+        self.tenants.iter()
+    }
+
     /// Returns the load of each kind of work.
     pub fn loads(&self) -> Vec<(WorkName, WorkLoad)> {
         let report = self.load_report();
@@ -337,9 +366,15 @@
             }
         }
         let mut report = LoadReport {
-            drains: self.drain_times(),
+            drains: self.drain_times(|view| view.waiting),
             works: BTreeMap::new(),
+            contracted_drains: BTreeMap::new(),
+            surplus_waits: BTreeMap::new(),
         };
+        if !self.tenants.is_empty() {
+            report.contracted_drains = self.drain_times(|view| view.contracted_waiting);
+            report.surplus_waits = self.tenants.surplus_waits(self.now);
+        }
         for work in &self.catalogue.works {
             let idle = report.load(&work.name, &work.pool);
             let load = WorkLoad {
--- a/crates/core/src/job/scheduler/batch.rs
+++ b/crates/core/src/job/scheduler/batch.rs
@@ -20,7 +20,7 @@
         task::{AnyTask, FailedRuns, StartOrderState, TaskRun},
         wave::WaveProgress,
     },
-    name::{PoolName, VmName, WorkerId},
+    name::{PoolName, TenantName, VmName, WorkerId},
 };
 
 use super::{Effect, Job, Scheduler, SchedulerDecision};
@@ -71,6 +71,9 @@
     /// takeover a job counts as waiting until a worker reports its run.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub started: bool,
+    /// Tenant of an ended job, whose specification is removed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tenant: Option<TenantName>,
 }
 
 impl JobProgress {
@@ -107,9 +110,10 @@
         self
     }
 
-    fn final_state(state: JobState) -> Self {
+    fn final_state(state: JobState, tenant: Option<TenantName>) -> Self {
         Self {
             ended: Some(state),
+            tenant,
             ..Self::default()
         }
     }
@@ -328,7 +332,7 @@
             let progress = match self.outbox.ends.remove(&id) {
                 Some(state) => {
                     in_flight.ends.push((id, state));
-                    JobProgress::final_state(state)
+                    JobProgress::final_state(state, job.spec.tenant.clone())
                 }
                 None => JobProgress::of(job),
             };
--- a/crates/core/src/job/scheduler/decision.rs
+++ b/crates/core/src/job/scheduler/decision.rs
@@ -10,12 +10,13 @@
         crash::Implication,
         lease::LeaseBasis,
         release::ReleaseGround,
-        spec::{JobId, JobState, StepKey, TaskKey},
+        spec::{JobId, JobState, Resources, StepKey, TaskKey},
         stop::StopReason,
         task::TaskEnd,
+        tenant::TenantLimit,
         worker::StartReply,
     },
-    name::{PoolName, VmName, WorkName, WorkerId},
+    name::{PoolName, TenantName, VmName, WorkName, WorkerId},
 };
 
 /// A scheduling decision to be logged.
@@ -50,6 +51,17 @@
         /// True if no worker has the room or the label.
         in_vain: bool,
     },
+    /// A step waits as its tenant has as much running as it may.
+    TenantFull {
+        /// Tenant that is at its limit.
+        tenant: TenantName,
+        /// Step that waits; others of the tenant may wait too.
+        step: StepKey,
+        /// What the tenant has running.
+        running: Resources,
+        /// What it may have running.
+        limit: TenantLimit,
+    },
     /// Room is kept on a worker for a task, or for members of its gang.
     RoomHeld {
         /// Task that waits for room.
--- a/crates/core/src/job/scheduler/demand.rs
+++ b/crates/core/src/job/scheduler/demand.rs
@@ -118,7 +118,9 @@
     running: u64,
     /// Work of finite tasks that have not started, in thousandths of core-milliseconds.
     waiting: u64,
-    /// Part of those tasks that can still be done within their objective.
+    /// Part of it that is no surplus.
+    contracted_waiting: u64,
+    /// Part of those tasks that can still be done within their objective, and are no surplus.
     timely: TaskBacklog,
     /// Tasks among the timely ones that could start now.
     startable: TaskBacklog,
@@ -202,7 +204,8 @@
     /// Adds the work of a job to the arrival rate of its pool.
     pub(super) fn record_arrival(&mut self, job: &Job) {
         let now = self.now;
-        if job.spec.is_long_running() || job.spec.repeat.is_some() {
+        let is_timed = !job.spec.is_long_running() && job.spec.repeat.is_none();
+        if !is_timed || job.is_surplus() {
             return;
         }
         let mean = self.durations.mean(&job.spec.work).as_millis();
@@ -233,6 +236,7 @@
                 present_demand: load.present_demand(),
                 late_demand: saturating_sum([load.present_demand(), load.late_startable.cpu]),
                 waiting: load.waiting,
+                contracted_waiting: load.contracted_waiting,
                 long_running: load.long_running,
                 capacity: 0,
                 vms: 0,
@@ -337,7 +341,9 @@
                 continue;
             }
             let mean = self.durations.mean(&job.spec.work);
-            let infeasible = job.urgency(mean, self.now).infeasible;
+            let urgency = job.urgency(mean, self.now);
+            // Surplus is served from idle room, like what is late in any case.
+            let takes_idle_room = urgency.infeasible || urgency.is_surplus;
             let fitting = self.fleet.rooms.fitting_steps(job);
             for ((_, step, _), task) in job.tasks() {
                 let cpu = job.spec.steps[usize::from(step)].charged().cpu;
@@ -346,7 +352,10 @@
                 } else if !task.is_terminal() && fitting[usize::from(step)] {
                     let work = cpu.saturating_mul(mean.as_millis());
                     load.waiting = load.waiting.saturating_add(work);
-                    if !infeasible {
+                    if !urgency.is_surplus {
+                        load.contracted_waiting = load.contracted_waiting.saturating_add(work);
+                    }
+                    if !takes_idle_room {
                         load.timely.add(cpu, mean);
                     }
                 }
@@ -354,7 +363,7 @@
             if !job.has_startable() {
                 continue;
             }
-            let startable = if infeasible {
+            let startable = if takes_idle_room {
                 &mut load.late_startable
             } else {
                 &mut load.startable
@@ -381,7 +390,10 @@
     /// Estimates the time in which each pool works off its backlog: the smaller of the time on the
     /// pool's own current and arriving VMs, and the time for all backlogs on all VMs, since VMs
     /// follow the demand. Empty just after a takeover, while most workers have not reported.
-    pub(super) fn drain_times(&self) -> BTreeMap<PoolName, ClockTime> {
+    pub(super) fn drain_times(
+        &self,
+        backlog: impl Fn(&PoolDemandView) -> u64,
+    ) -> BTreeMap<PoolName, ClockTime> {
         if !self.have_workers_reported() {
             return BTreeMap::new();
         }
@@ -393,10 +405,10 @@
         };
         let cpu_of = |view| task_cpu(view).saturating_add(spare_cpu(view));
         let all_task_cpu = saturating_sum(views.iter().map(cpu_of));
-        let all_waiting = saturating_sum(views.iter().map(|view| view.waiting));
+        let all_waiting = saturating_sum(views.iter().map(&backlog));
         let time_for = |work: u64, cpu: u64| work.checked_div(cpu).map(ClockTime::from_millis);
         let drain = |view: &PoolDemandView| {
-            let alone_time = time_for(view.waiting, task_cpu(view));
+            let alone_time = time_for(backlog(view), task_cpu(view));
             let shared_time =
                 time_for(all_waiting, all_task_cpu).map(|drain| drain + self.limits.move_time);
             // Without a known worker there is no estimate.
--- a/crates/core/src/job/scheduler/gang.rs
+++ b/crates/core/src/job/scheduler/gang.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     job::{
+        charge::AnyCharge,
         place::{PlaceCandidates, PlaceScope},
         spec::{StepKey, TaskKey},
         task::{AnyTask, TaskEnd},
@@ -94,9 +95,16 @@
 
     fn release_reserved(&mut self, members: &[TaskKey], run: u32, workers: &[WorkerId]) {
         for (member, id) in members.iter().zip(workers) {
-            if let Some(worker) = self.workers.get_mut(id) {
-                worker.withdraw_charge(member, run);
+            let Some(worker) = self.workers.get_mut(id) else {
+                continue;
+            };
+            let charge = worker.charges.get(&(*member, run));
+            if let Some(cost) = charge.and_then(AnyCharge::cost)
+                && let Some(slot) = cost.tenant
+            {
+                self.tenants.withdraw(slot, &worker.entry.pool, &cost.usage);
             }
+            worker.withdraw_charge(member, run);
         }
     }
 
--- a/crates/core/src/job/scheduler/jobs.rs
+++ b/crates/core/src/job/scheduler/jobs.rs
@@ -13,10 +13,11 @@
         life::{ClosedLife, JobLife, OpenLife},
         order::JobUrgency,
         refusal::StartRefusals,
-        spec::{JobId, JobSpec, JobState, JobTerms, StepKey, StepSpec, TaskKey},
+        spec::{JobId, JobSpec, JobState, JobTerms, Resources, StepKey, StepSpec, TaskKey},
         task::{AnyTask, TaskRun},
+        tenant_account::TenantSlot,
     },
-    name::WorkerId,
+    name::{TenantName, WorkerId},
 };
 
 use super::{Effect, JobProgress, Scheduler, SchedulerDecision, demand::FleetRooms};
@@ -67,6 +68,11 @@
     }
 }
 
+/// Returns whether a caller of the given tenant may act on a job.
+fn is_of_tenant(spec: &JobSpec, tenant: Option<&TenantName>) -> bool {
+    spec.tenant.is_none() || spec.tenant.as_ref() == tenant
+}
+
 /// A job that has not ended.
 #[derive(Clone, Debug)]
 pub struct Job {
@@ -78,6 +84,10 @@
     pub life: OpenLife,
     /// Terms currently in force.
     pub terms: JobTerms,
+    /// Tenant that submitted the job.
+    pub(super) tenant: Option<TenantSlot>,
+    /// True if the tenant has sent the job beyond its rate.
+    is_surplus: bool,
     /// Local time from which the objective counts: that of the receipt, or of the first occurrence.
     starts_at: ClockTime,
     /// True if a run of some task is known to have started.
@@ -100,6 +110,11 @@
 }
 
 impl Job {
+    /// Returns whether the tenant has sent the job beyond its rate.
+    pub(super) fn is_surplus(&self) -> bool {
+        self.is_surplus
+    }
+
     /// Returns whether any task has ever had a run.
     pub fn has_begun(&self) -> bool {
         self.tasks().any(|(_, task)| task.run() > 0)
@@ -237,18 +252,17 @@
         let remaining = ClockTime::from_millis(self.remaining_chain_len() * mean.as_millis());
         let is_new = self.tasks().all(|(_, task)| task.run() == 0);
         JobUrgency::for_deadline(self.terms.priority, deadline, remaining, is_new, now)
+            .with_surplus(self.is_surplus)
     }
 
-    /// CPU of the tasks that have no run and have not ended, of steps that their pool may come to run, in
-    /// thousandths of a core.
-    pub(super) fn waiting_cpu(&self, rooms: &FleetRooms) -> u64 {
+    /// Resources of the tasks that have no run and have not ended, of steps that their pool may come to run.
+    pub(super) fn waiting_need(&self, rooms: &FleetRooms) -> Resources {
         let fitting = rooms.fitting_steps(self);
         let waiting = self.tasks().filter(|((_, step, _), task)| {
             fitting[usize::from(*step)] && matches!(task, AnyTask::Waiting(_))
         });
-        waiting
-            .map(|((_, step, _), _)| self.spec.steps[usize::from(step)].charged().cpu)
-            .sum()
+        let needs = waiting.map(|((_, step, _), _)| self.spec.steps[usize::from(step)].charged());
+        needs.fold(Resources::default(), |sum, need| sum.plus(&need))
     }
 
     /// Number of steps on the longest dependency chain that are not done.
@@ -324,9 +338,10 @@
             return;
         }
         let mut job = self.open_job(spec);
-        if self.early_cancels.remove(&id).is_some() {
+        if self.take_early_cancel(id, &job) {
             job.life = job.life.end(JobState::Cancelled);
         }
+        self.meter_job(&mut job);
         let (work, tasks) = (job.spec.work.clone(), job.tasks().count());
         let traits = job.spec.traits();
         self.record_arrival(&job);
@@ -340,15 +355,19 @@
         });
     }
 
-    /// Applies a stored cancellation by the caller.
-    pub fn cancel(&mut self, id: JobId) {
+    /// Applies a stored cancellation by a caller of the given tenant. Only a job of that tenant is affected, or
+    /// one that was submitted without a key.
+    pub fn cancel(&mut self, id: JobId, tenant: Option<&TenantName>) {
         if self.ended_jobs.contains_key(&id) {
             return;
         }
         let Some(job) = self.jobs.get_mut(&id) else {
-            self.early_cancels.insert(id, self.now);
+            self.early_cancels.insert(id, (tenant.cloned(), self.now));
             return;
         };
+        if !is_of_tenant(&job.spec, tenant) {
+            return;
+        }
         if job.life.goal().is_none() {
             job.life = job.life.end(JobState::Cancelled);
             job.changed = true;
@@ -368,6 +387,8 @@
                 ClosedLife::Forgotten(ended.remove().forget())
             };
             self.ended_jobs.insert(id, ended);
+            let tenant = progress.tenant.clone();
+            self.ended_tenants.extend(tenant.map(|tenant| (id, tenant)));
             return;
         }
         let Some(spec) = spec else {
@@ -378,7 +399,7 @@
         if job.has_begun() {
             job.life = job.life.begin();
         }
-        if self.early_cancels.remove(&id).is_some() {
+        if self.take_early_cancel(id, &job) {
             job.life = job.life.end(JobState::Cancelled);
             self.outbox.mark_changed(id);
         }
@@ -387,6 +408,40 @@
         self.restore_doubts(id);
     }
 
+    /// Removes a cancellation that arrived before its job; returns whether it applies.
+    fn take_early_cancel(&mut self, id: JobId, job: &Job) -> bool {
+        let cancel = self.early_cancels.remove(&id);
+        cancel.is_some_and(|(tenant, _)| is_of_tenant(&job.spec, tenant.as_ref()))
+    }
+
+    /// Counts a job against its tenant's rate. Repeated and long-running jobs are not timed by their receipt.
+    fn meter_job(&mut self, job: &mut Job) {
+        let Some(slot) = job.tenant else {
+            return;
+        };
+        if !job.spec.is_long_running() && job.spec.repeat.is_none() {
+            job.is_surplus = self.tenants.record_job(slot, job.starts_at);
+        }
+    }
+
+    /// Counts the restored jobs against the rates of their tenants, in order of receipt. Call once all are
+    /// restored.
+    pub fn meter_restored_jobs(&mut self) {
+        let mut jobs: Vec<(ClockTime, JobId)> = self
+            .jobs
+            .iter()
+            .map(|(id, job)| (job.starts_at, *id))
+            .collect();
+        jobs.sort_unstable();
+        for (_, id) in jobs {
+            let Some(mut job) = self.jobs.remove(&id) else {
+                continue;
+            };
+            self.meter_job(&mut job);
+            self.jobs.insert(id, job);
+        }
+    }
+
     /// Charges recorded runs to their workers. An unlisted worker is kept until its lease must have
     /// expired.
     fn charge_restored(&mut self, id: JobId, job: &Job) {
@@ -400,7 +455,7 @@
                 step,
                 index,
             };
-            let cost = RunCost::of(job.step(&key));
+            let cost = RunCost::of(job.step(&key), job.tenant);
             self.worker_or_stub(worker).charge(key, run, cost);
         }
     }
@@ -425,7 +480,8 @@
 
     /// Creates a job under the terms of the catalogue, or under the terms of its acceptance if the
     /// catalogue no longer lists its kind of work.
-    fn open_job(&self, spec: Arc<JobSpec>) -> Job {
+    fn open_job(&mut self, spec: Arc<JobSpec>) -> Job {
+        let tenant = spec.tenant.as_ref().map(|tenant| self.tenants.slot(tenant));
         let work = self.catalogue.work(&spec.work);
         let terms = work.map_or_else(|| spec.terms.clone(), JobTerms::of);
         let due = |number: u32| {
@@ -438,6 +494,8 @@
             occurrences: occurrences.collect(),
             life: OpenLife::Queued(JobLife::open()),
             terms,
+            tenant,
+            is_surplus: false,
             starts_at: self.received_at(&spec),
             started: false,
             changed: true,
@@ -512,7 +570,11 @@
 
     /// Makes a stored end of a job visible to callers.
     pub(super) fn close_job(&mut self, id: JobId, state: JobState) {
-        self.jobs.remove(&id);
+        let tenant = self
+            .jobs
+            .remove(&id)
+            .and_then(|job| job.spec.tenant.clone());
+        self.ended_tenants.extend(tenant.map(|tenant| (id, tenant)));
         let ended = ClosedLife::Ended(JobLife::close(state, self.now));
         self.ended_jobs.insert(id, ended);
         self.pending_removals.push(id);
@@ -522,7 +584,7 @@
     fn expire_cancels(&mut self) {
         let now = self.now;
         let cancels = self.early_cancels.iter();
-        let expired = cancels.filter(|(_, at)| now - **at > EARLY_CANCEL_RETENTION);
+        let expired = cancels.filter(|(_, (_, at))| now - *at > EARLY_CANCEL_RETENTION);
         let expired: SmallVec<[JobId; 8]> = expired.map(|(id, _)| *id).collect();
         for id in expired {
             self.early_cancels.remove(&id);
@@ -548,6 +610,7 @@
         let expired: SmallVec<[JobId; 8]> = expired.map(|(id, _)| *id).collect();
         for id in expired {
             self.ended_jobs.remove(&id);
+            self.ended_tenants.remove(&id);
             self.outbox.remove_progress(id);
         }
     }
--- a/crates/core/src/job/scheduler/placing.rs
+++ b/crates/core/src/job/scheduler/placing.rs
@@ -19,7 +19,7 @@
         },
         room::RoomIndex,
         shape::{SearchMemory, TaskShape},
-        spec::{JobId, StepKey, StepSpec, TaskKey},
+        spec::{JobId, Resources, StepKey, StepSpec, TaskKey},
         task::AnyTask,
         wait::{WaitCounts, WaitReason},
         worker::Worker,
@@ -95,22 +95,24 @@
     pub(super) fn place_tasks(&mut self) {
         let queues = self.pool_queues();
         self.waits.clear();
+        self.sum_tenants();
         self.review_holds();
         if queues.is_empty() {
             return;
         }
-        // Workers with their free CPU, and the CPU of all of them.
-        let mut pools: BTreeMap<PoolName, (Vec<(u64, WorkerId)>, u64)> = BTreeMap::new();
+        // Workers with their free CPU, and the capacity of all of them.
+        let mut pools: BTreeMap<PoolName, (Vec<(u64, WorkerId)>, Resources)> = BTreeMap::new();
         for worker in self.workers.values() {
             if queues.contains_key(&worker.entry.pool) && worker.takes_work(self.now) {
                 let pool = pools.entry(worker.entry.pool.clone()).or_default();
                 pool.0.push((worker.free_cpu(), worker.id.clone()));
-                pool.1 += worker.entry.capacity.cpu;
+                pool.1 = pool.1.plus(&worker.entry.capacity);
             }
         }
         for (pool, mut queue) in queues {
-            let (by_free_cpu, cpu) = pools.remove(&pool).unwrap_or_default();
-            order_queue(&mut queue, cpu, self.now);
+            let (by_free_cpu, capacity) = pools.remove(&pool).unwrap_or_default();
+            let mut shares = self.tenants.shares(&pool, capacity);
+            order_queue(&mut queue, capacity.cpu, &mut shares, self.now);
             let mut search = QueueSearch {
                 workers: PlaceCandidates::new(by_free_cpu),
                 rooms: None,
@@ -132,6 +134,45 @@
         }
     }
 
+    /// Sums up what the tenants have running.
+    fn sum_tenants(&mut self) {
+        if self.tenants.is_empty() {
+            return;
+        }
+        self.tenants.begin_search();
+        for worker in self.workers.values() {
+            for (slot, usage) in &worker.tenant_usage {
+                self.tenants.add_running(*slot, &worker.entry.pool, usage);
+            }
+        }
+    }
+
+    /// Returns whether a task, or the gang that it belongs to, has to wait for others of its tenant.
+    fn is_tenant_full(&mut self, key: &TaskKey) -> bool {
+        let Some((job, slot)) = self
+            .jobs
+            .get(&key.job)
+            .and_then(|job| Some((job, job.tenant?)))
+        else {
+            return false;
+        };
+        let step = job.step(key);
+        let count = if step.gang { u64::from(step.count) } else { 1 };
+        if self.tenants.admits(slot, &step.need, count) {
+            return false;
+        }
+        if let Some(account) = self.tenants.record_held(slot, self.now) {
+            let decision = SchedulerDecision::TenantFull {
+                tenant: account.name.clone(),
+                step: (*key).into(),
+                running: account.running,
+                limit: account.limit,
+            };
+            self.log_decision(decision);
+        }
+        true
+    }
+
     /// Jobs for which a worker or room is kept.
     fn favoured_jobs(&self) -> SmallVec<[JobId; 8]> {
         let workers = self.trial_workers.iter().chain(&self.held_workers);
@@ -153,10 +194,13 @@
             }
             let mean = self.durations.mean(&job.spec.work);
             let queue = queues.entry(job.terms.pool.clone()).or_default();
+            let need = job.waiting_need(&self.fleet.rooms);
             queue.push(QueuedJob {
                 urgency: job.urgency(mean, now),
                 job: *id,
-                work: job.waiting_cpu(&self.fleet.rooms) * mean.as_millis(),
+                work: need.cpu * mean.as_millis(),
+                need,
+                tenant: job.tenant,
             });
         }
         queues
@@ -222,6 +266,9 @@
 
     /// Places a task, or the whole gang that it belongs to.
     fn place_step(&mut self, key: TaskKey, search: &mut QueueSearch) -> Result<usize> {
+        if self.is_tenant_full(&key) {
+            return Err(WaitReason::TenantLimit);
+        }
         let Some(job) = self.jobs.get(&key.job) else {
             return Err(WaitReason::NoFit);
         };
@@ -430,10 +477,14 @@
         let Some(job) = self.jobs.get(&key.job) else {
             return;
         };
-        let cost = RunCost::of(job.step(&key));
+        let cost = RunCost::of(job.step(&key), job.tenant);
         let ends_at = self.now + self.expected_span(job, job.step(&key));
         if let Some(worker) = self.workers.get_mut(id) {
             worker.charge(key, run, cost);
+            if let Some(slot) = cost.tenant {
+                self.tenants
+                    .add_running(slot, &worker.entry.pool, &cost.usage);
+            }
             if let Some(hold) = &mut worker.room_hold
                 && hold.step != key.into()
             {
--- a/crates/core/src/job/scheduler/strays.rs
+++ b/crates/core/src/job/scheduler/strays.rs
@@ -47,7 +47,7 @@
         if !is_wanted || !is_alone || task.run != run || task.failed_runs.contains(run) {
             return false;
         }
-        let begun_at = worker.adopt_run(key, run, RunCost::of(job.step(&key)), now);
+        let begun_at = worker.adopt_run(key, run, RunCost::of(job.step(&key), job.tenant), now);
         let resumed = task.clone().resume(id.clone(), begun_at, now);
         if let Some(slot) = job.task_mut(&key) {
             *slot = AnyTask::Running(resumed);
@@ -67,7 +67,7 @@
         let (key, run) = (row.task, row.run);
         let job = self.jobs.get(&key.job);
         let job = job.filter(|job| job.task(&key).is_some());
-        let cost = job.map(|job| RunCost::of(job.step(&key)));
+        let cost = job.map(|job| RunCost::of(job.step(&key), job.tenant));
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
--- a/crates/core/src/job/spec.rs
+++ b/crates/core/src/job/spec.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     clock::ClockTime,
-    name::{PoolName, RackName, WorkName},
+    name::{PoolName, RackName, TenantName, WorkName},
 };
 
 use super::catalogue::JobWork;
@@ -366,6 +366,9 @@
     pub work: WorkName,
     /// Terms at acceptance.
     pub terms: JobTerms,
+    /// Tenant that submitted the job; none where calls need no key.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tenant: Option<TenantName>,
     /// Time at which the first attempt of the request arrived.
     pub received_at: ClockTime,
     /// Key of the process on whose clock that is; none in the records of earlier releases.
@@ -392,6 +395,7 @@
     /// let spec = JobSpec {
     ///     work: WorkName::new("pattern-check"),
     ///     terms: JobTerms::example("moulding-desk"),
+    ///     tenant: None,
     ///     received_at: ClockTime::ZERO,
     ///     received_on: None,
     ///     payload: "drain cover 4".into(),
--- a/crates/core/src/job/wait.rs
+++ b/crates/core/src/job/wait.rs
@@ -14,16 +14,19 @@
     Permit,
     /// A task that may crash its worker waits for its trial.
     Trial,
+    /// Tasks of the same tenant have to end first.
+    TenantLimit,
 }
 
 impl WaitReason {
     /// All reasons.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::NoFit,
         Self::Room,
         Self::StepLimit,
         Self::Permit,
         Self::Trial,
+        Self::TenantLimit,
     ];
 
     /// Short name for log lines.
@@ -39,6 +42,7 @@
             Self::StepLimit => "step_limit",
             Self::Permit => "permit",
             Self::Trial => "trial",
+            Self::TenantLimit => "tenant_limit",
         }
     }
 }
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -17,6 +17,7 @@
     spec::{JobId, Resources, StepKey, TaskKey},
     stored_time::StoredTime,
     task::TaskEnd,
+    tenant_account::TenantSlot,
 };
 
 /// Consecutive failures, each of a task that had not failed before, after which a worker is
@@ -184,6 +185,8 @@
     pub used: Resources,
     /// Part of these that runs take which last until they are stopped.
     pub lasting: Resources,
+    /// What the runs of each tenant use.
+    pub tenant_usage: SmallVec<[(TenantSlot, Resources); 4]>,
     /// Runs that may be in progress on the worker, whether their tasks refer to them or not.
     pub charges: BTreeMap<(TaskKey, u32), AnyCharge>,
     /// Start orders without an answer whose lease has lapsed. They may be carried out once the worker has
@@ -232,6 +235,7 @@
             silent_since: None,
             used: Resources::default(),
             lasting: Resources::default(),
+            tenant_usage: SmallVec::new(),
             charges: BTreeMap::new(),
             lapsed_starts: SmallVec::new(),
             unsettled_starts: SmallVec::new(),
@@ -442,12 +446,32 @@
                 self.best_effort_runs += u32::from(cost.best_effort);
                 self.finite_runs += u32::from(!cost.long_running);
                 self.lasting = self.lasting.plus(&cost.lasting_need());
+                self.add_tenant_usage(&cost);
             }
             None => self.unknown_runs += 1,
         }
         self.charges.insert((task, run), charge);
     }
 
+    fn add_tenant_usage(&mut self, cost: &RunCost) {
+        let Some(slot) = cost.tenant else {
+            return;
+        };
+        match self.tenant_usage.iter_mut().find(|row| row.0 == slot) {
+            Some((_, usage)) => *usage = usage.plus(&cost.usage),
+            None => self.tenant_usage.push((slot, cost.usage)),
+        }
+    }
+
+    fn remove_tenant_usage(&mut self, cost: &RunCost) {
+        self.tenant_usage.retain(|(slot, usage)| {
+            if Some(*slot) == cost.tenant {
+                *usage = usage.minus(&cost.usage);
+            }
+            *usage != Resources::default()
+        });
+    }
+
     /// Releases the capacity charged for a run, which cannot be in progress any more.
     pub fn discharge(&mut self, task: &TaskKey, run: u32, now: ClockTime) {
         let Some(charge) = self.charges.remove(&(*task, run)) else {
@@ -460,6 +484,7 @@
                 self.best_effort_runs -= u32::from(cost.best_effort);
                 self.finite_runs -= u32::from(!cost.long_running);
                 self.lasting = self.lasting.minus(&cost.lasting_need());
+                self.remove_tenant_usage(&cost);
             }
             None => self.unknown_runs -= 1,
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -66,8 +66,8 @@
 pub use health::{VmHealth, WorkHealth};
 pub use member::{MemberJoin, MemberRecord, MemberTable};
 pub use name::{
-    DataCentre, EntryName, MemberName, OwnerName, PoolName, RackName, VmName, WaveName, WorkName,
-    WorkerId,
+    DataCentre, EntryName, MemberName, OwnerName, PoolName, RackName, TenantName, VmName, WaveName,
+    WorkName, WorkerId,
 };
 pub use place::{PlacementCandidate, choose_vm};
 pub use plan::{PlanInput, VmListing, WaveProgress, plan, wave_progress};
--- a/crates/core/src/name.rs
+++ b/crates/core/src/name.rs
@@ -61,6 +61,10 @@
     /// Name of a team that owns work.
     OwnerName
 }
+shared_name! {
+    /// Name of a tenant that submits jobs.
+    TenantName
+}
 shared_name! {
     /// Name of a VM that serves as an upstream.
     VmName
--- a/crates/core/tests/job_interleavings/engine.rs
+++ b/crates/core/tests/job_interleavings/engine.rs
@@ -211,7 +211,7 @@
                 self.confirmed_at = self.confirmed_at.max(asked_at);
             }
             EngineEvent::Accepted(id, spec) => self.scheduler.accept(id, spec),
-            EngineEvent::Cancelled(id) => self.scheduler.cancel(id),
+            EngineEvent::Cancelled(id) => self.scheduler.cancel(id, None),
         }
     }
 
--- a/crates/core/tests/job_interleavings/setting.rs
+++ b/crates/core/tests/job_interleavings/setting.rs
@@ -41,8 +41,10 @@
 
 pub(crate) fn catalogue(guarded: bool) -> Arc<JobCatalogue> {
     Arc::new(JobCatalogue {
+        tenants: None,
         version: 1,
         works: vec![JobWork {
+            public: false,
             name: WorkName::new(POOL),
             host: "mould.example".to_owned(),
             path_prefix: "/".to_owned(),
@@ -171,6 +173,7 @@
 
 fn spec(steps: Vec<StepSpec>, now: u64) -> JobSpec {
     JobSpec {
+        tenant: None,
         work: WorkName::new(POOL),
         terms: JobTerms::example(POOL),
         received_at: ms(now),
--- a/crates/core/tests/jobs/bodies.rs
+++ b/crates/core/tests/jobs/bodies.rs
@@ -7,7 +7,7 @@
 /// Creates an owner whose job 1 has ended, and whose removal of its body is unanswered.
 fn open_with_removal() -> SchedulerHarness {
     let mut harness = SchedulerHarness::open(1);
-    harness.scheduler.cancel(JobId(1));
+    harness.scheduler.cancel(JobId(1), None);
     harness.accept(1, vec![step(1)]);
     harness.settle();
     assert_eq!(harness.body_removals, [vec![JobId(1)]]);
@@ -58,7 +58,7 @@
 #[test]
 fn a_body_stored_again_before_its_removal_is_removed_once() {
     let mut harness = open_with_removal();
-    harness.scheduler.cancel(JobId(2));
+    harness.scheduler.cancel(JobId(2), None);
     harness.accept(2, vec![step(1)]);
     harness.settle();
     harness.accept(2, vec![step(1)]);
--- a/crates/core/tests/jobs/extremes.rs
+++ b/crates/core/tests/jobs/extremes.rs
@@ -43,6 +43,7 @@
 #[test]
 fn a_job_with_numbers_out_of_range_is_rejected() {
     let repeat = |start_at, interval| JobSpec {
+        tenant: None,
         repeat: Some(RepeatPlan {
             times: 3,
             start_at,
--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -22,6 +22,7 @@
 
 fn view(pool: &str, demand: u64, vms: usize, idle: Vec<IdleVm>) -> PoolDemandView {
     PoolDemandView {
+        contracted_waiting: 0,
         pool: PoolName::new(pool),
         spare: pool == "spare",
         demand,
@@ -72,12 +73,14 @@
     let ending = || {
         let idle_vms = (0..4).map(|number| idle(&format!("e-{number}"), false));
         PoolDemandView {
+            contracted_waiting: 0,
             present_demand: 96_000,
             late_demand: 96_000,
             ..view("ending", 256_000, 8, idle_vms.collect())
         }
     };
     let rising = |present_demand| PoolDemandView {
+        contracted_waiting: 0,
         present_demand,
         late_demand: present_demand,
         ..view("rising", 160_000, 1, Vec::new())
@@ -98,6 +101,7 @@
         let idle_vms = (0..8).map(|number| idle(&format!("c-{number}"), long_idle));
         let calm = view("calm", 1_000, 8, idle_vms.collect());
         let late = PoolDemandView {
+            contracted_waiting: 0,
             late_demand: 320_000,
             ..view("late", 32_000, 1, Vec::new())
         };
@@ -138,6 +142,7 @@
 #[test]
 fn surplus_vms_return_at_once_to_the_pool_furthest_below_its_base_size() {
     let below = |pool: &str, vms: usize, base_size: usize| PoolDemandView {
+        contracted_waiting: 0,
         base_size,
         ..view(pool, 1_000, vms, Vec::new())
     };
@@ -282,6 +287,7 @@
     let mut catalogue = catalogue().as_ref().clone();
     let idle_work = catalogue.works[0].clone();
     catalogue.works.extend((0..250).map(|number| JobWork {
+        public: false,
         name: WorkName::new(&format!("idle-{number}")),
         ..idle_work.clone()
     }));
--- a/crates/core/tests/jobs/harness.rs
+++ b/crates/core/tests/jobs/harness.rs
@@ -89,6 +89,7 @@
         max_connections: 64,
     };
     let work = |name: &str| JobWork {
+        public: false,
         name: WorkName::new(name),
         host: format!("{name}.example"),
         path_prefix: "/".to_owned(),
@@ -101,6 +102,7 @@
         advice: None,
     };
     Arc::new(JobCatalogue {
+        tenants: None,
         version: 1,
         works: vec![work("mould"), work("melt")],
         pools: vec![
@@ -119,6 +121,7 @@
 
 pub(crate) fn spec(steps: Vec<StepSpec>, now: ClockTime) -> Arc<JobSpec> {
     Arc::new(JobSpec {
+        tenant: None,
         work: WorkName::new("mould"),
         terms: JobTerms::example("mould"),
         received_at: now,
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -29,9 +29,9 @@
 use jacinthhoist_core::{
     ClockTime,
     job::{
-        AnyTask, BatchRecord, JobId, JobProgress, JobState, JobUrgency, OrderReply, QueuedJob,
-        RenewalReport, StartReply, StepPace, StepSpec, TaskEnd, TaskKey, WorkLoad, WorkerEntry,
-        WorkerState, admit_job, order_queue,
+        AnyTask, BatchRecord, JobId, JobProgress, JobState, JobUrgency, OrderReply, PoolShares,
+        QueuedJob, RenewalReport, Resources, StartReply, StepPace, StepSpec, TaskEnd, TaskKey,
+        WorkLoad, WorkerEntry, WorkerState, admit_job, order_queue,
     },
 };
 
@@ -494,12 +494,12 @@
 #[test]
 fn a_cancelled_job_starts_no_tasks_even_if_the_cancellation_arrives_first() {
     let mut harness = SchedulerHarness::open(1);
-    harness.scheduler.cancel(JobId(1));
+    harness.scheduler.cancel(JobId(1), None);
     harness.accept(1, vec![step(1)]);
     harness.accept(2, vec![step(1)]);
     harness.wait(20);
     harness.step();
-    harness.scheduler.cancel(JobId(2));
+    harness.scheduler.cancel(JobId(2), None);
     harness.settle();
     assert!(harness.starts.is_empty());
     assert_eq!(harness.scheduler.state(JobId(1)), Some(JobState::Cancelled));
@@ -510,7 +510,7 @@
 #[test]
 fn a_cancellation_without_a_job_is_removed_after_a_delay() {
     let mut harness = SchedulerHarness::open(1);
-    harness.scheduler.cancel(JobId(9));
+    harness.scheduler.cancel(JobId(9), None);
     for _ in 0..10 {
         harness.wait(1_000);
         harness.settle();
@@ -529,7 +529,7 @@
 fn bodies_of_ended_jobs_are_removed_by_one_call_at_a_time() {
     let mut harness = SchedulerHarness::open(1);
     for id in 1..=3 {
-        harness.scheduler.cancel(JobId(id));
+        harness.scheduler.cancel(JobId(id), None);
         harness.accept(id, vec![step(1)]);
         harness.settle();
     }
@@ -542,7 +542,7 @@
 #[test]
 fn an_ended_job_is_retained_and_dropped_only_after_its_body() {
     let mut harness = SchedulerHarness::open(1);
-    harness.scheduler.cancel(JobId(1));
+    harness.scheduler.cancel(JobId(1), None);
     harness.accept(1, vec![step(1)]);
     harness.settle();
     harness.wait(200_000);
@@ -734,6 +734,8 @@
 fn the_order_of_new_jobs_depends_on_the_load() {
     let now = ms(10_000);
     let job = |id: u64, deadline: u64, is_new: bool| QueuedJob {
+        need: Resources::default(),
+        tenant: None,
         urgency: JobUrgency::for_deadline(0, ms(deadline), ms(1_000), is_new, now),
         job: JobId(id),
         // One second of eight cores.
@@ -755,7 +757,7 @@
     ];
     for (cores, expected) in table {
         let mut queue = queue;
-        order_queue(&mut queue, cores * 1_000, now);
+        order_queue(&mut queue, cores * 1_000, &mut PoolShares::default(), now);
         let order = queue.map(|queued| queued.job.0);
         assert_eq!(order, expected, "{cores} cores");
     }
@@ -822,7 +824,7 @@
     harness.settle();
     let again = harness.starts.remove(0);
     assert_eq!(again.run, 2);
-    harness.scheduler.cancel(JobId(1));
+    harness.scheduler.cancel(JobId(1), None);
     harness.reply(&again, StartReply::TooLate);
     harness.settle();
     let state = harness.scheduler.state(JobId(1));
--- a/crates/core/tests/jobs/probation.rs
+++ b/crates/core/tests/jobs/probation.rs
@@ -158,7 +158,7 @@
     for start in std::mem::take(&mut owner.starts) {
         owner.reply(&start, StartReply::Unhealthy);
     }
-    owner.scheduler.cancel(JobId(1));
+    owner.scheduler.cancel(JobId(1), None);
     let gang = StepSpec {
         gang: true,
         ..step(3)
--- a/crates/core/tests/jobs/waiting.rs
+++ b/crates/core/tests/jobs/waiting.rs
@@ -167,7 +167,7 @@
     let running = harness.confirm();
     harness.accept(2, vec![sized(1, 32)]);
     harness.settle();
-    harness.scheduler.cancel(JobId(2));
+    harness.scheduler.cancel(JobId(2), None);
     harness.accept(3, vec![step(31)]);
     harness.settle();
     assert_eq!(started_jobs(&harness.starts), [JobId(3); 31]);
--- a/crates/emulator/src/caller.rs
+++ b/crates/emulator/src/caller.rs
@@ -234,6 +234,7 @@
     async fn call(&mut self, action: CallerAction) -> Option<CallerReply> {
         let member = self.rng.random_range(0..self.fleet.member_count());
         let request = CallerRequest {
+            key: None,
             host: format!("{}.example", self.shape.pool),
             path: format!("/jobs/{}", self.job),
             action,
--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -258,6 +258,7 @@
             MemberRank::Regular
         };
         let settings = SchedulerSettings {
+            revocation: None,
             identity: MemberIdentity {
                 name: MemberName::new(&name),
                 peer_address: SocketAddr::from(([10, 0, 0, index as u8], PEER_PORT)),
--- a/crates/emulator/src/model.rs
+++ b/crates/emulator/src/model.rs
@@ -472,6 +472,7 @@
     let work = |pool: &String| {
         let load = scenario.loads.iter().find(|load| load.pool == *pool);
         JobWork {
+            public: false,
             name: WorkName::new(pool),
             host: format!("{pool}.example"),
             path_prefix: "/jobs/".to_owned(),
@@ -493,6 +494,7 @@
     let mut all: Vec<JobPool> = pools.iter().map(|name| pool(name, false)).collect();
     all.push(pool(SPARE_POOL, true));
     JobCatalogue {
+        tenants: None,
         version: 1,
         works: pools.iter().map(work).collect(),
         pools: all,
--- a/crates/experiments/examples/schedule.rs
+++ b/crates/experiments/examples/schedule.rs
@@ -158,6 +158,7 @@
             ..StepSpec::default()
         };
         let spec = JobSpec {
+            tenant: None,
             work: WorkName::new(&format!("work-{pool}")),
             terms: JobTerms::example(&format!("pool-{pool}")),
             received_at: self.now,
@@ -238,6 +239,7 @@
 
 fn catalogue(pools: usize) -> Arc<JobCatalogue> {
     let work = |pool: usize| JobWork {
+        public: false,
         name: WorkName::new(&format!("work-{pool}")),
         host: format!("pool-{pool}.example"),
         path_prefix: "/".to_owned(),
@@ -256,6 +258,7 @@
         max_connections: 64,
     };
     Arc::new(JobCatalogue {
+        tenants: None,
         version: 1,
         works: (0..pools).map(work).collect(),
         pools: (0..pools).map(pool).collect(),
--- a/crates/experiments/examples/waiting.rs
+++ b/crates/experiments/examples/waiting.rs
@@ -151,6 +151,7 @@
 
 fn accept(scheduler: &mut Scheduler, id: u64, step: StepSpec, now: ClockTime) {
     let spec = JobSpec {
+        tenant: None,
         work: WorkName::new(POOL),
         terms: JobTerms::example(POOL),
         received_at: now,
@@ -192,8 +193,10 @@
 
 fn catalogue() -> Arc<JobCatalogue> {
     Arc::new(JobCatalogue {
+        tenants: None,
         version: 1,
         works: vec![JobWork {
+            public: false,
             name: WorkName::new(POOL),
             host: "pool.example".to_owned(),
             path_prefix: "/".to_owned(),
--- a/crates/scheduler/src/caller.rs
+++ b/crates/scheduler/src/caller.rs
@@ -1,4 +1,4 @@
-//! Caller pipe: accept → classify → admit → store → answer.
+//! Caller pipe: accept → classify → permit → admit → store → answer.
 //!
 //! A call is a typestate: each filter consumes it in one phase and returns it in the next, or
 //! returns the final reply. The pipe only loads snapshots and sends to channels; it has no state of
@@ -8,10 +8,10 @@
 
 use jacinthhoist_codec::{JobReply, KeyedRecord, StoreOutcome, encode_cancel, encode_job};
 use jacinthhoist_core::{
-    ClockTime, WorkName,
+    ClockTime, TenantName, WorkName,
     job::{
-        CallerLimits, JobCatalogue, JobError, JobId, JobSpec, JobState, JobTerms, JobWork,
-        RepeatPlan, StepSpec, WorkLoad, admit_job, outage_retry,
+        CallerLimits, JobCatalogue, JobError, JobId, JobSpec, JobState, JobTerms, JobWork, KeyHash,
+        KeyRefusal, RepeatPlan, StepSpec, WorkLoad, admit_job, admit_tenant_job, outage_retry,
     },
 };
 use serde_json::json;
@@ -80,6 +80,8 @@
     pub path: String,
     /// Requested action.
     pub action: CallerAction,
+    /// Hash of the key that the request carries.
+    pub key: Option<KeyHash>,
     /// Time for which the caller waits for the answer.
     pub timeout: Option<ClockTime>,
 }
@@ -97,6 +99,8 @@
     Waiting(u32),
     /// The host and path belong to no kind of work.
     NoSuchWork,
+    /// The request carries no key that counts.
+    NotPermitted(KeyRefusal),
     /// The job does not exist.
     NoSuchJob,
     /// The request is malformed.
@@ -123,6 +127,7 @@
             Self::State(_) => "state",
             Self::Waiting(_) => "waiting",
             Self::NoSuchWork => "no_such_work",
+            Self::NotPermitted(_) => "not_permitted",
             Self::NoSuchJob => "no_such_job",
             Self::BadCall(_) => "bad_call",
             Self::Busy { .. } => "busy",
@@ -143,8 +148,16 @@
     rest: String,
 }
 
+/// Phase: the caller may use the kind of work.
+struct Permitted {
+    classified: Classified,
+    /// Tenant of the caller; none if no key is needed.
+    tenant: Option<TenantName>,
+}
+
 /// Phase: the job may be stored.
 struct Admitted {
+    work: WorkName,
     job: JobId,
     record: KeyedRecord,
 }
@@ -194,6 +207,7 @@
         !self.shared.is_stopping()
             && self.shared.catalogue.load().is_some()
             && self.shared.store_silence() < MAX_STORE_SILENCE
+            && self.shared.may_trust_keys()
     }
 
     /// Returns `true` if the member is stopping and connections should be closed after the next
@@ -271,12 +285,18 @@
             Err(reply) => return (None, reply),
         };
         let work = call.phase.work.clone();
+        let call = match self.permit(call) {
+            Ok(call) => call,
+            Err(reply) => return (Some(work), reply),
+        };
         let reply = match &call.request.action {
             CallerAction::Submit(_) => match self.admit(call) {
                 Ok(call) => self.store(call).await,
                 Err(reply) => reply,
             },
-            CallerAction::Show if call.phase.rest.is_empty() => self.count_waiting(&work),
+            CallerAction::Show if call.phase.classified.rest.is_empty() => {
+                self.count_waiting(&work)
+            }
             CallerAction::Show => self.show(call).await,
             CallerAction::Cancel => self.cancel(call).await,
         };
@@ -308,19 +328,55 @@
         Ok(call.with_phase(phase))
     }
 
-    fn admit(&self, call: JobCall<Classified>) -> Result<JobCall<Admitted>, CallerReply> {
-        let id = job_id(&call.phase.rest)?;
+    /// Finds the tenant of the caller. Keys count only while the catalogue is recent enough.
+    fn permit(&self, call: JobCall<Classified>) -> Result<JobCall<Permitted>, CallerReply> {
+        let Classified {
+            catalogue, work, ..
+        } = &call.phase;
+        let tenant = self.find_tenant(catalogue, work, call.request.key.as_ref())?;
+        let (request, received_at, deadline) = (call.request, call.received_at, call.deadline);
+        Ok(JobCall {
+            request,
+            received_at,
+            deadline,
+            phase: Permitted {
+                classified: call.phase,
+                tenant,
+            },
+        })
+    }
+
+    fn find_tenant(
+        &self,
+        catalogue: &JobCatalogue,
+        work: &WorkName,
+        key: Option<&KeyHash>,
+    ) -> Result<Option<TenantName>, CallerReply> {
+        let work = catalogue.work(work).ok_or(CallerReply::NoSuchWork)?;
+        let tenant = catalogue.authorize(work, key);
+        let tenant = tenant.map_err(CallerReply::NotPermitted)?;
+        if tenant.is_some() && !self.shared.may_trust_keys() {
+            self.shared.meter.outdated_catalogues.increment(1);
+            return Err(self.unavailable(0));
+        }
+        Ok(tenant)
+    }
+
+    fn admit(&self, call: JobCall<Permitted>) -> Result<JobCall<Admitted>, CallerReply> {
+        let Permitted { classified, tenant } = &call.phase;
+        let id = job_id(&classified.rest)?;
         let CallerAction::Submit(body) = call.request.action.clone() else {
             return Err(CallerReply::BadCall("not a job".to_owned()));
         };
         let body = body.map_err(CallerReply::BadCall)?;
-        let catalogue = &call.phase.catalogue;
-        let work = catalogue.work(&call.phase.work);
+        let catalogue = &classified.catalogue;
+        let work = catalogue.work(&classified.work);
         let work = work.ok_or(CallerReply::NoSuchWork)?;
         let (received_on, received_at) = self.shared.on_owner_clock(call.received_at);
         let spec = JobSpec {
             work: work.name.clone(),
             terms: JobTerms::of(work),
+            tenant: tenant.clone(),
             received_at,
             received_on: Some(received_on),
             payload: body.payload,
@@ -331,7 +387,9 @@
         self.admit_load(work, &spec)?;
         let record = encode_job(id, &spec);
         let record = record.map_err(|error| CallerReply::BadCall(error.to_string()))?;
-        Ok(call.with_phase(Admitted { job: id, record }))
+        let work = classified.work.clone();
+        let job = id;
+        Ok(call.with_phase(Admitted { work, job, record }))
     }
 
     /// Refuses a job that is expected to miss its objective under the current load.
@@ -342,13 +400,28 @@
         let load = self.admission_load(&work.name);
         let chain = load.task.as_millis().saturating_mul(spec.chain_len());
         let stretched = ClockTime::from_millis((chain as f64 * work.stretch) as u64);
-        admit_job(&load, stretched + work.objective).map_err(|refusal| CallerReply::Busy {
+        let objective = stretched + work.objective;
+        let admitted = match &spec.tenant {
+            Some(tenant) => {
+                let tenant_load = self.shared.tenant_load(tenant, &work.pool);
+                admit_tenant_job(&load, &tenant_load, objective)
+            }
+            None => admit_job(&load, objective),
+        };
+        admitted.map_err(|refusal| CallerReply::Busy {
             retry_after: refusal.retry_after,
         })
     }
 
     async fn store(&self, call: JobCall<Admitted>) -> CallerReply {
-        let Admitted { job, record } = call.phase;
+        let Admitted { work, job, record } = call.phase;
+        // The key may have been withdrawn since the call arrived.
+        if let Some(catalogue) = self.shared.catalogue.load_full()
+            && let Err(reply) = self.find_tenant(&catalogue, &work, call.request.key.as_ref())
+            && reply != CallerReply::NoSuchWork
+        {
+            return reply;
+        }
         match self.append(record, call.deadline).await {
             StoreOutcome::Stored => CallerReply::Accepted,
             StoreOutcome::NotStored => self.unavailable(job.0),
@@ -356,28 +429,34 @@
         }
     }
 
-    async fn show(&self, call: JobCall<Classified>) -> CallerReply {
-        let id = match job_id(&call.phase.rest) {
+    async fn show(&self, call: JobCall<Permitted>) -> CallerReply {
+        let id = match job_id(&call.phase.classified.rest) {
             Ok(id) => id,
             Err(reply) => return reply,
         };
-        match self.query(id, call.deadline).await {
+        match self.query(id, call.phase.tenant, call.deadline).await {
             JobReply::Known(state) => CallerReply::State(state),
             JobReply::Missing => CallerReply::NoSuchJob,
             JobReply::Unsure => self.unavailable(id.0),
         }
     }
 
-    async fn cancel(&self, call: JobCall<Classified>) -> CallerReply {
-        let id = match job_id(&call.phase.rest) {
+    async fn cancel(&self, call: JobCall<Permitted>) -> CallerReply {
+        let tenant = call.phase.tenant;
+        let id = match job_id(&call.phase.classified.rest) {
             Ok(id) => id,
             Err(reply) => return reply,
         };
         // The cancellation is stored even if the owner does not know the job, which may have been
         // accepted a moment ago. The record affects only the job that it names.
         let owner_deadline = Instant::now() + duration(OWNER_TIMEOUT);
-        let known = self.query(id, call.deadline.min(owner_deadline)).await;
-        match self.append(encode_cancel(id), call.deadline).await {
+        let deadline = call.deadline.min(owner_deadline);
+        let known = self.query(id, tenant.clone(), deadline).await;
+        let record = match encode_cancel(id, tenant.as_ref()) {
+            Ok(record) => record,
+            Err(error) => return CallerReply::BadCall(error.to_string()),
+        };
+        match self.append(record, call.deadline).await {
             StoreOutcome::Stored if known == JobReply::Missing => CallerReply::NoSuchJob,
             StoreOutcome::Stored => CallerReply::Cancelled,
             StoreOutcome::NotStored => self.unavailable(id.0),
@@ -394,10 +473,11 @@
         outcome.unwrap_or(StoreOutcome::Unknown)
     }
 
-    async fn query(&self, job: JobId, deadline: Instant) -> JobReply {
+    async fn query(&self, job: JobId, tenant: Option<TenantName>, deadline: Instant) -> JobReply {
         loop {
             let (reply, answer) = oneshot::channel();
-            if self.queries.send(JobQuery { job, reply }).is_err() {
+            let tenant = tenant.clone();
+            if self.queries.send(JobQuery { job, tenant, reply }).is_err() {
                 return JobReply::Unsure;
             }
             match recv_before(deadline, answer).await {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -1,7 +1,7 @@
 //! Runtime pipes of a scheduler member.
 //!
 //! ```text
-//! caller pipe   accept → classify → admit → store → answer           every member
+//! caller pipe   accept → classify → permit → admit → store → answer  every member
 //! owner pipe    tail → fold → observe workers → schedule → store → order → confirm
 //!                                                                      the pools' owner
 //! ```
--- a/crates/scheduler/src/member.rs
+++ b/crates/scheduler/src/member.rs
@@ -9,7 +9,7 @@
 use jacinthhoist_codec::StoreLimits;
 use jacinthhoist_core::{
     ClockTime, MemberName,
-    job::{MemberRank, SchedulerLimits},
+    job::{MemberRank, RevocationSpan, SchedulerLimits},
 };
 use jacinthhoist_net::{BootClock, WallClock};
 use tokio::{
@@ -106,6 +106,8 @@
     pub limits: SchedulerLimits,
     /// Size limits of the store.
     pub store_limits: StoreLimits,
+    /// Span within which withdrawn keys must be refused by every member; none if that is not required.
+    pub revocation: Option<RevocationSpan>,
 }
 
 /// Running member. Dropping it aborts its tasks; [`SchedulerMember::stop`] also waits for them.
@@ -145,7 +147,14 @@
         log: Arc<EventLog>,
     ) -> Result<Self> {
         let address = settings.identity.peer_address;
-        let shared = MemberShared::open(settings.identity, settings.store_limits, clock, wall, log);
+        let shared = MemberShared::open(
+            settings.identity,
+            settings.store_limits,
+            settings.revocation,
+            clock,
+            wall,
+            log,
+        );
         let peers = Arc::new(peers);
         event!(shared.log, Start, "version": env!("CARGO_PKG_VERSION"),
             "key": shared.identity.member_key());
--- a/crates/scheduler/src/meter.rs
+++ b/crates/scheduler/src/meter.rs
@@ -42,6 +42,8 @@
     pub(crate) owner_stores: Counter,
     /// Records of callers that this member stored itself.
     pub(crate) own_stores: Counter,
+    /// Calls with keys that were refused as the catalogue may be outdated.
+    pub(crate) outdated_catalogues: Counter,
     pub(crate) starts: Counter,
     pub(crate) renewals: Counter,
 }
@@ -59,6 +61,7 @@
             append_retries: counter!("jacinthhoist_store_append_retries_total"),
             owner_stores: counter!("jacinthhoist_records_stored_total", "by" => "owner"),
             own_stores: counter!("jacinthhoist_records_stored_total", "by" => "member"),
+            outdated_catalogues: counter!("jacinthhoist_outdated_catalogue_refusals_total"),
             starts: counter!("jacinthhoist_task_starts_total"),
             renewals: counter!("jacinthhoist_worker_holds_total"),
         }
--- a/crates/scheduler/src/operator.rs
+++ b/crates/scheduler/src/operator.rs
@@ -4,7 +4,7 @@
 
 use jacinthhoist_core::{
     ClockTime,
-    job::{JobCatalogue, WaveRequest},
+    job::{JobCatalogue, TenantTable, WaveRequest},
 };
 use tokio::{sync::watch, time::sleep};
 
@@ -47,6 +47,8 @@
     pub(crate) async fn run(self) {
         let mut next = None;
         loop {
+            let asked_at = self.shared.clock.now();
+            let is_list = next.is_none();
             let read = match next {
                 None => self.platform.operator_newest().await,
                 Some(from) => self.platform.operator_read(from, READ_WAIT).await,
@@ -56,7 +58,12 @@
                 Ok(page) => {
                     self.shared.record_store_answer();
                     next = Some(page.next);
+                    let is_complete = is_list || page.next >= page.end;
+                    let catalogues = page.items.iter().filter_map(is_unreadable_catalogue);
+                    let is_unreadable = catalogues.last();
                     page.items.into_iter().for_each(|record| self.apply(record));
+                    self.shared
+                        .record_catalogue_read(asked_at, is_complete, is_unreadable);
                 }
                 Err(error) => {
                     if error.category() == Category::Trimmed {
@@ -80,14 +87,14 @@
                 });
             }
             OperatorRecord::Other => {}
-            OperatorRecord::Unreadable { key, reason } => {
+            OperatorRecord::Unreadable { key, reason, .. } => {
                 event!(self.shared.log, Unreadable, "key": key, "reason": reason);
             }
         }
     }
 
     /// Publishes a catalogue unless a newer version is known.
-    fn publish(&self, catalogue: Arc<JobCatalogue>) {
+    fn publish(&self, mut catalogue: Arc<JobCatalogue>) {
         let known = self.shared.catalogue.load();
         if known
             .as_ref()
@@ -95,8 +102,24 @@
         {
             return;
         }
+        let earlier = known.as_ref().and_then(|known| known.tenants.as_ref());
+        Arc::make_mut(&mut catalogue).record_withdrawn_keys(earlier);
+        let tenants = catalogue.tenants.as_ref();
         event!(self.shared.log, Reload, "what": "catalogue", "version": catalogue.version,
-            "works": catalogue.works.len(), "pools": catalogue.pools.len());
+            "works": catalogue.works.len(), "pools": catalogue.pools.len(),
+            "tenants": tenants.map(|tenants| tenants.iter().count()),
+            "keys": tenants.map(TenantTable::count_keys));
         self.shared.catalogue.store(Some(catalogue));
     }
 }
+
+/// Returns for a catalogue whether it cannot be decoded; `None` for other records.
+fn is_unreadable_catalogue(record: &OperatorRecord) -> Option<bool> {
+    match record {
+        OperatorRecord::Catalogue(_) => Some(false),
+        OperatorRecord::Unreadable {
+            is_catalogue: true, ..
+        } => Some(true),
+        _ => None,
+    }
+}
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -17,7 +17,7 @@
 
 use futures::FutureExt;
 
-use jacinthhoist_codec::{AcceptedRecord, JobReply};
+use jacinthhoist_codec::AcceptedRecord;
 use jacinthhoist_core::{
     ClockTime, VmName, WorkerId,
     job::{
@@ -25,14 +25,11 @@
         VmEntry, WorkerEntry,
     },
 };
-use tokio::{
-    sync::{oneshot, watch},
-    time::sleep,
-};
+use tokio::{sync::watch, time::sleep};
 
 use crate::{
-    eventlog::event, membership::PoolOwnership, operator::WaveRequests, ports::Platform,
-    shared::MemberShared,
+    eventlog::event, membership::PoolOwnership, operator::WaveRequests, peer::JobQuery,
+    ports::Platform, shared::MemberShared,
 };
 
 pub(crate) use takeover::decode_accepted_records;
@@ -124,10 +121,7 @@
     /// Another member has taken over; the text is the reason for the log.
     Fenced(&'static str),
     /// Query for the state of a job.
-    Query {
-        job: JobId,
-        reply: oneshot::Sender<JobReply>,
-    },
+    Query { query: JobQuery },
 }
 
 impl OwnerEvent {
--- a/crates/scheduler/src/owner/decisions.rs
+++ b/crates/scheduler/src/owner/decisions.rs
@@ -100,6 +100,18 @@
             EventKind::JobWaits,
             json!({"job": job.to_string(), "step": step.to_string(), "in_vain": in_vain}),
         ),
+        SchedulerDecision::TenantFull {
+            tenant,
+            step,
+            running,
+            limit,
+        } => (
+            EventKind::TenantFull,
+            json!({"tenant": tenant.as_str(), "job": step.job.to_string(),
+                "step": step.to_string(), "cpu": running.cpu, "mem_mb": running.mem_mb,
+                "gpu": running.gpu, "limit_cpu": limit.0.cpu, "limit_mem_mb": limit.0.mem_mb,
+                "limit_gpu": limit.0.gpu}),
+        ),
         SchedulerDecision::RoomHeld {
             task,
             worker,
--- a/crates/scheduler/src/owner/engine.rs
+++ b/crates/scheduler/src/owner/engine.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     append::duration, eventlog::event, membership::PoolOwnership, operator::WaveRequests,
-    ports::Platform, shared::MemberShared,
+    peer::JobQuery, ports::Platform, shared::MemberShared,
 };
 
 use super::{
@@ -423,12 +423,12 @@
             OwnerEvent::Vms { vms, asked_at } => scheduler.vms_listed(vms, asked_at, now),
             OwnerEvent::VmOrdered { vm, reply } => scheduler.vm_order_replied(&vm, reply, now),
             OwnerEvent::Fenced(_) => {}
-            OwnerEvent::Query { job, reply } => match scheduler.state(job) {
-                Some(state) => {
+            OwnerEvent::Query { query } => match find_job(scheduler, &query) {
+                Some(answer) => {
                     // The sender of the query may no longer be waiting.
-                    let _ = reply.send(JobReply::Known(state));
+                    let _ = query.reply.send(answer);
                 }
-                None => self.questions.put(job, reply, now),
+                None => self.questions.put(query, now),
             },
         }
     }
@@ -436,17 +436,29 @@
     /// Answers the questions that have waited for a read of accepted jobs.
     fn settle_questions(&mut self, now: ClockTime) {
         let owned_at = self.authority.evidence().stored_at;
-        let find = |job| self.scheduler.state(job).map(JobReply::Known);
+        let find = |query: &JobQuery| find_job(&self.scheduler, query);
         self.questions.settle(owned_at, now, find);
     }
 }
 
+/// Returns the answer to a query for a job that the scheduler knows. A job of another tenant does not exist for the
+/// caller.
+fn find_job(scheduler: &Scheduler, query: &JobQuery) -> Option<JobReply> {
+    let state = scheduler.state(query.job)?;
+    let is_visible = scheduler.is_visible(query.job, query.tenant.as_ref());
+    Some(if is_visible {
+        JobReply::Known(state)
+    } else {
+        JobReply::Missing
+    })
+}
+
 /// Applies accepted records; records that are already known have no effect.
 fn apply_accepted(scheduler: &mut Scheduler, records: Vec<AcceptedRecord>) {
     for record in records {
         match record {
             AcceptedRecord::Job(id, spec) => scheduler.accept(id, Arc::new(spec)),
-            AcceptedRecord::Cancel(id) => scheduler.cancel(id),
+            AcceptedRecord::Cancel(id, tenant) => scheduler.cancel(id, tenant.as_ref()),
             AcceptedRecord::Removed => {}
         }
     }
--- a/crates/scheduler/src/owner/questions.rs
+++ b/crates/scheduler/src/owner/questions.rs
@@ -12,8 +12,10 @@
 };
 
 use jacinthhoist_codec::JobReply;
-use jacinthhoist_core::{ClockTime, job::JobId};
-use tokio::sync::{Notify, oneshot};
+use jacinthhoist_core::ClockTime;
+use tokio::sync::Notify;
+
+use crate::peer::JobQuery;
 
 /// Time after which a question that no read has answered is given up; the longest wait of callers that
 /// state none. Others ask again.
@@ -55,8 +57,7 @@
 /// Question that has not been answered.
 struct OpenQuestion {
     number: QuestionNumber,
-    job: JobId,
-    reply: oneshot::Sender<JobReply>,
+    query: JobQuery,
     put_at: ClockTime,
 }
 
@@ -83,12 +84,11 @@
     }
 
     /// Adds a question.
-    pub(super) fn put(&mut self, job: JobId, reply: oneshot::Sender<JobReply>, put_at: ClockTime) {
+    pub(super) fn put(&mut self, query: JobQuery, put_at: ClockTime) {
         let number = self.demand.put();
         self.waiting.push_back(OpenQuestion {
             number,
-            job,
-            reply,
+            query,
             put_at,
         });
     }
@@ -109,7 +109,7 @@
         &mut self,
         owned_at: ClockTime,
         now: ClockTime,
-        find: impl Fn(JobId) -> Option<JobReply>,
+        find: impl Fn(&JobQuery) -> Option<JobReply>,
     ) {
         let owned = owned_at > self.listed_at;
         while let Some(first) = self.waiting.front() {
@@ -122,7 +122,8 @@
             };
             if let Some(question) = self.waiting.pop_front() {
                 // The sender of the question may no longer be waiting.
-                let _ = question.reply.send(find(question.job).unwrap_or(unknown));
+                let answer = find(&question.query).unwrap_or(unknown);
+                let _ = question.query.reply.send(answer);
             }
         }
     }
--- a/crates/scheduler/src/owner/takeover.rs
+++ b/crates/scheduler/src/owner/takeover.rs
@@ -4,7 +4,7 @@
 
 use jacinthhoist_codec::{AcceptedRecord, KeyedRecord, ProgressReader, decode_accepted};
 use jacinthhoist_core::{
-    ClockTime,
+    ClockTime, TenantName,
     job::{
         BatchRecord, ClockReadings, FormerOwner, JobCatalogue, JobId, JobProgress, JobSpec,
         OwnershipProof, Scheduler, SchedulerLimits, SuccessionRecord,
@@ -57,7 +57,7 @@
 #[derive(Default)]
 struct StoredRecords {
     jobs: BTreeMap<JobId, Arc<JobSpec>>,
-    cancels: Vec<JobId>,
+    cancels: Vec<(JobId, Option<TenantName>)>,
     progress: Vec<BatchRecord>,
     /// Record of the last owner.
     succession: Option<SuccessionRecord>,
@@ -202,7 +202,7 @@
                 AcceptedRecord::Job(id, spec) => {
                     records.jobs.insert(id, Arc::new(spec));
                 }
-                AcceptedRecord::Cancel(id) => records.cancels.push(id),
+                AcceptedRecord::Cancel(id, tenant) => records.cancels.push((id, tenant)),
                 AcceptedRecord::Removed => {}
             }
         }
@@ -240,8 +240,8 @@
         let formers = former_owners(&shared.identity, record, &readings, now);
         scheduler.restore_former_owners(formers);
     }
-    for id in records.cancels {
-        scheduler.cancel(id);
+    for (id, tenant) in records.cancels {
+        scheduler.cancel(id, tenant.as_ref());
     }
     for record in records.progress {
         match record {
@@ -263,6 +263,7 @@
     for (id, spec) in records.jobs {
         scheduler.restore(id, Some(spec), &JobProgress::default());
     }
+    scheduler.meter_restored_jobs();
     scheduler
 }
 
--- a/crates/scheduler/src/peer/query.rs
+++ b/crates/scheduler/src/peer/query.rs
@@ -11,7 +11,7 @@
     JobFrame, JobReply, KeyedRecord, OwnerHeartbeat, StandingEvidence, StoreOutcome,
     decode_job_frame,
 };
-use jacinthhoist_core::job::JobId;
+use jacinthhoist_core::{TenantName, job::JobId};
 use tokio::{
     sync::{mpsc, oneshot},
     time::{Instant, sleep, sleep_until},
@@ -53,8 +53,11 @@
 }
 
 /// Query for the state of a job.
+#[derive(Debug)]
 pub(crate) struct JobQuery {
     pub(crate) job: JobId,
+    /// Tenant of the caller.
+    pub(crate) tenant: Option<TenantName>,
     pub(crate) reply: oneshot::Sender<JobReply>,
 }
 
@@ -118,7 +121,7 @@
                 let shared = self.shared.clone();
                 tokio::spawn(async move {
                     // The caller may no longer be waiting.
-                    let _ = query.reply.send(query_owner(&shared, query.job).await);
+                    let _ = query.reply.send(query_owner(&shared, query.job, query.tenant).await);
                 });
             },
             Some(request) = self.store_requests.recv() => self.store_locally(request),
@@ -264,10 +267,10 @@
                         return;
                     };
                     self.next_id += 1;
-                    let (id, job) = (self.next_id, query.job);
+                    let (id, job, tenant) = (self.next_id, query.job, query.tenant);
                     open.queries.retain(|_, reply| !reply.is_closed());
                     open.queries.insert(id, query.reply);
-                    if !send(&mut socket, &JobFrame::Ask { id, job }).await {
+                    if !send(&mut socket, &JobFrame::Ask { id, job, tenant }).await {
                         return;
                     }
                 }
--- a/crates/scheduler/src/peer/serve.rs
+++ b/crates/scheduler/src/peer/serve.rs
@@ -8,7 +8,7 @@
     encode_job_frame,
 };
 use jacinthhoist_core::{
-    ClockTime,
+    ClockTime, TenantName,
     job::{ClockReading, JobId, MemberRank},
 };
 use tokio::{
@@ -23,6 +23,7 @@
     error::Result,
     eventlog::event,
     owner::{OwnerEvent, decode_accepted_records},
+    peer::JobQuery,
     ports::{PeerListener, PeerNetwork, PeerStream},
     shared::MemberShared,
 };
@@ -203,10 +204,10 @@
         return None;
     };
     match decode_job_frame(bytes) {
-        Ok(JobFrame::Ask { id, job }) => {
+        Ok(JobFrame::Ask { id, job, tenant }) => {
             let (shared, answers) = (shared.clone(), answers.clone());
             tokio::spawn(async move {
-                let answer = query_owner(&shared, job).await;
+                let answer = query_owner(&shared, job, tenant).await;
                 // The link may have been closed.
                 let _ = answers.send(JobFrame::Answer { id, answer }).await;
             });
@@ -260,12 +261,17 @@
 }
 
 /// Queries this member's owner pipe for a job.
-pub(super) async fn query_owner(shared: &MemberShared, job: JobId) -> JobReply {
+pub(super) async fn query_owner(
+    shared: &MemberShared,
+    job: JobId,
+    tenant: Option<TenantName>,
+) -> JobReply {
     let Some(inbox) = shared.owner_inbox.load_full() else {
         return JobReply::Unsure;
     };
     let (reply, answer) = oneshot::channel();
-    if inbox.send(OwnerEvent::Query { job, reply }).is_err() {
+    let query = JobQuery { job, tenant, reply };
+    if inbox.send(OwnerEvent::Query { query }).is_err() {
         return JobReply::Unsure;
     }
     answer.await.unwrap_or(JobReply::Unsure)
--- a/crates/scheduler/src/ports.rs
+++ b/crates/scheduler/src/ports.rs
@@ -85,6 +85,8 @@
         key: String,
         /// Error of the decoder.
         reason: String,
+        /// True if the record holds a catalogue.
+        is_catalogue: bool,
     },
 }
 
--- a/crates/scheduler/src/shared.rs
+++ b/crates/scheduler/src/shared.rs
@@ -8,8 +8,11 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use jacinthhoist_codec::{OwnerHeartbeat, StoreLimits};
 use jacinthhoist_core::{
-    ClockTime, WorkName,
-    job::{AppendPace, ClockReadings, JobCatalogue, WorkLoad},
+    ClockTime, PoolName, TenantName, WorkName,
+    job::{
+        AppendPace, CatalogueProof, ClockReadings, JobCatalogue, RevocationSpan, TenantLoad,
+        WorkLoad,
+    },
 };
 use jacinthhoist_net::{BootClock, WallClock};
 use tokio::sync::mpsc;
@@ -40,6 +43,10 @@
     dependencies: DependencyStatus,
     /// Newest catalogue; empty until the first one has been read.
     pub(crate) catalogue: ArcSwapOption<JobCatalogue>,
+    /// Proof that the catalogue is the newest one, for keys.
+    catalogue_proof: ArcSwap<CatalogueProof>,
+    /// Span within which withdrawn keys must be refused; none if that is not required.
+    revocation: Option<RevocationSpan>,
     /// Owner's newest heartbeat.
     heartbeat: ArcSwap<OwnerHeartbeat>,
     /// Time of the owner's last read of accepted jobs before that heartbeat, by this member's
@@ -67,6 +74,7 @@
     pub(crate) fn open(
         identity: MemberIdentity,
         store_limits: StoreLimits,
+        revocation: Option<RevocationSpan>,
         clock: BootClock,
         wall: WallClock,
         log: Arc<EventLog>,
@@ -84,6 +92,8 @@
             meter: JobMeter::open(),
             dependencies: DependencyStatus::open(),
             catalogue: ArcSwapOption::empty(),
+            catalogue_proof: ArcSwap::default(),
+            revocation,
             heartbeat: ArcSwap::from_pointee(OwnerHeartbeat::default()),
             load_read_at: AtomicU64::new(0),
             heartbeats: HeartbeatFeed::open(),
@@ -126,6 +136,39 @@
         self.load_read_at.store(at.as_millis(), Ordering::Relaxed);
     }
 
+    /// Records an answer of the store to a read of the operators' records.
+    pub(crate) fn record_catalogue_read(
+        &self,
+        asked_at: ClockTime,
+        is_complete: bool,
+        is_unreadable: Option<bool>,
+    ) {
+        self.catalogue_proof.rcu(|proof| {
+            let mut proof = CatalogueProof::clone(proof);
+            proof.record_read(asked_at, is_complete, is_unreadable);
+            proof
+        });
+    }
+
+    /// Age of the proof that the catalogue is the newest one; `None` without a proof.
+    pub(crate) fn catalogue_age(&self) -> Option<ClockTime> {
+        self.catalogue_proof.load().age(self.clock.now())
+    }
+
+    /// Returns whether the catalogue is recent enough for keys to count. Where withdrawals have no bound, the
+    /// last known keys count.
+    pub(crate) fn may_trust_keys(&self) -> bool {
+        self.revocation.is_none_or(|span| {
+            let age = self.catalogue_age();
+            age.is_some_and(|age| age <= span.max_age())
+        })
+    }
+
+    /// Returns the load of a pool that concerns a tenant.
+    pub(crate) fn tenant_load(&self, tenant: &TenantName, pool: &PoolName) -> TenantLoad {
+        self.heartbeat.load().loads.tenant_load(tenant, pool)
+    }
+
     /// Returns the load of a kind of work in the owner's heartbeat, and the age of the data behind
     /// it.
     pub(crate) fn work_load(&self, work: &WorkName) -> (WorkLoad, ClockTime) {
