Tenants in the emulator and the interleavings; refuse what a tenant's own limit cannot run in time

Change: a new owner counts what replaced runs may take until the leases of earlier owners have lapsed; the heartbeat tells the time in which each tenant's limit lets its backlog drain, and members refuse by it. The emulator has tenants, two faults (keys replaced, limits halved) and two rules (Quota, Key).

--- a/crates/codec/tests/hostile.rs
+++ b/crates/codec/tests/hostile.rs
@@ -281,6 +281,7 @@
     let record = encode_job(JobId(5), &spec()).unwrap();
     let heartbeat = OwnerHeartbeat {
         loads: LoadReport {
+            limit_drains: BTreeMap::from([(TenantName::new("labs"), ClockTime::from_secs(4))]),
             contracted_drains: BTreeMap::from([(PoolName::new("melt"), ClockTime::from_secs(1))]),
             surplus_waits: BTreeMap::from([(TenantName::new("labs"), ClockTime::from_secs(2))]),
             drains: BTreeMap::from([(PoolName::new("melt-shop"), ClockTime::from_secs(3))]),
--- a/crates/codec/tests/job.rs
+++ b/crates/codec/tests/job.rs
@@ -205,6 +205,7 @@
         },
         JobFrame::Loads(OwnerHeartbeat {
             loads: LoadReport {
+                limit_drains: BTreeMap::from([(TenantName::new("labs"), ClockTime::from_secs(4))]),
                 contracted_drains: BTreeMap::from([(
                     PoolName::new("melt"),
                     ClockTime::from_secs(1),
--- a/crates/core/src/job/admit.rs
+++ b/crates/core/src/job/admit.rs
@@ -39,6 +39,8 @@
 pub struct TenantLoad {
     /// Time in which the pool drains the backlog of jobs that are no surplus.
     pub contracted_drain: ClockTime,
+    /// Time in which the tenant's limit lets its own backlog drain.
+    pub limit_drain: ClockTime,
     /// Time until the tenant is within its rate again, if it is beyond it.
     pub surplus_wait: Option<ClockTime>,
 }
@@ -55,6 +57,9 @@
     /// Time in which each pool drains the backlog of jobs that are no surplus; empty without tenants.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub contracted_drains: BTreeMap<PoolName, ClockTime>,
+    /// Time in which each tenant's own limit lets its backlog drain, for tenants with a limit and a backlog.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub limit_drains: BTreeMap<TenantName, ClockTime>,
     /// Tenants that are beyond their rate, with the time until they are within it again.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub surplus_waits: BTreeMap<TenantName, ClockTime>,
@@ -64,6 +69,7 @@
     /// Returns the load that concerns a tenant's jobs in a pool.
     pub fn tenant_load(&self, tenant: &TenantName, pool: &PoolName) -> TenantLoad {
         TenantLoad {
+            limit_drain: self.limit_drains.get(tenant).copied().unwrap_or_default(),
             contracted_drain: self
                 .contracted_drains
                 .get(pool)
@@ -123,15 +129,17 @@
 }
 
 /// Decides whether to accept a job of a tenant under the current load of its pool. One that is within its rate
-/// waits for other such jobs only; surplus is accepted while the whole backlog leaves it in time.
+/// waits for other such jobs only; surplus is accepted while the whole backlog leaves it in time. Both wait for what
+/// the tenant itself has sent, as its limit lets that run.
 ///
-/// Pattern: a surge of one tenant, or of all beyond what they have contracted, in a pool that is full.
+/// Pattern: a surge of one tenant, or of all beyond what they have contracted, in a pool that is full; a tenant that
+/// sends more than its limit lets run.
 ///
 /// ```
 /// use jacinthhoist_core::{ClockTime, job::{TenantLoad, WorkLoad, admit_tenant_job}};
 /// let ms = ClockTime::from_millis;
 /// let load = WorkLoad { drain: ms(9_000), waiting: 40, task: ms(800) };
-/// let within = TenantLoad { contracted_drain: ms(3_000), surplus_wait: None };
+/// let within = TenantLoad { contracted_drain: ms(3_000), ..TenantLoad::default() };
 /// assert!(admit_tenant_job(&load, &within, ms(2_000)).is_ok());
 /// let beyond = TenantLoad { surplus_wait: Some(ms(8_500)), ..within };
 /// let refusal = admit_tenant_job(&load, &beyond, ms(2_000)).unwrap_err();
@@ -146,19 +154,21 @@
     tenant: &TenantLoad,
     objective: ClockTime,
 ) -> Result<(), JobRefusal> {
+    let contracted_drain = tenant.contracted_drain.max(tenant.limit_drain);
+    let whole_drain = load.drain.max(tenant.limit_drain);
     let contracted = WorkLoad {
-        drain: tenant.contracted_drain,
+        drain: contracted_drain,
         ..*load
     };
     let Some(surplus_wait) = tenant.surplus_wait else {
         return admit_job(&contracted, objective);
     };
-    if load.drain <= objective {
+    if whole_drain <= objective {
         return Ok(());
     }
-    let until_timely = load.drain - objective;
+    let until_timely = whole_drain - objective;
     // It is within its rate by then, and waits for jobs that are no surplus only.
-    let until_contracted = surplus_wait.max(tenant.contracted_drain - objective);
+    let until_contracted = surplus_wait.max(contracted_drain - objective);
     let retry_after = until_timely.min(until_contracted).max(MIN_RETRY);
     Err(JobRefusal { retry_after })
 }
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -193,6 +193,8 @@
 #[derive(Debug)]
 pub struct Scheduler {
     limits: SchedulerLimits,
+    /// Time at which this member became the owner.
+    opened_at: ClockTime,
     catalogue: Arc<JobCatalogue>,
     jobs: BTreeMap<JobId, Job>,
     ended_jobs: BTreeMap<JobId, ClosedLife>,
@@ -253,6 +255,7 @@
         }
         Self {
             limits,
+            opened_at: now,
             catalogue,
             jobs: BTreeMap::new(),
             ended_jobs: BTreeMap::new(),
@@ -369,10 +372,12 @@
             drains: self.drain_times(|view| view.waiting),
             works: BTreeMap::new(),
             contracted_drains: BTreeMap::new(),
+            limit_drains: BTreeMap::new(),
             surplus_waits: BTreeMap::new(),
         };
         if !self.tenants.is_empty() {
             report.contracted_drains = self.drain_times(|view| view.contracted_waiting);
+            report.limit_drains = self.limit_drains();
             report.surplus_waits = self.tenants.surplus_waits(self.now);
         }
         for work in &self.catalogue.works {
--- a/crates/core/src/job/scheduler/batch.rs
+++ b/crates/core/src/job/scheduler/batch.rs
@@ -14,7 +14,7 @@
         crash::CrashHistory,
         process::RunTarget,
         release::RunOver,
-        spec::{JobId, JobState, TaskKey},
+        spec::{JobId, JobState, Resources, TaskKey, is_default},
         stored_time::StoredTime,
         succession::SuccessionRecord,
         task::{AnyTask, FailedRuns, StartOrderState, TaskRun},
@@ -74,6 +74,9 @@
     /// Tenant of an ended job, whose specification is removed.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub tenant: Option<TenantName>,
+    /// What runs of an ended job may take that are not known to have ended.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub loose: Resources,
 }
 
 impl JobProgress {
@@ -110,10 +113,11 @@
         self
     }
 
-    fn final_state(state: JobState, tenant: Option<TenantName>) -> Self {
+    fn final_state(state: JobState, tenant: Option<TenantName>, loose: Resources) -> Self {
         Self {
             ended: Some(state),
             tenant,
+            loose,
             ..Self::default()
         }
     }
@@ -332,7 +336,8 @@
             let progress = match self.outbox.ends.remove(&id) {
                 Some(state) => {
                     in_flight.ends.push((id, state));
-                    JobProgress::final_state(state, job.spec.tenant.clone())
+                    let loose = self.loose_usage(id, job);
+                    JobProgress::final_state(state, job.spec.tenant.clone(), loose)
                 }
                 None => JobProgress::of(job),
             };
--- a/crates/core/src/job/scheduler/demand.rs
+++ b/crates/core/src/job/scheduler/demand.rs
@@ -10,11 +10,12 @@
         resize::{IdleVm, PoolDemandView},
         room::RoomIndex,
         spec::{Resources, StepSpec},
+        tenant_account::TenantSlot,
         vm_order::AnyVmOrder,
         wait::WaitCounts,
         worker::Worker,
     },
-    name::{PoolName, WorkerId},
+    name::{PoolName, TenantName, WorkerId},
 };
 
 use super::{Job, Scheduler, VmEntry};
@@ -387,6 +388,27 @@
         )
     }
 
+    /// Estimates the time in which each tenant's limit lets its waiting tasks run.
+    pub(super) fn limit_drains(&self) -> BTreeMap<TenantName, ClockTime> {
+        let mut waiting: BTreeMap<TenantSlot, Resources> = BTreeMap::new();
+        for job in self.jobs.values() {
+            let Some(slot) = job.tenant.filter(|_| job.spec.repeat.is_none()) else {
+                continue;
+            };
+            let mean = self.durations.mean(&job.spec.work).as_millis();
+            let need = job.waiting_need(&self.fleet.rooms);
+            let work = waiting.entry(slot).or_default();
+            *work = work.plus(&need.times(mean));
+        }
+        let drains = waiting.into_iter().filter_map(|(slot, work)| {
+            let drain = self.tenants.limit_drain(slot, &work);
+            Some((self.tenants.name(slot)?.clone(), drain))
+        });
+        drains
+            .filter(|(_, drain)| *drain > ClockTime::ZERO)
+            .collect()
+    }
+
     /// Estimates the time in which each pool works off its backlog: the smaller of the time on the
     /// pool's own current and arriving VMs, and the time for all backlogs on all VMs, since VMs
     /// follow the demand. Empty just after a takeover, while most workers have not reported.
--- a/crates/core/src/job/scheduler/jobs.rs
+++ b/crates/core/src/job/scheduler/jobs.rs
@@ -388,6 +388,10 @@
             };
             self.ended_jobs.insert(id, ended);
             let tenant = progress.tenant.clone();
+            if let Some(tenant) = &tenant {
+                let slot = self.tenants.slot(tenant);
+                self.tenants.add_unnamed(slot, &progress.loose);
+            }
             self.ended_tenants.extend(tenant.map(|tenant| (id, tenant)));
             return;
         }
@@ -404,6 +408,7 @@
             self.outbox.mark_changed(id);
         }
         self.charge_restored(id, &job);
+        self.count_unnamed_runs(&job);
         self.jobs.insert(id, job);
         self.restore_doubts(id);
     }
@@ -442,6 +447,33 @@
         }
     }
 
+    /// Counts the runs of a tenant's job that copies have replaced.
+    fn count_unnamed_runs(&mut self, job: &Job) {
+        let Some(slot) = job.tenant else {
+            return;
+        };
+        for ((_, step, _), task) in job.tasks() {
+            let step = &job.spec.steps[usize::from(step)];
+            if step.speculative && task.run() > 1 {
+                self.tenants.add_unnamed(slot, &step.need);
+            }
+        }
+    }
+
+    /// What runs of a tenant's job may take that were given up and are not known to have ended.
+    pub(super) fn loose_usage(&self, id: JobId, job: &Job) -> Resources {
+        // Other runs are given up only once they have certainly ended.
+        if job.tenant.is_none() || !job.spec.steps.iter().any(|step| step.speculative) {
+            return Resources::default();
+        }
+        let charges = self
+            .workers
+            .values()
+            .flat_map(|worker| worker.charges_of(id));
+        let usages = charges.filter_map(|charge| charge.cost().map(|cost| cost.usage));
+        usages.fold(Resources::default(), |sum, usage| sum.plus(&usage))
+    }
+
     /// Charges recorded runs to their workers. An unlisted worker is kept until its lease must have
     /// expired.
     fn charge_restored(&mut self, id: JobId, job: &Job) {
--- a/crates/core/src/job/scheduler/placing.rs
+++ b/crates/core/src/job/scheduler/placing.rs
@@ -139,7 +139,8 @@
         if self.tenants.is_empty() {
             return;
         }
-        self.tenants.begin_search();
+        let has_unnamed = self.may_have_unnamed_runs();
+        self.tenants.begin_search(has_unnamed);
         for worker in self.workers.values() {
             for (slot, usage) in &worker.tenant_usage {
                 self.tenants.add_running(*slot, &worker.entry.pool, usage);
@@ -147,6 +148,15 @@
         }
     }
 
+    /// Returns whether runs may be in progress that no record names, under leases of earlier owners: records name
+    /// one run of a task, and a copy may have taken its place.
+    fn may_have_unnamed_runs(&self) -> bool {
+        let now = self.now;
+        now <= self.opened_at + self.limits.max_lease
+            || !self.former_owners.is_empty()
+            || self.workers.values().any(|worker| worker.is_unseen(now))
+    }
+
     /// Returns whether a task, or the gang that it belongs to, has to wait for others of its tenant.
     fn is_tenant_full(&mut self, key: &TaskKey) -> bool {
         let Some((job, slot)) = self
--- a/crates/core/src/job/tenant_account.rs
+++ b/crates/core/src/job/tenant_account.rs
@@ -65,6 +65,8 @@
     pub limit: TenantLimit,
     /// What it has running on all workers.
     pub running: Resources,
+    /// What runs may take that no record names, after a takeover.
+    unnamed: Resources,
     /// Steps that waited for its limit in the last search.
     pub held_steps: u32,
     /// Jobs received that were surplus.
@@ -107,6 +109,7 @@
             rate: None,
             limit: TenantLimit::default(),
             running: Resources::default(),
+            unnamed: Resources::default(),
             held_steps: 0,
             surplus_jobs: 0,
             meter: RateMeter::default(),
@@ -160,6 +163,23 @@
         is_surplus
     }
 
+    /// Time in which a tenant's limit lets a backlog drain of the given work, in units of its resources times
+    /// milliseconds.
+    pub fn limit_drain(&self, slot: TenantSlot, work: &Resources) -> ClockTime {
+        let limit = self.account(slot).map(|account| account.limit.0);
+        let limit = limit.unwrap_or_default();
+        let parts = [
+            (work.cpu, limit.cpu),
+            (work.mem_mb, limit.mem_mb),
+            (work.gpu, limit.gpu),
+        ];
+        // Zero means no limit.
+        let times = parts
+            .into_iter()
+            .filter_map(|(work, limit)| work.checked_div(limit));
+        ClockTime::from_millis(times.max().unwrap_or(0))
+    }
+
     /// Tenants that are beyond their rate, with the time until they are within it again.
     pub fn surplus_waits(&self, now: ClockTime) -> BTreeMap<TenantName, ClockTime> {
         let waits = self.accounts.iter().map(|account| {
@@ -169,11 +189,22 @@
         waits.filter(|(_, wait)| *wait > ClockTime::ZERO).collect()
     }
 
-    /// Begins a search: forgets the sums of the last one.
-    pub fn begin_search(&mut self) {
+    /// Adds what runs of a tenant may take that no record names.
+    pub fn add_unnamed(&mut self, slot: TenantSlot, usage: &Resources) {
+        if let Some(account) = self.accounts.get_mut(slot.index()) {
+            account.unnamed = account.unnamed.plus(usage);
+        }
+    }
+
+    /// Begins a search: forgets the sums of the last one, and the runs that no record names unless some may
+    /// still be in progress.
+    pub fn begin_search(&mut self, has_unnamed: bool) {
         self.pools.clear();
         for account in &mut self.accounts {
-            account.running = Resources::default();
+            if !has_unnamed {
+                account.unnamed = Resources::default();
+            }
+            account.running = account.unnamed;
             account.held_steps = 0;
         }
     }
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -582,6 +582,19 @@
         self.charges.range(first..=last).count()
     }
 
+    /// Charges of the runs of a job.
+    pub(super) fn charges_of(&self, job: JobId) -> impl Iterator<Item = &AnyCharge> {
+        let bound = |occurrence, step, index| TaskKey {
+            job,
+            occurrence,
+            step,
+            index,
+        };
+        let first = (bound(0, 0, 0), 0);
+        let last = (bound(u32::MAX, u16::MAX, u16::MAX), u32::MAX);
+        self.charges.range(first..=last).map(|(_, charge)| charge)
+    }
+
     /// Tasks of the runs that may be in progress on the worker, once for each run.
     pub fn tasks(&self) -> impl Iterator<Item = &TaskKey> {
         self.charges.keys().map(|(task, _)| task)
--- a/crates/core/tests/job_interleavings/checks.rs
+++ b/crates/core/tests/job_interleavings/checks.rs
@@ -124,6 +124,22 @@
                 ));
             }
         }
+        if let Some(tenant) = &self.jobs[&task.job].tenant {
+            let of_tenant = |other: &&(u64, TaskKey, u32)| {
+                self.jobs[&other.1.job].tenant.as_ref() == Some(tenant)
+            };
+            let used: u64 = live
+                .iter()
+                .filter(of_tenant)
+                .map(|other| self.cpu(&other.1))
+                .sum();
+            let limit = crate::setting::limit_of(tenant);
+            if used > limit.max(self.cpu(&task)) {
+                self.fail(format!(
+                    "QUOTA at {at}: {tenant} runs {used} of {limit} with {task}"
+                ));
+            }
+        }
         let here = live.iter().filter(|other| other.0 == uid);
         let used: u64 = here.clone().map(|other| self.cpu(&other.1)).sum();
         if used > shape.cpu && !guarded {
--- a/crates/core/tests/job_interleavings/engine.rs
+++ b/crates/core/tests/job_interleavings/engine.rs
@@ -6,7 +6,7 @@
 };
 
 use jacinthhoist_core::{
-    ClockTime, WorkerId,
+    ClockTime, TenantName, WorkerId,
     job::{
         Batch, Effect, JobId, JobSpec, OrderReply, OwnershipEvidence, RenewalReport, Scheduler,
         StartReply, TaskKey, WorkerEntry,
@@ -86,7 +86,7 @@
         asked_at: u64,
     },
     Accepted(JobId, Arc<JobSpec>),
-    Cancelled(JobId),
+    Cancelled(JobId, Option<TenantName>),
 }
 
 /// Call that an engine makes, or a batch that it stores.
@@ -211,7 +211,7 @@
                 self.confirmed_at = self.confirmed_at.max(asked_at);
             }
             EngineEvent::Accepted(id, spec) => self.scheduler.accept(id, spec),
-            EngineEvent::Cancelled(id) => self.scheduler.cancel(id, None),
+            EngineEvent::Cancelled(id, tenant) => self.scheduler.cancel(id, tenant.as_ref()),
         }
     }
 
--- a/crates/core/tests/job_interleavings/main.rs
+++ b/crates/core/tests/job_interleavings/main.rs
@@ -113,6 +113,31 @@
     explore_seeds(terms, ENTRY_SEEDS.into_iter().chain(PLACED_SEEDS));
 }
 
+/// Other members take over while every tenant is at its limit, and calls, ends and batches are late or lost. What a
+/// tenant has running on all processes never exceeds its limit, unless it is a single task.
+#[test]
+fn no_tenant_exceeds_its_limit_around_takeovers() {
+    explore(Terms {
+        removals: true,
+        takeovers: true,
+        tenants: true,
+        ..Terms::default()
+    });
+}
+
+/// The same while workers restart under their ids.
+#[test]
+fn no_tenant_exceeds_its_limit_around_restarts() {
+    explore(Terms {
+        restarts: true,
+        removals: true,
+        takeovers: true,
+        bound_deadlines: true,
+        tenants: true,
+        ..Terms::default()
+    });
+}
+
 /// The schedules find what an order to an earlier process does where nothing keeps it from a later one.
 #[test]
 fn orders_to_earlier_processes_are_detected() {
--- a/crates/core/tests/job_interleavings/setting.rs
+++ b/crates/core/tests/job_interleavings/setting.rs
@@ -3,13 +3,15 @@
 use std::sync::Arc;
 
 use jacinthhoist_core::{
-    ClockTime, DataCentre, PoolName, WorkName,
+    ClockTime, DataCentre, PoolName, TenantName, WorkName,
     job::{
-        CallerLimits, JobCatalogue, JobPool, JobSpec, JobTerms, JobWork, OrderReply, Resources,
-        SchedulerLimits, StartReply, StepSpec, WorkerEntry, WorkerState,
+        CallerLimits, JobCatalogue, JobId, JobPool, JobSpec, JobTerms, JobWork, OrderReply,
+        Resources, SchedulerLimits, StartReply, StepSpec, TenantLimit, TenantTable, TenantTerms,
+        WorkerEntry, WorkerState,
     },
 };
 use rand::{RngExt, rngs::StdRng};
+use smallvec::SmallVec;
 
 use crate::{
     engine::{CallOutcome, WorkerCall},
@@ -39,9 +41,38 @@
     }
 }
 
-pub(crate) fn catalogue(guarded: bool) -> Arc<JobCatalogue> {
+/// Processor limits of the tenants, in thousandths of a core: the largest gang, and less than the largest task.
+const TENANT_LIMITS: [(&str, u64); 3] = [("labs", 2_600), ("mills", 2_000), ("yards", 4_000)];
+
+fn tenants() -> TenantTable {
+    let terms = TENANT_LIMITS.map(|(name, cpu)| TenantTerms {
+        name: TenantName::new(name),
+        keys: SmallVec::new(),
+        rate: 1.0,
+        limit: TenantLimit(Resources {
+            cpu,
+            ..Resources::default()
+        }),
+    });
+    TenantTable::open(terms.to_vec()).expect("distinct names")
+}
+
+/// Tenant that submits a job.
+pub(crate) fn tenant_of(job: JobId) -> TenantName {
+    let (name, _) = TENANT_LIMITS[job.0 as usize % TENANT_LIMITS.len()];
+    TenantName::new(name)
+}
+
+/// Processor limit of a tenant.
+pub(crate) fn limit_of(tenant: &TenantName) -> u64 {
+    let mut limits = TENANT_LIMITS.into_iter();
+    let row = limits.find(|(name, _)| *name == tenant.as_str());
+    row.expect("a tenant of the table").1
+}
+
+pub(crate) fn catalogue(guarded: bool, has_tenants: bool) -> Arc<JobCatalogue> {
     Arc::new(JobCatalogue {
-        tenants: None,
+        tenants: has_tenants.then(tenants),
         version: 1,
         works: vec![JobWork {
             public: false,
--- a/crates/core/tests/job_interleavings/store.rs
+++ b/crates/core/tests/job_interleavings/store.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use jacinthhoist_core::{
-    ClockTime, WorkerId,
+    ClockTime, TenantName, WorkerId,
     job::{
         Batch, BatchRecord, ClockReadings, JobId, JobProgress, JobSpec, Scheduler, StoredTime,
         WorkerEntry,
@@ -112,8 +112,11 @@
         }
         let skew = self.skew_of(token);
         let now = ClockTime::from_millis(self.now + skew);
-        let mut scheduler =
-            Scheduler::open(setting::limits(), setting::catalogue(self.guarded), now);
+        let mut scheduler = Scheduler::open(
+            setting::limits(),
+            setting::catalogue(self.guarded, self.terms.tenants),
+            now,
+        );
         scheduler.set_readings(self.readings_of(token));
         for (id, spec) in &self.store.accepted {
             let progress = self.store.progress.get(id).cloned().unwrap_or_default();
@@ -122,6 +125,7 @@
         for (id, expiry) in &self.store.expiries {
             scheduler.restore_lease_expiry(id, expiry.clone());
         }
+        scheduler.meter_restored_jobs();
         let listed = self.store.entries.iter();
         let listed = listed.map(|(id, (entry, _))| (id.clone(), entry.clone()));
         scheduler.workers_listed(listed.collect(), now);
@@ -160,6 +164,7 @@
         if self.terms.differing_shapes {
             setting::require_labels(&mut spec, &mut self.random);
         }
+        spec.tenant = self.terms.tenants.then(|| setting::tenant_of(id));
         let spec = Arc::new(spec);
         let span = [300, 900, 2_500, 7_000][self.random.random_range(0..4)];
         self.spans.insert(id, span);
@@ -175,10 +180,11 @@
     pub(crate) fn cancel(&mut self) {
         let jobs = self.store.accepted.iter();
         let lasting = jobs.filter(|(_, spec)| spec.steps.iter().any(|step| step.long_running));
-        let lasting: Vec<JobId> = lasting.map(|(id, _)| *id).collect();
-        for id in lasting {
+        let lasting = lasting.map(|(id, spec)| (*id, spec.tenant.clone()));
+        let lasting: Vec<(JobId, Option<TenantName>)> = lasting.collect();
+        for (id, tenant) in lasting {
             for number in 0..self.engines.len() {
-                self.deliver(number, EngineEvent::Cancelled(id));
+                self.deliver(number, EngineEvent::Cancelled(id, tenant.clone()));
             }
         }
     }
--- a/crates/core/tests/job_interleavings/world.rs
+++ b/crates/core/tests/job_interleavings/world.rs
@@ -34,6 +34,8 @@
     pub(crate) outlives_process: bool,
     /// Each process draws its label and capacity, and registers late. The one at the first address can run all.
     pub(crate) differing_shapes: bool,
+    /// Jobs belong to tenants with limits on what they run.
+    pub(crate) tenants: bool,
 }
 
 pub(crate) const START_MS: u64 = 1_000_000;
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -20,6 +20,7 @@
 mod proof;
 mod refusals;
 mod strays;
+mod tenants;
 mod waiting;
 mod waves;
 
--- a/crates/emulator/examples/emulate.rs
+++ b/crates/emulator/examples/emulate.rs
@@ -13,8 +13,8 @@
 
 use bpaf::Bpaf;
 use jacinthhoist_emulator::{
-    EmulationHistory, EmulationScenario, FaultKind, RuleViolation, ScenarioOutcome, check,
-    run_scenario, run_scenario_logged,
+    EmulationHistory, EmulationScenario, RuleViolation, ScenarioOutcome, check, run_scenario,
+    run_scenario_logged,
 };
 use plotters::prelude::*;
 use rand::{SeedableRng, rngs::StdRng};
@@ -114,7 +114,7 @@
     let mut rng = StdRng::seed_from_u64(seed);
     scenario
         .clone()
-        .with_faults(FaultKind::ALL, fault_count, &mut rng)
+        .with_faults(&scenario.fault_kinds(), fault_count, &mut rng)
 }
 
 fn run(
--- a/crates/emulator/src/caller.rs
+++ b/crates/emulator/src/caller.rs
@@ -17,6 +17,7 @@
     model::{MAX_FAILURES, objective, task_need},
     payload::TaskPayload,
     scenario::ScenarioLoad,
+    tenant::KeyedCall,
 };
 
 /// Maximum number of attempts to submit a job.
@@ -65,6 +66,17 @@
     while callers.join_next().await.is_some() {}
 }
 
+/// Returns whether a member has served a call.
+fn has_run(reply: &CallerReply) -> bool {
+    matches!(
+        reply,
+        CallerReply::Accepted
+            | CallerReply::Cancelled
+            | CallerReply::State(_)
+            | CallerReply::Waiting(_)
+    )
+}
+
 /// Caller and its job.
 struct JobCaller {
     fleet: Arc<EmulatedFleet>,
@@ -135,8 +147,10 @@
     }
 
     async fn run(mut self) {
+        let tenant = self.fleet.model.state().tenants.tenant_of(self.job);
         let history = JobHistory {
             shape: self.shape.clone(),
+            tenant,
             attempts: Vec::new(),
             first_at: self.fleet.model.clock.now(),
             cancelled: None,
@@ -176,7 +190,9 @@
                 return false;
             }
             let reply = self.call(CallerAction::Submit(Ok(self.body()))).await;
+            // A key that was replaced is refused; the next attempt carries the present one.
             let (outcome, delay) = match reply {
+                Some(CallerReply::NotPermitted(_)) => (CallOutcome::Refused, RETRY_DELAY),
                 Some(CallerReply::Accepted) => (CallOutcome::Accepted, Duration::ZERO),
                 Some(
                     CallerReply::Busy { retry_after } | CallerReply::Unavailable { retry_after },
@@ -233,14 +249,26 @@
     /// Calls a random member; `None` if no answer came in time.
     async fn call(&mut self, action: CallerAction) -> Option<CallerReply> {
         let member = self.rng.random_range(0..self.fleet.member_count());
+        let sent_at = self.fleet.model.clock.now();
+        let drawn = self.fleet.model.state().draw_key(self.job);
         let request = CallerRequest {
-            key: None,
+            key: drawn.map(|(key, _)| key),
             host: format!("{}.example", self.shape.pool),
             path: format!("/jobs/{}", self.job),
             action,
             timeout: Some(ANSWER_TIMEOUT),
         };
-        self.fleet.call(member, request, ANSWER_TIMEOUT).await
+        let reply = self.fleet.call(member, request, ANSWER_TIMEOUT).await;
+        if let Some((_, withdrawn_at)) = drawn
+            && reply.as_ref().is_some_and(has_run)
+        {
+            let call = KeyedCall {
+                sent_at,
+                withdrawn_at,
+            };
+            self.fleet.model.state().history.keyed_calls.push(call);
+        }
+        reply
     }
 
     fn body(&self) -> JobBody {
--- a/crates/emulator/src/check.rs
+++ b/crates/emulator/src/check.rs
@@ -2,6 +2,7 @@
 
 mod availability;
 mod crashes;
+mod tenants;
 mod waiting;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -16,6 +17,7 @@
 use self::{
     availability::{check_stops, check_vm_order},
     crashes::{check_starts_after_crashes, may_be_given_up},
+    tenants::{check_keys, check_limits},
     waiting::check_waiting_job,
 };
 
@@ -68,6 +70,8 @@
     Lost => "An accepted job stays known, questions about it are answered, it does not wait beside enough room, and it is eventually done, unless it fails, crashes its workers or is cancelled.",
     One => "A VM executes no order with an older fencing token than it has seen, nor one of an owner that was replaced long ago.",
     Drain => "A draining worker gets no new tasks.",
+    Quota => "No start brings what a tenant has running above its limit, unless it is a single task.",
+    Key => "No call runs that was sent long after the withdrawal of its key.",
     Avail => "Orders to VMs and workers leave no more tasks of a step missing than it allows.",
 }
 
@@ -95,6 +99,8 @@
         check_job(history, *id, job, &runs, &mut findings);
     }
     check_vms(history, &mut findings);
+    check_limits(history, &mut findings);
+    check_keys(history, &mut findings);
     check_stops(history, &runs, &mut findings);
     findings.violations.sort_by_key(|violation| violation.at);
     findings.violations
--- a/crates/emulator/src/check/waiting.rs
+++ b/crates/emulator/src/check/waiting.rs
@@ -14,7 +14,7 @@
 const MIN_SLOTS: u64 = 2;
 
 /// Checks that after the load no job has nothing running for some seconds while a pool of which less than
-/// half is in use has room for two of its tasks.
+/// half is in use has room for two of its tasks, and its tenant uses less than half of its limit.
 pub(super) fn check_waiting_job(
     history: &EmulationHistory,
     id: JobId,
@@ -75,5 +75,21 @@
     };
     let need = job.shape.cpu.max(1);
     let slots: u64 = pool.free_cpu.iter().map(|free| free / need).sum();
-    open && slots >= MIN_SLOTS && pool.used_cpu * 2 < pool.cpu
+    open && slots >= MIN_SLOTS && pool.used_cpu * 2 < pool.cpu && is_tenant_idle(history, job, at)
+}
+
+/// Returns whether the tenant of a job uses less than half of the lowest limit that may be in force.
+fn is_tenant_idle(history: &EmulationHistory, job: &JobHistory, at: ClockTime) -> bool {
+    let limits = history.tenant_limits.iter().filter(|limit| limit.at <= at);
+    let Some(limit) = limits.map(|limit| limit.cpu).min() else {
+        return true;
+    };
+    let active = history.runs.iter().filter(|run| {
+        run.began_at <= at && run.ended.map_or(MAX_TIME, |(ended_at, _)| ended_at) > at
+    });
+    let of_tenant = active.filter_map(|run| {
+        let other = history.jobs.get(&run.task.job)?;
+        (other.tenant == job.tenant).then_some(other.shape.cpu)
+    });
+    of_tenant.sum::<u64>() * 2 < limit
 }
--- a/crates/emulator/src/fault.rs
+++ b/crates/emulator/src/fault.rs
@@ -142,6 +142,14 @@
                 sleep(span).await;
                 self.step_clocks(&members, -fault.step_ms);
             }
+            FaultKind::KeyWithdrawal => {
+                let now = self.model.clock.now();
+                self.model.state().withdraw_keys(fault.count, now);
+            }
+            FaultKind::LimitLowered => {
+                let now = self.model.clock.now();
+                self.model.state().lower_limits(now);
+            }
             FaultKind::CapacityShrink => self.shrink_capacity(&fault, span).await,
             FaultKind::WorkerReborn => {
                 let workers = self.random_workers(fault.count).into_iter();
--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -14,7 +14,7 @@
 use jacinthhoist_codec::StoreLimits;
 use jacinthhoist_core::{
     ClockTime, MemberName, PoolName,
-    job::{MemberRank, SchedulerLimits},
+    job::{MemberRank, RevocationSpan, SchedulerLimits},
 };
 use jacinthhoist_net::{BootClock, WallClock};
 use jacinthhoist_scheduler::{
@@ -41,6 +41,7 @@
     platform::EmulatedPlatform,
     question::ask_about_jobs,
     scenario::EmulationScenario,
+    tenant::REVOCATION_SPAN,
     vm::{MAINTENANCE_TIME, MOVE_TIME},
     worker::LONGEST_LEASE,
 };
@@ -257,8 +258,9 @@
         } else {
             MemberRank::Regular
         };
+        let has_tenants = self.scenario.tenants > 0;
         let settings = SchedulerSettings {
-            revocation: None,
+            revocation: has_tenants.then(|| RevocationSpan::new(REVOCATION_SPAN)),
             identity: MemberIdentity {
                 name: MemberName::new(&name),
                 peer_address: SocketAddr::from(([10, 0, 0, index as u8], PEER_PORT)),
--- a/crates/emulator/src/history.rs
+++ b/crates/emulator/src/history.rs
@@ -11,7 +11,11 @@
 };
 use jacinthhoist_scheduler::ports::StartOrder;
 
-use crate::{demand::JobDemand, payload::FatalTask};
+use crate::{
+    demand::JobDemand,
+    payload::FatalTask,
+    tenant::{KeyedCall, LimitHistory},
+};
 
 /// Time after which the answer to an order has been read, and orders sent before it have arrived.
 const FENCE_NOTICE: ClockTime = ClockTime::from_millis(60);
@@ -77,6 +81,8 @@
 pub struct JobHistory {
     /// Requirements of the job.
     pub shape: JobShape,
+    /// Tenant that submits the job.
+    pub tenant: Option<usize>,
     /// Attempts to submit the job, with the time at which each ended.
     pub attempts: Vec<(ClockTime, CallOutcome)>,
     /// Time of the first attempt.
@@ -211,6 +217,10 @@
     pub pool_samples: Vec<PoolSample>,
     /// VM orders in the order in which they were executed.
     pub vm_orders: Vec<VmOrderHistory>,
+    /// Limits on what each tenant may have running, in order; empty without limits.
+    pub tenant_limits: Vec<LimitHistory>,
+    /// Calls with keys that succeeded.
+    pub keyed_calls: Vec<KeyedCall>,
     /// Waves by number.
     pub waves: BTreeMap<u64, WaveHistory>,
     /// Time at which each draining worker was first registered as such.
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -33,6 +33,7 @@
 //! | `payload` | payloads, which set the behaviour of tasks |
 //! | `crash` | crashes of workers by the tasks that they run |
 //! | `caller` | callers that submit, poll and cancel jobs |
+//! | `tenant` | tenants, their keys over time, and their limits |
 //! | `question` | questions for all accepted jobs at the end of a run |
 //! | `fleet` | start, stop and restart of members |
 //! | `fault` | fault injection |
@@ -56,6 +57,7 @@
 mod question;
 mod scenario;
 mod store;
+mod tenant;
 mod vm;
 mod worker;
 
@@ -69,3 +71,4 @@
 pub use outcome::ScenarioOutcome;
 pub use payload::FatalTask;
 pub use scenario::{EmulationScenario, FaultKind, ScenarioError, ScenarioFault, ScenarioLoad};
+pub use tenant::{KeyedCall, LimitHistory};
--- a/crates/emulator/src/model.rs
+++ b/crates/emulator/src/model.rs
@@ -29,6 +29,7 @@
     payload::TaskPayload,
     scenario::EmulationScenario,
     store::{EmulatedStore, KeyedTopic},
+    tenant::{EmulatedTenants, LimitHistory},
     vm::EmulatedVm,
     worker::{EmulatedWorker, TaskBehaviour, WorkerMode},
 };
@@ -60,6 +61,7 @@
     pub(crate) vms: BTreeMap<VmName, EmulatedVm>,
     pub(crate) worker_entries: KeyedTopic<WorkerRecord>,
     pub(crate) operator_records: KeyedTopic<OperatorRecord>,
+    pub(crate) tenants: EmulatedTenants,
     pub(crate) history: EmulationHistory,
     pub(crate) rng: StdRng,
     /// True while orders on VMs are executed but not answered.
@@ -94,6 +96,7 @@
                 vms: BTreeMap::new(),
                 worker_entries: KeyedTopic::default(),
                 operator_records: KeyedTopic::default(),
+                tenants: EmulatedTenants::open(scenario, catalogue(scenario)),
                 history: EmulationHistory::default(),
                 rng: StdRng::seed_from_u64(seed),
                 drops_vm_answers: false,
@@ -112,8 +115,10 @@
     fn populate(&self, scenario: &EmulationScenario) {
         let now = self.clock.now();
         let mut state = self.state();
-        let catalogue = OperatorRecord::Catalogue(Arc::new(catalogue(scenario)));
-        state.operator_records.push("config", catalogue, false);
+        state.history.tenant_limits = first_limit(scenario, now);
+        if let Some(catalogue) = state.tenants.record() {
+            state.operator_records.push("config", catalogue, false);
+        }
         let mut pools: Vec<(String, usize)> = Vec::new();
         pools.extend(
             scenario
@@ -467,6 +472,12 @@
 /// Number of failures of a task after which its job fails.
 pub(crate) const MAX_FAILURES: u8 = 2;
 
+fn first_limit(scenario: &EmulationScenario, at: ClockTime) -> Vec<LimitHistory> {
+    let cpu = scenario.tenant_cpu;
+    let limit = (cpu > 0).then_some(LimitHistory { at, cpu });
+    limit.into_iter().collect()
+}
+
 fn catalogue(scenario: &EmulationScenario) -> JobCatalogue {
     let pools = scenario.pools();
     let work = |pool: &String| {
--- a/crates/emulator/src/question.rs
+++ b/crates/emulator/src/question.rs
@@ -53,7 +53,7 @@
         };
         attempts += 1;
         let request = CallerRequest {
-            key: None,
+            key: fleet.model.state().present_key(id),
             host: format!("{pool}.example"),
             path: format!("/jobs/{id}"),
             action: CallerAction::Show,
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -37,6 +37,10 @@
     pub worker_cpu: u64,
     /// True if workers reject tasks that exceed their capacity.
     pub guarded: bool,
+    /// Number of tenants, to which jobs belong by their ids; 0 for jobs without tenants.
+    pub tenants: usize,
+    /// CPU that a tenant may have running, in thousandths of a core; 0 for no limit.
+    pub tenant_cpu: u64,
     /// Loads, each with a pool of its own.
     pub loads: Vec<ScenarioLoad>,
     /// Injected faults and planned operations.
@@ -53,6 +57,8 @@
             spare: 2,
             worker_cpu: 16_000,
             guarded: true,
+            tenants: 0,
+            tenant_cpu: 0,
             loads: Vec::new(),
             faults: Vec::new(),
         }
@@ -246,6 +252,8 @@
     OwnershipFlap => "The store assigns the pools to another member and back, again and again, while joins are late or lost, and the former owner and the others each reach only some of the workers.",
     WorkersAhead => "The idle workers have seen the token of a later owner.",
     ClockStep => "The wall clocks of random members are off; steps that overlap add up.",
+    KeyWithdrawal => "Operators replace the keys of some tenants.",
+    LimitLowered => "Operators halve what tenants may have running.",
 }
 
 impl EmulationScenario {
@@ -265,6 +273,15 @@
         toml::from_str(text).context(ScenarioSnafu)
     }
 
+    /// Kinds of fault that concern the scenario: without tenants, all but theirs.
+    pub fn fault_kinds(&self) -> Vec<FaultKind> {
+        let is_of_tenants =
+            |kind: &FaultKind| matches!(kind, FaultKind::KeyWithdrawal | FaultKind::LimitLowered);
+        let all = FaultKind::ALL.iter().copied();
+        all.filter(|kind| self.tenants > 0 || !is_of_tenants(kind))
+            .collect()
+    }
+
     /// Adds `count` random faults of the given kinds.
     ///
     /// ```
--- a/crates/emulator/tests/rules.rs
+++ b/crates/emulator/tests/rules.rs
@@ -8,7 +8,7 @@
 };
 use jacinthhoist_emulator::{
     CallOutcome, EmulationHistory, EmulationScenario, EndKind, FatalTask, FinalAnswer, HistoryRule,
-    JobHistory, RunHistory, check, run_scenario,
+    JobHistory, KeyedCall, LimitHistory, RunHistory, check, run_scenario,
 };
 
 /// Runs a scenario that exercises every rule and violates none.
@@ -110,6 +110,20 @@
             let worker: WorkerId = history.runs[index].worker.clone();
             history.draining_since.insert(worker, since);
         }
+        HistoryRule::Quota => {
+            history.tenant_limits = vec![LimitHistory {
+                at: ClockTime::ZERO,
+                cpu: 1,
+            }];
+            history
+                .jobs
+                .values_mut()
+                .for_each(|job| job.tenant = Some(0));
+        }
+        HistoryRule::Key => history.keyed_calls.push(KeyedCall {
+            sent_at: ended_at,
+            withdrawn_at: Some(began_at),
+        }),
         HistoryRule::Avail => {
             let long_running_runs = history.runs.iter();
             let mut long_running_runs =
