Tenants: logs and metrics, keys tested on members, runs that no record names

Change: such runs count for their tenant until the leases of earlier owners have lapsed; the record of an ended job holds what they may take. Lines tenant and tenant_full, the ground of a refusal, gauges by tenant. Members are tested on fakes with withdrawn keys, cut off from the store and with an unreadable catalogue; the partition soak replaces its callers' key and checks their limit.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -73,7 +73,8 @@
 mod worker;
 
 pub use admit::{
-    JobRefusal, LoadReport, TenantLoad, WorkLoad, admit_job, admit_tenant_job, outage_retry,
+    JobRefusal, LoadReport, RefusalGround, TenantLoad, WorkLoad, admit_job, admit_tenant_job,
+    outage_retry,
 };
 pub use append_pace::{AppendPace, refusal_delay};
 pub use catalogue::{AdvicePolicy, CallerLimits, JobCatalogue, JobPool, JobWork};
@@ -97,8 +98,8 @@
 pub use room::RoomIndex;
 pub use scheduler::{
     Batch, BatchRecord, Effect, Job, JobProgress, LossEvidence, PoolSummary, RenewalPlan,
-    Scheduler, SchedulerDecision, SchedulerLimits, StepAdvice, TaskRecord, VmEntry, VmState,
-    WorkerChange,
+    Scheduler, SchedulerDecision, SchedulerLimits, StepAdvice, TaskRecord, TenantSummary, VmEntry,
+    VmState, WorkerChange,
 };
 pub use shape::{SearchMemory, TaskShape};
 pub use share::PoolShares;
--- a/crates/core/src/job/admit.rs
+++ b/crates/core/src/job/admit.rs
@@ -98,11 +98,35 @@
     }
 }
 
+/// Why a job is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RefusalGround {
+    /// The backlog of the pool would delay it too long.
+    Load,
+    /// Its tenant has sent more than it has contracted, and the pool has no idle room.
+    Surplus,
+    /// The tenant has sent more than its limit lets run in time.
+    TenantLimit,
+}
+
+impl RefusalGround {
+    /// Short name for metrics and log lines.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Load => "load",
+            Self::Surplus => "surplus",
+            Self::TenantLimit => "tenant_limit",
+        }
+    }
+}
+
 /// Refusal of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct JobRefusal {
     /// Delay after which the caller should retry.
     pub retry_after: ClockTime,
+    /// Why the job was refused.
+    pub ground: RefusalGround,
 }
 
 /// Refuses a job whose expected wait exceeds the period in which its result has any value.
@@ -125,7 +149,11 @@
         return Ok(());
     }
     let retry_after = (load.drain - objective).max(MIN_RETRY);
-    Err(JobRefusal { retry_after })
+    let ground = RefusalGround::Load;
+    Err(JobRefusal {
+        retry_after,
+        ground,
+    })
 }
 
 /// Decides whether to accept a job of a tenant under the current load of its pool. One that is within its rate
@@ -161,7 +189,15 @@
         ..*load
     };
     let Some(surplus_wait) = tenant.surplus_wait else {
-        return admit_job(&contracted, objective);
+        let is_own = tenant.limit_drain >= tenant.contracted_drain;
+        return admit_job(&contracted, objective).map_err(|refusal| JobRefusal {
+            ground: if is_own {
+                RefusalGround::TenantLimit
+            } else {
+                RefusalGround::Load
+            },
+            ..refusal
+        });
     };
     if whole_drain <= objective {
         return Ok(());
@@ -170,7 +206,11 @@
     // It is within its rate by then, and waits for jobs that are no surplus only.
     let until_contracted = surplus_wait.max(contracted_drain - objective);
     let retry_after = until_timely.min(until_contracted).max(MIN_RETRY);
-    Err(JobRefusal { retry_after })
+    let ground = RefusalGround::Surplus;
+    Err(JobRefusal {
+        retry_after,
+        ground,
+    })
 }
 
 /// Retry delay of a caller refused because the store or the owner is unavailable.
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -26,7 +26,7 @@
 
 pub use batch::{Batch, BatchRecord, JobProgress, TaskRecord};
 pub use decision::{LossEvidence, SchedulerDecision, WorkerChange};
-pub use demand::PoolSummary;
+pub use demand::{PoolSummary, TenantSummary};
 pub use jobs::Job;
 pub use leases::RenewalPlan;
 pub use permits::StepAdvice;
--- a/crates/core/src/job/scheduler/demand.rs
+++ b/crates/core/src/job/scheduler/demand.rs
@@ -10,6 +10,7 @@
         resize::{IdleVm, PoolDemandView},
         room::RoomIndex,
         spec::{Resources, StepSpec},
+        tenant::TenantLimit,
         tenant_account::TenantSlot,
         vm_order::AnyVmOrder,
         wait::WaitCounts,
@@ -161,6 +162,25 @@
     pub waits: WaitCounts,
 }
 
+/// What a tenant has running and waiting, for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TenantSummary {
+    /// Name of the tenant.
+    pub tenant: TenantName,
+    /// What it has running on all workers.
+    pub running: Resources,
+    /// What it may have running; zero means no limit.
+    pub limit: TenantLimit,
+    /// CPU that it has running, in thousandths of that of all workers that take tasks.
+    pub share_permille: u64,
+    /// Accepted jobs of which no task has started.
+    pub waiting: u32,
+    /// Steps that waited for its limit in the last search.
+    pub held_steps: u32,
+    /// Jobs beyond its rate that this owner has received.
+    pub surplus_jobs: u64,
+}
+
 /// Adds up numbers, and stops at the largest one.
 fn saturating_sum(numbers: impl IntoIterator<Item = u64>) -> u64 {
     numbers.into_iter().fold(0, u64::saturating_add)
@@ -202,6 +222,32 @@
         views.map(summary).collect()
     }
 
+    /// Returns what each tenant with open jobs has running and waiting.
+    pub fn tenant_summaries(&self) -> Vec<TenantSummary> {
+        let mut waiting: BTreeMap<TenantSlot, u32> = BTreeMap::new();
+        for job in self.jobs.values() {
+            if let Some(slot) = job.tenant {
+                *waiting.entry(slot).or_default() += u32::from(!job.has_started());
+            }
+        }
+        let workers = self.workers.values();
+        let workers = workers.filter(|worker| worker.takes_work(self.now));
+        let fleet_cpu = saturating_sum(workers.map(|worker| worker.entry.capacity.cpu)).max(1);
+        let summary = |(slot, waiting): (TenantSlot, u32)| {
+            let account = self.tenants.account(slot)?;
+            Some(TenantSummary {
+                tenant: account.name.clone(),
+                running: account.running,
+                limit: account.limit,
+                share_permille: account.running.cpu.saturating_mul(1_000) / fleet_cpu,
+                waiting,
+                held_steps: account.held_steps,
+                surplus_jobs: account.surplus_jobs,
+            })
+        };
+        waiting.into_iter().filter_map(summary).collect()
+    }
+
     /// Adds the work of a job to the arrival rate of its pool.
     pub(super) fn record_arrival(&mut self, job: &Job) {
         let now = self.now;
--- a/crates/core/src/job/scheduler/jobs.rs
+++ b/crates/core/src/job/scheduler/jobs.rs
@@ -447,14 +447,19 @@
         }
     }
 
-    /// Counts the runs of a tenant's job that copies have replaced.
+    /// Counts the runs of a tenant's job that a record need not name: those that copies have replaced, those that were in
+    /// progress when a late report showed that an earlier run had completed the task, and members of a gang that
+    /// another one has completed.
     fn count_unnamed_runs(&mut self, job: &Job) {
         let Some(slot) = job.tenant else {
             return;
         };
         for ((_, step, _), task) in job.tasks() {
             let step = &job.spec.steps[usize::from(step)];
-            if step.speculative && task.run() > 1 {
+            let is_named = task.placed().is_some() || task.is_terminal();
+            let earlier_runs = task.run().saturating_sub(u32::from(is_named));
+            let is_replaced = earlier_runs > 0 && (step.speculative || task.is_terminal());
+            if is_replaced || step.gang && task.is_terminal() {
                 self.tenants.add_unnamed(slot, &step.need);
             }
         }
@@ -462,8 +467,11 @@
 
     /// What runs of a tenant's job may take that were given up and are not known to have ended.
     pub(super) fn loose_usage(&self, id: JobId, job: &Job) -> Resources {
-        // Other runs are given up only once they have certainly ended.
-        if job.tenant.is_none() || !job.spec.steps.iter().any(|step| step.speculative) {
+        let mut steps = job.spec.steps.iter();
+        let may_have_others = steps.any(|step| step.speculative || step.gang)
+            || job.tasks().any(|(_, task)| task.run() > 1);
+        // Any other run is given up only once it has certainly ended.
+        if job.tenant.is_none() || !may_have_others {
             return Resources::default();
         }
         let charges = self
--- a/crates/core/src/job/scheduler/placing.rs
+++ b/crates/core/src/job/scheduler/placing.rs
@@ -253,7 +253,8 @@
             self.log_decision(SchedulerDecision::Placed {
                 job: id,
                 tasks: placed,
-                unplaced: keys.len() - placed,
+                // A gang starts with members that would not start by themselves yet.
+                unplaced: keys.len().saturating_sub(placed),
             });
         }
     }
--- a/crates/core/src/job/tenant_account.rs
+++ b/crates/core/src/job/tenant_account.rs
@@ -128,7 +128,8 @@
         self.accounts.is_empty()
     }
 
-    fn account(&self, slot: TenantSlot) -> Option<&TenantAccount> {
+    /// Returns the account in a slot.
+    pub fn account(&self, slot: TenantSlot) -> Option<&TenantAccount> {
         self.accounts.get(usize::from(slot.0))
     }
 
--- a/crates/emulator/src/tenant.rs
+++ b/crates/emulator/src/tenant.rs
@@ -142,8 +142,11 @@
 
     /// Lowers the limit of all tenants.
     pub(crate) fn lower_limits(&mut self, now: ClockTime) {
-        self.tenants.limit_cpu = (self.tenants.limit_cpu / LOWERED_PART).max(1);
-        let cpu = self.tenants.limit_cpu;
+        let Some(first) = self.history.tenant_limits.first().copied() else {
+            return;
+        };
+        let cpu = first.cpu / LOWERED_PART;
+        self.tenants.limit_cpu = cpu;
         self.history
             .tenant_limits
             .push(LimitHistory { at: now, cpu });
--- a/crates/experiments/src/soak/callers.rs
+++ b/crates/experiments/src/soak/callers.rs
@@ -5,17 +5,19 @@
 use bytes::Bytes;
 use hyper::{
     Method, StatusCode,
-    header::{HOST, HeaderValue},
+    header::{AUTHORIZATION, HOST, HeaderValue},
 };
 use jacinthhoist_fakes::{labelled_job, sample_job};
 use jacinthhoist_net::{HttpClient, HttpRequest, HttpResponse};
-use rand::{RngExt, rngs::StdRng};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
 use serde_json::Value;
 use tokio::{
     sync::Mutex,
     time::{Instant, sleep},
 };
 
+use super::keys::KeyRing;
+
 /// Timeout of a call of those who wait for the ends of jobs: more than that of the route.
 const WAIT_CALL_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time after which a call is repeated.
@@ -26,15 +28,25 @@
 /// Connection to a member, which is kept until a call fails.
 struct MemberConnection<'a> {
     fronts: &'a [SocketAddr],
+    keys: Option<&'a KeyRing>,
+    rng: StdRng,
     member: usize,
     client: HttpClient,
     timeout: Duration,
 }
 
 impl<'a> MemberConnection<'a> {
-    fn open(fronts: &'a [SocketAddr], member: usize, timeout: Duration) -> Self {
+    fn open(
+        fronts: &'a [SocketAddr],
+        keys: Option<&'a KeyRing>,
+        rng: StdRng,
+        member: usize,
+        timeout: Duration,
+    ) -> Self {
         Self {
             fronts,
+            keys,
+            rng,
             member,
             client: HttpClient::new(fronts[member]),
             timeout,
@@ -44,14 +56,24 @@
     /// Sends a request; without a response the next request goes to the next member.
     async fn send(&mut self, method: Method, id: &str, body: Bytes) -> Option<HttpResponse> {
         let host = HeaderValue::from_static("mould.example");
-        let request = HttpRequest::new(method, format!("/jobs/{id}"), body).header(HOST, host);
+        let mut request = HttpRequest::new(method, format!("/jobs/{id}"), body).header(HOST, host);
+        let key = match self.keys {
+            Some(keys) => Some((keys, keys.draw(&mut self.rng).await)),
+            None => None,
+        };
+        if let Some((_, key)) = &key
+            && let Ok(value) = HeaderValue::from_str(&format!("Bearer {}", key.text))
+        {
+            request = request.header(AUTHORIZATION, value);
+        }
         let response = self.client.send(request, self.timeout).await.ok();
-        if response.is_none() {
-            *self = Self::open(
-                self.fronts,
-                (self.member + 1) % self.fronts.len(),
-                self.timeout,
-            );
+        match (&response, &key) {
+            (Some(response), Some((keys, key))) => keys.check(key, response.status).await,
+            (Some(_), None) => {}
+            (None, _) => {
+                self.member = (self.member + 1) % self.fronts.len();
+                self.client = HttpClient::new(self.fronts[self.member]);
+            }
         }
         response
     }
@@ -92,13 +114,16 @@
 /// Submits jobs until a time.
 pub async fn submit_jobs(
     fronts: &[SocketAddr],
+    keys: Option<&KeyRing>,
     load: &CallerLoad,
     record: &Mutex<CallerRecord>,
     number: usize,
     mut rng: StdRng,
     until: Instant,
 ) {
-    let mut connection = MemberConnection::open(fronts, number % fronts.len(), load.call_timeout);
+    let key_rng = StdRng::seed_from_u64(rng.random());
+    let member = number % fronts.len();
+    let mut connection = MemberConnection::open(fronts, keys, key_rng, member, load.call_timeout);
     while Instant::now() < until {
         let job_number = rng.random::<u64>();
         let id = format!("{job_number:016x}");
@@ -117,6 +142,8 @@
                     accepted = true;
                     break;
                 }
+                // A replaced key is refused, and the next call draws again.
+                Some(StatusCode::UNAUTHORIZED) => sleep(RETRY_INTERVAL).await,
                 // The job may have been accepted.
                 None | Some(StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT) => {
                     sleep(RETRY_INTERVAL).await;
@@ -155,9 +182,15 @@
 }
 
 /// Waits until every accepted job is completed, and records those that are not by a time.
-pub async fn wait_completed(fronts: &[SocketAddr], record: &Mutex<CallerRecord>, until: Instant) {
+pub async fn wait_completed(
+    fronts: &[SocketAddr],
+    keys: Option<&KeyRing>,
+    record: &Mutex<CallerRecord>,
+    until: Instant,
+) {
     let mut open = record.lock().await.accepted.clone();
-    let mut connection = MemberConnection::open(fronts, 0, WAIT_CALL_TIMEOUT);
+    let key_rng = StdRng::seed_from_u64(0);
+    let mut connection = MemberConnection::open(fronts, keys, key_rng, 0, WAIT_CALL_TIMEOUT);
     loop {
         let mut rest = Vec::new();
         for id in open {
--- a/crates/experiments/src/soak/verdict.rs
+++ b/crates/experiments/src/soak/verdict.rs
@@ -34,6 +34,24 @@
     violations
 }
 
+/// Returns the starts that brought the number of runs in progress above a limit.
+pub fn check_limit(runs: &[WorkerRun], limit: usize, origin: Instant) -> Vec<String> {
+    let mut violations = Vec::new();
+    for (worker, record) in runs {
+        let at = record.began_at;
+        let is_active = |other: &RunRecord| {
+            let has_ended = other.end.is_some_and(|(_, ended_at)| ended_at <= at);
+            other.began_at <= at && !has_ended
+        };
+        let active = runs.iter().filter(|(_, other)| is_active(other)).count();
+        if active > limit {
+            let run = describe_run(worker, record, origin);
+            violations.push(format!("QUOTA: {active} of {limit} with {run}"));
+        }
+    }
+    violations
+}
+
 fn compare(earlier: &WorkerRun, later: &WorkerRun, origin: Instant) -> Option<String> {
     let began_at = later.1.began_at;
     let broken = match earlier.1.end {
--- a/crates/experiments/tests/partition_soak/faults.rs
+++ b/crates/experiments/tests/partition_soak/faults.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use jacinthhoist_experiments::soak::KeyRing;
 use jacinthhoist_fakes::StoreFault;
 use rand::{RngExt, rngs::StdRng};
 use tokio::time::{Instant, sleep};
@@ -157,9 +158,10 @@
     }
 }
 
-/// Restarts workers, resets connections and changes the catalogue.
+/// Restarts workers, resets connections and changes the catalogue, in which the callers' key is replaced.
 pub(crate) async fn disturbance(
     installation: &SoakInstallation,
+    keys: &KeyRing,
     mut rng: StdRng,
     origin: Instant,
     until: Instant,
@@ -192,7 +194,8 @@
                 } else {
                     &[POOL]
                 };
-                installation.platform.configure(version, pools);
+                let publish = |key: &str| installation.configure(version, pools, key);
+                keys.replace(publish).await;
             }
         }
     }
--- a/crates/experiments/tests/partition_soak/installation.rs
+++ b/crates/experiments/tests/partition_soak/installation.rs
@@ -11,12 +11,17 @@
 };
 
 use hyper::StatusCode;
-use jacinthhoist_experiments::schedule::{get, wait_for};
+use jacinthhoist_experiments::{
+    schedule::{get, wait_for},
+    soak::KeyRing,
+};
 use jacinthhoist_fakes::FakePlatform;
 use jacinthhoist_net::{BootClock, WallClock};
+use serde_json::json;
 use tokio::{sync::Mutex, time::sleep};
 
 use crate::{
+    REVOCATION, TENANT_TASKS,
     member::SoakMember,
     network::{NetworkNode, SoakNetwork},
 };
@@ -56,11 +61,11 @@
 
 impl SoakInstallation {
     /// Starts all members and waits until they are ready.
-    pub(crate) async fn spawn(logs: Option<PathBuf>) -> Self {
+    pub(crate) async fn spawn(logs: Option<PathBuf>, keys: &KeyRing) -> Self {
         let platform = FakePlatform::spawn(&[POOL], WORKERS).await;
         let mut platform = platform.expect("loopback has free ports");
         platform.set_longest_lease(LONGEST_LEASE).await;
-        platform.configure(1, &[POOL]);
+        platform.set_revocation(REVOCATION);
         let ports: Vec<[u16; 3]> = (0..MEMBERS)
             .map(|_| [free_port(), free_port(), free_port()])
             .collect();
@@ -83,6 +88,7 @@
             clock_offsets: (0..MEMBERS).map(|_| Arc::default()).collect(),
             logs,
         };
+        installation.configure(1, &[POOL], &keys.present().await);
         for index in 0..MEMBERS {
             installation.start(index).await;
         }
@@ -96,6 +102,15 @@
         installation
     }
 
+    /// Writes the operators' configuration, with one tenant and its key.
+    pub(crate) fn configure(&self, version: u64, pools: &[&str], key: &str) {
+        let limit = 1_000 * TENANT_TASKS;
+        let tenants =
+            json!([{"name": "soak", "api_keys": [key], "weight": 100, "cap": {"cpu": limit}}]);
+        self.platform
+            .configure_tenants(version, pools, &[], tenants);
+    }
+
     /// Address of a member for callers.
     pub(crate) fn front(&self, member: usize) -> SocketAddr {
         local(self.ports[member][0])
--- a/crates/experiments/tests/partition_soak/main.rs
+++ b/crates/experiments/tests/partition_soak/main.rs
@@ -22,7 +22,7 @@
 };
 
 use installation::{MEMBERS, SoakInstallation};
-use jacinthhoist_experiments::soak::{self, CallerLoad, CallerRecord, SoakPlan};
+use jacinthhoist_experiments::soak::{self, CallerLoad, CallerRecord, KeyRing, SoakPlan};
 
 /// Seeds of one run in CI.
 const SEEDS: u64 = 2;
@@ -32,6 +32,10 @@
 const QUIET_PERIOD: Duration = Duration::from_secs(45);
 /// Time after the last completion in which late starts are still seen.
 const SETTLE_PERIOD: Duration = Duration::from_secs(1);
+/// Time within which every member must refuse a withdrawn key, longer than most cuts from the store.
+pub(crate) const REVOCATION: Duration = Duration::from_secs(5);
+/// Number of tasks that the callers' tenant may have running; they submit more.
+pub(crate) const TENANT_TASKS: usize = 16;
 /// Number of callers.
 const CALLERS: usize = 3;
 
@@ -42,7 +46,8 @@
         std::fs::create_dir_all(&folder).expect("the folder of logs can be created");
         folder
     });
-    let installation = SoakInstallation::spawn(logs).await;
+    let keys = KeyRing::open(REVOCATION);
+    let installation = SoakInstallation::spawn(logs, &keys).await;
     let record = Mutex::new(CallerRecord::default());
     let origin = Instant::now();
     let unix_ms = SystemTime::now().duration_since(UNIX_EPOCH);
@@ -61,19 +66,19 @@
     };
     let caller = |number: usize| {
         let rng = rng(100 + number as u64);
-        soak::submit_jobs(&fronts, &load, &record, number, rng, until)
+        soak::submit_jobs(&fronts, Some(&keys), &load, &record, number, rng, until)
     };
     tokio::join!(
         futures::future::join_all((0..CALLERS).map(caller)),
         faults::partition(&installation, rng(1), origin, until),
         faults::store_outage(&installation, rng(2), origin, until),
         faults::member_end(&installation, rng(3), origin, until),
-        faults::disturbance(&installation, rng(4), origin, until),
+        faults::disturbance(&installation, &keys, rng(4), origin, until),
         // Two, so that their steps overlap.
         faults::clock_step(&installation, rng(5), origin, until),
         faults::clock_step(&installation, rng(6), origin, until),
     );
-    soak::wait_completed(&fronts, &record, Instant::now() + QUIET_PERIOD).await;
+    soak::wait_completed(&fronts, Some(&keys), &record, Instant::now() + QUIET_PERIOD).await;
     sleep(SETTLE_PERIOD).await;
     let mut runs = Vec::new();
     for worker in &installation.platform.workers {
@@ -87,7 +92,9 @@
         mut violations,
     } = record.into_inner();
     let (count, elapsed) = (runs.len(), origin.elapsed().as_secs_f64());
+    violations.extend(soak::check_limit(&runs, TENANT_TASKS, origin.into_std()));
     violations.extend(soak::check_runs(runs, origin.into_std()));
+    violations.extend(keys.take_violations().await);
     println!(
         "seed {seed}: {} jobs accepted, {others} not, {count} runs, {elapsed:.1} s, {} violations",
         accepted.len(),
--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -37,6 +37,8 @@
     /// Workers of all pools.
     pub workers: Vec<PoolWorker>,
     longest_lease: Duration,
+    /// Time within which members must refuse withdrawn keys, if settings files state one.
+    revocation: Option<Duration>,
 }
 
 impl FakePlatform {
@@ -79,6 +81,7 @@
             policy,
             workers,
             longest_lease: DEFAULT_LONGEST_LEASE,
+            revocation: None,
         })
     }
 
@@ -90,15 +93,33 @@
         }
     }
 
+    /// Sets the time that settings files state from now on for the refusal of withdrawn keys.
+    pub fn set_revocation(&mut self, revocation: Duration) {
+        self.revocation = Some(revocation);
+    }
+
     /// Writes the operators' configuration: one route for each pool, with the pool's name.
     pub fn configure(&self, version: u64, pools: &[&str]) {
         self.write_config(
             version,
             pools,
             pools.iter().map(|pool| route(pool)).collect(),
+            None,
         );
     }
 
+    /// Writes the configuration of [`FakePlatform::configure`] with tenants, given as the platform writes
+    /// them. The routes of the pools in `public` need no key.
+    pub fn configure_tenants(&self, version: u64, pools: &[&str], public: &[&str], tenants: Value) {
+        let with_key = |pool: &&str| {
+            let mut route = route(pool);
+            route["public"] = json!(public.contains(pool));
+            route
+        };
+        let routes = pools.iter().map(with_key).collect();
+        self.write_config(version, pools, routes, Some(tenants));
+    }
+
     /// Writes the configuration of [`FakePlatform::configure`] with routes that ask the policy
     /// service for workers. From now on the workers require its tickets.
     pub fn configure_with_policy(&self, version: u64, pools: &[&str]) {
@@ -110,14 +131,24 @@
         for worker in &self.workers {
             worker.require_tickets();
         }
-        self.write_config(version, pools, pools.iter().map(with_advice).collect());
+        let routes = pools.iter().map(with_advice).collect();
+        self.write_config(version, pools, routes, None);
     }
 
-    fn write_config(&self, version: u64, pools: &[&str], routes: Vec<Value>) {
+    fn write_config(
+        &self,
+        version: u64,
+        pools: &[&str],
+        routes: Vec<Value>,
+        tenants: Option<Value>,
+    ) {
         let service =
             |pool: &&str| json!({"name": pool, "max_conns": 64, "rejects_overload": true});
         let services: Vec<Value> = pools.iter().map(service).collect();
-        let config = json!({"version": version, "routes": routes, "services": services});
+        let mut config = json!({"version": version, "routes": routes, "services": services});
+        if let Some(tenants) = tenants {
+            config["tenants"] = tenants;
+        }
         self.store.put("keyed.op", "config", &config);
     }
 
@@ -128,11 +159,18 @@
         let machines = self.machines.address();
         let policy = self.policy.address();
         let hold_max_ms = self.longest_lease.as_millis();
+        let revocation = self.revocation.map(|revocation| {
+            format!(
+                "strict_revoke = true\nrevoke_ms = {}\n",
+                revocation.as_millis()
+            )
+        });
+        let revocation = revocation.unwrap_or_default();
         format!(
             "node_name = \"{name}\"\nip = \"127.0.0.1\"\nzone = \"dc-1\"\nport_range = [{peer}, {peer_end}]\n\
              unknown_field = true\nadvice = \"{policy}\"\n\
              [listen]\nfront = \"127.0.0.1:{front}\"\nready = \"127.0.0.1:{ready}\"\n\
-             [bounds]\nhold_max_ms = {hold_max_ms}\nmove_s = 0.2\nupkeep_s = 0.2\nstatus_s = 120\ngrace_s = 6\n\
+             [bounds]\nhold_max_ms = {hold_max_ms}\nmove_s = 0.2\nupkeep_s = 0.2\nstatus_s = 120\ngrace_s = 6\n{revocation}\
              [platform]\naddress = \"{store}\"\nttl_min_ms = 1000\n\
              record_bytes = {RECORD_BYTES}\ncall_bytes = {CALL_BYTES}\n\
              [cloud_api]\naddress = \"{machines}\"\n"
--- a/crates/jacinthhoistd/tests/process_soak/main.rs
+++ b/crates/jacinthhoistd/tests/process_soak/main.rs
@@ -104,7 +104,7 @@
     let (fronts, load, record) = (installation.fronts(), load(profile), Mutex::default());
     let caller = |number: usize| {
         let rng = rng(100 + number as u64);
-        soak::submit_jobs(&fronts, &load, &record, number, rng, until)
+        soak::submit_jobs(&fronts, None, &load, &record, number, rng, until)
     };
     // Some seeds have no or few faults of some kinds, so that the others meet longer ownerships.
     let sequence = |part: u64| {
@@ -145,7 +145,7 @@
             );
         }
     }
-    soak::wait_completed(&fronts, &record, Instant::now() + QUIET_PERIOD).await;
+    soak::wait_completed(&fronts, None, &record, Instant::now() + QUIET_PERIOD).await;
     sleep(SETTLE_PERIOD).await;
     let mut runs = Vec::new();
     for worker in &installation.platform.workers {
--- a/crates/scheduler/src/caller.rs
+++ b/crates/scheduler/src/caller.rs
@@ -10,8 +10,9 @@
 use jacinthhoist_core::{
     ClockTime, TenantName, WorkName,
     job::{
-        CallerLimits, JobCatalogue, JobError, JobId, JobSpec, JobState, JobTerms, JobWork, KeyHash,
-        KeyRefusal, RepeatPlan, StepSpec, WorkLoad, admit_job, admit_tenant_job, outage_retry,
+        CallerLimits, JobCatalogue, JobError, JobId, JobRefusal, JobSpec, JobState, JobTerms,
+        JobWork, KeyHash, KeyRefusal, RefusalGround, RepeatPlan, StepSpec, WorkLoad, admit_job,
+        admit_tenant_job, outage_retry,
     },
 };
 use serde_json::json;
@@ -137,6 +138,15 @@
     }
 }
 
+/// What became known of a call, for its log line.
+#[derive(Debug, Default)]
+struct ServedCall {
+    work: Option<WorkName>,
+    tenant: Option<TenantName>,
+    /// Why its job was refused for load.
+    ground: Option<RefusalGround>,
+}
+
 /// Phase: the request has arrived.
 struct Received(());
 
@@ -227,14 +237,15 @@
         let received_at = self.shared.clock.now();
         let (action, path) = (request.action.as_str(), request.path.clone());
         let received = self.receive(request, received_at);
-        let (work, reply) = self.serve(received).await;
+        let mut served = ServedCall::default();
+        let reply = self.serve(received, &mut served).await;
         let elapsed = self.shared.clock.now() - received_at;
         let meter = &self.shared.meter;
         meter.answer_time.record(elapsed.as_secs_f64());
         meter.count_answer(action, reply.as_str());
         // Successful status queries are not logged.
         if !matches!(reply, CallerReply::State(_) | CallerReply::Waiting(_)) {
-            self.log_answer(action, &path, work, &reply, elapsed);
+            self.log_answer(action, &path, &served, &reply, elapsed);
         }
         reply
     }
@@ -243,18 +254,22 @@
         &self,
         action: &'static str,
         path: &str,
-        work: Option<WorkName>,
+        served: &ServedCall,
         reply: &CallerReply,
         elapsed: ClockTime,
     ) {
         let job = path.rsplit('/').next().unwrap_or_default();
         let catalogue = self.shared.catalogue.load();
         let version = catalogue.as_ref().map(|catalogue| catalogue.version);
-        let load = work.as_ref().map(|work| self.shared.work_load(work));
+        let load = served.work.as_ref();
+        let load = load.map(|work| self.shared.work_load(work));
         let fields = json!({
             "job": job,
             "call": action,
-            "work": work.as_ref().map(WorkName::as_str),
+            "work": served.work.as_ref().map(WorkName::as_str),
+            "tenant": served.tenant.as_ref().map(TenantName::as_str),
+            "ground": served.ground.map(RefusalGround::label),
+            "catalogue_age_ms": self.shared.catalogue_age().map(ClockTime::as_millis),
             "outcome": reply.as_str(),
             "detail": format!("{reply:?}"),
             "took_ms": elapsed.as_millis(),
@@ -276,21 +291,23 @@
         }
     }
 
-    async fn serve(&self, call: JobCall<Received>) -> (Option<WorkName>, CallerReply) {
+    async fn serve(&self, call: JobCall<Received>, served: &mut ServedCall) -> CallerReply {
         if matches!(call.request.action, CallerAction::Show) {
             self.await_catalogue(call.deadline).await;
         }
         let call = match self.classify(call) {
             Ok(call) => call,
-            Err(reply) => return (None, reply),
+            Err(reply) => return reply,
         };
         let work = call.phase.work.clone();
+        served.work = Some(work.clone());
         let call = match self.permit(call) {
             Ok(call) => call,
-            Err(reply) => return (Some(work), reply),
+            Err(reply) => return reply,
         };
-        let reply = match &call.request.action {
-            CallerAction::Submit(_) => match self.admit(call) {
+        served.tenant = call.phase.tenant.clone();
+        match &call.request.action {
+            CallerAction::Submit(_) => match self.admit(call, served) {
                 Ok(call) => self.store(call).await,
                 Err(reply) => reply,
             },
@@ -299,8 +316,7 @@
             }
             CallerAction::Show => self.show(call).await,
             CallerAction::Cancel => self.cancel(call).await,
-        };
-        (Some(work), reply)
+        }
     }
 
     /// Waits until the first catalogue has been read, or until a deadline. A member that has just
@@ -354,7 +370,10 @@
     ) -> Result<Option<TenantName>, CallerReply> {
         let work = catalogue.work(work).ok_or(CallerReply::NoSuchWork)?;
         let tenant = catalogue.authorize(work, key);
-        let tenant = tenant.map_err(CallerReply::NotPermitted)?;
+        let tenant = tenant.map_err(|refusal| {
+            self.shared.meter.count_key_refusal(refusal.label());
+            CallerReply::NotPermitted(refusal)
+        })?;
         if tenant.is_some() && !self.shared.may_trust_keys() {
             self.shared.meter.outdated_catalogues.increment(1);
             return Err(self.unavailable(0));
@@ -362,7 +381,11 @@
         Ok(tenant)
     }
 
-    fn admit(&self, call: JobCall<Permitted>) -> Result<JobCall<Admitted>, CallerReply> {
+    fn admit(
+        &self,
+        call: JobCall<Permitted>,
+        served: &mut ServedCall,
+    ) -> Result<JobCall<Admitted>, CallerReply> {
         let Permitted { classified, tenant } = &call.phase;
         let id = job_id(&classified.rest)?;
         let CallerAction::Submit(body) = call.request.action.clone() else {
@@ -384,7 +407,13 @@
             repeat: body.repeat,
         };
         spec.check().map_err(bad_job)?;
-        self.admit_load(work, &spec)?;
+        self.admit_load(work, &spec).map_err(|refusal| {
+            served.ground = Some(refusal.ground);
+            self.shared.meter.count_job_refusal(refusal.ground.label());
+            CallerReply::Busy {
+                retry_after: refusal.retry_after,
+            }
+        })?;
         let record = encode_job(id, &spec);
         let record = record.map_err(|error| CallerReply::BadCall(error.to_string()))?;
         let work = classified.work.clone();
@@ -393,7 +422,7 @@
     }
 
     /// Refuses a job that is expected to miss its objective under the current load.
-    fn admit_load(&self, work: &JobWork, spec: &JobSpec) -> Result<(), CallerReply> {
+    fn admit_load(&self, work: &JobWork, spec: &JobSpec) -> Result<(), JobRefusal> {
         if spec.is_long_running() || spec.repeat.is_some() {
             return Ok(());
         }
@@ -401,16 +430,13 @@
         let chain = load.task.as_millis().saturating_mul(spec.chain_len());
         let stretched = ClockTime::from_millis((chain as f64 * work.stretch) as u64);
         let objective = stretched + work.objective;
-        let admitted = match &spec.tenant {
+        match &spec.tenant {
             Some(tenant) => {
                 let tenant_load = self.shared.tenant_load(tenant, &work.pool);
                 admit_tenant_job(&load, &tenant_load, objective)
             }
             None => admit_job(&load, objective),
-        };
-        admitted.map_err(|refusal| CallerReply::Busy {
-            retry_after: refusal.retry_after,
-        })
+        }
     }
 
     async fn store(&self, call: JobCall<Admitted>) -> CallerReply {
--- a/crates/scheduler/src/eventlog.rs
+++ b/crates/scheduler/src/eventlog.rs
@@ -81,6 +81,7 @@
     Placed => ("placed", "Tasks were assigned to workers."),
     RunEnded => ("run_ended", "A run ended without completing its task."),
     JobWaits => ("job_waits", "A job waits for what no worker of its pool has, or does so no more."),
+    Tenant => ("tenant", "What a tenant has running and waiting."),
     TenantFull => ("tenant_full", "A step waits as its tenant has as much running as it may."),
     RoomHeld => ("room_held", "Room on a worker is kept for a task that waits for it."),
     StartSent => ("start_sent", "Start orders are sent, after their runs were stored."),
--- a/crates/scheduler/src/meter.rs
+++ b/crates/scheduler/src/meter.rs
@@ -2,6 +2,7 @@
 
 use std::sync::OnceLock;
 
+use jacinthhoist_core::job::TenantSummary;
 use metrics::{Counter, Gauge, Histogram, counter, gauge, histogram};
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 
@@ -72,6 +73,27 @@
         counter!("jacinthhoist_answers_total", "call" => action, "outcome" => outcome).increment(1);
     }
 
+    /// Counts a job that was refused for load.
+    pub(crate) fn count_job_refusal(&self, ground: &'static str) {
+        counter!("jacinthhoist_job_refusals_total", "ground" => ground).increment(1);
+    }
+
+    /// Counts a call that was refused for its key.
+    pub(crate) fn count_key_refusal(&self, reason: &'static str) {
+        counter!("jacinthhoist_key_refusals_total", "reason" => reason).increment(1);
+    }
+
+    /// Sets the gauges of a tenant; their number is that of the tenants in the catalogue.
+    pub(crate) fn set_tenant(&self, summary: &TenantSummary) {
+        let tenant = summary.tenant.as_str().to_owned();
+        let set = |name: &'static str, value: u64| {
+            gauge!(name, "tenant" => tenant.clone()).set(value as f64);
+        };
+        set("jacinthhoist_tenant_running_cpu", summary.running.cpu);
+        set("jacinthhoist_tenant_limit_cpu", summary.limit.0.cpu);
+        set("jacinthhoist_tenant_waiting_jobs", summary.waiting.into());
+    }
+
     /// Counts a start order that did not start a run.
     pub(crate) fn count_start_refusal(&self, reason: &'static str) {
         counter!("jacinthhoist_start_refusals_total", "reason" => reason).increment(1);
--- a/crates/scheduler/src/owner/decisions.rs
+++ b/crates/scheduler/src/owner/decisions.rs
@@ -2,7 +2,7 @@
 
 use jacinthhoist_core::{
     ClockTime, WorkerId,
-    job::{PoolSummary, ReleaseGround, SchedulerDecision, TaskKey, WaitReason},
+    job::{PoolSummary, ReleaseGround, SchedulerDecision, TaskKey, TenantSummary, WaitReason},
 };
 use serde_json::{Value, json};
 
@@ -45,6 +45,24 @@
     log.write(EventKind::Pool, fields);
 }
 
+/// Logs what a tenant has running and waiting.
+pub(super) fn log_tenant(log: &EventLog, summary: &TenantSummary) {
+    let TenantSummary {
+        tenant,
+        running,
+        limit,
+        share_permille,
+        waiting,
+        held_steps,
+        surplus_jobs,
+    } = summary;
+    let fields = json!({"tenant": tenant.as_str(), "cpu": running.cpu, "mem_mb": running.mem_mb,
+        "gpu": running.gpu, "limit_cpu": limit.0.cpu, "limit_mem_mb": limit.0.mem_mb,
+        "limit_gpu": limit.0.gpu, "share_permille": share_permille, "waiting": waiting,
+        "held_steps": held_steps, "surplus_jobs": surplus_jobs});
+    log.write(EventKind::Tenant, fields);
+}
+
 fn count(shared: &MemberShared, decision: &SchedulerDecision) {
     match decision {
         SchedulerDecision::Finished { after, .. } => {
--- a/crates/scheduler/src/owner/engine.rs
+++ b/crates/scheduler/src/owner/engine.rs
@@ -22,7 +22,7 @@
 use super::{
     AcceptedRead, OwnerEvent, OwnerTask,
     authority::{MAX_AUTHORITY_AGE, OwnerAuthority},
-    decisions::log_pool,
+    decisions::{log_pool, log_tenant},
     effects::EffectRunner,
     questions::{OpenQuestions, ReadDemand},
     sources::{AcceptedReader, follow_workers},
@@ -317,6 +317,10 @@
         for summary in self.scheduler.pool_summaries() {
             log_pool(&self.shared.log, &summary);
         }
+        for summary in self.scheduler.tenant_summaries() {
+            log_tenant(&self.shared.log, &summary);
+            self.shared.meter.set_tenant(&summary);
+        }
     }
 
     fn publish_heartbeat(&mut self, now: ClockTime) {
