--- a/crates/scheduler/src/caller.rs
+++ b/crates/scheduler/src/caller.rs
@@ -150,9 +150,16 @@
 /// Phase: the request has arrived.
 struct Received(());
 
+/// Catalogue as of a moment of a call.
+struct CatalogueView {
+    catalogue: Arc<JobCatalogue>,
+    /// True if it was recent enough for keys to count.
+    counts_keys: bool,
+}
+
 /// Phase: the kind of work is known.
 struct Classified {
-    catalogue: Arc<JobCatalogue>,
+    view: CatalogueView,
     work: WorkName,
     /// Path after the prefix of the kind of work.
     rest: String,
@@ -329,27 +336,35 @@
         }
     }
 
+    /// Returns the present catalogue. What tells whether it is recent is read first: a newer catalogue is published
+    /// before the proof that it is the newest.
+    fn view_catalogue(&self) -> Option<CatalogueView> {
+        let counts_keys = self.shared.may_trust_keys();
+        let catalogue = self.shared.catalogue.load_full()?;
+        Some(CatalogueView {
+            catalogue,
+            counts_keys,
+        })
+    }
+
     fn classify(&self, call: JobCall<Received>) -> Result<JobCall<Classified>, CallerReply> {
-        let catalogue = self.shared.catalogue.load_full();
-        let catalogue = catalogue.ok_or_else(|| self.unavailable(0))?;
+        let view = self.view_catalogue().ok_or_else(|| self.unavailable(0))?;
         let host = call.request.host.split(':').next().unwrap_or_default();
         let path = call.request.path.split('?').next().unwrap_or_default();
-        let found = catalogue.find(host, path);
+        let found = view.catalogue.find(host, path);
         let (work, rest) = found.ok_or(CallerReply::NoSuchWork)?;
         let phase = Classified {
             work: work.name.clone(),
             rest: rest.to_owned(),
-            catalogue,
+            view,
         };
         Ok(call.with_phase(phase))
     }
 
     /// Finds the tenant of the caller. Keys count only while the catalogue is recent enough.
     fn permit(&self, call: JobCall<Classified>) -> Result<JobCall<Permitted>, CallerReply> {
-        let Classified {
-            catalogue, work, ..
-        } = &call.phase;
-        let tenant = self.find_tenant(catalogue, work, call.request.key.as_ref())?;
+        let Classified { view, work, .. } = &call.phase;
+        let tenant = self.find_tenant(view, work, call.request.key.as_ref())?;
         let (request, received_at, deadline) = (call.request, call.received_at, call.deadline);
         Ok(JobCall {
             request,
@@ -364,17 +379,18 @@
 
     fn find_tenant(
         &self,
-        catalogue: &JobCatalogue,
+        view: &CatalogueView,
         work: &WorkName,
         key: Option<&KeyHash>,
     ) -> Result<Option<TenantName>, CallerReply> {
-        let work = catalogue.work(work).ok_or(CallerReply::NoSuchWork)?;
-        let tenant = catalogue.authorize(work, key);
+        let work = view.catalogue.work(work);
+        let work = work.ok_or(CallerReply::NoSuchWork)?;
+        let tenant = view.catalogue.authorize(work, key);
         let tenant = tenant.map_err(|refusal| {
             self.shared.meter.count_key_refusal(refusal.label());
             CallerReply::NotPermitted(refusal)
         })?;
-        if tenant.is_some() && !self.shared.may_trust_keys() {
+        if tenant.is_some() && !view.counts_keys {
             self.shared.meter.outdated_catalogues.increment(1);
             return Err(self.unavailable(0));
         }
@@ -392,7 +408,7 @@
             return Err(CallerReply::BadCall("not a job".to_owned()));
         };
         let body = body.map_err(CallerReply::BadCall)?;
-        let catalogue = &classified.catalogue;
+        let catalogue = &classified.view.catalogue;
         let work = catalogue.work(&classified.work);
         let work = work.ok_or(CallerReply::NoSuchWork)?;
         let (received_on, received_at) = self.shared.on_owner_clock(call.received_at);
@@ -442,8 +458,8 @@
     async fn store(&self, call: JobCall<Admitted>) -> CallerReply {
         let Admitted { work, job, record } = call.phase;
         // The key may have been withdrawn since the call arrived.
-        if let Some(catalogue) = self.shared.catalogue.load_full()
-            && let Err(reply) = self.find_tenant(&catalogue, &work, call.request.key.as_ref())
+        if let Some(view) = self.view_catalogue()
+            && let Err(reply) = self.find_tenant(&view, &work, call.request.key.as_ref())
             && reply != CallerReply::NoSuchWork
         {
             return reply;
