Read-through of tenants: one rule for who may act on a job, demand computed once a report

Cause: the last read of the change found the rule on tenants written twice (is_visible, is_of_tenant), the test for jobs that run at once in three places, the demand of all pools computed twice for each report of the load, jobs taken out of the map and put back to be counted, and an unused method. Change: may_act_on, JobSpec::runs_once and Job::meter; the views are passed to both estimates. Behaviour stays.

--- a/crates/core/src/job/catalogue_proof.rs
+++ b/crates/core/src/job/catalogue_proof.rs
@@ -75,9 +75,4 @@
     pub fn age(&self, now: ClockTime) -> Option<ClockTime> {
         self.proven_at.map(|proven_at| now - proven_at)
     }
-
-    /// Time of which the catalogue is proven; `None` without a proof.
-    pub fn proven_at(&self) -> Option<ClockTime> {
-        self.proven_at
-    }
 }
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -28,6 +28,7 @@
 pub use decision::{LossEvidence, SchedulerDecision, WorkerChange};
 pub use demand::{PoolSummary, TenantSummary};
 pub use jobs::Job;
+use jobs::may_act_on;
 pub use leases::RenewalPlan;
 pub use permits::StepAdvice;
 
@@ -344,7 +345,7 @@
             .get(&job)
             .and_then(|open| open.spec.tenant.as_ref());
         let owner = open.or_else(|| self.ended_tenants.get(&job));
-        owner.is_none() || owner == tenant
+        may_act_on(owner, tenant)
     }
 
     /// Returns the accounts of the tenants.
@@ -368,15 +369,16 @@
                 *waiting.entry(&job.spec.work).or_default() += 1;
             }
         }
+        let views = self.demand_views();
         let mut report = LoadReport {
-            drains: self.drain_times(|view| view.waiting),
+            drains: self.drain_times(&views, |view| view.waiting),
             works: BTreeMap::new(),
             contracted_drains: BTreeMap::new(),
             limit_drains: BTreeMap::new(),
             surplus_waits: BTreeMap::new(),
         };
         if !self.tenants.is_empty() {
-            report.contracted_drains = self.drain_times(|view| view.contracted_waiting);
+            report.contracted_drains = self.drain_times(&views, |view| view.contracted_waiting);
             report.limit_drains = self.limit_drains();
             report.surplus_waits = self.tenants.surplus_waits(self.now);
         }
--- a/crates/core/src/job/scheduler/demand.rs
+++ b/crates/core/src/job/scheduler/demand.rs
@@ -251,8 +251,7 @@
     /// Adds the work of a job to the arrival rate of its pool.
     pub(super) fn record_arrival(&mut self, job: &Job) {
         let now = self.now;
-        let is_timed = !job.spec.is_long_running() && job.spec.repeat.is_none();
-        if !is_timed || job.is_surplus() {
+        if !job.spec.runs_once() || job.is_surplus() {
             return;
         }
         let mean = self.durations.mean(&job.spec.work).as_millis();
@@ -460,12 +459,12 @@
     /// follow the demand. Empty just after a takeover, while most workers have not reported.
     pub(super) fn drain_times(
         &self,
+        views: &[PoolDemandView],
         backlog: impl Fn(&PoolDemandView) -> u64,
     ) -> BTreeMap<PoolName, ClockTime> {
         if !self.have_workers_reported() {
             return BTreeMap::new();
         }
-        let views = self.demand_views();
         let task_cpu = |view: &PoolDemandView| view.capacity.saturating_sub(view.long_running);
         let spare_cpu = |view: &PoolDemandView| {
             let idle = view.idle.iter().filter(|_| view.spare);
--- a/crates/core/src/job/scheduler/jobs.rs
+++ b/crates/core/src/job/scheduler/jobs.rs
@@ -15,7 +15,7 @@
         refusal::StartRefusals,
         spec::{JobId, JobSpec, JobState, JobTerms, Resources, StepKey, StepSpec, TaskKey},
         task::{AnyTask, TaskRun},
-        tenant_account::TenantSlot,
+        tenant_account::{TenantAccounts, TenantSlot},
     },
     name::{TenantName, WorkerId},
 };
@@ -68,9 +68,10 @@
     }
 }
 
-/// Returns whether a caller of the given tenant may act on a job.
-fn is_of_tenant(spec: &JobSpec, tenant: Option<&TenantName>) -> bool {
-    spec.tenant.is_none() || spec.tenant.as_ref() == tenant
+/// Returns whether a caller of the given tenant may see and cancel a job of `owner`: one of its own, or one that was
+/// submitted without a key.
+pub(super) fn may_act_on(owner: Option<&TenantName>, tenant: Option<&TenantName>) -> bool {
+    owner.is_none() || owner == tenant
 }
 
 /// A job that has not ended.
@@ -110,6 +111,13 @@
 }
 
 impl Job {
+    /// Counts the job against its tenant's rate. Repeated and long-running jobs are not timed by their receipt.
+    fn meter(&mut self, tenants: &mut TenantAccounts) {
+        if let Some(slot) = self.tenant.filter(|_| self.spec.runs_once()) {
+            self.is_surplus = tenants.record_job(slot, self.starts_at);
+        }
+    }
+
     /// Returns whether the tenant has sent the job beyond its rate.
     pub(super) fn is_surplus(&self) -> bool {
         self.is_surplus
@@ -341,7 +349,7 @@
         if self.take_early_cancel(id, &job) {
             job.life = job.life.end(JobState::Cancelled);
         }
-        self.meter_job(&mut job);
+        job.meter(&mut self.tenants);
         let (work, tasks) = (job.spec.work.clone(), job.tasks().count());
         let traits = job.spec.traits();
         self.record_arrival(&job);
@@ -365,7 +373,7 @@
             self.early_cancels.insert(id, (tenant.cloned(), self.now));
             return;
         };
-        if !is_of_tenant(&job.spec, tenant) {
+        if !may_act_on(job.spec.tenant.as_ref(), tenant) {
             return;
         }
         if job.life.goal().is_none() {
@@ -416,17 +424,8 @@
     /// Removes a cancellation that arrived before its job; returns whether it applies.
     fn take_early_cancel(&mut self, id: JobId, job: &Job) -> bool {
         let cancel = self.early_cancels.remove(&id);
-        cancel.is_some_and(|(tenant, _)| is_of_tenant(&job.spec, tenant.as_ref()))
-    }
-
-    /// Counts a job against its tenant's rate. Repeated and long-running jobs are not timed by their receipt.
-    fn meter_job(&mut self, job: &mut Job) {
-        let Some(slot) = job.tenant else {
-            return;
-        };
-        if !job.spec.is_long_running() && job.spec.repeat.is_none() {
-            job.is_surplus = self.tenants.record_job(slot, job.starts_at);
-        }
+        let owner = job.spec.tenant.as_ref();
+        cancel.is_some_and(|(tenant, _)| may_act_on(owner, tenant.as_ref()))
     }
 
     /// Counts the restored jobs against the rates of their tenants, in order of receipt. Call once all are
@@ -439,11 +438,9 @@
             .collect();
         jobs.sort_unstable();
         for (_, id) in jobs {
-            let Some(mut job) = self.jobs.remove(&id) else {
-                continue;
-            };
-            self.meter_job(&mut job);
-            self.jobs.insert(id, job);
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.meter(&mut self.tenants);
+            }
         }
     }
 
--- a/crates/core/src/job/spec.rs
+++ b/crates/core/src/job/spec.rs
@@ -457,6 +457,11 @@
         self.steps.iter().any(|step| step.long_running)
     }
 
+    /// True if the job runs at once and ends by itself, so that its objective counts from its receipt.
+    pub fn runs_once(&self) -> bool {
+        !self.is_long_running() && self.repeat.is_none()
+    }
+
     /// Number of steps on the longest chain of dependencies.
     pub fn chain_len(&self) -> u64 {
         let mut depths: SmallVec<[u64; 8]> = SmallVec::new();
--- a/crates/scheduler/src/caller.rs
+++ b/crates/scheduler/src/caller.rs
@@ -439,7 +439,7 @@
 
     /// Refuses a job that is expected to miss its objective under the current load.
     fn admit_load(&self, work: &JobWork, spec: &JobSpec) -> Result<(), JobRefusal> {
-        if spec.is_long_running() || spec.repeat.is_some() {
+        if !spec.runs_once() {
             return Ok(());
         }
         let load = self.admission_load(&work.name);
