Time limits of requests no longer cover the delay of the own process

What callers saw: with slow members, runs were stopped and started again although their workers were sound, and jobs ended late.

Cause: a limit began when the call was made. An owner that is busy for longer than the limit had not written the request by then, or had not read an answer that was there, and counted the worker as silent. A request that expired before its first byte counted as unanswered.

Why it works: the stream tells when it is first asked to write a request. The limit begins then, and anew with the head of the answer, so it covers what the server does and nothing that this process holds up.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 client for short requests over persistent connections.
 
-use std::{future::Future, net::SocketAddr, time::Duration};
+use std::{future::Future, net::SocketAddr, pin::pin, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use crossbeam_queue::SegQueue;
@@ -16,7 +16,7 @@
 use snafu::ResultExt;
 use tokio::{
     net::TcpStream,
-    time::{Instant, sleep_until, timeout, timeout_at},
+    time::{Instant, sleep_until, timeout},
 };
 
 use crate::{
@@ -24,7 +24,7 @@
     error::{
         Category, ConnectSnafu, ExchangeSnafu, ExpiredSnafu, RequestSnafu, Result, TimeoutSnafu,
     },
-    stream::{ExpiringStream, StreamExpiry},
+    stream::{ExpiringStream, RequestWrite},
 };
 
 /// Timeout for opening a connection: several times the round-trip time within a region.
@@ -94,11 +94,11 @@
     connection: Option<HttpConnection>,
 }
 
-/// Open connection, with the expiry of the request that is sent on it.
+/// Open connection, with the progress of the request that is sent on it.
 #[derive(Debug)]
 struct HttpConnection {
     sender: http1::SendRequest<Full<Bytes>>,
-    expiry: StreamExpiry,
+    write: RequestWrite,
 }
 
 impl HttpClient {
@@ -112,7 +112,8 @@
         }
     }
 
-    /// Sends a request and reads the complete response, of any status, within a time limit.
+    /// Sends a request and reads the complete response, of any status. The limit covers the wait for the head of the
+    /// response and then the one for its body, but not the time before this process begins to write the request.
     ///
     /// A connection that failed or timed out is closed, so that a late response is not matched to a
     /// later request.
@@ -144,14 +145,19 @@
     ) -> Result<OpenResponse> {
         let (address, expiry, part_limit) = (self.address, request.expiry, request.part_limit);
         let request = self.build_request(request)?;
-        let deadline = Instant::now() + limit;
-        let head = exchange(address, connection, request, expiry);
-        let (connection, response) = within(address, deadline, head).await?;
+        let write = connection.write.clone();
+        write.begin(expiry);
+        let mut head = pin!(exchange(address, connection, request, expiry));
+        let (connection, response) = tokio::select! {
+            biased;
+            answered = &mut head => answered,
+            () = write.offered() => within(address, limit, head).await,
+        }?;
         Ok(OpenResponse {
             address,
             connection,
             response,
-            deadline,
+            limit,
             part_limit,
         })
     }
@@ -236,14 +242,14 @@
     address: SocketAddr,
     connection: HttpConnection,
     response: Response<Incoming>,
-    deadline: Instant,
+    limit: Duration,
     part_limit: Option<Duration>,
 }
 
 impl OpenResponse {
     /// Reads the body to its end.
     async fn read(self) -> Result<(HttpConnection, HttpResponse)> {
-        let (address, deadline) = (self.address, self.deadline);
+        let address = self.address;
         let (parts, body) = self.response.into_parts();
         let bytes = match self.part_limit {
             Some(part_limit) => read_parts(address, body, part_limit).await?,
@@ -252,7 +258,7 @@
                     let body = body.collect().await.context(ExchangeSnafu { address })?;
                     Ok(body.to_bytes())
                 };
-                within(address, deadline, body).await?
+                within(address, self.limit, body).await?
             }
         };
         let response = HttpResponse {
@@ -277,18 +283,20 @@
         return ExpiredSnafu { address }.fail().map_err(Into::into);
     }
     // Another task writes the request, and the process may be suspended before it does.
-    connection.expiry.set(expiry);
     let response = connection.sender.send_request(request).await;
+    if response.is_err() && connection.write.is_refused() {
+        return ExpiredSnafu { address }.fail().map_err(Into::into);
+    }
     Ok((connection, response.context(ExchangeSnafu { address })?))
 }
 
-/// Waits for an operation until a deadline.
+/// Waits for an operation of a server.
 async fn within<T>(
     address: SocketAddr,
-    deadline: Instant,
+    limit: Duration,
     operation: impl Future<Output = Result<T>>,
 ) -> Result<T> {
-    match timeout_at(deadline, operation).await {
+    match timeout(limit, operation).await {
         Ok(result) => result,
         Err(_) => TimeoutSnafu { address }.fail().map_err(Into::into),
     }
@@ -303,7 +311,7 @@
     let mut bytes = BytesMut::new();
     loop {
         let part = async { Ok(body.frame().await) };
-        match within(address, Instant::now() + part_limit, part).await? {
+        match within(address, part_limit, part).await? {
             Some(part) => {
                 let part = part.context(ExchangeSnafu { address })?;
                 if let Ok(data) = part.into_data() {
@@ -346,8 +354,8 @@
     stream
         .set_zero_linger()
         .map_err(|error| connect_error(error.to_string()))?;
-    let expiry = StreamExpiry::default();
-    let stream = ExpiringStream::new(stream, expiry.clone());
+    let write = RequestWrite::default();
+    let stream = ExpiringStream::new(stream, write.clone());
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(|error| connect_error(error.to_string()))?;
     tokio::spawn(async move {
@@ -355,7 +363,7 @@
             spdlog::debug!("[net] Connection to {address} closed: {error}.");
         }
     });
-    Ok(HttpConnection { sender, expiry })
+    Ok(HttpConnection { sender, write })
 }
 
 /// Pool of clients of one address for concurrent requests; idle clients are reused.
