Starts wait until they can be sent, and keep their runs

Cause: the owner sent all starts of a batch at once under one permission of at most 0.9 s. Those that had not left the process by then gave up their runs, were placed and stored again and came back in the next batch, which took the time in which they should have been sent.

Ruled out: late workers (at most 7 starts without an answer in 600 to 900), lapsed leases (most losses are of runs that the owner before had stored and not sent).

Why it works: a start that has not left the process keeps its stored run and goes out under the next permission. Starts wait in the scheduler until their worker has answered earlier ones, and each is decided on anew before it is sent, so that one whose job has ended or whose worker drains is withdrawn.

Test: a_start_that_did_not_leave_the_process_keeps_its_run failed before (no start sent again); the others of crates/core/tests/jobs/starts.rs guard the queue. send_start and its kin moved from batch.rs to starts.rs.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -97,9 +97,9 @@
 pub use resize::{IdleVm, PoolDemandView, ResizeMove, plan_resize};
 pub use room::RoomIndex;
 pub use scheduler::{
-    Batch, BatchRecord, Effect, Job, JobProgress, LossEvidence, PoolSummary, RenewalPlan,
-    Scheduler, SchedulerDecision, SchedulerLimits, StepAdvice, TaskRecord, TenantSummary, VmEntry,
-    VmState, WorkerChange,
+    Batch, BatchRecord, Effect, Job, JobProgress, LossEvidence, MAX_CONCURRENT_ORDERS, PoolSummary,
+    RenewalPlan, Scheduler, SchedulerDecision, SchedulerLimits, StepAdvice, TaskRecord,
+    TenantSummary, VmEntry, VmState, WorkerChange,
 };
 pub use shape::{SearchMemory, TaskShape};
 pub use share::PoolShares;
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -18,6 +18,7 @@
 mod permits;
 mod placing;
 mod reports;
+mod starts;
 mod strays;
 mod trials;
 mod waves;
@@ -31,6 +32,7 @@
 use jobs::may_act_on;
 pub use leases::RenewalPlan;
 pub use permits::StepAdvice;
+pub use starts::MAX_CONCURRENT_ORDERS;
 
 use smallvec::SmallVec;
 
@@ -55,7 +57,7 @@
     worker::Worker,
 };
 
-/// Limits set by the platform.
+/// Limits set by the platform and the runtime.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SchedulerLimits {
     /// Longest lease granted to a worker; at most the longest that workers accept.
@@ -74,6 +76,8 @@
     /// Time for which a worker's entry may be missing from the list, while the store is reachable,
     /// before the worker is dropped.
     pub missing_grace: ClockTime,
+    /// Number of start orders to one worker that may be unanswered at once.
+    pub concurrent_starts: usize,
 }
 
 impl SchedulerLimits {
@@ -87,6 +91,7 @@
             vm_orders_per_sec: 64,
             ended_retention: ClockTime::from_secs(120),
             missing_grace: ClockTime::from_secs(2),
+            concurrent_starts: usize::MAX,
         }
     }
 }
@@ -228,6 +233,12 @@
     /// Outcome of the last search of each pool's queue.
     waits: BTreeMap<PoolName, WaitCounts>,
     outbox: batch::Outbox,
+    /// Start orders of stored runs that have not been sent.
+    ready_starts: Vec<(TaskKey, u32)>,
+    /// Start orders among them whose permission ran out before they left this process, for the log.
+    postponed_starts: Vec<(TaskKey, u32)>,
+    /// Time until which start orders may be sent.
+    starts_until: ClockTime,
     effects: Vec<Effect>,
     ownership_confirmed: bool,
     /// Latest end of the leases that may be granted.
@@ -279,6 +290,9 @@
             tenants,
             waits: BTreeMap::new(),
             outbox: batch::Outbox::default(),
+            ready_starts: Vec::new(),
+            postponed_starts: Vec::new(),
+            starts_until: ClockTime::from_millis(u64::MAX),
             effects: Vec::new(),
             ownership_confirmed: true,
             leases_until: ClockTime::from_millis(u64::MAX),
@@ -322,6 +336,7 @@
     pub fn step(&mut self, now: ClockTime) -> Vec<Effect> {
         self.now = now;
         self.expire_leases();
+        self.send_ready_starts();
         self.stop_unwanted_runs();
         self.conclude_jobs();
         self.review_trials();
--- a/crates/core/src/job/scheduler/batch.rs
+++ b/crates/core/src/job/scheduler/batch.rs
@@ -12,18 +12,16 @@
     clock::ClockTime,
     job::{
         crash::CrashHistory,
-        process::RunTarget,
-        release::RunOver,
         spec::{JobId, JobState, Resources, TaskKey, is_default},
         stored_time::StoredTime,
         succession::SuccessionRecord,
-        task::{AnyTask, FailedRuns, StartOrderState, TaskRun},
+        task::{AnyTask, FailedRuns, TaskRun},
         wave::WaveProgress,
     },
     name::{PoolName, TenantName, VmName, WorkerId},
 };
 
-use super::{Effect, Job, Scheduler, SchedulerDecision};
+use super::{Effect, Job, Scheduler};
 
 /// Minimum time between two batches: long enough for the ends of one step to share a write, short
 /// compared with the shortest tasks.
@@ -31,9 +29,6 @@
 /// Maximum jobs of a batch. At about 200 bytes per job it is stored with one call.
 const MAX_BATCH_JOBS: usize = 400;
 
-/// Maximum number of start orders that one log line names.
-const MAX_LOGGED_STARTS: usize = 64;
-
 /// The task has no run.
 const PHASE_WAITING: u8 = 0;
 /// The task may be running on a worker.
@@ -388,8 +383,8 @@
         }
     }
 
-    /// Handles the completion of a batch: sends its start orders, makes ends visible to callers and
-    /// lets workers discard them.
+    /// Handles the completion of a batch: its start orders may be sent, ends become visible to callers, and
+    /// workers may discard them.
     pub fn batch_stored(&mut self, number: u64, now: ClockTime) {
         self.now = now;
         if number != self.outbox.last_number {
@@ -425,92 +420,6 @@
         for vm in batch.maintenances {
             self.send_queued_order(&vm);
         }
-        // First, so that no member of a gang is started without the others.
-        for (task, run) in &batch.starts {
-            self.withdraw_unsafe(*task, *run);
-        }
-        let mut runs = Vec::with_capacity(batch.starts.len());
-        for (task, run) in batch.starts {
-            if let Some(worker) = self.send_start(task, run) {
-                runs.push((task, run, worker));
-            }
-        }
-        for part in runs.chunks(MAX_LOGGED_STARTS) {
-            let runs = part.to_vec();
-            self.log_decision(SchedulerDecision::StartsSent { runs });
-        }
-    }
-
-    /// Withdraws a start order that was not sent if its worker has fallen silent, where it might be
-    /// carried out late, if it would extend a lease whose expiry is stored, or if the worker has restarted
-    /// since the run was placed.
-    fn withdraw_unsafe(&mut self, task: TaskKey, run: u32) {
-        let job = self.jobs.get(&task.job);
-        let Some(AnyTask::Assigned(assigned)) = job.and_then(|job| job.task(&task)) else {
-            return;
-        };
-        let target = assigned.phase.target.clone();
-        let known = self.workers.get(&target.worker);
-        let may_start =
-            known.is_some_and(|known| known.is_extendable() && known.run_target() == target);
-        if assigned.run == run && !may_start {
-            self.withdraw_start(&target.worker, task, run);
-        }
-    }
-
-    /// Sends a start order unless the run is no longer wanted; returns its worker.
-    pub(super) fn send_start(&mut self, task: TaskKey, run: u32) -> Option<WorkerId> {
-        let now = self.now;
-        let span = self.grantable_lease(now);
-        let job = self.jobs.get_mut(&task.job)?;
-        let Some(AnyTask::Assigned(assigned)) = job.task_mut(&task) else {
-            return None;
-        };
-        if assigned.run != run {
-            return None;
-        }
-        let RunTarget {
-            worker,
-            incarnation,
-        } = assigned.phase.target.clone();
-        // A late report may have shown since the assignment that an earlier run failed.
-        let is_unwanted =
-            job.life.goal().is_some() || job.is_exhausted(&task) || job.has_lost_members(&task);
-        if is_unwanted {
-            self.withdraw_start(&worker, task, run);
-            return None;
-        }
-        let Some(AnyTask::Assigned(assigned)) = job.task_mut(&task) else {
-            return None;
-        };
-        assigned.phase.order = StartOrderState::Pending;
-        let checkpoint = assigned.checkpoint.clone();
-        let payload = job.spec.payload.clone();
-        let known = self.workers.get_mut(&worker);
-        let start = Effect::Start {
-            task,
-            run,
-            payload,
-            checkpoint,
-            lease_until: known.and_then(|known| known.process.lease.extend(span, now)),
-            incarnation,
-            permit: self.permits.find(task.into(), &worker, now),
-            worker: worker.clone(),
-        };
-        self.effects.push(start);
-        Some(worker)
-    }
-
-    /// Releases a run that was stored but is not to be started, if its start order was never sent.
-    fn withdraw_start(&mut self, worker: &WorkerId, task: TaskKey, run: u32) {
-        let Some(slot) = self.assigned_slot(worker, task, run) else {
-            return;
-        };
-        let Some(over) = RunOver::not_sent(slot) else {
-            return;
-        };
-        *slot = slot.clone().released(over);
-        self.discharge_run(worker, task, run);
-        self.outbox.mark_changed(task.job);
+        self.ready_starts.extend(batch.starts);
     }
 }
--- a/crates/core/src/job/scheduler/decision.rs
+++ b/crates/core/src/job/scheduler/decision.rs
@@ -100,6 +100,11 @@
         /// Runs to start, with their workers.
         runs: Vec<(TaskKey, u32, WorkerId)>,
     },
+    /// The permission to send start orders ran out before they left this process; they wait for the next one.
+    StartsPostponed {
+        /// Tasks and run numbers.
+        runs: Vec<(TaskKey, u32)>,
+    },
     /// A start order without an answer is sent again.
     StartRepeated {
         /// Task of the run.
--- a/crates/core/src/job/scheduler/orders.rs
+++ b/crates/core/src/job/scheduler/orders.rs
@@ -57,6 +57,15 @@
         now: ClockTime,
     ) {
         self.now = now;
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.unanswered_starts = worker.unanswered_starts.saturating_sub(1);
+        }
+        if reply == StartReply::Expired && self.is_first_start(id, key, run) {
+            // The worker may have fallen silent before the reply arrived.
+            self.retract_loss(key, run);
+            self.requeue_start(key, run);
+            return;
+        }
         if reply == StartReply::Started {
             if let Some(job) = self.jobs.get_mut(&key.job) {
                 job.record_start(&key);
@@ -110,6 +119,12 @@
         *slot = AnyTask::Assigned(task);
     }
 
+    /// Returns whether a run is assigned to the worker and its start order has been sent once.
+    fn is_first_start(&mut self, id: &WorkerId, key: TaskKey, run: u32) -> bool {
+        let slot = self.assigned_slot(id, key, run);
+        matches!(slot, Some(AnyTask::Assigned(task)) if task.phase.order == StartOrderState::Pending)
+    }
+
     /// Updates the worker's health and permits from its reply to a start order.
     fn apply_start_reply(&mut self, id: &WorkerId, key: TaskKey, run: u32, reply: StartReply) {
         let now = self.now;
@@ -376,9 +391,11 @@
                         }
                         stop
                     }
-                    AnyTask::Assigned(task) => {
-                        unwanted.filter(|_| task.phase.order != StartOrderState::Inherited)
-                    }
+                    // An order that was not sent is withdrawn.
+                    AnyTask::Assigned(task) => unwanted.filter(|_| {
+                        let order = task.phase.order;
+                        order != StartOrderState::Inherited && order != StartOrderState::Queued
+                    }),
                     _ => None,
                 };
                 if let Some(reason) = stop {
--- a/crates/core/src/job/task.rs
+++ b/crates/core/src/job/task.rs
@@ -95,7 +95,7 @@
 /// State of a start order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StartOrderState {
-    /// The run is not stored yet, so the order has not been sent.
+    /// The order has not been sent: the run is not stored yet, or earlier orders are unanswered.
     Queued,
     /// The order has been sent, and its reply is awaited.
     Pending,
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -204,6 +204,8 @@
     pub finite_runs: u32,
     /// Number of runs whose cost is unknown, as their job is.
     unknown_runs: u32,
+    /// Number of start orders without a reply.
+    pub(super) unanswered_starts: usize,
     /// True if the next report will show the outcome of an order.
     pub awaits_report: bool,
     /// Stored expiry of the worker's lease, if there is one. The lease is not renewed until that record has
@@ -244,6 +246,7 @@
             best_effort_runs: 0,
             finite_runs: 0,
             unknown_runs: 0,
+            unanswered_starts: 0,
             awaits_report: false,
             stored_expiry: None,
             cordoned: false,
--- a/crates/core/tests/job_interleavings/engine.rs
+++ b/crates/core/tests/job_interleavings/engine.rs
@@ -8,8 +8,8 @@
 use jacinthhoist_core::{
     ClockTime, TenantName, WorkerId,
     job::{
-        Batch, Effect, JobId, JobSpec, OrderReply, OwnershipEvidence, RenewalReport, Scheduler,
-        StartReply, TaskKey, WorkerEntry,
+        Batch, Effect, JobId, JobSpec, MAX_CONCURRENT_ORDERS, OrderReply, OwnershipEvidence,
+        RenewalReport, Scheduler, StartReply, TaskKey, WorkerEntry,
     },
 };
 
@@ -20,7 +20,6 @@
 const IDLE_RENEWAL_INTERVAL_MS: u64 = 3_000;
 const SILENT_RENEWAL_INTERVAL_MS: u64 = 400;
 const UNSTORED_RENEWAL_INTERVAL_MS: u64 = 1_000;
-const MAX_CONCURRENT_ORDERS: usize = 4;
 /// Longest time after its evidence at which an order is sent.
 const MAX_AUTHORITY_AGE_MS: u64 = 900;
 
@@ -183,6 +182,9 @@
             stored_at: ClockTime::from_millis(self.confirmed_at.max(self.appended_at)),
             promised_until: ClockTime::ZERO,
         });
+        let starts_until = self.confirmed_at.max(self.appended_at) + MAX_AUTHORITY_AGE_MS;
+        self.scheduler
+            .set_starts_until(ClockTime::from_millis(starts_until));
         let effects = self.scheduler.step(ClockTime::from_millis(now));
         self.sync(&mut actions);
         for effect in effects {
--- a/crates/core/tests/job_interleavings/setting.rs
+++ b/crates/core/tests/job_interleavings/setting.rs
@@ -5,9 +5,9 @@
 use jacinthhoist_core::{
     ClockTime, DataCentre, PoolName, TenantName, WorkName,
     job::{
-        CallerLimits, JobCatalogue, JobId, JobPool, JobSpec, JobTerms, JobWork, OrderReply,
-        Resources, SchedulerLimits, StartReply, StepSpec, TenantLimit, TenantTable, TenantTerms,
-        WorkerEntry, WorkerState,
+        CallerLimits, JobCatalogue, JobId, JobPool, JobSpec, JobTerms, JobWork,
+        MAX_CONCURRENT_ORDERS, OrderReply, Resources, SchedulerLimits, StartReply, StepSpec,
+        TenantLimit, TenantTable, TenantTerms, WorkerEntry, WorkerState,
     },
 };
 use rand::{RngExt, rngs::StdRng};
@@ -37,6 +37,7 @@
         max_lease: ms(3_500),
         longest_lease: ms(LONGEST_LEASE_MS),
         missing_grace: ms(2_000),
+        concurrent_starts: MAX_CONCURRENT_ORDERS,
         ..SchedulerLimits::example()
     }
 }
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -19,6 +19,7 @@
 mod processes;
 mod proof;
 mod refusals;
+mod starts;
 mod strays;
 mod tenants;
 mod waiting;
--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -14,7 +14,7 @@
 use jacinthhoist_codec::StoreLimits;
 use jacinthhoist_core::{
     ClockTime, MemberName, PoolName,
-    job::{MemberRank, RevocationSpan, SchedulerLimits},
+    job::{MAX_CONCURRENT_ORDERS, MemberRank, RevocationSpan, SchedulerLimits},
 };
 use jacinthhoist_net::{BootClock, WallClock};
 use jacinthhoist_scheduler::{
@@ -273,6 +273,7 @@
                 longest_lease: LONGEST_LEASE,
                 move_time: MOVE_TIME,
                 maintenance_time: MAINTENANCE_TIME,
+                concurrent_starts: MAX_CONCURRENT_ORDERS,
                 ..SchedulerLimits::example()
             },
             store_limits: StoreLimits::example(),
--- a/crates/scheduler/src/eventlog.rs
+++ b/crates/scheduler/src/eventlog.rs
@@ -51,6 +51,7 @@
                 matches!(
                     self,
                     Self::StartSent
+                        | Self::StartPostponed
                         | Self::StartRepeated
                         | Self::StartRefused
                         | Self::OrderFenced
@@ -85,6 +86,7 @@
     TenantFull => ("tenant_full", "A step waits as its tenant has as much running as it may."),
     RoomHeld => ("room_held", "Room on a worker is kept for a task that waits for it."),
     StartSent => ("start_sent", "Start orders are sent, after their runs were stored."),
+    StartPostponed => ("start_postponed", "Start orders whose permission ran out before they were sent wait again."),
     StartRefused => ("start_refused", "A start order did not start a run."),
     StartRepeated => ("start_repeated", "A start order without an answer is sent again."),
     OrderExpired => ("order_expired", "An order was not sent, as its permission had run out."),
--- a/crates/scheduler/src/owner/authority.rs
+++ b/crates/scheduler/src/owner/authority.rs
@@ -90,7 +90,12 @@
 
     /// Permission for a start order.
     pub(super) fn for_start(&self) -> OrderAuthority {
-        self.since(self.proof.stored_at())
+        self.until(self.starts_until())
+    }
+
+    /// Time until which start orders may be sent.
+    pub(super) fn starts_until(&self) -> ClockTime {
+        self.proof.stored_at() + MAX_AUTHORITY_AGE
     }
 
     /// Permission for a renewal decided now. It begins and ends no run, and the evidence bounds the lease
--- a/crates/scheduler/src/owner/decisions.rs
+++ b/crates/scheduler/src/owner/decisions.rs
@@ -174,6 +174,14 @@
                 json!({"runs": rows.collect::<Vec<_>>()}),
             )
         }
+        SchedulerDecision::StartsPostponed { runs } => {
+            let rows = runs.iter();
+            let rows = rows.map(|(task, run)| json!([task.to_string(), run]));
+            (
+                EventKind::StartPostponed,
+                json!({"runs": rows.collect::<Vec<_>>()}),
+            )
+        }
         SchedulerDecision::StartRepeated { task, run, worker } => {
             (EventKind::StartRepeated, run_fields(&task, run, &worker))
         }
--- a/crates/scheduler/src/owner/engine.rs
+++ b/crates/scheduler/src/owner/engine.rs
@@ -229,6 +229,8 @@
         self.authority.record_promises(self.promised_until());
         self.settle_questions(now);
         self.scheduler.set_evidence(self.authority.evidence());
+        self.scheduler
+            .set_starts_until(self.authority.starts_until());
         self.update_succession(now);
         let wall_reading = self.wall_times.read(&self.shared, &self.scheduler, now);
         self.scheduler.set_wall_reading(wall_reading);
--- a/crates/scheduler/src/owner/workers.rs
+++ b/crates/scheduler/src/owner/workers.rs
@@ -4,7 +4,7 @@
 
 use jacinthhoist_core::{
     ClockTime, WorkerId,
-    job::{OrderReply, RenewalPlan, Scheduler, StartReply, TaskKey},
+    job::{MAX_CONCURRENT_ORDERS, OrderReply, RenewalPlan, Scheduler, StartReply, TaskKey},
 };
 use tokio::sync::{Semaphore, mpsc};
 
@@ -31,8 +31,6 @@
 const SILENT_RENEWAL_INTERVAL: ClockTime = ClockTime::from_millis(400);
 /// Interval between renewals while reported ends of runs have not been stored.
 const UNSTORED_RENEWAL_INTERVAL: ClockTime = ClockTime::from_millis(1_000);
-/// Maximum concurrent orders to one worker; bounds the connections to it.
-const MAX_CONCURRENT_ORDERS: usize = 4;
 
 /// Connection to a worker and its state.
 struct WorkerConnection<W> {
