Steps of an owner leave at least half of the time for its calls

What callers saw: with slow members, accepted jobs did not run, and owners lost the pools without a fault near (LOST).

Cause: the interval between steps was limited to 60 ms. Longer steps followed each other at once, and the runtime gives each call one turn between two of them, of the several that it takes. So starts, renewals and the membership expired, and the backlog made the steps longer. At a quarter of a core, 15 ms of processor time are 60 ms.

Why it works: after a step its calls get at least as much time as it took, whatever the speed of the machine.

--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -785,6 +785,24 @@
     }
 }
 
+/// Regression test (LOST, review/6 on slow members): steps that took longer than the longest interval between them
+/// followed each other at once, so that starts, renewals and the membership of the owner expired.
+#[test]
+fn long_steps_leave_half_of_the_time_for_other_work() {
+    for cost in [31, 60, 250, 4_000] {
+        let mut pace = StepPace::default();
+        let (mut now, mut busy) = (ms(10_000), 0);
+        while now < ms(50_000) {
+            let began_at = now.max(pace.next_at());
+            now = began_at + ms(cost);
+            pace.record(began_at, now);
+            busy += cost;
+        }
+        let elapsed = (now - ms(10_000)).as_millis();
+        assert!(busy * 2 <= elapsed + cost, "{cost} ms: {busy} of {elapsed}");
+    }
+}
+
 #[test]
 fn the_version_of_the_worker_list_tells_when_connections_change() {
     let mut harness = SchedulerHarness::open(2);
