--- a/crates/experiments/tests/partition_soak/faults.rs
+++ b/crates/experiments/tests/partition_soak/faults.rs
@@ -128,6 +128,35 @@
     }
 }
 
+/// Slows members down, the owner more often than others.
+pub(crate) async fn slow_member(
+    installation: &SoakInstallation,
+    mut rng: StdRng,
+    origin: Instant,
+    until: Instant,
+) {
+    loop {
+        pause(&mut rng, 500..4_000).await;
+        if Instant::now() >= until {
+            return;
+        }
+        let (any, is_owner) = (rng.random_range(0..MEMBERS), rng.random_bool(0.6));
+        let owner = installation.owner().await.filter(|_| is_owner);
+        let index = owner.unwrap_or(any);
+        let stall = Duration::from_millis(rng.random_range(30..700));
+        let gap = Duration::from_millis(rng.random_range(2..60));
+        let lasts = Duration::from_millis(rng.random_range(1_000..6_000));
+        note(
+            origin,
+            &format!("entry-{index} slow for {lasts:?}, stalls of {stall:?} every {gap:?}"),
+        );
+        installation
+            .slow_down(index, stall, gap, Instant::now() + lasts)
+            .await;
+        sleep(lasts).await;
+    }
+}
+
 /// Steps the wall clocks of members and sets them back, some only after the end.
 pub(crate) async fn clock_step(
     installation: &SoakInstallation,
--- a/crates/experiments/tests/partition_soak/installation.rs
+++ b/crates/experiments/tests/partition_soak/installation.rs
@@ -18,7 +18,10 @@
 use jacinthhoist_fakes::FakePlatform;
 use jacinthhoist_net::{BootClock, WallClock};
 use serde_json::json;
-use tokio::{sync::Mutex, time::sleep};
+use tokio::{
+    sync::Mutex,
+    time::{Instant, sleep},
+};
 
 use crate::{
     REVOCATION, TENANT_TASKS,
@@ -152,6 +155,19 @@
         panic!("{name} does not start: {last_error:?}");
     }
 
+    /// Slows a member down unless it is down.
+    pub(crate) async fn slow_down(
+        &self,
+        index: usize,
+        stall: Duration,
+        gap: Duration,
+        until: Instant,
+    ) {
+        if let Some(member) = &*self.members[index].lock().await {
+            member.slow_down(stall, gap, until);
+        }
+    }
+
     /// Ends a member, orderly or at once; returns `false` if it is down.
     pub(crate) async fn end(&self, index: usize, orderly: bool) -> bool {
         let Some(member) = self.members[index].lock().await.take() else {
--- a/crates/experiments/tests/partition_soak/main.rs
+++ b/crates/experiments/tests/partition_soak/main.rs
@@ -78,6 +78,8 @@
         // Two, so that their steps overlap.
         faults::clock_step(&installation, rng(5), origin, until),
         faults::clock_step(&installation, rng(6), origin, until),
+        faults::slow_member(&installation, rng(7), origin, until),
+        faults::slow_member(&installation, rng(8), origin, until),
     );
     soak::wait_completed(&fronts, Some(&keys), &record, Instant::now() + QUIET_PERIOD).await;
     sleep(SETTLE_PERIOD).await;
--- a/crates/experiments/tests/partition_soak/member.rs
+++ b/crates/experiments/tests/partition_soak/member.rs
@@ -1,6 +1,8 @@
 //! Scheduler member on a runtime of its own, whose calls pass through loopback links.
 
-use std::{collections::HashMap, fs::File, io, net::SocketAddr, path::Path, sync::Arc};
+use std::{
+    collections::HashMap, fs::File, io, net::SocketAddr, path::Path, sync::Arc, time::Duration,
+};
 
 use jacinthhoist_codec::KeyedRecord;
 use jacinthhoist_core::{
@@ -20,6 +22,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     runtime::{Builder, Runtime},
+    time::{Instant, sleep},
 };
 
 /// Threads of a member.
@@ -202,6 +205,19 @@
         self.runtime.shutdown_background();
     }
 
+    /// Keeps all threads of the member busy for `stall` at a time until `until`, with gaps between: a process that is
+    /// late with its steps and with whatever it sends and reads.
+    pub(crate) fn slow_down(&self, stall: Duration, gap: Duration, until: Instant) {
+        for _ in 0..MEMBER_THREADS {
+            self.runtime.spawn(async move {
+                while Instant::now() < until {
+                    std::thread::sleep(stall);
+                    sleep(gap).await;
+                }
+            });
+        }
+    }
+
     /// Ends at once, like a killed process.
     pub(crate) fn abort(self) {
         self.runtime.shutdown_background();
--- a/crates/jacinthhoistd/tests/process_soak/faults.rs
+++ b/crates/jacinthhoistd/tests/process_soak/faults.rs
@@ -77,6 +77,28 @@
         }
     }
 
+    /// Slows members down: each gets a part of the time only, in turns that are short compared with a lease.
+    pub(crate) async fn slow_members(mut self) {
+        while self.next(500..4_000).await {
+            let member = self.draw_member(0.6).await;
+            let (lasts, stall) = (self.draw_time(1_000..6_000), self.draw_time(50..600));
+            let turn = self.draw_time(5..60);
+            let installation = self.installation;
+            installation.note(&format!(
+                "entry-{member} slow for {lasts:?}, {turn:?} every {stall:?}"
+            ));
+            let until = Instant::now() + lasts;
+            while Instant::now() < until
+                && let Some(number) = installation.signal(member, ProcessSignal::Stop).await
+            {
+                sleep(stall).await;
+                installation.resume(member, number).await;
+                sleep(turn).await;
+            }
+            installation.note(&format!("entry-{member} as fast as before"));
+        }
+    }
+
     /// Ends members, and starts them again under their addresses.
     pub(crate) async fn end_members(mut self) {
         while self.next(2_500..9_000).await {
--- a/crates/jacinthhoistd/tests/process_soak/main.rs
+++ b/crates/jacinthhoistd/tests/process_soak/main.rs
@@ -135,6 +135,8 @@
                 sequence(6).disturb_network(),
                 sequence(7).cut_workers(),
                 sequence(8).cut_workers(),
+                sequence(11).slow_members(),
+                sequence(12).slow_members(),
             );
         }
         FaultProfile::UnseenRestarts => {
