--- a/crates/core/src/job/scheduler/jobs.rs
+++ b/crates/core/src/job/scheduler/jobs.rs
@@ -307,6 +307,12 @@
             .all(|(_, task)| matches!(task, AnyTask::Done { .. }))
     }
 
+    /// Returns whether a run of the task that has not begun is still to be started. A late report may have shown
+    /// since its assignment that an earlier run failed.
+    pub(super) fn wants_start(&self, key: &TaskKey) -> bool {
+        self.life.goal().is_none() && !self.is_exhausted(key) && !self.has_lost_members(key)
+    }
+
     /// Returns whether a task must not run again as it has failed too often.
     pub(super) fn is_exhausted(&self, key: &TaskKey) -> bool {
         let failures = self.task(key).map_or(0, AnyTask::failures);
--- a/crates/core/src/job/scheduler/starts.rs
+++ b/crates/core/src/job/scheduler/starts.rs
@@ -76,10 +76,7 @@
             let is_ready = known.entry.state == WorkerState::Ready;
             is_ready && known.is_extendable() && known.run_target() == target
         });
-        // A late report may have shown since the assignment that an earlier run failed.
-        let is_wanted =
-            job.life.goal().is_none() && !job.is_exhausted(&task) && !job.has_lost_members(&task);
-        if assigned.run == run && !(may_start && is_wanted) {
+        if assigned.run == run && !(may_start && job.wants_start(&task)) {
             self.withdraw_start(&target.worker, task, run);
         }
     }
@@ -124,9 +121,7 @@
             worker,
             incarnation,
         } = assigned.phase.target.clone();
-        let is_unwanted =
-            job.life.goal().is_some() || job.is_exhausted(&task) || job.has_lost_members(&task);
-        if is_unwanted {
+        if !job.wants_start(&task) {
             self.withdraw_start(&worker, task, run);
             return None;
         }
