--- a/review/standin-3/src/crowds.rs
+++ b/review/standin-3/src/crowds.rs
@@ -1,6 +1,6 @@
 //! Callers that the users do not control, as their letter describes them.
 
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use serde_json::json;
 use tokio::{io::AsyncWriteExt, net::TcpStream, time::sleep};
@@ -17,10 +17,17 @@
 /// `finish_s` of the users' small installations.
 const FINISH: Duration = Duration::from_secs(14);
 
-/// Jobs of the crowd, and the steps of each.
+/// Jobs of thousands of steps, and the steps of each.
 const CROWD_JOBS: usize = 260;
 const CROWD_STEPS: usize = 4_500;
 
+/// Schedules that callers hand in, and the times that each runs: once a minute for nearly a week.
+const SCHEDULES: usize = 240;
+const TIMES: u32 = 10_000;
+const SCHEDULE_INTERVAL: Duration = Duration::from_secs(60);
+/// Time between two of them: half of the site's usual rate of 19 submissions a second.
+const SCHEDULE_DELAY: Duration = Duration::from_millis(105);
+
 /// Connections of the crowd at one member, each of which brings a body up to its last byte.
 const STALLED_BODIES: usize = 1_200;
 /// Times that the crowd comes to each of two members.
@@ -71,11 +78,43 @@
 
 /// Requests that are legal in size and made of very many short fields: jobs of thousands of steps.
 pub async fn steps(setup: Setup) -> Result<bool> {
+    let mut steps = vec![json!({"count": 1})];
+    steps.resize(CROWD_STEPS, json!({"count": 1, "depends_on": [0]}));
+    let body = json!({"task_spec": "ms=90000", "steps": steps}).to_string();
+    beside_ordinary_jobs(setup, 10_000, &body, CROWD_JOBS, Duration::ZERO).await
+}
+
+/// Jobs of one step that run once a minute, beginning in an hour.
+pub async fn schedules(setup: Setup) -> Result<bool> {
+    let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH)?;
+    let start_at = since_1970 + Duration::from_secs(3_600);
+    let step = json!({"count": 1, "cpu": 1_000, "mem_mb": 100, "estimate_ms": 500});
+    let body = json!({
+        "task_spec": "ms=500",
+        "steps": [step],
+        "repeats": TIMES,
+        "start_at_ms": start_at.as_millis() as u64,
+        "interval_ms": SCHEDULE_INTERVAL.as_millis() as u64,
+    });
+    beside_ordinary_jobs(setup, 35_000, &body.to_string(), SCHEDULES, SCHEDULE_DELAY).await
+}
+
+/// Hands in ordinary jobs of `work_ms`, then `count` others with one body, and asks for the ordinary ones.
+async fn beside_ordinary_jobs(
+    setup: Setup,
+    work_ms: u64,
+    body: &str,
+    count: usize,
+    delay: Duration,
+) -> Result<bool> {
+    if body.len() > BODY_BYTES {
+        return Err("the body is too large".into());
+    }
     let fleet = Fleet::open(setup, &[POOL], WORKERS, MAX_FDS).await?;
     let mut accepted = Vec::new();
     for number in 0..6 {
         let job = id(1, number);
-        if fleet.submit(POOL, &job, &ordinary_job(6_000)).await {
+        if fleet.submit(POOL, &job, &ordinary_job(work_ms)).await {
             accepted.push(job);
         }
     }
@@ -83,17 +122,14 @@
         return Err("no ordinary job was accepted".into());
     }
     if fleet.trouble {
-        let mut steps = vec![json!({"count": 1})];
-        steps.resize(CROWD_STEPS, json!({"count": 1, "depends_on": [0]}));
-        let body = json!({"task_spec": "ms=90000", "steps": steps}).to_string();
-        if body.len() > BODY_BYTES {
-            return Err("the body is too large".into());
-        }
-        for number in 0..CROWD_JOBS {
-            fleet.call(number, "POST", POOL, &id(2, number), &body).await;
+        fleet.record.write(&format!("the others: {}", &body[..body.len().min(300)]));
+        for number in 0..count {
+            fleet.call(number, "POST", POOL, &id(2, number), body).await;
+            sleep(delay).await;
         }
+    } else {
+        sleep(delay * count as u32).await;
     }
-    // The crowd has gone.
     fleet.record.write("the traffic has ended");
     let lost = count_lost(&fleet, &accepted).await;
     for job in &accepted {
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -4,6 +4,7 @@
 //! Usage: `review-standin-3 SCENARIO DAEMON FOLDER RECORD`. The variable TROUBLE=0 leaves the disruption out.
 //! Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
+mod config;
 mod crashes;
 mod crowds;
 mod fleet;
@@ -33,6 +34,8 @@
     };
     let case = async {
         match scenario.as_str() {
+            "attempts" => config::attempts(setup).await,
+            "schedules" => crowds::schedules(setup).await,
             "many-steps" => crowds::steps(setup).await,
             "stalled-bodies" => crowds::bodies(setup).await,
             "stalled-descriptors" => crowds::descriptors(setup).await,
