--- /dev/null
+++ b/review/15/run.sh
@@ -0,0 +1,12 @@
+#!/bin/sh
+# Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+standin=target/review-3/release/review-standin-3
+daemon=target/release/jacinthhoistd
+[ -x "$standin" ] && [ -x "$daemon" ] || exit 2
+folder=$(mktemp -d) || exit 2
+"$standin" attempts "$daemon" "$folder" review/11/record.txt
+code=$?
+rm -rf "$folder"
+[ "$code" -le 2 ] || code=2
+exit "$code"
