--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -5,7 +5,7 @@
 daemon=target/release/jacinthhoistd
 [ -x "$standin" ] && [ -x "$daemon" ] || exit 2
 folder=$(mktemp -d) || exit 2
-"$standin" many-steps "$daemon" "$folder" review/11/record.txt
+"$standin" schedules "$daemon" "$folder" review/11/record.txt
 code=$?
 rm -rf "$folder"
 [ "$code" -le 2 ] || code=2
