--- a/review/standin-3/src/config.rs
+++ b/review/standin-3/src/config.rs
@@ -35,10 +35,13 @@
     let max_attempts = if fleet.trouble { 300 } else { 4 };
     let services = json!([{"name": POOL, "max_conns": 64, "rejects_overload": true}]);
     let config = json!({"version": 2, "routes": [route(POOL, 2), route(ADDED, max_attempts)], "services": services});
-    fleet.record.write(&format!("the operator writes op/config: {config}"));
+    fleet
+        .record
+        .write(&format!("the operator writes op/config: {config}"));
     fleet.platform.store.put("keyed.op", "config", &config);
     sleep(APPLIED).await;
-    let job = json!({"task_spec": "ms=200", "steps": [{"count": 2, "cpu": 1_000, "mem_mb": 100}]}).to_string();
+    let job = json!({"task_spec": "ms=200", "steps": [{"count": 2, "cpu": 1_000, "mem_mb": 100}]})
+        .to_string();
     let mut refused = 0;
     for member in 0..fleet.members() {
         let id = format!("5c0e7a21d94b36f{member}");
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -5,9 +5,9 @@
 //! Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
 mod config;
-mod crashes;
 mod crowds;
 mod fleet;
+mod policy;
 
 use std::{env, process::exit, time::Duration};
 
@@ -31,16 +31,16 @@
         folder: folder.into(),
         record: record.into(),
         trouble,
+        advice: None,
     };
     let case = async {
         match scenario.as_str() {
+            "policy" => policy::run(setup).await,
             "attempts" => config::attempts(setup).await,
             "schedules" => crowds::schedules(setup).await,
             "many-steps" => crowds::steps(setup).await,
             "stalled-bodies" => crowds::bodies(setup).await,
             "stalled-descriptors" => crowds::descriptors(setup).await,
-            "late-crashes" => crashes::late(setup).await,
-            "early-crashes" => crashes::early(setup).await,
             other => Err(format!("unknown scenario {other}").into()),
         }
     };
