--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -4,8 +4,9 @@
 standin=target/review-3/release/review-standin-3
 daemon=target/release/jacinthhoistd
 [ -x "$standin" ] && [ -x "$daemon" ] || exit 2
+ulimit -n "$(ulimit -H -n)" 2>/dev/null
 folder=$(mktemp -d) || exit 2
-"$standin" stalled-descriptors "$daemon" "$folder" review/14/record.txt
+"$standin" policy "$daemon" "$folder" review/14/record.txt
 code=$?
 rm -rf "$folder"
 [ "$code" -le 2 ] || code=2
