--- a/review/standin-3/src/config.rs
+++ b/review/standin-3/src/config.rs
@@ -46,7 +46,11 @@
     for member in 0..fleet.members() {
         let id = format!("5c0e7a21d94b36f{member}");
         let answer = fleet.call(member, "POST", ADDED, &id, &job).await;
-        refused += usize::from(answer.is_some_and(|(status, _)| status == 404));
+        match answer {
+            Some((404, _)) => refused += 1,
+            Some((200, _)) => {}
+            _ => return Err("a member gives no answer that tells".into()),
+        }
     }
     let earlier = fleet.call(0, "POST", POOL, "5c0e7a21d94b36ff", &job).await;
     let is_served = earlier.is_some_and(|(status, _)| status == 200);
--- a/review/standin-3/src/crowds.rs
+++ b/review/standin-3/src/crowds.rs
@@ -159,7 +159,7 @@
         for member in members {
             fleet.wait_ready(*member, Duration::from_secs(10)).await?;
             let before = fleet.memory_ends()[*member];
-            let crowd = stall(&fleet, *member, STALLED_BODIES, BODY_BYTES).await;
+            let crowd = stall(&fleet, *member, STALLED_BODIES, BODY_BYTES).await?;
             let until = Instant::now() + Duration::from_secs(5);
             while fleet.memory_ends()[*member] == before && Instant::now() < until {
                 sleep(Duration::from_millis(100)).await;
@@ -177,6 +177,9 @@
     // One ordinary request is served in calm.
     let job = id(1, 0);
     let served = fleet.submit(POOL, &job, &ordinary_job(200)).await;
+    if !served && !fleet.trouble {
+        return Err("the ordinary job was not accepted".into());
+    }
     let ends = fleet.memory_ends();
     let machines = ends.iter().filter(|ends| **ends >= 3).count();
     let is_broken = machines >= 2;
@@ -189,7 +192,12 @@
 }
 
 /// Opens requests at a member whose bodies lack their last byte.
-async fn stall(fleet: &Fleet, member: usize, count: usize, body_bytes: usize) -> Vec<TcpStream> {
+async fn stall(
+    fleet: &Fleet,
+    member: usize,
+    count: usize,
+    body_bytes: usize,
+) -> Result<Vec<TcpStream>> {
     let head = format!(
         "POST /jobs/{} HTTP/1.1\r\nHost: {POOL}.example\r\nContent-Length: {body_bytes}\r\n\r\n",
         id(3, member)
@@ -206,10 +214,16 @@
         // A member that has ended or refuses the crowd gets no more of it.
         match tokio::time::timeout(Duration::from_secs(3), opened).await {
             Ok(Ok(stream)) => open.push(stream),
+            Ok(Err(error)) if is_own_limit(&error) => return Err(error.into()),
             _ => break,
         }
     }
-    open
+    Ok(open)
+}
+
+/// True if this process itself has no descriptors left, which tells nothing of the member.
+fn is_own_limit(error: &std::io::Error) -> bool {
+    matches!(error.raw_os_error(), Some(23 | 24))
 }
 
 /// Requests that stop half-way and stay open, as many as the member has descriptors.
@@ -222,10 +236,13 @@
             accepted.push(job);
         }
     }
+    if accepted.is_empty() {
+        return Err("no ordinary job was accepted".into());
+    }
     let mut crowds = Vec::new();
     if fleet.trouble {
         for member in 0..fleet.members() {
-            crowds.push(stall(&fleet, member, FEW_FDS as usize, 200).await);
+            crowds.push(stall(&fleet, member, FEW_FDS as usize, 200).await?);
             fleet.record.write(&format!(
                 "{} requests stalled at member {}",
                 crowds[member].len(),
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -1,7 +1,7 @@
 //! Stand-ins for the scripts of the third review: the project's own fake platform (store, workers, list
 //! of machines) in one process, with members of the scheduler as separate processes.
 //!
-//! Usage: `review-standin-3 SCENARIO DAEMON FOLDER RECORD`. The variable TROUBLE=0 leaves the disruption out.
+//! Usage: `review-standin-3 SCENARIO DAEMON FOLDER RECORD TROUBLE`. With 0 for TROUBLE the disruption is left out.
 //! Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
 mod config;
@@ -11,7 +11,10 @@
 
 use std::{env, process::exit, time::Duration};
 
-use tokio::time::{sleep, timeout};
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    time::{sleep, timeout},
+};
 
 /// Time that a case may take.
 const LIMIT: Duration = Duration::from_secs(112);
@@ -21,16 +24,15 @@
 #[tokio::main]
 async fn main() {
     let args: Vec<String> = env::args().skip(1).collect();
-    let [scenario, daemon, folder, record] = args.as_slice() else {
-        eprintln!("usage: review-standin-3 SCENARIO DAEMON FOLDER RECORD");
+    let [scenario, daemon, folder, record, trouble] = args.as_slice() else {
+        eprintln!("usage: review-standin-3 SCENARIO DAEMON FOLDER RECORD TROUBLE");
         exit(2);
     };
-    let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     let setup = fleet::Setup {
         daemon: daemon.into(),
         folder: folder.into(),
         record: record.into(),
-        trouble,
+        trouble: trouble != "0",
         advice: None,
     };
     let case = async {
@@ -44,7 +46,13 @@
             other => Err(format!("unknown scenario {other}").into()),
         }
     };
-    let broken = timeout(LIMIT, case).await;
+    let Ok(mut term) = signal(SignalKind::terminate()) else {
+        exit(2);
+    };
+    let broken = tokio::select! {
+        broken = timeout(LIMIT, case) => broken,
+        _ = term.recv() => Ok(Err("it was told to end".into())),
+    };
     // The processes are killed as the tasks that hold them are dropped.
     sleep(END_TIME).await;
     match broken {
