--- a/crates/codec/src/job.rs
+++ b/crates/codec/src/job.rs
@@ -6,8 +6,8 @@
 use jacinthhoist_core::{
     ClockTime, PoolName, TenantName, WorkerId,
     job::{
-        BatchRecord, JobId, JobProgress, JobSpec, JobState, LoadReport, MemberRank, StoredTime,
-        WaveProgress,
+        BatchRecord, JobId, JobProgress, JobSize, JobSpec, JobState, LoadReport, MemberRank,
+        MemoryReport, StoredTime, WaveProgress,
     },
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -119,6 +119,15 @@
     }
 }
 
+/// Returns the job that a record in the topic of accepted jobs describes; `None` for other records.
+pub fn accepted_job(record: &KeyedRecord) -> Option<JobId> {
+    let id = record.key.strip_prefix(PREFIX_JOB)?;
+    if record.value.is_empty() {
+        return None;
+    }
+    id.parse().ok()
+}
+
 /// Encodes a record of the owner's progress.
 ///
 /// ```
@@ -260,6 +269,8 @@
     NotStored,
     /// The record may be stored.
     Unknown,
+    /// The record is not stored and never will be, as the owner has no memory for its job.
+    NoRoom,
 }
 
 /// Owner's heartbeat: the load of its pools and the age of its information.
@@ -277,6 +288,9 @@
     /// True if followers are to answer with the time of day.
     #[serde(default)]
     pub asks_wall_time: bool,
+    /// Room for further jobs; none in the heartbeats of earlier releases.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub memory: Option<MemoryReport>,
 }
 
 /// Evidence of a follower that its owner has not been replaced.
@@ -324,6 +338,9 @@
         id: u64,
         /// Record to store.
         record: KeyedRecord,
+        /// Size of the job in it; none for other records, and from earlier releases.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        size: Option<JobSize>,
     },
     /// Reply of the owner to a record to be stored.
     StoreReply {
@@ -343,6 +360,8 @@
     },
     /// Time of day by a follower's wall clock, in answer to a heartbeat.
     WallTime(ClockTime),
+    /// Memory for jobs, in bytes, of the member that opened the connection. Earlier releases skip it.
+    Capacity(u64),
 }
 
 /// Encodes a frame.
--- a/crates/codec/src/lib.rs
+++ b/crates/codec/src/lib.rs
@@ -50,8 +50,8 @@
 };
 pub use job::{
     AcceptedRecord, JobFrame, JobReply, KeyedRecord, OwnerHeartbeat, StandingEvidence,
-    StoreOutcome, decode_accepted, decode_job_frame, decode_progress, encode_cancel, encode_job,
-    encode_job_frame, encode_progress, encode_removal,
+    StoreOutcome, accepted_job, decode_accepted, decode_job_frame, decode_progress, encode_cancel,
+    encode_job, encode_job_frame, encode_progress, encode_removal,
 };
 pub use parts::{ProgressGroup, ProgressReader, StoreLimits, encode_progress_group};
 pub use platform::{AppendResponse, ListedVm, LogPage, LogRecord, VmListPage, VmRole};
--- a/crates/codec/tests/hostile.rs
+++ b/crates/codec/tests/hostile.rs
@@ -291,7 +291,11 @@
     };
     let frames = [
         JobFrame::Stored(vec![record.clone()]),
-        JobFrame::Store { id: 5, record },
+        JobFrame::Store {
+            id: 5,
+            record,
+            size: None,
+        },
         JobFrame::Loads(heartbeat),
         JobFrame::Identify("entry-2".into()),
         JobFrame::Standing {
--- a/crates/codec/tests/job.rs
+++ b/crates/codec/tests/job.rs
@@ -11,8 +11,9 @@
     ClockTime, PoolName, RackName, TenantName, VmName, WorkName, WorkerId,
     job::{
         BatchRecord, ClockReadings, CrashHistory, FormerOwner, Implication, JobId, JobProgress,
-        JobSpec, JobState, JobTerms, LoadReport, LostWorker, MemberRank, RepeatPlan, RunLoss,
-        StepSpec, StoredTime, SuccessionRecord, TaskKey, WaveProgress, WorkLoad,
+        JobSize, JobSpec, JobState, JobTerms, LoadReport, LostWorker, MemberRank, MemoryReport,
+        RepeatPlan, RunLoss, StepSpec, StoredTime, SuccessionRecord, TaskKey, WaveProgress,
+        WorkLoad,
     },
 };
 
@@ -218,6 +219,12 @@
             place_age: ClockTime::from_millis(900),
             sent_at: ClockTime::from_secs(9),
             asks_wall_time: true,
+            memory: Some(MemoryReport {
+                room: 1 << 26,
+                lasting_room: 1 << 25,
+                members: 6,
+                lasting_frees_in: Some(ClockTime::from_secs(90)),
+            }),
         }),
         JobFrame::Identify("entry-2|10.0.0.2:7060|1|regular".into()),
         JobFrame::Standing {
@@ -225,16 +232,21 @@
             evidence: StandingEvidence::Promised,
         },
         JobFrame::WallTime(ClockTime::from_secs(9)),
+        JobFrame::Capacity(u64::MAX),
         JobFrame::Offer(MemberRank::Reserve),
         JobFrame::Follow,
         JobFrame::Stored(vec![encode_cancel(JobId(7), None).unwrap()]),
         JobFrame::Store {
             id: 5,
             record: encode_cancel(JobId(7), None).unwrap(),
+            size: Some(JobSize {
+                bytes: 2_400,
+                lasts: true,
+            }),
         },
         JobFrame::StoreReply {
             id: 5,
-            outcome: StoreOutcome::Unknown,
+            outcome: StoreOutcome::NoRoom,
         },
     ];
     for frame in cases {
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -46,6 +46,8 @@
 mod hold;
 mod lease;
 mod life;
+mod memory;
+mod occurrence;
 mod order;
 mod ownership;
 mod place;
@@ -85,6 +87,8 @@
 pub use hold::{ExpectedEnd, RoomHold};
 pub use lease::{HeldLease, LeaseBasis, UnknownLease, WorkerLease};
 pub use life::{Begun, ClosedLife, Ended, Ending, Forgotten, JobLife, OpenLife, Queued, Removing};
+pub use memory::{JobSize, MemoryReport, MemoryRoom, MemoryUsage, job_bytes, job_memory};
+pub use occurrence::{Occurrence, OccurrenceTable, StepTasks};
 pub use order::{DurationTable, JobUrgency, QueuedJob, order_queue};
 pub use ownership::{
     MemberCapacity, MemberRank, OwnerSnapshot, RecordedOwner, UnknownRank, candidacy_at,
@@ -97,9 +101,9 @@
 pub use resize::{IdleVm, PoolDemandView, ResizeMove, plan_resize};
 pub use room::RoomIndex;
 pub use scheduler::{
-    Batch, BatchRecord, Effect, Job, JobProgress, LossEvidence, MAX_CONCURRENT_ORDERS, PoolSummary,
-    RenewalPlan, Scheduler, SchedulerDecision, SchedulerLimits, StepAdvice, TaskRecord,
-    TenantSummary, VmEntry, VmState, WorkerChange,
+    Batch, BatchRecord, Effect, Job, JobProgress, LossEvidence, MAX_CONCURRENT_ORDERS, ParkedJob,
+    PoolSummary, RenewalPlan, Scheduler, SchedulerDecision, SchedulerLimits, StepAdvice,
+    TaskRecord, TenantSummary, VmEntry, VmState, WorkerChange,
 };
 pub use shape::{SearchMemory, TaskShape};
 pub use share::PoolShares;
--- a/crates/core/src/job/admit.rs
+++ b/crates/core/src/job/admit.rs
@@ -107,6 +107,8 @@
     Surplus,
     /// The tenant has sent more than its limit lets run in time.
     TenantLimit,
+    /// The owner has no memory left for it.
+    Memory,
 }
 
 impl RefusalGround {
@@ -116,6 +118,7 @@
             Self::Load => "load",
             Self::Surplus => "surplus",
             Self::TenantLimit => "tenant_limit",
+            Self::Memory => "memory",
         }
     }
 }
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -15,6 +15,7 @@
 mod jobs;
 mod leases;
 mod orders;
+mod parking;
 mod permits;
 mod placing;
 mod reports;
@@ -31,6 +32,7 @@
 pub use jobs::Job;
 use jobs::may_act_on;
 pub use leases::RenewalPlan;
+pub use parking::ParkedJob;
 pub use permits::StepAdvice;
 pub use starts::MAX_CONCURRENT_ORDERS;
 
@@ -46,6 +48,7 @@
     catalogue::{JobCatalogue, JobWork},
     clock_reading::ClockReading,
     life::ClosedLife,
+    memory::{MemoryReport, MemoryUsage},
     order::DurationTable,
     silence::{PoolUnrest, RecentSilences},
     spec::{JobId, JobState, Resources, StepKey, TaskKey},
@@ -78,6 +81,8 @@
     pub missing_grace: ClockTime,
     /// Number of start orders to one worker that may be unanswered at once.
     pub concurrent_starts: usize,
+    /// Memory for accepted jobs, in bytes.
+    pub job_memory: u64,
 }
 
 impl SchedulerLimits {
@@ -92,6 +97,7 @@
             ended_retention: ClockTime::from_secs(120),
             missing_grace: ClockTime::from_secs(2),
             concurrent_starts: usize::MAX,
+            job_memory: u64::MAX,
         }
     }
 }
@@ -138,6 +144,8 @@
         /// Run number of the task.
         run: u32,
     },
+    /// Reads accepted jobs again, then calls [`Scheduler::jobs_loaded`].
+    LoadJobs(Vec<JobId>),
     /// Removes the stored bodies of ended jobs, then calls [`Scheduler::bodies_removed`].
     RemoveBodies(Vec<JobId>),
     /// Moves a VM to another pool.
@@ -203,6 +211,10 @@
     opened_at: ClockTime,
     catalogue: Arc<JobCatalogue>,
     jobs: BTreeMap<JobId, Job>,
+    /// Jobs whose specification stays in the store until there is memory for them.
+    parked: BTreeMap<JobId, ParkedJob>,
+    /// True while some of those are being read.
+    is_loading: bool,
     ended_jobs: BTreeMap<JobId, ClosedLife>,
     /// Tenants of ended jobs.
     ended_tenants: BTreeMap<JobId, TenantName>,
@@ -252,6 +264,10 @@
     wall_reading: Option<ClockReading>,
     /// True if a job has an occurrence whose time has not come.
     awaits_wall_time: bool,
+    /// Memory for jobs that this member and those that may take over from it have, in bytes.
+    job_memory: u64,
+    /// Memory that jobs took in the last step.
+    memory: MemoryUsage,
     /// Time of the last search for runs to stop.
     last_sweep_at: ClockTime,
     now: ClockTime,
@@ -270,6 +286,8 @@
             opened_at: now,
             catalogue,
             jobs: BTreeMap::new(),
+            parked: BTreeMap::new(),
+            is_loading: false,
             ended_jobs: BTreeMap::new(),
             ended_tenants: BTreeMap::new(),
             early_cancels: BTreeMap::new(),
@@ -301,6 +319,8 @@
             readings: ClockReadings::default(),
             wall_reading: Some(ClockReading::default()),
             awaits_wall_time: false,
+            job_memory: limits.job_memory,
+            memory: MemoryUsage::default(),
             last_sweep_at: ClockTime::ZERO,
             now,
         }
@@ -327,6 +347,33 @@
         self.wall_reading = reading;
     }
 
+    /// Sets the memory for jobs, in bytes: the smallest one of this member and those that may take over from it.
+    pub fn set_job_memory(&mut self, bytes: u64) {
+        self.job_memory = bytes;
+    }
+
+    /// Returns the memory for jobs, in bytes.
+    pub fn job_memory(&self) -> u64 {
+        self.job_memory
+    }
+
+    /// Returns the memory that jobs took in the last step.
+    pub fn memory_usage(&self) -> MemoryUsage {
+        self.memory
+    }
+
+    /// Returns the room for further jobs, which this number of members store.
+    pub fn memory_report(&self, members: u32) -> MemoryReport {
+        let wall = self
+            .wall_reading
+            .map(|reading| reading.shown_time(self.now));
+        let ends = self.jobs.values().filter_map(|job| {
+            let plan = job.spec.repeat.filter(|_| !job.spec.is_long_running())?;
+            Some(plan.last_start() - wall?)
+        });
+        self.memory.report(self.job_memory, members, ends.min())
+    }
+
     /// Returns whether some job waits for a time of day.
     pub fn awaits_wall_time(&self) -> bool {
         self.awaits_wall_time
@@ -339,6 +386,7 @@
         self.send_ready_starts();
         self.stop_unwanted_runs();
         self.conclude_jobs();
+        self.load_parked_jobs();
         self.review_trials();
         self.place_tasks();
         self.plan_fleet();
@@ -349,7 +397,9 @@
     /// Returns the job state reported to callers, or `None` if the job is unknown.
     pub fn state(&self, job: JobId) -> Option<JobState> {
         let open = self.jobs.get(&job).map(|open| open.life.reported_state());
-        open.or_else(|| self.ended_jobs.get(&job).map(ClosedLife::state))
+        let parked = || self.parked.get(&job).map(|_| JobState::Queued);
+        open.or_else(parked)
+            .or_else(|| self.ended_jobs.get(&job).map(ClosedLife::state))
     }
 
     /// Returns whether a caller of the given tenant may see a job: one of its own, or one that was submitted
@@ -359,7 +409,10 @@
             .jobs
             .get(&job)
             .and_then(|open| open.spec.tenant.as_ref());
-        let owner = open.or_else(|| self.ended_tenants.get(&job));
+        let parked = || self.parked.get(&job).and_then(ParkedJob::tenant);
+        let owner = open
+            .or_else(parked)
+            .or_else(|| self.ended_tenants.get(&job));
         may_act_on(owner, tenant)
     }
 
@@ -384,6 +437,9 @@
                 *waiting.entry(&job.spec.work).or_default() += 1;
             }
         }
+        for job in self.parked.values().filter(|job| job.is_waiting()) {
+            *waiting.entry(job.work()).or_default() += 1;
+        }
         let views = self.demand_views();
         let mut report = LoadReport {
             drains: self.drain_times(&views, |view| view.waiting),
--- a/crates/core/src/job/scheduler/batch.rs
+++ b/crates/core/src/job/scheduler/batch.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    ops::Range,
     sync::Arc,
 };
 
@@ -12,7 +13,8 @@
     clock::ClockTime,
     job::{
         crash::CrashHistory,
-        spec::{JobId, JobState, Resources, TaskKey, is_default},
+        occurrence::StepTasks,
+        spec::{JobId, JobSpec, JobState, Resources, TaskKey, is_default},
         stored_time::StoredTime,
         succession::SuccessionRecord,
         task::{AnyTask, FailedRuns, TaskRun},
@@ -29,6 +31,10 @@
 /// Maximum jobs of a batch. At about 200 bytes per job it is stored with one call.
 const MAX_BATCH_JOBS: usize = 400;
 
+/// Maximum records of tasks in occurrences that are done. Releases before [`JobProgress::done`] need all of them;
+/// beyond this number, a job's progress would grow with each time that it has run.
+const MAX_DONE_RECORDS: usize = 256;
+
 /// The task has no run.
 const PHASE_WAITING: u8 = 0;
 /// The task may be running on a worker.
@@ -50,6 +56,23 @@
     #[serde(default, skip_serializing_if = "SmallVec::is_empty")] SmallVec<[u32; 2]>,
 );
 
+impl TaskRecord {
+    /// A task of an occurrence whose runs are not known any more.
+    fn done() -> Self {
+        Self(PHASE_DONE, 1, 0, 0, None, SmallVec::new())
+    }
+
+    /// Returns whether the task has never had a run.
+    fn is_fresh(&self) -> bool {
+        let Self(phase, run, failures, _, checkpoint, _) = self;
+        *phase == PHASE_WAITING && *run == 0 && *failures == 0 && checkpoint.is_none()
+    }
+
+    fn is_done(&self) -> bool {
+        self.0 == PHASE_DONE
+    }
+}
+
 /// Stored progress of a job.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobProgress {
@@ -57,7 +80,11 @@
     pub ended: Option<JobState>,
     /// Workers that the task records refer to by index.
     pub workers: SmallVec<[WorkerId; 4]>,
-    /// Task records by occurrence and step.
+    /// Number of occurrences at the beginning of the schedule that are done and have no records.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub done: u32,
+    /// Task records by occurrence and step. Tasks behind the last record of a step, and occurrences behind the
+    /// last one, have never had a run.
     pub occurrences: Vec<Vec<Vec<TaskRecord>>>,
     /// Tasks whose runs were lost together with their workers.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
@@ -81,16 +108,73 @@
             started: job.has_started(),
             ..Self::default()
         };
-        for occurrence in &job.occurrences {
-            let mut steps = Vec::with_capacity(occurrence.steps.len());
-            for tasks in &occurrence.steps {
-                steps.push(tasks.iter().map(|task| progress.record(task)).collect());
-            }
+        let counts = || job.spec.steps.iter().map(|step| usize::from(step.count));
+        let done_steps = || {
+            counts()
+                .map(|count| vec![TaskRecord::done(); count])
+                .collect()
+        };
+        let done = job.occurrences.count_done();
+        let done_tasks = (done as usize).saturating_mul(job.spec.count_tasks());
+        if done_tasks <= MAX_DONE_RECORDS && job.spec.is_readable_by_earlier_releases() {
+            let records = (0..done).map(|_| done_steps());
+            progress.occurrences.extend(records);
+        } else {
+            progress.done = done;
+        }
+        for (_, occurrence) in job.occurrences.open() {
+            let steps = if occurrence.steps().is_empty() {
+                done_steps()
+            } else {
+                let touched = occurrence.steps().iter().map(StepTasks::touched);
+                let records = |tasks: &[AnyTask]| {
+                    let records = tasks.iter().map(|task| progress.record(task));
+                    records.collect()
+                };
+                touched.map(records).collect()
+            };
             progress.occurrences.push(steps);
         }
         progress
     }
 
+    /// Occurrences that have begun; those before them are done.
+    pub(super) fn begun_occurrences(&self, spec: &JobSpec) -> Range<u32> {
+        let is_done = |steps: &&Vec<Vec<TaskRecord>>| {
+            spec.steps.iter().enumerate().all(|(step, spec)| {
+                let records = steps.get(step).map_or(&[][..], Vec::as_slice);
+                records.len() >= usize::from(spec.count) && records.iter().all(TaskRecord::is_done)
+            })
+        };
+        let has_begun = |steps: &Vec<Vec<TaskRecord>>| {
+            let mut records = steps.iter().flatten();
+            records.any(|record| !record.is_fresh())
+        };
+        let done = self.occurrences.iter().take_while(is_done).count();
+        let begun = self.occurrences.iter().rposition(has_begun);
+        let end = begun.map_or(0, |last| last + 1);
+        self.done + done as u32..self.done + end.max(done) as u32
+    }
+
+    /// Iterates over the records of tasks that may have had a run.
+    pub(super) fn begun_tasks(&self, job: JobId) -> impl Iterator<Item = (TaskKey, &TaskRecord)> {
+        let occurrences = (self.done..).zip(&self.occurrences);
+        let records = occurrences.flat_map(move |(occurrence, steps)| {
+            (0u16..).zip(steps).flat_map(move |(step, records)| {
+                (0u16..).zip(records).map(move |(index, record)| {
+                    let key = TaskKey {
+                        job,
+                        occurrence,
+                        step,
+                        index,
+                    };
+                    (key, record)
+                })
+            })
+        });
+        records.filter(|(_, record)| !record.is_fresh())
+    }
+
     /// Returns the progress without the crashes of workers: a later owner attributes them anew.
     pub fn without_crashes(&self) -> Self {
         Self {
--- a/crates/core/src/job/scheduler/crashes.rs
+++ b/crates/core/src/job/scheduler/crashes.rs
@@ -7,6 +7,7 @@
     job::{
         charge::AnyCharge,
         crash::{CLEARED_SPAN, CrashHistory, Implication, LostWorker, RunLoss, START_SPAN},
+        occurrence::StepTasks,
         silence::{SilenceCause, UNREST_SPAN},
         spec::{JobId, StepSpec, TaskKey},
         task::{AnyTask, StartOrderState},
@@ -77,18 +78,17 @@
     /// running any more, or crashes its workers, or all tasks of a long-running step are given up.
     pub(super) fn has_failed(&self) -> bool {
         self.fatal_tasks().next().is_some()
-            || self.occurrences.iter().any(|occurrence| {
-                let mut steps = self.spec.steps.iter().zip(&occurrence.steps);
-                steps.any(|(step, tasks)| self.has_step_failed(step, tasks))
+            || self.open_steps().any(|(step, tasks)| {
+                self.has_step_failed(&self.spec.steps[usize::from(step)], tasks)
             })
     }
 
-    fn has_step_failed(&self, step: &StepSpec, tasks: &[AnyTask]) -> bool {
+    fn has_step_failed(&self, step: &StepSpec, tasks: &StepTasks) -> bool {
         let is_given_up = |task: &AnyTask| matches!(task, AnyTask::Exhausted { .. });
         if step.long_running {
-            return tasks.iter().all(is_given_up);
+            return tasks.count_fresh() == 0 && tasks.touched().iter().all(is_given_up);
         }
-        tasks.iter().any(|task| match task {
+        tasks.touched().iter().any(|task| match task {
             AnyTask::Waiting(task) => task.failed_runs.count() >= self.terms.max_failures,
             other => is_given_up(other),
         })
--- a/crates/core/src/job/scheduler/demand.rs
+++ b/crates/core/src/job/scheduler/demand.rs
@@ -73,8 +73,9 @@
 }
 
 impl TaskBacklog {
-    /// Adds a task that needs `cpu` and is expected to last for `duration`.
-    fn add(&mut self, cpu: u64, duration: ClockTime) {
+    /// Adds tasks that need `cpu` each and are expected to last for `duration`.
+    fn add(&mut self, cpu: u64, duration: ClockTime, count: u64) {
+        let cpu = cpu.saturating_mul(count);
         let work = cpu.saturating_mul(duration.as_millis());
         self.work = self.work.saturating_add(work);
         self.cpu = self.cpu.saturating_add(cpu);
@@ -108,8 +109,18 @@
 
     /// Returns for each step of a job whether its pool may come to run it.
     pub(super) fn fitting_steps(&self, job: &Job) -> SmallVec<[bool; 8]> {
-        let steps = job.spec.steps.iter();
-        steps.map(|step| self.fits(&job.terms.pool, step)).collect()
+        // Steps like the one before them need no search of their own.
+        let mut last: Option<(&StepSpec, bool)> = None;
+        let mut fitting = SmallVec::with_capacity(job.spec.steps.len());
+        for step in &job.spec.steps {
+            let fits = match last {
+                Some((other, fits)) if other.fits_like(step) => fits,
+                _ => self.fits(&job.terms.pool, step),
+            };
+            last = Some((step, fits));
+            fitting.push(fits);
+        }
+        fitting
     }
 }
 
@@ -391,18 +402,19 @@
             // Surplus is served from idle room, like what is late in any case.
             let takes_idle_room = urgency.infeasible || urgency.is_surplus;
             let fitting = self.fleet.rooms.fitting_steps(job);
-            for ((_, step, _), task) in job.tasks() {
+            for (step, tasks) in job.open_steps() {
                 let cpu = job.spec.steps[usize::from(step)].charged().cpu;
-                if task.placed().is_some() {
-                    load.running = load.running.saturating_add(cpu);
-                } else if !task.is_terminal() && fitting[usize::from(step)] {
-                    let work = cpu.saturating_mul(mean.as_millis());
+                let running = cpu.saturating_mul(tasks.count_placed() as u64);
+                load.running = load.running.saturating_add(running);
+                let waiting = tasks.count_waiting() as u64;
+                if waiting > 0 && fitting[usize::from(step)] {
+                    let work = cpu.saturating_mul(mean.as_millis()).saturating_mul(waiting);
                     load.waiting = load.waiting.saturating_add(work);
                     if !urgency.is_surplus {
                         load.contracted_waiting = load.contracted_waiting.saturating_add(work);
                     }
                     if !takes_idle_room {
-                        load.timely.add(cpu, mean);
+                        load.timely.add(cpu, mean, waiting);
                     }
                 }
             }
@@ -414,9 +426,11 @@
             } else {
                 &mut load.startable
             };
-            let keys = job.startable(*id, self.now);
-            for key in keys.filter(|key| fitting[usize::from(key.step)]) {
-                startable.add(job.step(&key).charged().cpu, mean);
+            for (step, count) in job.count_startable(*id, self.now) {
+                if fitting[usize::from(step)] {
+                    let cpu = job.spec.steps[usize::from(step)].charged().cpu;
+                    startable.add(cpu, mean, count as u64);
+                }
             }
         }
         pools
@@ -425,12 +439,16 @@
     /// CPU that the tasks of a long-running job take or could take, in thousandths of a core.
     fn lasting_cpu(&self, job: &Job) -> u64 {
         let fitting = self.fleet.rooms.fitting_steps(job);
-        let counted = job
-            .tasks()
-            .filter(|((_, step, _), task)| task.placed().is_some() || fitting[usize::from(*step)]);
-        saturating_sum(
-            counted.map(|((_, step, _), _)| job.spec.steps[usize::from(step)].charged().cpu),
-        )
+        let steps = job.open_steps().map(|(step, tasks)| {
+            let counted = if fitting[usize::from(step)] {
+                tasks.count()
+            } else {
+                tasks.count_placed()
+            };
+            let cpu = job.spec.steps[usize::from(step)].charged().cpu;
+            cpu.saturating_mul(counted as u64)
+        });
+        saturating_sum(steps)
     }
 
     /// Estimates the time in which each tenant's limit lets its waiting tasks run.
--- a/crates/core/src/job/scheduler/jobs.rs
+++ b/crates/core/src/job/scheduler/jobs.rs
@@ -11,16 +11,18 @@
         clock_reading::ClockReading,
         crash::CrashHistory,
         life::{ClosedLife, JobLife, OpenLife},
+        memory::{MemoryRoom, MemoryUsage, job_bytes},
+        occurrence::{OccurrenceTable, StepTasks},
         order::JobUrgency,
         refusal::StartRefusals,
         spec::{JobId, JobSpec, JobState, JobTerms, Resources, StepKey, StepSpec, TaskKey},
-        task::{AnyTask, TaskRun},
+        task::AnyTask,
         tenant_account::{TenantAccounts, TenantSlot},
     },
     name::{TenantName, WorkerId},
 };
 
-use super::{Effect, JobProgress, Scheduler, SchedulerDecision, demand::FleetRooms};
+use super::{Effect, JobProgress, ParkedJob, Scheduler, SchedulerDecision, demand::FleetRooms};
 
 /// Bodies removed by one effect.
 const MAX_REMOVAL_BATCH: usize = 64;
@@ -29,45 +31,6 @@
 /// write to the store.
 const EARLY_CANCEL_RETENTION: ClockTime = ClockTime::from_millis(30_000);
 
-/// One repetition of a job's steps.
-#[derive(Clone, Debug)]
-pub struct Occurrence {
-    /// Earliest start, by the time of day.
-    pub due: ClockTime,
-    /// True once that time has been reached.
-    is_due: bool,
-    /// Tasks by step.
-    pub steps: Vec<Vec<AnyTask>>,
-}
-
-impl Occurrence {
-    fn new(spec: &JobSpec, due: ClockTime) -> Self {
-        let tasks = |step: &StepSpec| {
-            let fresh = || AnyTask::Waiting(TaskRun::new());
-            (0..step.count).map(|_| fresh()).collect()
-        };
-        Self {
-            due,
-            is_due: due == ClockTime::ZERO,
-            steps: spec.steps.iter().map(tasks).collect(),
-        }
-    }
-
-    fn is_step_done(&self, step: u16) -> bool {
-        let tasks = &self.steps[usize::from(step)];
-        tasks
-            .iter()
-            .all(|task| matches!(task, AnyTask::Done { .. }))
-    }
-}
-
-impl Occurrence {
-    /// Returns whether all dependencies of a step are done.
-    fn is_step_ready(&self, step: &StepSpec) -> bool {
-        step.after.iter().all(|&earlier| self.is_step_done(earlier))
-    }
-}
-
 /// Returns whether a caller of the given tenant may see and cancel a job of `owner`: one of its own, or one that was
 /// submitted without a key.
 pub(super) fn may_act_on(owner: Option<&TenantName>, tenant: Option<&TenantName>) -> bool {
@@ -80,7 +43,9 @@
     /// Specification submitted by the caller.
     pub spec: Arc<JobSpec>,
     /// Repetitions of the job's steps.
-    pub occurrences: Vec<Occurrence>,
+    pub occurrences: OccurrenceTable,
+    /// Bytes that it takes with one open occurrence.
+    bytes: u64,
     /// Life cycle phase.
     pub life: OpenLife,
     /// Terms currently in force.
@@ -125,7 +90,8 @@
 
     /// Returns whether any task has ever had a run.
     pub fn has_begun(&self) -> bool {
-        self.tasks().any(|(_, task)| task.run() > 0)
+        let is_past = self.occurrences.count_done() > 0;
+        is_past || self.touched_tasks().any(|task| task.run() > 0)
     }
 
     /// Returns whether a run of any task is known to have started. The number of a run says nothing
@@ -142,36 +108,43 @@
 
     /// Returns whether the records of the tasks show that a run has started.
     fn shows_start(&self) -> bool {
-        self.tasks().any(|(_, task)| {
-            task.is_terminal() || task.failures() > 0 || task.checkpoint().is_some()
-        })
+        let is_past = self.occurrences.count_done() > 0;
+        is_past
+            || self.touched_tasks().any(|task| {
+                task.is_terminal() || task.failures() > 0 || task.checkpoint().is_some()
+            })
     }
 
-    /// Iterates over all tasks with their occurrence, step and index.
+    /// Iterates over the tasks of open occurrences with their occurrence, step and index.
     pub fn tasks(&self) -> impl Iterator<Item = ((u32, u16, u16), &AnyTask)> {
-        let occurrences = (0u32..).zip(&self.occurrences);
-        occurrences.flat_map(|(number, occurrence)| {
-            (0u16..)
-                .zip(&occurrence.steps)
-                .flat_map(move |(step, tasks)| {
-                    let positions = (0u16..).map(move |index| (number, step, index));
-                    positions.zip(tasks)
-                })
-        })
+        self.occurrences.tasks()
+    }
+
+    /// Iterates over the steps of open occurrences with their numbers.
+    pub(super) fn open_steps(&self) -> impl Iterator<Item = (u16, &StepTasks)> {
+        let open = self.occurrences.open();
+        open.flat_map(|(_, occurrence)| (0u16..).zip(occurrence.steps()))
+    }
+
+    /// Returns the tasks of a task's step, if that is open.
+    pub(super) fn step_tasks(&self, key: &TaskKey) -> Option<&StepTasks> {
+        let occurrence = self.occurrences.get(key.occurrence)?;
+        occurrence.steps().get(usize::from(key.step))
+    }
+
+    /// Iterates over the tasks that may have had a run.
+    fn touched_tasks(&self) -> impl Iterator<Item = &AnyTask> {
+        self.open_steps().flat_map(|(_, tasks)| tasks.touched())
     }
 
     /// Returns the task with the given key.
     pub fn task(&self, key: &TaskKey) -> Option<&AnyTask> {
-        let occurrence = self.occurrences.get(key.occurrence as usize)?;
-        let tasks = occurrence.steps.get(usize::from(key.step))?;
-        tasks.get(usize::from(key.index))
+        self.occurrences.task(&self.spec, key)
     }
 
     pub(super) fn task_mut(&mut self, key: &TaskKey) -> Option<&mut AnyTask> {
         self.changed = true;
-        let occurrence = self.occurrences.get_mut(key.occurrence as usize)?;
-        let tasks = occurrence.steps.get_mut(usize::from(key.step))?;
-        tasks.get_mut(usize::from(key.index))
+        self.occurrences.task_mut(key)
     }
 
     /// Returns the step of a task.
@@ -203,17 +176,19 @@
         refusals.is_some_and(|refusals| refusals.is_paused(now))
     }
 
-    /// Marks the occurrences whose time has been reached; an occurrence remains due if the wall clocks are set
-    /// back after that. Returns whether there are others.
-    fn release_occurrences(&mut self, reading: Option<ClockReading>, now: ClockTime) -> bool {
+    /// Opens the occurrences whose time has come, and drops those that are done.
+    fn review_occurrences(
+        &mut self,
+        reading: Option<ClockReading>,
+        room: &mut MemoryRoom,
+        now: ClockTime,
+    ) {
         if let (Some(repeat), Some(reading)) = (self.spec.repeat, reading) {
             self.starts_at = reading.local_time(repeat.start_at);
+            self.occurrences.drop_done();
             let wall = reading.shown_time(now);
-            for occurrence in &mut self.occurrences {
-                occurrence.is_due |= occurrence.due <= wall;
-            }
+            self.occurrences.open_due(&self.spec, wall, room);
         }
-        !self.occurrences.iter().all(|occurrence| occurrence.is_due)
     }
 
     /// Has the job reviewed in the next step.
@@ -228,26 +203,65 @@
 
     /// Iterates over waiting tasks whose dependencies are done and whose start time has come.
     pub fn startable(&self, id: JobId, now: ClockTime) -> impl Iterator<Item = TaskKey> {
+        let steps = self.startable_steps(id);
+        steps.flat_map(move |step| self.startable_in(step, 0, now))
+    }
+
+    /// Iterates over the steps whose dependencies are done and whose start time has come, and which have waiting
+    /// tasks.
+    pub(super) fn startable_steps(&self, id: JobId) -> impl Iterator<Item = StepKey> {
         let is_ending = self.life.goal().is_some();
-        let occurrences = (0u32..).zip(&self.occurrences);
-        let due = occurrences.filter(move |(_, occurrence)| !is_ending && occurrence.is_due);
+        let occurrences = self.occurrences.open();
+        let due = occurrences.filter(move |(_, occurrence)| !is_ending && occurrence.is_due());
         due.flat_map(move |(number, occurrence)| {
-            let steps = (0u16..).zip(&self.spec.steps);
-            let ready = steps.filter(|(_, spec)| occurrence.is_step_ready(spec));
-            ready.flat_map(move |(step, _)| {
-                let tasks = (0u16..).zip(&occurrence.steps[usize::from(step)]);
-                let waiting = tasks.filter(|(_, task)| matches!(task, AnyTask::Waiting(_)));
-                let keys = waiting.map(move |(index, _)| TaskKey {
-                    job: id,
-                    occurrence: number,
-                    step,
-                    index,
-                });
-                keys.filter(move |key| !self.is_held(key, now) && !self.is_paused(key, now))
+            let steps = (0u16..).zip(self.spec.steps.iter().zip(occurrence.steps()));
+            let ready = steps
+                .filter(|(_, (spec, tasks))| tasks.has_waiting() && occurrence.is_step_ready(spec));
+            ready.map(move |(step, _)| StepKey {
+                job: id,
+                occurrence: number,
+                step,
             })
         })
     }
 
+    /// Iterates over the waiting tasks of a step from an index on that could start if their step may.
+    pub(super) fn startable_in(
+        &self,
+        step: StepKey,
+        from: u16,
+        now: ClockTime,
+    ) -> impl Iterator<Item = TaskKey> {
+        let tasks = self.step_tasks(&step.task(0)).into_iter();
+        let tasks = tasks.flat_map(move |tasks| (from..).zip(tasks.iter_from(from)));
+        let waiting = tasks.filter(|(_, task)| matches!(task, AnyTask::Waiting(_)));
+        let keys = waiting.map(move |(index, _)| step.task(index));
+        keys.filter(move |key| !self.is_held(key, now) && !self.is_paused(key, now))
+    }
+
+    /// Number of waiting tasks of a step.
+    pub(super) fn count_waiting_in(&self, step: StepKey) -> usize {
+        let tasks = self.step_tasks(&step.task(0));
+        tasks.map_or(0, StepTasks::count_waiting)
+    }
+
+    /// Counts the tasks that could start, by step.
+    pub(super) fn count_startable(
+        &self,
+        id: JobId,
+        now: ClockTime,
+    ) -> impl Iterator<Item = (u16, usize)> {
+        let may_hold = !self.crashes.is_empty() || !self.refusals.is_empty();
+        self.startable_steps(id).map(move |step| {
+            let count = if may_hold {
+                self.startable_in(step, 0, now).count()
+            } else {
+                self.count_waiting_in(step)
+            };
+            (step.step, count)
+        })
+    }
+
     /// Computes the job's place in the pool's queue; `mean` is the mean duration of a task of its
     /// kind.
     pub(super) fn urgency(&self, mean: ClockTime, now: ClockTime) -> JobUrgency {
@@ -258,7 +272,7 @@
         let stretched = ClockTime::from_millis((chain as f64 * self.terms.stretch) as u64);
         let deadline = self.starts_at + stretched + self.terms.objective;
         let remaining = ClockTime::from_millis(self.remaining_chain_len() * mean.as_millis());
-        let is_new = self.tasks().all(|(_, task)| task.run() == 0);
+        let is_new = !self.has_begun();
         JobUrgency::for_deadline(self.terms.priority, deadline, remaining, is_new, now)
             .with_surplus(self.is_surplus)
     }
@@ -266,17 +280,19 @@
     /// Resources of the tasks that have no run and have not ended, of steps that their pool may come to run.
     pub(super) fn waiting_need(&self, rooms: &FleetRooms) -> Resources {
         let fitting = rooms.fitting_steps(self);
-        let waiting = self.tasks().filter(|((_, step, _), task)| {
-            fitting[usize::from(*step)] && matches!(task, AnyTask::Waiting(_))
+        let steps = self.open_steps();
+        let steps = steps.filter(|(step, _)| fitting[usize::from(*step)]);
+        let needs = steps.map(|(step, tasks)| {
+            let need = self.spec.steps[usize::from(step)].charged();
+            need.times(tasks.count_waiting() as u64)
         });
-        let needs = waiting.map(|((_, step, _), _)| self.spec.steps[usize::from(step)].charged());
         needs.fold(Resources::default(), |sum, need| sum.plus(&need))
     }
 
     /// Number of steps on the longest dependency chain that are not done.
     fn remaining_chain_len(&self) -> u64 {
-        let Some(occurrence) = self.occurrences.first() else {
-            return 0;
+        let Some((_, occurrence)) = self.occurrences.open().next() else {
+            return self.spec.chain_len();
         };
         let mut depths: SmallVec<[u64; 8]> = SmallVec::new();
         for (number, step) in (0u16..).zip(&self.spec.steps) {
@@ -290,11 +306,11 @@
         depths.into_iter().max().unwrap_or(0)
     }
 
-    /// Tasks of a repeated job, those that wait until it is known whether they crash their workers, and
-    /// those of steps that pause become startable as time passes.
-    fn needs_review(&self) -> bool {
-        let is_timed = self.spec.repeat.is_some() || !self.refusals.is_empty();
-        self.changed || is_timed || !self.crashes.is_empty()
+    /// Tasks of occurrences that are due, those that wait until it is known whether they crash their workers,
+    /// and those of steps that pause become startable as time passes.
+    fn needs_review(&self, wall: Option<ClockTime>) -> bool {
+        let is_due = wall.is_some_and(|wall| self.occurrences.has_due(&self.spec, wall));
+        self.changed || is_due || !self.refusals.is_empty() || !self.crashes.is_empty()
     }
 
     /// Returns whether some task could start when the job was last reviewed.
@@ -303,8 +319,7 @@
     }
 
     fn is_done(&self) -> bool {
-        self.tasks()
-            .all(|(_, task)| matches!(task, AnyTask::Done { .. }))
+        self.occurrences.is_done()
     }
 
     /// Returns whether a run of the task that has not begun is still to be started. A late report may have shown
@@ -320,15 +335,15 @@
     }
 
     fn has_no_runs(&self) -> bool {
-        self.tasks().all(|(_, task)| task.placed().is_none())
+        self.touched_tasks().all(|task| task.placed().is_none())
     }
 
-    fn set_progress(&mut self, progress: &JobProgress, now: ClockTime) {
-        for (occurrence, steps) in self.occurrences.iter_mut().zip(&progress.occurrences) {
-            for (tasks, records) in occurrence.steps.iter_mut().zip(steps) {
-                for (task, record) in tasks.iter_mut().zip(records) {
-                    *task = progress.task(record, now);
-                }
+    fn set_progress(&mut self, id: JobId, progress: &JobProgress, now: ClockTime) {
+        let begun = progress.begun_occurrences(&self.spec);
+        self.occurrences.restore(&self.spec, begun);
+        for (key, record) in progress.begun_tasks(id) {
+            if let Some(task) = self.occurrences.task_mut(&key) {
+                *task = progress.task(record, now);
             }
         }
         self.crashes = progress.crashes.clone();
@@ -348,15 +363,24 @@
             }
             return;
         }
-        if self.jobs.contains_key(&id) {
+        if self.jobs.contains_key(&id) || self.parked.contains_key(&id) {
             return;
         }
+        if self.reserve_memory(&spec) {
+            self.open_accepted(id, spec);
+        } else {
+            self.restore_parked(id, ParkedJob::of(&spec));
+        }
+    }
+
+    /// Opens an accepted job, whose memory is reserved.
+    pub(super) fn open_accepted(&mut self, id: JobId, spec: Arc<JobSpec>) {
         let mut job = self.open_job(spec);
         if self.take_early_cancel(id, &job) {
             job.life = job.life.end(JobState::Cancelled);
         }
         job.meter(&mut self.tenants);
-        let (work, tasks) = (job.spec.work.clone(), job.tasks().count());
+        let (work, tasks) = (job.spec.work.clone(), job.spec.count_tasks());
         let traits = job.spec.traits();
         self.record_arrival(&job);
         self.jobs.insert(id, job);
@@ -375,6 +399,10 @@
         if self.ended_jobs.contains_key(&id) {
             return;
         }
+        if let Some(parked) = self.parked.get_mut(&id) {
+            parked.cancel(tenant);
+            return;
+        }
         let Some(job) = self.jobs.get_mut(&id) else {
             self.early_cancels.insert(id, (tenant.cloned(), self.now));
             return;
@@ -412,8 +440,9 @@
         let Some(spec) = spec else {
             return;
         };
+        self.memory.add(&spec, job_bytes(&spec), 0);
         let mut job = self.open_job(spec);
-        job.set_progress(progress, now);
+        job.set_progress(id, progress, now);
         if job.has_begun() {
             job.life = job.life.begin();
         }
@@ -457,6 +486,14 @@
         let Some(slot) = job.tenant else {
             return;
         };
+        // Copies in occurrences that are done are not counted any more.
+        let is_past = job.occurrences.count_done() > 0;
+        for step in job.spec.steps.iter().filter(|_| is_past) {
+            if step.speculative || step.gang {
+                let need = step.need.times(u64::from(step.count));
+                self.tenants.add_unnamed(slot, &need);
+            }
+        }
         for ((_, step, _), task) in job.tasks() {
             let step = &job.spec.steps[usize::from(step)];
             let is_named = task.placed().is_some() || task.is_terminal();
@@ -472,7 +509,7 @@
     pub(super) fn loose_usage(&self, id: JobId, job: &Job) -> Resources {
         let mut steps = job.spec.steps.iter();
         let may_have_others = steps.any(|step| step.speculative || step.gang)
-            || job.tasks().any(|(_, task)| task.run() > 1);
+            || job.touched_tasks().any(|task| task.run() > 1);
         // Any other run is given up only once it has certainly ended.
         if job.tenant.is_none() || !may_have_others {
             return Resources::default();
@@ -527,14 +564,9 @@
         let tenant = spec.tenant.as_ref().map(|tenant| self.tenants.slot(tenant));
         let work = self.catalogue.work(&spec.work);
         let terms = work.map_or_else(|| spec.terms.clone(), JobTerms::of);
-        let due = |number: u32| {
-            let repeat = spec.repeat;
-            repeat.map_or(ClockTime::ZERO, |repeat| repeat.start_of(number))
-        };
-        let times = spec.repeat.map_or(1, |repeat| repeat.times.max(1));
-        let occurrences = (0..times).map(|number| Occurrence::new(&spec, due(number)));
         Job {
-            occurrences: occurrences.collect(),
+            occurrences: OccurrenceTable::new(&spec),
+            bytes: job_bytes(&spec),
             life: OpenLife::Queued(JobLife::open()),
             terms,
             tenant,
@@ -556,14 +588,21 @@
     /// cancelled ones that have no runs left, and finds those with tasks that could start.
     pub(super) fn conclude_jobs(&mut self) {
         let now = self.now;
+        let wall = self.wall_reading.map(|reading| reading.shown_time(now));
+        self.memory = self.measure_memory();
+        let mut room = self.memory.occurrence_room(self.job_memory);
         self.awaits_wall_time = false;
         let mut concluded: SmallVec<[(JobId, JobState); 8]> = SmallVec::new();
         for (id, job) in &mut self.jobs {
-            if !job.needs_review() {
+            let is_reviewed = job.needs_review(wall);
+            if is_reviewed {
+                job.changed = false;
+                job.review_occurrences(self.wall_reading, &mut room, now);
+            }
+            self.awaits_wall_time |= job.occurrences.has_pending();
+            if !is_reviewed {
                 continue;
             }
-            job.changed = false;
-            self.awaits_wall_time |= job.release_occurrences(self.wall_reading, now);
             if job.life.goal().is_none() {
                 let fatal = job.give_up_fatal_tasks();
                 let has_failed = job.has_failed();
@@ -589,6 +628,7 @@
             let has_startable = job.startable(*id, now).next().is_some();
             job.has_startable = has_startable;
         }
+        self.memory.add_opened(room.taken());
         for (id, state) in concluded {
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
@@ -611,6 +651,20 @@
         self.expire_ended_jobs();
     }
 
+    fn measure_memory(&self) -> MemoryUsage {
+        let mut usage = MemoryUsage::default();
+        let closed = [
+            self.ended_jobs.len(),
+            self.early_cancels.len(),
+            self.parked.len(),
+        ];
+        usage.set_closed(closed.into_iter().sum());
+        for job in self.jobs.values() {
+            usage.add(&job.spec, job.bytes, job.occurrences.count_extra());
+        }
+        usage
+    }
+
     /// Makes a stored end of a job visible to callers.
     pub(super) fn close_job(&mut self, id: JobId, state: JobState) {
         let tenant = self
--- a/crates/core/src/job/scheduler/placing.rs
+++ b/crates/core/src/job/scheduler/placing.rs
@@ -62,6 +62,18 @@
     }
 }
 
+/// Startable tasks of a step that are looked at together.
+const STEP_CHUNK: usize = 16;
+
+/// Outcome of the search for room for the tasks of a step.
+#[derive(Debug, Default)]
+struct StepOutcome {
+    placed: usize,
+    unplaced: usize,
+    /// True if no worker of the pool has what the step asks for.
+    is_in_vain: bool,
+}
+
 /// Search for room for the tasks of a pool.
 pub(super) struct QueueSearch {
     pub(super) workers: PlaceCandidates,
@@ -216,44 +228,75 @@
         let Some(job) = self.jobs.get(&id) else {
             return;
         };
-        let keys: SmallVec<[TaskKey; 16]> = job.startable(id, self.now).collect();
-        let mut placed = 0;
-        let mut full_steps = SmallVec::<[StepKey; 4]>::new();
+        let first = job.startable(id, self.now).next();
+        let steps: SmallVec<[StepKey; 16]> = job.startable_steps(id).collect();
+        let (mut placed, mut unplaced) = (0, 0);
         let mut in_vain = None;
-        for key in &keys {
-            let step = StepKey::from(*key);
-            if full_steps.contains(&step) {
-                continue;
-            }
-            match self.place_step(*key, search) {
-                Ok(count) => placed += count,
-                Err(reason) => {
-                    search.waits.add(reason);
-                    if reason == WaitReason::NoFit {
-                        in_vain.get_or_insert(step);
-                    }
-                    // Other tasks of the step may need no trial.
-                    if reason != WaitReason::Trial {
-                        full_steps.push(step);
-                    }
-                    if reason == WaitReason::Room {
-                        self.hold_room(key, urgency, search);
-                    }
-                }
+        for step in steps {
+            let outcome = self.place_tasks_of(step, urgency, search);
+            placed += outcome.placed;
+            unplaced += outcome.unplaced;
+            if outcome.is_in_vain {
+                in_vain.get_or_insert(step);
             }
         }
-        self.record_vain_wait(id, keys.first().map(|key| (*key).into()), in_vain);
+        self.record_vain_wait(id, first.map(StepKey::from), in_vain);
         if placed > 0 {
             self.outbox.mark_changed(id);
             self.log_decision(SchedulerDecision::Placed {
                 job: id,
                 tasks: placed,
-                // A gang starts with members that would not start by themselves yet.
-                unplaced: keys.len().saturating_sub(placed),
+                unplaced,
             });
         }
     }
 
+    /// Places startable tasks of a step, until one of them finds no room.
+    fn place_tasks_of(
+        &mut self,
+        step: StepKey,
+        urgency: &JobUrgency,
+        search: &mut QueueSearch,
+    ) -> StepOutcome {
+        let mut outcome = StepOutcome::default();
+        let mut next = Some(0);
+        while let Some(from) = next {
+            let Some(job) = self.jobs.get(&step.job) else {
+                break;
+            };
+            let keys = job.startable_in(step, from, self.now);
+            let keys: SmallVec<[TaskKey; STEP_CHUNK]> = keys.take(STEP_CHUNK).collect();
+            next = keys.last().map(|key| key.index + 1);
+            for key in &keys {
+                let reason = match self.place_step(*key, search) {
+                    Ok(count) => {
+                        outcome.placed += count;
+                        // A gang starts with members that would not start by themselves yet.
+                        if count > 1 {
+                            return outcome;
+                        }
+                        continue;
+                    }
+                    Err(reason) => reason,
+                };
+                search.waits.add(reason);
+                outcome.is_in_vain |= reason == WaitReason::NoFit;
+                if reason == WaitReason::Room {
+                    self.hold_room(key, urgency, search);
+                }
+                // Other tasks of the step may need no trial.
+                if reason != WaitReason::Trial {
+                    let job = self.jobs.get(&step.job);
+                    let waiting = job.map_or(0, |job| job.count_waiting_in(step));
+                    outcome.unplaced += waiting;
+                    return outcome;
+                }
+                outcome.unplaced += 1;
+            }
+        }
+        outcome
+    }
+
     /// Logs that a job has begun or ceased to wait for what no worker has; `first` is its first step that
     /// could start.
     fn record_vain_wait(&mut self, id: JobId, first: Option<StepKey>, in_vain: Option<StepKey>) {
--- a/crates/core/src/job/scheduler/waves.rs
+++ b/crates/core/src/job/scheduler/waves.rs
@@ -6,6 +6,7 @@
     clock::ClockTime,
     job::{
         charge::AnyCharge,
+        occurrence::StepTasks,
         place::{PlaceRequest, is_eligible},
         spec::TaskKey,
         stop::StopReason,
@@ -366,8 +367,7 @@
     fn can_stop_here(&self, job: &Job, key: &TaskKey, worker: &Worker) -> bool {
         let max_unavailable = usize::from(job.step(key).may_miss);
         let is_here = |task: &AnyTask| task.placed().is_some_and(|(id, _)| *id == worker.id);
-        let occurrence = &job.occurrences[key.occurrence as usize];
-        let tasks = occurrence.steps[usize::from(key.step)].iter();
+        let tasks = job.step_tasks(key).into_iter().flat_map(StepTasks::iter);
         let away = tasks.filter(|task| is_here(task) || !self.is_available(task));
         max_unavailable == 0 || away.count() <= max_unavailable
     }
@@ -376,8 +376,8 @@
     /// than the step tolerates.
     pub(super) fn can_stop_one(&self, job: &Job, key: &TaskKey) -> bool {
         let max_unavailable = usize::from(job.step(key).may_miss);
-        let occurrence = &job.occurrences[key.occurrence as usize];
-        let tasks = (0u16..).zip(&occurrence.steps[usize::from(key.step)]);
+        let tasks = job.step_tasks(key).into_iter().flat_map(StepTasks::iter);
+        let tasks = (0u16..).zip(tasks);
         let others = tasks.filter(|(index, _)| *index != key.index);
         let unavailable = others.filter(|(_, task)| !self.is_available(task)).count();
         max_unavailable == 0 || unavailable < max_unavailable
--- a/crates/core/src/job/spec.rs
+++ b/crates/core/src/job/spec.rs
@@ -28,7 +28,7 @@
 
 /// Maximum payload size of a job, set by the callers' protocol.
 const MAX_PAYLOAD_BYTES: usize = 4_000;
-/// Maximum number of tasks of a job over all steps and occurrences; limited by the size of a
+/// Maximum number of tasks of a job that may be open at a time, over all steps; limited by the size of a
 /// progress record.
 const MAX_TASKS: usize = 10_000;
 /// Latest time in a job: the largest whole number of milliseconds that every JSON writer represents
@@ -278,6 +278,16 @@
     }
 }
 
+impl StepSpec {
+    /// Returns whether workers have room for a task of the step, or its gang, just if they have for the other's.
+    pub(super) fn fits_like(&self, other: &Self) -> bool {
+        let same_size = self.need == other.need && self.best_effort == other.best_effort;
+        let same_gang = self.gang == other.gang && (!self.gang || self.count == other.count);
+        let same_spread = self.max_per_worker == other.max_per_worker;
+        same_size && same_gang && same_spread && self.requires == other.requires
+    }
+}
+
 /// Predicate on a step.
 type StepPredicate = fn(&StepSpec) -> bool;
 
@@ -308,7 +318,7 @@
     }
 
     /// Start time of the last repetition, or the largest time if that overflows.
-    fn last_start(&self) -> ClockTime {
+    pub fn last_start(&self) -> ClockTime {
         self.start_of(self.times.saturating_sub(1))
     }
 }
@@ -426,10 +436,27 @@
             repeat.last_start().max(self.received_at)
         });
         require(last_start <= MAX_TIME, "start", "ask for an earlier time")?;
+        // Occurrences that end follow each other, and those of long-running tasks are open together.
+        let open_times = self.repeat.filter(|_| self.is_long_running());
+        let open_times = open_times.map_or(1, |repeat| repeat.times.max(1)) as usize;
+        let within_limit = self.count_tasks().saturating_mul(open_times) <= MAX_TASKS;
+        require(
+            within_limit,
+            "count",
+            "ask for at most 10,000 tasks at a time",
+        )
+    }
+
+    /// Number of tasks of one occurrence.
+    pub fn count_tasks(&self) -> usize {
+        self.steps.iter().map(|step| usize::from(step.count)).sum()
+    }
+
+    /// Returns whether releases before the memory of jobs was bounded read the job: they allow 10,000 tasks over all
+    /// occurrences.
+    pub fn is_readable_by_earlier_releases(&self) -> bool {
         let times = self.repeat.map_or(1, |repeat| repeat.times.max(1)) as usize;
-        let tasks: usize = self.steps.iter().map(|step| usize::from(step.count)).sum();
-        let within_limit = tasks.saturating_mul(times) <= MAX_TASKS;
-        require(within_limit, "count", "ask for at most 10,000 tasks in all")
+        self.count_tasks().saturating_mul(times) <= MAX_TASKS
     }
 
     /// Names of the scheduling features that the steps use, for logs.
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -14,6 +14,8 @@
 mod impossible;
 mod leases;
 mod occupancy;
+mod occurrences;
+mod parking;
 mod placing;
 mod probation;
 mod processes;
--- a/crates/experiments/src/schedule.rs
+++ b/crates/experiments/src/schedule.rs
@@ -153,7 +153,8 @@
             .await;
     }
 
-    async fn add_member_with(&mut self, store: SocketAddr, limits: &str) {
+    /// Starts one more member that reaches the store at an address, with the text of its `[limits]` table.
+    pub async fn add_member_with(&mut self, store: SocketAddr, limits: &str) {
         self.nonce += 1;
         let options = MemberOptions { store, limits };
         let name = format!("entry-{}", self.nonce);
--- a/crates/scheduler/src/accept.rs
+++ b/crates/scheduler/src/accept.rs
@@ -4,7 +4,10 @@
 use std::{pin::pin, slice::from_ref, sync::Arc, time::Duration};
 
 use jacinthhoist_codec::{KeyedRecord, StoreOutcome};
-use jacinthhoist_core::{ClockTime, job::refusal_delay};
+use jacinthhoist_core::{
+    ClockTime,
+    job::{JobSize, refusal_delay},
+};
 use tokio::{
     sync::{mpsc, oneshot},
     time::{Instant, sleep, timeout},
@@ -15,6 +18,7 @@
     dependency::Dependency,
     error::Category,
     eventlog::event,
+    memory::MemoryGate,
     ports::{AppendSequence, Platform, StoreStream},
     shared::MemberShared,
 };
@@ -34,6 +38,8 @@
 #[derive(Debug)]
 pub(crate) struct StoreRequest {
     pub(crate) record: KeyedRecord,
+    /// Size of the job in the record; none for other records.
+    pub(crate) size: Option<JobSize>,
     /// True if an earlier attempt, by another member, may have stored the record.
     pub(crate) in_doubt: bool,
     pub(crate) reply: oneshot::Sender<StoreOutcome>,
@@ -41,11 +47,15 @@
 
 impl StoreRequest {
     /// Creates a request and returns the receiver of its outcome.
-    pub(crate) fn new(record: KeyedRecord) -> (Self, oneshot::Receiver<StoreOutcome>) {
+    pub(crate) fn new(
+        record: KeyedRecord,
+        size: Option<JobSize>,
+    ) -> (Self, oneshot::Receiver<StoreOutcome>) {
         let (reply, outcome) = oneshot::channel();
         let in_doubt = false;
         let request = Self {
             record,
+            size,
             in_doubt,
             reply,
         };
@@ -55,7 +65,9 @@
     /// Sends the outcome of this attempt, combined with that of an earlier one.
     pub(crate) fn settle(self, outcome: StoreOutcome) {
         let outcome = match outcome {
-            StoreOutcome::NotStored if self.in_doubt => StoreOutcome::Unknown,
+            StoreOutcome::NotStored | StoreOutcome::NoRoom if self.in_doubt => {
+                StoreOutcome::Unknown
+            }
             outcome => outcome,
         };
         // The caller may no longer be waiting.
@@ -69,6 +81,7 @@
     /// Sends stored records on to the owner.
     stored_sender: mpsc::UnboundedSender<Vec<KeyedRecord>>,
     writer: AcceptWriter<P>,
+    memory: MemoryGate,
 }
 
 /// Writer with the member's own producer name and epoch.
@@ -99,6 +112,7 @@
             inbox,
             stored_sender,
             writer,
+            memory: MemoryGate::default(),
         }
     }
 
@@ -113,6 +127,8 @@
             let records: Vec<_> = batch.iter().map(|request| request.record.clone()).collect();
             let append = self.writer.append(&records);
             let outcome = refuse_during(&mut self.inbox, SLOW_APPEND, append).await;
+            let now = self.writer.shared.clock.now();
+            self.memory.record_append(outcome, now);
             if outcome == StoreOutcome::Stored {
                 // If this fails, the owner still reads the records from the store.
                 let _ = self.stored_sender.send(records);
@@ -131,8 +147,8 @@
     }
 
     /// Takes the first requests that the store accepts in one call. Those that it would never accept are
-    /// refused, as they would take the others of their call with them.
-    fn take_batch(&self, waiting: &mut Vec<StoreRequest>) -> Vec<StoreRequest> {
+    /// refused, as they would take the others of their call with them, and so are jobs for which no memory is left.
+    fn take_batch(&mut self, waiting: &mut Vec<StoreRequest>) -> Vec<StoreRequest> {
         let shared = &self.writer.shared;
         let limits = &shared.store_limits;
         for request in waiting.extract_if(.., |request| !limits.admits(&request.record)) {
@@ -142,7 +158,16 @@
         }
         let records = waiting.iter().map(|request| from_ref(&request.record));
         let count = limits.count_fitting(records);
-        waiting.drain(..count).collect()
+        let mut batch: Vec<StoreRequest> = waiting.drain(..count).collect();
+        let memory = &mut self.memory;
+        let is_refused = |request: &mut StoreRequest| {
+            let size = request.size;
+            size.is_some_and(|size| !memory.reserve(size, shared))
+        };
+        for request in batch.extract_if(.., is_refused) {
+            request.settle(StoreOutcome::NoRoom);
+        }
+        batch
     }
 }
 
--- a/crates/scheduler/src/caller.rs
+++ b/crates/scheduler/src/caller.rs
@@ -10,9 +10,9 @@
 use jacinthhoist_core::{
     ClockTime, TenantName, WorkName,
     job::{
-        CallerLimits, JobCatalogue, JobError, JobId, JobRefusal, JobSpec, JobState, JobTerms,
-        JobWork, KeyHash, KeyRefusal, RefusalGround, RepeatPlan, StepSpec, WorkLoad, admit_job,
-        admit_tenant_job, outage_retry,
+        CallerLimits, JobCatalogue, JobError, JobId, JobRefusal, JobSize, JobSpec, JobState,
+        JobTerms, JobWork, KeyHash, KeyRefusal, RefusalGround, RepeatPlan, StepSpec, WorkLoad,
+        admit_job, admit_tenant_job, outage_retry,
     },
 };
 use serde_json::json;
@@ -176,6 +176,9 @@
 struct Admitted {
     work: WorkName,
     job: JobId,
+    size: JobSize,
+    /// Time in which the job's pool works off its backlog.
+    drain: ClockTime,
     record: KeyedRecord,
 }
 
@@ -315,7 +318,7 @@
         served.tenant = call.phase.tenant.clone();
         match &call.request.action {
             CallerAction::Submit(_) => match self.admit(call, served) {
-                Ok(call) => self.store(call).await,
+                Ok(call) => self.store(call, served).await,
                 Err(reply) => reply,
             },
             CallerAction::Show if call.phase.classified.rest.is_empty() => {
@@ -423,18 +426,53 @@
             repeat: body.repeat,
         };
         spec.check().map_err(bad_job)?;
-        self.admit_load(work, &spec).map_err(|refusal| {
-            served.ground = Some(refusal.ground);
-            self.shared.meter.count_job_refusal(refusal.ground.label());
-            CallerReply::Busy {
-                retry_after: refusal.retry_after,
-            }
-        })?;
+        let (size, drain) = (JobSize::of(&spec), self.admission_load(&work.name).drain);
+        let admitted = self.admit_load(work, &spec);
+        admitted
+            .and_then(|()| self.admit_memory(&spec, size, drain))
+            .map_err(|refusal| self.busy(refusal, served))?;
         let record = encode_job(id, &spec);
         let record = record.map_err(|error| CallerReply::BadCall(error.to_string()))?;
         let work = classified.work.clone();
         let job = id;
-        Ok(call.with_phase(Admitted { work, job, record }))
+        Ok(call.with_phase(Admitted {
+            work,
+            job,
+            size,
+            drain,
+            record,
+        }))
+    }
+
+    fn busy(&self, refusal: JobRefusal, served: &mut ServedCall) -> CallerReply {
+        served.ground = Some(refusal.ground);
+        self.shared.meter.count_job_refusal(refusal.ground.label());
+        CallerReply::Busy {
+            retry_after: refusal.retry_after,
+        }
+    }
+
+    /// Refuses a job for which the owner has no memory left.
+    fn admit_memory(
+        &self,
+        spec: &JobSpec,
+        size: JobSize,
+        drain: ClockTime,
+    ) -> Result<(), JobRefusal> {
+        // An owner of an earlier release would skip the record.
+        let is_readable =
+            spec.is_readable_by_earlier_releases() || self.shared.owner_bounds_memory();
+        let report = self.shared.memory_report();
+        let report = if is_readable {
+            report
+        } else {
+            report.less(u64::MAX, u64::MAX)
+        };
+        let admitted = report.admit(size, drain);
+        if admitted.is_err() {
+            self.shared.meter.count_memory_refusal(size.bytes);
+        }
+        admitted
     }
 
     /// Refuses a job that is expected to miss its objective under the current load.
@@ -455,8 +493,14 @@
         }
     }
 
-    async fn store(&self, call: JobCall<Admitted>) -> CallerReply {
-        let Admitted { work, job, record } = call.phase;
+    async fn store(&self, call: JobCall<Admitted>, served: &mut ServedCall) -> CallerReply {
+        let Admitted {
+            work,
+            job,
+            size,
+            drain,
+            record,
+        } = call.phase;
         // The key may have been withdrawn since the call arrived.
         if let Some(view) = self.view_catalogue()
             && let Err(reply) = self.find_tenant(&view, &work, call.request.key.as_ref())
@@ -464,9 +508,16 @@
         {
             return reply;
         }
-        match self.append(record, call.deadline).await {
+        match self.append(record, Some(size), call.deadline).await {
             StoreOutcome::Stored => CallerReply::Accepted,
             StoreOutcome::NotStored => self.unavailable(job.0),
+            StoreOutcome::NoRoom => {
+                let full = self.shared.memory_report().less(u64::MAX, u64::MAX);
+                match full.admit(size, drain) {
+                    Err(refusal) => self.busy(refusal, served),
+                    Ok(()) => self.unavailable(job.0),
+                }
+            }
             StoreOutcome::Unknown => CallerReply::Unknown,
         }
     }
@@ -498,16 +549,21 @@
             Ok(record) => record,
             Err(error) => return CallerReply::BadCall(error.to_string()),
         };
-        match self.append(record, call.deadline).await {
+        match self.append(record, None, call.deadline).await {
             StoreOutcome::Stored if known == JobReply::Missing => CallerReply::NoSuchJob,
             StoreOutcome::Stored => CallerReply::Cancelled,
-            StoreOutcome::NotStored => self.unavailable(id.0),
+            StoreOutcome::NotStored | StoreOutcome::NoRoom => self.unavailable(id.0),
             StoreOutcome::Unknown => CallerReply::Unknown,
         }
     }
 
-    async fn append(&self, record: KeyedRecord, deadline: Instant) -> StoreOutcome {
-        let (request, outcome) = StoreRequest::new(record);
+    async fn append(
+        &self,
+        record: KeyedRecord,
+        size: Option<JobSize>,
+        deadline: Instant,
+    ) -> StoreOutcome {
+        let (request, outcome) = StoreRequest::new(record, size);
         if self.store.send(request).is_err() {
             return StoreOutcome::NotStored;
         }
--- a/crates/scheduler/src/eventlog.rs
+++ b/crates/scheduler/src/eventlog.rs
@@ -99,6 +99,7 @@
     TaskFatal => ("task_fatal", "A task was given up, as it crashes its workers."),
     Finished => ("finished", "A job has ended."),
     Pool => ("pool", "The load of a pool, once a second."),
+    Memory => ("memory", "The memory that jobs take, once a second, or a job that was refused for it."),
     Leases => ("leases", "The leases that an owner without the store's confirmation has granted, once a second."),
     Worker => ("worker", "The state of a worker has changed."),
     Vm => ("vm", "A VM was ordered to move or to begin maintenance."),
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -18,6 +18,7 @@
 mod eventlog;
 mod member;
 mod membership;
+mod memory;
 mod meter;
 mod operator;
 mod owner;
--- a/crates/scheduler/src/member.rs
+++ b/crates/scheduler/src/member.rs
@@ -150,6 +150,7 @@
         let shared = MemberShared::open(
             settings.identity,
             settings.store_limits,
+            settings.limits.job_memory,
             settings.revocation,
             clock,
             wall,
--- a/crates/scheduler/src/meter.rs
+++ b/crates/scheduler/src/meter.rs
@@ -2,7 +2,7 @@
 
 use std::sync::OnceLock;
 
-use jacinthhoist_core::job::TenantSummary;
+use jacinthhoist_core::job::{MemoryReport, MemoryUsage, TenantSummary};
 use metrics::{Counter, Gauge, Histogram, counter, gauge, histogram};
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 
@@ -37,6 +37,14 @@
     pub(crate) job_time: Histogram,
     pub(crate) step_time: Histogram,
     pub(crate) open_jobs: Gauge,
+    /// Bytes of open jobs that end by themselves, of others, and of ended jobs.
+    finite_memory: Gauge,
+    lasting_memory: Gauge,
+    closed_memory: Gauge,
+    /// Bytes that are left for further jobs.
+    memory_room: Gauge,
+    /// Bytes of jobs that were refused for want of memory.
+    refused_memory: Counter,
     pub(crate) appends: Counter,
     pub(crate) append_retries: Counter,
     /// Records of callers that the owner stored.
@@ -58,6 +66,11 @@
             job_time: histogram!("jacinthhoist_job_seconds"),
             step_time: histogram!("jacinthhoist_schedule_step_seconds"),
             open_jobs: gauge!("jacinthhoist_open_jobs"),
+            finite_memory: gauge!("jacinthhoist_job_bytes", "jobs" => "finite"),
+            lasting_memory: gauge!("jacinthhoist_job_bytes", "jobs" => "lasting"),
+            closed_memory: gauge!("jacinthhoist_job_bytes", "jobs" => "closed"),
+            memory_room: gauge!("jacinthhoist_job_room_bytes"),
+            refused_memory: counter!("jacinthhoist_job_refused_bytes_total"),
             appends: counter!("jacinthhoist_store_appends_total"),
             append_retries: counter!("jacinthhoist_store_append_retries_total"),
             owner_stores: counter!("jacinthhoist_records_stored_total", "by" => "owner"),
@@ -78,6 +91,19 @@
         counter!("jacinthhoist_job_refusals_total", "ground" => ground).increment(1);
     }
 
+    /// Counts the bytes of a job that was refused for want of memory.
+    pub(crate) fn count_memory_refusal(&self, bytes: u64) {
+        self.refused_memory.increment(bytes);
+    }
+
+    /// Sets the gauges of the memory that jobs take, and of the room that is left.
+    pub(crate) fn set_memory(&self, usage: MemoryUsage, report: &MemoryReport) {
+        self.finite_memory.set(usage.finite as f64);
+        self.lasting_memory.set(usage.lasting as f64);
+        self.closed_memory.set(usage.closed as f64);
+        self.memory_room.set(report.room as f64);
+    }
+
     /// Counts a call that was refused for its key.
     pub(crate) fn count_key_refusal(&self, reason: &'static str) {
         counter!("jacinthhoist_key_refusals_total", "reason" => reason).increment(1);
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -21,8 +21,8 @@
 use jacinthhoist_core::{
     ClockTime, VmName, WorkerId,
     job::{
-        JobId, OrderReply, RenewalReport, SchedulerLimits, StartReply, StepAdvice, TaskKey,
-        VmEntry, WorkerEntry,
+        JobId, JobSpec, OrderReply, RenewalReport, SchedulerLimits, StartReply, StepAdvice,
+        TaskKey, VmEntry, WorkerEntry,
     },
 };
 use tokio::{sync::watch, time::sleep};
@@ -106,6 +106,12 @@
         /// Time at which its append was first sent.
         asked_at: ClockTime,
     },
+    /// Accepted jobs that were read again; `None` if that failed.
+    Loaded {
+        /// Jobs that were looked for.
+        wanted: Vec<JobId>,
+        loaded: Option<Vec<(JobId, Arc<JobSpec>)>>,
+    },
     /// Jobs whose bodies have been removed from the store.
     BodiesRemoved(Vec<JobId>),
     /// Answer of the policy service; `None` if the call failed.
--- a/crates/scheduler/src/owner/effects.rs
+++ b/crates/scheduler/src/owner/effects.rs
@@ -2,7 +2,9 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use jacinthhoist_codec::{KeyedRecord, ProgressGroup, encode_progress_group, encode_removal};
+use jacinthhoist_codec::{
+    AcceptedRecord, KeyedRecord, ProgressGroup, accepted_job, encode_progress_group, encode_removal,
+};
 use jacinthhoist_core::{
     ClockTime, VmName, WorkerId,
     job::{Batch, BatchRecord, Effect, JobId, OrderReply, StepKey, refusal_delay},
@@ -21,7 +23,8 @@
     OwnerEvent,
     authority::OwnerAuthority,
     decisions::log_decision,
-    takeover::{OWNER_PRODUCER, is_fenced},
+    sources::read_newest,
+    takeover::{OWNER_PRODUCER, decode_accepted_records, is_fenced},
     workers::WorkerConnections,
 };
 
@@ -99,6 +102,7 @@
                 workers.stop(worker, task, run, authority.for_stop());
             }
             Effect::RemoveBodies(jobs) => self.remove_bodies(jobs),
+            Effect::LoadJobs(jobs) => self.load_jobs(jobs),
             Effect::Move { vm, to } => {
                 let (platform, authority) = (self.platform.clone(), authority.for_vm());
                 let name = vm.clone();
@@ -191,6 +195,33 @@
         Ok(group)
     }
 
+    /// Reads accepted jobs again. The store has no read of single keys, so the stream is read as a whole.
+    fn load_jobs(&mut self, wanted: Vec<JobId>) {
+        let (platform, shared) = (self.platform.clone(), self.shared.clone());
+        let events = self.events.clone();
+        self.calls.spawn(async move {
+            let mut loaded = Vec::new();
+            let add = |page: Vec<KeyedRecord>| {
+                let jobs = page
+                    .iter()
+                    .filter(|record| accepted_job(record).is_some_and(|id| wanted.contains(&id)));
+                let jobs: Vec<KeyedRecord> = jobs.cloned().collect();
+                for record in decode_accepted_records(&shared, &jobs) {
+                    if let AcceptedRecord::Job(id, spec) = record {
+                        loaded.push((id, Arc::new(spec)));
+                    }
+                }
+            };
+            let read = read_newest(&*platform, StoreStream::Accepted, add).await;
+            shared.record_call(Dependency::AcceptedJobs, &read);
+            let loaded = read.ok().map(|_| loaded);
+            event!(shared.log, Memory, "outcome": "loaded", "wanted": wanted.len(),
+                "jobs": loaded.as_ref().map(Vec::len));
+            // The engine may have stopped.
+            let _ = events.send(OwnerEvent::Loaded { wanted, loaded });
+        });
+    }
+
     fn remove_bodies(&mut self, jobs: Vec<JobId>) {
         let groups = jobs.iter().map(|id| encode_removal(*id).to_vec()).collect();
         let calls = self.shared.store_limits.split_calls(groups);
--- a/crates/scheduler/src/owner/engine.rs
+++ b/crates/scheduler/src/owner/engine.rs
@@ -5,7 +5,9 @@
 use jacinthhoist_codec::{AcceptedRecord, JobReply, OwnerHeartbeat};
 use jacinthhoist_core::{
     ClockTime,
-    job::{JobCatalogue, OrderReply, Scheduler, StartReply, StepPace, SuccessionRecord},
+    job::{
+        JobCatalogue, MemoryReport, OrderReply, Scheduler, StartReply, StepPace, SuccessionRecord,
+    },
 };
 use smallvec::SmallVec;
 use tokio::{
@@ -319,12 +321,29 @@
         for summary in self.scheduler.pool_summaries() {
             log_pool(&self.shared.log, &summary);
         }
+        let usage = self.scheduler.memory_usage();
+        event!(self.shared.log, Memory, "finite": usage.finite, "lasting": usage.lasting,
+            "closed": usage.closed, "budget": self.scheduler.job_memory(),
+            "jobs": self.scheduler.open_jobs(), "parked": self.scheduler.parked_jobs());
         for summary in self.scheduler.tenant_summaries() {
             log_tenant(&self.shared.log, &summary);
             self.shared.meter.set_tenant(&summary);
         }
     }
 
+    /// Returns the room for further jobs, by the smallest memory of the members that may own the pools.
+    fn report_memory(&mut self) -> MemoryReport {
+        let (smallest, followers) = self.shared.standings.job_memory();
+        let own = self.shared.job_memory;
+        let budget = smallest.map_or(own, |smallest| smallest.min(own));
+        self.scheduler.set_job_memory(budget);
+        let report = self.scheduler.memory_report(followers + 1);
+        self.shared
+            .meter
+            .set_memory(self.scheduler.memory_usage(), &report);
+        report
+    }
+
     fn publish_heartbeat(&mut self, now: ClockTime) {
         if now < self.heartbeat_at + HEARTBEAT_INTERVAL {
             return;
@@ -339,6 +358,7 @@
             place_age: now - self.authority.confirmed_at(),
             sent_at: now,
             asks_wall_time,
+            memory: Some(self.report_memory()),
         });
         self.shared.set_heartbeat(Arc::clone(&heartbeat));
         self.shared.heartbeats.publish(heartbeat);
@@ -425,6 +445,7 @@
                 scheduler.batch_stored(number, now);
             }
             OwnerEvent::BodiesRemoved(jobs) => scheduler.bodies_removed(&jobs),
+            OwnerEvent::Loaded { wanted, loaded } => scheduler.jobs_loaded(&wanted, loaded),
             OwnerEvent::Advised(advice) => scheduler.advice_received(advice, now),
             OwnerEvent::Vms { vms, asked_at } => scheduler.vms_listed(vms, asked_at, now),
             OwnerEvent::VmOrdered { vm, reply } => scheduler.vm_order_replied(&vm, reply, now),
--- a/crates/scheduler/src/owner/sources.rs
+++ b/crates/scheduler/src/owner/sources.rs
@@ -141,13 +141,18 @@
         Ok((accepted, page.next))
     }
 
-    /// Reads the newest record of each key; returns them and the offset at which reads go on.
+    /// Sends the newest record of each key, page by page; returns the end of the list and the offset at which reads go
+    /// on.
     async fn list(&self) -> Result<(OwnerEvent, u64)> {
         let asked_at = self.shared.clock.now();
-        let (mut records, stream) = (Vec::new(), StoreStream::Accepted);
-        let next = read_newest(&*self.platform, stream, |page| records.extend(page)).await?;
+        let send = |page: Vec<KeyedRecord>| {
+            let records = decode_accepted_records(&self.shared, &page);
+            // The engine may have stopped.
+            let _ = self.events.send(OwnerEvent::Forwarded(records));
+        };
+        let next = read_newest(&*self.platform, StoreStream::Accepted, send).await?;
         let accepted = OwnerEvent::Accepted {
-            records: decode_accepted_records(&self.shared, &records),
+            records: Vec::new(),
             read_at: Some(asked_at),
             read: AcceptedRead::List,
         };
--- a/crates/scheduler/src/owner/takeover.rs
+++ b/crates/scheduler/src/owner/takeover.rs
@@ -1,13 +1,17 @@
 //! Takeover: fences off the previous owner in the store, then loads the stored state.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use jacinthhoist_codec::{AcceptedRecord, KeyedRecord, ProgressReader, decode_accepted};
 use jacinthhoist_core::{
     ClockTime, TenantName,
     job::{
         BatchRecord, ClockReadings, FormerOwner, JobCatalogue, JobId, JobProgress, JobSpec,
-        OwnershipProof, Scheduler, SchedulerLimits, SuccessionRecord,
+        OwnershipProof, ParkedJob, Scheduler, SchedulerLimits, SuccessionRecord, job_bytes,
     },
 };
 use serde_json::json;
@@ -56,7 +60,9 @@
 /// Stored records read in a takeover.
 #[derive(Default)]
 struct StoredRecords {
-    jobs: BTreeMap<JobId, Arc<JobSpec>>,
+    jobs: BTreeMap<JobId, StoredJob>,
+    /// Memory of the jobs whose specifications are held, in bytes.
+    job_bytes: u64,
     cancels: Vec<(JobId, Option<TenantName>)>,
     progress: Vec<BatchRecord>,
     /// Record of the last owner.
@@ -65,6 +71,13 @@
     accepted_next: u64,
 }
 
+/// Accepted job that is loaded.
+enum StoredJob {
+    Held(Arc<JobSpec>),
+    /// Beyond the memory for jobs, only what a job without progress needs is held.
+    Parked(ParkedJob),
+}
+
 /// Fences off earlier owners, has the group confirm the ownership and loads the stored state; retries
 /// until all have succeeded.
 ///
@@ -196,11 +209,26 @@
     shared: &MemberShared,
     records: &mut StoredRecords,
 ) -> Result<()> {
+    let progress = records.progress.iter();
+    let has_progress: BTreeSet<JobId> = progress
+        .filter_map(|record| match record {
+            BatchRecord::Progress(id, _) => Some(*id),
+            _ => None,
+        })
+        .collect();
     let add = |page: Vec<KeyedRecord>| {
         for record in decode_accepted_records(shared, &page) {
             match record {
                 AcceptedRecord::Job(id, spec) => {
-                    records.jobs.insert(id, Arc::new(spec));
+                    let bytes = records.job_bytes.saturating_add(job_bytes(&spec));
+                    let fits = bytes <= shared.job_memory || records.jobs.is_empty();
+                    let job = if fits || has_progress.contains(&id) {
+                        records.job_bytes = bytes;
+                        StoredJob::Held(Arc::new(spec))
+                    } else {
+                        StoredJob::Parked(ParkedJob::of(&spec))
+                    };
+                    records.jobs.insert(id, job);
                 }
                 AcceptedRecord::Cancel(id, tenant) => records.cancels.push((id, tenant)),
                 AcceptedRecord::Removed => {}
@@ -246,7 +274,11 @@
     for record in records.progress {
         match record {
             BatchRecord::Progress(id, progress) => {
-                scheduler.restore(id, records.jobs.remove(&id), &progress);
+                let spec = match records.jobs.remove(&id) {
+                    Some(StoredJob::Held(spec)) => Some(spec),
+                    Some(StoredJob::Parked(_)) | None => None,
+                };
+                scheduler.restore(id, spec, &progress);
             }
             BatchRecord::Remove(_) => {}
             BatchRecord::Wave(number, progress) => scheduler.restore_wave(number, progress),
@@ -260,8 +292,11 @@
         }
     }
     // Jobs without stored progress have not started.
-    for (id, spec) in records.jobs {
-        scheduler.restore(id, Some(spec), &JobProgress::default());
+    for (id, job) in records.jobs {
+        match job {
+            StoredJob::Held(spec) => scheduler.restore(id, Some(spec), &JobProgress::default()),
+            StoredJob::Parked(job) => scheduler.restore_parked(id, job),
+        }
     }
     scheduler.meter_restored_jobs();
     scheduler
--- a/crates/scheduler/src/peer/query.rs
+++ b/crates/scheduler/src/peer/query.rs
@@ -198,7 +198,8 @@
         // An owner of lower rank gives up the pools; one of the same rank ignores this frame.
         let announcement = JobFrame::Offer(self.shared.identity.rank);
         let identity = JobFrame::Identify(self.shared.identity.member_key().into());
-        for frame in [identity, announcement] {
+        let capacity = JobFrame::Capacity(self.shared.job_memory);
+        for frame in [identity, capacity, announcement] {
             if !send(&mut socket, &frame).await {
                 return;
             }
@@ -256,9 +257,9 @@
                         continue;
                     }
                     self.next_id += 1;
-                    let (id, record) = (self.next_id, request.record.clone());
+                    let (id, record, size) = (self.next_id, request.record.clone(), request.size);
                     open.stores.insert(id, request);
-                    if !send(&mut socket, &JobFrame::Store { id, record }).await {
+                    if !send(&mut socket, &JobFrame::Store { id, record, size }).await {
                         return;
                     }
                 }
@@ -327,7 +328,8 @@
                 | JobFrame::Stored(_)
                 | JobFrame::Store { .. }
                 | JobFrame::Standing { .. }
-                | JobFrame::WallTime(_),
+                | JobFrame::WallTime(_)
+                | JobFrame::Capacity(_),
             ) => {}
             Err(error) => event!(self.shared.log, Unreadable, "key": "peer frame",
                 "reason": error.to_string()),
--- a/crates/scheduler/src/peer/serve.rs
+++ b/crates/scheduler/src/peer/serve.rs
@@ -121,6 +121,11 @@
                                 shared.standings.record_wall_time(&member.key, reading);
                             }
                         }
+                        Some(FollowerNotice::Capacity(bytes)) => {
+                            if let Some(member) = &member {
+                                shared.standings.record_capacity(&member.key, bytes);
+                            }
+                        }
                         None => {}
                     }
                     continue;
@@ -159,6 +164,8 @@
     },
     /// Time of day by its wall clock.
     WallTime(ClockTime),
+    /// Its memory for jobs, in bytes.
+    Capacity(u64),
 }
 
 /// Member at the other end of a link; dropped when the link ends.
@@ -225,8 +232,9 @@
         }
         Ok(JobFrame::WallTime(wall)) => return Some(FollowerNotice::WallTime(wall)),
         Ok(JobFrame::Stored(records)) => forward_records(shared, &records),
-        Ok(JobFrame::Store { id, record }) => {
-            let (request, outcome) = StoreRequest::new(record);
+        Ok(JobFrame::Capacity(bytes)) => return Some(FollowerNotice::Capacity(bytes)),
+        Ok(JobFrame::Store { id, record, size }) => {
+            let (request, outcome) = StoreRequest::new(record, size);
             let answers = answers.clone();
             // Without an outcome the member is ending; the follower then stores the record itself.
             if appends.send(request).is_ok() {
--- a/crates/scheduler/src/peer/standing.rs
+++ b/crates/scheduler/src/peer/standing.rs
@@ -49,6 +49,8 @@
     promised_at: ClockTime,
     /// What its wall clock last showed.
     wall_reading: Option<ClockReading>,
+    /// Its memory for jobs, in bytes.
+    job_memory: Option<u64>,
 }
 
 /// Members that have identified themselves to this one, by key, and what they have answered. Readers
@@ -84,6 +86,7 @@
                 linked_at: accepted_at,
                 promised_at: ClockTime::ZERO,
                 wall_reading: None,
+                job_memory: None,
             });
             record.linked_at = accepted_at.max(record.linked_at);
             record.standing = match record.standing {
@@ -115,6 +118,28 @@
         });
     }
 
+    /// Records the memory for jobs of a member.
+    pub(super) fn record_capacity(&self, key: &Arc<str>, bytes: u64) {
+        self.change(|records| {
+            if let Some(record) = records.get_mut(key) {
+                record.job_memory = Some(bytes);
+            }
+        });
+    }
+
+    /// Returns the smallest memory for jobs of the members that may take over, and the number of those that
+    /// follow this one.
+    pub(crate) fn job_memory(&self) -> (Option<u64>, u32) {
+        let records = self.records.load();
+        let may_own = |record: &&MemberRecord| record.standing != MemberStanding::Ended;
+        let known = records.values().filter(may_own);
+        let smallest = known.filter_map(|record| record.job_memory).min();
+        let is_following =
+            |record: &&MemberRecord| matches!(record.standing, MemberStanding::Following(_));
+        let following = records.values().filter(is_following).count();
+        (smallest, following as u32)
+    }
+
     /// Returns the members without a link.
     pub(super) fn absent(&self) -> SmallVec<[Arc<str>; 8]> {
         let records = self.records.load();
--- a/crates/scheduler/src/shared.rs
+++ b/crates/scheduler/src/shared.rs
@@ -10,8 +10,8 @@
 use jacinthhoist_core::{
     ClockTime, PoolName, TenantName, WorkName,
     job::{
-        AppendPace, CatalogueProof, ClockReadings, JobCatalogue, RevocationSpan, TenantLoad,
-        WorkLoad,
+        AppendPace, CatalogueProof, ClockReadings, JobCatalogue, MemoryReport, RevocationSpan,
+        TenantLoad, WorkLoad,
     },
 };
 use jacinthhoist_net::{BootClock, WallClock};
@@ -36,6 +36,8 @@
 pub(crate) struct MemberShared {
     pub(crate) identity: MemberIdentity,
     pub(crate) store_limits: StoreLimits,
+    /// Memory for jobs of this member, in bytes.
+    pub(crate) job_memory: u64,
     pub(crate) clock: BootClock,
     pub(crate) wall: WallClock,
     pub(crate) log: Arc<EventLog>,
@@ -74,6 +76,7 @@
     pub(crate) fn open(
         identity: MemberIdentity,
         store_limits: StoreLimits,
+        job_memory: u64,
         revocation: Option<RevocationSpan>,
         clock: BootClock,
         wall: WallClock,
@@ -86,6 +89,7 @@
             )),
             identity,
             store_limits,
+            job_memory,
             clock,
             wall,
             log,
@@ -164,6 +168,22 @@
         })
     }
 
+    /// Returns the room for further jobs in the owner's newest heartbeat.
+    pub(crate) fn memory_report(&self) -> MemoryReport {
+        let report = self.heartbeat.load().memory;
+        report.unwrap_or_else(|| MemoryReport::unknown(self.job_memory))
+    }
+
+    /// Returns whether the owner, as far as its heartbeat tells, bounds the memory of jobs.
+    pub(crate) fn owner_bounds_memory(&self) -> bool {
+        self.heartbeat.load().memory.is_some()
+    }
+
+    /// Time before which the owner had read all accepted jobs as of its newest heartbeat.
+    pub(crate) fn load_read_at(&self) -> ClockTime {
+        ClockTime::from_millis(self.load_read_at.load(Ordering::Relaxed))
+    }
+
     /// Returns the load of a pool that concerns a tenant.
     pub(crate) fn tenant_load(&self, tenant: &TenantName, pool: &PoolName) -> TenantLoad {
         self.heartbeat.load().loads.tenant_load(tenant, pool)
@@ -172,7 +192,7 @@
     /// Returns the load of a kind of work in the owner's heartbeat, and the age of the data behind
     /// it.
     pub(crate) fn work_load(&self, work: &WorkName) -> (WorkLoad, ClockTime) {
-        let read_at = ClockTime::from_millis(self.load_read_at.load(Ordering::Relaxed));
+        let read_at = self.load_read_at();
         let catalogue = self.catalogue.load();
         let entry = catalogue.as_ref().and_then(|known| known.work(work));
         let load = entry.map(|entry| self.heartbeat.load().loads.load(work, &entry.pool));
