Use permits whatever the figures of their policy

Cause: a permit counted from the question and needed 0.3 s to be left, so one that is valid for 1 s and comes after 0.74 s was never used; a query named up to 30 workers and had 3 s, whatever it took. The catalogue's figures for both were read and used nowhere.

Change: a permit counts from its answer, a query names as many workers as are answered for in a second and has the time that this takes, steps ask in turn, and runs are placed on workers that are known to be permitted: their start orders wait for a valid permit.

--- a/crates/core/src/job/catalogue.rs
+++ b/crates/core/src/job/catalogue.rs
@@ -18,6 +18,21 @@
     pub valid: ClockTime,
 }
 
+impl AdvicePolicy {
+    /// Expected duration of a call that names a number of workers.
+    ///
+    /// ```
+    /// use jacinthhoist_core::{ClockTime, job::AdvicePolicy};
+    /// let ms = ClockTime::from_millis;
+    /// let policy = AdvicePolicy { base: ms(200), per_worker: ms(60), valid: ms(1_000) };
+    /// assert_eq!(policy.expected(9), ms(740));
+    /// ```
+    pub fn expected(&self, workers: usize) -> ClockTime {
+        let span = self.per_worker.as_millis().saturating_mul(workers as u64);
+        self.base + ClockTime::from_millis(span)
+    }
+}
+
 /// A kind of work.
 #[derive(Clone, Debug, PartialEq)]
 pub struct JobWork {
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -134,6 +134,8 @@
         step: StepKey,
         /// Candidate workers.
         workers: Vec<WorkerId>,
+        /// Time limit of the call: the service needs time for each worker.
+        limit: ClockTime,
     },
     /// Sends a stop order to a worker.
     Stop {
@@ -389,6 +391,7 @@
         self.load_parked_jobs();
         self.review_trials();
         self.place_tasks();
+        self.query_permits();
         self.plan_fleet();
         self.flush();
         std::mem::take(&mut self.effects)
--- a/crates/core/src/job/scheduler/orders.rs
+++ b/crates/core/src/job/scheduler/orders.rs
@@ -148,7 +148,13 @@
             StartReply::Unknown | StartReply::OldRun => worker.awaits_report = true,
             StartReply::NoRoom | StartReply::WrongLife => worker.suspend(now),
             StartReply::OtherProcess => worker.doubt_process(now),
-            StartReply::NoPermit => self.permits.revoke(key.into(), id),
+            StartReply::NoPermit => {
+                self.permits.revoke(key.into(), id);
+                // A later catalogue may have given the kind of work a policy.
+                if let Some(job) = self.jobs.get_mut(&key.job) {
+                    job.terms.advised = true;
+                }
+            }
             StartReply::Unhealthy
             | StartReply::NoAnswer
             | StartReply::Fenced
--- a/crates/core/src/job/scheduler/placing.rs
+++ b/crates/core/src/job/scheduler/placing.rs
@@ -27,7 +27,7 @@
     name::{PoolName, RackName, WorkerId},
 };
 
-use super::{Job, Scheduler, SchedulerDecision, holds::HeldStep};
+use super::{Job, Scheduler, SchedulerDecision, holds::HeldStep, permits::PermitWish};
 
 /// Number of tasks that were placed, or the reason for which there are none.
 type Result<T, E = WaitReason> = result::Result<T, E>;
@@ -500,10 +500,15 @@
             }
             None
         } else if advised {
-            let permitted = self.permits.permitted(step, now);
-            let permitted = permitted.filter_map(|id| self.workers.get(id));
-            let in_pool = permitted.filter(|worker| worker.entry.pool == job.terms.pool);
-            choose_worker(&request, in_pool, now)
+            let in_pool = |id: &WorkerId| {
+                let worker = self.workers.get(id)?;
+                (worker.entry.pool == job.terms.pool).then_some(worker)
+            };
+            let permitted = self.permits.permitted(step, now).filter_map(in_pool);
+            choose_worker(&request, permitted, now).or_else(|| {
+                let renewable = self.permits.renewable(step, now).filter_map(in_pool);
+                choose_worker(&request, renewable, now)
+            })
         } else {
             match scope {
                 PlaceScope::Pool(workers) => {
@@ -514,10 +519,15 @@
         };
         if found.is_none() && advised && self.permits.may_query(now) {
             let need = request.step.charged();
-            let candidates = known().filter(|worker| is_eligible(&request, worker, &need, now));
-            let candidates = candidates.map(|worker| worker.id.clone()).collect();
-            self.effects
-                .extend(self.permits.query(step, candidates, now));
+            let unknown = known().filter(|worker| self.permits.is_unknown(step, &worker.id));
+            let eligible = unknown.filter(|worker| is_eligible(&request, worker, &need, now));
+            let wish = PermitWish {
+                step,
+                workers: eligible.map(|worker| worker.id.clone()).collect(),
+                needs_all: false,
+                policy: self.advice_policy(step),
+            };
+            self.permits.wish(wish);
         }
         found
     }
--- a/crates/core/src/job/scheduler/starts.rs
+++ b/crates/core/src/job/scheduler/starts.rs
@@ -38,9 +38,11 @@
             self.ready_starts = ready;
             return;
         }
+        let without_permit = self.starts_without_permit(&ready);
         let mut runs = Vec::new();
         for (task, run) in ready {
-            if !self.may_send_start(task, run) {
+            let has_permit = !without_permit.contains(&(task, run));
+            if !(has_permit && self.may_send_start(task, run)) {
                 self.ready_starts.push((task, run));
             } else if let Some(worker) = self.send_start(task, run) {
                 runs.push((task, run, worker));
@@ -150,7 +152,7 @@
     }
 
     /// Releases a run that was stored but is not to be started, if its start order was never sent.
-    fn withdraw_start(&mut self, worker: &WorkerId, task: TaskKey, run: u32) {
+    pub(super) fn withdraw_start(&mut self, worker: &WorkerId, task: TaskKey, run: u32) {
         let Some(slot) = self.assigned_slot(worker, task, run) else {
             return;
         };
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -16,6 +16,7 @@
 mod occupancy;
 mod occurrences;
 mod parking;
+mod permits;
 mod placing;
 mod probation;
 mod processes;
--- a/crates/emulator/src/platform.rs
+++ b/crates/emulator/src/platform.rs
@@ -193,7 +193,12 @@
         self.store_call("wave status", CALL_TIMEOUT, serve).await
     }
 
-    async fn advise(&self, _step: StepKey, workers: &[WorkerId]) -> Result<StepAdvice> {
+    async fn advise(
+        &self,
+        _step: StepKey,
+        workers: &[WorkerId],
+        _limit: ClockTime,
+    ) -> Result<StepAdvice> {
         // All workers are permitted: the scenarios' catalogues ask for no advice.
         let permitted = workers.iter().map(|id| (id.clone(), "permit".into()));
         Ok(StepAdvice {
--- a/crates/experiments/tests/partition_soak/member.rs
+++ b/crates/experiments/tests/partition_soak/member.rs
@@ -96,8 +96,13 @@
         self.platform.write_wave(wave, completed).await
     }
 
-    async fn advise(&self, step: StepKey, workers: &[WorkerId]) -> Result<StepAdvice> {
-        self.platform.advise(step, workers).await
+    async fn advise(
+        &self,
+        step: StepKey,
+        workers: &[WorkerId],
+        limit: ClockTime,
+    ) -> Result<StepAdvice> {
+        self.platform.advise(step, workers, limit).await
     }
 
     async fn list_vms(&self) -> Result<VmListing> {
--- a/crates/scheduler/src/owner/effects.rs
+++ b/crates/scheduler/src/owner/effects.rs
@@ -97,7 +97,11 @@
                 };
                 workers.start(worker, order, authority.for_start());
             }
-            Effect::Advise { step, workers } => self.advise(step, workers),
+            Effect::Advise {
+                step,
+                workers,
+                limit,
+            } => self.advise(step, workers, limit),
             Effect::Stop { worker, task, run } => {
                 workers.stop(worker, task, run, authority.for_stop());
             }
@@ -124,11 +128,11 @@
         }
     }
 
-    fn advise(&mut self, step: StepKey, workers: Vec<WorkerId>) {
+    fn advise(&mut self, step: StepKey, workers: Vec<WorkerId>, limit: ClockTime) {
         let (platform, shared) = (self.platform.clone(), self.shared.clone());
         let events = self.events.clone();
         self.calls.spawn(async move {
-            let advice = platform.advise(step, &workers).await;
+            let advice = platform.advise(step, &workers, limit).await;
             shared.record_call(Dependency::Policy, &advice);
             // The engine may have stopped.
             let _ = events.send(OwnerEvent::Advised(advice.ok()));
--- a/crates/scheduler/src/ports.rs
+++ b/crates/scheduler/src/ports.rs
@@ -263,11 +263,12 @@
     /// Writes the status of a maintenance wave for operators.
     fn write_wave(&self, wave: u64, completed: bool) -> impl Future<Output = Result<()>> + Send;
 
-    /// Asks the policy service which of the given workers may run a step.
+    /// Asks the policy service which of the given workers may run a step; gives up after `limit`.
     fn advise(
         &self,
         step: StepKey,
         workers: &[WorkerId],
+        limit: ClockTime,
     ) -> impl Future<Output = Result<StepAdvice>> + Send;
 
     /// Lists the VMs of all pools.
