Read numbers of any size, and the entries of a configuration one by one

Entries are decoded one by one; what cannot be read is logged, calls on such a route are answered 503, and the others are in force.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -79,7 +79,7 @@
     outage_retry,
 };
 pub use append_pace::{AppendPace, refusal_delay};
-pub use catalogue::{AdvicePolicy, CallerLimits, JobCatalogue, JobPool, JobWork};
+pub use catalogue::{AdvicePolicy, CallerLimits, JobCatalogue, JobPool, JobWork, WorkAddress};
 pub use catalogue_proof::{CatalogueProof, RevocationSpan};
 pub use charge::{AnyCharge, Held, RunCharge, RunCost, Stray};
 pub use clock_reading::ClockReading;
--- a/crates/core/src/job/catalogue.rs
+++ b/crates/core/src/job/catalogue.rs
@@ -45,9 +45,9 @@
     /// Pool whose workers run the jobs.
     pub pool: PoolName,
     /// Priority class; 0 is the most urgent.
-    pub priority: u8,
+    pub priority: u64,
     /// Number of failures of a task after which its job fails.
-    pub max_failures: u8,
+    pub max_failures: u32,
     /// Proportional part of the objective: a multiple of the duration of the longest dependency
     /// chain.
     pub stretch: f64,
@@ -100,6 +100,23 @@
     pub limits: CallerLimits,
     /// Tenants that may submit jobs; none if calls need no keys.
     pub tenants: Option<TenantTable>,
+    /// Kinds of work whose entries cannot be read: their calls are neither served nor denied.
+    pub unreadable: Vec<WorkAddress>,
+}
+
+/// Part of callers' requests that names a kind of work.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkAddress {
+    /// Host name of callers' requests.
+    pub host: String,
+    /// Path prefix of callers' requests.
+    pub path_prefix: String,
+}
+
+impl WorkAddress {
+    fn matches(&self, host: &str, path: &str) -> bool {
+        self.host.eq_ignore_ascii_case(host) && path.starts_with(&self.path_prefix)
+    }
 }
 
 impl JobCatalogue {
@@ -124,6 +141,12 @@
         Some((best, &path[best.path_prefix.len()..]))
     }
 
+    /// Returns whether a host and path may belong to a kind of work whose entry cannot be read.
+    pub fn may_be_unreadable(&self, host: &str, path: &str) -> bool {
+        let mut unreadable = self.unreadable.iter();
+        unreadable.any(|address| address.matches(host, path))
+    }
+
     /// Returns the tenant on whose behalf a call for a kind of work is made; `None` if it needs no key.
     ///
     /// # Errors
--- a/crates/core/src/job/order.rs
+++ b/crates/core/src/job/order.rs
@@ -81,7 +81,7 @@
     /// True if the job can no longer be expected to meet its deadline.
     pub infeasible: bool,
     /// Priority class; 0 is the most urgent.
-    pub priority: u8,
+    pub priority: u64,
     /// True if no task of the job has started. What has begun comes first: otherwise an overload
     /// spreads over all jobs, and each of them misses its deadline by a little.
     pub is_new: bool,
@@ -104,7 +104,7 @@
     /// assert!(begun < tight && tight < loose && loose < late);
     /// ```
     pub fn for_deadline(
-        priority: u8,
+        priority: u64,
         deadline: ClockTime,
         remaining: ClockTime,
         is_new: bool,
@@ -121,7 +121,7 @@
     }
 
     /// Computes the key of a job that runs until it is cancelled; older jobs come first.
-    pub fn long_running(priority: u8, received_at: ClockTime) -> Self {
+    pub fn long_running(priority: u64, received_at: ClockTime) -> Self {
         Self {
             ends: false,
             is_surplus: false,
--- a/crates/core/src/job/scheduler/batch.rs
+++ b/crates/core/src/job/scheduler/batch.rs
@@ -89,6 +89,9 @@
     /// Tasks whose runs were lost together with their workers.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub crashes: BTreeMap<TaskKey, CrashHistory>,
+    /// Numbers of failures that exceed the one byte of a task record, by occurrence, step and index.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub large_failures: Vec<(u32, u16, u16, u32)>,
     /// True if a run of some task was known to have started. A start alone is not stored: after a
     /// takeover a job counts as waiting until a worker reports its run.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
@@ -122,6 +125,11 @@
         } else {
             progress.done = done;
         }
+        let failures = job.occurrences.tasks();
+        let failures = failures.map(|(position, task)| (position, task.failures()));
+        let large = failures.filter(|(_, failures)| *failures > u8::MAX.into());
+        let large = large.map(|((number, step, index), failures)| (number, step, index, failures));
+        progress.large_failures = large.collect();
         for (_, occurrence) in job.occurrences.open() {
             let steps = if occurrence.steps().is_empty() {
                 done_steps()
@@ -215,7 +223,7 @@
         TaskRecord(
             phase,
             task.run(),
-            task.failures(),
+            u8::try_from(task.failures()).unwrap_or(u8::MAX),
             worker,
             checkpoint,
             failed_runs.cloned().unwrap_or_default(),
@@ -232,8 +240,12 @@
     }
 
     /// Restores a task from its record. A placed task counts as assigned until its worker reports.
-    pub(super) fn task(&self, record: &TaskRecord, now: ClockTime) -> AnyTask {
+    pub(super) fn task(&self, key: &TaskKey, record: &TaskRecord, now: ClockTime) -> AnyTask {
         let TaskRecord(phase, run, failures, worker, checkpoint, failed_runs) = record.clone();
+        let position = (key.occurrence, key.step, key.index);
+        let mut large = self.large_failures.iter();
+        let large = large.find(|(number, step, index, _)| (*number, *step, *index) == position);
+        let failures = large.map_or(u32::from(failures), |(_, _, _, failures)| *failures);
         let failed_runs = FailedRuns::restore(failures, failed_runs, run);
         match phase {
             PHASE_DONE => AnyTask::Done { run },
--- a/crates/core/src/job/scheduler/decision.rs
+++ b/crates/core/src/job/scheduler/decision.rs
@@ -82,7 +82,7 @@
         /// End reported by the worker.
         end: TaskEnd,
         /// Failures of the task so far.
-        failures: u8,
+        failures: u32,
     },
     /// A start order was not carried out.
     StartRefused {
--- a/crates/core/src/job/scheduler/jobs.rs
+++ b/crates/core/src/job/scheduler/jobs.rs
@@ -154,7 +154,7 @@
 
     /// Maximum number of failures of a task; `None` for long-running tasks, which are always
     /// restarted.
-    pub(super) fn max_failures(&self, key: &TaskKey) -> Option<u8> {
+    pub(super) fn max_failures(&self, key: &TaskKey) -> Option<u32> {
         (!self.step(key).long_running).then_some(self.terms.max_failures)
     }
 
@@ -343,7 +343,7 @@
         self.occurrences.restore(&self.spec, begun);
         for (key, record) in progress.begun_tasks(id) {
             if let Some(task) = self.occurrences.task_mut(&key) {
-                *task = progress.task(record, now);
+                *task = progress.task(&key, record, now);
             }
         }
         self.crashes = progress.crashes.clone();
--- a/crates/core/src/job/spec.rs
+++ b/crates/core/src/job/spec.rs
@@ -326,23 +326,71 @@
 /// Settings of a job's kind of work at the time of acceptance, which apply to the job even after
 /// the catalogue entry has been removed.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(from = "TermsRecord", into = "TermsRecord")]
 pub struct JobTerms {
     /// Pool whose workers run the job.
     pub pool: PoolName,
     /// Priority class; 0 is the most urgent.
-    pub priority: u8,
+    pub priority: u64,
     /// Number of failures of a task after which the job fails.
-    pub max_failures: u8,
+    pub max_failures: u32,
     /// Proportional part of the objective: a multiple of the duration of the longest dependency
     /// chain.
     pub stretch: f64,
     /// Constant part of the objective.
     pub objective: ClockTime,
     /// True if a policy service must permit the workers of the job.
-    #[serde(default, skip_serializing_if = "is_default")]
     pub advised: bool,
 }
 
+/// Stored form of terms. Earlier releases read the numbers of one byte and pass over the others.
+#[derive(Serialize, Deserialize)]
+struct TermsRecord {
+    pool: PoolName,
+    priority: u8,
+    max_failures: u8,
+    stretch: f64,
+    objective: ClockTime,
+    #[serde(default, skip_serializing_if = "is_default")]
+    advised: bool,
+    /// Priority that exceeds one byte.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    large_priority: Option<u64>,
+    /// Number of failures that exceeds one byte.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    large_max_failures: Option<u32>,
+}
+
+impl From<JobTerms> for TermsRecord {
+    fn from(terms: JobTerms) -> Self {
+        let (priority, max_failures) = (terms.priority, terms.max_failures);
+        Self {
+            pool: terms.pool,
+            priority: u8::try_from(priority).unwrap_or(u8::MAX),
+            max_failures: u8::try_from(max_failures).unwrap_or(u8::MAX),
+            stretch: terms.stretch,
+            objective: terms.objective,
+            advised: terms.advised,
+            large_priority: (priority > u8::MAX.into()).then_some(priority),
+            large_max_failures: (max_failures > u8::MAX.into()).then_some(max_failures),
+        }
+    }
+}
+
+impl From<TermsRecord> for JobTerms {
+    fn from(record: TermsRecord) -> Self {
+        let max_failures = record.large_max_failures;
+        Self {
+            pool: record.pool,
+            priority: record.large_priority.unwrap_or(record.priority.into()),
+            max_failures: max_failures.unwrap_or(record.max_failures.into()),
+            stretch: record.stretch,
+            objective: record.objective,
+            advised: record.advised,
+        }
+    }
+}
+
 impl JobTerms {
     /// Copies the settings of a catalogue entry.
     pub fn of(work: &JobWork) -> Self {
@@ -432,10 +480,11 @@
                 .all(|&earlier| usize::from(earlier) < number);
             require(backward, "dependencies", "name only earlier steps, from 0")?;
         }
-        let last_start = self.repeat.map_or(self.received_at, |repeat| {
-            repeat.last_start().max(self.received_at)
+        // Times that a long schedule reaches beyond the latest one never come.
+        let latest = self.repeat.map_or(self.received_at, |repeat| {
+            repeat.start_at.max(repeat.interval).max(self.received_at)
         });
-        require(last_start <= MAX_TIME, "start", "ask for an earlier time")?;
+        require(latest <= MAX_TIME, "start", "ask for an earlier time")?;
         // Occurrences that end follow each other, and those of long-running tasks are open together.
         let open_times = self.repeat.filter(|_| self.is_long_running());
         let open_times = open_times.map_or(1, |repeat| repeat.times.max(1)) as usize;
--- a/crates/core/src/job/task.rs
+++ b/crates/core/src/job/task.rs
@@ -18,20 +18,21 @@
 pub(super) const FULL_PERCENT: u8 = 100;
 /// Longest time that a run takes to stop.
 const MAX_STOP_TIME: ClockTime = ClockTime::from_millis(1_000);
-/// Failed runs of a task that are remembered by number; only long-running tasks may fail more often.
-const MAX_REMEMBERED_FAILURES: usize = 16;
+/// Failed runs of a task that are remembered by number. A worker lists an end again only until it is
+/// acknowledged, so no task fails as often between the two.
+const MAX_REMEMBERED_FAILURES: usize = 64;
 
 /// Failed runs of a task. Each run counts once, whichever owner it is reported to and however often.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct FailedRuns {
-    count: u8,
+    count: u32,
     /// Numbers of the last failed runs.
     runs: SmallVec<[u32; 2]>,
 }
 
 impl FailedRuns {
     /// Restores the failed runs from a record. A record without numbers counts the last run.
-    pub(super) fn restore(count: u8, mut runs: SmallVec<[u32; 2]>, last_run: u32) -> Self {
+    pub(super) fn restore(count: u32, mut runs: SmallVec<[u32; 2]>, last_run: u32) -> Self {
         if runs.is_empty() && count > 0 {
             runs.push(last_run);
         }
@@ -65,7 +66,7 @@
     }
 
     /// Number of failed runs.
-    pub fn count(&self) -> u8 {
+    pub fn count(&self) -> u32 {
         self.count
     }
 
@@ -419,7 +420,7 @@
     }
 
     /// Number of failed runs.
-    pub fn failures(&self) -> u8 {
+    pub fn failures(&self) -> u32 {
         self.failed_runs().map_or(0, FailedRuns::count)
     }
 
@@ -503,7 +504,7 @@
     }
 
     /// Applies the end of a run. `max_failures` is none if the number of failures is not limited.
-    pub fn ended(self, end: TaskEnd, max_failures: Option<u8>) -> Self {
+    pub fn ended(self, end: TaskEnd, max_failures: Option<u32>) -> Self {
         let run = self.run();
         match end {
             TaskEnd::Done => Self::Done { run },
--- a/crates/core/tests/job_interleavings/setting.rs
+++ b/crates/core/tests/job_interleavings/setting.rs
@@ -73,6 +73,7 @@
 
 pub(crate) fn catalogue(guarded: bool, has_tenants: bool) -> Arc<JobCatalogue> {
     Arc::new(JobCatalogue {
+        unreadable: Vec::new(),
         tenants: has_tenants.then(tenants),
         version: 1,
         works: vec![JobWork {
--- a/crates/core/tests/job_memory.rs
+++ b/crates/core/tests/job_memory.rs
@@ -23,6 +23,7 @@
 
 fn scheduler() -> Scheduler {
     let catalogue = JobCatalogue {
+        unreadable: Vec::new(),
         version: 1,
         works: Vec::new(),
         pools: Vec::new(),
--- a/crates/core/tests/jobs/harness.rs
+++ b/crates/core/tests/jobs/harness.rs
@@ -102,6 +102,7 @@
         advice: None,
     };
     Arc::new(JobCatalogue {
+        unreadable: Vec::new(),
         tenants: None,
         version: 1,
         works: vec![work("mould"), work("melt")],
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -13,6 +13,7 @@
 mod harness;
 mod impossible;
 mod leases;
+mod numbers;
 mod occupancy;
 mod occurrences;
 mod parking;
--- a/crates/emulator/src/caller.rs
+++ b/crates/emulator/src/caller.rs
@@ -128,7 +128,7 @@
                 cpu,
                 demand,
                 fatal_task: payload.fatal_task,
-                max_failures: u32::from(MAX_FAILURES),
+                max_failures: MAX_FAILURES,
                 may_miss: usize::from(MAX_MISSING_TASKS),
                 objective: objective(load.task_ms * u64::from(steps)),
                 repeat: (load.repeats > 0).then(|| {
--- a/crates/emulator/src/model.rs
+++ b/crates/emulator/src/model.rs
@@ -470,7 +470,7 @@
 }
 
 /// Number of failures of a task after which its job fails.
-pub(crate) const MAX_FAILURES: u8 = 2;
+pub(crate) const MAX_FAILURES: u32 = 2;
 
 fn first_limit(scenario: &EmulationScenario, at: ClockTime) -> Vec<LimitHistory> {
     let cpu = scenario.tenant_cpu;
@@ -505,6 +505,7 @@
     let mut all: Vec<JobPool> = pools.iter().map(|name| pool(name, false)).collect();
     all.push(pool(SPARE_POOL, true));
     JobCatalogue {
+        unreadable: Vec::new(),
         tenants: None,
         version: 1,
         works: pools.iter().map(work).collect(),
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -97,7 +97,7 @@
     /// is.
     pub unusual: f64,
     /// Priority class; 0 is the most urgent.
-    pub priority: u8,
+    pub priority: u64,
     /// True if a task may have several runs at once.
     pub speculative: bool,
     /// Maximum number of tasks of a step on one worker; 0 if there is no limit.
--- a/crates/emulator/src/tenant.rs
+++ b/crates/emulator/src/tenant.rs
@@ -72,7 +72,8 @@
 
     /// Present version of the catalogue.
     pub(crate) fn record(&self) -> Option<OperatorRecord> {
-        self.catalogue.clone().map(OperatorRecord::Catalogue)
+        let catalogue = self.catalogue.clone()?;
+        Some(OperatorRecord::Catalogue(catalogue, Vec::new()))
     }
 
     fn listed_in(&self, catalogue: JobCatalogue) -> JobCatalogue {
@@ -91,6 +92,7 @@
         });
         let table = TenantTable::open(terms.collect()).expect("distinct names and keys");
         JobCatalogue {
+            unreadable: Vec::new(),
             tenants: Some(table),
             ..catalogue
         }
--- a/crates/experiments/examples/open_jobs.rs
+++ b/crates/experiments/examples/open_jobs.rs
@@ -194,6 +194,7 @@
 
 fn catalogue() -> Arc<JobCatalogue> {
     Arc::new(JobCatalogue {
+        unreadable: Vec::new(),
         tenants: None,
         version: 1,
         works: Vec::new(),
--- a/crates/experiments/examples/schedule.rs
+++ b/crates/experiments/examples/schedule.rs
@@ -258,6 +258,7 @@
         max_connections: 64,
     };
     Arc::new(JobCatalogue {
+        unreadable: Vec::new(),
         tenants: None,
         version: 1,
         works: (0..pools).map(work).collect(),
--- a/crates/experiments/examples/waiting.rs
+++ b/crates/experiments/examples/waiting.rs
@@ -218,6 +218,7 @@
     });
     let table = TenantTable::open(terms.collect()).expect("distinct names");
     Arc::new(JobCatalogue {
+        unreadable: Vec::new(),
         tenants: (tenants > 0).then_some(table),
         version: 1,
         works: vec![JobWork {
--- a/crates/scheduler/src/caller.rs
+++ b/crates/scheduler/src/caller.rs
@@ -355,7 +355,13 @@
         let host = call.request.host.split(':').next().unwrap_or_default();
         let path = call.request.path.split('?').next().unwrap_or_default();
         let found = view.catalogue.find(host, path);
-        let (work, rest) = found.ok_or(CallerReply::NoSuchWork)?;
+        let (work, rest) = found.ok_or_else(|| {
+            if view.catalogue.may_be_unreadable(host, path) {
+                self.unavailable(0)
+            } else {
+                CallerReply::NoSuchWork
+            }
+        })?;
         let phase = Classified {
             work: work.name.clone(),
             rest: rest.to_owned(),
--- a/crates/scheduler/src/operator.rs
+++ b/crates/scheduler/src/operator.rs
@@ -12,7 +12,7 @@
     dependency::Dependency,
     error::Category,
     eventlog::event,
-    ports::{OperatorRecord, Platform},
+    ports::{OperatorRecord, Platform, UnreadableRow},
     shared::MemberShared,
 };
 
@@ -77,7 +77,13 @@
 
     fn apply(&self, record: OperatorRecord) {
         match record {
-            OperatorRecord::Catalogue(catalogue) => self.publish(catalogue),
+            OperatorRecord::Catalogue(catalogue, unreadable) => {
+                for UnreadableRow { key, reason } in unreadable {
+                    event!(self.shared.log, Unreadable, "key": key, "reason": reason,
+                        "version": catalogue.version);
+                }
+                self.publish(catalogue);
+            }
             OperatorRecord::Wave(request) => {
                 event!(self.shared.log, Wave, "wave": request.number, "vms": request.vms.len(),
                     "cap": request.cap, "within_ms": request.within.as_millis(),
@@ -116,7 +122,7 @@
 /// Returns for a catalogue whether it cannot be decoded; `None` for other records.
 fn is_unreadable_catalogue(record: &OperatorRecord) -> Option<bool> {
     match record {
-        OperatorRecord::Catalogue(_) => Some(false),
+        OperatorRecord::Catalogue(..) => Some(false),
         OperatorRecord::Unreadable {
             is_catalogue: true, ..
         } => Some(true),
--- a/crates/scheduler/src/ports.rs
+++ b/crates/scheduler/src/ports.rs
@@ -73,8 +73,8 @@
 /// Record written by an operator.
 #[derive(Clone, Debug, PartialEq)]
 pub enum OperatorRecord {
-    /// Newest catalogue.
-    Catalogue(Arc<JobCatalogue>),
+    /// Newest catalogue, and its entries that cannot be decoded, for the log.
+    Catalogue(Arc<JobCatalogue>, Vec<UnreadableRow>),
     /// Request for a maintenance wave.
     Wave(WaveRequest),
     /// Record that this release does not use.
