--- a/crates/core/src/job/scheduler/jobs.rs
+++ b/crates/core/src/job/scheduler/jobs.rs
@@ -185,9 +185,24 @@
     ) {
         if let (Some(repeat), Some(reading)) = (self.spec.repeat, reading) {
             self.starts_at = reading.local_time(repeat.start_at);
-            self.occurrences.drop_done();
-            let wall = reading.shown_time(now);
-            self.occurrences.open_due(&self.spec, wall, room);
+            self.drop_done_occurrences();
+            if self.life.goal().is_none() {
+                let wall = reading.shown_time(now);
+                self.occurrences.open_due(&self.spec, wall, room);
+            }
+        }
+    }
+
+    /// Drops the state of the first occurrences that are done, and what is known of their tasks besides.
+    fn drop_done_occurrences(&mut self) {
+        let before = self.occurrences.count_done();
+        self.occurrences.drop_done();
+        let first = self.occurrences.count_done();
+        if first > before {
+            self.avoided_workers
+                .retain(|(task, _)| task.occurrence >= first);
+            self.refusals.retain(|step, _| step.occurrence >= first);
+            self.crashes.retain(|task, _| task.occurrence >= first);
         }
     }
 
--- a/crates/core/src/job/scheduler/permits.rs
+++ b/crates/core/src/job/scheduler/permits.rs
@@ -302,7 +302,10 @@
         self.permits.apply_answer(answer, now);
         let jobs = &self.jobs;
         let steps = &mut self.permits.steps;
-        steps.retain(|step, _| jobs.contains_key(&step.job));
+        steps.retain(|step, _| {
+            let job = jobs.get(&step.job);
+            job.is_some_and(|job| step.occurrence >= job.occurrences.count_done())
+        });
     }
 
     /// Queries the policy service if a step has use for it.
--- a/crates/core/tests/job_memory.rs
+++ b/crates/core/tests/job_memory.rs
@@ -3,10 +3,11 @@
 use std::sync::Arc;
 
 use jacinthhoist_core::{
-    ClockTime, WorkName,
+    ClockTime, DataCentre, PoolName, WorkName, WorkerId,
     job::{
-        CallerLimits, JobCatalogue, JobId, JobProgress, JobSpec, JobTerms, RepeatPlan, Scheduler,
-        SchedulerLimits, StepSpec, job_bytes,
+        CallerLimits, Effect, EndedRun, JobCatalogue, JobId, JobProgress, JobSpec, JobTerms,
+        RenewalReport, RepeatPlan, Resources, Scheduler, SchedulerLimits, StartReply, StepSpec,
+        TaskEnd, WorkerEntry, WorkerState, job_bytes,
     },
 };
 use peak_alloc::PeakAlloc;
@@ -142,4 +143,83 @@
     let [accepted, taken_over] = measure(240, schedule);
     assert!(accepted < SMALLEST_JOB_MEMORY / 10, "{accepted}");
     assert!(taken_over < SMALLEST_JOB_MEMORY / 10, "{taken_over}");
+    let [early, late] = run_schedule();
+    assert!(late < early + 4_096, "{early} bytes, then {late}");
+}
+
+/// Runs a schedule whose tasks fail once each time; returns the bytes that are taken after some occurrences and after
+/// many more.
+fn run_schedule() -> [usize; 2] {
+    let mut scheduler = scheduler();
+    let worker = WorkerId::new("i-0");
+    let entry = WorkerEntry {
+        pool: PoolName::new("moulding-desk"),
+        address: "127.0.0.1:9".into(),
+        data_centre: DataCentre::new("dc-1"),
+        state: WorkerState::Ready,
+        capacity: Resources {
+            cpu: 32_000,
+            mem_mb: 65_536,
+            gpu: 0,
+        },
+        labels: Default::default(),
+        rack: None,
+        incarnation: Some(1),
+    };
+    scheduler.workers_listed([(worker.clone(), entry)].into_iter().collect(), NOW);
+    let mut spec = schedule();
+    spec.terms.max_failures = 3;
+    spec.repeat = Some(RepeatPlan {
+        times: 1_000_000,
+        start_at: NOW,
+        interval: ClockTime::from_secs(10),
+    });
+    scheduler.accept(JobId(1), Arc::new(spec));
+    let before = ALLOCATOR.current_usage();
+    let (mut now, mut ends, mut number) = (NOW, Vec::new(), 0);
+    [500, 2_500].map(|until| {
+        while scheduler
+            .job(JobId(1))
+            .expect("it is open")
+            .occurrences
+            .count_done()
+            < until
+        {
+            now = now + ClockTime::from_millis(500);
+            let report = RenewalReport {
+                incarnation: Some(1),
+                clock: 1,
+                ended: std::mem::take(&mut ends),
+                ..RenewalReport::default()
+            };
+            scheduler.report(&worker, report, now, now + ClockTime::from_millis(1));
+            now = now + ClockTime::from_millis(20);
+            let mut effects = scheduler.step(now);
+            while let Some(effect) = effects.pop() {
+                match effect {
+                    Effect::Store(batch) => {
+                        scheduler.batch_stored(batch.number, now);
+                        effects.extend(scheduler.step(now));
+                    }
+                    Effect::Start { task, run, .. } => {
+                        scheduler.start_replied(&worker, task, run, StartReply::Started, now);
+                        number += 1;
+                        ends.push(EndedRun {
+                            number,
+                            task,
+                            run,
+                            end: if run == 1 {
+                                TaskEnd::Failed
+                            } else {
+                                TaskEnd::Done
+                            },
+                            checkpoint: None,
+                        });
+                    }
+                    _ => {}
+                }
+            }
+        }
+        ALLOCATOR.current_usage().saturating_sub(before)
+    })
 }
--- a/crates/emulator/src/caller.rs
+++ b/crates/emulator/src/caller.rs
@@ -14,7 +14,7 @@
     demand::JobDemand,
     fleet::EmulatedFleet,
     history::{CallOutcome, FinalAnswer, JobHistory, JobShape},
-    model::{MAX_FAILURES, objective, task_need},
+    model::{objective, task_need},
     payload::TaskPayload,
     scenario::ScenarioLoad,
     tenant::KeyedCall,
@@ -128,7 +128,7 @@
                 cpu,
                 demand,
                 fatal_task: payload.fatal_task,
-                max_failures: MAX_FAILURES,
+                max_failures: fleet.model.max_failures,
                 may_miss: usize::from(MAX_MISSING_TASKS),
                 objective: objective(load.task_ms * u64::from(steps)),
                 repeat: (load.repeats > 0).then(|| {
--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -39,6 +39,7 @@
     network::{EmulatedPeers, Endpoint},
     outcome::{ScenarioOutcome, outcome},
     platform::EmulatedPlatform,
+    policy::PolicyTurn,
     question::ask_about_jobs,
     scenario::EmulationScenario,
     tenant::REVOCATION_SPAN,
@@ -274,6 +275,10 @@
                 move_time: MOVE_TIME,
                 maintenance_time: MAINTENANCE_TIME,
                 concurrent_starts: MAX_CONCURRENT_ORDERS,
+                job_memory: match self.scenario.job_memory_kb {
+                    0 => u64::MAX,
+                    kilobytes => kilobytes << 10,
+                },
                 ..SchedulerLimits::example()
             },
             store_limits: StoreLimits::example(),
@@ -287,6 +292,7 @@
         let platform = Arc::new(EmulatedPlatform {
             model: self.model.clone(),
             member: Endpoint::Member(index),
+            policy_turn: PolicyTurn::default(),
         });
         let peers = EmulatedPeers {
             network: self.model.network.clone(),
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -36,6 +36,7 @@
 //! | `tenant` | tenants, their keys over time, and their limits |
 //! | `question` | questions for all accepted jobs at the end of a run |
 //! | `fleet` | start, stop and restart of members |
+//! | `policy` | policy service that permits workers for a step |
 //! | `fault` | fault injection |
 //! | `flap` | the fault in which the pools change hands without the members' leave |
 //! | `outcome` | service figures of a run |
@@ -54,6 +55,7 @@
 mod outcome;
 mod payload;
 mod platform;
+mod policy;
 mod question;
 mod scenario;
 mod store;
@@ -70,5 +72,6 @@
 };
 pub use outcome::ScenarioOutcome;
 pub use payload::FatalTask;
+pub use policy::ScenarioPolicy;
 pub use scenario::{EmulationScenario, FaultKind, ScenarioError, ScenarioFault, ScenarioLoad};
 pub use tenant::{KeyedCall, LimitHistory};
--- a/crates/emulator/src/model.rs
+++ b/crates/emulator/src/model.rs
@@ -10,8 +10,8 @@
 use jacinthhoist_core::{
     ClockTime, DataCentre, PoolName, RackName, VmName, WorkName, WorkerId,
     job::{
-        CallerLimits, JobCatalogue, JobPool, JobWork, OrderReply, RenewalReport, Resources,
-        StartReply, TaskKey, WorkerEntry, WorkerState,
+        AdvicePolicy, CallerLimits, JobCatalogue, JobPool, JobWork, OrderReply, RenewalReport,
+        Resources, StartReply, TaskKey, WorkerEntry, WorkerState,
     },
 };
 use jacinthhoist_net::BootClock;
@@ -27,6 +27,7 @@
     history::{EmulationHistory, StartConditions},
     network::EmulatedNetwork,
     payload::TaskPayload,
+    policy::ScenarioPolicy,
     scenario::EmulationScenario,
     store::{EmulatedStore, KeyedTopic},
     tenant::{EmulatedTenants, LimitHistory},
@@ -82,6 +83,9 @@
     seed: u64,
     worker_cpu: u64,
     guarded: bool,
+    /// Number of failures of a task after which its job fails.
+    pub(crate) max_failures: u32,
+    pub(crate) policy: Option<ScenarioPolicy>,
 }
 
 impl PlatformModel {
@@ -107,6 +111,8 @@
             seed,
             worker_cpu: scenario.worker_cpu,
             guarded: scenario.guarded,
+            max_failures: scenario.max_failures,
+            policy: scenario.policy,
         });
         model.populate(scenario);
         model
@@ -469,9 +475,6 @@
     ClockTime::from_millis((steps_ms as f64 * OBJECTIVE_STRETCH) as u64) + OBJECTIVE_MARGIN
 }
 
-/// Number of failures of a task after which its job fails.
-pub(crate) const MAX_FAILURES: u32 = 2;
-
 fn first_limit(scenario: &EmulationScenario, at: ClockTime) -> Vec<LimitHistory> {
     let cpu = scenario.tenant_cpu;
     let limit = (cpu > 0).then_some(LimitHistory { at, cpu });
@@ -489,11 +492,11 @@
             path_prefix: "/jobs/".to_owned(),
             pool: PoolName::new(pool),
             priority: load.map_or(0, |load| load.priority),
-            max_failures: MAX_FAILURES,
+            max_failures: scenario.max_failures,
             stretch: OBJECTIVE_STRETCH,
             objective: OBJECTIVE_MARGIN,
             timeout: ClockTime::from_secs(3),
-            advice: None,
+            advice: scenario.policy.map(AdvicePolicy::from),
         }
     };
     let pool = |name: &str, spare: bool| JobPool {
--- a/crates/emulator/src/platform.rs
+++ b/crates/emulator/src/platform.rs
@@ -16,7 +16,9 @@
 };
 use tokio::time::sleep;
 
-use crate::{model::PlatformModel, network::Endpoint, store::WriteOutcome, vm::VmCommand};
+use crate::{
+    model::PlatformModel, network::Endpoint, policy::PolicyTurn, store::WriteOutcome, vm::VmCommand,
+};
 
 /// Timeout of a store call; the same as the platform adapter's.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -32,6 +34,8 @@
 pub(crate) struct EmulatedPlatform {
     pub(crate) model: Arc<PlatformModel>,
     pub(crate) member: Endpoint,
+    /// Calls of the member to the policy service.
+    pub(crate) policy_turn: PolicyTurn,
 }
 
 /// Worker as one member reaches it.
@@ -195,16 +199,22 @@
 
     async fn advise(
         &self,
-        _step: StepKey,
+        step: StepKey,
         workers: &[WorkerId],
-        _limit: ClockTime,
+        limit: ClockTime,
     ) -> Result<StepAdvice> {
-        // All workers are permitted: the scenarios' catalogues ask for no advice.
-        let permitted = workers.iter().map(|id| (id.clone(), "permit".into()));
-        Ok(StepAdvice {
-            permitted: permitted.collect(),
-            valid_for: ClockTime::from_secs(10),
-        })
+        let serve = async {
+            // Without a policy no catalogue asks for advice.
+            let policy = self.model.policy?;
+            let now = || self.model.clock.now();
+            let advice = self.policy_turn.advise(policy, step, workers, now);
+            Some(Ok(advice.await))
+        };
+        let network = &self.model.network;
+        let limit = Duration::from_millis(limit.as_millis());
+        // The policy service is reached like the other services of the platform.
+        let call = network.call("advise", &self.member, &Endpoint::VmService, limit, serve);
+        call.await
     }
 
     async fn list_vms(&self) -> Result<VmListing> {
@@ -294,6 +304,14 @@
             if !self.model.is_process(&self.worker, order.incarnation) {
                 return Some(Ok(StartReply::OtherProcess));
             }
+            let (permit, now) = (order.permit.as_deref(), self.model.clock.now());
+            let is_permitted = self
+                .model
+                .policy
+                .is_none_or(|policy| policy.accepts(permit, order.task, &self.worker, now));
+            if !is_permitted {
+                return Some(Ok(StartReply::NoPermit));
+            }
             let reply = self.model.start_run(&self.worker, order, token, in_touch);
             reply.map(Ok)
         };
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -5,6 +5,8 @@
 use serde::Deserialize;
 use snafu::{ResultExt, Snafu};
 
+use crate::policy::ScenarioPolicy;
+
 /// Result of reading a scenario.
 pub(crate) type Result<T, E = ScenarioError> = std::result::Result<T, E>;
 
@@ -16,6 +18,8 @@
     source: toml::de::Error,
 }
 
+/// Default number of failures of a task after which its job fails.
+const MAX_FAILURES: u32 = 2;
 /// Largest random step of a wall clock, far beyond any lease.
 const MAX_STEP_MS: i64 = 60_000;
 /// Range of the longest delays of random slow members: beyond the time after which the store replaces an owner.
@@ -43,6 +47,12 @@
     pub tenants: usize,
     /// CPU that a tenant may have running, in thousandths of a core; 0 for no limit.
     pub tenant_cpu: u64,
+    /// Memory of each member for accepted jobs, in kilobytes; 0 for no limit.
+    pub job_memory_kb: u64,
+    /// Number of failures of a task after which its job fails.
+    pub max_failures: u32,
+    /// Policy service that permits the workers of all jobs, if there is one.
+    pub policy: Option<ScenarioPolicy>,
     /// Loads, each with a pool of its own.
     pub loads: Vec<ScenarioLoad>,
     /// Injected faults and planned operations.
@@ -61,6 +71,9 @@
             guarded: true,
             tenants: 0,
             tenant_cpu: 0,
+            job_memory_kb: 0,
+            max_failures: MAX_FAILURES,
+            policy: None,
             loads: Vec::new(),
             faults: Vec::new(),
         }
