--- a/crates/experiments/src/soak/callers.rs
+++ b/crates/experiments/src/soak/callers.rs
@@ -1,6 +1,10 @@
 //! Callers, which submit jobs over open connections and ask for their states.
 
-use std::{net::SocketAddr, ops::Range, time::Duration};
+use std::{
+    net::SocketAddr,
+    ops::Range,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
 
 use bytes::Bytes;
 use hyper::{
@@ -10,7 +14,7 @@
 use jacinthhoist_fakes::{labelled_job, sample_job};
 use jacinthhoist_net::{HttpClient, HttpRequest, HttpResponse};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
-use serde_json::Value;
+use serde_json::{Value, json};
 use tokio::{
     sync::Mutex,
     time::{Instant, sleep},
@@ -22,6 +26,8 @@
 const WAIT_CALL_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time after which a call is repeated.
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval between two times of a repeated job, in milliseconds.
+const SCHEDULE_INTERVAL_MS: u64 = 500;
 /// Interval between the rounds that look for jobs that are not yet completed.
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -98,6 +104,8 @@
     pub label: Option<&'static str>,
     /// Timeout of a call: more than that of the route. After it the caller goes to another member.
     pub call_timeout: Duration,
+    /// Times that every third job runs, twice a second; none if all run once.
+    pub repeats: Option<Range<u32>>,
 }
 
 /// What callers were told.
@@ -133,6 +141,17 @@
             Some(label) => labelled_job(tasks, &payload, label),
             None => sample_job(tasks, &payload),
         };
+        let mut job = job;
+        if let Some(repeats) = load.repeats.clone()
+            && job_number.is_multiple_of(3)
+        {
+            let start_at = SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .unwrap_or_default();
+            job["repeats"] = json!(rng.random_range(repeats));
+            job["start_at_ms"] = json!(start_at.as_millis() as u64 + SCHEDULE_INTERVAL_MS);
+            job["interval_ms"] = json!(SCHEDULE_INTERVAL_MS);
+        }
         let body = Bytes::from(job.to_string());
         let mut accepted = false;
         while Instant::now() < until {
--- a/crates/experiments/tests/partition_soak/main.rs
+++ b/crates/experiments/tests/partition_soak/main.rs
@@ -64,6 +64,7 @@
         pause_ms: 300..900,
         label: None,
         call_timeout: Duration::from_secs(4),
+        repeats: None,
     };
     let caller = |number: usize| {
         let rng = rng(100 + number as u64);
--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -13,7 +13,7 @@
 
 pub use gang::GangTable;
 pub use machines::MachineService;
-pub use policy::PolicyService;
+pub use policy::{PolicyFigures, PolicyService};
 use pool_worker::DEFAULT_LONGEST_LEASE;
 pub use pool_worker::{PoolWorker, RunRecord, WorkerFault};
 use store::{CALL_BYTES, RECORD_BYTES};
@@ -135,6 +135,32 @@
         self.write_config(version, pools, routes, None);
     }
 
+    /// Writes a configuration with numbers beyond those of usual ones: routes that ask a policy service with these
+    /// figures, and may fail very often. From now on the workers require its tickets, which end.
+    pub fn configure_with_figures(&self, version: u64, pools: &[&str], figures: PolicyFigures) {
+        let PolicyFigures {
+            decide_ms,
+            each_ms,
+            valid_ms,
+        } = figures;
+        let with_advice = |pool: &&str| {
+            let mut route = route(pool);
+            route["advice"] =
+                json!({"decide_ms": decide_ms, "each_ms": each_ms, "valid_ms": valid_ms});
+            route["max_attempts"] = json!(70_000);
+            route["priority"] = json!(5_000_000_000_u64);
+            route
+        };
+        let workers: Vec<&str> = self.workers.iter().map(PoolWorker::id).collect();
+        self.policy.permit(&workers);
+        self.policy.set_figures(figures);
+        for worker in &self.workers {
+            worker.require_tickets();
+        }
+        let routes = pools.iter().map(with_advice).collect();
+        self.write_config(version, pools, routes, None);
+    }
+
     fn write_config(
         &self,
         version: u64,
--- a/crates/fakes/src/platform/pool_worker/incarnation.rs
+++ b/crates/fakes/src/platform/pool_worker/incarnation.rs
@@ -268,7 +268,7 @@
         if self
             .ticket
             .as_ref()
-            .is_some_and(|ticket| *ticket != order.ticket)
+            .is_some_and(|ticket| !crate::platform::policy::accepts(ticket, &order.ticket))
         {
             return Err("ticket");
         }
--- a/crates/jacinthhoistd/tests/process_soak/installation.rs
+++ b/crates/jacinthhoistd/tests/process_soak/installation.rs
@@ -112,11 +112,13 @@
     folder: &'a Path,
     next_number: AtomicU64,
     origin: Instant,
+    /// Text of the `[limits]` table of the members' settings; may be empty.
+    limits: &'static str,
 }
 
 impl<'a> ProcessInstallation<'a> {
     /// Starts all members and waits until they are ready.
-    pub(crate) async fn spawn(members: usize, folder: &'a Path) -> Self {
+    pub(crate) async fn spawn(members: usize, folder: &'a Path, limits: &'static str) -> Self {
         let platform = FakePlatform::spawn_beating(&[POOL], WORKERS, HEARTBEAT).await;
         let mut platform = platform.expect("loopback has free ports");
         platform.set_longest_lease(LONGEST_LEASE).await;
@@ -132,6 +134,7 @@
             folder,
             next_number: AtomicU64::new(1),
             origin: Instant::now(),
+            limits,
         };
         for index in 0..members {
             installation.start(index).await;
@@ -240,7 +243,7 @@
                 text.replace(&format!("{key}127.0.0.1"), &format!("{key}{address}"))
             });
         let path = self.folder.join(format!("{name}.toml"));
-        std::fs::write(&path, settings).expect("the folder can be written");
+        std::fs::write(&path, settings + self.limits).expect("the folder can be written");
         let log = self.folder.join(format!("{name}.log"));
         let mut slot = site.process.lock().await;
         for _ in 0..START_ATTEMPTS {
--- a/crates/jacinthhoistd/tests/process_soak/main.rs
+++ b/crates/jacinthhoistd/tests/process_soak/main.rs
@@ -11,10 +11,21 @@
 mod installation;
 mod process;
 
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::{
+    net::SocketAddr,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use bytes::Bytes;
+use hyper::Method;
 
-use jacinthhoist_experiments::soak::{self, CallerLoad, CallerRecord, SoakPlan};
-use rand::RngExt;
+use jacinthhoist_experiments::{
+    schedule::call,
+    soak::{self, CallerLoad, CallerRecord, SoakPlan},
+};
+use jacinthhoist_fakes::{PolicyFigures, sample_job};
+use rand::{RngExt, rngs::StdRng};
+use serde_json::json;
 use tokio::{
     sync::Mutex,
     time::{Instant, sleep},
@@ -39,6 +50,10 @@
 /// Label that half of the jobs require; every other worker has it only in each second process.
 const LABEL: &str = "a";
 const OTHER_LABEL: &str = "b";
+/// Settings of members with 2 MB for jobs, half of them for schedules.
+const SMALL_MEMBER: &str = "[limits]\nmemory_mb = 8\n";
+/// Time between two schedules of the crowd: several thousand in a run, of which some hundreds fit.
+const CROWD_PAUSE: Duration = Duration::from_millis(5);
 /// First of the sequences that each seed plays: the cuts of workers.
 const ALWAYS_PLAYED: u64 = 7;
 
@@ -49,12 +64,14 @@
         FaultProfile::Mixed => (500..8_000, 150..500),
         // Runs that outlast their leases show if there is room for the next ones.
         FaultProfile::UnseenRestarts => (7_000..9_000, 700..1_500),
+        FaultProfile::Limits => (200..2_000, 1_500..3_000),
     };
     CallerLoad {
         task_ms,
         pause_ms,
         label: (profile == FaultProfile::Mixed).then_some(LABEL),
         call_timeout: Duration::from_secs(8),
+        repeats: (profile == FaultProfile::Limits).then_some(2..6),
     }
 }
 
@@ -65,6 +82,9 @@
     Mixed,
     /// Restarts of workers that their owner does not see, each with a cut after the first start.
     UnseenRestarts,
+    /// Members that end, with little memory for jobs, beside a crowd of schedules, a slow policy service and large numbers in
+    /// the configuration.
+    Limits,
 }
 
 impl FaultProfile {
@@ -72,6 +92,7 @@
         match self {
             Self::Mixed => "mixed",
             Self::UnseenRestarts => "unseen",
+            Self::Limits => "limits",
         }
     }
 }
@@ -81,7 +102,12 @@
     let folder = RunFolder::open(profile.name(), seed).expect("the folder of logs can be created");
     let rng = |part: u64| soak::random_sequence(seed, part);
     let members = rng(0).random_range(4..=6);
-    let mut installation = ProcessInstallation::spawn(members, &folder.path).await;
+    let limits = if profile == FaultProfile::Limits {
+        SMALL_MEMBER
+    } else {
+        ""
+    };
+    let mut installation = ProcessInstallation::spawn(members, &folder.path, limits).await;
     let origin = Instant::now();
     installation.begin(origin);
     for (number, worker) in installation.platform.workers.iter().enumerate() {
@@ -89,7 +115,7 @@
             FaultProfile::Mixed if number % 2 == 1 => {
                 worker.set_labels(&[LABEL, OTHER_LABEL]).await;
             }
-            FaultProfile::Mixed => {}
+            FaultProfile::Mixed | FaultProfile::Limits => {}
             // Starts reach the new process before its owner's next regular renewal.
             FaultProfile::UnseenRestarts => worker.register_at_start(),
         }
@@ -146,6 +172,20 @@
                 sequence(10).restart_unseen(1),
             );
         }
+        FaultProfile::Limits => {
+            let figures = draw_policy(&mut rng(20));
+            installation.note(&format!("{figures:?}"));
+            installation
+                .platform
+                .configure_with_figures(2, &[installation::POOL], figures);
+            tokio::join!(
+                callers,
+                crowd(&fronts, rng(21), until),
+                sequence(7).end_members(),
+                sequence(9).reassign(),
+                sequence(10).suspend_members(),
+            );
+        }
     }
     soak::wait_completed(&fronts, None, &record, Instant::now() + QUIET_PERIOD).await;
     sleep(SETTLE_PERIOD).await;
@@ -188,6 +228,33 @@
     violations
 }
 
+/// Draws the figures of a policy service. A call about all workers takes up to 0.3 s: the callers submit what it has
+/// time for.
+fn draw_policy(rng: &mut StdRng) -> PolicyFigures {
+    PolicyFigures {
+        decide_ms: rng.random_range(0..=60),
+        each_ms: rng.random_range(0..=40),
+        valid_ms: rng.random_range(250..=3_000),
+    }
+}
+
+/// Hands in schedules that are far off, until a time; most of them do not fit into the memory for jobs.
+async fn crowd(fronts: &[SocketAddr], mut rng: StdRng, until: Instant) {
+    let mut schedule = sample_job(1, "ms=10");
+    schedule["repeats"] = json!(u32::MAX);
+    // In the year 2033.
+    schedule["start_at_ms"] = json!(2_000_000_000_000_u64);
+    schedule["interval_ms"] = json!(60_000);
+    let body = Bytes::from(schedule.to_string());
+    while Instant::now() < until {
+        let front = fronts[rng.random_range(0..fronts.len())];
+        let path = format!("/jobs/{:016x}", rng.random::<u64>());
+        // Refusals and broken connections are part of the run.
+        let _ = call(front, installation::POOL, Method::POST, &path, body.clone()).await;
+        sleep(CROWD_PAUSE).await;
+    }
+}
+
 /// Plays the seeds that the environment names, or `count` of `secs` seconds.
 async fn play_seeds(profile: FaultProfile, count: u64, secs: u64) {
     let SoakPlan { seeds, secs } = SoakPlan::from_environment(count, secs);
@@ -219,3 +286,10 @@
 async fn workers_that_restart_unseen_hold_no_lease_longer_than_their_owner_reckons_with() {
     play_seeds(FaultProfile::UnseenRestarts, SEEDS, FAULT_SECS).await;
 }
+
+/// Guards against jobs that are lost, or run twice, as their schedules, policies, the numbers of their queues or the
+/// memory of the members exceed what was expected (review/11, 14 and 15), while members end and the pools move.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn members_with_little_memory_and_a_slow_policy_lose_no_job() {
+    play_seeds(FaultProfile::Limits, SEEDS, FAULT_SECS).await;
+}
