--- a/crates/core/src/job/scheduler/orders.rs
+++ b/crates/core/src/job/scheduler/orders.rs
@@ -151,8 +151,9 @@
             StartReply::NoPermit => {
                 self.permits.revoke(key.into(), id);
                 // A later catalogue may have given the kind of work a policy.
+                let is_advised = self.advice_policy(key.into()).is_some();
                 if let Some(job) = self.jobs.get_mut(&key.job) {
-                    job.terms.advised = true;
+                    job.terms.advised |= is_advised;
                 }
             }
             StartReply::Unhealthy
