Count each stored job once until the owner's report includes it

Callers with ordinary jobs were refused for up to a second after a crowd of large ones, as these counted twice until the owner had read them again, and within one report a crowd could fill all of the room. Wire names stay in the fakes.

--- a/crates/core/src/job/memory.rs
+++ b/crates/core/src/job/memory.rs
@@ -245,14 +245,14 @@
         }
     }
 
-    /// Returns whether a job fits into the room.
+    /// Returns whether a job fits into the room and leaves most of it to others.
     pub fn has_room(&self, size: JobSize) -> bool {
         let room = if size.lasts {
             self.lasting_room
         } else {
             self.room
         };
-        size.bytes <= room
+        size.bytes <= room / JOB_DIVISOR
     }
 
     /// Decides whether a job may be stored. `drain` is the time in which its pool works off its backlog, which
@@ -279,12 +279,7 @@
     ///
     /// The refusal, with the delay after which room is expected.
     pub fn admit(&self, size: JobSize, drain: ClockTime) -> Result<(), JobRefusal> {
-        let room = if size.lasts {
-            self.lasting_room
-        } else {
-            self.room
-        };
-        if self.has_room(size) && size.bytes <= room / JOB_DIVISOR {
+        if self.has_room(size) {
             return Ok(());
         }
         let retry_after = if size.lasts {
--- a/crates/experiments/src/soak/callers.rs
+++ b/crates/experiments/src/soak/callers.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     ops::Range,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::{Duration, SystemTime},
 };
 
 use bytes::Bytes;
@@ -11,10 +11,10 @@
     Method, StatusCode,
     header::{AUTHORIZATION, HOST, HeaderValue},
 };
-use jacinthhoist_fakes::{labelled_job, sample_job};
+use jacinthhoist_fakes::{labelled_job, repeated_job, sample_job};
 use jacinthhoist_net::{HttpClient, HttpRequest, HttpResponse};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
-use serde_json::{Value, json};
+use serde_json::Value;
 use tokio::{
     sync::Mutex,
     time::{Instant, sleep},
@@ -26,8 +26,8 @@
 const WAIT_CALL_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time after which a call is repeated.
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
-/// Interval between two times of a repeated job, in milliseconds.
-const SCHEDULE_INTERVAL_MS: u64 = 500;
+/// Interval between two times of a repeated job.
+const SCHEDULE_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval between the rounds that look for jobs that are not yet completed.
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -141,17 +141,14 @@
             Some(label) => labelled_job(tasks, &payload, label),
             None => sample_job(tasks, &payload),
         };
-        let mut job = job;
-        if let Some(repeats) = load.repeats.clone()
-            && job_number.is_multiple_of(3)
-        {
-            let start_at = SystemTime::now()
-                .duration_since(UNIX_EPOCH)
-                .unwrap_or_default();
-            job["repeats"] = json!(rng.random_range(repeats));
-            job["start_at_ms"] = json!(start_at.as_millis() as u64 + SCHEDULE_INTERVAL_MS);
-            job["interval_ms"] = json!(SCHEDULE_INTERVAL_MS);
-        }
+        let repeats = load.repeats.clone();
+        let job = match repeats.filter(|_| job_number.is_multiple_of(3)) {
+            Some(repeats) => {
+                let start = SystemTime::now() + SCHEDULE_INTERVAL;
+                repeated_job(job, rng.random_range(repeats), start, SCHEDULE_INTERVAL)
+            }
+            None => job,
+        };
         let body = Bytes::from(job.to_string());
         let mut accepted = false;
         while Instant::now() < until {
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -12,7 +12,8 @@
 pub use log::LogService;
 pub use platform::{
     FakePlatform, GangTable, KeyedLog, MachineService, PolicyFigures, PolicyService, PoolWorker,
-    RunRecord, StoreEndpoint, StoreFault, WorkerFault, labelled_job, long_running_job, sample_job,
+    RunRecord, StoreEndpoint, StoreFault, WorkerFault, labelled_job, long_running_job,
+    repeated_job, sample_job,
 };
 pub use upstream::{LeaseEnds, UpstreamFault, UpstreamVm};
 pub use vms::{VmEntry, VmList};
--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -19,7 +19,10 @@
 use store::{CALL_BYTES, RECORD_BYTES};
 pub use store::{KeyedLog, StoreEndpoint, StoreFault};
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
 
 use serde_json::{Value, json};
 
@@ -209,6 +212,15 @@
     json!({"task_spec": payload, "steps": [{"count": count, "cpu": 1_000, "mem_mb": 100}]})
 }
 
+/// The job, run a number of times from a time of day on.
+pub fn repeated_job(mut job: Value, times: u32, start: SystemTime, interval: Duration) -> Value {
+    let start = start.duration_since(UNIX_EPOCH).unwrap_or_default();
+    job["repeats"] = json!(times);
+    job["start_at_ms"] = json!(start.as_millis() as u64);
+    job["interval_ms"] = json!(interval.as_millis() as u64);
+    job
+}
+
 /// Job like [`sample_job`] whose tasks run only on workers with a label.
 pub fn labelled_job(count: u16, payload: &str, label: &str) -> Value {
     let mut job = sample_job(count, &format!("needs={label},{payload}"));
--- a/crates/jacinthhoistd/tests/process_soak/main.rs
+++ b/crates/jacinthhoistd/tests/process_soak/main.rs
@@ -23,9 +23,8 @@
     schedule::call,
     soak::{self, CallerLoad, CallerRecord, SoakPlan},
 };
-use jacinthhoist_fakes::{PolicyFigures, sample_job};
+use jacinthhoist_fakes::{PolicyFigures, repeated_job, sample_job};
 use rand::{RngExt, rngs::StdRng};
-use serde_json::json;
 use tokio::{
     sync::Mutex,
     time::{Instant, sleep},
@@ -54,6 +53,8 @@
 const SMALL_MEMBER: &str = "[limits]\nmemory_mb = 8\n";
 /// Time between two schedules of the crowd: several thousand in a run, of which some hundreds fit.
 const CROWD_PAUSE: Duration = Duration::from_millis(5);
+/// Time until the first occurrence of these schedules, long after the run.
+const CROWD_START: Duration = Duration::from_secs(86_400);
 /// First of the sequences that each seed plays: the cuts of workers.
 const ALWAYS_PLAYED: u64 = 7;
 
@@ -240,11 +241,9 @@
 
 /// Hands in schedules that are far off, until a time; most of them do not fit into the memory for jobs.
 async fn crowd(fronts: &[SocketAddr], mut rng: StdRng, until: Instant) {
-    let mut schedule = sample_job(1, "ms=10");
-    schedule["repeats"] = json!(u32::MAX);
-    // In the year 2033.
-    schedule["start_at_ms"] = json!(2_000_000_000_000_u64);
-    schedule["interval_ms"] = json!(60_000);
+    let start = SystemTime::now() + CROWD_START;
+    let schedule = sample_job(1, "ms=10");
+    let schedule = repeated_job(schedule, u32::MAX, start, Duration::from_secs(60));
     let body = Bytes::from(schedule.to_string());
     while Instant::now() < until {
         let front = fronts[rng.random_range(0..fronts.len())];
--- a/crates/scheduler/src/accept.rs
+++ b/crates/scheduler/src/accept.rs
@@ -3,10 +3,10 @@
 
 use std::{pin::pin, slice::from_ref, sync::Arc, time::Duration};
 
-use jacinthhoist_codec::{KeyedRecord, StoreOutcome};
+use jacinthhoist_codec::{KeyedRecord, StoreOutcome, accepted_job};
 use jacinthhoist_core::{
     ClockTime,
-    job::{JobSize, refusal_delay},
+    job::{JobId, JobSize, refusal_delay},
 };
 use tokio::{
     sync::{mpsc, oneshot},
@@ -18,7 +18,7 @@
     dependency::Dependency,
     error::Category,
     eventlog::event,
-    memory::MemoryGate,
+    memory::{record_append, reserve},
     ports::{AppendSequence, Platform, StoreStream},
     shared::MemberShared,
 };
@@ -62,6 +62,11 @@
         (request, outcome)
     }
 
+    /// Job in the record, if its size is known.
+    fn sized_job(&self) -> Option<JobId> {
+        self.size.and_then(|_| accepted_job(&self.record))
+    }
+
     /// Sends the outcome of this attempt, combined with that of an earlier one.
     pub(crate) fn settle(self, outcome: StoreOutcome) {
         let outcome = match outcome {
@@ -81,7 +86,6 @@
     /// Sends stored records on to the owner.
     stored_sender: mpsc::UnboundedSender<Vec<KeyedRecord>>,
     writer: AcceptWriter<P>,
-    memory: MemoryGate,
 }
 
 /// Writer with the member's own producer name and epoch.
@@ -112,7 +116,6 @@
             inbox,
             stored_sender,
             writer,
-            memory: MemoryGate::default(),
         }
     }
 
@@ -127,8 +130,10 @@
             let records: Vec<_> = batch.iter().map(|request| request.record.clone()).collect();
             let append = self.writer.append(&records);
             let outcome = refuse_during(&mut self.inbox, SLOW_APPEND, append).await;
-            let now = self.writer.shared.clock.now();
-            self.memory.record_append(outcome, now);
+            let jobs: Vec<JobId> = batch.iter().filter_map(StoreRequest::sized_job).collect();
+            if !jobs.is_empty() {
+                record_append(&jobs, outcome, &self.writer.shared);
+            }
             if outcome == StoreOutcome::Stored {
                 // If this fails, the owner still reads the records from the store.
                 let _ = self.stored_sender.send(records);
@@ -148,7 +153,7 @@
 
     /// Takes the first requests that the store accepts in one call. Those that it would never accept are
     /// refused, as they would take the others of their call with them, and so are jobs for which no memory is left.
-    fn take_batch(&mut self, waiting: &mut Vec<StoreRequest>) -> Vec<StoreRequest> {
+    fn take_batch(&self, waiting: &mut Vec<StoreRequest>) -> Vec<StoreRequest> {
         let shared = &self.writer.shared;
         let limits = &shared.store_limits;
         for request in waiting.extract_if(.., |request| !limits.admits(&request.record)) {
@@ -159,10 +164,9 @@
         let records = waiting.iter().map(|request| from_ref(&request.record));
         let count = limits.count_fitting(records);
         let mut batch: Vec<StoreRequest> = waiting.drain(..count).collect();
-        let memory = &mut self.memory;
         let is_refused = |request: &mut StoreRequest| {
-            let size = request.size;
-            size.is_some_and(|size| !memory.reserve(size, shared))
+            let job = request.sized_job().zip(request.size);
+            job.is_some_and(|(id, size)| !reserve(id, size, shared))
         };
         for request in batch.extract_if(.., is_refused) {
             request.settle(StoreOutcome::NoRoom);
--- a/crates/scheduler/src/owner/engine.rs
+++ b/crates/scheduler/src/owner/engine.rs
@@ -361,6 +361,8 @@
             memory: Some(self.report_memory()),
         });
         self.shared.set_heartbeat(Arc::clone(&heartbeat));
+        let is_reported = |id| self.scheduler.state(id).is_some();
+        self.shared.unreported_jobs.drop_reported(is_reported);
         self.shared.heartbeats.publish(heartbeat);
     }
 
--- a/crates/scheduler/src/shared.rs
+++ b/crates/scheduler/src/shared.rs
@@ -22,6 +22,7 @@
     error::{Error, Result},
     eventlog::EventLog,
     member::MemberIdentity,
+    memory::UnreportedJobs,
     meter::JobMeter,
     owner::OwnerEvent,
     owner_view::OwnerView,
@@ -38,6 +39,8 @@
     pub(crate) store_limits: StoreLimits,
     /// Memory for jobs of this member, in bytes.
     pub(crate) job_memory: u64,
+    /// Jobs that this member has stored and the owner's report does not include yet.
+    pub(crate) unreported_jobs: UnreportedJobs,
     pub(crate) clock: BootClock,
     pub(crate) wall: WallClock,
     pub(crate) log: Arc<EventLog>,
@@ -90,6 +93,7 @@
             identity,
             store_limits,
             job_memory,
+            unreported_jobs: UnreportedJobs::default(),
             clock,
             wall,
             log,
